Serve a generation through routers that hold no state

A caller asks any host for entries, posts a completion, and reads tokens that carry a signed cursor. The router continues the generation after an engine's death or silence; another router continues it from the cursor.

Proved by source/testing/recovery.test.ts with real processes: kill and pause of engine and router, both policies.

--- /dev/null
+++ b/source/admission/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Limits, fairness and deadlines of requests.
+ *
+ * @module
+ */
+
+export * from './admission.ts';
--- /dev/null
+++ b/source/answers/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Error answers shared by every part that can refuse a request.
+ *
+ * @module
+ */
+
+export * from './refusal.ts';
--- /dev/null
+++ b/source/answers/refusal.ts
@@ -0,0 +1,67 @@
+/**
+ * The error answer that a caller receives.
+ *
+ * @module
+ */
+
+/** Whether the work of a refused request was run: `no` only where that is certain. */
+export type RunState = 'no' | 'yes' | 'unknown';
+
+/** Stable codes of error answers; callers may branch on them. */
+export type RefusalCode
+	= | 'bad_request'
+		| 'bad_idempotency_key'
+		| 'call_in_progress'
+		| 'conflicting_body'
+		| 'cursor_refused'
+		| 'deadline_exceeded'
+		| 'endpoint_failed'
+		| 'generation_incomplete'
+		| 'host_leaving'
+		| 'missing_idempotency_key'
+		| 'no_endpoint'
+		| 'not_found'
+		| 'not_ready'
+		| 'outcome_unknown'
+		| 'overloaded'
+		| 'request_convicted'
+		| 'store_unavailable'
+		| 'unauthorized';
+
+/** A final answer that says why a request was not completed. */
+export type Refusal = {
+	/** HTTP status of the answer. */
+	status: number;
+	/** Stable code. */
+	code: RefusalCode;
+	/** One sentence for people. */
+	message: string;
+	/** Whether the work was run. */
+	run: RunState;
+	/** Seconds after which the caller may come back; absent where a repeat cannot help. */
+	retryAfterSeconds?: number;
+	/** Addresses of other entries that the caller may use at once. */
+	entries?: string[];
+};
+
+/**
+ * Returns the JSON body of an error answer.
+ *
+ * @param refusal What went wrong.
+ * @returns An object with one field, `error`.
+ * @example
+ * ```ts
+ * response.end(JSON.stringify(refusalBody(refusal)));
+ * ```
+ */
+export function refusalBody(refusal: Refusal) {
+	return {
+		error: {
+			code: refusal.code,
+			message: refusal.message,
+			run: refusal.run,
+			...(refusal.retryAfterSeconds !== undefined && {retry_after_seconds: refusal.retryAfterSeconds}),
+			...(refusal.entries && {entries: refusal.entries}),
+		},
+	};
+}
--- /dev/null
+++ b/source/binaries/azuretack-router.ts
@@ -0,0 +1,56 @@
+#!/usr/bin/env node
+/**
+ * The router daemon's program: reads its settings and runs the router until a signal asks it to leave.
+ *
+ * @module
+ */
+import process from 'node:process';
+import meow from 'meow';
+import {startRouter} from '../router/mod.ts';
+import {formatFault, readDocument, routerSettingsSchema} from '../settings/mod.ts';
+
+const command = meow(`
+	Usage
+	  $ azuretack-router --settings FILE
+
+	Options
+	  --settings FILE  Settings, JSON with comments
+	  --check          Only check the settings
+
+	Signals
+	  SIGTERM, SIGINT  Leave: finish every request in progress, then exit
+`, {
+	importMeta: import.meta,
+	flags: {settings: {type: 'string', isRequired: true}, check: {type: 'boolean', default: false}},
+});
+
+const settings = await readDocument(command.flags.settings, routerSettingsSchema);
+if (settings.isErr()) {
+	for (const fault of settings.error) {
+		console.error(formatFault(fault));
+	}
+
+	process.exit(1);
+}
+
+if (command.flags.check) {
+	console.log(`${command.flags.settings}: no faults`);
+	process.exit(0);
+}
+
+const router = await startRouter(settings.value);
+let leaving = false;
+const onSignal = () => {
+	if (!leaving) {
+		leaving = true;
+		void leaveAndExit();
+	}
+};
+
+process.on('SIGTERM', onSignal);
+process.on('SIGINT', onSignal);
+
+async function leaveAndExit(): Promise<void> {
+	await router.leave();
+	process.exit(0);
+}
--- /dev/null
+++ b/source/client/complete.ts
@@ -0,0 +1,211 @@
+/**
+ * The caller's side of a generation: it survives the loss of any entry.
+ *
+ * @module
+ */
+import {createParser, type EventSourceMessage} from 'eventsource-parser';
+import {
+	err, ok, type Result,
+} from 'neverthrow';
+import {Client, type Dispatcher} from 'undici';
+import {z} from 'zod';
+import {pause} from '../supervision/mod.ts';
+import {type EntryList} from './entry-list.ts';
+
+const eventSchema = z.object({
+	id: z.string(),
+	token_index: z.number().int().optional(),
+	total_tokens: z.number().int().optional(),
+	choices: z.array(z.object({text: z.string()})),
+});
+
+const errorSchema = z.object({
+	error: z.object({
+		code: z.string(), message: z.string(), run: z.enum(['no', 'yes', 'unknown']), retry_after_seconds: z.number().optional(),
+	}),
+});
+
+/** What a caller asks for. */
+export type CompletionRequest = {model: string; prompt: string; max_tokens: number; seed?: number};
+
+/** A whole answer. */
+export type Completion = {
+	text: string;
+	tokens: number;
+	generation: string;
+	/** Connections that were lost on the way. */
+	reconnections: number;
+	/** Longest time between two tokens, in milliseconds. */
+	longestGapMilliseconds: number;
+	/** Time to the first token, in milliseconds. */
+	firstTokenMilliseconds: number;
+};
+
+/** Why there is no whole answer. */
+export type CompletionFailure = {code: string; message: string; run: 'no' | 'yes' | 'unknown'; text: string};
+
+/** Options of {@linkcode complete}. */
+export type CompleteOptions = {
+	entries: EntryList;
+	key: string;
+	request: CompletionRequest;
+	/** Called with each token's text. Default does nothing. */
+	onToken?: (text: string, index: number, address: string) => void;
+	/** Time without a byte after which the connection is given up, in milliseconds. Default 3,000. */
+	silenceMilliseconds?: number;
+	/** Time for the whole answer, in milliseconds. Default 600,000. */
+	deadlineMilliseconds?: number;
+};
+
+/** State of one call over all of its connections. */
+type CallState = {
+	text: string;
+	nextIndex: number;
+	cursor: string | undefined;
+	generation: string;
+	totalTokens: number | undefined;
+	startedAt: number;
+	lastTokenAt: number;
+	longestGapMilliseconds: number;
+	firstTokenMilliseconds: number;
+};
+
+type StreamEnd = {kind: 'done'} | {kind: 'lost'; message: string} | {kind: 'refused'; failure: CompletionFailure; retryAfterSeconds?: number};
+
+/** Pause between two entries that failed, in milliseconds. */
+const retryMilliseconds = 100;
+
+/**
+ * Requests a generation and continues it by its cursor, at another entry if need be, until the answer is whole.
+ *
+ * @param options Entries, key and request.
+ * @returns The whole answer, or why there is none.
+ * @example
+ * ```ts
+ * const answer = await complete({entries, key, request: {model: 'briefs', prompt, max_tokens: 200}});
+ * ```
+ */
+export async function complete(options: CompleteOptions): Promise<Result<Completion, CompletionFailure>> {
+	const startedAt = performance.now();
+	const deadline = startedAt + (options.deadlineMilliseconds ?? 600_000);
+	const state: CallState = {
+		text: '', nextIndex: 0, cursor: undefined, generation: '', totalTokens: undefined, startedAt, lastTokenAt: startedAt, longestGapMilliseconds: 0, firstTokenMilliseconds: 0,
+	};
+	for (let connection = 0; performance.now() < deadline; connection += 1) {
+		const [address] = await options.entries.ordered(Date.now());
+		const end: StreamEnd = address === undefined ? {kind: 'lost', message: 'no entry is known'} : await stream(address, options, state);
+		if (end.kind === 'done') {
+			return ok({
+				text: state.text,
+				tokens: state.nextIndex,
+				generation: state.generation,
+				reconnections: connection,
+				longestGapMilliseconds: state.longestGapMilliseconds,
+				firstTokenMilliseconds: state.firstTokenMilliseconds,
+			});
+		}
+
+		if (end.kind === 'refused' && end.retryAfterSeconds === undefined) {
+			return err(end.failure);
+		}
+
+		if (address !== undefined) {
+			options.entries.failed(address, Date.now());
+		}
+
+		await pause(end.kind === 'refused' ? Math.min(end.retryAfterSeconds! * 1000, deadline - performance.now()) : retryMilliseconds);
+	}
+
+	return err({
+		code: 'deadline_exceeded', message: 'the answer was not whole in time', run: state.nextIndex > 0 ? 'yes' : 'unknown', text: state.text,
+	});
+}
+
+async function stream(address: string, options: CompleteOptions, state: CallState): Promise<StreamEnd> {
+	const silenceMilliseconds = options.silenceMilliseconds ?? 3000;
+	const client = new Client(`http://${address}`, {connectTimeout: 1000, headersTimeout: silenceMilliseconds, bodyTimeout: silenceMilliseconds});
+	try {
+		const response = await client.request({
+			method: 'POST',
+			path: '/v1/completions',
+			headers: {
+				authorization: `Bearer ${options.key}`,
+				'content-type': 'application/json',
+				...(state.cursor !== undefined && {'last-event-id': state.cursor}),
+			},
+			body: JSON.stringify({...options.request, stream: true, ...(state.cursor !== undefined && {received_text: state.text})}),
+		});
+		if (response.statusCode !== 200) {
+			return refusalOf(await response.body.text(), state);
+		}
+
+		return await readEvents(response.body, address, options, state);
+	} catch (error) {
+		return {kind: 'lost', message: String(error)};
+	} finally {
+		void client.destroy();
+	}
+}
+
+async function readEvents(body: Dispatcher.ResponseData['body'], address: string, options: CompleteOptions, state: CallState): Promise<StreamEnd> {
+	const messages: EventSourceMessage[] = [];
+	const parser = createParser({
+		onEvent(message) {
+			messages.push(message);
+		},
+	});
+	const decoder = new TextDecoder();
+	for await (const chunk of body as AsyncIterable<Uint8Array>) {
+		parser.feed(decoder.decode(chunk, {stream: true}));
+		for (const message of messages.splice(0)) {
+			const end = take(message, address, options, state);
+			if (end) {
+				return end;
+			}
+		}
+	}
+
+	return {kind: 'lost', message: 'the entry closed the stream before its end'};
+}
+
+/** Takes one event; returns the stream's end if it is the last one. */
+function take(message: EventSourceMessage, address: string, options: CompleteOptions, state: CallState): StreamEnd | undefined {
+	if (message.event === 'error') {
+		return refusalOf(message.data, state);
+	}
+
+	if (message.data === '[DONE]') {
+		return state.totalTokens === state.nextIndex ? {kind: 'done'} : {kind: 'lost', message: `the answer ended at token ${state.nextIndex}`};
+	}
+
+	const event = eventSchema.parse(JSON.parse(message.data));
+	state.totalTokens = event.total_tokens;
+	if (event.token_index === undefined) {
+		return undefined;
+	}
+
+	if (event.token_index !== state.nextIndex || (state.generation !== '' && event.id !== state.generation)) {
+		return {kind: 'lost', message: `token ${event.token_index} of ${event.id} came where ${state.nextIndex} was next`};
+	}
+
+	const now = performance.now();
+	if (event.token_index === 0) {
+		state.firstTokenMilliseconds = now - state.startedAt;
+	} else {
+		state.longestGapMilliseconds = Math.max(state.longestGapMilliseconds, now - state.lastTokenAt);
+	}
+
+	state.lastTokenAt = now;
+	state.generation = event.id;
+	state.cursor = message.id;
+	state.nextIndex += 1;
+	const text = event.choices[0]?.text ?? '';
+	state.text += text;
+	options.onToken?.(text, event.token_index, address);
+	return undefined;
+}
+
+function refusalOf(text: string, state: CallState): StreamEnd {
+	const {error} = errorSchema.parse(JSON.parse(text));
+	return {kind: 'refused', failure: {...error, text: state.text}, retryAfterSeconds: error.retry_after_seconds};
+}
--- /dev/null
+++ b/source/client/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * The caller's module behind `azuretack-call`.
+ *
+ * @module
+ */
+
+export * from './complete.ts';
+export * from './entry-list.ts';
--- /dev/null
+++ b/source/endpoints/engine-client.ts
@@ -0,0 +1,97 @@
+/**
+ * Short requests to engines: cancel, load, orders and cache events.
+ *
+ * @module
+ */
+import {
+	err, ok, type Result,
+} from 'neverthrow';
+import {Agent, request} from 'undici';
+import {type z} from 'zod';
+import {
+	cacheEventsSchema, engineErrorSchema, loadSchema, type CacheEvents, type EngineLoad, type EngineOrder,
+} from './engine-protocol.ts';
+
+/** Why a short request failed: `refused` with the engine's code, or no usable answer. */
+export type EngineFailure = {kind: 'refused'; code: string; message: string} | {kind: 'unreachable'; message: string};
+
+/** Options of {@linkcode EngineClient}. */
+export type EngineClientOptions = {
+	/** Deadline of each request, in milliseconds. Default 1,000. */
+	timeoutMilliseconds?: number;
+};
+
+/**
+ * Sends short requests to any engine, each with a deadline.
+ *
+ * @example
+ * ```ts
+ * const load = await new EngineClient().load('127.0.0.1:9000');
+ * ```
+ */
+export class EngineClient {
+	readonly #agent: Agent;
+	readonly #timeoutMilliseconds: number;
+
+	constructor(options: EngineClientOptions = {}) {
+		this.#timeoutMilliseconds = options.timeoutMilliseconds ?? 1000;
+		this.#agent = new Agent({connections: 2, keepAliveTimeout: 4000, connectTimeout: this.#timeoutMilliseconds});
+	}
+
+	/** Cancels a generation unless a newer attempt has taken it over. */
+	async cancel(address: string, generation: string, attempt: number): Promise<Result<void, EngineFailure>> {
+		const answer = await this.#send(address, 'POST', `/v1/generations/${generation}/cancel`, {attempt});
+		return answer.map(() => undefined);
+	}
+
+	/** Reads the load that an engine reports, with a lag. */
+	async load(address: string): Promise<Result<EngineLoad, EngineFailure>> {
+		return decode(loadSchema, await this.#send(address, 'GET', '/v1/load'));
+	}
+
+	/** Orders an engine into a state; an engine that checks refuses an old fencing number. */
+	async order(address: string, order: EngineOrder): Promise<Result<void, EngineFailure>> {
+		const answer = await this.#send(address, 'POST', '/v1/orders', order);
+		return answer.map(() => undefined);
+	}
+
+	/** Reads the cache events after a sequence number. */
+	async cacheEvents(address: string, after: number): Promise<Result<CacheEvents, EngineFailure>> {
+		return decode(cacheEventsSchema, await this.#send(address, 'GET', `/v1/cache_events?after=${after}`));
+	}
+
+	/** Closes all connections. */
+	async close(): Promise<void> {
+		await this.#agent.destroy();
+	}
+
+	async #send(address: string, method: 'GET' | 'POST', path: string, body?: unknown): Promise<Result<unknown, EngineFailure>> {
+		try {
+			const response = await request(`http://${address}${path}`, {
+				dispatcher: this.#agent,
+				method,
+				headers: {'content-type': 'application/json'},
+				body: body === undefined ? undefined : JSON.stringify(body),
+				signal: AbortSignal.timeout(this.#timeoutMilliseconds),
+			});
+			const answer: unknown = JSON.parse(await response.body.text());
+			if (response.statusCode < 300) {
+				return ok(answer);
+			}
+
+			const refusal = engineErrorSchema.safeParse(answer);
+			return err(refusal.success
+				? {kind: 'refused', ...refusal.data.error}
+				: {kind: 'unreachable', message: `the engine answered ${response.statusCode}`});
+		} catch (error) {
+			return err({kind: 'unreachable', message: String(error)});
+		}
+	}
+}
+
+function decode<Schema extends z.ZodType>(schema: Schema, answer: Result<unknown, EngineFailure>): Result<z.output<Schema>, EngineFailure> {
+	return answer.andThen((body): Result<z.output<Schema>, EngineFailure> => {
+		const checked = schema.safeParse(body);
+		return checked.success ? ok(checked.data) : err({kind: 'unreachable', message: `unexpected answer: ${checked.error.message}`});
+	});
+}
--- /dev/null
+++ b/source/endpoints/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Clients of model engines and plain services.
+ *
+ * @module
+ */
+
+export * from './engine-client.ts';
+export * from './engine-protocol.ts';
+export * from './engine-stream.ts';
--- /dev/null
+++ b/source/generation/cursor.test.ts
@@ -0,0 +1,34 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fastCheck from 'fast-check';
+import {digestText, formatCursor, parseCursor} from './cursor.ts';
+
+const cursor = fastCheck.record({
+	generation: fastCheck.uuid(),
+	attempt: fastCheck.nat(),
+	index: fastCheck.nat(),
+	endpoint: fastCheck.constant('127.0.0.1:9000'),
+	version: fastCheck.string(),
+	textDigest: fastCheck.string().map(text => digestText(text)),
+}, {noNullPrototype: true});
+const scope = {workspace: 'brushwake', requestDigest: digestText('request')};
+
+test('a cursor reads back as it was written', () => {
+	fastCheck.assert(fastCheck.property(cursor, value => {
+		const text = formatCursor(value, scope, 'key');
+		assert.deepEqual(parseCursor(text, scope, ['newer key', 'key'])._unsafeUnwrap(), value);
+	}), {seed: 1});
+});
+
+test('a cursor of another workspace, request or key is refused', () => {
+	const text = formatCursor({
+		generation: 'g', attempt: 1, index: 2, endpoint: 'e', version: 'v', textDigest: 'd',
+	}, scope, 'key');
+	assert.ok(parseCursor(text, {...scope, workspace: 'other'}, ['key']).isErr());
+	assert.ok(parseCursor(text, {...scope, requestDigest: 'other'}, ['key']).isErr());
+	assert.ok(parseCursor(text, scope, ['other']).isErr());
+});
+
+test('any text in place of a cursor is refused', () => {
+	fastCheck.assert(fastCheck.property(fastCheck.string(), text => parseCursor(text, scope, ['key']).isErr()), {seed: 2});
+});
--- /dev/null
+++ b/source/generation/cursor.ts
@@ -0,0 +1,120 @@
+/**
+ * The signed cursor that a caller shows to continue a generation at any entry.
+ *
+ * @module
+ */
+import {Buffer} from 'node:buffer';
+import {createHash, createHmac, timingSafeEqual} from 'node:crypto';
+import {
+	err, ok, type Result,
+} from 'neverthrow';
+import {z} from 'zod';
+
+/** Where a generation stands after one token. */
+export type Cursor = {
+	/** Name of the generation. */
+	generation: string;
+	/** Number of the attempt that produced the token. */
+	attempt: number;
+	/** Index of the token in the generation, from 0. */
+	index: number;
+	/** `address:port` of the endpoint that produced it. */
+	endpoint: string;
+	/** Model version that the whole generation is bound to. */
+	version: string;
+	/** Digest of the text up to and including the token. */
+	textDigest: string;
+};
+
+/** What a cursor is bound to besides its own fields. */
+export type CursorScope = {
+	/** Name of the workspace. */
+	workspace: string;
+	/** Digest of the request, as {@linkcode digestText} computes it. */
+	requestDigest: string;
+};
+
+const cursorSchema = z.tuple([z.string(), z.number().int(), z.number().int(), z.string(), z.string(), z.string()]);
+
+/** Characters kept of each digest: 128 bits in base64url. */
+const digestLength = 22;
+
+/** Computes a running digest of a text. */
+export class TextDigest {
+	readonly #hash = createHash('sha256');
+
+	/** Adds more text. */
+	add(text: string): void {
+		this.#hash.update(text);
+	}
+
+	/** Returns the digest of the text added so far. */
+	value(): string {
+		return this.#hash.copy().digest('base64url').slice(0, digestLength);
+	}
+}
+
+/**
+ * Computes the digest of a whole text.
+ *
+ * @param text Any text.
+ * @returns 128 bits in base64url.
+ * @example
+ * ```ts
+ * digestText(receivedText) === cursor.textDigest;
+ * ```
+ */
+export function digestText(text: string): string {
+	const digest = new TextDigest();
+	digest.add(text);
+	return digest.value();
+}
+
+/**
+ * Writes a cursor as the `id` of a server-sent event.
+ *
+ * @param cursor Where the generation stands.
+ * @param scope Workspace and request that it is bound to.
+ * @param key Key that signs.
+ * @example
+ * ```ts
+ * const id = formatCursor(cursor, {workspace, requestDigest}, key);
+ * ```
+ */
+export function formatCursor(cursor: Cursor, scope: CursorScope, key: string): string {
+	const fields = [cursor.generation, cursor.attempt, cursor.index, cursor.endpoint, cursor.version, cursor.textDigest];
+	const payload = Buffer.from(JSON.stringify(fields)).toString('base64url');
+	return `${payload}.${sign(payload, scope, key)}`;
+}
+
+/**
+ * Reads a cursor and checks that this system signed it for this workspace and request.
+ *
+ * @param text The `Last-Event-ID` header.
+ * @param scope Workspace and request of the caller who shows it.
+ * @param keys Keys that are accepted.
+ * @returns The cursor, or why it is refused.
+ * @example
+ * ```ts
+ * const cursor = parseCursor(header, {workspace, requestDigest}, keys);
+ * ```
+ */
+export function parseCursor(text: string, scope: CursorScope, keys: string[]): Result<Cursor, string> {
+	const [payload = '', signature = ''] = text.split('.');
+	if (!keys.some(key => equal(signature, sign(payload, scope, key)))) {
+		return err('the cursor was not issued for this workspace and this request');
+	}
+
+	const [generation, attempt, index, endpoint, version, textDigest] = cursorSchema.parse(JSON.parse(Buffer.from(payload, 'base64url').toString()));
+	return ok({
+		generation, attempt, index, endpoint, version, textDigest,
+	});
+}
+
+function sign(payload: string, scope: CursorScope, key: string): string {
+	return createHmac('sha256', key).update(`${scope.workspace}\n${scope.requestDigest}\n${payload}`).digest('base64url').slice(0, digestLength);
+}
+
+function equal(left: string, right: string): boolean {
+	return left.length === right.length && timingSafeEqual(Buffer.from(left), Buffer.from(right));
+}
--- /dev/null
+++ b/source/generation/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Generations: cursors, attempts and recovery.
+ *
+ * @module
+ */
+
+export * from './cursor.ts';
+export type * from './progress.ts';
+export * from './recovery-policy.ts';
+export * from './run-generation.ts';
--- /dev/null
+++ b/source/generation/read-attempt.ts
@@ -0,0 +1,108 @@
+/**
+ * Reads one attempt's stream and forwards its tokens until the attempt ends.
+ *
+ * @module
+ */
+import {type EngineEvent, type EngineStream} from '../endpoints/mod.ts';
+import {type Progress, type TokenSink} from './progress.ts';
+import {type RecoveryPolicy} from './recovery-policy.ts';
+
+/** How an attempt ended. */
+export type AttemptEnd
+	= | {kind: 'finished'; totalTokens: number; finishReason: string}
+		| {kind: 'silent'}
+		| {kind: 'stalled'}
+		| {kind: 'lost'; message: string}
+		| {kind: 'broken'; message: string}
+		| {kind: 'superseded'}
+		| {kind: 'draining'}
+		| {kind: 'aborted'}
+		| {kind: 'caller_gone'};
+
+/** Options of {@linkcode readAttempt}. */
+export type ReadAttemptOptions = {
+	stream: EngineStream;
+	endpoint: string;
+	progress: Progress;
+	policy: RecoveryPolicy;
+	sink: TokenSink;
+	signal: AbortSignal;
+	/** Called with the first event of the stream. */
+	onStarted: (event: Extract<EngineEvent, {event: 'started'}>) => void;
+	/** Monotonic time at which the last token arrived on any attempt, in milliseconds. */
+	lastTokenAt: number;
+	/** Returns the monotonic time, in milliseconds. */
+	clock: () => number;
+};
+
+type StoppedReason = Extract<EngineEvent, {event: 'stopped'}>['reason'];
+
+const endsOfStoppedStreams: Record<StoppedReason, AttemptEnd> = {
+	superseded: {kind: 'superseded'},
+	cancelled: {kind: 'superseded'},
+	draining: {kind: 'draining'},
+};
+
+/**
+ * Forwards the tokens of a stream; only the exact next index ever reaches the caller.
+ *
+ * @param options Stream, progress and sink.
+ * @returns How the attempt ended; the stream is left for the caller to close.
+ * @example
+ * ```ts
+ * const end = await readAttempt({stream, endpoint, progress, policy, sink, signal, onStarted, lastTokenAt, clock});
+ * ```
+ */
+export async function readAttempt(options: ReadAttemptOptions): Promise<AttemptEnd> {
+	const {stream, endpoint, progress, policy, sink, signal, clock} = options;
+	let {lastTokenAt} = options;
+	let running = false;
+	for (;;) {
+		const read = await stream.read(policy.silenceMilliseconds, signal);
+		if (read.kind === 'silent') {
+			return running && clock() - lastTokenAt >= policy.stallMilliseconds ? {kind: 'stalled'} : read;
+		}
+
+		if (read.kind !== 'event') {
+			return read;
+		}
+
+		const {event} = read;
+		switch (event.event) {
+			case 'started': {
+				running = event.state === 'running';
+				options.onStarted(event);
+				break;
+			}
+
+			case 'token': {
+				if (event.index !== progress.nextIndex) {
+					return {kind: 'broken', message: `token ${event.index} came where ${progress.nextIndex} was next`};
+				}
+
+				progress.text += event.text;
+				progress.nextIndex += 1;
+				const delivered = await sink.token({
+					index: event.index, text: event.text, attempt: progress.attempt, endpoint,
+				});
+				if (!delivered) {
+					return {kind: 'caller_gone'};
+				}
+
+				lastTokenAt = clock();
+				running = true;
+				break;
+			}
+
+			case 'finished': {
+				return event.total_tokens === progress.nextIndex
+					? {kind: 'finished', totalTokens: event.total_tokens, finishReason: event.finish_reason}
+					: {kind: 'broken', message: `the answer ended at ${event.total_tokens} after ${progress.nextIndex} tokens`};
+			}
+
+			case 'stopped': {
+				return endsOfStoppedStreams[event.reason];
+			}
+		}
+	}
+}
--- /dev/null
+++ b/source/generation/recovery-policy.ts
@@ -0,0 +1,52 @@
+/**
+ * How a generation is continued after a loss: one policy for each word of the service file.
+ *
+ * @module
+ */
+import {type ModelService} from '../configuration/mod.ts';
+
+/** Limits and preferences of a recovery. */
+export type RecoveryPolicy = {
+	/** Time without an event after which a stream counts as silent, in milliseconds. */
+	silenceMilliseconds: number;
+	/** Deadline of the question to a silent or lost engine for its own stream, in milliseconds. */
+	resumeMilliseconds: number;
+	/** Deadline for a new engine to accept a stream, in milliseconds. */
+	startMilliseconds: number;
+	/** Time without a token, on a stream that was running, after which its engine counts as lost, in milliseconds. */
+	stallMilliseconds: number;
+	/** Whether a silent engine is raced against a new one. */
+	race: boolean;
+};
+
+const policies: Record<ModelService['recovery']['policy'], RecoveryPolicy> = {
+	latency: {
+		silenceMilliseconds: 500,
+		resumeMilliseconds: 250,
+		startMilliseconds: 1000,
+		stallMilliseconds: 2500,
+		race: true,
+	},
+	cost: {
+		silenceMilliseconds: 1500,
+		resumeMilliseconds: 1000,
+		startMilliseconds: 1500,
+		stallMilliseconds: 4000,
+		race: false,
+	},
+};
+
+/**
+ * Returns the recovery policy of a service, with what its file overrides.
+ *
+ * @param service The service of model engines.
+ * @example
+ * ```ts
+ * const {silenceMilliseconds} = recoveryPolicy(service);
+ * ```
+ */
+export function recoveryPolicy(service: ModelService): RecoveryPolicy {
+	const {policy, silenceMilliseconds, race} = service.recovery;
+	const base = policies[policy];
+	return {...base, silenceMilliseconds: silenceMilliseconds ?? base.silenceMilliseconds, race: race ?? base.race};
+}
--- /dev/null
+++ b/source/membership/follow-hosts.ts
@@ -0,0 +1,48 @@
+/**
+ * Keeps the host directory up with the platform's list.
+ *
+ * @module
+ */
+import {
+	ok, type Result,
+} from 'neverthrow';
+import {type PlatformClient} from '../platform/mod.ts';
+import {poll, type TaskFailure} from '../supervision/mod.ts';
+import {type Logger} from '../telemetry/mod.ts';
+import {type HostDirectory} from './host-directory.ts';
+
+/** Options of {@linkcode followHosts}. */
+export type FollowHostsOptions = {
+	platform: PlatformClient;
+	directory: HostDirectory;
+	logger: Logger;
+	/** Mean time between two reads of the list, in milliseconds. */
+	periodMilliseconds: number;
+	/** Returns a random number from 0 to 1. */
+	random: () => number;
+	/** Returns the wall-clock time, in milliseconds. */
+	wallClock: () => number;
+};
+
+/**
+ * Reads the host list again and again; while it cannot be read, the last list stays in use.
+ *
+ * @param options Platform, directory and period.
+ * @param signal Ends the task.
+ * @example
+ * ```ts
+ * supervisor.start('hosts', signal => followHosts(options, signal));
+ * ```
+ */
+export async function followHosts(options: FollowHostsOptions, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
+	const {platform, directory, logger, periodMilliseconds, random, wallClock} = options;
+	await poll(async () => platform.hosts(), {periodMilliseconds, random, signal}).observe(hosts => {
+		if (hosts.isErr()) {
+			logger.warn('host list not read', hosts.error);
+			return;
+		}
+
+		directory.update(hosts.value, wallClock());
+	});
+	return ok();
+}
--- /dev/null
+++ b/source/placement/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Choice of endpoints.
+ *
+ * @module
+ */
+
+export * from './placement.ts';
--- /dev/null
+++ b/source/platform/platform-client.ts
@@ -0,0 +1,130 @@
+/**
+ * Client of the platform: table service, object store, weight store and host list.
+ *
+ * @module
+ */
+import {
+	err, ok, type Result,
+} from 'neverthrow';
+import {Pool} from 'undici';
+import {type z} from 'zod';
+import {hostListSchema, type Host} from './host-list-protocol.ts';
+import {
+	conflictSchema, rowsSchema, type ListRequest, type Operation, type Row, type RowKey,
+} from './table-protocol.ts';
+
+/**
+ * Why the platform gave no usable answer.
+ *
+ * `refused` means that nothing took effect; `unknown` means that a write may have taken effect although its answer was lost.
+ */
+export type PlatformFailure = {kind: 'refused' | 'unknown'; message: string};
+
+/** Outcome of a transaction: all of it took effect, or none because one condition did not hold. */
+export type TransactOutcome = {kind: 'committed'} | {kind: 'conflict'; operation: number};
+
+/** Options of {@linkcode PlatformClient}. */
+export type PlatformClientOptions = {
+	/** Base address of the platform. */
+	url: string;
+	/** Deadline of each request, in milliseconds. Default 2,000. */
+	timeoutMilliseconds?: number;
+	/** Called after each request. Default does nothing. */
+	observe?: (operation: string, outcome: string) => void;
+};
+
+/**
+ * Speaks to the platform's service; every request has a deadline and none is repeated by itself.
+ *
+ * @example
+ * ```ts
+ * const platform = new PlatformClient({url: 'http://127.0.0.1:7000'});
+ * const rows = await platform.read([{table: 'configuration', key: 'head'}]);
+ * ```
+ */
+export class PlatformClient {
+	readonly #pool: Pool;
+	readonly #timeoutMilliseconds: number;
+	readonly #observe: (operation: string, outcome: string) => void;
+
+	constructor(options: PlatformClientOptions) {
+		this.#timeoutMilliseconds = options.timeoutMilliseconds ?? 2000;
+		this.#observe = options.observe ?? (() => undefined);
+		this.#pool = new Pool(options.url, {connections: 8, pipelining: 1, connectTimeout: this.#timeoutMilliseconds});
+	}
+
+	/** Writes several rows at once, or none. */
+	async transact(operations: Operation[]): Promise<Result<TransactOutcome, PlatformFailure>> {
+		const answer = await this.#request('transact', 'POST', '/table/transact', JSON.stringify({operations}));
+		return answer.andThen(({status, body}): Result<TransactOutcome, PlatformFailure> => {
+			if (status === 409) {
+				return decode(conflictSchema, body).map(({conflict}) => ({kind: 'conflict' as const, operation: conflict}));
+			}
+
+			return ok({kind: 'committed'});
+		});
+	}
+
+	/** Reads rows by key; rows that do not exist are left out. */
+	async read(keys: RowKey[]): Promise<Result<Row[], PlatformFailure>> {
+		const answer = await this.#request('read', 'POST', '/table/read', JSON.stringify({keys}));
+		return answer.andThen(({body}) => decode(rowsSchema, body)).map(({rows}) => rows);
+	}
+
+	/** Lists rows of a table by prefix, in order of keys. */
+	async list(request: ListRequest): Promise<Result<Row[], PlatformFailure>> {
+		const answer = await this.#request('list', 'POST', '/table/list', JSON.stringify(request));
+		return answer.andThen(({body}) => decode(rowsSchema, body)).map(({rows}) => rows);
+	}
+
+	/** Stores an object under a name; the same name and content may be stored again. */
+	async putObject(name: string, content: string): Promise<Result<void, PlatformFailure>> {
+		const answer = await this.#request('put_object', 'PUT', `/objects/${encodeURIComponent(name)}`, content);
+		return answer.map(() => undefined);
+	}
+
+	/** Reads an object; `undefined` when there is none. */
+	async getObject(name: string): Promise<Result<string | undefined, PlatformFailure>> {
+		const answer = await this.#request('get_object', 'GET', `/objects/${encodeURIComponent(name)}`);
+		return answer.map(({status, body}) => status === 404 ? undefined : body);
+	}
+
+	/** Reads the list of live and leaving hosts. */
+	async hosts(): Promise<Result<Host[], PlatformFailure>> {
+		const answer = await this.#request('hosts', 'GET', '/hosts');
+		return answer.andThen(({body}) => decode(hostListSchema, body)).map(({hosts}) => hosts);
+	}
+
+	/** Closes all connections. */
+	async close(): Promise<void> {
+		await this.#pool.destroy();
+	}
+
+	async #request(operation: string, method: 'GET' | 'POST' | 'PUT', path: string, body?: string): Promise<Result<{status: number; body: string}, PlatformFailure>> {
+		try {
+			const response = await this.#pool.request({
+				method, path, body, headers: {'content-type': 'application/json'}, signal: AbortSignal.timeout(this.#timeoutMilliseconds),
+			});
+			const text = await response.body.text();
+			if (response.statusCode >= 500) {
+				this.#observe(operation, 'refused');
+				return err({kind: 'refused', message: `platform answered ${response.statusCode} to ${operation}`});
+			}
+
+			this.#observe(operation, 'answered');
+			return ok({status: response.statusCode, body: text});
+		} catch (error) {
+			this.#observe(operation, 'unknown');
+			return err({kind: 'unknown', message: `platform did not answer ${operation}: ${String(error)}`});
+		}
+	}
+}
+
+function decode<Schema extends z.ZodType>(schema: Schema, body: string): Result<z.output<Schema>, PlatformFailure> {
+	try {
+		const checked = schema.safeParse(JSON.parse(body));
+		return checked.success ? ok(checked.data) : err({kind: 'unknown', message: `unexpected answer of the platform: ${checked.error.message}`});
+	} catch {
+		return err({kind: 'unknown', message: 'the platform\'s answer is not JSON'});
+	}
+}
--- /dev/null
+++ b/source/router/caller-context.ts
@@ -0,0 +1,39 @@
+/**
+ * What the handlers of callers' requests share.
+ *
+ * @module
+ */
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Span} from '@opentelemetry/api';
+import {type Admission} from '../admission/mod.ts';
+import {type ConfigurationInForce, type Workspace} from '../configuration/mod.ts';
+import {type GenerationParts} from '../generation/mod.ts';
+import {type HostDirectory} from '../membership/mod.ts';
+import {type PlatformClient} from '../platform/mod.ts';
+import {type RouterSettings} from '../settings/mod.ts';
+import {type Leaving} from './leaving.ts';
+
+/** The router's parts that serve callers. */
+export type CallerParts = GenerationParts & {
+	settings: RouterSettings;
+	configuration: ConfigurationInForce;
+	directory: HostDirectory;
+	admission: Admission;
+	platform: PlatformClient;
+	leaving: Leaving;
+};
+
+/** One request of a caller. */
+export type CallerExchange = {
+	request: IncomingMessage;
+	response: ServerResponse;
+	/** Path and query of the request. */
+	url: URL;
+	/** Workspace that the caller's key admits to. */
+	workspace: Workspace;
+	/** Name of the request in logs, traces and answers. */
+	requestName: string;
+	span: Span;
+	/** Aborts when the caller's connection has closed. */
+	signal: AbortSignal;
+};
--- /dev/null
+++ b/source/router/completion-answer.ts
@@ -0,0 +1,124 @@
+/**
+ * Writes a generation to its caller, as server-sent events or as one JSON answer.
+ *
+ * @module
+ */
+import {once} from 'node:events';
+import {type ServerResponse} from 'node:http';
+import {
+	TextDigest, formatCursor, type CursorScope, type DeliveredToken, type Progress,
+} from '../generation/mod.ts';
+import {sendJson} from './respond.ts';
+
+/** Options of {@linkcode createCompletionAnswer}. */
+export type CompletionAnswerOptions = {
+	response: ServerResponse;
+	progress: Progress;
+	scope: CursorScope;
+	/** Key that signs cursors. */
+	cursorKey: string;
+	/** Time between heartbeats on an idle stream, in milliseconds. */
+	heartbeatMilliseconds: number;
+	/** Whether the caller asked for a stream. */
+	stream: boolean;
+	/** Aborts when the caller is gone. */
+	signal: AbortSignal;
+};
+
+/** Answer of one generation. */
+export type CompletionAnswer = {
+	/** Forwards one token; returns false when the caller is gone. */
+	token(token: DeliveredToken): Promise<boolean>;
+	/** Writes the end of a whole answer. */
+	finish(totalTokens: number, finishReason: string): void;
+	/** Stops the heartbeat. */
+	close(): void;
+};
+
+/**
+ * Creates the answer that fits the request.
+ *
+ * @param options Response, generation and signing key.
+ * @example
+ * ```ts
+ * const answer = createCompletionAnswer({response, progress, scope, cursorKey, heartbeatMilliseconds, stream: true, signal});
+ * ```
+ */
+export function createCompletionAnswer(options: CompletionAnswerOptions): CompletionAnswer {
+	return options.stream ? streamAnswer(options) : wholeAnswer(options);
+}
+
+function streamAnswer(options: CompletionAnswerOptions): CompletionAnswer {
+	const {response, progress, scope, cursorKey, signal} = options;
+	const digest = new TextDigest();
+	digest.add(progress.text);
+	response.writeHead(200, {
+		'content-type': 'text/event-stream', 'cache-control': 'no-store', 'x-generation': progress.generation,
+	});
+	response.write(': open\n\n');
+	const heartbeat = setInterval(() => {
+		if (!response.writableNeedDrain) {
+			response.write(': heartbeat\n\n');
+		}
+	}, options.heartbeatMilliseconds);
+	return {
+		async token(token) {
+			digest.add(token.text);
+			const id = formatCursor({
+				generation: progress.generation,
+				attempt: token.attempt,
+				index: token.index,
+				endpoint: token.endpoint,
+				version: progress.version,
+				textDigest: digest.value(),
+			}, scope, cursorKey);
+			const choice = {index: 0, text: token.text};
+			return write(response, `id: ${id}\ndata: ${JSON.stringify({...head(progress), token_index: token.index, choices: [choice]})}\n\n`, signal);
+		},
+		finish(totalTokens, finishReason) {
+			const choice = {index: 0, text: '', finish_reason: finishReason};
+			response.write(`data: ${JSON.stringify({...head(progress), total_tokens: totalTokens, choices: [choice]})}\n\n`);
+			response.end('data: [DONE]\n\n');
+		},
+		close() {
+			clearInterval(heartbeat);
+		},
+	};
+}
+
+function wholeAnswer(options: CompletionAnswerOptions): CompletionAnswer {
+	const {response, progress, signal} = options;
+	return {
+		async token() {
+			return !signal.aborted;
+		},
+		finish(totalTokens, finishReason) {
+			const choice = {index: 0, text: progress.text, finish_reason: finishReason};
+			sendJson(response, 200, {...head(progress), total_tokens: totalTokens, choices: [choice]});
+		},
+		close() {
+			// There is nothing to stop.
+		},
+	};
+}
+
+function head(progress: Progress) {
+	return {id: progress.generation, object: 'text_completion', model: progress.service.service};
+}
+
+async function write(response: ServerResponse, text: string, signal: AbortSignal): Promise<boolean> {
+	if (signal.aborted) {
+		return false;
+	}
+
+	if (response.write(text)) {
+		return true;
+	}
+
+	try {
+		await once(response, 'drain', {signal});
+		return true;
+	} catch {
+		return false;
+	}
+}
--- /dev/null
+++ b/source/router/listen.ts
@@ -0,0 +1,41 @@
+/**
+ * Starts and stops HTTP servers.
+ *
+ * @module
+ */
+import {once} from 'node:events';
+import {type Server} from 'node:http';
+
+/**
+ * Starts to listen on an `address:port`.
+ *
+ * @param server The server.
+ * @param address IP number and port.
+ * @throws {Error} When the address cannot be listened on.
+ * @example
+ * ```ts
+ * await listen(server, '127.0.0.1:8080');
+ * ```
+ */
+export async function listen(server: Server, address: string): Promise<void> {
+	const {hostname, port} = new URL(`http://${address}`);
+	server.listen(Number(port === '' ? '80' : port), hostname.replaceAll(/[\[\]]/gv, ''));
+	await once(server, 'listening');
+}
+
+/**
+ * Stops a server and closes its idle connections.
+ *
+ * @param server The server.
+ * @example
+ * ```ts
+ * await close(server);
+ * ```
+ */
+export async function close(server: Server): Promise<void> {
+	server.close();
+	server.closeAllConnections();
+	if (server.listening) {
+		await once(server, 'close');
+	}
+}
--- /dev/null
+++ b/source/router/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * The router daemon.
+ *
+ * @module
+ */
+
+export * from './router.ts';
--- /dev/null
+++ b/source/router/operator-server.ts
@@ -0,0 +1,78 @@
+/**
+ * The HTTP server that operators speak to: health, metrics, status, explain and drain.
+ *
+ * @module
+ */
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {type CallerParts} from './caller-context.ts';
+import {sendJson, sendRefusal} from './respond.ts';
+
+type Handler = (url: URL, response: ServerResponse, parts: CallerParts) => Promise<void> | void;
+
+const handlers: Record<string, Handler> = {
+	'GET /health'(_url, response, parts) {
+		sendJson(response, parts.configuration.ready ? 200 : 503, {ready: parts.configuration.ready});
+	},
+	async 'GET /metrics'(_url, response, parts) {
+		const text = await parts.metrics.registry.metrics();
+		response.writeHead(200, {'content-type': parts.metrics.registry.contentType});
+		response.end(text);
+	},
+	'GET /status'(_url, response, parts) {
+		sendJson(response, 200, {
+			host: parts.settings.hostName,
+			availabilityZone: parts.settings.availabilityZone,
+			ready: parts.configuration.ready,
+			configurationVersion: parts.configuration.version,
+			unreadableVersion: parts.configuration.unreadableVersion,
+			services: parts.configuration.current?.services ?? [],
+			leaving: parts.leaving.begun,
+			requestsInProgress: parts.leaving.inProgress,
+			knownHosts: parts.directory.hosts.length,
+		});
+	},
+	'GET /explain'(url, response, parts) {
+		sendJson(response, 200, {spans: parts.tracing.explain(url.searchParams.get('request') ?? '')});
+	},
+	'POST /drain'(_url, response, parts) {
+		parts.leaving.begin(parts.wallClock(), parts.settings.callers.entryTimeToLiveSeconds * 1000);
+		sendJson(response, 202, {leaving: true});
+	},
+};
+
+/**
+ * Creates the operators' server; it does not listen yet.
+ *
+ * @param parts The router's parts.
+ * @example
+ * ```ts
+ * createOperatorServer(parts).listen(9090, '10.0.0.1');
+ * ```
+ */
+export function createOperatorServer(parts: CallerParts): Server {
+	return createServer((request, response) => {
+		void serve(request, response, parts);
+	});
+}
+
+async function serve(request: IncomingMessage, response: ServerResponse, parts: CallerParts): Promise<void> {
+	const url = new URL(request.url ?? '/', 'http://operator');
+	if (request.headers.authorization !== `Bearer ${parts.settings.operators.key}`) {
+		sendRefusal(response, {
+			status: 401, code: 'unauthorized', message: 'The operator key is missing or wrong.', run: 'no',
+		});
+		return;
+	}
+
+	const handler = handlers[`${request.method} ${url.pathname}`];
+	if (!handler) {
+		sendRefusal(response, {
+			status: 404, code: 'not_found', message: 'There is nothing at this method and path.', run: 'no',
+		});
+		return;
+	}
+
+	await handler(url, response, parts);
+}
--- /dev/null
+++ b/source/settings/mod.ts
@@ -0,0 +1,8 @@
+/**
+ * Settings documents: JSON with comments, checked by schema.
+ *
+ * @module
+ */
+
+export * from './read-document.ts';
+export * from './router-settings.ts';
--- /dev/null
+++ b/source/settings/read-document.ts
@@ -0,0 +1,122 @@
+/**
+ * Reads JSON with comments against a schema and names every fault by file, line and field.
+ *
+ * @module
+ */
+import {readFile} from 'node:fs/promises';
+import {
+	findNodeAtLocation, parse, parseTree, printParseErrorCode, type Node, type ParseError,
+} from 'jsonc-parser';
+import {
+	err, ok, type Result,
+} from 'neverthrow';
+import {type z} from 'zod';
+
+/** One fault of a document. */
+export type DocumentFault = {
+	/** Name of the file. */
+	file: string;
+	/** Line of the fault, from 1. */
+	line: number;
+	/** Path of the field, such as `callers.port`; empty for the whole document. */
+	field: string;
+	/** What is wrong. */
+	message: string;
+};
+
+/**
+ * Writes a fault the way compilers do.
+ *
+ * @param fault The fault.
+ * @returns One line of text.
+ * @example
+ * ```ts
+ * formatFault({file: 'a.jsonc', line: 3, field: 'port', message: 'expected number'});
+ * // 'a.jsonc:3: port: expected number'
+ * ```
+ */
+export function formatFault(fault: DocumentFault): string {
+	const field = fault.field === '' ? '' : `${fault.field}: `;
+	return `${fault.file}:${fault.line}: ${field}${fault.message}`;
+}
+
+/**
+ * Parses and checks a document; reports all of its faults at once.
+ *
+ * @param text The document.
+ * @param file Name of the file for messages.
+ * @param schema Schema of the content.
+ * @returns The content with its defaults, or every fault.
+ * @example
+ * ```ts
+ * const settings = parseDocument(text, 'router.jsonc', routerSettingsSchema);
+ * ```
+ */
+export function parseDocument<Schema extends z.ZodType>(text: string, file: string, schema: Schema): Result<z.output<Schema>, DocumentFault[]> {
+	const parseErrors: ParseError[] = [];
+	const options = {allowTrailingComma: true};
+	const content: unknown = parse(text, parseErrors, options);
+	if (parseErrors.length > 0) {
+		return err(parseErrors.map(parseError => ({
+			file, line: lineAt(text, parseError.offset), field: '', message: `not valid JSON: ${printParseErrorCode(parseError.error)}`,
+		})));
+	}
+
+	const checked = schema.safeParse(content);
+	if (checked.success) {
+		return ok(checked.data);
+	}
+
+	const root = parseTree(text, [], options);
+	return err(checked.error.issues.map(issue => {
+		const path = issue.path.map(part => typeof part === 'symbol' ? String(part) : part);
+		const {message} = issue;
+		return {
+			file,
+			line: lineAt(text, offsetOf(root, path)),
+			field: path.join('.'),
+			message,
+		};
+	}));
+}
+
+/**
+ * Reads a file and checks it as {@linkcode parseDocument} does.
+ *
+ * @param file Path of the file.
+ * @param schema Schema of the content.
+ * @returns The content with its defaults, or every fault; an unreadable file is one fault.
+ * @example
+ * ```ts
+ * const settings = await readDocument('router.jsonc', routerSettingsSchema);
+ * ```
+ */
+export async function readDocument<Schema extends z.ZodType>(file: string, schema: Schema): Promise<Result<z.output<Schema>, DocumentFault[]>> {
+	try {
+		return parseDocument(await readFile(file, 'utf8'), file, schema);
+	} catch (error) {
+		return err([{
+			file, line: 1, field: '', message: `cannot be read: ${String(error)}`,
+		}]);
+	}
+}
+
+function lineAt(text: string, offset: number): number {
+	return text.slice(0, offset).split('\n').length;
+}
+
+/** Finds the offset of a field, or of its nearest enclosing one that exists. */
+function offsetOf(root: Node | undefined, path: Array<string | number>): number {
+	if (!root) {
+		return 0;
+	}
+
+	for (let {length} = path; length > 0; length--) {
+		const node = findNodeAtLocation(root, path.slice(0, length));
+		if (node) {
+			return node.parent?.type === 'property' ? node.parent.offset : node.offset;
+		}
+	}
+
+	return root.offset;
+}
--- /dev/null
+++ b/source/supervision/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * The supervisor tree and what its tasks share.
+ *
+ * @module
+ */
+
+export * from './invariant.ts';
+export * from './pause.ts';
+export * from './poll.ts';
+export * from './supervisor.ts';
--- /dev/null
+++ b/source/testing/recovery.test.ts
@@ -0,0 +1,86 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {complete} from '../client/mod.ts';
+import {Fleet, testKey, workspacesFile} from './fleet.ts';
+import {expectedText} from './stand-ins/expected-text.ts';
+
+const prompt = 'Lore of the northern clans and their banners';
+const request = {
+	model: 'briefs', prompt, max_tokens: 120, seed: 7,
+};
+const wholeText = expectedText({prompt, seed: 7, version: 'v1'}, 120);
+
+async function createFleet(policy: 'latency' | 'cost'): Promise<Fleet> {
+	const fleet = await Fleet.create();
+	await fleet.startEngine('engine-1', 'briefs');
+	await fleet.startEngine('engine-2', 'briefs');
+	await fleet.startRouter('router-1');
+	await fleet.startRouter('router-2', {}, 'zone-b');
+	await fleet.publishHosts();
+	const published = await fleet.publish({
+		'briefs.service.jsonc': {
+			service: 'briefs', kind: 'model', model: {name: 'model', version: 'v1'}, recovery: {policy},
+		},
+		'all.workspaces.jsonc': workspacesFile(),
+	});
+	assert.equal(published.code, 0, published.errors);
+	await fleet.waitUntilReady();
+	return fleet;
+}
+
+/** Finds the engine that decodes; there is one generation. */
+async function busyEngine(fleet: Fleet): Promise<string> {
+	for (const name of ['engine-1', 'engine-2']) {
+		const work = await fleet.control<{decodedTokens: number}>(name, '/control/work');
+		if (work.decodedTokens > 0) {
+			return name;
+		}
+	}
+
+	throw new Error('no engine decodes');
+}
+
+for (const policy of ['latency', 'cost'] as const) {
+	for (const signal of ['SIGKILL', 'SIGSTOP'] as const) {
+		test(`under ${policy}, a generation outlives its engine's ${signal}`, async () => {
+			await using fleet = await createFleet(policy);
+			let injected: Promise<void> | undefined;
+			const answer = await complete({
+				entries: fleet.entries(),
+				key: testKey,
+				request,
+				onToken(_text, index) {
+					if (index === 40) {
+						injected = (async () => {
+							fleet.signal(await busyEngine(fleet), signal);
+						})();
+					}
+				},
+			});
+			await injected;
+			assert.equal(answer._unsafeUnwrap().text, wholeText);
+			assert.equal(answer._unsafeUnwrap().reconnections, 0);
+			assert.ok(answer._unsafeUnwrap().longestGapMilliseconds < 5000);
+		});
+	}
+}
+
+for (const signal of ['SIGKILL', 'SIGSTOP'] as const) {
+	test(`a generation outlives its router's ${signal}`, async () => {
+		await using fleet = await createFleet('latency');
+		const answer = await complete({
+			entries: fleet.entries(),
+			key: testKey,
+			request,
+			onToken(_text, index, address) {
+				if (index === 40) {
+					const router = fleet.process('router-1').address === address ? 'router-1' : 'router-2';
+					fleet.signal(router, signal);
+				}
+			},
+		});
+		assert.equal(answer._unsafeUnwrap().text, wholeText);
+		assert.equal(answer._unsafeUnwrap().reconnections, 1);
+		assert.ok(answer._unsafeUnwrap().longestGapMilliseconds < 5000);
+	});
+}
