--- a/source/testing/run-tests.ts
+++ b/source/testing/run-tests.ts
@@ -52,5 +52,4 @@
 	console.log(`${counts.passed} passed, ${counts.failed} failed`);
 	process.exitCode = counts.failed > 0 || counts.passed === 0 ? 1 : 0;
 });
-const report: NodeJS.ReadableStream = stream.compose(new SpecReporter());
-report.pipe(process.stdout);
+stream.pipe(new SpecReporter()).pipe(process.stdout);
