Number takeovers above the router that the caller left

Cause: a router that continued from a cursor counted attempts on from the cursor's number. A paused router that had already started further attempts could hold a higher number at the same engine, which then refused every takeover.

Attempts of a takeover now start at the wall clock in milliseconds. Weighed: letting the engine tell its newest attempt (then a woken router could overtake as well). The generation is bound to model name, version and adapter; a generation that moves is cancelled at the endpoint it leaves; a caller connection without room for 10 s counts as gone. Racing a silent engine against a new one was left out: the question for the engine's own stream is limited to 250 ms.

--- a/source/client/complete.ts
+++ b/source/client/complete.ts
@@ -51,7 +51,7 @@
 	request: CompletionRequest;
 	/** Called with each token's text. Default does nothing. */
 	onToken?: (text: string, index: number, address: string) => void;
-	/** Time without a byte after which the connection is given up, in milliseconds. Default 3,000. */
+	/** Time without a byte after which the connection is given up, in milliseconds. Default 2,500. */
 	silenceMilliseconds?: number;
 	/** Time for the whole answer, in milliseconds. Default 600,000. */
 	deadlineMilliseconds?: number;
@@ -122,7 +122,7 @@
 }
 
 async function stream(address: string, options: CompleteOptions, state: CallState): Promise<StreamEnd> {
-	const silenceMilliseconds = options.silenceMilliseconds ?? 3000;
+	const silenceMilliseconds = options.silenceMilliseconds ?? 2500;
 	const client = new Client(`http://${address}`, {connectTimeout: 1000, headersTimeout: silenceMilliseconds, bodyTimeout: silenceMilliseconds});
 	try {
 		const response = await client.request({
--- a/source/configuration/service-file.ts
+++ b/source/configuration/service-file.ts
@@ -13,8 +13,6 @@
 	policy: z.enum(['latency', 'cost']).default('latency'),
 	/** Time without an event after which a stream counts as silent. Default by policy. */
 	silenceMilliseconds: z.number().int().positive().optional(),
-	/** Whether a silent engine is raced against a new one. Default only for `latency`. */
-	race: z.boolean().optional(),
 }).prefault({});
 
 /** A service of model engines. */
--- a/source/generation/cursor.test.ts
+++ b/source/generation/cursor.test.ts
@@ -8,7 +8,7 @@
 	attempt: fastCheck.nat(),
 	index: fastCheck.nat(),
 	endpoint: fastCheck.constant('127.0.0.1:9000'),
-	version: fastCheck.string(),
+	model: fastCheck.record({name: fastCheck.string(), version: fastCheck.string(), adapter: fastCheck.string()}, {requiredKeys: ['name', 'version'], noNullPrototype: true}),
 	textDigest: fastCheck.string().map(text => digestText(text)),
 }, {noNullPrototype: true});
 const scope = {workspace: 'brushwake', requestDigest: digestText('request')};
@@ -22,7 +22,7 @@
 
 test('a cursor of another workspace, request or key is refused', () => {
 	const text = formatCursor({
-		generation: 'g', attempt: 1, index: 2, endpoint: 'e', version: 'v', textDigest: 'd',
+		generation: 'g', attempt: 1, index: 2, endpoint: 'e', model: {name: 'm', version: 'v'}, textDigest: 'd',
 	}, scope, 'key');
 	assert.ok(parseCursor(text, {...scope, workspace: 'other'}, ['key']).isErr());
 	assert.ok(parseCursor(text, {...scope, requestDigest: 'other'}, ['key']).isErr());
--- a/source/generation/cursor.ts
+++ b/source/generation/cursor.ts
@@ -10,6 +10,9 @@
 } from 'neverthrow';
 import {z} from 'zod';
 
+/** A model that generates: two engines with the same identity continue each other's text. */
+export type ModelIdentity = {name: string; version: string; adapter?: string};
+
 /** Where a generation stands after one token. */
 export type Cursor = {
 	/** Name of the generation. */
@@ -20,8 +23,8 @@
 	index: number;
 	/** `address:port` of the endpoint that produced it. */
 	endpoint: string;
-	/** Model version that the whole generation is bound to. */
-	version: string;
+	/** Model that the whole generation is bound to. */
+	model: ModelIdentity;
 	/** Digest of the text up to and including the token. */
 	textDigest: string;
 };
@@ -34,7 +37,7 @@
 	requestDigest: string;
 };
 
-const cursorSchema = z.tuple([z.string(), z.number().int(), z.number().int(), z.string(), z.string(), z.string()]);
+const cursorSchema = z.tuple([z.string(), z.number().int(), z.number().int(), z.string(), z.array(z.string()), z.string()]);
 
 /** Characters kept of each digest: 128 bits in base64url. */
 const digestLength = 22;
@@ -82,7 +85,9 @@
  * ```
  */
 export function formatCursor(cursor: Cursor, scope: CursorScope, key: string): string {
-	const fields = [cursor.generation, cursor.attempt, cursor.index, cursor.endpoint, cursor.version, cursor.textDigest];
+	const {name, version, adapter} = cursor.model;
+	const model = adapter === undefined ? [name, version] : [name, version, adapter];
+	const fields = [cursor.generation, cursor.attempt, cursor.index, cursor.endpoint, model, cursor.textDigest];
 	const payload = Buffer.from(JSON.stringify(fields)).toString('base64url');
 	return `${payload}.${sign(payload, scope, key)}`;
 }
@@ -105,9 +110,10 @@
 		return err('the cursor was not issued for this workspace and this request');
 	}
 
-	const [generation, attempt, index, endpoint, version, textDigest] = cursorSchema.parse(JSON.parse(Buffer.from(payload, 'base64url').toString()));
+	const [generation, attempt, index, endpoint, model, textDigest] = cursorSchema.parse(JSON.parse(Buffer.from(payload, 'base64url').toString()));
+	const [name = '', version = '', adapter] = model;
 	return ok({
-		generation, attempt, index, endpoint, version, textDigest,
+		generation, attempt, index, endpoint, model: adapter === undefined ? {name, version} : {name, version, adapter}, textDigest,
 	});
 }
 
--- /dev/null
+++ b/source/generation/generation-parts.ts
@@ -0,0 +1,23 @@
+/**
+ * What a generation needs of the router.
+ *
+ * @module
+ */
+import {type EngineClient} from '../endpoints/mod.ts';
+import {type Placement} from '../placement/mod.ts';
+import {type Logger, type Metrics, type Tracing} from '../telemetry/mod.ts';
+
+/** The router's parts that serve generations. */
+export type GenerationParts = {
+	placement: Placement;
+	engines: EngineClient;
+	metrics: Metrics;
+	tracing: Tracing;
+	logger: Logger;
+	/** Returns the monotonic time, in milliseconds. */
+	clock: () => number;
+	/** Returns the wall-clock time, in milliseconds. */
+	wallClock: () => number;
+	/** Returns a random number from 0 to 1. */
+	random: () => number;
+};
--- a/source/generation/mod.ts
+++ b/source/generation/mod.ts
@@ -5,6 +5,7 @@
  */
 
 export * from './cursor.ts';
+export type * from './generation-parts.ts';
 export type * from './progress.ts';
 export * from './recovery-policy.ts';
 export * from './run-generation.ts';
--- a/source/generation/progress.ts
+++ b/source/generation/progress.ts
@@ -5,27 +5,28 @@
  */
 import {type Refusal} from '../answers/mod.ts';
 import {type ModelService} from '../configuration/mod.ts';
+import {type ModelIdentity} from './cursor.ts';
 
 /** A generation in progress; changed only by the task that serves it. */
 export type Progress = {
 	readonly generation: string;
 	readonly workspace: string;
 	readonly service: ModelService;
-	/** Model version that the generation is bound to from its first token. */
-	readonly version: string;
+	/** Model that the generation is bound to from its first token. */
+	readonly model: ModelIdentity;
 	readonly prompt: string;
 	/** Digest of workspace, service and body, the same for a repeat of the request. */
 	readonly requestDigest: string;
 	/** Tokens of the whole answer at most. */
 	readonly maxTokens: number;
 	readonly seed: number;
-	/** Wall-clock time after which the caller no longer waits, in milliseconds. */
+	/** Wall-clock time from which no further attempt is started, in milliseconds. */
 	readonly deadline: number;
 	/** Text of the tokens before `nextIndex`. */
 	text: string;
 	/** Index of the next token to forward. */
 	nextIndex: number;
-	/** Number of the current attempt; each stream opened takes the next one. */
+	/** Number of the current attempt; each stream opened takes a higher one. */
 	attempt: number;
 	/** Endpoint that last ran the generation. */
 	endpoint: string | undefined;
--- a/source/generation/read-attempt.ts
+++ b/source/generation/read-attempt.ts
@@ -15,7 +15,7 @@
 		| {kind: 'lost'; message: string}
 		| {kind: 'broken'; message: string}
 		| {kind: 'superseded'}
-		| {kind: 'draining'}
+		| {kind: 'refused'; message: string}
 		| {kind: 'aborted'}
 		| {kind: 'caller_gone'};
 
@@ -40,7 +40,7 @@
 const endsOfStoppedStreams: Record<StoppedReason, AttemptEnd> = {
 	superseded: {kind: 'superseded'},
 	cancelled: {kind: 'superseded'},
-	draining: {kind: 'draining'},
+	draining: {kind: 'refused', message: 'the engine is draining'},
 };
 
 /**
--- a/source/generation/recovery-policy.ts
+++ b/source/generation/recovery-policy.ts
@@ -15,8 +15,6 @@
 	startMilliseconds: number;
 	/** Time without a token, on a stream that was running, after which its engine counts as lost, in milliseconds. */
 	stallMilliseconds: number;
-	/** Whether a silent engine is raced against a new one. */
-	race: boolean;
 };
 
 const policies: Record<ModelService['recovery']['policy'], RecoveryPolicy> = {
@@ -25,14 +23,12 @@
 		resumeMilliseconds: 250,
 		startMilliseconds: 1000,
 		stallMilliseconds: 2500,
-		race: true,
 	},
 	cost: {
 		silenceMilliseconds: 1500,
 		resumeMilliseconds: 1000,
 		startMilliseconds: 1500,
 		stallMilliseconds: 4000,
-		race: false,
 	},
 };
 
@@ -46,7 +42,7 @@
  * ```
  */
 export function recoveryPolicy(service: ModelService): RecoveryPolicy {
-	const {policy, silenceMilliseconds, race} = service.recovery;
+	const {policy, silenceMilliseconds} = service.recovery;
 	const base = policies[policy];
-	return {...base, silenceMilliseconds: silenceMilliseconds ?? base.silenceMilliseconds, race: race ?? base.race};
+	return {...base, silenceMilliseconds: silenceMilliseconds ?? base.silenceMilliseconds};
 }
--- /dev/null
+++ b/source/generation/run-attempt.ts
@@ -0,0 +1,123 @@
+/**
+ * One attempt of a generation: opens a stream, reads it to its end and closes it.
+ *
+ * @module
+ */
+import {openEngineStream, type OpenFailure, type StreamRequest} from '../endpoints/mod.ts';
+import {type GenerationParts} from './generation-parts.ts';
+import {type Progress, type TokenSink} from './progress.ts';
+import {readAttempt, type AttemptEnd} from './read-attempt.ts';
+import {type RecoveryPolicy} from './recovery-policy.ts';
+import {type RunGenerationOptions} from './run-generation.ts';
+
+/** What to ask of an endpoint: its own stream of the generation, or a new one from the text so far. */
+export type AttemptStep = 'resume' | 'start';
+
+/** Options of {@linkcode runAttempt}. */
+export type RunAttemptOptions = RunGenerationOptions & {
+	endpoint: string;
+	step: AttemptStep;
+	policy: RecoveryPolicy;
+	/** Receives the tokens. */
+	sink: TokenSink;
+	/** Monotonic time at which the last token arrived on any attempt, in milliseconds. */
+	lastTokenAt: number;
+};
+
+/**
+ * Runs one attempt with the next attempt number.
+ *
+ * @param options Endpoint, step and the generation's options.
+ * @returns How the attempt ended.
+ * @example
+ * ```ts
+ * const end = await runAttempt({...options, endpoint, step: 'start', policy, lastTokenAt});
+ * ```
+ */
+export async function runAttempt(options: RunAttemptOptions): Promise<AttemptEnd> {
+	const {progress, parts, endpoint, step} = options;
+	progress.attempt += 1;
+	const tokens = progress.maxTokens - progress.nextIndex;
+	const span = parts.tracing.start('attempt', options.span, {
+		generation: progress.generation, attempt: progress.attempt, endpoint, step,
+	});
+	parts.placement.started(endpoint, tokens);
+	try {
+		const end = await openAndRead(options, parts.tracing.inject(span));
+		span.setAttributes({end: end.kind, nextIndex: progress.nextIndex, ...('message' in end && {message: end.message})});
+		return end;
+	} finally {
+		parts.placement.finished(endpoint, tokens);
+		span.end();
+	}
+}
+
+async function openAndRead(options: RunAttemptOptions, traceHeaders: Record<string, string>): Promise<AttemptEnd> {
+	const {progress, parts, endpoint, step, policy, signal} = options;
+	const opened = await openEngineStream(streamRequest(progress, step), {
+		address: endpoint,
+		openMilliseconds: step === 'resume' ? policy.resumeMilliseconds : policy.startMilliseconds,
+		traceHeaders,
+		signal,
+	});
+	if (opened.isErr()) {
+		return endOfOpening(opened.error, options);
+	}
+
+	const stream = opened.value;
+	progress.endpoint = endpoint;
+	parts.placement.succeeded(endpoint, parts.clock());
+	try {
+		return await readAttempt({
+			...options,
+			stream,
+			clock: parts.clock,
+			onStarted(event) {
+				if (step === 'start' && progress.nextIndex > 0) {
+					parts.metrics.extraTokens.inc({service: progress.service.service, work: 'prefill'}, event.prefill_tokens);
+				}
+			},
+		});
+	} finally {
+		stream.close();
+	}
+}
+
+function endOfOpening(failure: OpenFailure, {parts, endpoint, signal}: RunAttemptOptions): AttemptEnd {
+	if (signal.aborted) {
+		return {kind: 'aborted'};
+	}
+
+	if (failure.kind === 'unreachable') {
+		parts.placement.failed(endpoint, parts.clock());
+		return {kind: 'lost', message: failure.message};
+	}
+
+	return failure.code === 'superseded' ? {kind: 'superseded'} : {kind: 'refused', message: failure.message};
+}
+
+function streamRequest(progress: Progress, step: AttemptStep): StreamRequest {
+	const {generation, attempt, model} = progress;
+	if (step === 'resume') {
+		return {
+			kind: 'resume', generation, attempt, afterIndex: progress.nextIndex - 1,
+		};
+	}
+
+	return {
+		kind: 'start',
+		request: {
+			generation,
+			attempt,
+			model: model.name,
+			version: model.version,
+			adapter: model.adapter,
+			prompt: progress.prompt,
+			text_so_far: progress.text,
+			start_index: progress.nextIndex,
+			max_tokens: progress.maxTokens,
+			seed: progress.seed,
+			priority: progress.service.priority,
+		},
+	};
+}
--- a/source/generation/run-generation.ts
+++ b/source/generation/run-generation.ts
@@ -5,32 +5,14 @@
  */
 import {type Span} from '@opentelemetry/api';
 import {type Refusal} from '../answers/mod.ts';
-import {
-	openEngineStream, type EngineClient, type EngineStream, type OpenFailure, type StreamRequest,
-} from '../endpoints/mod.ts';
-import {type Placement} from '../placement/mod.ts';
 import {pause} from '../supervision/mod.ts';
-import {type Logger, type Metrics, type Tracing} from '../telemetry/mod.ts';
+import {type GenerationParts} from './generation-parts.ts';
 import {
-	type GenerationEnd, type Progress, type TokenSink,
+	type DeliveredToken, type GenerationEnd, type Progress, type TokenSink,
 } from './progress.ts';
-import {readAttempt, type AttemptEnd} from './read-attempt.ts';
-import {recoveryPolicy, type RecoveryPolicy} from './recovery-policy.ts';
-
-/** What a generation needs of the router. */
-export type GenerationParts = {
-	placement: Placement;
-	engines: EngineClient;
-	metrics: Metrics;
-	tracing: Tracing;
-	logger: Logger;
-	/** Returns the monotonic time, in milliseconds. */
-	clock: () => number;
-	/** Returns the wall-clock time, in milliseconds. */
-	wallClock: () => number;
-	/** Returns a random number from 0 to 1. */
-	random: () => number;
-};
+import {type AttemptEnd} from './read-attempt.ts';
+import {recoveryPolicy} from './recovery-policy.ts';
+import {runAttempt, type AttemptStep} from './run-attempt.ts';
 
 /** Options of {@linkcode runGeneration}. */
 export type RunGenerationOptions = {
@@ -46,22 +28,23 @@
 /** Pause before the endpoints are asked again when none could take the generation, in milliseconds. */
 const noEndpointMilliseconds = 200;
 
-/** Seconds after which a caller may come back with its cursor. */
-const comeBackSeconds = 5;
+/** Time for which a generation without a first token waits for an endpoint, in milliseconds. */
+const firstEndpointMilliseconds = 10_000;
 
-/** What to do next: ask the last endpoint for its own stream, or start elsewhere. */
-type NextStep = 'resume' | 'start';
+/** Seconds after which a caller may come back. */
+const comeBackSeconds = 5;
 
-const stepAfterEnd: Record<Exclude<AttemptEnd['kind'], 'finished' | 'superseded' | 'aborted' | 'caller_gone'>, NextStep> = {
+/** The step that follows an attempt: a lost or silent connection says nothing yet about the engine behind it. */
+const stepAfterEnd: Record<Exclude<AttemptEnd['kind'], 'finished' | 'superseded' | 'aborted' | 'caller_gone'>, AttemptStep> = {
 	silent: 'resume',
 	lost: 'resume',
 	broken: 'start',
 	stalled: 'start',
-	draining: 'start',
+	refused: 'start',
 };
 
 /**
- * Serves a generation until its answer is whole, its caller is gone or its deadline has passed.
+ * Serves a generation until its answer is whole, its caller is gone or no endpoint can continue it.
  *
  * @param options Progress, sink and the router's parts.
  * @returns How it ended.
@@ -74,44 +57,27 @@
 	const {progress, parts, signal} = options;
 	const policy = recoveryPolicy(progress.service);
 	const excluded = new Set<string>();
-	let step: NextStep = progress.endpoint === undefined ? 'start' : 'resume';
-	let lastTokenAt = parts.clock();
-	let lossAt: number | undefined;
-	const sink: TokenSink = {
-		async token(token) {
-			lastTokenAt = parts.clock();
-			if (lossAt !== undefined) {
-				parts.metrics.resumeLatency.observe({service: progress.service.service}, (lastTokenAt - lossAt) / 1000);
-				lossAt = undefined;
-			}
-
-			return options.sink.token(token);
-		},
-	};
-	for (;;) {
-		if (signal.aborted) {
-			return {kind: 'caller_gone'};
-		}
-
-		if (parts.wallClock() >= progress.deadline) {
-			return {kind: 'incomplete', refusal: deadlineRefusal(progress)};
+	const sink = new TimedSink(options);
+	const firstEndpointUntil = parts.wallClock() + firstEndpointMilliseconds;
+	let step: AttemptStep = progress.endpoint === undefined ? 'start' : 'resume';
+	while (!signal.aborted) {
+		const giveUpAt = progress.nextIndex > 0 ? progress.deadline : Math.min(progress.deadline, firstEndpointUntil);
+		if (parts.wallClock() >= giveUpAt) {
+			return {kind: 'incomplete', refusal: giveUpRefusal(progress)};
 		}
 
 		const endpoint = step === 'resume' ? progress.endpoint : chooseEndpoint(options, excluded);
 		if (endpoint === undefined) {
 			excluded.clear();
-			step = 'start';
-			await pause(noEndpointMilliseconds, signal);
+			await pause(noEndpointMilliseconds * (0.5 + parts.random()), signal);
 			continue;
 		}
 
+		cancelAtPrevious(options, endpoint);
 		const end = await runAttempt({
-			...options, sink, endpoint, step, policy, lastTokenAt,
+			...options, sink, endpoint, step, policy, lastTokenAt: sink.lastTokenAt,
 		});
 		parts.metrics.attempts.inc({service: progress.service.service, end: end.kind});
-		options.span.addEvent('attempt ended', {
-			attempt: progress.attempt, endpoint, end: end.kind, nextIndex: progress.nextIndex,
-		});
 		if (end.kind === 'finished') {
 			return {kind: 'complete', totalTokens: end.totalTokens, finishReason: end.finishReason};
 		}
@@ -121,122 +87,68 @@
 		}
 
 		if (end.kind === 'aborted' || end.kind === 'caller_gone') {
-			return {kind: 'caller_gone'};
+			break;
 		}
 
-		lossAt ??= lastTokenAt;
-		step = end.kind === 'lost' && step === 'resume' ? 'start' : stepAfterEnd[end.kind];
+		sink.lost();
+		step = step === 'resume' && end.kind === 'lost' ? 'start' : stepAfterEnd[end.kind];
 		if (step === 'start') {
 			excluded.add(endpoint);
 		}
 	}
+
+	return {kind: 'caller_gone'};
 }
 
-type RunAttemptOptions = RunGenerationOptions & {
-	endpoint: string;
-	step: NextStep;
-	policy: RecoveryPolicy;
+/** Passes tokens on and measures how long each loss keeps the caller waiting. */
+class TimedSink implements TokenSink {
+	/** Monotonic time of the last token, in milliseconds; the start of the call before the first one. */
 	lastTokenAt: number;
-};
-
-async function runAttempt(options: RunAttemptOptions): Promise<AttemptEnd> {
-	const {progress, parts, endpoint, step, policy, signal} = options;
-	progress.attempt += 1;
-	const tokens = progress.maxTokens - progress.nextIndex;
-	const span = parts.tracing.start('attempt', options.span, {
-		generation: progress.generation, attempt: progress.attempt, endpoint, step,
-	});
-	parts.placement.started(endpoint, tokens);
-	let stream: EngineStream | undefined;
-	try {
-		const opened = await openEngineStream(streamRequest(progress, step), {
-			address: endpoint,
-			openMilliseconds: step === 'resume' ? policy.resumeMilliseconds : policy.startMilliseconds,
-			traceHeaders: parts.tracing.inject(span),
-			signal,
-		});
-		if (opened.isErr()) {
-			span.addEvent('not opened', {message: opened.error.message});
-			if (opened.error.kind === 'unreachable' && !signal.aborted) {
-				parts.placement.failed(endpoint, parts.clock());
-			}
-
-			return endOfOpening(opened.error, signal);
-		}
+	readonly #options: RunGenerationOptions;
+	#lossAt: number | undefined;
 
-		stream = opened.value;
-		progress.endpoint = endpoint;
-		parts.placement.succeeded(endpoint, parts.clock());
-		return await readAttempt({
-			...options,
-			stream,
-			clock: parts.clock,
-			onStarted(event) {
-				const extra = progress.attempt > 1 ? event.prefill_tokens : 0;
-				parts.metrics.extraTokens.inc({service: progress.service.service, work: 'prefill'}, extra);
-			},
-		});
-	} finally {
-		stream?.close();
-		parts.placement.finished(endpoint, tokens);
-		span.setAttribute('nextIndex', progress.nextIndex);
-		span.end();
+	constructor(options: RunGenerationOptions) {
+		this.#options = options;
+		this.lastTokenAt = options.parts.clock();
 	}
-}
-
-function chooseEndpoint(options: RunGenerationOptions, exclude: ReadonlySet<string>): string | undefined {
-	const {progress, parts} = options;
-	return parts.placement.choose({
-		service: progress.service.service, prompt: progress.prompt, exclude, now: parts.clock(), random: parts.random(),
-	});
-}
 
-function streamRequest(progress: Progress, step: NextStep): StreamRequest {
-	const {generation, attempt} = progress;
-	if (step === 'resume') {
-		return {
-			kind: 'resume', generation, attempt, afterIndex: progress.nextIndex - 1,
-		};
+	/** Records that an attempt was lost after the last token. */
+	lost(): void {
+		this.#lossAt ??= this.lastTokenAt;
 	}
 
-	const {model, priority} = progress.service;
-	return {
-		kind: 'start',
-		request: {
-			generation,
-			attempt,
-			model: model.name,
-			version: progress.version,
-			adapter: model.adapter,
-			prompt: progress.prompt,
-			text_so_far: progress.text,
-			start_index: progress.nextIndex,
-			max_tokens: progress.maxTokens,
-			seed: progress.seed,
-			priority,
-		},
-	};
-}
+	async token(token: DeliveredToken): Promise<boolean> {
+		const {parts, progress, sink} = this.#options;
+		this.lastTokenAt = parts.clock();
+		if (this.#lossAt !== undefined) {
+			parts.metrics.resumeLatency.observe({service: progress.service.service}, (this.lastTokenAt - this.#lossAt) / 1000);
+			this.#lossAt = undefined;
+		}
 
-function endOfOpening(failure: OpenFailure, signal: AbortSignal): AttemptEnd {
-	if (signal.aborted) {
-		return {kind: 'aborted'};
+		return sink.token(token);
 	}
+}
 
-	if (failure.kind === 'refused') {
-		return failure.code === 'superseded' ? {kind: 'superseded'} : {kind: 'draining'};
+/** Cancels the generation at the endpoint that it leaves; an endpoint that cannot hear it forgets the generation by itself. */
+function cancelAtPrevious({progress, parts}: RunGenerationOptions, endpoint: string): void {
+	if (progress.endpoint !== undefined && progress.endpoint !== endpoint) {
+		void parts.engines.cancel(progress.endpoint, progress.generation, progress.attempt);
 	}
+}
 
-	return {kind: 'lost', message: failure.message};
+function chooseEndpoint({progress, parts}: RunGenerationOptions, exclude: ReadonlySet<string>): string | undefined {
+	return parts.placement.choose({
+		service: progress.service.service, prompt: progress.prompt, exclude, now: parts.clock(), random: parts.random(),
+	});
 }
 
-function deadlineRefusal(progress: Progress): Refusal {
+function giveUpRefusal(progress: Progress): Refusal {
 	const started = progress.nextIndex > 0;
 	return {
 		status: 503,
 		code: started ? 'generation_incomplete' : 'no_endpoint',
 		message: started
-			? `The answer is incomplete: no endpoint with version ${progress.version} could continue it in time; come back with the cursor.`
+			? `The answer is incomplete: no endpoint with version ${progress.model.version} could continue it in time; come back with the cursor.`
 			: 'No endpoint could start the generation in time.',
 		run: started ? 'yes' : 'no',
 		retryAfterSeconds: comeBackSeconds,
--- a/source/router/completion-answer.ts
+++ b/source/router/completion-answer.ts
@@ -10,6 +10,9 @@
 } from '../generation/mod.ts';
 import {sendJson} from './respond.ts';
 
+/** Time without room in the caller's connection after which the caller counts as gone, in milliseconds. */
+const callerStallMilliseconds = 10_000;
+
 /** Options of {@linkcode createCompletionAnswer}. */
 export type CompletionAnswerOptions = {
 	response: ServerResponse;
@@ -69,7 +72,7 @@
 				attempt: token.attempt,
 				index: token.index,
 				endpoint: token.endpoint,
-				version: progress.version,
+				model: progress.model,
 				textDigest: digest.value(),
 			}, scope, cursorKey);
 			const choice = {index: 0, text: token.text};
@@ -116,7 +119,7 @@
 	}
 
 	try {
-		await once(response, 'drain', {signal});
+		await once(response, 'drain', {signal: AbortSignal.any([signal, AbortSignal.timeout(callerStallMilliseconds)])});
 		return true;
 	} catch {
 		return false;
--- a/source/router/serve-completion.ts
+++ b/source/router/serve-completion.ts
@@ -182,14 +182,19 @@
 	cursor: Cursor | undefined;
 };
 
-/** Creates the progress of a new generation, or of the one that a cursor continues. */
+/**
+ * Creates the progress of a new generation, or of the one that a cursor continues.
+ *
+ * A router that continues from a cursor numbers its attempts from the wall clock, so that they are higher than
+ * those of the router that the caller left, even where that one has started attempts which the cursor does not show.
+ */
 function createProgress({exchange, parts, service, body, scope, cursor}: ProgressOptions): Progress {
 	const generation = cursor?.generation ?? randomUUID();
 	return {
 		generation,
 		workspace: exchange.workspace.workspace,
 		service,
-		version: cursor?.version ?? service.model.version,
+		model: cursor?.model ?? service.model,
 		prompt: body.prompt,
 		requestDigest: scope.requestDigest,
 		maxTokens: body.max_tokens,
@@ -197,7 +202,7 @@
 		deadline: parts.wallClock() + (service.deadlineSeconds * 1000),
 		text: cursor ? body.received_text ?? '' : '',
 		nextIndex: cursor ? cursor.index + 1 : 0,
-		attempt: cursor?.attempt ?? 0,
+		attempt: cursor ? Math.max(cursor.attempt, parts.wallClock()) : 0,
 		endpoint: cursor?.endpoint,
 	};
 }
