Start elsewhere when a chosen endpoint cannot be reached

Cause: an attempt that never opened ended as 'lost', whose next step is to ask the same endpoint for its stream; with no endpoint bound yet the loop only waited until its deadline, and a caller came back to the same dead endpoint. 'unreachable' is now an end of its own, whose next step is another endpoint.

--- a/source/generation/read-attempt.ts
+++ b/source/generation/read-attempt.ts
@@ -13,6 +13,7 @@
 		| {kind: 'silent'}
 		| {kind: 'stalled'}
 		| {kind: 'lost'; message: string}
+		| {kind: 'unreachable'; message: string}
 		| {kind: 'broken'; message: string}
 		| {kind: 'superseded'}
 		| {kind: 'refused'; message: string}
--- a/source/generation/run-attempt.ts
+++ b/source/generation/run-attempt.ts
@@ -90,7 +90,7 @@
 
 	if (failure.kind === 'unreachable') {
 		parts.placement.failed(endpoint, parts.clock());
-		return {kind: 'lost', message: failure.message};
+		return {kind: 'unreachable', message: failure.message};
 	}
 
 	return failure.code === 'superseded' ? {kind: 'superseded'} : {kind: 'refused', message: failure.message};
--- a/source/generation/run-generation.ts
+++ b/source/generation/run-generation.ts
@@ -38,6 +38,7 @@
 const stepAfterEnd: Record<Exclude<AttemptEnd['kind'], 'finished' | 'superseded' | 'aborted' | 'caller_gone'>, AttemptStep> = {
 	silent: 'resume',
 	lost: 'resume',
+	unreachable: 'start',
 	broken: 'start',
 	stalled: 'start',
 	refused: 'start',
@@ -91,7 +92,7 @@
 		}
 
 		sink.lost();
-		step = step === 'resume' && end.kind === 'lost' ? 'start' : stepAfterEnd[end.kind];
+		step = stepAfterEnd[end.kind];
 		if (step === 'start') {
 			excluded.add(endpoint);
 		}
--- a/source/testing/recovery.test.ts
+++ b/source/testing/recovery.test.ts
@@ -84,3 +84,15 @@
 		assert.ok(answer._unsafeUnwrap().longestGapMilliseconds < 5000);
 	});
 }
+
+test('a generation starts elsewhere when endpoints on the host list are dead', async () => {
+	await using fleet = await createFleet('latency');
+	fleet.signal('engine-1', 'SIGKILL');
+	await fleet.ended('engine-1');
+	for (const seed of [1, 2, 3, 4]) {
+		const answer = await complete({
+			entries: fleet.entries(), key: testKey, deadlineMilliseconds: 20_000, request: {...request, seed, max_tokens: 20},
+		});
+		assert.equal(answer._unsafeUnwrap().text, expectedText({prompt, seed, version: 'v1'}, 20));
+	}
+});
