Let routers hint to a bounded set of peers, and account for usage by workspace

A router that was cut off from the table kept its old version, a drain was known to others only when the lagging host list said so, and usage was not counted at all.

Routers now hold one gRPC stream with each of a bounded set of peers, chosen by rendezvous hashing, plus the next one by name, which makes the graph connected. Weighed: a full mesh (390 heartbeats a second for each router) and symmetric scores (fewer distinct links). No TLS: the shared key tells peers from strangers only. Hints carry a stamp for each kind and key in place of a sequence for each origin, so that the same news from several origins is not spread several times.

Usage totals are written by compare-and-set on each row's revision: an answer that was lost or a write that takes effect late cannot lower or double a total.

--- a/source/binaries/azuretack-router.ts
+++ b/source/binaries/azuretack-router.ts
@@ -39,18 +39,11 @@
 }
 
 const router = await startRouter(settings.value);
-let leaving = false;
 const onSignal = () => {
-	if (!leaving) {
-		leaving = true;
-		void leaveAndExit();
-	}
+	void router.leave();
 };
 
 process.on('SIGTERM', onSignal);
 process.on('SIGINT', onSignal);
-
-async function leaveAndExit(): Promise<void> {
-	await router.leave();
-	process.exit(0);
-}
+await router.left;
+process.exit(0);
--- a/source/generation/generation-parts.ts
+++ b/source/generation/generation-parts.ts
@@ -3,12 +3,14 @@
  *
  * @module
  */
+import {type Accounts} from '../accounts/mod.ts';
 import {type EngineClient} from '../endpoints/mod.ts';
 import {type Placement} from '../placement/mod.ts';
 import {type Logger, type Metrics, type Tracing} from '../telemetry/mod.ts';
 
 /** The router's parts that serve generations. */
 export type GenerationParts = {
+	accounts: Accounts;
 	placement: Placement;
 	engines: EngineClient;
 	metrics: Metrics;
--- a/source/membership/follow-hosts.ts
+++ b/source/membership/follow-hosts.ts
@@ -9,7 +9,7 @@
 import {type PlatformClient} from '../platform/mod.ts';
 import {poll, type TaskFailure} from '../supervision/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
-import {type HostDirectory} from './host-directory.ts';
+import {type HostChange, type HostDirectory} from './host-directory.ts';
 
 /** Options of {@linkcode followHosts}. */
 export type FollowHostsOptions = {
@@ -18,6 +18,8 @@
 	logger: Logger;
 	/** Mean time between two reads of the list, in milliseconds. */
 	periodMilliseconds: number;
+	/** Called with the known hosts whose state changed on the list; empty when none did. */
+	onChanges: (changes: HostChange[]) => void;
 	/** Returns a random number from 0 to 1. */
 	random: () => number;
 	/** Returns the wall-clock time, in milliseconds. */
@@ -35,14 +37,14 @@
  * ```
  */
 export async function followHosts(options: FollowHostsOptions, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
-	const {platform, directory, logger, periodMilliseconds, random, wallClock} = options;
+	const {platform, directory, logger, periodMilliseconds, random, wallClock, onChanges} = options;
 	await poll(async () => platform.hosts(), {periodMilliseconds, random, signal}).observe(hosts => {
 		if (hosts.isErr()) {
 			logger.warn('host list not read', hosts.error);
 			return;
 		}
 
-		directory.update(hosts.value, wallClock());
+		onChanges(directory.update(hosts.value, wallClock()));
 	});
 	return ok();
 }
--- /dev/null
+++ b/source/membership/host-directory.test.ts
@@ -0,0 +1,128 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type Host} from '../platform/mod.ts';
+import {chooseEntries} from './choose-entries.ts';
+import {choosePeers} from './choose-peers.ts';
+import {HintBoard} from './hint-board.ts';
+import {HostDirectory} from './host-directory.ts';
+
+function hostList(count: number, state: Host['state'] = 'live'): Host[] {
+	return Array.from({length: count}, (_, index) => ({
+		name: `entry-${index}`,
+		availabilityZone: `zone-${index % 12}`,
+		region: `region-${index % 4}`,
+		state,
+		entry: {callers: `10.0.0.${index}:80`, peers: `10.0.0.${index}:81`, operators: `10.0.0.${index}:82`},
+		endpoints: [],
+	}));
+}
+
+function namesOf(hosts: readonly Host[]): string[] {
+	return hosts.map(({name}) => name).toSorted();
+}
+
+test('a hint of leaving outlives a lagging list until the list has shown departure and return', () => {
+	const directory = new HostDirectory();
+	directory.update(hostList(2), 0);
+	directory.markLeaving('entry-0', 1000);
+	directory.update(hostList(2), 2000);
+	assert.deepEqual(namesOf(directory.entryHosts(2000)), ['entry-1']);
+	directory.update(hostList(2, 'leaving'), 3000);
+	directory.update(hostList(2), 4000);
+	assert.deepEqual(namesOf(directory.entryHosts(4000)), ['entry-0', 'entry-1']);
+});
+
+test('a host that says that it is back is used before a list catches up that still calls it leaving', () => {
+	const directory = new HostDirectory();
+	directory.update(hostList(1, 'leaving'), 0);
+	assert.deepEqual(namesOf(directory.entryHosts(1000)), []);
+	directory.markLive('entry-0', 1000);
+	directory.update(hostList(1, 'leaving'), 2000);
+	assert.deepEqual(namesOf(directory.entryHosts(2000)), ['entry-0']);
+});
+
+test('a suddenly shorter list takes hosts away only after a time, a list that lacks a few at once', () => {
+	const directory = new HostDirectory({missingMilliseconds: 60_000});
+	directory.update(hostList(10), 0);
+	directory.update(hostList(9), 1000);
+	assert.equal(directory.entryHosts(1000).length, 9);
+	directory.update(hostList(2), 2000);
+	directory.update(hostList(2), 61_000);
+	assert.equal(directory.entryHosts(61_000).length, 9);
+	directory.update(hostList(2), 62_001);
+	assert.equal(directory.entryHosts(62_001).length, 2);
+});
+
+test('a host that the list lacks is kept for a time while its peer connection lives', () => {
+	const directory = new HostDirectory({missingMilliseconds: 60_000});
+	directory.update(hostList(10), 0);
+	directory.markConnected('entry-9', true);
+	directory.update(hostList(9), 1000);
+	assert.equal(directory.entryHosts(1000).length, 10);
+	directory.markConnected('entry-9', false);
+	directory.update(hostList(9), 2000);
+	assert.equal(directory.entryHosts(2000).length, 9);
+});
+
+test('an answer of entries is bounded, starts in the own zone and spreads callers over it', () => {
+	let state = 1;
+	const random = () => {
+		state = (state * 48_271) % 2_147_483_647;
+		return state / 2_147_483_647;
+	};
+
+	const hosts = hostList(390);
+	const firsts = new Map<string, number>();
+	for (let caller = 0; caller < 330; caller += 1) {
+		const entries = chooseEntries({
+			hosts, availabilityZone: 'zone-3', region: 'region-3', random,
+		});
+		assert.equal(entries.length, 8);
+		assert.deepEqual(entries.map(entry => entry.availabilityZone === 'zone-3'), [true, true, true, true, true, true, false, false]);
+		assert.ok(entries.every(entry => entry.region === 'region-3'));
+		firsts.set(entries[0]!.name, (firsts.get(entries[0]!.name) ?? 0) + 1);
+	}
+
+	assert.ok(firsts.size > 25);
+	assert.ok(Math.max(...firsts.values()) < 33);
+});
+
+test('390 routers choose a bounded and connected graph whose links are stable', () => {
+	const hosts = hostList(390);
+	const linksOf = (list: Host[]) => new Map(list.map(host => [host.name, namesOf(choosePeers({
+		hostName: host.name, availabilityZone: host.availabilityZone, hosts: list, sameZone: 4, otherZones: 4,
+	}))]));
+	const links = linksOf(hosts);
+	const reached = new Set(['entry-0']);
+	for (const name of reached) {
+		for (const next of links.get(name)!) {
+			reached.add(next);
+		}
+	}
+
+	assert.equal(reached.size, 390);
+	assert.ok([...links.values()].every(names => names.length <= 9));
+	const after = linksOf(hosts.slice(0, 389));
+	const kept = [...after].flatMap(([name, names]) => names.filter(peer => links.get(name)!.includes(peer)));
+	const total = [...after.values()].flat().length;
+	assert.ok(kept.length > total * 0.98);
+});
+
+test('a hint crosses each link once, repeats are not spread again, and it ends with its lifetime', () => {
+	const boards = [new HintBoard({lifetimeMilliseconds: 1000}), new HintBoard({lifetimeMilliseconds: 1000}), new HintBoard({lifetimeMilliseconds: 1000})];
+	const [first, second, third] = boards as [HintBoard, HintBoard, HintBoard];
+	first.publish({kind: 'suspect', key: 'digest', value: 'endpoint-1'}, 0);
+	first.publish({kind: 'suspect', key: 'digest', value: 'endpoint-1'}, 10);
+	const [hint] = first.since(0, 'second', 100);
+	assert.equal(first.since(0, 'second', 100).length, 1);
+	assert.equal(second.receive(hint!, 'first', 100), true);
+	assert.equal(second.receive(hint!, 'third', 100), false);
+	assert.equal(second.since(0, 'first', 100).length, 0);
+	const [passedOn] = second.since(0, 'third', 900);
+	assert.equal(passedOn?.ageMilliseconds, 900);
+	assert.equal(third.receive(passedOn, 'second', 900), true);
+	assert.equal(third.value('suspect', 'digest', 1001), undefined);
+	assert.equal(third.since(0, 'fourth', 1001).length, 0);
+	const published = Array.from({length: 20}, (_, index) => first.publish({kind: 'suspect', key: String(index), value: ''}, 2000));
+	assert.equal(published.filter(Boolean).length, 10);
+});
--- a/source/router/caller-context.ts
+++ b/source/router/caller-context.ts
@@ -8,7 +8,9 @@
 import {type Admission} from '../admission/mod.ts';
 import {type ConfigurationInForce, type Workspace} from '../configuration/mod.ts';
 import {type GenerationParts} from '../generation/mod.ts';
-import {type HostDirectory} from '../membership/mod.ts';
+import {
+	type HintBoard, type HostDirectory, type HostHints, type LoadBoard, type PeerRegistry, type RouterIdentity,
+} from '../membership/mod.ts';
 import {type PlatformClient} from '../platform/mod.ts';
 import {type RouterSettings} from '../settings/mod.ts';
 import {type Leaving} from './leaving.ts';
@@ -19,6 +21,11 @@
 	configuration: ConfigurationInForce;
 	directory: HostDirectory;
 	admission: Admission;
+	identity: RouterIdentity;
+	hints: HintBoard;
+	hostHints: HostHints;
+	loads: LoadBoard;
+	peers: PeerRegistry;
 	platform: PlatformClient;
 	leaving: Leaving;
 };
--- a/source/router/caller-server.ts
+++ b/source/router/caller-server.ts
@@ -9,6 +9,8 @@
 } from 'node:http';
 import {type Refusal} from '../answers/mod.ts';
 import {type Workspace} from '../configuration/mod.ts';
+import {chooseEntries} from '../membership/mod.ts';
+import {type Host} from '../platform/mod.ts';
 import {type CallerExchange, type CallerParts} from './caller-context.ts';
 import {sendJson, sendRefusal} from './respond.ts';
 import {serveCompletion} from './serve-completion.ts';
@@ -67,7 +69,7 @@
 		parts.logger.error('request failed', {request: requestName, error: String(error)});
 		response.destroy();
 	} finally {
-		ended();
+		endTracking(response, ended);
 		span.setAttribute('outcome', outcome);
 		span.end();
 		parts.logger.info('request ended', {request: requestName, path: url.pathname, outcome});
@@ -126,24 +128,33 @@
 	return parts.configuration.workspaceOfKey(createHash('sha256').update(key).digest('hex'));
 }
 
-/** Entries other than this host, in the order in which a caller should try them: own zone first. */
+/** Entries other than this host, in the order in which a caller should try them. */
 function entryAddresses(parts: CallerParts): string[] {
-	return parts.directory.entryHosts(parts.wallClock())
-		.filter(host => host.name !== parts.settings.hostName)
-		.map(host => host.entry!.callers);
+	return entriesOf(parts).filter(host => host.name !== parts.settings.hostName).map(host => host.entry!.callers);
+}
+
+function entriesOf({directory, settings, random, wallClock}: CallerParts): Host[] {
+	return chooseEntries({
+		hosts: directory.entryHosts(wallClock()), availabilityZone: settings.availabilityZone, region: settings.region, random,
+	});
 }
 
 function sendEntries(response: ServerResponse, parts: CallerParts): void {
-	const {hostName, availabilityZone, callers} = parts.settings;
-	const hosts = parts.directory.entryHosts(parts.wallClock())
-		.filter(host => !(parts.leaving.begun && host.name === hostName))
-		.toSorted((left, right) => Number(right.availabilityZone === availabilityZone) - Number(left.availabilityZone === availabilityZone));
 	sendJson(response, 200, {
-		entries: hosts.map(host => ({address: host.entry!.callers, availabilityZone: host.availabilityZone})),
-		timeToLiveSeconds: callers.entryTimeToLiveSeconds,
+		entries: entriesOf(parts).map(host => ({address: host.entry!.callers, availabilityZone: host.availabilityZone})),
+		timeToLiveSeconds: parts.settings.callers.entryTimeToLiveSeconds,
 	});
 }
 
+/** Counts the end of a request once its handler has ended and its answer has left, so that a stop cuts off neither. */
+function endTracking(response: ServerResponse, ended: () => void): void {
+	if (response.closed) {
+		endTracking(response, ended);
+	} else {
+		response.once('close', ended);
+	}
+}
+
 function signalOfCaller(response: ServerResponse): AbortSignal {
 	const controller = new AbortController();
 	response.once('close', () => {
--- a/source/router/leaving.ts
+++ b/source/router/leaving.ts
@@ -4,20 +4,34 @@
  * @module
  */
 
+/** Options of {@linkcode Leaving}. */
+export type LeavingOptions = {
+	/** Time for which callers keep an answer that names this host, in milliseconds. */
+	entryTimeToLiveMilliseconds: number;
+	/** Time until every other router has heard that this one is leaving and names it no more, in milliseconds. Default 2,000. */
+	spreadMilliseconds?: number;
+};
+
 /**
  * Tracks a planned stop: entries drop the host at once, callers who kept an old answer are served until it has expired,
  * and every request in progress ends by itself.
  *
  * @example
  * ```ts
- * leaving.begin(Date.now(), 10_000);
+ * leaving.begin(Date.now());
  * await leaving.whenIdle();
  * ```
  */
 export class Leaving {
+	readonly #servedMilliseconds: number;
 	#refusingFrom: number | undefined;
 	#inProgress = 0;
 	readonly #idleWaiters = new Set<() => void>();
+	readonly #beginListeners = new Set<() => void>();
+
+	constructor({entryTimeToLiveMilliseconds, spreadMilliseconds = 2000}: LeavingOptions) {
+		this.#servedMilliseconds = entryTimeToLiveMilliseconds + spreadMilliseconds;
+	}
 
 	/** Whether a planned stop has begun. */
 	get begun(): boolean {
@@ -33,10 +47,21 @@
 	 * Begins a planned stop; later calls change nothing.
 	 *
 	 * @param now Wall-clock time, in milliseconds.
-	 * @param entryTimeToLiveMilliseconds Time for which callers keep an answer that names this host.
 	 */
-	begin(now: number, entryTimeToLiveMilliseconds: number): void {
-		this.#refusingFrom ??= now + entryTimeToLiveMilliseconds;
+	begin(now: number): void {
+		if (this.#refusingFrom !== undefined) {
+			return;
+		}
+
+		this.#refusingFrom = now + this.#servedMilliseconds;
+		for (const listener of this.#beginListeners) {
+			listener();
+		}
+	}
+
+	/** Calls back when a planned stop begins. */
+	onBegin(listener: () => void): void {
+		this.#beginListeners.add(listener);
 	}
 
 	/** Whether new requests are refused. */
--- a/source/router/operator-server.ts
+++ b/source/router/operator-server.ts
@@ -30,6 +30,8 @@
 			services: parts.configuration.current?.services ?? [],
 			leaving: parts.leaving.begun,
 			requestsInProgress: parts.leaving.inProgress,
+			incarnation: parts.identity.incarnation,
+			peers: parts.peers.open.map(({hostName, direction}) => ({hostName, direction})),
 			knownHosts: parts.directory.hosts.length,
 		});
 	},
@@ -37,7 +39,7 @@
 		sendJson(response, 200, {spans: parts.tracing.explain(url.searchParams.get('request') ?? '')});
 	},
 	'POST /drain'(_url, response, parts) {
-		parts.leaving.begin(parts.wallClock(), parts.settings.callers.entryTimeToLiveSeconds * 1000);
+		parts.leaving.begin(parts.wallClock());
 		sendJson(response, 202, {leaving: true});
 	},
 };
--- a/source/router/router.ts
+++ b/source/router/router.ts
@@ -4,23 +4,26 @@
  * @module
  */
 import {Admission} from '../admission/mod.ts';
-import {ConfigurationInForce, followConfiguration} from '../configuration/mod.ts';
+import {ConfigurationInForce} from '../configuration/mod.ts';
 import {EngineClient} from '../endpoints/mod.ts';
-import {HostDirectory, followHosts} from '../membership/mod.ts';
 import {Placement} from '../placement/mod.ts';
 import {PlatformClient} from '../platform/mod.ts';
 import {type RouterSettings} from '../settings/mod.ts';
-import {Supervisor, pause} from '../supervision/mod.ts';
+import {Supervisor} from '../supervision/mod.ts';
 import {createLogger, createMetrics, createTracing} from '../telemetry/mod.ts';
 import {type CallerParts} from './caller-context.ts';
 import {createCallerServer} from './caller-server.ts';
+import {leaveGracefully} from './leave.ts';
 import {Leaving} from './leaving.ts';
-import {close, listen} from './listen.ts';
+import {listen} from './listen.ts';
 import {createOperatorServer} from './operator-server.ts';
+import {createControlParts, startControl} from './start-control.ts';
 
 /** A running router. */
 export type Router = {
-	/** Leaves gracefully: refuses nothing before callers can know, cuts off nothing in progress, then ends. */
+	/** Settles once the router has left, whoever asked it to. */
+	left: Promise<void>;
+	/** Begins to leave gracefully: refuses nothing before callers can know, cuts off nothing in progress, then ends. */
 	leave(): Promise<void>;
 };
 
@@ -39,40 +42,45 @@
 export async function startRouter(settings: RouterSettings): Promise<Router> {
 	const parts = createParts(settings);
 	const supervisor = new Supervisor({logger: parts.logger});
-	startTasks(supervisor, parts);
+	const usageWriter = startControl(supervisor, parts);
 	const callerServer = createCallerServer(parts);
 	const operatorServer = createOperatorServer(parts);
 	await listen(callerServer, settings.callers.listen);
 	await listen(operatorServer, settings.operators.listen);
-	parts.logger.info('router listening', {callers: settings.callers.listen});
+	parts.logger.info('router listening', {callers: settings.callers.listen, incarnation: parts.identity.incarnation});
+	const left = new Promise<void>(resolve => {
+		parts.leaving.onBegin(() => {
+			parts.hostHints.announce('leaving');
+			resolve(leaveGracefully({
+				parts, supervisor, usageWriter, callerServer, operatorServer,
+			}));
+		});
+	});
 	return {
+		left,
 		async leave() {
-			parts.leaving.begin(parts.wallClock(), settings.callers.entryTimeToLiveSeconds * 1000);
-			await pause(parts.leaving.millisecondsUntilRefusing(parts.wallClock()));
-			await parts.leaving.whenIdle();
-			await close(callerServer);
-			await supervisor.stop();
-			await close(operatorServer);
-			await parts.platform.close();
-			await parts.engines.close();
+			parts.leaving.begin(parts.wallClock());
+			await left;
 		},
 	};
 }
 
 function createParts(settings: RouterSettings): CallerParts {
 	const metrics = createMetrics();
-	const directory = new HostDirectory();
+	const logger = createLogger('router', {level: settings.log.level, fields: {host: settings.hostName}});
+	const control = createControlParts({settings, logger, wallClock: () => Date.now()});
+	const {directory} = control;
 	return {
+		...control,
 		settings,
 		metrics,
-		directory,
-		logger: createLogger('router', {level: settings.log.level, fields: {host: settings.hostName}}),
+		logger,
 		tracing: createTracing({hostName: settings.hostName}),
 		configuration: new ConfigurationInForce(),
 		admission: new Admission(),
 		placement: new Placement({endpointsOf: service => directory.endpointsOf(service).map(({address}) => address)}),
 		engines: new EngineClient(),
-		leaving: new Leaving(),
+		leaving: new Leaving({entryTimeToLiveMilliseconds: settings.callers.entryTimeToLiveSeconds * 1000}),
 		platform: new PlatformClient({
 			url: settings.platform.url,
 			timeoutMilliseconds: settings.platform.timeoutMilliseconds,
@@ -85,16 +93,3 @@
 		random: () => Math.random(),
 	};
 }
-
-function startTasks(supervisor: Supervisor, parts: CallerParts): void {
-	const {platform, directory, logger, settings, random, wallClock, configuration, metrics} = parts;
-	configuration.onChange(({version}) => {
-		metrics.configurationVersion.set(version);
-	});
-	supervisor.start('hosts', async signal => followHosts({
-		platform, directory, logger, random, wallClock, periodMilliseconds: settings.platform.hostListMilliseconds,
-	}, signal));
-	supervisor.start('configuration', async signal => followConfiguration({
-		platform, logger, random, inForce: configuration, periodMilliseconds: settings.platform.configurationMilliseconds,
-	}, signal));
-}
--- a/source/router/serve-completion.ts
+++ b/source/router/serve-completion.ts
@@ -56,6 +56,7 @@
 	}
 
 	parts.metrics.liveGenerations.inc();
+	const loadEnded = parts.loads.start(progress.service.service, progress.maxTokens - progress.nextIndex);
 	const answer = createCompletionAnswer({
 		response: exchange.response,
 		progress,
@@ -74,6 +75,7 @@
 			sink: {
 				async token(token) {
 					parts.metrics.tokensDelivered.inc({service: progress.service.service});
+					parts.accounts.delivered(progress.workspace, progress.service.service, 1);
 					return answer.token(token);
 				},
 			},
@@ -84,6 +86,7 @@
 	} finally {
 		answer.close();
 		permit.value.release();
+		loadEnded();
 		parts.metrics.liveGenerations.dec();
 	}
 }
--- /dev/null
+++ b/source/router/start-control.ts
@@ -0,0 +1,115 @@
+/**
+ * The parts by which routers act together: host list, hints, peers, configuration and accounts.
+ *
+ * @module
+ */
+import {randomBytes} from 'node:crypto';
+import {
+	Accounts, HeardUsage, UsageStore, UsageWriter,
+} from '../accounts/mod.ts';
+import {followConfiguration, type ConfigurationInForce} from '../configuration/mod.ts';
+import {
+	ConfigurationExchange, HintBoard, HostDirectory, HostHints, LoadBoard, PeerRegistry, followHosts, followPeers, type PeerContext, type RouterIdentity,
+} from '../membership/mod.ts';
+import {type RouterSettings} from '../settings/mod.ts';
+import {type Supervisor} from '../supervision/mod.ts';
+import {type Logger} from '../telemetry/mod.ts';
+import {type CallerParts} from './caller-context.ts';
+
+/** Parts that other parts read. */
+export type ControlParts = {
+	identity: RouterIdentity;
+	directory: HostDirectory;
+	hints: HintBoard;
+	hostHints: HostHints;
+	loads: LoadBoard;
+	peers: PeerRegistry;
+	accounts: Accounts;
+};
+
+/** Options of {@linkcode createControlParts}. */
+export type ControlPartsOptions = {
+	settings: RouterSettings;
+	logger: Logger;
+	/** Returns the wall-clock time, in milliseconds. */
+	wallClock: () => number;
+};
+
+/**
+ * Creates the parts of one router incarnation.
+ *
+ * @param options Settings, logger and time.
+ */
+export function createControlParts({settings, logger, wallClock}: ControlPartsOptions): ControlParts {
+	const {hostName} = settings;
+	const directory = new HostDirectory();
+	const hints = new HintBoard();
+	const started = wallClock().toString(36);
+	return {
+		directory,
+		hints,
+		hostHints: new HostHints({
+			hints, directory, logger, hostName, wallClock,
+		}),
+		identity: {hostName, incarnation: `${hostName}.${started}.${randomBytes(3).toString('hex')}`},
+		loads: new LoadBoard(),
+		peers: new PeerRegistry(),
+		accounts: new Accounts(),
+	};
+}
+
+/**
+ * Starts the tasks that keep the parts up.
+ *
+ * @param supervisor Runs the tasks.
+ * @param parts The router's parts.
+ * @returns The writer of usage totals, for a last write before the router ends.
+ */
+export function startControl(supervisor: Supervisor, parts: CallerParts): UsageWriter {
+	const {platform, directory, logger, settings, random, wallClock, configuration, identity, hostHints} = parts;
+	const heard = new HeardUsage({accounts: parts.accounts});
+	const writer = new UsageWriter({
+		identity,
+		heard,
+		logger,
+		random,
+		wallClock,
+		store: new UsageStore(platform),
+		periodMilliseconds: settings.platform.usageMilliseconds,
+		liveRouters: () => directory.entryHosts(wallClock()).length,
+	});
+	const context = peerContext(parts, configuration, heard);
+	supervisor.start('hosts', async signal => followHosts({
+		platform,
+		directory,
+		logger,
+		random,
+		wallClock,
+		periodMilliseconds: settings.platform.hostListMilliseconds,
+		onChanges(changes) {
+			hostHints.listChanged(changes);
+		},
+	}, signal));
+	supervisor.start('configuration', async signal => followConfiguration({
+		platform, logger, random, inForce: configuration, periodMilliseconds: settings.platform.configurationMilliseconds,
+	}, signal));
+	supervisor.start('peers', async signal => followPeers(context, signal));
+	supervisor.start('usage', async signal => writer.follow(signal));
+	return writer;
+}
+
+function peerContext(parts: CallerParts, configuration: ConfigurationInForce, usage: HeardUsage): PeerContext {
+	const {settings, metrics} = parts;
+	return {
+		...parts,
+		configuration,
+		usage,
+		settings: settings.peers,
+		availabilityZone: settings.availabilityZone,
+		exchange: new ConfigurationExchange(configuration),
+		registry: parts.peers,
+		countBytes(bytes) {
+			metrics.peerBytes.inc(bytes);
+		},
+	};
+}
--- a/source/settings/router-settings.ts
+++ b/source/settings/router-settings.ts
@@ -28,7 +28,11 @@
 		key: keySchema,
 		sameZone: z.number().int().nonnegative().default(4),
 		otherZones: z.number().int().nonnegative().default(4),
+		/** Peers asked while no host list is known, for a start while the platform is down. */
+		seeds: z.array(addressSchema).default([]),
 		heartbeatMilliseconds: z.number().int().positive().default(1000),
+		usageHintMilliseconds: z.number().int().positive().default(5000),
+		loadRadiusTokens: z.number().int().nonnegative().default(256),
 	}),
 	operators: z.strictObject({
 		listen: addressSchema,
