Read the host list only when it has changed, and count bytes to the platform

At 390 entry hosts and 1,800 endpoint hosts the list is some hundred kilobytes; read once a second it would be far above the 5 KB a second that a daemon may spend on control. The list carries an entity tag now and is answered with 304.

--- a/source/platform/platform-client.ts
+++ b/source/platform/platform-client.ts
@@ -29,8 +29,8 @@
 	url: string;
 	/** Deadline of each request, in milliseconds. Default 2,000. */
 	timeoutMilliseconds?: number;
-	/** Called after each request. Default does nothing. */
-	observe?: (operation: string, outcome: string) => void;
+	/** Called after each request with the bytes of both bodies. Default does nothing. */
+	observe?: (operation: string, outcome: string, bytes: number) => void;
 };
 
 /**
@@ -45,7 +45,8 @@
 export class PlatformClient {
 	readonly #pool: Pool;
 	readonly #timeoutMilliseconds: number;
-	readonly #observe: (operation: string, outcome: string) => void;
+	readonly #observe: NonNullable<PlatformClientOptions['observe']>;
+	#lastHosts: {tag: string; hosts: Host[]} | undefined;
 
 	constructor(options: PlatformClientOptions) {
 		this.#timeoutMilliseconds = options.timeoutMilliseconds ?? 2000;
@@ -55,7 +56,7 @@
 
 	/** Writes several rows at once, or none. */
 	async transact(operations: Operation[]): Promise<Result<TransactOutcome, PlatformFailure>> {
-		const answer = await this.#request('transact', 'POST', '/table/transact', JSON.stringify({operations}));
+		const answer = await this.#request('transact', 'POST', '/table/transact', {body: JSON.stringify({operations})});
 		return answer.andThen(({status, body}): Result<TransactOutcome, PlatformFailure> => {
 			if (status === 409) {
 				return decode(conflictSchema, body).map(({conflict}) => ({kind: 'conflict' as const, operation: conflict}));
@@ -67,19 +68,19 @@
 
 	/** Reads rows by key; rows that do not exist are left out. */
 	async read(keys: RowKey[]): Promise<Result<Row[], PlatformFailure>> {
-		const answer = await this.#request('read', 'POST', '/table/read', JSON.stringify({keys}));
+		const answer = await this.#request('read', 'POST', '/table/read', {body: JSON.stringify({keys})});
 		return answer.andThen(({body}) => decode(rowsSchema, body)).map(({rows}) => rows);
 	}
 
 	/** Lists rows of a table by prefix, in order of keys. */
 	async list(request: ListRequest): Promise<Result<Row[], PlatformFailure>> {
-		const answer = await this.#request('list', 'POST', '/table/list', JSON.stringify(request));
+		const answer = await this.#request('list', 'POST', '/table/list', {body: JSON.stringify(request)});
 		return answer.andThen(({body}) => decode(rowsSchema, body)).map(({rows}) => rows);
 	}
 
 	/** Stores an object under a name; the same name and content may be stored again. */
 	async putObject(name: string, content: string): Promise<Result<void, PlatformFailure>> {
-		const answer = await this.#request('put_object', 'PUT', `/objects/${encodeURIComponent(name)}`, content);
+		const answer = await this.#request('put_object', 'PUT', `/objects/${encodeURIComponent(name)}`, {body: content});
 		return answer.map(() => undefined);
 	}
 
@@ -89,10 +90,20 @@
 		return answer.map(({status, body}) => status === 404 ? undefined : body);
 	}
 
-	/** Reads the list of live and leaving hosts. */
+	/** Reads the list of live and leaving hosts; a list that has not changed since the last read is not sent again. */
 	async hosts(): Promise<Result<Host[], PlatformFailure>> {
-		const answer = await this.#request('hosts', 'GET', '/hosts');
-		return answer.andThen(({body}) => decode(hostListSchema, body)).map(({hosts}) => hosts);
+		const last = this.#lastHosts;
+		const answer = await this.#request('hosts', 'GET', '/hosts', {headers: last ? {'if-none-match': last.tag} : {}});
+		return answer.andThen(({status, body, tag}): Result<Host[], PlatformFailure> => {
+			if (status === 304 && last) {
+				return ok(last.hosts);
+			}
+
+			return decode(hostListSchema, body).map(({hosts}) => {
+				this.#lastHosts = tag === undefined ? undefined : {tag, hosts};
+				return hosts;
+			});
+		});
 	}
 
 	/** Closes all connections. */
@@ -100,26 +111,36 @@
 		await this.#pool.destroy();
 	}
 
-	async #request(operation: string, method: 'GET' | 'POST' | 'PUT', path: string, body?: string): Promise<Result<{status: number; body: string}, PlatformFailure>> {
+	async #request(operation: string, method: 'GET' | 'POST' | 'PUT', path: string, content: RequestContent = {}): Promise<Result<PlatformAnswer, PlatformFailure>> {
 		try {
 			const response = await this.#pool.request({
-				method, path, body, headers: {'content-type': 'application/json'}, signal: AbortSignal.timeout(this.#timeoutMilliseconds),
+				method,
+				path,
+				body: content.body,
+				headers: {'content-type': 'application/json', ...content.headers},
+				signal: AbortSignal.timeout(this.#timeoutMilliseconds),
 			});
-			const text = await response.body.text();
+			const body = await response.body.text();
+			const bytes = body.length + (content.body?.length ?? 0);
 			if (response.statusCode >= 500) {
-				this.#observe(operation, 'refused');
+				this.#observe(operation, 'refused', bytes);
 				return err({kind: 'refused', message: `platform answered ${response.statusCode} to ${operation}`});
 			}
 
-			this.#observe(operation, 'answered');
-			return ok({status: response.statusCode, body: text});
+			this.#observe(operation, 'answered', bytes);
+			const {etag} = response.headers;
+			return ok({status: response.statusCode, body, tag: typeof etag === 'string' ? etag : undefined});
 		} catch (error) {
-			this.#observe(operation, 'unknown');
+			this.#observe(operation, 'unknown', 0);
 			return err({kind: 'unknown', message: `platform did not answer ${operation}: ${String(error)}`});
 		}
 	}
 }
 
+type RequestContent = {body?: string; headers?: Record<string, string>};
+
+type PlatformAnswer = {status: number; body: string; tag: string | undefined};
+
 function decode<Schema extends z.ZodType>(schema: Schema, body: string): Result<z.output<Schema>, PlatformFailure> {
 	try {
 		const checked = schema.safeParse(JSON.parse(body));
--- a/source/router/router.ts
+++ b/source/router/router.ts
@@ -84,8 +84,9 @@
 		platform: new PlatformClient({
 			url: settings.platform.url,
 			timeoutMilliseconds: settings.platform.timeoutMilliseconds,
-			observe(operation, outcome) {
+			observe(operation, outcome, bytes) {
 				metrics.platformRequests.inc({operation, outcome});
+				metrics.platformBytes.inc(bytes);
 			},
 		}),
 		clock: () => performance.now(),
--- a/source/telemetry/metrics.ts
+++ b/source/telemetry/metrics.ts
@@ -53,6 +53,9 @@
 		platformRequests: new Counter({
 			name: 'azuretack_platform_requests_total', help: 'Requests to the platform by operation and outcome.', labelNames: ['operation', 'outcome'], registers,
 		}),
+		platformBytes: new Counter({
+			name: 'azuretack_platform_bytes_total', help: 'Bytes of bodies sent to and received from the platform.', registers,
+		}),
 		peerBytes: new Counter({
 			name: 'azuretack_peer_bytes_total', help: 'Bytes of messages sent to peers.', registers,
 		}),
--- a/source/testing/stand-ins/platform-stand-in.ts
+++ b/source/testing/stand-ins/platform-stand-in.ts
@@ -41,6 +41,7 @@
 	const objects = new Map<string, string>();
 	const counts: Record<string, number> = {};
 	let hosts: Host[] = [];
+	let hostsRevision = 0;
 	let fault: Fault = {mode: 'up', delayMilliseconds: 0};
 
 	/** Runs a request under the fault in force. */
@@ -103,7 +104,11 @@
 			const content = objects.get(url.pathname);
 			return content === undefined ? {status: 404, body: {}} : {status: 200, body: content};
 		}),
-		'GET /hosts': withFault(() => ({status: 200, body: {hosts}})),
+		'GET /hosts': withFault(({request, response}) => {
+			const tag = `"${hostsRevision}"`;
+			response.setHeader('etag', tag);
+			return request.headers['if-none-match'] === tag ? {status: 304, body: ''} : {status: 200, body: {hosts}};
+		}),
 		async 'GET /weights/*'({url, response}) {
 			const bytes = Number(url.searchParams.get('bytes') ?? '1000000');
 			await delay((bytes / options.weightBytesPerSecond) * 1000);
@@ -117,6 +122,7 @@
 			answer(response, 200, {});
 			await delay(options.hostListLagMilliseconds);
 			({hosts} = hostListSchema.parse(body));
+			hostsRevision += 1;
 		},
 		'GET /control/counts'({response}) {
 			answer(response, 200, counts);
