--- a/source/testing/stand-ins/stand-in.ts
+++ b/source/testing/stand-ins/stand-in.ts
@@ -7,11 +7,13 @@
 import {engineOptionsSchema} from './engine-options.ts';
 import {startEngineStandIn} from './engine-stand-in.ts';
 import {proxyOptionsSchema, startFaultProxy} from './fault-proxy.ts';
+import {idleEnginesOptionsSchema, startIdleEngines} from './idle-engines.ts';
 import {plainOptionsSchema, startPlainStandIn} from './plain-stand-in.ts';
 import {platformOptionsSchema, startPlatformStandIn} from './platform-stand-in.ts';
 
 const starters: Record<string, (options: unknown) => Promise<void>> = {
 	engine: async options => startEngineStandIn(engineOptionsSchema.parse(options)),
+	'idle-engines': async options => startIdleEngines(idleEnginesOptionsSchema.parse(options)),
 	plain: async options => startPlainStandIn(plainOptionsSchema.parse(options)),
 	platform: async options => startPlatformStandIn(platformOptionsSchema.parse(options)),
 	proxy: async options => startFaultProxy(proxyOptionsSchema.parse(options)),
