--- a/source/membership/peers.test.ts
+++ b/source/membership/peers.test.ts
@@ -120,7 +120,7 @@
 	await fleet.startRouter('router-3', {peers: {...peers, seeds: [fleet.hosts.get('router-1')!.entry!.peers]}});
 	await fleet.waitUntilReady(['router-3']);
 	const answer = await complete({
-		entries: fleet.entries('router-3'), key: testKey, request: {model: 'briefs', prompt: 'Clans', max_tokens: 5},
+		entries: fleet.only('router-3'), key: testKey, request: {model: 'briefs', prompt: 'Clans', max_tokens: 5},
 	});
 	assert.equal(answer._unsafeUnwrap().tokens, 5);
 });
@@ -193,7 +193,7 @@
 	};
 
 	const callAtRouter2 = async () => complete({
-		entries: fleet.entries('router-2'), key: testKey, request: {model: 'briefs', prompt: 'Clans', max_tokens: 2},
+		entries: fleet.only('router-2'), key: testKey, request: {model: 'briefs', prompt: 'Clans', max_tokens: 2},
 	});
 	fleet.addHost({...fleet.hosts.get('engine-1')!, state: 'leaving'});
 	await fleet.publishHosts();
@@ -241,7 +241,7 @@
 	const entries = await entriesOf(fleet, 'router-1');
 	assert.equal(entries.length, 2);
 	const answer = await complete({
-		entries: fleet.entries('router-1'), key: testKey, request: {model: 'briefs', prompt: 'Clans', max_tokens: 5},
+		entries: fleet.only('router-1'), key: testKey, request: {model: 'briefs', prompt: 'Clans', max_tokens: 5},
 	});
 	assert.equal(answer._unsafeUnwrap().tokens, 5);
 });
--- a/source/router/caller-server.ts
+++ b/source/router/caller-server.ts
@@ -149,7 +149,7 @@
 /** Counts the end of a request once its handler has ended and its answer has left, so that a stop cuts off neither. */
 function endTracking(response: ServerResponse, ended: () => void): void {
 	if (response.closed) {
-		endTracking(response, ended);
+		ended();
 	} else {
 		response.once('close', ended);
 	}
--- a/source/router/leave.ts
+++ b/source/router/leave.ts
@@ -21,6 +21,9 @@
 /** Attempts to write the last usage totals. */
 const usageAttempts = 3;
 
+/** Time after the last accepted connection for its request to arrive, in milliseconds. */
+const lastRequestMilliseconds = 300;
+
 /** Time after a last message for peers to receive it, in milliseconds. */
 const lastMessageMilliseconds = 200;
 
@@ -36,7 +39,8 @@
 	await parts.leaving.whenIdle();
 	callerServer.close();
 	callerServer.closeIdleConnections();
-	// A request may have arrived on an open connection in the meantime.
+	// A connection accepted just before may still bring its request.
+	await pause(lastRequestMilliseconds);
 	await parts.leaving.whenIdle();
 	await close(callerServer);
 	await writeLastUsage(options);
--- a/source/testing/fleet.ts
+++ b/source/testing/fleet.ts
@@ -220,6 +220,11 @@
 		return new EntryList({seeds: hosts.map(host => host.entry!.callers)});
 	}
 
+	/** Returns the view of a caller that keeps one entry and asks for no others. */
+	only(name: string): EntryList {
+		return new PinnedEntry(this.hosts.get(name)!.entry!.callers);
+	}
+
 	/** Sends a signal to a process of the fleet. */
 	signal(name: string, signal: 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGTERM'): void {
 		this.process(name).child.kill(signal);
@@ -259,6 +264,20 @@
 	}
 }
 
+/** An entry list that never changes. */
+class PinnedEntry extends EntryList {
+	readonly #address: string;
+
+	constructor(address: string) {
+		super({seeds: [address]});
+		this.#address = address;
+	}
+
+	override async ordered(): Promise<string[]> {
+		return [this.#address];
+	}
+}
+
 /**
  * Returns a workspaces file that admits keys.
  *
