Refuse a malformed path instead of stopping the router

Cause: the target of a request was parsed outside any handler, so 'GET //' threw where nobody caught it and ended the process, on the callers' port without any key. The new test failed before (connection lost) and passes after.

--- a/source/router/caller-server.ts
+++ b/source/router/caller-server.ts
@@ -11,7 +11,9 @@
 import {type Workspace} from '../configuration/mod.ts';
 import {chooseEntries} from '../membership/mod.ts';
 import {type Host} from '../platform/mod.ts';
+import {badRequest} from './bodies.ts';
 import {type CallerExchange, type CallerParts} from './caller-context.ts';
+import {requestUrl} from './request-url.ts';
 import {sendJson, sendRefusal} from './respond.ts';
 import {serveCompletion} from './serve-completion.ts';
 
@@ -48,7 +50,12 @@
 }
 
 async function serve(request: IncomingMessage, response: ServerResponse, parts: CallerParts): Promise<void> {
-	const url = new URL(request.url ?? '/', 'http://entry');
+	const url = requestUrl(request);
+	if (!url) {
+		sendRefusal(response, badRequest('the path is malformed'));
+		return;
+	}
+
 	if (request.method === 'GET' && url.pathname === '/v1/entries') {
 		sendEntries(response, parts);
 		return;
--- a/source/router/operator-server.ts
+++ b/source/router/operator-server.ts
@@ -6,7 +6,9 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import {badRequest} from './bodies.ts';
 import {type CallerParts} from './caller-context.ts';
+import {requestUrl} from './request-url.ts';
 import {sendJson, sendRefusal} from './respond.ts';
 
 type Handler = (url: URL, response: ServerResponse, parts: CallerParts) => Promise<void> | void;
@@ -60,7 +62,6 @@
 }
 
 async function serve(request: IncomingMessage, response: ServerResponse, parts: CallerParts): Promise<void> {
-	const url = new URL(request.url ?? '/', 'http://operator');
 	if (request.headers.authorization !== `Bearer ${parts.settings.operators.key}`) {
 		sendRefusal(response, {
 			status: 401, code: 'unauthorized', message: 'The operator key is missing or wrong.', run: 'no',
@@ -68,6 +69,12 @@
 		return;
 	}
 
+	const url = requestUrl(request);
+	if (!url) {
+		sendRefusal(response, badRequest('the path is malformed'));
+		return;
+	}
+
 	const handler = handlers[`${request.method} ${url.pathname}`];
 	if (!handler) {
 		sendRefusal(response, {
@@ -76,5 +83,10 @@
 		return;
 	}
 
-	await handler(url, response, parts);
+	try {
+		await handler(url, response, parts);
+	} catch (error) {
+		parts.logger.error('operator request failed', {path: url.pathname, error: String(error)});
+		response.destroy();
+	}
 }
