Run calls to plain services at most once, and repeat the idempotent ones

`/v1/services/SERVICE/PATH` takes any method. A call that the service file does not name as idempotent needs an idempotency key, is claimed by a row of the table, sent once on a connection of its own, and its end is written to the row.

Decisions - Claim rows are never deleted; a claim of which no byte left becomes "withdrawn", and only a withdrawn row may be replaced, by compare-and-set. Deleting it was ruled out: an insert that the store applies late would then stand again. A lost answer of the insert is read back; where the row is still absent the same claim is written again under the same condition, which is idempotent by its token. Where the table cannot be read, run is "unknown" and the claim is withdrawn in the background, by writing the row even if it is absent, so that the late insert finds it. - run describes the key, not the attempt, since a caller who reads "no" may charge again under another key. With the store down a router cannot know whether an earlier attempt ran, so "no" is said only if the caller sends `x-first-attempt: yes` (first attempt, or all earlier ones were answered "no"), else "unknown". The same holds for every refusal before the claim is read: leaving host, no configuration, overload. Saying "no" to all was ruled out: a repeat of a charge that ran would be told that it did not. - Whether the claiming router is gone: a deadline in the claim, nothing else. Before it a repeat is told "in progress", after it "outcome unknown". Neither statement says whether the call ran and nobody takes a claim over, so neither clock skew nor a router that comes back can make one wrong. The host list was ruled out: it lags, and a host that is cut off from it is not gone. - A router that wakes between claim and send after the deadline withdraws instead of sending. A pause between that last look and the write remains; it is harmless, as nobody else may send, unless an operator has settled the claim as not run meanwhile, so settleClaim says that the router must have ended for certain. - The socket is opened before anything is handed to the HTTP client, so "no byte left" is certain, and the client gets that one socket and no second, so it cannot send again. Another endpoint is tried only while no connection has come about. - An answer of more than 16 KiB goes to its caller whole but only its status is kept: a repeat gets 409 answer_not_kept, run "yes". - Paths with encoded dots or slashes, backslashes, empty or parameter segments are never idempotent: a service might decode `/status/..%2frefills` into another path than the one that was matched. - The platform client took every status below 500 for a commit, a refusal by rate limit (429) among them, and a gateway's 502 or 504 for proof that nothing took effect. Now only 2xx commits, 4xx and 503 refuse, the rest is unknown, and a connection that never came about refuses. - Idempotent calls: pooled connections, a next endpoint on failure, a hedge after the 95th percentile of the last minute (1 s with fewer than 20 samples), all within a budget of 0.2 extra attempts a call; the first answer wins and aborts the others. They use no table.

Cost: one insert, one read and one write of the table for each call that may not be repeated.

--- a/source/answers/refusal.ts
+++ b/source/answers/refusal.ts
@@ -9,7 +9,8 @@
 
 /** Stable codes of error answers; callers may branch on them. */
 export type RefusalCode
-	= | 'bad_request'
+	= | 'answer_not_kept'
+		| 'bad_request'
 		| 'bad_idempotency_key'
 		| 'call_in_progress'
 		| 'conflicting_body'
--- /dev/null
+++ b/source/calls/call.ts
@@ -0,0 +1,88 @@
+/**
+ * One call to a plain service, and how it ended.
+ *
+ * @module
+ */
+import {type Span} from '@opentelemetry/api';
+import {type Refusal} from '../answers/mod.ts';
+import {type PlainService} from '../configuration/mod.ts';
+import {type PooledServiceClient, type ServiceAnswer, type ServiceRequest} from '../endpoints/mod.ts';
+import {type Placement} from '../placement/mod.ts';
+import {type Logger, type Tracing} from '../telemetry/mod.ts';
+import {type ClaimStore} from './claim-store.ts';
+import {type RecentLatency} from './recent-latency.ts';
+import {type RetryBudget} from './retry-budget.ts';
+
+/** A call that has been admitted. */
+export type ServiceCall = {
+	service: PlainService;
+	workspace: string;
+	request: ServiceRequest;
+	/** Monotonic time after which an answer is of no use, in milliseconds. */
+	deadline: number;
+	/** Span of the caller's request. */
+	span: Span;
+	/** Aborts when the caller is gone. */
+	signal: AbortSignal;
+};
+
+/** A call that runs at most once. */
+export type KeyedCall = ServiceCall & {
+	idempotencyKey: string;
+	/** Whether the caller says that no earlier attempt under the key can have run. */
+	firstAttempt: boolean;
+};
+
+/** How a call ended. */
+export type CallEnd = {kind: 'answered'; answer: ServiceAnswer} | {kind: 'refused'; refusal: Refusal};
+
+/** What calls need of the router. */
+export type CallParts = {
+	placement: Placement;
+	serviceClient: PooledServiceClient;
+	claims: ClaimStore;
+	/** Budget of retries and hedges by service. */
+	retryBudget: RetryBudget;
+	/** Latency of idempotent calls by service. */
+	recentLatency: RecentLatency;
+	tracing: Tracing;
+	logger: Logger;
+	/** Host and incarnation of this router. */
+	incarnation: string;
+	/** Returns the monotonic time, in milliseconds. */
+	clock: () => number;
+	/** Returns the wall-clock time, in milliseconds. */
+	wallClock: () => number;
+	/** Returns a random number from 0 to 1. */
+	random: () => number;
+	/** Counts work that a planned stop must wait for; returns the function that counts its end. */
+	track: () => () => void;
+};
+
+/** Seconds after which a caller may repeat a call that found no endpoint or no table. */
+export const comeBackSeconds = 1;
+
+/**
+ * Returns the refusal of a call for which no endpoint could be reached.
+ *
+ * @param service Name of the service.
+ * @param run Whether it may have run all the same.
+ */
+export function noEndpointRefusal(service: string, run: Refusal['run']): Refusal {
+	return {
+		status: 503, code: 'no_endpoint', message: `No endpoint of "${service}" can be reached.`, run, retryAfterSeconds: comeBackSeconds,
+	};
+}
+
+/**
+ * Chooses an endpoint for a call.
+ *
+ * @param call The call.
+ * @param parts The router's parts.
+ * @param exclude Endpoints that have failed it.
+ */
+export function chooseEndpoint(call: ServiceCall, parts: CallParts, exclude: ReadonlySet<string>): string | undefined {
+	return parts.placement.choose({
+		service: call.service.service, exclude, now: parts.clock(), random: parts.random(),
+	});
+}
--- a/source/endpoints/mod.ts
+++ b/source/endpoints/mod.ts
@@ -7,3 +7,6 @@
 export * from './engine-client.ts';
 export * from './engine-protocol.ts';
 export * from './engine-stream.ts';
+export * from './pooled-service-client.ts';
+export * from './service-message.ts';
+export * from './single-send.ts';
--- a/source/platform/platform-client.ts
+++ b/source/platform/platform-client.ts
@@ -8,6 +8,7 @@
 } from 'neverthrow';
 import {Pool} from 'undici';
 import {type z} from 'zod';
+import {neverConnected} from '../supervision/mod.ts';
 import {hostListSchema, type Host} from './host-list-protocol.ts';
 import {
 	conflictSchema, rowsSchema, type ListRequest, type Operation, type Row, type RowKey,
@@ -16,13 +17,17 @@
 /**
  * Why the platform gave no usable answer.
  *
- * `refused` means that nothing took effect; `unknown` means that a write may have taken effect although its answer was lost.
+ * `refused` means that nothing took effect: the platform said so (429, 503, any 4xx), or the request never left for want of a
+ * connection. `unknown` means that a write may have taken effect although its answer was lost.
  */
 export type PlatformFailure = {kind: 'refused' | 'unknown'; message: string};
 
 /** Outcome of a transaction: all of it took effect, or none because one condition did not hold. */
 export type TransactOutcome = {kind: 'committed'} | {kind: 'conflict'; operation: number};
 
+/** Body of a request, and the status beside 2xx that is an answer to it. */
+type RequestOptions = {body?: string; expected?: number};
+
 /** Options of {@linkcode PlatformClient}. */
 export type PlatformClientOptions = {
 	/** Base address of the platform. */
@@ -55,7 +60,7 @@
 
 	/** Writes several rows at once, or none. */
 	async transact(operations: Operation[]): Promise<Result<TransactOutcome, PlatformFailure>> {
-		const answer = await this.#request('transact', 'POST', '/table/transact', JSON.stringify({operations}));
+		const answer = await this.#request('transact', 'POST', '/table/transact', {body: JSON.stringify({operations}), expected: 409});
 		return answer.andThen(({status, body}): Result<TransactOutcome, PlatformFailure> => {
 			if (status === 409) {
 				return decode(conflictSchema, body).map(({conflict}) => ({kind: 'conflict' as const, operation: conflict}));
@@ -67,25 +72,25 @@
 
 	/** Reads rows by key; rows that do not exist are left out. */
 	async read(keys: RowKey[]): Promise<Result<Row[], PlatformFailure>> {
-		const answer = await this.#request('read', 'POST', '/table/read', JSON.stringify({keys}));
+		const answer = await this.#request('read', 'POST', '/table/read', {body: JSON.stringify({keys})});
 		return answer.andThen(({body}) => decode(rowsSchema, body)).map(({rows}) => rows);
 	}
 
 	/** Lists rows of a table by prefix, in order of keys. */
 	async list(request: ListRequest): Promise<Result<Row[], PlatformFailure>> {
-		const answer = await this.#request('list', 'POST', '/table/list', JSON.stringify(request));
+		const answer = await this.#request('list', 'POST', '/table/list', {body: JSON.stringify(request)});
 		return answer.andThen(({body}) => decode(rowsSchema, body)).map(({rows}) => rows);
 	}
 
 	/** Stores an object under a name; the same name and content may be stored again. */
 	async putObject(name: string, content: string): Promise<Result<void, PlatformFailure>> {
-		const answer = await this.#request('put_object', 'PUT', `/objects/${encodeURIComponent(name)}`, content);
+		const answer = await this.#request('put_object', 'PUT', `/objects/${encodeURIComponent(name)}`, {body: content});
 		return answer.map(() => undefined);
 	}
 
 	/** Reads an object; `undefined` when there is none. */
 	async getObject(name: string): Promise<Result<string | undefined, PlatformFailure>> {
-		const answer = await this.#request('get_object', 'GET', `/objects/${encodeURIComponent(name)}`);
+		const answer = await this.#request('get_object', 'GET', `/objects/${encodeURIComponent(name)}`, {expected: 404});
 		return answer.map(({status, body}) => status === 404 ? undefined : body);
 	}
 
@@ -100,26 +105,32 @@
 		await this.#pool.destroy();
 	}
 
-	async #request(operation: string, method: 'GET' | 'POST' | 'PUT', path: string, body?: string): Promise<Result<{status: number; body: string}, PlatformFailure>> {
+	async #request(operation: string, method: 'GET' | 'POST' | 'PUT', path: string, options: RequestOptions = {}): Promise<Result<{status: number; body: string}, PlatformFailure>> {
+		const answer = await this.#send(operation, method, path, options.body);
+		const outcome = answer.andThen(({status, body: text}): Result<{status: number; body: string}, PlatformFailure> => status < 300 || status === options.expected
+			? ok({status, body: text})
+			: err({kind: refusesByStatus(status) ? 'refused' : 'unknown', message: `platform answered ${status} to ${operation}`}));
+		this.#observe(operation, outcome.isOk() ? 'answered' : outcome.error.kind);
+		return outcome;
+	}
+
+	async #send(operation: string, method: 'GET' | 'POST' | 'PUT', path: string, body?: string): Promise<Result<{status: number; body: string}, PlatformFailure>> {
 		try {
 			const response = await this.#pool.request({
 				method, path, body, headers: {'content-type': 'application/json'}, signal: AbortSignal.timeout(this.#timeoutMilliseconds),
 			});
-			const text = await response.body.text();
-			if (response.statusCode >= 500) {
-				this.#observe(operation, 'refused');
-				return err({kind: 'refused', message: `platform answered ${response.statusCode} to ${operation}`});
-			}
-
-			this.#observe(operation, 'answered');
-			return ok({status: response.statusCode, body: text});
+			return ok({status: response.statusCode, body: await response.body.text()});
 		} catch (error) {
-			this.#observe(operation, 'unknown');
-			return err({kind: 'unknown', message: `platform did not answer ${operation}: ${String(error)}`});
+			return err({kind: neverConnected(error) ? 'refused' : 'unknown', message: `platform did not answer ${operation}: ${String(error)}`});
 		}
 	}
 }
 
+/** Whether a status says that nothing took effect; a gateway's 502 or 504 does not. */
+function refusesByStatus(status: number): boolean {
+	return (status >= 400 && status < 500) || status === 503;
+}
+
 function decode<Schema extends z.ZodType>(schema: Schema, body: string): Result<z.output<Schema>, PlatformFailure> {
 	try {
 		const checked = schema.safeParse(JSON.parse(body));
--- a/source/router/bodies.ts
+++ b/source/router/bodies.ts
@@ -49,6 +49,22 @@
  * ```
  */
 export async function readBody(request: IncomingMessage, largestBytes: number): Promise<Result<string, Refusal>> {
+	const bytes = await readBytes(request, largestBytes);
+	return bytes.map(body => new TextDecoder().decode(body));
+}
+
+/**
+ * Reads a request's body as {@linkcode readBody} does, without decoding it.
+ *
+ * @param request The request.
+ * @param largestBytes Limit in bytes.
+ * @returns The body, or a refusal with status 413.
+ * @example
+ * ```ts
+ * const body = await readBytes(request, 4_194_304);
+ * ```
+ */
+export async function readBytes(request: IncomingMessage, largestBytes: number): Promise<Result<Uint8Array, Refusal>> {
 	const chunks: Uint8Array[] = [];
 	let length = 0;
 	for await (const chunk of request as AsyncIterable<Uint8Array>) {
@@ -60,7 +76,7 @@
 		chunks.push(chunk);
 	}
 
-	return ok(Buffer.concat(chunks).toString());
+	return ok(Buffer.concat(chunks));
 }
 
 /**
--- a/source/router/caller-context.ts
+++ b/source/router/caller-context.ts
@@ -6,6 +6,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Span} from '@opentelemetry/api';
 import {type Admission} from '../admission/mod.ts';
+import {type CallParts} from '../calls/mod.ts';
 import {type ConfigurationInForce, type Workspace} from '../configuration/mod.ts';
 import {type GenerationParts} from '../generation/mod.ts';
 import {type HostDirectory} from '../membership/mod.ts';
@@ -21,6 +22,7 @@
 	admission: Admission;
 	platform: PlatformClient;
 	leaving: Leaving;
+	calls: CallParts;
 };
 
 /** One request of a caller. */
--- a/source/router/caller-server.ts
+++ b/source/router/caller-server.ts
@@ -8,9 +8,11 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type Refusal} from '../answers/mod.ts';
+import {refusalOfAttempt} from '../calls/mod.ts';
 import {type Workspace} from '../configuration/mod.ts';
 import {type CallerExchange, type CallerParts} from './caller-context.ts';
 import {sendJson, sendRefusal} from './respond.ts';
+import {serveCall, serviceOfCall} from './serve-call.ts';
 import {serveCompletion} from './serve-completion.ts';
 
 /** Serves one authenticated request and returns its outcome code. */
@@ -22,6 +24,9 @@
 	{
 		method: 'POST', path: /^\/v1\/completions$/v, service: () => 'completions', handler: serveCompletion,
 	},
+	{
+		method: undefined, path: /^\/v1\/services\/[^\/]+(?:\/|$)/v, service: serviceOfCall, handler: serveCall,
+	},
 ];
 
 /** Seconds after which a caller may ask a router again that is not ready. */
@@ -80,12 +85,12 @@
 	const workspace = workspaceOf(request, parts);
 	const refusal = refusalBefore(parts, found, workspace);
 	if (refusal) {
-		sendRefusal(response, refusal);
+		sendRefusal(response, found?.handler === serveCall ? refusalOfAttempt(refusal, request.headers) : refusal);
 		return refusal.code;
 	}
 
 	const outcome = await found!.handler({...exchange, workspace: workspace!}, parts);
-	parts.metrics.requests.inc({service: found!.service(url), outcome});
+	parts.metrics.requests.inc({service: outcome === 'not_found' ? 'unknown' : found!.service(url), outcome});
 	return outcome;
 }
 
--- a/source/router/respond.ts
+++ b/source/router/respond.ts
@@ -40,5 +40,5 @@
 	}
 
 	const retryAfter: Record<string, string> = refusal.retryAfterSeconds === undefined ? {} : {'retry-after': String(Math.ceil(refusal.retryAfterSeconds))};
-	sendJson(response, refusal.status, refusalBody(refusal), retryAfter);
+	sendJson(response, refusal.status, refusalBody(refusal), {'x-run': refusal.run, ...retryAfter});
 }
--- a/source/router/router.ts
+++ b/source/router/router.ts
@@ -14,6 +14,7 @@
 import {createLogger, createMetrics, createTracing} from '../telemetry/mod.ts';
 import {type CallerParts} from './caller-context.ts';
 import {createCallerServer} from './caller-server.ts';
+import {createCallParts} from './call-parts.ts';
 import {Leaving} from './leaving.ts';
 import {close, listen} from './listen.ts';
 import {createOperatorServer} from './operator-server.ts';
@@ -55,6 +56,7 @@
 			await close(operatorServer);
 			await parts.platform.close();
 			await parts.engines.close();
+			await parts.calls.serviceClient.close();
 		},
 	};
 }
@@ -62,7 +64,7 @@
 function createParts(settings: RouterSettings): CallerParts {
 	const metrics = createMetrics();
 	const directory = new HostDirectory();
-	return {
+	const parts = {
 		settings,
 		metrics,
 		directory,
@@ -84,6 +86,7 @@
 		wallClock: () => Date.now(),
 		random: () => Math.random(),
 	};
+	return {...parts, calls: createCallParts(parts)};
 }
 
 function startTasks(supervisor: Supervisor, parts: CallerParts): void {
--- /dev/null
+++ b/source/router/serve-call.ts
@@ -0,0 +1,155 @@
+/**
+ * Serves any method on `/v1/services/SERVICE/PATH`.
+ *
+ * @module
+ */
+import {once} from 'node:events';
+import {type ServerResponse} from 'node:http';
+import {type Refusal} from '../answers/mod.ts';
+import {
+	digestCall, isFirstAttempt, isIdempotent, readIdempotencyKey, refusalOfAttempt, runAtMostOnce, runIdempotent, type CallEnd, type ServiceCall,
+} from '../calls/mod.ts';
+import {type PlainService} from '../configuration/mod.ts';
+import {endToEndHeaders, type ServiceAnswer, type ServiceRequest} from '../endpoints/mod.ts';
+import {readBytes} from './bodies.ts';
+import {type CallerExchange, type CallerParts} from './caller-context.ts';
+import {sendRefusal} from './respond.ts';
+
+/** Header by which every answer tells whether the call was run. */
+const runHeader = 'x-run';
+
+/** Headers of the caller that concern only the router. */
+const routerHeaders = ['host', 'authorization', 'content-length', 'expect', 'traceparent', 'tracestate', 'x-first-attempt', 'x-workspace'];
+
+/** Segments of a call's path before the service's own path: the empty one, `v1`, `services` and the name. */
+const prefixSegments = 4;
+
+/**
+ * Returns the service that a call's path names.
+ *
+ * @param url Path and query of the call.
+ */
+export function serviceOfCall(url: URL): string {
+	return url.pathname.split('/')[prefixSegments - 1] ?? '';
+}
+
+/**
+ * Serves one call from its body to the end of its answer.
+ *
+ * @param exchange The caller's request.
+ * @param parts The router's parts.
+ * @returns The outcome code for metrics.
+ * @example
+ * ```ts
+ * const outcome = await serveCall(exchange, parts);
+ * ```
+ */
+export async function serveCall(exchange: CallerExchange, parts: CallerParts): Promise<string> {
+	const {request, response, url} = exchange;
+	const refuse = (refusal: Refusal) => {
+		sendRefusal(response, refusalOfAttempt(refusal, request.headers));
+		return refusal.code;
+	};
+
+	const service = parts.configuration.service(serviceOfCall(url));
+	if (service?.kind !== 'plain') {
+		return refuse({
+			status: 404, code: 'not_found', message: `There is no plain service "${serviceOfCall(url)}".`, run: 'no',
+		});
+	}
+
+	const body = await readBytes(request, parts.settings.callers.largestBodyBytes);
+	if (body.isErr()) {
+		return refuse(body.error);
+	}
+
+	const call = createCall(exchange, parts, service, body.value);
+	const permit = await parts.admission.enter({
+		workspace: call.workspace,
+		weight: exchange.workspace.weight,
+		service: service.service,
+		tokens: 1,
+		requestDigest: digestCall(call.request),
+		deadline: parts.wallClock() + (service.deadlineSeconds * 1000),
+	}, parts.wallClock(), exchange.signal);
+	if (permit.isErr()) {
+		return refuse(permit.error);
+	}
+
+	try {
+		const end = await run(call, exchange, parts);
+		return await sendEnd(end, exchange);
+	} finally {
+		permit.value.release();
+	}
+}
+
+function createCall(exchange: CallerExchange, parts: CallerParts, service: PlainService, body: Uint8Array): ServiceCall {
+	return {
+		service,
+		workspace: exchange.workspace.workspace,
+		request: createRequest(exchange, body),
+		deadline: parts.clock() + (service.deadlineSeconds * 1000),
+		span: exchange.span,
+		signal: exchange.signal,
+	};
+}
+
+function createRequest({request, url, workspace}: CallerExchange, body: Uint8Array): ServiceRequest {
+	const ownPath = `/${url.pathname.split('/').slice(prefixSegments).join('/')}`;
+	return {
+		method: request.method ?? 'GET',
+		path: ownPath + url.search,
+		headers: {...endToEndHeaders(request.headers, routerHeaders), 'x-workspace': workspace.workspace},
+		body,
+	};
+}
+
+async function run(call: ServiceCall, {request}: CallerExchange, {calls}: CallerParts): Promise<CallEnd> {
+	const [path = ''] = call.request.path.split('?');
+	if (isIdempotent(call.service, call.request.method, path)) {
+		return runIdempotent(call, calls);
+	}
+
+	const idempotencyKey = readIdempotencyKey(request.headers);
+	return idempotencyKey.isOk()
+		? runAtMostOnce({...call, idempotencyKey: idempotencyKey.value, firstAttempt: isFirstAttempt(request.headers)}, calls)
+		: {kind: 'refused', refusal: idempotencyKey.error};
+}
+
+async function sendEnd(end: CallEnd, {response, request}: CallerExchange): Promise<string> {
+	if (end.kind === 'refused') {
+		sendRefusal(response, end.refusal);
+		return end.refusal.code;
+	}
+
+	response.writeHead(end.answer.status, {...end.answer.headers, [runHeader]: 'yes'});
+	return sendBody(end.answer, response, request.method === 'HEAD');
+}
+
+/** Writes the body; one that breaks off takes the caller's connection with it, so that it never looks whole. */
+async function sendBody({head, rest}: ServiceAnswer, response: ServerResponse, bodiless: boolean): Promise<string> {
+	if (bodiless) {
+		response.end();
+		return 'answered';
+	}
+
+	response.write(head);
+	try {
+		for await (const chunk of rest ?? []) {
+			if (response.destroyed) {
+				return 'caller_gone';
+			}
+
+			if (!response.write(chunk)) {
+				await Promise.race([once(response, 'drain'), once(response, 'close')]);
+			}
+		}
+	} catch {
+		response.destroy();
+		return 'endpoint_failed';
+	}
+
+	response.end();
+	return 'answered';
+}
--- a/source/supervision/mod.ts
+++ b/source/supervision/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from './connect-errors.ts';
 export * from './invariant.ts';
 export * from './pause.ts';
 export * from './poll.ts';
