Let one router at a time order the engines of each model service

Engines were never told which model, version and adapter to serve. Each model service now has a duty "engines/SERVICE", held by lease: holder, fencing number, expiry and the holder's token in one row, renewed by compare-and-set.

Decisions - No two clocks are compared. A holder acts until two thirds of the term after it began its last successful write, by its monotonic clock, and looks right before each order. Another router takes the lease only once it has itself seen the row unchanged for the whole term by its own clock; the expiry in the row, wall-clock time, only tells it when to look again. Taking at the expiry by wall clock was ruled out: it needs synchronized clocks. - A lost answer of a write counts as not written until the row is read back; the holder's name in the row settles it. While the table is down the lease lapses and no order is sent. - Orders state the whole wanted state; load is read back and an engine that differs is ordered again after a settling time, since its report lags. Engines that check the number refuse late orders; for the others the next holder first waits for the longest order, and a later one is put right by reading back. - An engine that serves several services belongs to the duty of the first by name, which orders the models of all, so that two fencing sequences never meet at one engine. - Four orders of a duty at once (weight-store reads), engine reports read at 5 a second a duty on average: 360 engines in 72 s, except that a new wanted state starts a round at once. - A leaving router neither takes nor renews. Settings `duties.takePart: false` leaves the models to others; test fleets use it unless a test asks for duties, so that engines of other tests are not ordered about.

Table traffic, worked out, not measured: one read names all duties. A router looks every max(5 s, routers / 10 per second) with 20% jitter, so 14 routers read 2.8 times a second and 390 (39 s) 10 times a second, whatever the number of duties; a holder adds a read and a write every 5 s: with 5 duties 1 read/s and 1 write/s. After a holder's death each router that sees the lease expired reads once more after one term (15 s), spread over 3 s: at most another 10 reads/s. Together under 21 reads/s of about two thousand and 1 write/s of several hundred. A successor acts after about two terms, 30 s; without checks by the engines another 120 s.

Left out: adapters and versions are switched engine by engine without keeping the old version for generations in progress; the role, which no service file names.

--- a/source/endpoints/engine-client.ts
+++ b/source/endpoints/engine-client.ts
@@ -21,6 +21,9 @@
 	timeoutMilliseconds?: number;
 };
 
+/** Content of a request, and its deadline if it is not the client's. */
+type SendOptions = {content?: unknown; timeoutMilliseconds?: number};
+
 /**
  * Sends short requests to any engine, each with a deadline.
  *
@@ -40,7 +43,7 @@
 
 	/** Cancels a generation unless a newer attempt has taken it over. */
 	async cancel(address: string, generation: string, attempt: number): Promise<Result<void, EngineFailure>> {
-		const answer = await this.#send(address, 'POST', `/v1/generations/${generation}/cancel`, {attempt});
+		const answer = await this.#send(address, 'POST', `/v1/generations/${generation}/cancel`, {content: {attempt}});
 		return answer.map(() => undefined);
 	}
 
@@ -49,9 +52,9 @@
 		return decode(loadSchema, await this.#send(address, 'GET', '/v1/load'));
 	}
 
-	/** Orders an engine into a state; an engine that checks refuses an old fencing number. */
-	async order(address: string, order: EngineOrder): Promise<Result<void, EngineFailure>> {
-		const answer = await this.#send(address, 'POST', '/v1/orders', order);
+	/** Orders an engine into a state within a time in milliseconds; an engine that checks refuses an old fencing number. */
+	async order(address: string, order: EngineOrder, timeoutMilliseconds = this.#timeoutMilliseconds): Promise<Result<void, EngineFailure>> {
+		const answer = await this.#send(address, 'POST', '/v1/orders', {content: order, timeoutMilliseconds});
 		return answer.map(() => undefined);
 	}
 
@@ -65,14 +68,15 @@
 		await this.#agent.destroy();
 	}
 
-	async #send(address: string, method: 'GET' | 'POST', path: string, body?: unknown): Promise<Result<unknown, EngineFailure>> {
+	async #send(address: string, method: 'GET' | 'POST', path: string, options: SendOptions = {}): Promise<Result<unknown, EngineFailure>> {
+		const {content, timeoutMilliseconds = this.#timeoutMilliseconds} = options;
 		try {
 			const response = await request(`http://${address}${path}`, {
 				dispatcher: this.#agent,
 				method,
 				headers: {'content-type': 'application/json'},
-				body: body === undefined ? undefined : JSON.stringify(body),
-				signal: AbortSignal.timeout(this.#timeoutMilliseconds),
+				body: content === undefined ? undefined : JSON.stringify(content),
+				signal: AbortSignal.timeout(timeoutMilliseconds),
 			});
 			const answer: unknown = JSON.parse(await response.body.text());
 			if (response.statusCode < 300) {
--- a/source/router/router.ts
+++ b/source/router/router.ts
@@ -15,6 +15,7 @@
 import {type CallerParts} from './caller-context.ts';
 import {createCallerServer} from './caller-server.ts';
 import {createCallParts} from './call-parts.ts';
+import {runDuties} from './run-duties.ts';
 import {Leaving} from './leaving.ts';
 import {close, listen} from './listen.ts';
 import {createOperatorServer} from './operator-server.ts';
@@ -100,4 +101,5 @@
 	supervisor.start('configuration', async signal => followConfiguration({
 		platform, logger, random, inForce: configuration, periodMilliseconds: settings.platform.configurationMilliseconds,
 	}, signal));
+	supervisor.start('duties', async signal => runDuties(parts, signal));
 }
--- /dev/null
+++ b/source/router/run-duties.ts
@@ -0,0 +1,59 @@
+/**
+ * Plugs the duties into the router's other parts.
+ *
+ * @module
+ */
+import {randomUUID} from 'node:crypto';
+import {type Result} from 'neverthrow';
+import {EngineOrders, LeaseKeeper, followDuties} from '../duties/mod.ts';
+import {type TaskFailure} from '../supervision/mod.ts';
+import {type CallerParts} from './caller-context.ts';
+
+/** Ticks in one term of a lease. */
+const ticksPerTerm = 6;
+
+/**
+ * Takes part in the duties until the signal ends it; leases held are left to expire.
+ *
+ * @param parts The router's parts.
+ * @param signal Ends the task.
+ * @example
+ * ```ts
+ * supervisor.start('duties', signal => runDuties(parts, signal));
+ * ```
+ */
+export async function runDuties(parts: CallerParts, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
+	const {platform, logger, engines, directory, configuration, leaving, clock, wallClock, random} = parts;
+	const {duties} = parts.settings;
+	const keeper = new LeaseKeeper({
+		platform,
+		logger,
+		clock,
+		wallClock,
+		random,
+		holder: `${parts.settings.hostName}/${randomUUID()}`,
+		termMilliseconds: duties.leaseMilliseconds,
+		lookMilliseconds: () => Math.max(duties.lookMilliseconds, (directory.entryHosts(wallClock()).length / duties.leaseReadsPerSecond) * 1000),
+		mayHold: () => duties.takePart && !leaving.begun,
+		createToken: () => randomUUID(),
+	});
+	const orders = new EngineOrders({
+		engines,
+		logger,
+		clock,
+		longestOrderMilliseconds: duties.longestOrderMilliseconds,
+		settleMilliseconds: duties.settleMilliseconds,
+		ordersAtOnce: duties.ordersAtOnce,
+	});
+	return followDuties({
+		keeper,
+		orders,
+		configuration,
+		clock,
+		random,
+		endpointsOf: service => directory.endpointsOf(service).map(({address}) => address),
+		tickMilliseconds: duties.leaseMilliseconds / ticksPerTerm,
+		reconcileMilliseconds: duties.reconcileMilliseconds,
+		engineReadsPerSecond: duties.engineReadsPerSecond,
+	}, signal);
+}
--- a/source/settings/router-settings.ts
+++ b/source/settings/router-settings.ts
@@ -49,6 +49,17 @@
 		queueMilliseconds: z.number().int().positive().default(30_000),
 		retryShare: z.number().min(0).max(1).default(0.2),
 	}).prefault({}),
+	duties: z.strictObject({
+		takePart: z.boolean().default(true),
+		leaseMilliseconds: z.number().int().positive().default(15_000),
+		lookMilliseconds: z.number().int().positive().default(5000),
+		leaseReadsPerSecond: z.number().positive().default(10),
+		longestOrderMilliseconds: z.number().int().positive().default(120_000),
+		reconcileMilliseconds: z.number().int().positive().default(5000),
+		settleMilliseconds: z.number().int().positive().default(3000),
+		engineReadsPerSecond: z.number().positive().default(5),
+		ordersAtOnce: z.number().int().positive().default(4),
+	}).prefault({}),
 	log: z.strictObject({
 		level: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info'),
 	}).prefault({}),
--- a/source/testing/fleet.ts
+++ b/source/testing/fleet.ts
@@ -123,6 +123,7 @@
 			},
 			...(changes.admission && {admission: changes.admission}),
 			...(changes.placement && {placement: changes.placement}),
+			duties: changes.duties ?? {takePart: false},
 			log: {level: 'debug', ...changes.log},
 		};
 		this.addHost({
