--- a/source/platform/platform-client.ts
+++ b/source/platform/platform-client.ts
@@ -8,6 +8,7 @@
 } from 'neverthrow';
 import {Pool} from 'undici';
 import {type z} from 'zod';
+import {neverConnected} from '../supervision/mod.ts';
 import {hostListSchema, type Host} from './host-list-protocol.ts';
 import {
 	conflictSchema, rowsSchema, type ListRequest, type Operation, type Row, type RowKey,
@@ -16,7 +17,8 @@
 /**
  * Why the platform gave no usable answer.
  *
- * `refused` means that nothing took effect; `unknown` means that a write may have taken effect although its answer was lost.
+ * `refused` means that nothing took effect: the platform said so (429, 503, any 4xx), or the request never left for want of a
+ * connection. `unknown` means that a write may have taken effect although its answer was lost.
  */
 export type PlatformFailure = {kind: 'refused' | 'unknown'; message: string};
 
@@ -56,7 +58,7 @@
 
 	/** Writes several rows at once, or none. */
 	async transact(operations: Operation[]): Promise<Result<TransactOutcome, PlatformFailure>> {
-		const answer = await this.#request('transact', 'POST', '/table/transact', {body: JSON.stringify({operations})});
+		const answer = await this.#request('transact', 'POST', '/table/transact', {body: JSON.stringify({operations}), expected: 409});
 		return answer.andThen(({status, body}): Result<TransactOutcome, PlatformFailure> => {
 			if (status === 409) {
 				return decode(conflictSchema, body).map(({conflict}) => ({kind: 'conflict' as const, operation: conflict}));
@@ -86,14 +88,14 @@
 
 	/** Reads an object; `undefined` when there is none. */
 	async getObject(name: string): Promise<Result<string | undefined, PlatformFailure>> {
-		const answer = await this.#request('get_object', 'GET', `/objects/${encodeURIComponent(name)}`);
+		const answer = await this.#request('get_object', 'GET', `/objects/${encodeURIComponent(name)}`, {expected: 404});
 		return answer.map(({status, body}) => status === 404 ? undefined : body);
 	}
 
 	/** Reads the list of live and leaving hosts; a list that has not changed since the last read is not sent again. */
 	async hosts(): Promise<Result<Host[], PlatformFailure>> {
 		const last = this.#lastHosts;
-		const answer = await this.#request('hosts', 'GET', '/hosts', {headers: last ? {'if-none-match': last.tag} : {}});
+		const answer = await this.#request('hosts', 'GET', '/hosts', {headers: last ? {'if-none-match': last.tag} : {}, expected: 304});
 		return answer.andThen(({status, body, tag}): Result<Host[], PlatformFailure> => {
 			if (status === 304 && last) {
 				return ok(last.hosts);
@@ -112,6 +114,16 @@
 	}
 
 	async #request(operation: string, method: 'GET' | 'POST' | 'PUT', path: string, content: RequestContent = {}): Promise<Result<PlatformAnswer, PlatformFailure>> {
+		const answer = await this.#send(operation, method, path, content);
+		const outcome = answer.andThen((got): Result<PlatformAnswer, PlatformFailure> => got.status < 300 || got.status === content.expected
+			? ok(got)
+			: err({kind: refusesByStatus(got.status) ? 'refused' : 'unknown', message: `platform answered ${got.status} to ${operation}`}));
+		const bytes = answer.isOk() ? answer.value.body.length + (content.body?.length ?? 0) : 0;
+		this.#observe(operation, outcome.isOk() ? 'answered' : outcome.error.kind, bytes);
+		return outcome;
+	}
+
+	async #send(operation: string, method: 'GET' | 'POST' | 'PUT', path: string, content: RequestContent): Promise<Result<PlatformAnswer, PlatformFailure>> {
 		try {
 			const response = await this.#pool.request({
 				method,
@@ -120,27 +132,24 @@
 				headers: {'content-type': 'application/json', ...content.headers},
 				signal: AbortSignal.timeout(this.#timeoutMilliseconds),
 			});
-			const body = await response.body.text();
-			const bytes = body.length + (content.body?.length ?? 0);
-			if (response.statusCode >= 500) {
-				this.#observe(operation, 'refused', bytes);
-				return err({kind: 'refused', message: `platform answered ${response.statusCode} to ${operation}`});
-			}
-
-			this.#observe(operation, 'answered', bytes);
 			const {etag} = response.headers;
-			return ok({status: response.statusCode, body, tag: typeof etag === 'string' ? etag : undefined});
+			return ok({status: response.statusCode, body: await response.body.text(), tag: typeof etag === 'string' ? etag : undefined});
 		} catch (error) {
-			this.#observe(operation, 'unknown', 0);
-			return err({kind: 'unknown', message: `platform did not answer ${operation}: ${String(error)}`});
+			return err({kind: neverConnected(error) ? 'refused' : 'unknown', message: `platform did not answer ${operation}: ${String(error)}`});
 		}
 	}
 }
 
-type RequestContent = {body?: string; headers?: Record<string, string>};
+/** What a request carries, and the status beside 2xx that is an answer to it. */
+type RequestContent = {body?: string; headers?: Record<string, string>; expected?: number};
 
 type PlatformAnswer = {status: number; body: string; tag: string | undefined};
 
+/** Whether a status says that nothing took effect; a gateway's 502 or 504 does not. */
+function refusesByStatus(status: number): boolean {
+	return (status >= 400 && status < 500) || status === 503;
+}
+
 function decode<Schema extends z.ZodType>(schema: Schema, body: string): Result<z.output<Schema>, PlatformFailure> {
 	try {
 		const checked = schema.safeParse(JSON.parse(body));
--- a/source/router/caller-context.ts
+++ b/source/router/caller-context.ts
@@ -6,6 +6,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Span} from '@opentelemetry/api';
 import {type Admission} from '../admission/mod.ts';
+import {type CallParts} from '../calls/mod.ts';
 import {type ConfigurationInForce, type Workspace} from '../configuration/mod.ts';
 import {type GenerationParts} from '../generation/mod.ts';
 import {
@@ -28,6 +29,7 @@
 	peers: PeerRegistry;
 	platform: PlatformClient;
 	leaving: Leaving;
+	calls: CallParts;
 };
 
 /** One request of a caller. */
--- a/source/router/leave.ts
+++ b/source/router/leave.ts
@@ -49,6 +49,7 @@
 	await close(operatorServer);
 	await parts.platform.close();
 	await parts.engines.close();
+	await parts.calls.serviceClient.close();
 }
 
 /** Writes the last totals; while the store is down, waits until the peers that keep them have heard them. */
--- a/source/router/router.ts
+++ b/source/router/router.ts
@@ -12,11 +12,13 @@
 import {Supervisor} from '../supervision/mod.ts';
 import {createLogger, createMetrics, createTracing} from '../telemetry/mod.ts';
 import {type CallerParts} from './caller-context.ts';
+import {createCallParts} from './call-parts.ts';
 import {createCallerServer} from './caller-server.ts';
 import {leaveGracefully} from './leave.ts';
 import {Leaving} from './leaving.ts';
 import {listen} from './listen.ts';
 import {createOperatorServer} from './operator-server.ts';
+import {runDuties} from './run-duties.ts';
 import {createControlParts, startControl} from './start-control.ts';
 
 /** A running router. */
@@ -43,6 +45,7 @@
 	const parts = createParts(settings);
 	const supervisor = new Supervisor({logger: parts.logger});
 	const usageWriter = startControl(supervisor, parts);
+	supervisor.start('duties', async signal => runDuties(parts, signal));
 	const callerServer = createCallerServer(parts);
 	const operatorServer = createOperatorServer(parts);
 	await listen(callerServer, settings.callers.listen);
@@ -70,7 +73,7 @@
 	const logger = createLogger('router', {level: settings.log.level, fields: {host: settings.hostName}});
 	const control = createControlParts({settings, logger, wallClock: () => Date.now()});
 	const {directory} = control;
-	return {
+	const parts = {
 		...control,
 		settings,
 		metrics,
@@ -93,4 +96,5 @@
 		wallClock: () => Date.now(),
 		random: () => Math.random(),
 	};
+	return {...parts, calls: createCallParts(parts)};
 }
--- a/source/testing/demo.ts
+++ b/source/testing/demo.ts
@@ -54,7 +54,7 @@
 
 /** Streams one generation and checks the whole answer against the text of an undisturbed run. */
 async function runGeneration(name: string, fault?: (address: string) => Promise<number>): Promise<void> {
-	const prompt = `${lore} Piece: ${name}.`;
+	const prompt = `Piece: ${name}. ${lore}`;
 	const before = await Promise.all(engines.map(async engine => workOf(engine)));
 	let workOfKilled: Promise<number> | undefined;
 	const answer = await complete({
