Place by own counts and prefix, admit in fair order, hold deaths against requests

Placement took the least loaded of all endpoints, admission let everything in, and a request that kills its endpoint could take the whole fleet.

Own tokens in progress are exact; a reported load counts for the others' part only and fades over 10 s. Prompts go to the rendezvous owner of their first block unless it is loaded above 1.25 times the mean; cache events only prefer a holder and age out after two minutes. Other work takes the least loaded of three drawn endpoints. Each router uses a stable subset (rendezvous of host name and address), and widens to all endpoints when none of the subset can be used. A circuit opens after three failures in a row and lets single probes in after 1 s, 2 s, ... 15 s; with every circuit of a service open one endpoint is tried each 500 ms, so that an outage's end is noticed. A subset of 48 of 360 means that one prefix has about 360 / 48 = 7.5 owners over the fleet instead of one: weighed against polling and learning limits of every endpoint from every router, which gives an endpoint 1/390 of attention and a share smaller than one request.

The subset stays.

One load each 250 ms and the cache events at every fourth read of an endpoint, whatever the fleet's size: 4 + 1 messages/s a router. At 390 routers before 1,800 endpoints: 390 * 5 = 1,950 messages/s in all, 1.1 a second at each endpoint. Five services of 360 endpoints give a router 240 to read, so a load is 60 s old at the most; it is fresh only a sixth of that time, and own counts and measured times carry the placement at that size.

Start-time fair queueing by workspace in front of each service, in tokens. The permit names no endpoint: the sum of the adaptive limits over answering endpoints bounds what is admitted, and placement spreads it and passes over endpoints at twice their limit. Ruled out: a permit for one endpoint, which must be moved at each recovery and strands room. When endpoints are lost the sum falls below what is in progress, so continuations go on before new work; a continuation from a cursor is never queued. A limit starts at the router's share of engineTokens or endpointCalls (one over the routers expected to use the endpoint) and follows the time to first token (target 1.5 s). The wait is predicted by Little's law from the time for which tokens are held; a request that cannot start in time is answered at arrival, or as soon as that shows, with Retry-After from the backlog and jitter. A full queue drops the last request of the largest backlog. Restarts beyond the retry budget wait a jittered back-off.

All that ran on an endpoint whose process is shown to be gone (connection refused, or generation forgotten) is suspect; a reset or silent connection shows nothing. A suspect starts where no other suspect and, where possible, no request unknown to be harmless runs, and outside the zone of its first death; requests new to the endpoint keep away meanwhile. A second death under the only suspect convicts, after 1.3 s in which the endpoints beside it are asked whether their whole host or zone is lost: then nobody is accused. Convictions are rows of `refused`, read each second by each router: 390 reads/s at 390 routers. The convicted caller's own answer waits 1.25 s more, so that its repeat through any other entry is refused. Each side of a partition, and each router that cannot read the table, counts for itself.

Without an answer of the table within 400 ms the router counts for itself. A conviction is also published as a hint to the peers.

Tests: placement, admission, testing/suspects and testing/recovery pass.

--- a/source/endpoints/engine-client.ts
+++ b/source/endpoints/engine-client.ts
@@ -8,12 +8,13 @@
 } from 'neverthrow';
 import {Agent, request} from 'undici';
 import {type z} from 'zod';
+import {isConnectionRefused} from './connection-refused.ts';
 import {
 	cacheEventsSchema, engineErrorSchema, loadSchema, type CacheEvents, type EngineLoad, type EngineOrder,
 } from './engine-protocol.ts';
 
 /** Why a short request failed: `refused` with the engine's code, or no usable answer. */
-export type EngineFailure = {kind: 'refused'; code: string; message: string} | {kind: 'unreachable'; message: string};
+export type EngineFailure = {kind: 'refused'; code: string; message: string} | {kind: 'unreachable'; message: string; connectionRefused: boolean};
 
 /** Options of {@linkcode EngineClient}. */
 export type EngineClientOptions = {
@@ -82,9 +83,9 @@
 			const refusal = engineErrorSchema.safeParse(answer);
 			return err(refusal.success
 				? {kind: 'refused', ...refusal.data.error}
-				: {kind: 'unreachable', message: `the engine answered ${response.statusCode}`});
+				: {kind: 'unreachable', message: `the engine answered ${response.statusCode}`, connectionRefused: false});
 		} catch (error) {
-			return err({kind: 'unreachable', message: String(error)});
+			return err({kind: 'unreachable', message: String(error), connectionRefused: isConnectionRefused(error)});
 		}
 	}
 }
@@ -92,6 +93,6 @@
 function decode<Schema extends z.ZodType>(schema: Schema, answer: Result<unknown, EngineFailure>): Result<z.output<Schema>, EngineFailure> {
 	return answer.andThen((body): Result<z.output<Schema>, EngineFailure> => {
 		const checked = schema.safeParse(body);
-		return checked.success ? ok(checked.data) : err({kind: 'unreachable', message: `unexpected answer: ${checked.error.message}`});
+		return checked.success ? ok(checked.data) : err({kind: 'unreachable', message: `unexpected answer: ${checked.error.message}`, connectionRefused: false});
 	});
 }
--- a/source/endpoints/engine-stream.ts
+++ b/source/endpoints/engine-stream.ts
@@ -8,13 +8,14 @@
 	err, ok, type Result,
 } from 'neverthrow';
 import {Client, type Dispatcher} from 'undici';
+import {isConnectionRefused} from './connection-refused.ts';
 import {
 	engineErrorSchema, engineEventSchema, type EngineErrorCode, type EngineEvent, type EngineRequest,
 } from './engine-protocol.ts';
 
 /** Why a stream could not be opened. */
 export type OpenFailure
-	= | {kind: 'unreachable'; message: string; crashed: boolean}
+	= | {kind: 'unreachable'; message: string; crashed: boolean; connectionRefused: boolean}
 		| {kind: 'refused'; code: EngineErrorCode; message: string};
 
 /** What the next read of a stream gave. */
@@ -67,7 +68,9 @@
 		return ok(new EngineStream(client, response.body));
 	} catch (error) {
 		void client.destroy();
-		return err({kind: 'unreachable', message: String(error), crashed: isReset(error)});
+		return err({
+			kind: 'unreachable', message: String(error), crashed: isReset(error), connectionRefused: isConnectionRefused(error),
+		});
 	}
 }
 
@@ -194,7 +197,9 @@
 		return {kind: 'refused', ...checked.data.error};
 	}
 
-	return {kind: 'unreachable', message: `the engine answered ${status}`, crashed: false};
+	return {
+		kind: 'unreachable', message: `the engine answered ${status}`, crashed: false, connectionRefused: false,
+	};
 }
 
 function parseJson(text: string): unknown {
--- a/source/endpoints/mod.ts
+++ b/source/endpoints/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from './connection-refused.ts';
 export * from './engine-client.ts';
 export * from './engine-protocol.ts';
 export * from './engine-stream.ts';
--- a/source/generation/generation-parts.ts
+++ b/source/generation/generation-parts.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {type Accounts} from '../accounts/mod.ts';
+import {type RetryBudget, type SuspectWatch} from '../admission/mod.ts';
 import {type EngineClient} from '../endpoints/mod.ts';
 import {type Placement} from '../placement/mod.ts';
 import {type Logger, type Metrics, type Tracing} from '../telemetry/mod.ts';
@@ -12,6 +13,10 @@
 export type GenerationParts = {
 	accounts: Accounts;
 	placement: Placement;
+	/** Looks for requests that kill endpoints. */
+	suspects: SuspectWatch;
+	/** Limits how many generations start again at once. */
+	retries: RetryBudget;
 	engines: EngineClient;
 	metrics: Metrics;
 	tracing: Tracing;
--- a/source/generation/read-attempt.ts
+++ b/source/generation/read-attempt.ts
@@ -13,10 +13,10 @@
 		| {kind: 'silent'}
 		| {kind: 'stalled'}
 		| {kind: 'lost'; message: string}
-		| {kind: 'unreachable'; message: string}
+		| {kind: 'unreachable'; message: string; connectionRefused: boolean; reset: boolean}
 		| {kind: 'broken'; message: string}
 		| {kind: 'superseded'}
-		| {kind: 'refused'; message: string}
+		| {kind: 'refused'; message: string; forgotten?: boolean}
 		| {kind: 'aborted'}
 		| {kind: 'caller_gone'};
 
--- a/source/generation/run-attempt.ts
+++ b/source/generation/run-attempt.ts
@@ -91,10 +91,12 @@
 
 	if (failure.kind === 'unreachable') {
 		parts.placement.failed(endpoint, parts.clock());
-		return {kind: 'unreachable', message: failure.message};
+		return {
+			kind: 'unreachable', message: failure.message, connectionRefused: failure.connectionRefused, reset: failure.crashed,
+		};
 	}
 
-	return failure.code === 'superseded' ? {kind: 'superseded'} : {kind: 'refused', message: failure.message};
+	return failure.code === 'superseded' ? {kind: 'superseded'} : {kind: 'refused', message: failure.message, forgotten: failure.code === 'unknown_generation'};
 }
 
 function streamRequest(progress: Progress, step: AttemptStep): StreamRequest {
--- a/source/generation/run-generation.ts
+++ b/source/generation/run-generation.ts
@@ -5,6 +5,7 @@
  */
 import {type Span} from '@opentelemetry/api';
 import {type Refusal} from '../answers/mod.ts';
+import {retryDelay, type Trial} from '../admission/mod.ts';
 import {pause} from '../supervision/mod.ts';
 import {type GenerationParts} from './generation-parts.ts';
 import {
@@ -55,10 +56,22 @@
  * ```
  */
 export async function runGeneration(options: RunGenerationOptions): Promise<GenerationEnd> {
+	const {progress, parts} = options;
+	const trial = parts.suspects.follow(progress.requestDigest, progress.service.service);
+	parts.retries.firstAttempt();
+	try {
+		return await runAttempts(options, trial);
+	} finally {
+		trial.close();
+	}
+}
+
+async function runAttempts(options: RunGenerationOptions, trial: Trial): Promise<GenerationEnd> {
 	const {progress, parts, signal} = options;
 	const policy = recoveryPolicy(progress.service);
 	const excluded = new Set<string>();
-	const sink = new TimedSink(options);
+	const sink = new TimedSink(options, trial);
+	let restarts = 0;
 	const firstEndpointUntil = parts.wallClock() + firstEndpointMilliseconds;
 	let step: AttemptStep = progress.endpoint === undefined ? 'start' : 'resume';
 	while (!signal.aborted) {
@@ -67,18 +80,31 @@
 			return {kind: 'incomplete', refusal: giveUpRefusal(progress)};
 		}
 
-		const endpoint = step === 'resume' ? progress.endpoint : chooseEndpoint(options, excluded);
+		const refusal = await trial.verdict();
+		if (refusal) {
+			return {kind: 'incomplete', refusal};
+		}
+
+		const endpoint = step === 'resume' ? progress.endpoint : chooseEndpoint(options, trial.avoidance(excluded));
 		if (endpoint === undefined) {
 			excluded.clear();
+			step = 'start';
 			await pause(noEndpointMilliseconds * (0.5 + parts.random()), signal);
 			continue;
 		}
 
+		if (step === 'start' && !(await trial.claim(endpoint))) {
+			continue;
+		}
+
 		cancelAtPrevious(options, endpoint);
+		trial.attempting(endpoint, step);
+		sink.attempting(endpoint, step);
 		const end = await runAttempt({
 			...options, sink, endpoint, step, policy, lastTokenAt: sink.lastTokenAt,
 		});
 		parts.metrics.attempts.inc({service: progress.service.service, end: end.kind});
+		await trial.attempted(endpoint, {...end, step});
 		if (end.kind === 'finished') {
 			return {kind: 'complete', totalTokens: end.totalTokens, finishReason: end.finishReason};
 		}
@@ -95,6 +121,10 @@
 		step = stepAfterEnd[end.kind];
 		if (step === 'start') {
 			excluded.add(endpoint);
+			restarts += 1;
+			if (!parts.retries.take(parts.clock())) {
+				await pause(retryDelay(restarts, parts.random()), signal);
+			}
 		}
 	}
 
@@ -106,10 +136,13 @@
 	/** Monotonic time of the last token, in milliseconds; the start of the call before the first one. */
 	lastTokenAt: number;
 	readonly #options: RunGenerationOptions;
+	readonly #trial: Trial;
 	#lossAt: number | undefined;
+	#started: {endpoint: string; at: number} | undefined;
 
-	constructor(options: RunGenerationOptions) {
+	constructor(options: RunGenerationOptions, trial: Trial) {
 		this.#options = options;
+		this.#trial = trial;
 		this.lastTokenAt = options.parts.clock();
 	}
 
@@ -118,9 +151,22 @@
 		this.#lossAt ??= this.lastTokenAt;
 	}
 
+	/** Records that an attempt goes to an endpoint, whose time to first token counts from its start. */
+	attempting(endpoint: string, step: AttemptStep): void {
+		if (step === 'start') {
+			this.#started = {endpoint, at: this.#options.parts.clock()};
+		}
+	}
+
 	async token(token: DeliveredToken): Promise<boolean> {
 		const {parts, progress, sink} = this.#options;
 		this.lastTokenAt = parts.clock();
+		this.#trial.token(token.endpoint);
+		if (this.#started?.endpoint === token.endpoint) {
+			parts.placement.firstToken(token.endpoint, this.lastTokenAt - this.#started.at, this.lastTokenAt);
+			this.#started = undefined;
+		}
+
 		if (this.#lossAt !== undefined) {
 			parts.metrics.resumeLatency.observe({service: progress.service.service}, (this.lastTokenAt - this.#lossAt) / 1000);
 			this.#lossAt = undefined;
@@ -137,10 +183,24 @@
 	}
 }
 
-function chooseEndpoint({progress, parts}: RunGenerationOptions, exclude: ReadonlySet<string>): string | undefined {
-	return parts.placement.choose({
-		service: progress.service.service, prompt: progress.prompt, exclude, now: parts.clock(), random: parts.random(),
-	});
+/** Chooses an endpoint outside the first set of those to avoid that leaves one. */
+function chooseEndpoint({progress, parts}: RunGenerationOptions, avoidance: Array<ReadonlySet<string>>): string | undefined {
+	for (const exclude of avoidance) {
+		const endpoint = parts.placement.choose({
+			service: progress.service.service,
+			prompt: progress.prompt,
+			version: progress.model.version,
+			tokens: progress.maxTokens - progress.nextIndex,
+			exclude,
+			now: parts.clock(),
+			random: parts.random(),
+		});
+		if (endpoint !== undefined) {
+			return endpoint;
+		}
+	}
+
+	return undefined;
 }
 
 function giveUpRefusal(progress: Progress): Refusal {
--- /dev/null
+++ b/source/placement/placement.test.ts
@@ -0,0 +1,157 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fastCheck from 'fast-check';
+import {Placement, type PlacementOptions, type PlacementRequest} from './placement.ts';
+import {prefixKey} from './prefix-key.ts';
+import {highestMembers} from './rendezvous.ts';
+
+const listOf = (count: number) => Array.from({length: count}, (_, index) => ({address: `10.0.${Math.floor(index / 250)}.${index % 250}:9000`}));
+
+function createPlacement(count: number, options: Partial<PlacementOptions> = {}): {placement: Placement; endpoints: Array<{address: string}>} {
+	const endpoints = listOf(count);
+	return {endpoints, placement: new Placement({endpointsOf: () => endpoints, ...options})};
+}
+
+const request = (changes: Partial<PlacementRequest> = {}): PlacementRequest => ({
+	service: 'briefs', exclude: new Set(), now: 0, random: 0.5, ...changes,
+});
+
+function load(versions: string[], tokens = 0) {
+	return {
+		running: 0, waiting: 0, tokens_in_progress: tokens, capacity_tokens: 1000, measured_at: 0, role: 'mixed', models: versions.map(version => ({model: 'model', version, adapters: []})),
+	};
+}
+
+test('a prompt keeps its endpoint until the endpoint is loaded above the bound, and most keep theirs when one leaves', () => {
+	const {placement, endpoints} = createPlacement(12);
+	const prompts = Array.from({length: 200}, (_, index) => `prompt ${index}`);
+	const owners = prompts.map(prompt => placement.choose(request({prompt, random: Math.random()})));
+	assert.deepEqual(prompts.map(prompt => placement.choose(request({prompt, random: Math.random()}))), owners);
+	const without = new Set([endpoints[0]!.address]);
+	const later = prompts.map(prompt => placement.choose(request({prompt, exclude: without})));
+	for (const [index, owner] of owners.entries()) {
+		assert.ok(later[index] === owner || owner === endpoints[0]!.address);
+	}
+
+	placement.started(owners[0]!, 10_000);
+	assert.notEqual(placement.choose(request({prompt: prompts[0]!, tokens: 100})), owners[0]);
+});
+
+test('a flood of one prompt never loads an endpoint far above the mean', () => {
+	fastCheck.assert(fastCheck.property(fastCheck.integer({min: 2, max: 20}), fastCheck.integer({min: 1, max: 300}), (count, requests) => {
+		const {placement, endpoints} = createPlacement(count);
+		for (let index = 0; index < requests; index += 1) {
+			placement.started(placement.choose(request({prompt: 'same', tokens: 100}))!, 100);
+		}
+
+		const mean = requests * 100 / count;
+		assert.ok(endpoints.every(({address}) => placement.outstanding(address) <= (1.25 * mean) + 200));
+	}), {seed: 3});
+});
+
+test('a reported load turns work away and fades with its age', () => {
+	const {placement, endpoints} = createPlacement(2);
+	const [first, second] = endpoints.map(({address}) => address);
+	placement.takeLoad(first!, load(['v1'], 5000), 0);
+	placement.started(second!, 100);
+	const at = (now: number) => new Set(Array.from({length: 50}, (_, index) => placement.choose(request({now, random: index / 50}))));
+	assert.ok([...at(0)].filter(address => address === first).length <= 1);
+	const draws = Array.from({length: 100}, (_, index) => placement.choose(request({now: 0, random: index / 100})));
+	assert.ok(draws.filter(address => address === second).length > 70);
+	const laterDraws = Array.from({length: 100}, (_, index) => placement.choose(request({now: 11_000, random: index / 100})));
+	assert.ok(laterDraws.filter(address => address === first).length > 70);
+});
+
+test('an endpoint that lacks the version is passed over until its report is old', () => {
+	const {placement, endpoints} = createPlacement(2);
+	placement.takeLoad(endpoints[0]!.address, load(['v1']), 0);
+	placement.takeLoad(endpoints[1]!.address, load(['v2']), 0);
+	for (let random = 0; random < 1; random += 0.05) {
+		assert.equal(placement.choose(request({
+			version: 'v2', now: 1, random, prompt: String(random),
+		})), endpoints[1]!.address);
+	}
+
+	placement.takeLoad(endpoints[1]!.address, load(['v1']), 0);
+	assert.equal(placement.choose(request({version: 'v2', now: 1})), undefined);
+	assert.notEqual(placement.choose(request({version: 'v2', now: 60_000})), undefined);
+});
+
+test('a cache event draws its prompt to the holder, and stops to when it is old', () => {
+	const {placement, endpoints} = createPlacement(8);
+	const owner = placement.choose(request({prompt: 'lore'}));
+	const holder = endpoints.find(({address}) => address !== owner)!.address;
+	placement.takeCacheEvents(holder, {events: [{sequence: 1, kind: 'stored', prefix: 'ab2c1e6ae81c0d8f'}]}, 0);
+	assert.equal(placement.choose(request({prompt: 'lore'})), owner);
+	placement.takeCacheEvents(holder, {events: [{sequence: 9, kind: 'stored', prefix: prefixKey('lore')}]}, 0);
+	assert.equal(placement.choose(request({prompt: 'lore', now: 1000})), holder);
+	assert.equal(placement.choose(request({prompt: 'lore', now: 600_000})), owner);
+});
+
+test('consecutive failures close an endpoint to all but single probes after a back-off', () => {
+	const {placement, endpoints} = createPlacement(2);
+	const failing = endpoints[0]!.address;
+	for (let failure = 0; failure < 3; failure += 1) {
+		placement.failed(failing, 0);
+	}
+
+	const chosenAt = (now: number) => Array.from({length: 60}, (_, index) => placement.choose(request({now, prompt: `p${index}`}))).filter(address => address === failing).length;
+	assert.equal(chosenAt(10), 0);
+	assert.equal(chosenAt(1500), 1);
+	placement.failed(failing, 1600);
+	assert.equal(chosenAt(3000), 0);
+	placement.succeeded(failing, 3000);
+	assert.ok(chosenAt(3001) > 10);
+});
+
+test('when every circuit is open, an endpoint is still tried now and then', () => {
+	const {placement, endpoints} = createPlacement(3);
+	for (let failure = 0; failure < 60; failure += 1) {
+		placement.failed(endpoints[failure % 3]!.address, failure);
+	}
+
+	assert.equal(placement.choose(request({now: 100})), undefined);
+	assert.notEqual(placement.choose(request({now: 700})), undefined);
+});
+
+test('routers take stable subsets that together cover every endpoint', () => {
+	const endpoints = listOf(360);
+	const subsets = Array.from({length: 390}, (_, index) => highestMembers(endpoints, `router-${index}`, 48));
+	const counts = new Map(endpoints.map(({address}) => [address, 0]));
+	for (const {address} of subsets.flat()) {
+		counts.set(address, counts.get(address)! + 1);
+	}
+
+	assert.ok([...counts.values()].every(count => count > 0));
+	const after = new Set(highestMembers(endpoints.slice(1), 'router-0', 48).map(({address}) => address));
+	assert.ok(subsets[0]!.filter(({address}) => !after.has(address)).length <= 1);
+});
+
+test('work that was admitted waits when every endpoint is at twice its limit', () => {
+	const {placement, endpoints} = createPlacement(2, {startTokensOf: () => 1000});
+	for (const {address} of endpoints) {
+		placement.started(address, 1950);
+	}
+
+	assert.equal(placement.choose(request({tokens: 100})), undefined);
+	placement.finished(endpoints[0]!.address, 500);
+	assert.equal(placement.choose(request({tokens: 100})), endpoints[0]!.address);
+});
+
+test('a limit follows the time to first token down and up again', () => {
+	const {placement, endpoints} = createPlacement(1, {startTokensOf: () => 1000});
+	const {address} = endpoints[0]!;
+	placement.choose(request());
+	placement.started(address, 900);
+	for (let now = 0; now < 5000; now += 1000) {
+		placement.firstToken(address, 3000, now);
+	}
+
+	const low = placement.capacityOf('briefs');
+	assert.ok(low < 600);
+	for (let now = 5000; now < 55_000; now += 1000) {
+		placement.firstToken(address, 100, now);
+	}
+
+	assert.ok(placement.capacityOf('briefs') > low * 1.5);
+});
--- a/source/placement/placement.ts
+++ b/source/placement/placement.ts
@@ -3,13 +3,23 @@
  *
  * @module
  */
-import {createHash} from 'node:crypto';
+import {xoroshiro128plus, unsafeUniformIntDistribution} from 'pure-rand';
+import {type CacheEvents, type EngineLoad} from '../endpoints/mod.ts';
+import {Circuits, type CircuitsOptions} from './circuits.ts';
+import {EndpointLimits, type EndpointLimitsOptions} from './endpoint-limits.ts';
+import {EndpointReports} from './endpoint-reports.ts';
+import {prefixKey} from './prefix-key.ts';
+import {hashKey, highestMembers, rendezvousWeight} from './rendezvous.ts';
 
 /** What a choice takes into account. */
 export type PlacementRequest = {
 	service: string;
 	/** Prompt whose cached prefix is worth going to; absent for plain calls. */
 	prompt?: string;
+	/** Model version that the endpoint must have loaded. Default any. */
+	version?: string;
+	/** Tokens of the work. Default 0. */
+	tokens?: number;
 	/** Endpoints that must not be chosen. */
 	exclude: ReadonlySet<string>;
 	/** Monotonic time, in milliseconds. */
@@ -18,27 +28,38 @@
 	random: number;
 };
 
+/** An endpoint as placement knows it. */
+export type PlacementEndpoint = {address: string};
+
 /** Options of {@linkcode Placement}. */
 export type PlacementOptions = {
-	/** Returns the addresses of a service's endpoints that take new work. */
-	endpointsOf: (service: string) => readonly string[];
+	/** Returns a service's endpoints that take new work; the same array until they change. */
+	endpointsOf: (service: string) => readonly PlacementEndpoint[];
+	/** Key of this router's subset of endpoints, its host name. Default empty. */
+	subsetKey?: string;
+	/** Endpoints of each service that this router uses. Default 48. */
+	endpointsPerService?: number;
+	/** Returns the tokens that one endpoint of a service takes at the start. Default without limit. */
+	startTokensOf?: (service: string) => number;
+	/** Options of the adaptive limits. */
+	limits?: EndpointLimitsOptions;
+	/** Options of the circuits. */
+	circuits?: CircuitsOptions;
 };
 
-/** Characters of a prompt whose digest names its prefix. */
-const prefixLength = 256;
+/** Endpoints drawn at random, of which the least loaded is chosen. */
+const candidateCount = 3;
 
-/**
- * Returns the key of a prompt's first block, as cache events name it.
- *
- * @param prompt The prompt.
- * @example
- * ```ts
- * prefixKey('Lore of the northern clans ...');
- * ```
- */
-export function prefixKey(prompt: string): string {
-	return createHash('sha256').update(prompt.slice(0, prefixLength)).digest('hex').slice(0, 16);
-}
+/** Load over the mean at which the owner of a prefix is passed over. */
+const affinityBound = 1.25;
+
+/** Multiple of its limit up to which an endpoint takes work that was already admitted, such as a continuation. */
+const admittedHeadroom = 2;
+
+/** Time between two tries of an endpoint when every circuit of its service is open, in milliseconds. */
+const lastResortMilliseconds = 500;
+
+type Subset = {all: readonly PlacementEndpoint[]; chosen: readonly PlacementEndpoint[]};
 
 /**
  * Counts the work that this router has at each endpoint and chooses among them.
@@ -49,24 +70,55 @@
  * ```
  */
 export class Placement {
-	readonly #options: PlacementOptions;
+	readonly #options: Required<Omit<PlacementOptions, 'limits' | 'circuits'>>;
 	readonly #outstanding = new Map<string, number>();
+	readonly #serviceOf = new Map<string, string>();
+	readonly #subsets = new Map<string, Subset>();
+	readonly #circuits: Circuits;
+	readonly #limits: EndpointLimits;
+	readonly #reports = new EndpointReports();
 
 	constructor(options: PlacementOptions) {
-		this.#options = options;
+		this.#options = {
+			subsetKey: '', endpointsPerService: 48, startTokensOf: () => Number.MAX_SAFE_INTEGER, ...options,
+		};
+		this.#circuits = new Circuits(options.circuits);
+		this.#limits = new EndpointLimits(options.limits);
 	}
 
-	/** Chooses an endpoint, or none when all are excluded or leaving. */
+	/** Chooses an endpoint, or none when all are excluded, leaving, failing or full. */
 	choose(request: PlacementRequest): string | undefined {
-		const candidates = this.#options.endpointsOf(request.service).filter(address => !request.exclude.has(address));
-		let best: string | undefined;
-		for (const address of candidates) {
-			if (best === undefined || this.outstanding(address) < this.outstanding(best)) {
-				best = address;
+		const {chosen, all} = this.#subset(request.service);
+		const address = this.#chooseAmong(chosen, request)
+			?? (all === chosen ? undefined : this.#chooseAmong(all, request))
+			?? this.#lastResort(all, request);
+		if (address !== undefined) {
+			this.#circuits.chosen(address, request.now);
+		}
+
+		return address;
+	}
+
+	/** Endpoints of a service that this router uses. */
+	subsetOf(service: string): readonly PlacementEndpoint[] {
+		return this.#subset(service).chosen;
+	}
+
+	/** Tokens that this router may have in progress at a service, over the endpoints that do not fail. */
+	capacityOf(service: string): number {
+		let capacity = 0;
+		for (const {address} of this.subsetOf(service)) {
+			if (!this.#circuits.isOpen(address)) {
+				capacity += this.limitOf(address, service);
 			}
 		}
 
-		return best;
+		return capacity;
+	}
+
+	/** Tokens that this router may have in progress at an endpoint. */
+	limitOf(address: string, service: string): number {
+		return this.#limits.limitOf(address, this.#options.startTokensOf(service));
 	}
 
 	/** Tokens that this router has in progress at an endpoint. */
@@ -90,12 +142,157 @@
 	}
 
 	/** Records that an endpoint answered. */
-	succeeded(_address: string, _now: number): void {
-		// The circuit by endpoint is fed here.
+	succeeded(address: string, _now: number): void {
+		this.#circuits.succeeded(address);
 	}
 
 	/** Records that an endpoint did not answer. */
-	failed(_address: string, _now: number): void {
-		// The circuit by endpoint is fed here.
+	failed(address: string, now: number): void {
+		this.#circuits.failed(address, now);
+	}
+
+	/** Learns from a measured time to first token, in milliseconds. */
+	firstToken(address: string, milliseconds: number, now: number): void {
+		const service = this.#serviceOf.get(address);
+		if (service !== undefined) {
+			this.#limits.firstToken({
+				address, milliseconds, now, outstanding: this.outstanding(address), startTokens: this.#options.startTokensOf(service),
+			});
+		}
+	}
+
+	/** Takes a load that an endpoint reported. */
+	takeLoad(address: string, load: EngineLoad, now: number): void {
+		this.#reports.takeLoad(address, load, this.outstanding(address), now);
+	}
+
+	/** Takes cache events that an endpoint published. */
+	takeCacheEvents(address: string, events: CacheEvents, now: number): void {
+		this.#reports.takeCacheEvents(address, events, now);
+	}
+
+	/** Sequence number of the last cache event taken from an endpoint. */
+	lastSequence(address: string): number {
+		return this.#reports.lastSequence(address);
+	}
+
+	#subset(service: string): Subset {
+		const all = this.#options.endpointsOf(service);
+		const known = this.#subsets.get(service);
+		if (known?.all === all) {
+			return known;
+		}
+
+		const chosen = highestMembers(all, this.#options.subsetKey, this.#options.endpointsPerService);
+		const subset = {all, chosen};
+		this.#subsets.set(service, subset);
+		this.#forgetUnlisted(service, all);
+		return subset;
+	}
+
+	#forgetUnlisted(service: string, all: readonly PlacementEndpoint[]): void {
+		const listed = new Set(all.map(({address}) => address));
+		for (const [address, owner] of this.#serviceOf) {
+			if (owner === service && !listed.has(address)) {
+				this.#serviceOf.delete(address);
+			}
+		}
+
+		for (const address of listed) {
+			this.#serviceOf.set(address, service);
+		}
+
+		const known = new Set(this.#serviceOf.keys());
+		this.#circuits.keepOnly(known);
+		this.#limits.keepOnly(known);
+		this.#reports.keepOnly(known);
+	}
+
+	#chooseAmong(endpoints: readonly PlacementEndpoint[], request: PlacementRequest): string | undefined {
+		const usable = endpoints.filter(({address}) => this.#usable(address, request) && this.#hasRoom(address, request));
+		if (usable.length === 0) {
+			return undefined;
+		}
+
+		return this.#prefixOwner(usable, request) ?? this.#leastLoaded(usable, request);
+	}
+
+	#usable(address: string, {exclude, version, now}: PlacementRequest): boolean {
+		return !exclude.has(address)
+			&& this.#circuits.allows(address, now)
+			&& !(version !== undefined && this.#reports.lacksVersion(address, version, now));
+	}
+
+	#hasRoom(address: string, {service, tokens = 0}: PlacementRequest): boolean {
+		const outstanding = this.outstanding(address);
+		return outstanding === 0 || outstanding + tokens <= admittedHeadroom * this.limitOf(address, service);
+	}
+
+	/** Finds the endpoint that holds or would hold the prompt's prefix and is not loaded far above the mean. */
+	#prefixOwner(usable: readonly PlacementEndpoint[], {prompt, tokens = 0, now}: PlacementRequest): string | undefined {
+		if (prompt === undefined) {
+			return undefined;
+		}
+
+		let total = 0;
+		for (const {address} of usable) {
+			total += this.#load(address, now);
+		}
+
+		const bound = (affinityBound * total / usable.length) + tokens;
+		const prefix = prefixKey(prompt);
+		const key = hashKey(prefix);
+		let owner: {address: string; weight: number} | undefined;
+		for (const {address} of usable) {
+			if (this.#load(address, now) > bound) {
+				continue;
+			}
+
+			const holds = this.#reports.holdsPrefix(address, prefix, now);
+			const weight = rendezvousWeight(key, address) + (holds ? 2 ** 32 : 0);
+			if (owner === undefined || weight > owner.weight) {
+				owner = {address, weight};
+			}
+		}
+
+		return owner?.address;
+	}
+
+	#leastLoaded(usable: readonly PlacementEndpoint[], {now, random}: PlacementRequest): string | undefined {
+		const generator = xoroshiro128plus(Math.floor(random * (2 ** 32)));
+		let best: {address: string; load: number} | undefined;
+		for (let drawn = 0; drawn < candidateCount; drawn += 1) {
+			const {address} = usable[unsafeUniformIntDistribution(0, usable.length - 1, generator)]!;
+			const load = this.#load(address, now);
+			if (best === undefined || load < best.load) {
+				best = {address, load};
+			}
+		}
+
+		return best?.address;
+	}
+
+	/** Tries, now and then, the endpoint that has waited longest when every circuit is open. */
+	#lastResort(endpoints: readonly PlacementEndpoint[], request: PlacementRequest): string | undefined {
+		let oldest: string | undefined;
+		for (const {address} of endpoints) {
+			if (request.exclude.has(address)) {
+				continue;
+			}
+
+			if (!this.#circuits.isOpen(address)) {
+				return undefined;
+			}
+
+			if (oldest === undefined || this.#circuits.triedAt(address) < this.#circuits.triedAt(oldest)) {
+				oldest = address;
+			}
+		}
+
+		return oldest !== undefined && request.now - this.#circuits.triedAt(oldest) >= lastResortMilliseconds ? oldest : undefined;
+	}
+
+	#load(address: string, now: number): number {
+		return this.outstanding(address) + this.#reports.othersTokens(address, now);
 	}
 }
--- a/source/router/caller-context.ts
+++ b/source/router/caller-context.ts
@@ -5,7 +5,7 @@
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Span} from '@opentelemetry/api';
-import {type Admission} from '../admission/mod.ts';
+import {type Admission, type RefusedRequests} from '../admission/mod.ts';
 import {type ConfigurationInForce, type Workspace} from '../configuration/mod.ts';
 import {type GenerationParts} from '../generation/mod.ts';
 import {
@@ -27,6 +27,8 @@
 	loads: LoadBoard;
 	peers: PeerRegistry;
 	platform: PlatformClient;
+	/** Requests that are refused everywhere. */
+	refused: RefusedRequests;
 	leaving: Leaving;
 };
 
--- a/source/router/router.ts
+++ b/source/router/router.ts
@@ -3,14 +3,13 @@
  *
  * @module
  */
-import {Admission} from '../admission/mod.ts';
 import {ConfigurationInForce} from '../configuration/mod.ts';
 import {EngineClient} from '../endpoints/mod.ts';
-import {Placement} from '../placement/mod.ts';
 import {PlatformClient} from '../platform/mod.ts';
 import {type RouterSettings} from '../settings/mod.ts';
 import {Supervisor} from '../supervision/mod.ts';
 import {createLogger, createMetrics, createTracing} from '../telemetry/mod.ts';
+import {createAdmissionParts} from './admission-parts.ts';
 import {type CallerParts} from './caller-context.ts';
 import {createCallerServer} from './caller-server.ts';
 import {leaveGracefully} from './leave.ts';
@@ -68,17 +67,13 @@
 function createParts(settings: RouterSettings): CallerParts {
 	const metrics = createMetrics();
 	const logger = createLogger('router', {level: settings.log.level, fields: {host: settings.hostName}});
-	const control = createControlParts({settings, logger, wallClock: () => Date.now()});
-	const {directory} = control;
-	return {
-		...control,
+	const parts = {
+		...createControlParts({settings, logger, wallClock: () => Date.now()}),
 		settings,
 		metrics,
 		logger,
 		tracing: createTracing({hostName: settings.hostName}),
 		configuration: new ConfigurationInForce(),
-		admission: new Admission(),
-		placement: new Placement({endpointsOf: service => directory.endpointsOf(service).map(({address}) => address)}),
 		engines: new EngineClient(),
 		leaving: new Leaving({entryTimeToLiveMilliseconds: settings.callers.entryTimeToLiveSeconds * 1000}),
 		platform: new PlatformClient({
@@ -93,4 +88,5 @@
 		wallClock: () => Date.now(),
 		random: () => Math.random(),
 	};
+	return {...parts, ...createAdmissionParts(parts)};
 }
--- a/source/router/serve-completion.ts
+++ b/source/router/serve-completion.ts
@@ -49,6 +49,7 @@
 		tokens: Math.ceil(progress.prompt.length / charactersPerToken) + progress.maxTokens - progress.nextIndex,
 		requestDigest: progress.requestDigest,
 		deadline: progress.deadline,
+		started: progress.nextIndex > 0,
 	}, parts.wallClock(), exchange.signal);
 	if (permit.isErr()) {
 		sendRefusal(exchange.response, permit.error);
--- a/source/router/start-control.ts
+++ b/source/router/start-control.ts
@@ -11,6 +11,7 @@
 import {
 	ConfigurationExchange, HintBoard, HostDirectory, HostHints, LoadBoard, PeerRegistry, followHosts, followPeers, type PeerContext, type RouterIdentity,
 } from '../membership/mod.ts';
+import {followEndpoints, modelServices} from '../placement/mod.ts';
 import {type RouterSettings} from '../settings/mod.ts';
 import {type Supervisor} from '../supervision/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
@@ -94,6 +95,10 @@
 		platform, logger, random, inForce: configuration, periodMilliseconds: settings.platform.configurationMilliseconds,
 	}, signal));
 	supervisor.start('peers', async signal => followPeers(context, signal));
+	supervisor.start('refused', async signal => parts.refused.follow(signal));
+	supervisor.start('endpoints', async signal => followEndpoints({
+		placement: parts.placement, engines: parts.engines, clock: parts.clock, random, services: () => modelServices(configuration),
+	}, signal));
 	supervisor.start('usage', async signal => writer.follow(signal));
 	return writer;
 }
--- a/source/settings/router-settings.ts
+++ b/source/settings/router-settings.ts
@@ -49,8 +49,9 @@
 		endpointsPerService: z.number().int().positive().default(48),
 	}).prefault({}),
 	admission: z.strictObject({
+		enabled: z.boolean().default(true),
 		queuedRequests: z.number().int().positive().default(2000),
-		queueMilliseconds: z.number().int().positive().default(30_000),
+		queueMilliseconds: z.number().int().positive().default(2500),
 		retryShare: z.number().min(0).max(1).default(0.2),
 	}).prefault({}),
 	log: z.strictObject({
