--- a/source/membership/host-directory.ts
+++ b/source/membership/host-directory.ts
@@ -48,6 +48,7 @@
 export class HostDirectory {
 	readonly #options: Required<HostDirectoryOptions>;
 	#records = new Map<string, HostRecord>();
+	#hosts: readonly Host[] = [];
 	#endpoints = new Map<string, EndpointRecord[]>();
 	readonly #hints = new Map<string, HostHint>();
 	readonly #connected = new Set<string>();
@@ -62,7 +63,7 @@
 
 	/** Hosts of the last list, and those kept although it lacks them. */
 	get hosts(): readonly Host[] {
-		return [...this.#records.values()].map(({host}) => host);
+		return this.#hosts;
 	}
 
 	/** Wall-clock time at which the last list was read, in milliseconds; `undefined` before the first one. */
@@ -176,7 +177,8 @@
 
 	#rebuild(now: number): void {
 		const endpoints = new Map<string, EndpointRecord[]>();
-		for (const host of this.hosts) {
+		this.#hosts = [...this.#records.values()].map(({host}) => host);
+		for (const host of this.#hosts) {
 			if (this.isLeaving(host, now)) {
 				continue;
 			}
