Ask a slow engine at doubled intervals, and give up only where no endpoint is bound

A generation bound to an engine was also given up after 10 s as 'not run', although the engine might have worked on it. Only a generation that no endpoint has taken is given up after 10 s; one that an endpoint has taken says 'unknown' when its deadline passes without a token.

--- a/source/generation/recovery-policy.ts
+++ b/source/generation/recovery-policy.ts
@@ -46,3 +46,19 @@
 	const base = policies[policy];
 	return {...base, silenceMilliseconds: silenceMilliseconds ?? base.silenceMilliseconds};
 }
+
+/**
+ * Returns the policy for a stream that follows silent ones: an engine that answers each time is slow, not gone, so it is
+ * asked at doubled intervals.
+ *
+ * @param policy Policy of the service.
+ * @param silences Silent streams without a token just before this one.
+ * @example
+ * ```ts
+ * patientPolicy(policy, 2).silenceMilliseconds; // four times as long
+ * ```
+ */
+export function patientPolicy(policy: RecoveryPolicy, silences: number): RecoveryPolicy {
+	const doubled = policy.silenceMilliseconds * (2 ** silences);
+	return {...policy, silenceMilliseconds: Math.max(policy.silenceMilliseconds, Math.min(doubled, policy.stallMilliseconds))};
+}
--- a/source/generation/run-generation.ts
+++ b/source/generation/run-generation.ts
@@ -12,7 +12,7 @@
 	type DeliveredToken, type GenerationEnd, type Progress, type TokenSink,
 } from './progress.ts';
 import {type AttemptEnd} from './read-attempt.ts';
-import {recoveryPolicy} from './recovery-policy.ts';
+import {patientPolicy, recoveryPolicy} from './recovery-policy.ts';
 import {runAttempt, type AttemptStep} from './run-attempt.ts';
 
 /** Options of {@linkcode runGeneration}. */
@@ -72,11 +72,12 @@
 	const excluded = new Set<string>();
 	const sink = new TimedSink(options, trial);
 	let restarts = 0;
+	let silences = 0;
 	const firstEndpointUntil = parts.wallClock() + firstEndpointMilliseconds;
 	let step: AttemptStep = progress.endpoint === undefined ? 'start' : 'resume';
 	while (!signal.aborted) {
-		const giveUpAt = progress.nextIndex > 0 ? progress.deadline : Math.min(progress.deadline, firstEndpointUntil);
-		if (parts.wallClock() >= giveUpAt) {
+		const waitsForFirst = step === 'start' && progress.endpoint === undefined;
+		if (parts.wallClock() >= (waitsForFirst ? Math.min(progress.deadline, firstEndpointUntil) : progress.deadline)) {
 			return {kind: 'incomplete', refusal: giveUpRefusal(progress)};
 		}
 
@@ -100,9 +101,11 @@
 		cancelAtPrevious(options, endpoint);
 		trial.attempting(endpoint, step);
 		sink.attempting(endpoint, step);
+		const indexBefore = progress.nextIndex;
 		const end = await runAttempt({
-			...options, sink, endpoint, step, policy, lastTokenAt: sink.lastTokenAt,
+			...options, sink, endpoint, step, policy: patientPolicy(policy, silences), lastTokenAt: sink.lastTokenAt,
 		});
+		silences = end.kind === 'silent' && progress.nextIndex === indexBefore ? silences + 1 : 0;
 		parts.metrics.attempts.inc({service: progress.service.service, end: end.kind});
 		await trial.attempted(endpoint, {...end, step});
 		if (end.kind === 'finished') {
@@ -211,7 +214,7 @@
 		message: started
 			? `The answer is incomplete: no endpoint with version ${progress.model.version} could continue it in time; come back with the cursor.`
 			: 'No endpoint could start the generation in time.',
-		run: started ? 'yes' : 'no',
+		run: started ? 'yes' : (progress.endpoint === undefined ? 'no' : 'unknown'),
 		retryAfterSeconds: comeBackSeconds,
 	};
 }
--- a/source/testing/recovery.test.ts
+++ b/source/testing/recovery.test.ts
@@ -96,3 +96,24 @@
 		assert.equal(answer._unsafeUnwrap().text, expectedText({prompt, seed, version: 'v1'}, 20));
 	}
 });
+
+test('an engine that is alive and slow to its first token is not asked again and again', async () => {
+	await using fleet = await Fleet.create();
+	await fleet.startEngine('engine-1', 'briefs', {prefillMillisecondsPerToken: 1000});
+	await fleet.startRouter('router-1');
+	await fleet.publishHosts();
+	await fleet.publish({
+		'briefs.service.jsonc': {
+			service: 'briefs', kind: 'model', model: {name: 'model', version: 'v1'}, recovery: {policy: 'latency', silenceMilliseconds: 100},
+		},
+		'all.workspaces.jsonc': workspacesFile(),
+	});
+	await fleet.waitUntilReady();
+	const answer = await complete({
+		entries: fleet.entries(), key: testKey, request: {...request, prompt: 'one two three four five six ', max_tokens: 5},
+	});
+	assert.equal(answer._unsafeUnwrap().tokens, 5);
+	const {spans} = await fleet.operator<{spans: Array<{name: string}>}>('router-1', `/explain?request=${answer._unsafeUnwrap().generation}`);
+	const attempts = spans.filter(({name}) => name === 'attempt').length;
+	assert.ok(attempts > 1 && attempts <= 8, `${attempts} attempts`);
+});
