--- a/source/calls/_answer-of-claim.ts
+++ b/source/calls/_answer-of-claim.ts
@@ -98,5 +98,5 @@
 		};
 	}
 
-	return {kind: 'answered', answer: {status: stored.status, headers: stored.headers, head: Buffer.from(stored.body, 'base64')}};
+	return {kind: 'answered', answer: {status: stored.status, headers: stored.headers, head: Buffer.from(stored.body, 'base64')}, stored: true};
 }
--- a/source/calls/call.ts
+++ b/source/calls/call.ts
@@ -33,8 +33,8 @@
 	firstAttempt: boolean;
 };
 
-/** How a call ended. */
-export type CallEnd = {kind: 'answered'; answer: ServiceAnswer} | {kind: 'refused'; refusal: Refusal};
+/** How a call ended; a stored answer is that of an earlier attempt. */
+export type CallEnd = {kind: 'answered'; answer: ServiceAnswer; stored?: boolean} | {kind: 'refused'; refusal: Refusal};
 
 /** What calls need of the router. */
 export type CallParts = {
--- a/source/calls/claim-store.test.ts
+++ b/source/calls/claim-store.test.ts
@@ -83,3 +83,17 @@
 	}
 });
 
+test('a repeat that gets the stored answer is not counted as another call of the workspace', async () => {
+	await using fleet = await Fleet.create();
+	await startCallFleet(fleet);
+	assert.equal(await statusOf(fleet, 'counted'), 201);
+	await settled(fleet, 'counted', 'ended');
+	for (let repeat = 0; repeat < 3; repeat += 1) {
+		assert.equal(await statusOf(fleet, 'counted'), 201);
+	}
+
+	fleet.signal('router-2', 'SIGTERM');
+	await fleet.ended('router-2');
+	const {rows} = await fleet.control<{rows: Array<{value: {calls: number}}>}>('platform', '/control/rows?table=usage');
+	assert.deepEqual(rows.map(({value}) => value.calls).filter(calls => calls > 0), [1]);
+});
--- a/source/calls/claim.ts
+++ b/source/calls/claim.ts
@@ -50,10 +50,10 @@
 /** Longest idempotency key, in characters. */
 export const longestKeyCharacters = 128;
 
-const keyPattern = /^[\w.:~\-]+$/v;
+const keyPattern = /^[\u0021-\u007E]+$/v;
 
 /**
- * Returns whether an idempotency key may be used: 1 to 128 letters, digits, dots, colons, tildes, dashes or underscores.
+ * Returns whether an idempotency key may be used: 1 to 128 characters of visible ASCII.
  *
  * @param key Value of the header.
  * @example
@@ -66,7 +66,7 @@
 }
 
 /**
- * Returns the key of a claim's row; no part may contain a slash.
+ * Returns the key of a claim's row; names of workspaces and services contain no slash.
  *
  * @param name Workspace, service and idempotency key.
  * @example
--- a/source/calls/idempotency.ts
+++ b/source/calls/idempotency.ts
@@ -56,7 +56,7 @@
 	return isIdempotencyKey(key)
 		? ok(key)
 		: err({
-			status: 400, code: 'bad_idempotency_key', message: `An idempotency key has 1 to ${longestKeyCharacters} letters, digits, dots, colons, tildes, dashes or underscores.`, run: 'no',
+			status: 400, code: 'bad_idempotency_key', message: `An idempotency key has 1 to ${longestKeyCharacters} characters of visible ASCII.`, run: 'no',
 		});
 }
 
--- a/source/router/run-duties.ts
+++ b/source/router/run-duties.ts
@@ -31,7 +31,7 @@
 		clock,
 		wallClock,
 		random,
-		holder: `${parts.settings.hostName}/${randomUUID()}`,
+		holder: parts.identity.incarnation,
 		termMilliseconds: duties.leaseMilliseconds,
 		lookMilliseconds: () => Math.max(duties.lookMilliseconds, (directory.entryHosts(wallClock()).length / duties.leaseReadsPerSecond) * 1000),
 		mayHold: () => duties.takePart && !leaving.begun,
--- a/source/router/serve-call.ts
+++ b/source/router/serve-call.ts
@@ -78,7 +78,7 @@
 
 	try {
 		const end = await run(call, exchange, parts);
-		if (end.kind === 'answered') {
+		if (end.kind === 'answered' && !end.stored) {
 			parts.accounts.called(call.workspace, service.service);
 		}
 
