Publish versions that are accepted once, never reverted and known to be in force

The publisher took a lost answer for a failure, overwrote what another operator had changed, and ended before any router had the version. A router took an object that is not JSON for a failed task, and read the whole configuration for each change.

Now the head row names a version and the digest of its index, the index names the objects of each file, and the version row holds the publisher's token. A lost answer is settled by the version row, also after others have published on top. Weighed and left: tombstones and a version for each file as the base (contents of the base's index are enough and also keep a stale checkout from reverting others); a row for each token (the version row already tells).

Nothing here removes objects; the store's own expiry does, where it has one.

--- a/source/configuration/collect-files.ts
+++ b/source/configuration/collect-files.ts
@@ -3,41 +3,51 @@
  *
  * @module
  */
-import {readdir} from 'node:fs/promises';
+import {readFile, readdir} from 'node:fs/promises';
 import path from 'node:path';
 import {
 	err, ok, type Result,
 } from 'neverthrow';
-import {type z} from 'zod';
-import {readDocument, type DocumentFault} from '../settings/mod.ts';
-import {serviceFileSchema, workspacesFileSchema} from './service-file.ts';
+import {lineOfField, parseDocument, type DocumentFault} from '../settings/mod.ts';
+import {checkWorkspaces, type WorkspacesSource} from './check-workspaces.ts';
+import {
+	serviceFileSchema, workspacesFileSchema, type Service, type Workspace,
+} from './service-file.ts';
 
 /** A checked file, under the name that it has in the configuration. */
-export type CollectedFile = {
-	/** `service/NAME` or `workspaces/FILE`. */
-	name: string;
-	/** Path that it was read from. */
-	file: string;
-	/** Checked content as JSON, with its defaults. */
-	content: string;
+export type CollectedFile
+	= | {
+		kind: 'service';
+		/** `service/NAME`. */
+		name: string;
+		/** Path that it was read from. */
+		file: string;
+		service: Service;
+	}
+	| {
+		kind: 'workspaces';
+		/** `workspaces/FILE`. */
+		name: string;
+		/** Path that it was read from. */
+		file: string;
+		workspaces: Workspace[];
+		/** The document as read. */
+		text: string;
+	};
+
+type Parse = (text: string, file: string) => Result<CollectedFile, DocumentFault[]>;
+
+const parsersByEnding: Record<string, Parse> = {
+	'.service.jsonc': (text, file) => parseDocument(text, file, serviceFileSchema).map(service => ({
+		kind: 'service', name: `service/${service.service}`, file, service,
+	})),
+	'.workspaces.jsonc': (text, file) => parseDocument(text, file, workspacesFileSchema).map(({workspaces}) => ({
+		kind: 'workspaces', name: `workspaces/${path.basename(file, '.workspaces.jsonc')}`, file, workspaces, text,
+	})),
 };
 
-/** A kind of file: its ending, and the schema that turns a content into its name and checked form. */
-type FileKind = {ending: string; schema: (file: string) => z.ZodType<{name: string; content: string}>};
-
-const kinds: FileKind[] = [
-	{
-		ending: '.service.jsonc',
-		schema: () => serviceFileSchema.transform(service => ({name: `service/${service.service}`, content: JSON.stringify(service)})),
-	},
-	{
-		ending: '.workspaces.jsonc',
-		schema(file) {
-			const name = `workspaces/${path.basename(file, '.workspaces.jsonc')}`;
-			return workspacesFileSchema.transform(workspaces => ({name, content: JSON.stringify(workspaces)}));
-		},
-	},
-];
+/** Folders that never hold files of operators. */
+const skippedFolders = new Set(['node_modules', '.git']);
 
 /**
  * Reads and checks every file of the configuration below some folders.
@@ -51,51 +61,84 @@
  */
 export async function collectFiles(folders: string[]): Promise<Result<CollectedFile[], DocumentFault[]>> {
 	const faults: DocumentFault[] = [];
-	const collected = new Map<string, CollectedFile>();
+	const collected: CollectedFile[] = [];
 	for (const file of await listFiles(folders, faults)) {
-		const kind = kinds.find(({ending}) => file.endsWith(ending));
-		if (!kind) {
-			continue;
-		}
-
-		const read = await readDocument(file, kind.schema(file));
-		if (read.isErr()) {
+		const read = await readCollected(file);
+		if (read.isOk()) {
+			collected.push(read.value);
+		} else {
 			faults.push(...read.error);
-			continue;
 		}
+	}
 
-		const {name, content} = read.value;
-		const earlier = collected.get(name);
-		if (earlier) {
-			faults.push({
-				file, line: 1, field: '', message: `${name} is already described by ${earlier.file}`,
-			});
-		}
+	faults.push(...checkNames(collected), ...checkWorkspaces(workspacesSources(collected)));
+	return faults.length > 0 ? err(faults) : ok(collected.toSorted((left, right) => left.name < right.name ? -1 : 1));
+}
 
-		collected.set(name, {name, file, content});
+/**
+ * Returns the workspaces of collected files, with the lines of their fields.
+ *
+ * @param files Collected files.
+ */
+export function workspacesSources(files: CollectedFile[]): WorkspacesSource[] {
+	return files.flatMap(collected => collected.kind === 'workspaces'
+		? [{file: collected.file, workspaces: collected.workspaces, lineOf: fieldPath => lineOfField(collected.text, fieldPath)}]
+		: []);
+}
+
+async function readCollected(file: string): Promise<Result<CollectedFile, DocumentFault[]>> {
+	const parse = Object.entries(parsersByEnding).find(([ending]) => file.endsWith(ending))![1];
+	try {
+		return parse(await readFile(file, 'utf8'), file);
+	} catch (error) {
+		return err([wholeFileFault(file, `cannot be read: ${String(error)}`)]);
 	}
+}
+
+/** Finds services and workspaces files that stand twice below the folders. */
+function checkNames(collected: CollectedFile[]): DocumentFault[] {
+	const fileOfName = new Map<string, string>();
+	const faults: DocumentFault[] = [];
+	for (const {name, file} of collected) {
+		const earlier = fileOfName.get(name);
+		if (earlier !== undefined) {
+			faults.push(wholeFileFault(file, `${name} is already described by ${earlier}`));
+		}
 
-	if (faults.length === 0 && collected.size === 0) {
-		faults.push({
-			file: folders.join(', '), line: 1, field: '', message: 'no *.service.jsonc or *.workspaces.jsonc file was found',
-		});
+		fileOfName.set(name, earlier ?? file);
 	}
 
-	return faults.length > 0 ? err(faults) : ok([...collected.values()].toSorted((left, right) => left.name.localeCompare(right.name)));
+	return faults;
 }
 
 async function listFiles(folders: string[], faults: DocumentFault[]): Promise<string[]> {
-	const files: string[] = [];
+	const files = new Set<string>();
 	for (const folder of folders) {
 		try {
-			const entries = await readdir(folder, {recursive: true, withFileTypes: true});
-			files.push(...entries.filter(entry => entry.isFile()).map(entry => path.join(entry.parentPath, entry.name)));
+			const names = await readdir(folder, {recursive: true});
+			const found = names.filter(name => isCollected(name)).map(name => path.join(folder, name));
+			if (found.length === 0) {
+				faults.push(wholeFileFault(folder, 'holds no *.service.jsonc or *.workspaces.jsonc file'));
+			}
+
+			for (const file of found) {
+				files.add(file);
+			}
 		} catch (error) {
-			faults.push({
-				file: folder, line: 1, field: '', message: `cannot be read: ${String(error)}`,
-			});
+			faults.push(wholeFileFault(folder, `cannot be read: ${String(error)}`));
 		}
 	}
 
-	return files.toSorted();
+	return [...files].toSorted();
+}
+
+function isCollected(name: string): boolean {
+	return Object.keys(parsersByEnding).some(ending => name.endsWith(ending))
+		&& !name.split(path.sep).some(part => skippedFolders.has(part));
+}
+
+function wholeFileFault(file: string, message: string): DocumentFault {
+	return {
+		file, line: 1, field: '', message,
+	};
 }
--- a/source/configuration/configuration-in-force.ts
+++ b/source/configuration/configuration-in-force.ts
@@ -77,6 +77,17 @@
 		}
 	}
 
+	/**
+	 * Records that the table can be read and names no version above the one in force.
+	 *
+	 * @param version Version that the table names.
+	 */
+	markReadable(version: number): void {
+		if (version <= this.version) {
+			this.#unreadableVersion = undefined;
+		}
+	}
+
 	/** Finds a service by name. */
 	service(name: string): Service | undefined {
 		return this.#services.get(name);
--- a/source/configuration/follow-configuration.ts
+++ b/source/configuration/follow-configuration.ts
@@ -11,7 +11,8 @@
 import {type Logger} from '../telemetry/mod.ts';
 import {type ConfigurationInForce} from './configuration-in-force.ts';
 import {type Configuration} from './configuration.ts';
-import {loadVersion, readHead, type LoadFailure} from './stored-configuration.ts';
+import {readHead, type LoadFailure} from './stored-configuration.ts';
+import {VersionLoader} from './version-loader.ts';
 
 /** Options of {@linkcode followConfiguration}. */
 export type FollowConfigurationOptions = {
@@ -24,6 +25,9 @@
 	random: () => number;
 };
 
+/** What one look at the table found: a newer version, or that none is newer than this one. */
+type Look = {kind: 'newer'; configuration: Configuration} | {kind: 'none'; version: number};
+
 /**
  * Reads the head row again and again, and offers each higher version.
  *
@@ -35,34 +39,46 @@
  * ```
  */
 export async function followConfiguration(options: FollowConfigurationOptions, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
-	const {platform, inForce, logger, periodMilliseconds, random} = options;
-	const cache = new Map<string, string>();
-	await poll(async () => loadNewer(platform, inForce.version, cache), {periodMilliseconds, random, signal}).observe(loaded => {
-		if (loaded.isErr()) {
-			if (loaded.error.kind === 'unreadable') {
-				inForce.markUnreadable(loaded.error.version);
-			}
-
-			logger.warn('configuration not read', loaded.error);
-			return;
-		}
-
-		if (loaded.value && inForce.offer(loaded.value)) {
-			logger.info('configuration in force', {version: loaded.value.version, source: 'table'});
-		}
+	const {platform, inForce, periodMilliseconds, random} = options;
+	const loader = new VersionLoader(platform);
+	await poll(async () => look(platform, inForce, loader), {periodMilliseconds, random, signal}).observe(found => {
+		act(found, options);
 	});
 	return ok();
 }
 
-async function loadNewer(platform: PlatformClient, version: number, cache: Map<string, string>): Promise<Result<Configuration | undefined, LoadFailure>> {
-	const found = await readHead(platform);
+async function look(platform: PlatformClient, inForce: ConfigurationInForce, loader: VersionLoader): Promise<Result<Look, LoadFailure>> {
+	const stored = await readHead(platform);
+	if (stored.isErr()) {
+		return stored.map(() => ({kind: 'none', version: 0}));
+	}
+
+	const {head} = stored.value;
+	if (head.version <= inForce.version) {
+		return ok({kind: 'none', version: head.version});
+	}
+
+	const loaded = await loader.load(head);
+	return loaded.map(configuration => ({kind: 'newer', configuration}));
+}
+
+function act(found: Result<Look, LoadFailure>, {inForce, logger}: FollowConfigurationOptions): void {
 	if (found.isErr()) {
-		return found.map(() => undefined);
+		if (found.error.kind === 'unreadable') {
+			inForce.markUnreadable(found.error.version ?? inForce.version + 1);
+		}
+
+		logger.warn('configuration not read', found.error);
+		return;
 	}
 
-	if (!found.value || found.value.head.version <= version) {
-		return ok(undefined);
+	if (found.value.kind === 'none') {
+		inForce.markReadable(found.value.version);
+		return;
 	}
 
-	return loadVersion(platform, found.value.head, cache);
+	const {configuration} = found.value;
+	if (inForce.offer(configuration)) {
+		logger.info('configuration in force', {version: configuration.version, source: 'table'});
+	}
 }
--- a/source/configuration/stored-configuration.ts
+++ b/source/configuration/stored-configuration.ts
@@ -1,6 +1,14 @@
 /**
  * How versions of the configuration are kept in the platform's table and object store.
  *
+ * Objects are named by the digest of their content: one for each service, one for each part of a workspaces file, and
+ * the index of a version, which names all of them. The head row names the version in force and its index, so that a
+ * router that has the version reads one small row; a router that has not reads the index and the objects that changed.
+ * The version row holds the token of the publication that wrote it, by which a lost answer is settled.
+ *
+ * An object is garbage when neither the index in force nor the index of a kept version row names it, and it was not
+ * put within a day. Nothing here removes objects: their store's own expiry does, where it has one.
+ *
  * @module
  */
 import {createHash} from 'node:crypto';
@@ -8,8 +16,7 @@
 	err, ok, type Result,
 } from 'neverthrow';
 import {z} from 'zod';
-import {type PlatformClient, type Row} from '../platform/mod.ts';
-import {configurationSchema, type Configuration} from './configuration.ts';
+import {type PlatformClient} from '../platform/mod.ts';
 
 /** Table of the configuration's rows. */
 export const configurationTable = 'configuration';
@@ -17,20 +24,53 @@
 /** Key of the row that names the version in force. */
 export const headKey = 'head';
 
-/** Value of the head row: a version and the digest of each file's checked content. */
+/** Number of version rows kept behind the head, ten days at 9,000 changes a day. */
+export const keptVersions = 90_000;
+
+/** Value of the head row; version 0 has no files. */
 export const headSchema = z.object({
+	version: z.number().int().nonnegative(),
+	/** Digest of the index; empty for version 0. */
+	index: z.string(),
+});
+
+/** Value of a version row. */
+export const versionRowSchema = z.object({
+	/** Token of the publication that wrote the version. */
+	token: z.string(),
+	/** Digest of the index. */
+	index: z.string(),
+});
+
+/** One file of a version. */
+export const indexedFileSchema = z.object({
+	/** Digests of the objects that hold the content, one after another. */
+	parts: z.array(z.string()).min(1),
+	/** Version that last changed the file. */
 	version: z.number().int().positive(),
-	/** Digests by name: `service/NAME` or `workspaces/FILE`. */
-	files: z.record(z.string(), z.string()),
 });
 
-const workspacesContentSchema = z.object({workspaces: z.array(z.unknown())});
+/** Content of an index: files by name, `service/NAME` or `workspaces/FILE`. */
+export const configurationIndexSchema = z.object({files: z.record(z.string(), indexedFileSchema)});
 
 /** Value of the head row. */
 export type ConfigurationHead = z.output<typeof headSchema>;
 
-/** Why the version in force could not be loaded. */
-export type LoadFailure = {kind: 'unavailable'; message: string} | {kind: 'unreadable'; version: number; message: string};
+/** One file of a version. */
+export type IndexedFile = z.output<typeof indexedFileSchema>;
+
+/** Content of an index. */
+export type ConfigurationIndex = z.output<typeof configurationIndexSchema>;
+
+/** The head row as read. */
+export type StoredHead = {
+	head: ConfigurationHead;
+	/** Revision of the row; 0 when there is none. */
+	revision: number;
+};
+
+/** Why a version could not be loaded; `version` is left out when not even the head row can be read by its schema. */
+export type LoadFailure = {kind: 'unavailable'; message: string} | {kind: 'unreadable'; version?: number; message: string};
 
 /**
  * Returns the key of the row that records who published a version.
@@ -42,7 +82,7 @@
 }
 
 /**
- * Returns the name of the object that holds a file's checked content.
+ * Returns the name of the object that holds a content.
  *
  * @param digest Digest of the content.
  */
@@ -63,9 +103,9 @@
  * Reads the head row.
  *
  * @param platform Client of the platform.
- * @returns The row and its value; `undefined` before the first version.
+ * @returns The head; version 0 before the first publication.
  */
-export async function readHead(platform: PlatformClient): Promise<Result<{row: Row; head: ConfigurationHead} | undefined, LoadFailure>> {
+export async function readHead(platform: PlatformClient): Promise<Result<StoredHead, LoadFailure>> {
 	const rows = await platform.read([{table: configurationTable, key: headKey}]);
 	if (rows.isErr()) {
 		return err({kind: 'unavailable', message: rows.error.message});
@@ -73,57 +113,11 @@
 
 	const [row] = rows.value;
 	if (!row) {
-		return ok(undefined);
+		return ok({head: {version: 0, index: ''}, revision: 0});
 	}
 
 	const checked = headSchema.safeParse(row.value);
-	return checked.success ? ok({row, head: checked.data}) : err({kind: 'unreadable', version: Number.MAX_SAFE_INTEGER, message: checked.error.message});
-}
-
-/**
- * Loads the whole version that a head names, reading only the objects that are not cached.
- *
- * @param platform Client of the platform.
- * @param head The head row's value.
- * @param cache Contents by digest; the contents read are added, those no longer named are dropped.
- */
-export async function loadVersion(platform: PlatformClient, head: ConfigurationHead, cache: Map<string, string>): Promise<Result<Configuration, LoadFailure>> {
-	const named = new Set(Object.values(head.files));
-	for (const digest of named) {
-		if (cache.has(digest)) {
-			continue;
-		}
-
-		const content = await platform.getObject(objectName(digest));
-		if (content.isErr() || content.value === undefined) {
-			return err({kind: 'unavailable', message: content.isErr() ? content.error.message : `object ${objectName(digest)} is missing`});
-		}
-
-		cache.set(digest, content.value);
-	}
-
-	for (const digest of cache.keys()) {
-		if (!named.has(digest)) {
-			cache.delete(digest);
-		}
-	}
-
-	return assemble(head, cache);
-}
-
-function assemble(head: ConfigurationHead, contents: ReadonlyMap<string, string>): Result<Configuration, LoadFailure> {
-	const services: unknown[] = [];
-	const workspaces: unknown[] = [];
-	for (const [name, digest] of Object.entries(head.files)) {
-		const content: unknown = JSON.parse(contents.get(digest)!);
-		const listed = workspacesContentSchema.safeParse(content);
-		if (name.startsWith('workspaces/') && listed.success) {
-			workspaces.push(...listed.data.workspaces);
-		} else {
-			services.push(content);
-		}
-	}
-
-	const checked = configurationSchema.safeParse({version: head.version, services, workspaces});
-	return checked.success ? ok(checked.data) : err({kind: 'unreadable', version: head.version, message: checked.error.message});
+	return checked.success
+		? ok({head: checked.data, revision: row.revision})
+		: err({kind: 'unreadable', message: `the head row does not fit its schema: ${checked.error.message}`});
 }
--- a/source/settings/read-document.ts
+++ b/source/settings/read-document.ts
@@ -12,6 +12,9 @@
 } from 'neverthrow';
 import {type z} from 'zod';
 
+/** Names of fields and positions in lists that lead to a field. */
+export type FieldPath = Array<string | number>;
+
 /** One fault of a document. */
 export type DocumentFault = {
 	/** Name of the file. */
@@ -54,8 +57,7 @@
  */
 export function parseDocument<Schema extends z.ZodType>(text: string, file: string, schema: Schema): Result<z.output<Schema>, DocumentFault[]> {
 	const parseErrors: ParseError[] = [];
-	const options = {allowTrailingComma: true};
-	const content: unknown = parse(text, parseErrors, options);
+	const content: unknown = parse(text, parseErrors, {allowTrailingComma: true});
 	if (parseErrors.length > 0) {
 		return err(parseErrors.map(parseError => ({
 			file, line: lineAt(text, parseError.offset), field: '', message: `not valid JSON: ${printParseErrorCode(parseError.error)}`,
@@ -67,17 +69,25 @@
 		return ok(checked.data);
 	}
 
-	const root = parseTree(text, [], options);
-	return err(checked.error.issues.map(issue => {
-		const path = issue.path.map(part => typeof part === 'symbol' ? String(part) : part);
-		const {message} = issue;
-		return {
-			file,
-			line: lineAt(text, offsetOf(root, path)),
-			field: path.join('.'),
-			message,
-		};
-	}));
+	const faults = checked.error.issues.flatMap(issue => faultsOfIssue(issue));
+	return err(faults.map(({path, message}) => ({
+		file, line: lineOfField(text, path), field: path.join('.'), message,
+	})));
+}
+
+/**
+ * Finds the line of a field, or of its nearest enclosing one that exists.
+ *
+ * @param text The document, valid JSON with comments.
+ * @param path Names and positions that lead to the field.
+ * @returns The line, from 1.
+ * @example
+ * ```ts
+ * lineOfField('{\n\t"port": 80\n}', ['port']); // 2
+ * ```
+ */
+export function lineOfField(text: string, path: FieldPath): number {
+	return lineAt(text, offsetOf(parseTree(text, [], {allowTrailingComma: true}), path));
 }
 
 /**
@@ -101,12 +111,20 @@
 	}
 }
 
+/** Turns an issue of a schema into faults; each unknown field is one of its own. */
+function faultsOfIssue(issue: z.core.$ZodIssue): Array<{path: FieldPath; message: string}> {
+	const path = issue.path.map(part => typeof part === 'symbol' ? String(part) : part);
+	return issue.code === 'unrecognized_keys'
+		? issue.keys.map(key => ({path: [...path, key], message: 'unknown field'}))
+		: [{path, message: issue.message}];
+}
+
 function lineAt(text: string, offset: number): number {
 	return text.slice(0, offset).split('\n').length;
 }
 
 /** Finds the offset of a field, or of its nearest enclosing one that exists. */
-function offsetOf(root: Node | undefined, path: Array<string | number>): number {
+function offsetOf(root: Node | undefined, path: FieldPath): number {
 	if (!root) {
 		return 0;
 	}
--- a/source/testing/fleet.ts
+++ b/source/testing/fleet.ts
@@ -153,14 +153,14 @@
 	}
 
 	/** Writes files into a folder and publishes them; returns how the publisher ended. */
-	async publish(files: Record<string, unknown>, options: string[] = []): Promise<ProgramEnd> {
+	async publish(files: Record<string, unknown>, options: string[] = [], platform = this.process('platform').address): Promise<ProgramEnd> {
 		const folder = await mkdtemp(path.join(this.folder, 'services-'));
 		for (const [name, content] of Object.entries(files)) {
 			await mkdir(path.dirname(path.join(folder, name)), {recursive: true});
 			await writeFile(path.join(folder, name), typeof content === 'string' ? content : JSON.stringify(content));
 		}
 
-		return this.runProgram('azuretack-publish', ['--platform', `http://${this.process('platform').address}`, ...options, folder]);
+		return this.runProgram('azuretack-publish', ['--platform', `http://${platform}`, ...options, folder]);
 	}
 
 	/** Runs one of the programs to its end. */
