Let operators read status, requests and accounts, and drain a host

`explain` asks all routers for a request, generation or trace, and asks again for the names that the answers bring up, so that a generation that went on through another host shows whole. `usage` adds up all incarnations. The exit code tells a report without some hosts (3) from a failure (1). The key comes from the environment or an option and is written nowhere.

--- a/source/operations/mod.ts
+++ b/source/operations/mod.ts
@@ -4,6 +4,11 @@
  * @module
  */
 
+export * from './commands.ts';
 export * from './describe-publication.ts';
+export * from './explain-request.ts';
 export * from './operator-client.ts';
+export * from './read-status.ts';
+export * from './sum-usage.ts';
+export * from './text-table.ts';
 export * from './wait-until-in-force.ts';
