Let operators look at a claim and settle it

A call whose outcome is unknown stays so until an operator has looked at the service, and there was no command for it. `claim` shows the row; `settle` ends it (`yes`) or withdraws it (`no`), with the operator's name.

--- a/source/binaries/azuretack-operate.ts
+++ b/source/binaries/azuretack-operate.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import {randomUUID} from 'node:crypto';
 import process from 'node:process';
 import meow from 'meow';
 import {ok} from 'neverthrow';
@@ -18,11 +19,15 @@
 	  $ azuretack-operate --platform URL explain REQUEST
 	  $ azuretack-operate --platform URL usage
 	  $ azuretack-operate --platform URL drain HOST
+	  $ azuretack-operate --platform URL claim WORKSPACE SERVICE KEY
+	  $ azuretack-operate --platform URL --as NAME settle WORKSPACE SERVICE KEY yes|no
 
 	Options
 	  --platform URL      Address of the platform
 	  --host ADDRESS      Operator port to ask instead of those on the host list; may be repeated
 	  --operator-key KEY  Key of the operators
+	  --as NAME           Who settles a claim
+	  --router-ended      The router that a claim names has ended for certain
 	  --json              Write JSON for programs
 
 	Environment
@@ -37,10 +42,15 @@
 		platform: {type: 'string'},
 		host: {type: 'string', isMultiple: true, default: []},
 		operatorKey: {type: 'string'},
+		as: {type: 'string'},
+		routerEnded: {type: 'boolean', default: false},
 		json: {type: 'boolean', default: false},
 	},
 });
 
+/** Commands that need nothing of the platform but its host list. */
+const hostCommands = new Set(['status', 'explain', 'drain']);
+
 const exitCodes = {done: 0, failed: 1, partial: 3};
 
 async function run(): Promise<number> {
@@ -52,7 +62,7 @@
 	}
 
 	const {platform: url, host: addresses, operatorKey} = command.flags;
-	if (!URL.canParse(url ?? '') && (addresses.length === 0 || name === 'usage')) {
+	if (!URL.canParse(url ?? '') && (addresses.length === 0 || !hostCommands.has(name))) {
 		console.error('--platform needs the address of the platform, such as http://10.0.0.9:7000');
 		return exitCodes.failed;
 	}
@@ -67,7 +77,9 @@
 		return readEntryHosts(platform);
 	};
 
-	const report = await found.run({platform, client, hosts}, parameters);
+	const report = await found.run({
+		platform, client, hosts, operator: command.flags.as, routerEnded: command.flags.routerEnded, wallClock: () => Date.now(), newName: () => randomUUID(),
+	}, parameters);
 	await Promise.all([platform.close(), client.close()]);
 	if (report.isErr()) {
 		console.error(report.error);
--- a/source/operations/commands.test.ts
+++ b/source/operations/commands.test.ts
@@ -141,7 +141,7 @@
 	assert.match(nowhere.errors, /^the host list cannot be read: /v);
 	const wrong = await operate(fleet, 'stats');
 	assert.equal(wrong.code, 1);
-	assert.match(wrong.errors, /unknown command "stats"; known: status, explain, usage, drain/v);
+	assert.match(wrong.errors, /unknown command "stats"; known: status, explain, usage, claim, settle, drain/v);
 	const withoutPlatform = await fleet.runProgram('azuretack-operate', ['--host', fleet.hosts.get('router-1')!.entry!.operators, 'status'], environment);
 	assert.equal(withoutPlatform.code, 0, withoutPlatform.errors);
 	for (const {output, errors} of [refused, nowhere, wrong, withoutPlatform]) {
--- a/source/operations/commands.ts
+++ b/source/operations/commands.ts
@@ -3,40 +3,14 @@
  *
  * @module
  */
-import {
-	err, ok, type Result,
-} from 'neverthrow';
+import {err, ok} from 'neverthrow';
 import {z} from 'zod';
-import {type PlatformClient} from '../platform/mod.ts';
+import {claimCommand, settleCommand} from './claim-commands.ts';
+import {type OperateCommand} from './command.ts';
 import {explainRequest, formatExplanation} from './explain-request.ts';
-import {type HostFailure, type OperatedHost, type OperatorClient} from './operator-client.ts';
 import {formatStatus, readStatus} from './read-status.ts';
 import {formatUsage, sumUsage} from './sum-usage.ts';
 
-/** What a command works with. */
-export type CommandContext = {
-	platform: PlatformClient;
-	client: OperatorClient;
-	/** Returns the routers to ask. */
-	hosts: () => Promise<Result<OperatedHost[], string>>;
-};
-
-/** What a command found. */
-export type Report = {
-	/** For programs. */
-	value: unknown;
-	/** For people. */
-	text: string;
-	/** Hosts that gave no answer, so that the report may not be whole. */
-	failures: HostFailure[];
-};
-
-/** One command: names of its parameters, and what it does with them. */
-export type OperateCommand = {
-	parameters: string[];
-	run: (context: CommandContext, parameters: string[]) => Promise<Result<Report, string>>;
-};
-
 const drainAnswerSchema = z.object({leaving: z.literal(true)});
 
 /** Commands by name. */
@@ -78,6 +52,8 @@
 			return usage.map(value => ({value, text: formatUsage(value), failures: []}));
 		},
 	},
+	claim: claimCommand,
+	settle: settleCommand,
 	drain: {
 		parameters: ['HOST'],
 		async run(context, [name = '']) {
--- a/source/operations/mod.ts
+++ b/source/operations/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export type * from './command.ts';
 export * from './commands.ts';
 export * from './describe-publication.ts';
 export * from './explain-request.ts';
