--- a/source/membership/_peer-outbox.ts
+++ b/source/membership/_peer-outbox.ts
@@ -81,7 +81,11 @@
 			return undefined;
 		}
 
-		this.#usageReportedAt = now;
-		return this.#usage.report(usage.totals());
+		const report = this.#usage.report(usage.totals());
+		if (report) {
+			this.#usageReportedAt = now;
+		}
+
+		return report;
 	}
 }
--- a/source/membership/follow-peers.ts
+++ b/source/membership/follow-peers.ts
@@ -34,7 +34,14 @@
 	const server = await startPeerServer(context, signal);
 	const supervisor = new Supervisor({logger: context.logger});
 	let running = new Map<string, string>();
+	let chosenFrom = '';
 	const adjust = () => {
+		const from = context.directory.hosts.map(({name, entry}) => `${name} ${entry?.peers}`).join('\n');
+		if (from === chosenFrom) {
+			return;
+		}
+
+		chosenFrom = from;
 		const chosen = chosenAddresses(context);
 		for (const [hostName, address] of running) {
 			if (chosen.get(hostName) !== address) {
--- a/source/membership/host-directory.test.ts
+++ b/source/membership/host-directory.test.ts
@@ -108,6 +108,49 @@
 	assert.ok(kept.length > total * 0.98);
 });
 
+test('a hint reaches all of 390 routers in few hops, and each passes it on at most once a link', () => {
+	const hosts = hostList(390);
+	const neighbours = new Map(hosts.map(host => [host.name, new Set<string>()]));
+	for (const host of hosts) {
+		const chosen = choosePeers({
+			hostName: host.name, availabilityZone: host.availabilityZone, hosts, sameZone: 4, otherZones: 4,
+		});
+		for (const {name} of chosen) {
+			neighbours.get(host.name)!.add(name);
+			neighbours.get(name)!.add(host.name);
+		}
+	}
+
+	const boards = new Map(hosts.map(({name}) => [name, new HintBoard()]));
+	boards.get('entry-0')!.publish({kind: 'host', key: 'entry-0', value: 'leaving'}, 0);
+	let reached = ['entry-0'];
+	let hops = 1;
+	let sent = 0;
+	const known = new Set(reached);
+	for (let round = 1; reached.length > 0 && round <= 10; round += 1) {
+		const next: string[] = [];
+		for (const from of reached) {
+			for (const to of neighbours.get(from)!) {
+				const hints = boards.get(from)!.since(0, to, 0);
+				sent += hints.length;
+				if (hints.some(hint => boards.get(to)!.receive(hint, from, 0))) {
+					next.push(to);
+					known.add(to);
+				}
+			}
+		}
+
+		reached = next;
+		hops = known.size < hosts.length ? round + 1 : hops;
+	}
+
+	const links = [...neighbours.values()].reduce((sum, {size}) => sum + size, 0);
+	assert.equal(reached.length, 0);
+	assert.equal(known.size, 390);
+	assert.ok(hops <= 5, `${hops} hops`);
+	assert.ok(sent <= links, `${sent} messages over ${links} directed links`);
+});
+
 test('a hint crosses each link once, repeats are not spread again, and it ends with its lifetime', () => {
 	const boards = [new HintBoard({lifetimeMilliseconds: 1000}), new HintBoard({lifetimeMilliseconds: 1000}), new HintBoard({lifetimeMilliseconds: 1000})];
 	const [first, second, third] = boards as [HintBoard, HintBoard, HintBoard];
