Leave the last totals to a peer when a router stops while the store is down

A planned stop ends also while the table is down; the new test shows that a peer writes what it heard. Calls to plain services count in the loads that peers are told.

The test fails when peers write nothing for lost routers. The wait for a last report is not proved by it: the reports of the running period had reached the peer before.

--- a/source/accounts/write-usage.test.ts
+++ b/source/accounts/write-usage.test.ts
@@ -49,3 +49,13 @@
 	assert.equal(await fleet.ended('router-1'), 0);
 	assert.equal(await totalOf(fleet), received);
 });
+
+test('a planned stop while the store is down leaves the last totals to a peer', async () => {
+	await using fleet = await createUsageFleet(['router-1', 'router-2'], 600_000);
+	await fleet.control('platform', '/control/fault', {mode: 'down', paths: ['/table']});
+	const received = await generate(fleet, 'router-1', 50);
+	fleet.signal('router-1', 'SIGTERM');
+	assert.equal(await fleet.ended('router-1'), 0);
+	await fleet.control('platform', '/control/fault', {mode: 'up'});
+	await untilTotal(fleet, received);
+});
--- a/source/router/serve-call.ts
+++ b/source/router/serve-call.ts
@@ -76,6 +76,7 @@
 		return refuse(permit.error);
 	}
 
+	const loadEnded = parts.loads.start(service.service, 1);
 	try {
 		const end = await run(call, exchange, parts);
 		if (end.kind === 'answered') {
@@ -84,6 +85,7 @@
 
 		return await sendEnd(end, exchange);
 	} finally {
+		loadEnded();
 		permit.value.release();
 	}
 }
