--- a/source/client/complete.ts
+++ b/source/client/complete.ts
@@ -93,7 +93,8 @@
 	};
 	for (let connection = 0; performance.now() < deadline; connection += 1) {
 		const [address] = await options.entries.ordered(Date.now());
-		const end: StreamEnd = address === undefined ? {kind: 'lost', message: 'no entry is known'} : await stream(address, options, state);
+		const signal = AbortSignal.timeout(Math.max(1, Math.ceil(deadline - performance.now())));
+		const end: StreamEnd = address === undefined ? {kind: 'lost', message: 'no entry is known'} : await stream(address, options, state, signal);
 		if (end.kind === 'done') {
 			return ok({
 				text: state.text,
@@ -121,13 +122,14 @@
 	});
 }
 
-async function stream(address: string, options: CompleteOptions, state: CallState): Promise<StreamEnd> {
+async function stream(address: string, options: CompleteOptions, state: CallState, signal: AbortSignal): Promise<StreamEnd> {
 	const silenceMilliseconds = options.silenceMilliseconds ?? 2500;
 	const client = new Client(`http://${address}`, {connectTimeout: 1000, headersTimeout: silenceMilliseconds, bodyTimeout: silenceMilliseconds});
 	try {
 		const response = await client.request({
 			method: 'POST',
 			path: '/v1/completions',
+			signal,
 			headers: {
 				authorization: `Bearer ${options.key}`,
 				'content-type': 'application/json',
--- a/source/testing/fleet.ts
+++ b/source/testing/fleet.ts
@@ -28,6 +28,9 @@
 /** Key of the operators in tests. */
 export const operatorKey = 'operator-key-of-the-tests';
 
+/** Fleets of this process, which gives each one an address of its own. */
+let fleetsCreated = 0;
+
 /** How a program ended. */
 export type ProgramEnd = {code: number; output: string; errors: string};
 
@@ -60,10 +63,12 @@
 	/** Address under which routers reach the platform, when it is not the platform's own. */
 	platformAddress: string | undefined;
 	#nextPort = 10_000;
-	readonly #address = loopbackAddress(process.pid, process.hrtime()[1]);
+	readonly #address: string;
 
 	private constructor(folder: string) {
 		this.folder = folder;
+		this.#address = loopbackAddress(process.pid, fleetsCreated);
+		fleetsCreated += 1;
 	}
 
 	/** Returns an `address:port` that nothing else listens on. */
@@ -85,7 +90,11 @@
 	/** Starts a stand-in and waits until it listens. */
 	async startStandIn(kind: string, name: string, options: Record<string, unknown> = {}, listen = this.allocate()): Promise<FleetProcess> {
 		const started = this.#spawn(name, listen, [standIn, kind, JSON.stringify({listen, ...options})]);
-		await once(started.child.stdout!, 'data');
+		await Promise.race([once(started.child.stdout!, 'data'), once(started.child, 'exit')]);
+		if (started.child.exitCode !== null) {
+			throw new Error(`the stand-in "${name}" did not start: ${started.log.join('')}`);
+		}
+
 		return started;
 	}
 
@@ -139,7 +148,8 @@
 			await writeFile(file, JSON.stringify(settings, undefined, '\t'));
 		}
 
-		return this.#spawn(name, this.hosts.get(name)!.entry!.callers, [path.join(binaries, 'azuretack-router.js'), '--settings', file]);
+		const address = this.processes.get(name)?.address ?? this.hosts.get(name)!.entry!.callers;
+		return this.#spawn(name, address, [path.join(binaries, 'azuretack-router.js'), '--settings', file]);
 	}
 
 	/** Adds a host to the list or replaces it. */
@@ -293,7 +303,7 @@
 }
 
 /** Spreads fleets over the loopback range, so that no two share an address. */
-function loopbackAddress(processId: number, salt: number): string {
-	const number = (processId * 251) + (salt % 251);
-	return `127.${1 + (Math.floor(number / 65_536) % 250)}.${Math.floor(number / 256) % 256}.${1 + (number % 250)}`;
+function loopbackAddress(processId: number, fleet: number): string {
+	const number = (processId * 251) + (fleet % 251);
+	return `127.${1 + (Math.floor(number / 62_500) % 250)}.${Math.floor(number / 250) % 250}.${1 + (number % 250)}`;
 }
--- a/source/testing/stand-ins/engine-stand-in.ts
+++ b/source/testing/stand-ins/engine-stand-in.ts
@@ -85,6 +85,12 @@
 			'GET /control/work': ({response}: Exchange) => {
 				answer(response, 200, this.#work);
 			},
+			'GET /control/generations': ({response}: Exchange) => {
+				const generations = [...this.#generations.values()].map(({request, attempt, state, idleSince}) => ({
+					prompt: request.prompt, attempt, state, connected: idleSince === undefined,
+				}));
+				answer(response, 200, {generations});
+			},
 			'GET /control/state': ({response}: Exchange) => {
 				answer(response, 200, {models: this.#models, role: this.#role, fencingNumber: this.#fencingNumber});
 			},
--- a/source/testing/stand-ins/fault-proxy.ts
+++ b/source/testing/stand-ins/fault-proxy.ts
@@ -107,9 +107,12 @@
 	}
 
 	#forward(connection: Connection, from: Socket, to: Socket, dropped: Fault['mode']): void {
-		const passes = () => !connection.silenced && this.#fault.mode !== 'silent' && this.#fault.mode !== dropped;
+		// Bytes after a gap would never be delivered by TCP, so a direction that has lost some stays silent.
+		let hasGap = false;
+		const passes = () => !hasGap && !connection.silenced && this.#fault.mode !== 'silent' && this.#fault.mode !== dropped;
 		from.on('data', chunk => {
 			if (!passes()) {
+				hasGap = true;
 				return;
 			}
 
