--- /dev/null
+++ b/source/measurements/measure.ts
@@ -0,0 +1,42 @@
+/**
+ * The program that runs measurements: `measure.js [NAME ...]`, by default all of them.
+ *
+ * @module
+ */
+import {mkdir, writeFile} from 'node:fs/promises';
+import path from 'node:path';
+import process from 'node:process';
+import {type Measurement} from './measurement.ts';
+import {measureRecovery} from './recovery.ts';
+import {measureTokenPath} from './token-path.ts';
+
+const measurements: Record<string, Measurement> = {
+	recovery: measureRecovery,
+	'token-path': measureTokenPath,
+};
+
+const outputFolder = 'measurements-output';
+
+const names = process.argv.length > 2 ? process.argv.slice(2) : Object.keys(measurements);
+await mkdir(outputFolder, {recursive: true});
+for (const name of names) {
+	const measurement = measurements[name];
+	if (!measurement) {
+		throw new Error(`unknown measurement "${name}"; known: ${Object.keys(measurements).join(', ')}`);
+	}
+
+	const rows = await measurement(line => {
+		console.log(`${name}: ${line}`);
+	});
+	const table = rows.map(({
+		name: figure, value, baseline, unit, target,
+	}) => ({
+		figure, value: round(value), baseline: baseline === undefined ? '' : round(baseline), unit, target: target ?? '',
+	}));
+	console.table(table);
+	await writeFile(path.join(outputFolder, `${name}.json`), JSON.stringify({measuredAt: new Date().toISOString(), rows}, undefined, '\t'));
+}
+
+function round(value: number): number {
+	return Number(value.toPrecision(4));
+}
--- a/source/testing/scenarios/_fleet-expectations.ts
+++ b/source/testing/scenarios/_fleet-expectations.ts
@@ -6,6 +6,8 @@
 import assert from 'node:assert/strict';
 import {request} from 'undici';
 import {z} from 'zod';
+import {usageRowSchema, usageTable} from '../../accounts/mod.ts';
+import {type Row} from '../../platform/mod.ts';
 import {verb, type Verbs} from './_verb.ts';
 
 const withinSeconds = z.number().positive().default(20);
@@ -70,4 +72,15 @@
 		assert.ok(extra <= tokensAtMost, `${extra} tokens of work beyond an undisturbed run`);
 		return `${extra} tokens of work beyond an undisturbed run`;
 	}),
+	usage: verb({workspace: z.string().default('test'), deliveredTokens: z.number().int().nonnegative(), withinSeconds}, async ({workspace, deliveredTokens, withinSeconds: seconds}, run) => {
+		let counted = 0;
+		await run.fleet.until(async () => {
+			const {rows} = await run.fleet.control<{rows: Row[]}>('platform', `/control/rows?table=${usageTable}`);
+			const usage = rows.map(({value}) => usageRowSchema.parse(value)).filter(row => row.workspace === workspace);
+			counted = usage.reduce((sum, row) => sum + row.delivered_tokens, 0);
+			return counted >= deliveredTokens;
+		}, `${deliveredTokens} tokens are accounted to ${workspace}`, seconds * 1000);
+		assert.equal(counted, deliveredTokens, `tokens accounted to ${workspace}`);
+		return `${counted} tokens accounted to ${workspace}`;
+	}),
 };
--- a/source/testing/scenarios/mod.ts
+++ b/source/testing/scenarios/mod.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+export * from './draw-scenario.ts';
+export * from './explore-scenarios.ts';
 export * from './read-scenario.ts';
 export * from './run-scenario.ts';
 export * from './scenario.ts';
