Hold no death against a request that has gone on from it

Cause: two engines killed in a row under one generation convicted it, although it had produced 50 tokens in between; the scenario 'a generation outlives two engines killed in a row' failed with request_convicted. Deaths that a request has gone on from by 16 tokens no longer add up to two; four deaths within a minute still convict. A request that kills at one point of its text still takes two endpoints, one that kills after each 16 tokens or more takes four.

--- a/source/admission/suspects/suspects.ts
+++ b/source/admission/suspects/suspects.ts
@@ -18,11 +18,21 @@
 	onConvicted?: (digest: string, expiresAt: number) => void;
 };
 
-type Suspect = {deaths: Death[]; expiresAt: number; released: boolean; convictAt: number | undefined};
+type Suspect = {
+	deaths: Death[];
+	/** Deaths that the request has gone on from by enough tokens, which a request that kills at one point of its text cannot. */
+	passed: Set<Death>;
+	expiresAt: number;
+	released: boolean;
+	convictAt: number | undefined;
+};
 
 /** Tokens after which a request counts as harmless at its endpoint. */
 export const harmlessTokens = 16;
 
+/** Deaths within the time of suspicion that convict a request although it went on in between. */
+const mostDeaths = 4;
+
 /** Time between a death and the look at the endpoints beside it, in milliseconds. */
 export const lookMilliseconds = 500;
 
@@ -73,6 +83,7 @@
 			const suspect = this.#suspects.get(run.digest);
 			if (suspect) {
 				suspect.released = true;
+				suspect.passed = new Set(suspect.deaths);
 				return true;
 			}
 		}
@@ -213,7 +224,7 @@
 		const harmless = victims.every(({digest, tokens}) => digest === lone || tokens >= harmlessTokens);
 		for (const {digest} of victims) {
 			const suspect = this.#suspects.get(digest) ?? {
-				deaths: [], expiresAt: 0, released: false, convictAt: undefined,
+				deaths: [], passed: new Set(), expiresAt: 0, released: false, convictAt: undefined,
 			};
 			if (!suspect.deaths.includes(death)) {
 				suspect.deaths.push(death);
@@ -222,7 +233,7 @@
 			suspect.expiresAt = now + suspicionMilliseconds;
 			suspect.released = false;
 			this.#suspects.set(digest, suspect);
-			if (digest === lone && harmless) {
+			if (digest === lone && harmless && isConvincing(suspect)) {
 				suspect.convictAt ??= now + convictionMilliseconds;
 			}
 		}
@@ -237,7 +248,7 @@
 
 		suspect.convictAt = undefined;
 		const deaths = standing(suspect);
-		if (deaths.length < 2) {
+		if (!isConvincing(suspect)) {
 			return;
 		}
 
@@ -286,3 +297,9 @@
 function standing(suspect: Suspect): Death[] {
 	return suspect.deaths.filter(({common}) => !common);
 }
+
+/** Whether a request's deaths are too many for chance: two that it never went on from, or several in all. */
+function isConvincing(suspect: Suspect): boolean {
+	const deaths = standing(suspect);
+	return deaths.length >= mostDeaths || deaths.filter(death => !suspect.passed.has(death)).length >= 2;
+}
