Take the retries of plain calls from the one retry budget

Cause: the budget of retries stood twice, in admission and in calls. Calls now use the one of admission, an instance for each service, with at most 10 saved up and nothing for time passed, which keeps the earlier bound.

Since endpoints that fail are now left out by their circuits, the test that bounds retries when every endpoint fails passes also with the budget switched off: it still holds the bound, but no longer shows which mechanism keeps it. A further test bounds the hedges of 50 calls to slow endpoints, which no circuit leaves out, to 70 attempts; it fails with the budget switched off.

--- a/source/calls/call.ts
+++ b/source/calls/call.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {type Span} from '@opentelemetry/api';
+import {type RetryBudget} from '../admission/mod.ts';
 import {type Refusal} from '../answers/mod.ts';
 import {type PlainService} from '../configuration/mod.ts';
 import {type PooledServiceClient, type ServiceAnswer, type ServiceRequest} from '../endpoints/mod.ts';
@@ -11,7 +12,6 @@
 import {type Logger, type Tracing} from '../telemetry/mod.ts';
 import {type ClaimStore} from './claim-store.ts';
 import {type RecentLatency} from './recent-latency.ts';
-import {type RetryBudget} from './retry-budget.ts';
 
 /** A call that has been admitted. */
 export type ServiceCall = {
@@ -41,8 +41,8 @@
 	placement: Placement;
 	serviceClient: PooledServiceClient;
 	claims: ClaimStore;
-	/** Budget of retries and hedges by service. */
-	retryBudget: RetryBudget;
+	/** Returns a service's budget of retries and hedges. */
+	retryBudgetOf: (service: string) => RetryBudget;
 	/** Latency of idempotent calls by service. */
 	recentLatency: RecentLatency;
 	tracing: Tracing;
--- a/source/calls/idempotent.test.ts
+++ b/source/calls/idempotent.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {setTimeout as delay} from 'node:timers/promises';
 import {test} from 'node:test';
 import {plainServiceSchema} from '../configuration/mod.ts';
 import {
@@ -92,3 +93,23 @@
 	const attempts = first.accepted + second.accepted;
 	assert.ok(attempts <= calls + 10 + (0.2 * calls), `${attempts} attempts for ${calls} calls`);
 });
+
+test('hedges stay within their budget when every endpoint is slow', async () => {
+	await using fleet = await Fleet.create();
+	await startCallFleet(fleet, {endpoints: 2, deadlineSeconds: 60});
+	for (let call = 0; call < 25; call += 1) {
+		await lookup(fleet, '/status/warm');
+	}
+
+	const workMilliseconds = 800;
+	await fleet.control('plain-1', '/control/speed', {workMilliseconds});
+	await fleet.control('plain-2', '/control/speed', {workMilliseconds});
+	const calls = 50;
+	const answers = await Promise.all(Array.from({length: calls}, async () => lookup(fleet, '/status/slow')));
+	assert.ok(answers.every(({status}) => status === 200));
+	// The endpoints count an attempt that was aborted as well, once its work would have ended.
+	await delay(2 * workMilliseconds);
+	const attempts = await runsOf(fleet, '/status/slow');
+	assert.ok(attempts > calls, 'some calls are hedged');
+	assert.ok(attempts <= calls + 10 + (0.2 * calls), `${attempts} attempts for ${calls} calls`);
+});
--- a/source/calls/mod.ts
+++ b/source/calls/mod.ts
@@ -9,7 +9,6 @@
 export * from './claim-store.ts';
 export * from './idempotency.ts';
 export * from './recent-latency.ts';
-export * from './retry-budget.ts';
 export * from './run-at-most-once.ts';
 export * from './run-idempotent.ts';
 export * from './settle-claim.ts';
--- a/source/calls/run-idempotent.ts
+++ b/source/calls/run-idempotent.ts
@@ -59,7 +59,7 @@
 	}
 
 	async run(): Promise<CallEnd> {
-		this.#parts.retryBudget.firstAttempt(this.#call.service.service);
+		this.#parts.retryBudgetOf(this.#call.service.service).firstAttempt();
 		if (!this.#launch()) {
 			return this.#refuse();
 		}
@@ -108,7 +108,7 @@
 		const {service} = this.#call.service;
 		const untried = chooseEndpoint(this.#call, this.#parts, this.#tried);
 		const mayLaunch = this.#launched < mostAttempts && (untried !== undefined || this.#attempts.size > 0);
-		return mayLaunch && this.#parts.retryBudget.take(service) && this.#launch(untried);
+		return mayLaunch && this.#parts.retryBudgetOf(service).take(this.#parts.clock()) && this.#launch(untried);
 	}
 
 	/** Starts an attempt on an endpoint, by default the best one; the pool opens a new connection while another is busy. */
--- a/source/router/call-parts.ts
+++ b/source/router/call-parts.ts
@@ -3,12 +3,14 @@
  *
  * @module
  */
-import {
-	ClaimStore, RecentLatency, RetryBudget, type CallParts,
-} from '../calls/mod.ts';
+import {RetryBudget} from '../admission/mod.ts';
+import {ClaimStore, RecentLatency, type CallParts} from '../calls/mod.ts';
 import {PooledServiceClient} from '../endpoints/mod.ts';
 import {type CallerParts} from './caller-context.ts';
 
+/** Retries and hedges that a service may save up. */
+const savedRetries = 10;
+
 /**
  * Creates the parts of calls.
  *
@@ -20,6 +22,7 @@
  */
 export function createCallParts(parts: Omit<CallerParts, 'calls'>): CallParts {
 	const {placement, tracing, logger, clock, wallClock, random, platform, settings, leaving, identity} = parts;
+	const budgets = new Map<string, RetryBudget>();
 	return {
 		placement,
 		tracing,
@@ -29,7 +32,11 @@
 		random,
 		serviceClient: new PooledServiceClient(),
 		claims: new ClaimStore({platform, clock, random}),
-		retryBudget: new RetryBudget({share: settings.admission.retryShare}),
+		retryBudgetOf(service) {
+			const budget = budgets.get(service) ?? new RetryBudget({share: settings.admission.retryShare, largest: savedRetries, perSecond: 0});
+			budgets.set(service, budget);
+			return budget;
+		},
 		recentLatency: new RecentLatency(),
 		incarnation: identity.incarnation,
 		track: () => leaving.track(),
