Count a dead endpoint once against a caller that comes back with its cursor

Cause: each return with the cursor began a new trial, whose question to the same dead endpoint counted as a second death; a generation without another endpoint of its version ended as request_convicted instead of generation_incomplete. Seen by the scenario 'a generation is not continued by another version of the model'; the unit test failed before too.

--- a/source/admission/suspects/suspect-watch.test.ts
+++ b/source/admission/suspects/suspect-watch.test.ts
@@ -71,3 +71,15 @@
 	await trial.attempted('one', {step: 'start', kind: 'unreachable', reset: true});
 	assert.equal(suspects.isSuspect('digest', 1000), true);
 });
+
+test('a cursor that names an endpoint already held against the request shows no second death', async () => {
+	const {watch, suspects} = createWatch();
+	for (const returning of [watch.follow('digest', 'briefs'), watch.follow('digest', 'briefs')]) {
+		returning.attempting('one', 'resume');
+		await returning.attempted('one', {step: 'resume', kind: 'unreachable', connectionRefused: true});
+		returning.close();
+	}
+
+	assert.equal(suspects.isSuspect('digest', 1000), true);
+	assert.equal(suspects.millisecondsUntilSettled('digest', 1000), undefined);
+});
--- a/source/admission/suspects/suspect-watch.ts
+++ b/source/admission/suspects/suspect-watch.ts
@@ -161,11 +161,12 @@
 
 	/** Records that an attempt goes to an endpoint; one that resumes belongs to the run before it, or to the one that a cursor shows. */
 	attempting(endpoint: string, step: AttemptOutcome['step']): void {
-		const continuesFromCursor = step === 'resume' && !this.#attempted;
+		const {suspects} = this.#watch.options;
+		const continuesFromCursor = step === 'resume' && !this.#attempted && !suspects.hasKilled(this.#digest, endpoint);
 		this.#attempted = true;
 		if (step === 'start' || continuesFromCursor) {
 			this.#forget(endpoint);
-			this.#runs.set(endpoint, this.#watch.options.suspects.start(this.#digest, endpoint));
+			this.#runs.set(endpoint, suspects.start(this.#digest, endpoint));
 		}
 	}
 
--- a/source/admission/suspects/suspects.ts
+++ b/source/admission/suspects/suspects.ts
@@ -160,6 +160,11 @@
 		return suspect !== undefined && suspect.expiresAt > now && standing(suspect).length > 0;
 	}
 
+	/** Whether the death of an endpoint is held against a request already, so that a cursor from before shows nothing new. */
+	hasKilled(digest: string, endpoint: string): boolean {
+		return this.#suspects.get(digest)?.deaths.some(death => death.endpoint === endpoint) ?? false;
+	}
+
 	/** Whether a request is refused for good. */
 	isConvicted(digest: string, now: number): boolean {
 		this.#settle(digest, now);
