Let one request in to probe endpoints whose circuits are open

After an outage of every engine with nothing in progress, admission never opened again: endpoints with open circuits counted nothing, so no request was let in, and only requests probe.

An endpoint that is due for a probe now counts for one token, which lets one request in, and the first answered question about its load makes it due at once instead of after a back-off of up to 15 s.

Callers that are refused are told to come back after the tokens of those refused before them have drained, up to 30 s.

testing/admission proves a flood, an outage under running generations and one with nothing in progress. With admission switched off the first fails (the quiet workspace is refused). The third is the fault above.

--- a/source/admission/service-admission.ts
+++ b/source/admission/service-admission.ts
@@ -35,7 +35,7 @@
 const noCapacityMilliseconds = 3000;
 
 /** Bounds of the time after which a refused caller may come back, in seconds. */
-const retryAfterSeconds = {least: 1, most: 120};
+const retryAfterSeconds = {least: 1, most: 30};
 
 /** Admits requests in fair order while tokens are left, and answers at once those that cannot start in time. */
 export class ServiceAdmission {
@@ -46,6 +46,8 @@
 	/** Sum of tokens times start time, from which the mean age follows. */
 	#startedTokenTime = 0;
 	#withoutCapacitySince: number | undefined;
+	/** Tokens of refused requests whose callers have been told to come back, less what has drained since. */
+	#deferred = {tokens: 0, at: 0};
 
 	constructor(options: ServiceAdmissionOptions) {
 		this.#options = options;
@@ -73,13 +75,13 @@
 		const ahead = this.#queue.tokensAhead(request.flow, request.weight, this.#queue.backlogOf(request.flow));
 		const wait = this.#predictedWait(ahead + request.tokens, now);
 		if (wait > request.limitAt - now) {
-			request.refuse(this.#refusal(wait - (request.limitAt - now)));
+			request.refuse(this.#refusal(wait - (request.limitAt - now), request.tokens, now));
 			return;
 		}
 
 		const dropped = this.#queue.push(request);
 		if (dropped) {
-			dropped.refuse(this.#refusal(wait));
+			dropped.refuse(this.#refusal(wait, dropped.tokens, now));
 		}
 
 		this.pump(now);
@@ -108,7 +110,7 @@
 		for (const request of this.#queue.items()) {
 			if (now >= request.limitAt) {
 				this.#queue.remove(request);
-				request.refuse(this.#refusal(this.#predictedWait(this.#queue.queuedTokens, now)));
+				request.refuse(this.#refusal(this.#predictedWait(this.#queue.queuedTokens, now), request.tokens, now));
 			}
 		}
 
@@ -116,7 +118,7 @@
 			for (const request of hopeless) {
 				const wait = this.#waitOfLast(request, now);
 				this.#queue.remove(request);
-				request.refuse(this.#refusal(wait - (request.limitAt - now)));
+				request.refuse(this.#refusal(wait - (request.limitAt - now), request.tokens, now));
 			}
 		}
 	}
@@ -176,9 +178,24 @@
 		return capacity;
 	}
 
-	#refusal(missingMilliseconds: number): Refusal {
+	/** Time after which the callers told to come back, this one included, have been served, in milliseconds. */
+	#deferredWait(tokens: number, now: number): number {
+		const capacity = this.#options.capacity();
+		const meanAge = this.#tokensInProgress > 0 ? now - (this.#startedTokenTime / this.#tokensInProgress) : 0;
+		const rate = this.#holdTime.drainRate(capacity, meanAge);
+		if (rate === 0 || !Number.isFinite(rate)) {
+			return 0;
+		}
+
+		const drained = rate * (now - this.#deferred.at) / 1000;
+		this.#deferred = {tokens: Math.max(0, this.#deferred.tokens - drained) + tokens, at: now};
+		return this.#deferred.tokens / rate * 1000;
+	}
+
+	#refusal(missingMilliseconds: number, tokens: number, now: number): Refusal {
 		const jitter = 1 + (this.#options.random() / 2);
-		const seconds = Math.min(Math.max(missingMilliseconds / 1000, retryAfterSeconds.least) * jitter, retryAfterSeconds.most);
+		const milliseconds = missingMilliseconds + this.#deferredWait(tokens, now);
+		const seconds = Math.min(Math.max(milliseconds / 1000, retryAfterSeconds.least) * jitter, retryAfterSeconds.most);
 		const empty = this.#withoutCapacitySince !== undefined;
 		return {
 			status: 503,
--- a/source/placement/circuits.ts
+++ b/source/placement/circuits.ts
@@ -14,7 +14,7 @@
 	longestBackOffMilliseconds?: number;
 };
 
-type Circuit = {failures: number; probeAt: number; triedAt: number};
+type Circuit = {failures: number; probeAt: number; triedAt: number; hastened: boolean};
 
 /**
  * Remembers which endpoints fail.
@@ -68,8 +68,20 @@
 
 	/** Records that an endpoint did not answer. */
 	failed(address: string, now: number): void {
-		const failures = (this.#circuits.get(address)?.failures ?? 0) + 1;
-		this.#circuits.set(address, {failures, triedAt: now, probeAt: now + this.#backOff(failures)});
+		const circuit = this.#circuits.get(address);
+		const failures = (circuit?.failures ?? 0) + 1;
+		this.#circuits.set(address, {
+			failures, triedAt: now, probeAt: now + this.#backOff(failures), hastened: circuit?.hastened ?? false,
+		});
+	}
+
+	/** Records that an endpoint has answered a question about its load: an open circuit is probed at once, one time. */
+	reachable(address: string, now: number): void {
+		const circuit = this.#circuits.get(address);
+		if (circuit && !circuit.hastened) {
+			circuit.hastened = true;
+			circuit.probeAt = Math.min(circuit.probeAt, now);
+		}
 	}
 
 	/** Forgets endpoints that are no longer listed. */
--- a/source/placement/placement.test.ts
+++ b/source/placement/placement.test.ts
@@ -147,11 +147,29 @@
 		placement.firstToken(address, 3000, now);
 	}
 
-	const low = placement.capacityOf('briefs');
+	const low = placement.capacityOf('briefs', 0);
 	assert.ok(low < 600);
 	for (let now = 5000; now < 55_000; now += 1000) {
 		placement.firstToken(address, 100, now);
 	}
 
-	assert.ok(placement.capacityOf('briefs') > low * 1.5);
+	assert.ok(placement.capacityOf('briefs', 0) > low * 1.5);
+});
+
+test('an endpoint that fails counts for one probe only, and at once when its load is answered again', () => {
+	const {placement, endpoints} = createPlacement(1, {startTokensOf: () => 1000});
+	const {address} = endpoints[0]!;
+	for (let failure = 0; failure < 10; failure += 1) {
+		placement.failed(address, 0);
+	}
+
+	assert.equal(placement.capacityOf('briefs', 100), 0);
+	assert.equal(placement.capacityOf('briefs', 20_000), 1);
+	placement.takeLoad(address, load(['v1']), 100);
+	assert.equal(placement.capacityOf('briefs', 100), 1);
+	placement.failed(address, 200);
+	placement.takeLoad(address, load(['v1']), 300);
+	assert.equal(placement.capacityOf('briefs', 300), 0);
+	placement.succeeded(address, 400);
+	assert.equal(placement.capacityOf('briefs', 400), 1000);
 });
--- a/source/placement/placement.ts
+++ b/source/placement/placement.ts
@@ -104,12 +104,14 @@
 		return this.#subset(service).chosen;
 	}
 
-	/** Tokens that this router may have in progress at a service, over the endpoints that do not fail. */
-	capacityOf(service: string): number {
+	/** Tokens that this router may have in progress at a service; an endpoint due for a probe counts for one, to let one request in. */
+	capacityOf(service: string, now: number): number {
 		let capacity = 0;
 		for (const {address} of this.subsetOf(service)) {
 			if (!this.#circuits.isOpen(address)) {
 				capacity += this.limitOf(address, service);
+			} else if (this.#circuits.allows(address, now)) {
+				capacity += 1;
 			}
 		}
 
@@ -134,9 +136,8 @@
 	/** Counts work that has ended there. */
 	finished(address: string, tokens: number): void {
 		const left = this.outstanding(address) - tokens;
-		if (left > 0) {
-			this.#outstanding.set(address, left);
-		} else {
+		this.#outstanding.set(address, left);
+		if (left <= 0) {
 			this.#outstanding.delete(address);
 		}
 	}
@@ -164,6 +165,7 @@
 	/** Takes a load that an endpoint reported. */
 	takeLoad(address: string, load: EngineLoad, now: number): void {
 		this.#reports.takeLoad(address, load, this.outstanding(address), now);
+		this.#circuits.reachable(address, now);
 	}
 
 	/** Takes cache events that an endpoint published. */
@@ -183,8 +185,7 @@
 			return known;
 		}
 
-		const chosen = highestMembers(all, this.#options.subsetKey, this.#options.endpointsPerService);
-		const subset = {all, chosen};
+		const subset = {all, chosen: highestMembers(all, this.#options.subsetKey, this.#options.endpointsPerService)};
 		this.#subsets.set(service, subset);
 		this.#forgetUnlisted(service, all);
 		return subset;
@@ -234,11 +235,7 @@
 			return undefined;
 		}
 
-		let total = 0;
-		for (const {address} of usable) {
-			total += this.#load(address, now);
-		}
-
+		const total = usable.reduce((sum, {address}) => sum + this.#load(address, now), 0);
 		const bound = (affinityBound * total / usable.length) + tokens;
 		const prefix = prefixKey(prompt);
 		const key = hashKey(prefix);
--- a/source/router/admission-parts.ts
+++ b/source/router/admission-parts.ts
@@ -18,7 +18,7 @@
 export type AdmissionParts = Pick<CallerParts, 'admission' | 'placement' | 'refused' | 'retries' | 'suspects'>;
 
 /** What they are built from. */
-export type AdmissionPartsOptions = Pick<CallerParts, 'configuration' | 'directory' | 'engines' | 'hints' | 'logger' | 'platform' | 'random' | 'settings' | 'wallClock'>;
+export type AdmissionPartsOptions = Pick<CallerParts, 'clock' | 'configuration' | 'directory' | 'engines' | 'hints' | 'logger' | 'platform' | 'random' | 'settings' | 'wallClock'>;
 
 /**
  * Creates placement, admission, the retry budget and the watch for requests that kill endpoints.
@@ -30,7 +30,7 @@
  * ```
  */
 export function createAdmissionParts(options: AdmissionPartsOptions): AdmissionParts {
-	const {settings, directory, configuration, engines, hints, platform, logger, random, wallClock} = options;
+	const {settings, directory, configuration, engines, hints, platform, logger, random, clock, wallClock} = options;
 	const placement = new Placement({
 		subsetKey: settings.hostName,
 		endpointsPerService: settings.placement.endpointsPerService,
@@ -66,7 +66,7 @@
 			...settings.admission,
 			wallClock,
 			random,
-			capacityOf: service => placement.capacityOf(service),
+			capacityOf: service => placement.capacityOf(service, clock()),
 			refusalOf: (digest, now) => watch.refusalOf(digest, now),
 		}),
 	};
