Let the test of the peer key wait for the router's own refusal

The test failed once of some ten runs on a busy machine. It cancelled its connection as soon as the router had logged the refusal, so the cancellation could come before the router's status; the assertion that failed was not kept. Delaying the status by 100 ms made it fail every time; with this change it passes with that delay, and still fails when the key is not checked. It is as strict as before: the connection must be ended by the router with UNAUTHENTICATED.

--- a/source/membership/peers.test.ts
+++ b/source/membership/peers.test.ts
@@ -83,26 +83,28 @@
 }
 
 /** Speaks to router-1 as a peer would; returns the status code that ended the connection. */
-async function speakAsPeer(fleet: Fleet, {key, messages, until}: {key: string; messages: PeerMessageParts[]; until: () => Promise<void>}): Promise<number> {
+async function speakAsPeer(fleet: Fleet, {key, messages, until}: {key: string; messages: PeerMessageParts[]; until: (hasEnded: () => boolean) => Promise<void>}): Promise<number> {
 	const client = new Client(fleet.hosts.get('router-1')!.entry!.peers, credentials.createInsecure());
 	const metadata = new Metadata();
 	metadata.set(peerKeyField, key);
 	const stream = client.makeBidiStreamRequest(exchangeMethod.path, exchangeMethod.requestSerialize, exchangeMethod.responseDeserialize, metadata);
 	stream.on('data', () => undefined);
+	let code: number | undefined;
 	const ended = new Promise<number>(resolve => {
 		stream.on('error', (error: {code: number}) => {
-			resolve(error.code);
+			code = error.code;
+			resolve(code);
 		});
 	});
 	for (const message of messages) {
 		stream.write(message);
 	}
 
-	await until();
+	await until(() => code !== undefined);
 	stream.cancel();
-	const code = await ended;
+	const endCode = await ended;
 	client.close();
-	return code;
+	return endCode;
 }
 
 test('a router cut off from the table takes a new version from its peers', async () => {
@@ -157,7 +159,13 @@
 		},
 	];
 	const refused = await speakAsPeer(fleet, {
-		key: 'not-the-key-of-the-peers', messages, until: async () => untilLogged(fleet, 'router-1', 'peer refused'),
+		key: 'not-the-key-of-the-peers',
+		messages,
+		async until(hasEnded) {
+			// The router must end the connection itself; the log may come before its answer.
+			await untilLogged(fleet, 'router-1', 'peer refused');
+			await fleet.until(hasEnded, 'the router ends the connection');
+		},
 	});
 	assert.equal(refused, status.UNAUTHENTICATED);
 	const {peers: open} = await statusOf(fleet, 'router-1');
