Notice a silent router or engine when the limit says so

The caller also waited 2.5 s for a silent entry whatever the service's policy. Opening a stream now has a timer of its own. Routers name the interval of their heartbeats (250 ms under 'latency', 800 ms under 'cost') and write one only on an idle stream; callers give a connection up after three.

--- a/source/client/complete.ts
+++ b/source/client/complete.ts
@@ -10,6 +10,7 @@
 import {Client, type Dispatcher} from 'undici';
 import {z} from 'zod';
 import {pause} from '../supervision/mod.ts';
+import {IdleTimeout} from './_idle-timeout.ts';
 import {type EntryList} from './entry-list.ts';
 
 const eventSchema = z.object({
@@ -51,7 +52,7 @@
 	request: CompletionRequest;
 	/** Called with each token's text. Default does nothing. */
 	onToken?: (text: string, index: number, address: string) => void;
-	/** Time without a byte after which the connection is given up, in milliseconds. Default 2,500. */
+	/** Time without a byte after which the connection is given up, in milliseconds. Default 2,500, then three heartbeats of the entry. */
 	silenceMilliseconds?: number;
 	/** Time for the whole answer, in milliseconds. Default 600,000. */
 	deadlineMilliseconds?: number;
@@ -72,6 +73,12 @@
 
 type StreamEnd = {kind: 'done'} | {kind: 'lost'; message: string} | {kind: 'refused'; failure: CompletionFailure; retryAfterSeconds?: number};
 
+/** Header by which an entry tells how often it writes on an idle stream, in milliseconds. */
+const heartbeatHeader = 'x-heartbeat-milliseconds';
+
+/** Heartbeats that may be missing before the connection counts as silent. */
+const missedHeartbeats = 3;
+
 /** Pause between two entries that failed, in milliseconds. */
 const retryMilliseconds = 100;
 
@@ -123,13 +130,13 @@
 }
 
 async function stream(address: string, options: CompleteOptions, state: CallState, signal: AbortSignal): Promise<StreamEnd> {
-	const silenceMilliseconds = options.silenceMilliseconds ?? 2500;
-	const client = new Client(`http://${address}`, {connectTimeout: 1000, headersTimeout: silenceMilliseconds, bodyTimeout: silenceMilliseconds});
+	const idle = new IdleTimeout(options.silenceMilliseconds ?? 2500, signal);
+	const client = new Client(`http://${address}`, {connectTimeout: 1000, headersTimeout: 0, bodyTimeout: 0});
 	try {
 		const response = await client.request({
 			method: 'POST',
 			path: '/v1/completions',
-			signal,
+			signal: idle.signal,
 			headers: {
 				authorization: `Bearer ${options.key}`,
 				'content-type': 'application/json',
@@ -141,15 +148,21 @@
 			return refusalOf(await response.body.text(), state);
 		}
 
-		return await readEvents(response.body, address, options, state);
+		idle.limit(options.silenceMilliseconds ?? silenceOf(response.headers[heartbeatHeader]));
+		idle.touch();
+		return await readEvents(response.body, {address, idle}, options, state);
 	} catch (error) {
 		return {kind: 'lost', message: String(error)};
 	} finally {
+		idle.stop();
 		void client.destroy();
 	}
 }
 
-async function readEvents(body: Dispatcher.ResponseData['body'], address: string, options: CompleteOptions, state: CallState): Promise<StreamEnd> {
+/** One connection to an entry. */
+type Connection = {address: string; idle: IdleTimeout};
+
+async function readEvents(body: Dispatcher.ResponseData['body'], {address, idle}: Connection, options: CompleteOptions, state: CallState): Promise<StreamEnd> {
 	const messages: EventSourceMessage[] = [];
 	const parser = createParser({
 		onEvent(message) {
@@ -158,6 +171,7 @@
 	});
 	const decoder = new TextDecoder();
 	for await (const chunk of body as AsyncIterable<Uint8Array>) {
+		idle.touch();
 		parser.feed(decoder.decode(chunk, {stream: true}));
 		for (const message of messages.splice(0)) {
 			const end = take(message, address, options, state);
@@ -207,6 +221,12 @@
 	return undefined;
 }
 
+/** Returns the time without a byte after which a stream counts as silent, in milliseconds. */
+function silenceOf(header: string | string[] | undefined): number {
+	const heartbeatMilliseconds = Number(header);
+	return heartbeatMilliseconds > 0 ? heartbeatMilliseconds * missedHeartbeats : 2500;
+}
+
 function refusalOf(text: string, state: CallState): StreamEnd {
 	const {error} = errorSchema.parse(JSON.parse(text));
 	return {kind: 'refused', failure: {...error, text: state.text}, retryAfterSeconds: error.retry_after_seconds};
--- a/source/endpoints/engine-stream.ts
+++ b/source/endpoints/engine-stream.ts
@@ -55,10 +55,17 @@
  */
 export async function openEngineStream(request: StreamRequest, options: OpenEngineStreamOptions): Promise<Result<EngineStream, OpenFailure>> {
 	const client = new Client(`http://${options.address}`, {
-		connectTimeout: options.openMilliseconds, headersTimeout: options.openMilliseconds, bodyTimeout: 0, pipelining: 1,
+		connectTimeout: 0, headersTimeout: 0, bodyTimeout: 0, pipelining: 1,
 	});
+	const opening = new AbortController();
+	const giveUp = () => {
+		opening.abort(new Error('no answer in time'));
+	};
+
+	const timer = setTimeout(giveUp, options.openMilliseconds);
+	options.signal.addEventListener('abort', giveUp, {once: true});
 	try {
-		const response = await client.request({...requestLine(request), headers: {'content-type': 'application/json', ...options.traceHeaders}, signal: options.signal});
+		const response = await client.request({...requestLine(request), headers: {'content-type': 'application/json', ...options.traceHeaders}, signal: opening.signal});
 		if (response.statusCode !== 200) {
 			const text = await response.body.text();
 			void client.destroy();
@@ -71,6 +78,9 @@
 		return err({
 			kind: 'unreachable', message: String(error), crashed: isReset(error), connectionRefused: isConnectionRefused(error),
 		});
+	} finally {
+		clearTimeout(timer);
+		options.signal.removeEventListener('abort', giveUp);
 	}
 }
 
--- a/source/generation/recovery-policy.ts
+++ b/source/generation/recovery-policy.ts
@@ -15,6 +15,8 @@
 	startMilliseconds: number;
 	/** Time without a token, on a stream that was running, after which its engine counts as lost, in milliseconds. */
 	stallMilliseconds: number;
+	/** Time between heartbeats to the caller on a stream without a token, in milliseconds. */
+	heartbeatMilliseconds: number;
 };
 
 const policies: Record<ModelService['recovery']['policy'], RecoveryPolicy> = {
@@ -23,12 +25,14 @@
 		resumeMilliseconds: 250,
 		startMilliseconds: 1000,
 		stallMilliseconds: 2500,
+		heartbeatMilliseconds: 250,
 	},
 	cost: {
 		silenceMilliseconds: 1500,
 		resumeMilliseconds: 1000,
 		startMilliseconds: 1500,
 		stallMilliseconds: 4000,
+		heartbeatMilliseconds: 800,
 	},
 };
 
--- a/source/router/completion-answer.ts
+++ b/source/router/completion-answer.ts
@@ -52,20 +52,24 @@
 }
 
 function streamAnswer(options: CompletionAnswerOptions): CompletionAnswer {
-	const {response, progress, scope, cursorKey, signal} = options;
+	const {response, progress, scope, cursorKey, signal, heartbeatMilliseconds} = options;
 	const digest = new TextDigest();
 	digest.add(progress.text);
 	response.writeHead(200, {
-		'content-type': 'text/event-stream', 'cache-control': 'no-store', 'x-generation': progress.generation,
+		'content-type': 'text/event-stream', 'cache-control': 'no-store', 'x-generation': progress.generation, 'x-heartbeat-milliseconds': String(heartbeatMilliseconds),
 	});
 	response.write(': open\n\n');
+	let wrote = false;
 	const heartbeat = setInterval(() => {
-		if (!response.writableNeedDrain) {
+		if (!wrote && !response.writableNeedDrain) {
 			response.write(': heartbeat\n\n');
 		}
-	}, options.heartbeatMilliseconds);
+
+		wrote = false;
+	}, heartbeatMilliseconds);
 	return {
 		async token(token) {
+			wrote = true;
 			digest.add(token.text);
 			const id = formatCursor({
 				generation: progress.generation,
--- a/source/router/serve-completion.ts
+++ b/source/router/serve-completion.ts
@@ -10,7 +10,7 @@
 import {type Refusal} from '../answers/mod.ts';
 import {type ModelService} from '../configuration/mod.ts';
 import {
-	digestText, parseCursor, runGeneration, type Cursor, type CursorScope, type GenerationEnd, type Progress,
+	digestText, parseCursor, recoveryPolicy, runGeneration, type Cursor, type CursorScope, type GenerationEnd, type Progress,
 } from '../generation/mod.ts';
 import {pause} from '../supervision/mod.ts';
 import {
@@ -63,7 +63,7 @@
 		progress,
 		scope,
 		cursorKey: parts.settings.callers.cursorKeys[0]!,
-		heartbeatMilliseconds: parts.settings.callers.heartbeatMilliseconds,
+		heartbeatMilliseconds: recoveryPolicy(progress.service).heartbeatMilliseconds,
 		stream: body.stream,
 		signal: exchange.signal,
 	});
--- a/source/settings/router-settings.ts
+++ b/source/settings/router-settings.ts
@@ -18,7 +18,6 @@
 	callers: z.strictObject({
 		listen: addressSchema,
 		entryTimeToLiveSeconds: z.number().positive().max(600).default(10),
-		heartbeatMilliseconds: z.number().int().positive().default(1000),
 		takeoverGraceMilliseconds: z.number().int().nonnegative().default(5000),
 		largestBodyBytes: z.number().int().positive().default(4_194_304),
 		cursorKeys: z.array(keySchema).min(1, 'expected at least one key; the first one signs'),
