--- a/source/endpoints/engine-client.ts
+++ b/source/endpoints/engine-client.ts
@@ -20,6 +20,8 @@
 export type EngineClientOptions = {
 	/** Deadline of each request, in milliseconds. Default 1,000. */
 	timeoutMilliseconds?: number;
+	/** Called with the bytes of both bodies of each answered request. Default does nothing. */
+	countBytes?: (bytes: number) => void;
 };
 
 /** Content of a request, and its deadline if it is not the client's. */
@@ -36,9 +38,11 @@
 export class EngineClient {
 	readonly #agent: Agent;
 	readonly #timeoutMilliseconds: number;
+	readonly #countBytes: (bytes: number) => void;
 
 	constructor(options: EngineClientOptions = {}) {
 		this.#timeoutMilliseconds = options.timeoutMilliseconds ?? 1000;
+		this.#countBytes = options.countBytes ?? (() => undefined);
 		this.#agent = new Agent({connections: 2, keepAliveTimeout: 4000, connectTimeout: this.#timeoutMilliseconds});
 	}
 
@@ -71,15 +75,18 @@
 
 	async #send(address: string, method: 'GET' | 'POST', path: string, options: SendOptions = {}): Promise<Result<unknown, EngineFailure>> {
 		const {content, timeoutMilliseconds = this.#timeoutMilliseconds} = options;
+		const body = content === undefined ? undefined : JSON.stringify(content);
 		try {
 			const response = await request(`http://${address}${path}`, {
 				dispatcher: this.#agent,
 				method,
 				headers: {'content-type': 'application/json'},
-				body: content === undefined ? undefined : JSON.stringify(content),
+				body,
 				signal: AbortSignal.timeout(timeoutMilliseconds),
 			});
-			const answer: unknown = JSON.parse(await response.body.text());
+			const text = await response.body.text();
+			this.#countBytes(text.length + (body?.length ?? 0));
+			const answer: unknown = JSON.parse(text);
 			if (response.statusCode < 300) {
 				return ok(answer);
 			}
--- a/source/measurements/measure.ts
+++ b/source/measurements/measure.ts
@@ -3,22 +3,20 @@
  *
  * @module
  */
-import {mkdir, writeFile} from 'node:fs/promises';
-import path from 'node:path';
 import process from 'node:process';
 import {type Measurement} from './measurement.ts';
+import {measureOverloadRows} from './overload-rows.ts';
 import {measureRecovery} from './recovery.ts';
+import {writeResult} from './run-result.ts';
 import {measureTokenPath} from './token-path.ts';
 
 const measurements: Record<string, Measurement> = {
 	recovery: measureRecovery,
 	'token-path': measureTokenPath,
+	overload: measureOverloadRows,
 };
 
-const outputFolder = 'measurements-output';
-
 const names = process.argv.length > 2 ? process.argv.slice(2) : Object.keys(measurements);
-await mkdir(outputFolder, {recursive: true});
 for (const name of names) {
 	const measurement = measurements[name];
 	if (!measurement) {
@@ -34,7 +32,7 @@
 		figure, value: round(value), baseline: baseline === undefined ? '' : round(baseline), unit, target: target ?? '',
 	}));
 	console.table(table);
-	await writeFile(path.join(outputFolder, `${name}.json`), JSON.stringify({measuredAt: new Date().toISOString(), rows}, undefined, '\t'));
+	await writeResult(name, {measuredAt: new Date().toISOString(), rows});
 }
 
 function round(value: number): number {
--- a/source/measurements/slopes.ts
+++ b/source/measurements/slopes.ts
@@ -28,7 +28,7 @@
 ];
 
 const fields: Array<keyof RouterSpending> = [
-	'processorPercent', 'residentMegabytes', 'peerBytesPerSecond', 'platformBytesPerSecond', 'platformReadsPerSecond', 'platformWritesPerSecond',
+	'processorPercent', 'residentMegabytes', 'peerBytesPerSecond', 'platformBytesPerSecond', 'endpointBytesPerSecond', 'platformReadsPerSecond', 'platformWritesPerSecond',
 ];
 
 type Point = RouterSpending & {variable: string; x: number; losses: number};
--- a/source/measurements/slopes/router-sample.ts
+++ b/source/measurements/slopes/router-sample.ts
@@ -12,6 +12,7 @@
 	residentBytes: number;
 	peerBytes: number;
 	platformBytes: number;
+	endpointBytes: number;
 	platformReads: number;
 	platformWrites: number;
 };
@@ -23,6 +24,7 @@
 	residentMegabytes: number;
 	peerBytesPerSecond: number;
 	platformBytesPerSecond: number;
+	endpointBytesPerSecond: number;
 	platformReadsPerSecond: number;
 	platformWritesPerSecond: number;
 };
@@ -55,6 +57,7 @@
 		residentBytes: total('process_resident_memory_bytes '),
 		peerBytes: total('azuretack_peer_bytes_total '),
 		platformBytes: total('azuretack_platform_bytes_total '),
+		endpointBytes: total('azuretack_endpoint_control_bytes_total '),
 		platformReads: total('azuretack_platform_requests_total{') - writes,
 		platformWrites: writes,
 	};
@@ -73,6 +76,7 @@
 		residentMegabytes: after.residentBytes / 1_048_576,
 		peerBytesPerSecond: (after.peerBytes - before.peerBytes) / seconds,
 		platformBytesPerSecond: (after.platformBytes - before.platformBytes) / seconds,
+		endpointBytesPerSecond: (after.endpointBytes - before.endpointBytes) / seconds,
 		platformReadsPerSecond: (after.platformReads - before.platformReads) / seconds,
 		platformWritesPerSecond: (after.platformWrites - before.platformWrites) / seconds,
 	};
@@ -98,6 +102,7 @@
 		residentMegabytes: mean('residentMegabytes'),
 		peerBytesPerSecond: mean('peerBytesPerSecond'),
 		platformBytesPerSecond: mean('platformBytesPerSecond'),
+		endpointBytesPerSecond: mean('endpointBytesPerSecond'),
 		platformReadsPerSecond: mean('platformReadsPerSecond'),
 		platformWritesPerSecond: mean('platformWritesPerSecond'),
 	};
--- a/source/router/router.ts
+++ b/source/router/router.ts
@@ -77,7 +77,11 @@
 		logger,
 		tracing: createTracing({hostName: settings.hostName}),
 		configuration: new ConfigurationInForce(),
-		engines: new EngineClient(),
+		engines: new EngineClient({
+			countBytes(bytes) {
+				metrics.endpointBytes.inc(bytes);
+			},
+		}),
 		leaving: new Leaving({entryTimeToLiveMilliseconds: settings.callers.entryTimeToLiveSeconds * 1000}),
 		platform: new PlatformClient({
 			url: settings.platform.url,
--- a/source/telemetry/metrics.ts
+++ b/source/telemetry/metrics.ts
@@ -56,6 +56,9 @@
 		platformBytes: new Counter({
 			name: 'azuretack_platform_bytes_total', help: 'Bytes of bodies sent to and received from the platform.', registers,
 		}),
+		endpointBytes: new Counter({
+			name: 'azuretack_endpoint_control_bytes_total', help: 'Bytes of bodies of load reads, cache events, cancels and orders.', registers,
+		}),
 		peerBytes: new Counter({
 			name: 'azuretack_peer_bytes_total', help: 'Bytes of messages sent to peers.', registers,
 		}),
