Spend less on each token

Profile of a router at 4,600 tokens/s: no single hot spot; the bursts of an engine's step queued behind each other. Per token it made two native hash objects and one HMAC with a key to prepare, a timer, an abort listener, four promises, and three writes for chunked encoding.

--- a/source/endpoints/engine-stream.ts
+++ b/source/endpoints/engine-stream.ts
@@ -72,7 +72,7 @@
 			return err(refusalOf(response.statusCode, text));
 		}
 
-		return ok(new EngineStream(client, response.body));
+		return ok(new EngineStream(client, response.body, options.signal));
 	} catch (error) {
 		void client.destroy();
 		return err({
@@ -84,47 +84,78 @@
 	}
 }
 
+/** Events held before the engine is asked to wait. */
+const mostPendingEvents = 256;
+
 /** An open stream of one engine; read it until its end, then close it. */
 export class EngineStream {
 	readonly #client: Client;
-	readonly #chunks: AsyncIterator<Uint8Array>;
+	readonly #body: Dispatcher.ResponseData['body'];
+	readonly #signal: AbortSignal;
 	readonly #decoder = new TextDecoder();
 	readonly #events: EngineEvent[] = [];
 	readonly #parser = createParser({
 		onEvent: message => {
-			const checked = engineEventSchema.safeParse(parseJson(message.data));
-			if (checked.success) {
-				this.#events.push(checked.data);
-			} else if (message.data !== '[DONE]') {
-				this.#broken = `unexpected event: ${checked.error.message}`;
-			}
+			this.#take(message.data);
 		},
 	});
 
-	#broken: string | undefined;
-	#pending: Promise<Settled<IteratorResult<Uint8Array>>> | undefined;
+	readonly #onAbort: () => void;
+	#lost: string | undefined;
+	#silent = false;
+	#timer: NodeJS.Timeout | undefined;
+	#waiter: (() => void) | undefined;
 
-	constructor(client: Client, body: Dispatcher.ResponseData['body']) {
+	constructor(client: Client, body: Dispatcher.ResponseData['body'], signal: AbortSignal) {
 		this.#client = client;
-		this.#chunks = body[Symbol.asyncIterator]() as AsyncIterator<Uint8Array>;
+		this.#body = body;
+		this.#signal = signal;
+		this.#onAbort = () => {
+			this.#wake();
+		};
+
+		signal.addEventListener('abort', this.#onAbort);
+		body.on('data', (chunk: Uint8Array) => {
+			this.#parser.feed(this.#decoder.decode(chunk, {stream: true}));
+			if (this.#events.length > mostPendingEvents) {
+				body.pause();
+			}
+
+			this.#wake();
+		});
+		body.on('end', () => {
+			this.#end('the engine closed the stream before its end');
+		});
+		body.on('error', error => {
+			this.#end(String(error));
+		});
 	}
 
 	/**
 	 * Waits for the next event.
 	 *
 	 * @param silenceMilliseconds Time without any byte after which the stream counts as silent; reading may go on.
-	 * @param signal Ends the wait.
 	 */
-	async read(silenceMilliseconds: number, signal: AbortSignal): Promise<StreamRead> {
+	async read(silenceMilliseconds: number): Promise<StreamRead> {
+		this.#silent = false;
 		while (this.#events.length === 0) {
-			if (this.#broken !== undefined) {
-				return {kind: 'lost', message: this.#broken};
+			if (this.#signal.aborted) {
+				return {kind: 'aborted'};
+			}
+
+			if (this.#lost !== undefined) {
+				return {kind: 'lost', message: this.#lost};
 			}
 
-			const outcome = await this.#readChunk(silenceMilliseconds, signal);
-			if (outcome) {
-				return outcome;
+			if (this.#silent) {
+				return {kind: 'silent'};
 			}
+
+			this.#body.resume();
+			this.#startTimer(silenceMilliseconds);
+			await new Promise<void>(resolve => {
+				this.#waiter = resolve;
+			});
 		}
 
 		return {kind: 'event', event: this.#events.shift()!};
@@ -132,63 +163,42 @@
 
 	/** Closes the connection; the engine keeps the generation for a while so that it can be resumed. */
 	close(): void {
+		clearTimeout(this.#timer);
+		this.#signal.removeEventListener('abort', this.#onAbort);
 		void this.#client.destroy();
 	}
 
-	async #readChunk(silenceMilliseconds: number, signal: AbortSignal): Promise<StreamRead | undefined> {
-		this.#pending ??= settled(this.#chunks.next());
-		const waited = await firstOf(this.#pending, silenceMilliseconds, signal);
-		if (waited.kind !== 'settled') {
-			return waited;
-		}
-
-		this.#pending = undefined;
-		if (waited.result.isErr()) {
-			return {kind: 'lost', message: waited.result.error};
-		}
-
-		if (waited.result.value.done) {
-			return {kind: 'lost', message: 'the engine closed the stream before its end'};
+	/** Starts the silence limit anew; one timer serves the whole stream. */
+	#startTimer(milliseconds: number): void {
+		if (this.#timer) {
+			this.#timer.refresh();
+			return;
 		}
 
-		this.#parser.feed(this.#decoder.decode(waited.result.value.value, {stream: true}));
-		return undefined;
+		this.#timer = setTimeout(() => {
+			this.#silent = true;
+			this.#wake();
+		}, milliseconds);
 	}
-}
-
-type Settled<Value> = {kind: 'settled'; result: Result<Value, string>} | {kind: 'silent'} | {kind: 'aborted'};
 
-/** Waits for a promise, a time or a signal, whichever comes first. */
-async function firstOf<Value>(promise: Promise<Settled<Value>>, milliseconds: number, signal: AbortSignal): Promise<Settled<Value>> {
-	if (signal.aborted) {
-		return {kind: 'aborted'};
+	#take(data: string): void {
+		const checked = engineEventSchema.safeParse(parseJson(data));
+		if (checked.success) {
+			this.#events.push(checked.data);
+		} else if (data !== '[DONE]') {
+			this.#lost = `unexpected event: ${checked.error.message}`;
+		}
 	}
 
-	let timer: NodeJS.Timeout | undefined;
-	let onAbort: (() => void) | undefined;
-	const interrupted = new Promise<Settled<Value>>(resolve => {
-		timer = setTimeout(() => {
-			resolve({kind: 'silent'});
-		}, milliseconds);
-		onAbort = () => {
-			resolve({kind: 'aborted'});
-		};
-
-		signal.addEventListener('abort', onAbort, {once: true});
-	});
-	try {
-		return await Promise.race([promise, interrupted]);
-	} finally {
-		clearTimeout(timer);
-		signal.removeEventListener('abort', onAbort!);
+	#end(message: string): void {
+		this.#lost ??= message;
+		this.#wake();
 	}
-}
 
-async function settled<Value>(promise: Promise<Value>): Promise<Settled<Value>> {
-	try {
-		return {kind: 'settled', result: ok(await promise)};
-	} catch (error) {
-		return {kind: 'settled', result: err(String(error))};
+	#wake(): void {
+		const waiter = this.#waiter;
+		this.#waiter = undefined;
+		waiter?.();
 	}
 }
 
--- a/source/generation/cursor.ts
+++ b/source/generation/cursor.ts
@@ -4,10 +4,13 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
-import {createHash, createHmac, timingSafeEqual} from 'node:crypto';
+import {
+	createHash, createHmac, createSecretKey, timingSafeEqual, type KeyObject,
+} from 'node:crypto';
 import {
 	err, ok, type Result,
 } from 'neverthrow';
+import xxhash from 'xxhash-wasm';
 import {z} from 'zod';
 
 /** A model that generates: two engines with the same identity continue each other's text. */
@@ -25,8 +28,8 @@
 	endpoint: string;
 	/** Model that the whole generation is bound to. */
 	model: ModelIdentity;
-	/** Digest of the text up to and including the token. */
-	textDigest: string;
+	/** Checksum of the text up to and including the token. */
+	textChecksum: string;
 };
 
 /** What a cursor is bound to besides its own fields. */
@@ -37,26 +40,52 @@
 	requestDigest: string;
 };
 
+/** Prepared keys by their text; settings name a few. */
+const secrets = new Map<string, KeyObject>();
+
+const hasher = await xxhash();
+
 const cursorSchema = z.tuple([z.string(), z.number().int(), z.number().int(), z.string(), z.array(z.string()), z.string()]);
 
 /** Characters kept of each digest: 128 bits in base64url. */
 const digestLength = 22;
 
-/** Computes a running digest of a text. */
-export class TextDigest {
-	readonly #hash = createHash('sha256');
+/**
+ * Computes a running checksum of a text.
+ *
+ * It detects a caller whose text does not fit its cursor. It need not resist forgery: the cursor is signed, and a caller who
+ * forges its own text only harms its own answer.
+ */
+export class TextChecksum {
+	readonly #hash = hasher.create64();
 
 	/** Adds more text. */
 	add(text: string): void {
 		this.#hash.update(text);
 	}
 
-	/** Returns the digest of the text added so far. */
+	/** Returns the checksum of the text added so far. */
 	value(): string {
-		return this.#hash.copy().digest('base64url').slice(0, digestLength);
+		return this.#hash.digest().toString(36);
 	}
 }
 
+/**
+ * Computes the checksum of a whole text.
+ *
+ * @param text Any text.
+ * @returns 64 bits in base 36.
+ * @example
+ * ```ts
+ * checksumText(receivedText) === cursor.textChecksum;
+ * ```
+ */
+export function checksumText(text: string): string {
+	const checksum = new TextChecksum();
+	checksum.add(text);
+	return checksum.value();
+}
+
 /**
  * Computes the digest of a whole text.
  *
@@ -64,13 +93,11 @@
  * @returns 128 bits in base64url.
  * @example
  * ```ts
- * digestText(receivedText) === cursor.textDigest;
+ * const requestDigest = digestText(JSON.stringify(request));
  * ```
  */
 export function digestText(text: string): string {
-	const digest = new TextDigest();
-	digest.add(text);
-	return digest.value();
+	return createHash('sha256').update(text).digest('base64url').slice(0, digestLength);
 }
 
 /**
@@ -87,7 +114,7 @@
 export function formatCursor(cursor: Cursor, scope: CursorScope, key: string): string {
 	const {name, version, adapter} = cursor.model;
 	const model = adapter === undefined ? [name, version] : [name, version, adapter];
-	const fields = [cursor.generation, cursor.attempt, cursor.index, cursor.endpoint, model, cursor.textDigest];
+	const fields = [cursor.generation, cursor.attempt, cursor.index, cursor.endpoint, model, cursor.textChecksum];
 	const payload = Buffer.from(JSON.stringify(fields)).toString('base64url');
 	return `${payload}.${sign(payload, scope, key)}`;
 }
@@ -110,15 +137,22 @@
 		return err('the cursor was not issued for this workspace and this request');
 	}
 
-	const [generation, attempt, index, endpoint, model, textDigest] = cursorSchema.parse(JSON.parse(Buffer.from(payload, 'base64url').toString()));
+	const [generation, attempt, index, endpoint, model, textChecksum] = cursorSchema.parse(JSON.parse(Buffer.from(payload, 'base64url').toString()));
 	const [name = '', version = '', adapter] = model;
 	return ok({
-		generation, attempt, index, endpoint, model: adapter === undefined ? {name, version} : {name, version, adapter}, textDigest,
+		generation, attempt, index, endpoint, model: adapter === undefined ? {name, version} : {name, version, adapter}, textChecksum,
 	});
 }
 
 function sign(payload: string, scope: CursorScope, key: string): string {
-	return createHmac('sha256', key).update(`${scope.workspace}\n${scope.requestDigest}\n${payload}`).digest('base64url').slice(0, digestLength);
+	return createHmac('sha256', secretOf(key)).update(`${scope.workspace}\n${scope.requestDigest}\n${payload}`).digest('base64url').slice(0, digestLength);
+}
+
+/** Prepares a key once for all of its signatures. */
+function secretOf(key: string): KeyObject {
+	const secret = secrets.get(key) ?? createSecretKey(key, 'utf8');
+	secrets.set(key, secret);
+	return secret;
 }
 
 function equal(left: string, right: string): boolean {
--- a/source/generation/progress.ts
+++ b/source/generation/progress.ts
@@ -38,7 +38,7 @@
 /** Receives the tokens of a generation in order. */
 export type TokenSink = {
 	/** Forwards one token; returns false when the caller is gone. */
-	token(token: DeliveredToken): Promise<boolean>;
+	token(token: DeliveredToken): boolean | Promise<boolean>;
 };
 
 /** How a generation ended at this router. */
--- a/source/generation/read-attempt.ts
+++ b/source/generation/read-attempt.ts
@@ -27,7 +27,6 @@
 	progress: Progress;
 	policy: RecoveryPolicy;
 	sink: TokenSink;
-	signal: AbortSignal;
 	/** Called with the first event of the stream. */
 	onStarted: (event: Extract<EngineEvent, {event: 'started'}>) => void;
 	/** Monotonic time at which the last token arrived on any attempt, in milliseconds. */
@@ -51,15 +50,15 @@
  * @returns How the attempt ended; the stream is left for the caller to close.
  * @example
  * ```ts
- * const end = await readAttempt({stream, endpoint, progress, policy, sink, signal, onStarted, lastTokenAt, clock});
+ * const end = await readAttempt({stream, endpoint, progress, policy, sink, onStarted, lastTokenAt, clock});
  * ```
  */
 export async function readAttempt(options: ReadAttemptOptions): Promise<AttemptEnd> {
-	const {stream, endpoint, progress, policy, sink, signal, clock} = options;
+	const {stream, endpoint, progress, policy, sink, clock} = options;
 	let {lastTokenAt} = options;
 	let running = false;
 	for (;;) {
-		const read = await stream.read(policy.silenceMilliseconds, signal);
+		const read = await stream.read(policy.silenceMilliseconds);
 		if (read.kind === 'silent') {
 			return running && clock() - lastTokenAt >= policy.stallMilliseconds ? {kind: 'stalled'} : read;
 		}
--- a/source/generation/run-generation.ts
+++ b/source/generation/run-generation.ts
@@ -161,7 +161,7 @@
 		}
 	}
 
-	async token(token: DeliveredToken): Promise<boolean> {
+	token(token: DeliveredToken): boolean | Promise<boolean> {
 		const {parts, progress, sink} = this.#options;
 		this.lastTokenAt = parts.clock();
 		this.#trial.token(token.endpoint);
--- a/source/router/completion-answer.ts
+++ b/source/router/completion-answer.ts
@@ -6,7 +6,7 @@
 import {once} from 'node:events';
 import {type ServerResponse} from 'node:http';
 import {
-	TextDigest, formatCursor, type CursorScope, type DeliveredToken, type Progress,
+	TextChecksum, formatCursor, type CursorScope, type DeliveredToken, type Progress,
 } from '../generation/mod.ts';
 import {sendJson} from './respond.ts';
 
@@ -31,7 +31,7 @@
 /** Answer of one generation. */
 export type CompletionAnswer = {
 	/** Forwards one token; returns false when the caller is gone. */
-	token(token: DeliveredToken): Promise<boolean>;
+	token(token: DeliveredToken): boolean | Promise<boolean>;
 	/** Writes the end of a whole answer. */
 	finish(totalTokens: number, finishReason: string): void;
 	/** Stops the heartbeat. */
@@ -53,9 +53,12 @@
 
 function streamAnswer(options: CompletionAnswerOptions): CompletionAnswer {
 	const {response, progress, scope, cursorKey, signal, heartbeatMilliseconds} = options;
-	const digest = new TextDigest();
-	digest.add(progress.text);
+	const checksum = new TextChecksum();
+	checksum.add(progress.text);
+	// Without chunked encoding each token is one plain write; `[DONE]` marks the end of the answer.
+	response.useChunkedEncodingByDefault = false;
 	response.writeHead(200, {
+		connection: 'close',
 		'content-type': 'text/event-stream', 'cache-control': 'no-store', 'x-generation': progress.generation, 'x-heartbeat-milliseconds': String(heartbeatMilliseconds),
 	});
 	response.write(': open\n\n');
@@ -70,14 +73,14 @@
 	return {
 		async token(token) {
 			wrote = true;
-			digest.add(token.text);
+			checksum.add(token.text);
 			const id = formatCursor({
 				generation: progress.generation,
 				attempt: token.attempt,
 				index: token.index,
 				endpoint: token.endpoint,
 				model: progress.model,
-				textDigest: digest.value(),
+				textChecksum: checksum.value(),
 			}, scope, cursorKey);
 			const choice = {index: 0, text: token.text};
 			return write(response, `id: ${id}\ndata: ${JSON.stringify({...head(progress), token_index: token.index, choices: [choice]})}\n\n`, signal);
@@ -96,7 +99,7 @@
 function wholeAnswer(options: CompletionAnswerOptions): CompletionAnswer {
 	const {response, progress, signal} = options;
 	return {
-		async token() {
+		token() {
 			return !signal.aborted;
 		},
 		finish(totalTokens, finishReason) {
@@ -113,15 +116,16 @@
 	return {id: progress.generation, object: 'text_completion', model: progress.service.service};
 }
 
-async function write(response: ServerResponse, text: string, signal: AbortSignal): Promise<boolean> {
+/** Writes to the caller; waits only while the connection has no room. */
+function write(response: ServerResponse, text: string, signal: AbortSignal): boolean | Promise<boolean> {
 	if (signal.aborted) {
 		return false;
 	}
 
-	if (response.write(text)) {
-		return true;
-	}
+	return response.write(text) || waitForRoom(response, signal);
+}
 
+async function waitForRoom(response: ServerResponse, signal: AbortSignal): Promise<boolean> {
 	try {
 		await once(response, 'drain', {signal: AbortSignal.any([signal, AbortSignal.timeout(callerStallMilliseconds)])});
 		return true;
--- a/source/router/serve-completion.ts
+++ b/source/router/serve-completion.ts
@@ -10,7 +10,7 @@
 import {type Refusal} from '../answers/mod.ts';
 import {type ModelService} from '../configuration/mod.ts';
 import {
-	digestText, parseCursor, recoveryPolicy, runGeneration, type Cursor, type CursorScope, type GenerationEnd, type Progress,
+	checksumText, digestText, parseCursor, recoveryPolicy, runGeneration, type Cursor, type CursorScope, type GenerationEnd, type Progress,
 } from '../generation/mod.ts';
 import {pause} from '../supervision/mod.ts';
 import {
@@ -56,6 +56,7 @@
 		return permit.error.code;
 	}
 
+	const tokensDelivered = parts.metrics.tokensDelivered.labels(progress.service.service);
 	parts.metrics.liveGenerations.inc();
 	const loadEnded = parts.loads.start(progress.service.service, progress.maxTokens - progress.nextIndex);
 	const answer = createCompletionAnswer({
@@ -75,7 +76,7 @@
 			signal: exchange.signal,
 			sink: {
 				async token(token) {
-					parts.metrics.tokensDelivered.inc({service: progress.service.service});
+					tokensDelivered.inc();
 					parts.accounts.delivered(progress.workspace, progress.service.service, 1);
 					return answer.token(token);
 				},
@@ -171,7 +172,7 @@
 		status: 422, code: 'cursor_refused', message, run: 'no',
 	});
 	return parseCursor(header, scope, parts.settings.callers.cursorKeys)
-		.andThen((cursor): Result<Cursor, string> => digestText(body.received_text ?? '') === cursor.textDigest
+		.andThen((cursor): Result<Cursor, string> => checksumText(body.received_text ?? '') === cursor.textChecksum
 			? ok(cursor)
 			: err('received_text is not the text up to the cursor'))
 		.mapErr(message => refuse(message));
