--- a/source/admission/suspects/suspects.ts
+++ b/source/admission/suspects/suspects.ts
@@ -6,6 +6,9 @@
  *
  * @module
  */
+import {
+	isConvincing, loneOf, standing, type Suspect,
+} from './_suspect.ts';
 import {
 	isNear, type Death, type EndpointPlace, type Run,
 } from './deaths.ts';
@@ -18,21 +21,9 @@
 	onConvicted?: (digest: string, expiresAt: number) => void;
 };
 
-type Suspect = {
-	deaths: Death[];
-	/** Deaths that the request has gone on from by enough tokens, which a request that kills at one point of its text cannot. */
-	passed: Set<Death>;
-	expiresAt: number;
-	released: boolean;
-	convictAt: number | undefined;
-};
-
 /** Tokens after which a request counts as harmless at its endpoint. */
 export const harmlessTokens = 16;
 
-/** Deaths within the time of suspicion that convict a request although it went on in between. */
-const mostDeaths = 4;
-
 /** Time between a death and the look at the endpoints beside it, in milliseconds. */
 export const lookMilliseconds = 500;
 
@@ -292,19 +283,3 @@
 		}
 	}
 }
-
-/** Returns the digest that all runs share, if there is just one. */
-function loneOf(runs: Run[]): string | undefined {
-	const digests = new Set(runs.map(({digest}) => digest));
-	return digests.size === 1 ? runs[0]!.digest : undefined;
-}
-
-function standing(suspect: Suspect): Death[] {
-	return suspect.deaths.filter(({common}) => !common);
-}
-
-/** Whether a request's deaths are too many for chance: two that it never went on from, or several in all. */
-function isConvincing(suspect: Suspect): boolean {
-	const deaths = standing(suspect);
-	return deaths.length >= mostDeaths || deaths.filter(death => !suspect.passed.has(death)).length >= 2;
-}
--- a/source/testing/fleet.ts
+++ b/source/testing/fleet.ts
@@ -18,6 +18,7 @@
 import {EntryList} from '../client/mod.ts';
 import {type Host} from '../platform/mod.ts';
 import {type RouterSettings} from '../settings/mod.ts';
+import {PinnedEntry} from './_pinned-entry.ts';
 
 const binaries = path.join(import.meta.dirname, '..', 'binaries');
 const standIn = path.join(import.meta.dirname, 'stand-ins', 'stand-in.js');
@@ -275,20 +276,6 @@
 	}
 }
 
-/** An entry list that never changes. */
-class PinnedEntry extends EntryList {
-	readonly #address: string;
-
-	constructor(address: string) {
-		super({seeds: [address]});
-		this.#address = address;
-	}
-
-	override async ordered(): Promise<string[]> {
-		return [this.#address];
-	}
-}
-
 /**
  * Returns a workspaces file that admits keys.
  *
