--- a/source/measurements/measure.ts
+++ b/source/measurements/measure.ts
@@ -5,6 +5,7 @@
  */
 import process from 'node:process';
 import {type Measurement} from './measurement.ts';
+import {measureNotificationRadius} from './notification-radius.ts';
 import {measureOverloadRows} from './overload-rows.ts';
 import {measureRecovery} from './recovery.ts';
 import {writeResult} from './run-result.ts';
@@ -14,6 +15,7 @@
 	recovery: measureRecovery,
 	'token-path': measureTokenPath,
 	overload: measureOverloadRows,
+	'notification-radius': measureNotificationRadius,
 };
 
 const names = process.argv.length > 2 ? process.argv.slice(2) : Object.keys(measurements);
