Keep the router's young generation small

Cause: V8 lets the young generation grow to 16 MB semi-spaces; an idle router held 113 to 118 MB after 30 s, near the 128 MB that control may take. An old-space limit of 64 MB changed nothing further. The slopes' service has a silence limit above its slowest step; before, slow streams were asked again for each token.

--- a/source/measurements/slopes/slope-run.ts
+++ b/source/measurements/slopes/slope-run.ts
@@ -30,6 +30,9 @@
 /** Time between the two samples, in milliseconds. */
 const windowMilliseconds = 10_000;
 
+/** Silence limit above the time between two tokens of the slowest point, in milliseconds. */
+const slowestStepMilliseconds = 5000;
+
 /** Engines that serve the load. */
 const loadedEngines = 4;
 
@@ -117,7 +120,7 @@
 	const model = {name: 'model', version: 'v1'};
 	return {
 		'briefs.service.jsonc': {
-			service: 'briefs', kind: 'model', model, engineTokens: 100_000_000,
+			service: 'briefs', kind: 'model', model, engineTokens: 100_000_000, recovery: {silenceMilliseconds: slowestStepMilliseconds},
 		},
 		'notes.service.jsonc': {
 			service: 'notes', kind: 'model', model, deadlineSeconds: 600 + change,
--- a/source/testing/fleet.ts
+++ b/source/testing/fleet.ts
@@ -23,6 +23,9 @@
 const binaries = path.join(import.meta.dirname, '..', 'binaries');
 const standIn = path.join(import.meta.dirname, 'stand-ins', 'stand-in.js');
 
+/** Flags of the router's runtime, as in the first line of its program; small young generations keep its memory low. */
+const routerFlags = ['--max-semi-space-size=2'];
+
 /** Key of the workspace that tests use unless they say otherwise. */
 export const testKey = 'key-of-the-test-workspace';
 
@@ -150,7 +153,7 @@
 		}
 
 		const address = this.processes.get(name)?.address ?? this.hosts.get(name)!.entry!.callers;
-		return this.#spawn(name, address, [path.join(binaries, 'azuretack-router.js'), '--settings', file]);
+		return this.#spawn(name, address, [...routerFlags, path.join(binaries, 'azuretack-router.js'), '--settings', file]);
 	}
 
 	/** Adds a host to the list or replaces it. */
