--- a/source/binaries/azuretack-router.ts
+++ b/source/binaries/azuretack-router.ts
@@ -1,4 +1,4 @@
-#!/usr/bin/env -S node --max-semi-space-size=2
+#!/usr/bin/env -S node --max-semi-space-size=8
 /**
  * The router daemon's program: reads its settings and runs the router until a signal asks it to leave.
  *
--- a/source/settings/router-settings.ts
+++ b/source/settings/router-settings.ts
@@ -31,7 +31,7 @@
 		seeds: z.array(addressSchema).default([]),
 		heartbeatMilliseconds: z.number().int().positive().default(1000),
 		usageHintMilliseconds: z.number().int().positive().default(5000),
-		loadRadiusTokens: z.number().int().nonnegative().default(256),
+		loadRadiusTokens: z.number().int().nonnegative().default(0),
 	}),
 	operators: z.strictObject({
 		listen: addressSchema,
--- a/source/testing/fleet.ts
+++ b/source/testing/fleet.ts
@@ -24,7 +24,7 @@
 const standIn = path.join(import.meta.dirname, 'stand-ins', 'stand-in.js');
 
 /** Flags of the router's runtime, as in the first line of its program; small young generations keep its memory low. */
-const routerFlags = ['--max-semi-space-size=2'];
+const routerFlags = ['--max-semi-space-size=8'];
 
 /** Key of the workspace that tests use unless they say otherwise. */
 export const testKey = 'key-of-the-test-workspace';
