--- a/source/admission/suspects/refused-requests.ts
+++ b/source/admission/suspects/refused-requests.ts
@@ -54,11 +54,6 @@
 		this.#options = options;
 	}
 
-	/** Mean time between two reads of the table, in milliseconds. */
-	get periodMilliseconds(): number {
-		return this.#options.periodMilliseconds ?? 1000;
-	}
-
 	/** Writes a conviction; the following reads write it again until it is known to be there. */
 	async save(digest: string, expiresAt: number): Promise<void> {
 		this.#unsaved.set(digest, expiresAt);
@@ -79,13 +74,13 @@
 	 * @param signal Ends the task.
 	 */
 	async follow(signal: AbortSignal): Promise<Result<void, TaskFailure>> {
-		const {platform, logger, random} = this.#options;
+		const {platform, logger, random, periodMilliseconds = 1000} = this.#options;
 		const read = async () => {
 			await this.#saveAll();
 			return platform.list({table, prefix: '', limit: longestList});
 		};
 
-		await poll(read, {periodMilliseconds: this.periodMilliseconds, random, signal}).observe(rows => {
+		await poll(read, {periodMilliseconds, random, signal}).observe(rows => {
 			if (rows.isErr()) {
 				logger.warn('refused requests not read', rows.error);
 				return;
--- a/source/admission/suspects/suspects.ts
+++ b/source/admission/suspects/suspects.ts
@@ -27,7 +27,7 @@
 /** Time between a death and the look at the endpoints beside it, in milliseconds. */
 export const lookMilliseconds = 500;
 
-/** Time between the second death and the conviction, in which a common loss can still show and other routers read the verdict, in milliseconds. */
+/** Time between the second death and the conviction, in which a common loss can still show, in milliseconds. */
 export const convictionMilliseconds = 1300;
 
 /** Time for which a death is held against a request, in milliseconds. */
--- a/source/client/complete.ts
+++ b/source/client/complete.ts
@@ -76,6 +76,9 @@
 /** Header by which an entry tells how often it writes on an idle stream, in milliseconds. */
 const heartbeatHeader = 'x-heartbeat-milliseconds';
 
+/** Time without a byte after which an entry that has not told its interval counts as silent, in milliseconds. */
+const firstByteMilliseconds = 2500;
+
 /** Heartbeats that may be missing before the connection counts as silent. */
 const missedHeartbeats = 3;
 
@@ -130,7 +133,7 @@
 }
 
 async function stream(address: string, options: CompleteOptions, state: CallState, signal: AbortSignal): Promise<StreamEnd> {
-	const idle = new IdleTimeout(options.silenceMilliseconds ?? 2500, signal);
+	const idle = new IdleTimeout(options.silenceMilliseconds ?? firstByteMilliseconds, signal);
 	const client = new Client(`http://${address}`, {connectTimeout: 1000, headersTimeout: 0, bodyTimeout: 0});
 	try {
 		const response = await client.request({
@@ -224,7 +227,7 @@
 /** Returns the time without a byte after which a stream counts as silent, in milliseconds. */
 function silenceOf(header: string | string[] | undefined): number {
 	const heartbeatMilliseconds = Number(header);
-	return heartbeatMilliseconds > 0 ? heartbeatMilliseconds * missedHeartbeats : 2500;
+	return heartbeatMilliseconds > 0 ? heartbeatMilliseconds * missedHeartbeats : firstByteMilliseconds;
 }
 
 function refusalOf(text: string, state: CallState): StreamEnd {
