--- a/source/accounts/usage-store.ts
+++ b/source/accounts/usage-store.ts
@@ -8,7 +8,7 @@
 } from 'neverthrow';
 import {
 	type Operation, type PlatformClient, type PlatformFailure, type Row,
-} from '../platform/mod.ts';
+} from '../table-service/mod.ts';
 import {
 	higherTotals, sameTotals, usageKey, usageRow, usageRowSchema, usageTable, type UsageRecord,
 } from './usage-row.ts';
--- a/source/admission/suspects/refused-requests.ts
+++ b/source/admission/suspects/refused-requests.ts
@@ -7,7 +7,7 @@
 	ok, type Result,
 } from 'neverthrow';
 import {z} from 'zod';
-import {type PlatformClient, type Row} from '../../platform/mod.ts';
+import {type PlatformClient, type Row} from '../../table-service/mod.ts';
 import {poll, type TaskFailure} from '../../supervision/mod.ts';
 import {type Logger} from '../../telemetry/mod.ts';
 import {type Suspects} from './suspects.ts';
--- a/source/admission/suspects/trial-claims.ts
+++ b/source/admission/suspects/trial-claims.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {z} from 'zod';
-import {type PlatformClient, type Row} from '../../platform/mod.ts';
+import {type PlatformClient, type Row} from '../../table-service/mod.ts';
 import {pause} from '../../supervision/mod.ts';
 
 const table = 'trials';
--- a/source/binaries/azuretack-operate.ts
+++ b/source/binaries/azuretack-operate.ts
@@ -11,7 +11,7 @@
 import {
 	OperatorClient, operateCommands, readEntryHosts, type CommandContext,
 } from '../operations/mod.ts';
-import {PlatformClient} from '../platform/mod.ts';
+import {PlatformClient} from '../table-service/mod.ts';
 
 const command = meow(`
 	Usage
--- a/source/binaries/azuretack-publish.ts
+++ b/source/binaries/azuretack-publish.ts
@@ -13,7 +13,7 @@
 import {
 	OperatorClient, describeFailure, describeSettlement, publishExitCodes, readEntryHosts, waitUntilInForce,
 } from '../operations/mod.ts';
-import {PlatformClient} from '../platform/mod.ts';
+import {PlatformClient} from '../table-service/mod.ts';
 import {formatFault} from '../settings/mod.ts';
 
 const command = meow(`
--- a/source/calls/at-most-once.test.ts
+++ b/source/calls/at-most-once.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {PlatformClient} from '../platform/mod.ts';
+import {PlatformClient} from '../table-service/mod.ts';
 import {Fleet} from '../testing/fleet.ts';
 import {
 	claimOf, linkFault, runsOf, sendCall, startCallFleet,
--- a/source/calls/claim-store.ts
+++ b/source/calls/claim-store.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type PlatformClient, type Condition, type Row} from '../platform/mod.ts';
+import {type PlatformClient, type Condition, type Row} from '../table-service/mod.ts';
 import {retryWrite} from './_retry-write.ts';
 import {
 	claimKey, claimSchema, claimTable, type Claim, type ClaimName, type StoredAnswer,
--- a/source/calls/settle-claim.ts
+++ b/source/calls/settle-claim.ts
@@ -6,7 +6,7 @@
 import {
 	err, ok, type Result,
 } from 'neverthrow';
-import {type PlatformClient, type Row} from '../platform/mod.ts';
+import {type PlatformClient, type Row} from '../table-service/mod.ts';
 import {
 	claimKey, claimSchema, claimTable, type Claim, type ClaimName,
 } from './claim.ts';
--- a/source/configuration/commit-version.ts
+++ b/source/configuration/commit-version.ts
@@ -6,7 +6,7 @@
 import {
 	err, ok, type Result,
 } from 'neverthrow';
-import {type Operation, type PlatformClient} from '../platform/mod.ts';
+import {type Operation, type PlatformClient} from '../table-service/mod.ts';
 import {pause} from '../supervision/mod.ts';
 import {
 	configurationTable, headKey, headSchema, keptVersions, versionKey, versionRowSchema, type StoredHead,
--- a/source/configuration/publish.ts
+++ b/source/configuration/publish.ts
@@ -6,7 +6,7 @@
 import {
 	err, ok, type Result,
 } from 'neverthrow';
-import {type PlatformClient} from '../platform/mod.ts';
+import {type PlatformClient} from '../table-service/mod.ts';
 import {type DocumentFault} from '../settings/mod.ts';
 import {pause} from '../supervision/mod.ts';
 import {checkWorkspaces} from './check-workspaces.ts';
--- a/source/configuration/racing-operators.test.ts
+++ b/source/configuration/racing-operators.test.ts
@@ -2,7 +2,7 @@
 import {randomUUID} from 'node:crypto';
 import {test} from 'node:test';
 import fc from 'fast-check';
-import {type PlatformClient} from '../platform/mod.ts';
+import {type PlatformClient} from '../table-service/mod.ts';
 import {deskFile, platformOf, versionInTable} from '../testing/configuration-fleet.ts';
 import {Fleet} from '../testing/fleet.ts';
 import {type CollectedFile} from './collect-files.ts';
--- a/source/configuration/stored-configuration.ts
+++ b/source/configuration/stored-configuration.ts
@@ -16,7 +16,7 @@
 	err, ok, type Result,
 } from 'neverthrow';
 import {z} from 'zod';
-import {type PlatformClient} from '../platform/mod.ts';
+import {type PlatformClient} from '../table-service/mod.ts';
 
 /** Table of the configuration's rows. */
 export const configurationTable = 'configuration';
--- a/source/configuration/version-loader.ts
+++ b/source/configuration/version-loader.ts
@@ -7,7 +7,7 @@
 	err, ok, type Result,
 } from 'neverthrow';
 import {type z} from 'zod';
-import {type PlatformClient} from '../platform/mod.ts';
+import {type PlatformClient} from '../table-service/mod.ts';
 import {type Configuration} from './configuration.ts';
 import {
 	serviceFileSchema, workspacesFileSchema, type Service, type Workspace,
--- a/source/duties/lease-keeper.ts
+++ b/source/duties/lease-keeper.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import {type Condition, type PlatformClient, type Row} from '../platform/mod.ts';
+import {type Condition, type PlatformClient, type Row} from '../table-service/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {leaseSchema, leaseTable, type Lease} from './lease.ts';
 
--- a/source/measurements/configuration-reload.ts
+++ b/source/measurements/configuration-reload.ts
@@ -10,7 +10,7 @@
 import {
 	ConfigurationInForce, VersionLoader, publish, readHead, serviceFileSchema, workspacesFileSchema, type CollectedFile, type Workspace,
 } from '../configuration/mod.ts';
-import {PlatformClient} from '../platform/mod.ts';
+import {PlatformClient} from '../table-service/mod.ts';
 import {Fleet} from '../testing/fleet.ts';
 
 const workspaceCount = 2700;
--- a/source/membership/_peer-inbox.ts
+++ b/source/membership/_peer-inbox.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {hostListSchema} from '../platform/mod.ts';
+import {hostListSchema} from '../table-service/mod.ts';
 import {type PeerContext} from './peer-context.ts';
 import {type ConfigurationDifference, type PeerMessage, type PeerMessageParts} from './peer-protocol.ts';
 import {type OpenPeer} from './peer-registry.ts';
--- a/source/membership/choose-entries.ts
+++ b/source/membership/choose-entries.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type Host} from '../platform/mod.ts';
+import {type Host} from '../table-service/mod.ts';
 
 /** Options of {@linkcode chooseEntries}. */
 export type ChooseEntriesOptions = {
--- a/source/membership/choose-peers.ts
+++ b/source/membership/choose-peers.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {createHash} from 'node:crypto';
-import {type Host} from '../platform/mod.ts';
+import {type Host} from '../table-service/mod.ts';
 
 /** Options of {@linkcode choosePeers}. */
 export type ChoosePeersOptions = {
--- a/source/membership/follow-hosts.ts
+++ b/source/membership/follow-hosts.ts
@@ -6,7 +6,7 @@
 import {
 	ok, type Result,
 } from 'neverthrow';
-import {type PlatformClient} from '../platform/mod.ts';
+import {type PlatformClient} from '../table-service/mod.ts';
 import {poll, type TaskFailure} from '../supervision/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {type HostChange, type HostDirectory} from './host-directory.ts';
--- a/source/membership/host-directory.test.ts
+++ b/source/membership/host-directory.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {type Host} from '../platform/mod.ts';
+import {type Host} from '../table-service/mod.ts';
 import {chooseEntries} from './choose-entries.ts';
 import {choosePeers} from './choose-peers.ts';
 import {HintBoard} from './hint-board.ts';
--- a/source/operations/command.ts
+++ b/source/operations/command.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {type Result} from 'neverthrow';
-import {type PlatformClient} from '../platform/mod.ts';
+import {type PlatformClient} from '../table-service/mod.ts';
 import {type HostFailure, type OperatedHost, type OperatorClient} from './operator-client.ts';
 
 /** What a command works with. */
--- a/source/operations/operator-client.ts
+++ b/source/operations/operator-client.ts
@@ -8,7 +8,7 @@
 } from 'neverthrow';
 import {Agent, request} from 'undici';
 import {type z} from 'zod';
-import {type PlatformClient} from '../platform/mod.ts';
+import {type PlatformClient} from '../table-service/mod.ts';
 
 /** A router as operators reach it. */
 export type OperatedHost = {
--- a/source/operations/sum-usage.ts
+++ b/source/operations/sum-usage.ts
@@ -7,7 +7,7 @@
 	err, ok, type Result,
 } from 'neverthrow';
 import {usageRowSchema, usageTable} from '../accounts/mod.ts';
-import {type PlatformClient, type Row} from '../platform/mod.ts';
+import {type PlatformClient, type Row} from '../table-service/mod.ts';
 import {textTable} from './text-table.ts';
 
 /** Rows read at once. */
--- a/source/router/admission-parts.ts
+++ b/source/router/admission-parts.ts
@@ -7,7 +7,7 @@
 	Admission, RefusedRequests, RetryBudget, SuspectWatch, Suspects, TrialClaims, type EndpointPlace,
 } from '../admission/mod.ts';
 import {type HostDirectory} from '../membership/mod.ts';
-import {type Host} from '../platform/mod.ts';
+import {type Host} from '../table-service/mod.ts';
 import {Placement, createShares, startTokensOf} from '../placement/mod.ts';
 import {type CallerParts} from './caller-context.ts';
 
--- a/source/router/caller-context.ts
+++ b/source/router/caller-context.ts
@@ -12,7 +12,7 @@
 import {
 	type HintBoard, type HostDirectory, type HostHints, type LoadBoard, type PeerRegistry, type RouterIdentity,
 } from '../membership/mod.ts';
-import {type PlatformClient} from '../platform/mod.ts';
+import {type PlatformClient} from '../table-service/mod.ts';
 import {type RouterSettings} from '../settings/mod.ts';
 import {type Leaving} from './leaving.ts';
 
--- a/source/router/caller-server.ts
+++ b/source/router/caller-server.ts
@@ -11,7 +11,7 @@
 import {refusalOfAttempt} from '../calls/mod.ts';
 import {type Workspace} from '../configuration/mod.ts';
 import {chooseEntries} from '../membership/mod.ts';
-import {type Host} from '../platform/mod.ts';
+import {type Host} from '../table-service/mod.ts';
 import {badRequest} from './bodies.ts';
 import {type CallerExchange, type CallerParts} from './caller-context.ts';
 import {requestUrl} from './request-url.ts';
--- a/source/router/router.ts
+++ b/source/router/router.ts
@@ -5,7 +5,7 @@
  */
 import {ConfigurationInForce} from '../configuration/mod.ts';
 import {EngineClient} from '../endpoints/mod.ts';
-import {PlatformClient} from '../platform/mod.ts';
+import {PlatformClient} from '../table-service/mod.ts';
 import {type RouterSettings} from '../settings/mod.ts';
 import {Supervisor} from '../supervision/mod.ts';
 import {createLogger, createMetrics, createTracing} from '../telemetry/mod.ts';
--- a/source/testing/configuration-fleet.ts
+++ b/source/testing/configuration-fleet.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {request} from 'undici';
-import {PlatformClient} from '../platform/mod.ts';
+import {PlatformClient} from '../table-service/mod.ts';
 import {Fleet, operatorKey} from './fleet.ts';
 
 /** Options that let the publisher ask routers whether a version is in force. */
--- a/source/testing/fleet.ts
+++ b/source/testing/fleet.ts
@@ -16,7 +16,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {request} from 'undici';
 import {EntryList} from '../client/mod.ts';
-import {type Host} from '../platform/mod.ts';
+import {type Host} from '../table-service/mod.ts';
 import {type RouterSettings} from '../settings/mod.ts';
 import {PinnedEntry} from './_pinned-entry.ts';
 
--- a/source/testing/scenarios/_scenario-run.ts
+++ b/source/testing/scenarios/_scenario-run.ts
@@ -5,7 +5,7 @@
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import {type Service} from '../../configuration/mod.ts';
-import {type Host} from '../../platform/mod.ts';
+import {type Host} from '../../table-service/mod.ts';
 import {
 	testKey, workspacesFile, type Fleet, type ProgramEnd,
 } from '../fleet.ts';
--- a/source/testing/stand-ins/platform-stand-in.ts
+++ b/source/testing/stand-ins/platform-stand-in.ts
@@ -7,7 +7,7 @@
 import {z} from 'zod';
 import {
 	hostListSchema, listSchema, readSchema, transactSchema, type Condition, type Host, type Operation, type Row,
-} from '../../platform/mod.ts';
+} from '../../table-service/mod.ts';
 import {answer, serveJson, type Exchange} from './control.ts';
 
 /** Options of the platform stand-in. */
--- a/source/testing/usage-fleet.ts
+++ b/source/testing/usage-fleet.ts
@@ -6,7 +6,7 @@
 import assert from 'node:assert/strict';
 import {setTimeout as delay} from 'node:timers/promises';
 import {complete} from '../client/mod.ts';
-import {type Row} from '../platform/mod.ts';
+import {type Row} from '../table-service/mod.ts';
 import {usageTable, type UsageRow} from '../accounts/mod.ts';
 import {Fleet, testKey, workspacesFile} from './fleet.ts';
 
