--- /dev/null
+++ b/source/balancing/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * Decides which endpoint gets a request.
+ *
+ * @module
+ */
+
+export * from './choose-endpoint.ts';
+export * from './choose-engine.ts';
+export * from './endpoint-health.ts';
+export * from './endpoint-loads.ts';
--- /dev/null
+++ b/source/beliefs/follow-table.ts
@@ -0,0 +1,126 @@
+/**
+ * Follows the changes of one table of the store.
+ *
+ * @module
+ */
+import {ok, type Result} from 'neverthrow';
+import {type StoreFailure, type StoredRow, type StoredRows} from '../platform/mod.ts';
+import {pause, type TaskFailure} from '../supervision/mod.ts';
+import {type Logger} from '../telemetry/mod.ts';
+import {type ClockReading} from './clock.ts';
+
+/** The calls of the store that a follower makes. */
+export type TableReader = {
+	readTable(table: string, signal?: AbortSignal): Promise<Result<StoredRows, StoreFailure>>;
+	changes(table: string, revision: number, waitMilliseconds: number, signal?: AbortSignal): Promise<Result<StoredRows, StoreFailure>>;
+};
+
+/** Receives what the store tells. */
+export type TableListener = {
+	/** The whole table. */
+	replace(rows: readonly StoredRow[], revision: number): void;
+	/** Rows that changed. */
+	apply(rows: readonly StoredRow[], revision: number): void;
+	/** Nothing newer was in the table when the store answered a call that was made at this time. */
+	confirm?(askedAt: ClockReading): void;
+	/** The store answers again after it had not. */
+	recovered?(): void;
+};
+
+/** Options of {@linkcode followTable}. */
+export type FollowTableOptions = {
+	store: TableReader;
+	table: string;
+	listener: TableListener;
+	logger: Logger;
+	/** Time that the store is asked to wait for a change, in milliseconds. */
+	waitMilliseconds: number;
+	/** Pause after each answer, so that changes of that time come in one answer, in milliseconds. */
+	pauseMilliseconds: number;
+	/** Whether to follow now; while it returns false, the table is left alone. Default always. */
+	wanted?: () => boolean;
+	readClock: () => ClockReading;
+	random: () => number;
+};
+
+/** First pause after a failed call, in milliseconds. */
+const firstRetryMilliseconds = 100;
+
+/** Longest pause after a failed call, in milliseconds. */
+const longestRetryMilliseconds = 800;
+
+/** Time between two looks at whether to follow, in milliseconds. */
+const lookMilliseconds = 100;
+
+/**
+ * Follows a table until the signal aborts: reads it whole, then its changes, and whole again when the store has dropped them.
+ *
+ * @param options Store, table and listener.
+ * @param signal Ends the task.
+ * @example
+ * ```ts
+ * supervisor.start('endpoints', signal => followTable({store, table, listener, ...options}, signal));
+ * ```
+ */
+export async function followTable(options: FollowTableOptions, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
+	const {table, logger, listener, pauseMilliseconds, random, wanted = () => true} = options;
+	let revision: number | undefined;
+	let failures = 0;
+	while (!signal.aborted) {
+		if (!wanted()) {
+			await pause(lookMilliseconds, signal);
+			continue;
+		}
+
+		const asked = await askOnce(options, revision, signal);
+		if (signal.aborted) {
+			break;
+		}
+
+		if (asked.isOk()) {
+			if (failures > 0) {
+				logger.info('table is followed again', {table, failures, revision: asked.value});
+				listener.recovered?.();
+			}
+
+			failures = 0;
+			revision = asked.value;
+			await pause(pauseMilliseconds, signal);
+			continue;
+		}
+
+		if (failures === 0) {
+			logger.warn('table cannot be followed', {table, revision, reason: asked.error.message});
+		}
+
+		failures += 1;
+		if (asked.error.kind === 'history-lost') {
+			revision = undefined;
+			continue;
+		}
+
+		const longest = Math.min(longestRetryMilliseconds, firstRetryMilliseconds * (2 ** Math.min(failures, 6)));
+		await pause(longest * (0.5 + (random() / 2)), signal);
+	}
+
+	return ok();
+}
+
+/** Asks the store once and tells the listener; returns the revision to go on from. */
+async function askOnce(options: FollowTableOptions, revision: number | undefined, signal: AbortSignal): Promise<Result<number, StoreFailure>> {
+	const {store, table, listener, waitMilliseconds, readClock} = options;
+	const askedAt = readClock();
+	const answer = revision === undefined
+		? await store.readTable(table, signal)
+		: await store.changes(table, revision, waitMilliseconds, signal);
+	return answer.map(({rows, revision: newest}) => {
+		if (revision === undefined) {
+			listener.replace(rows, newest);
+		} else {
+			listener.apply(rows, newest);
+		}
+
+		listener.confirm?.(askedAt);
+		return newest;
+	});
+}
--- /dev/null
+++ b/source/binaries/azuretack-gateway.ts
@@ -0,0 +1,63 @@
+#!/usr/bin/env node
+/**
+ * The gateway daemon's program: reads its settings and runs the gateway until a signal asks it to stop.
+ *
+ * @module
+ */
+import process from 'node:process';
+import meow from 'meow';
+import {startGateway} from '../gateway/mod.ts';
+import {gatewaySettingsSchema} from '../settings/gateway-settings.ts';
+import {formatFault, readDocument} from '../settings/read-document.ts';
+import {LineWriter} from '../telemetry/line-writer.ts';
+import {createLogger} from '../telemetry/logger.ts';
+
+const command = meow(`
+	Usage
+	  $ azuretack-gateway [--settings FILE]
+
+	Options
+	  --settings FILE  Settings, JSON with comments; by default the file that AZURETACK_SETTINGS names
+	  --check          Only check the settings
+
+	Signals
+	  SIGTERM, SIGINT  Stop: finish requests in progress, then exit
+`, {
+	importMeta: import.meta,
+	flags: {settings: {type: 'string', default: process.env.AZURETACK_SETTINGS ?? ''}, check: {type: 'boolean', default: false}},
+});
+
+const settings = await readDocument(command.flags.settings, gatewaySettingsSchema);
+if (settings.isErr()) {
+	for (const fault of settings.error) {
+		console.error(formatFault(fault));
+	}
+
+	process.exit(1);
+}
+
+if (command.flags.check) {
+	console.log(`${command.flags.settings}: no faults`);
+	process.exit(0);
+}
+
+const writer = new LineWriter();
+const logger = createLogger('gateway', {
+	level: settings.value.log.level,
+	fields: {host: settings.value.hostName},
+	write(line) {
+		writer.write(line);
+	},
+});
+const gateway = await startGateway(settings.value, logger);
+const onSignal = async () => {
+	await gateway.stop();
+	writer.end();
+	process.exit(0);
+};
+
+for (const signal of ['SIGTERM', 'SIGINT']) {
+	process.on(signal, () => {
+		void onSignal();
+	});
+}
--- /dev/null
+++ b/source/fleet/member.ts
@@ -0,0 +1,33 @@
+/**
+ * Gateways as they tell each other of themselves.
+ *
+ * @module
+ */
+import {z} from 'zod';
+
+/** Schema of one gateway. */
+export const memberSchema = z.object({
+	/** Name of the host. */
+	name: z.string().min(1),
+	availabilityZone: z.string(),
+	region: z.string(),
+	/** Address for callers. */
+	callers: z.string(),
+	/** Address for other gateways. */
+	peers: z.string(),
+	/** Unix milliseconds of the process's start; tells two processes of one host apart. */
+	incarnation: z.number(),
+	/** Rises while the process lives. */
+	heartbeat: z.number(),
+	/** Whether it takes requests. */
+	ready: z.boolean(),
+});
+
+/** One gateway. */
+export type Member = z.output<typeof memberSchema>;
+
+/** What lies in the store of a gateway, so that others find it. */
+export const registeredMemberSchema = memberSchema.omit({heartbeat: true, ready: true});
+
+/** A gateway as it lies in the store. */
+export type RegisteredMember = z.output<typeof registeredMemberSchema>;
--- /dev/null
+++ b/source/fleet/mod.ts
@@ -0,0 +1,11 @@
+/**
+ * The gateways of one installation and what they tell each other.
+ *
+ * @module
+ */
+
+export * from './choose-entries.ts';
+export * from './exchange-server.ts';
+export * from './follow-members.ts';
+export type * from './member.ts';
+export * from './member-table.ts';
--- /dev/null
+++ b/source/forwarding/answer-caller.ts
@@ -0,0 +1,68 @@
+/**
+ * Writes answers to callers.
+ *
+ * @module
+ */
+import {type Buffer} from 'node:buffer';
+import {type ServerResponse} from 'node:http';
+import {encodeAnswerHeaders} from '../platform/mod.ts';
+
+/** A final answer of the system itself. */
+export type Refusal = {
+	/** 429 and 503 promise that the request has not run and will not. */
+	status: 400 | 401 | 404 | 408 | 413 | 429 | 502 | 503 | 504;
+	/** Short stable word. */
+	code: string;
+	/** What happened, for people. */
+	message: string;
+	/** When the caller may come back, in milliseconds. */
+	retryAfterMilliseconds?: number;
+};
+
+/**
+ * Sends a refusal, unless the answer has begun.
+ *
+ * @param response The caller's answer.
+ * @param refusal What to say.
+ */
+export function sendRefusal(response: ServerResponse, {status, code, message, retryAfterMilliseconds}: Refusal): void {
+	if (response.headersSent || response.destroyed) {
+		return;
+	}
+
+	const body = JSON.stringify({error: {code, message}});
+	const headers = ['Content-Type', 'application/json', 'Content-Length', String(body.length)];
+	if (retryAfterMilliseconds !== undefined) {
+		headers.push('Retry-After', (retryAfterMilliseconds / 1000).toFixed(3));
+	}
+
+	response.writeHead(status, headers);
+	response.end(body);
+}
+
+/**
+ * Sends an endpoint's whole answer.
+ *
+ * @param response The caller's answer.
+ * @param status The endpoint's status.
+ * @param rawHeaders The endpoint's headers, names and values by turns.
+ * @param body The whole body.
+ */
+export function sendWholeAnswer(response: ServerResponse, status: number, rawHeaders: readonly string[], body: Buffer): void {
+	response.sendDate = false;
+	response.writeHead(status, [...encodeAnswerHeaders(rawHeaders), 'Content-Length', String(body.length)]);
+	response.end(body);
+}
+
+/**
+ * Begins an answer whose body follows in parts; a body that breaks off is shown by cutting the connection.
+ *
+ * @param response The caller's answer.
+ * @param status The endpoint's status.
+ * @param rawHeaders The endpoint's headers, names and values by turns.
+ */
+export function beginAnswer(response: ServerResponse, status: number, rawHeaders: readonly string[]): void {
+	response.sendDate = false;
+	response.writeHead(status, [...encodeAnswerHeaders(rawHeaders), 'Transfer-Encoding', 'chunked']);
+	response.flushHeaders();
+}
--- /dev/null
+++ b/source/forwarding/endpoint-connections.ts
@@ -0,0 +1,65 @@
+/**
+ * Connections to endpoints.
+ *
+ * @module
+ */
+import {Agent, type ClientRequest} from 'node:http';
+import {type Socket} from 'node:net';
+
+/** Time for which an unused connection is kept, in milliseconds; endpoints close theirs a little later. */
+const idleMilliseconds = 4000;
+
+/** Unused connections kept for each endpoint. */
+const idleConnections = 4;
+
+/** Keeps connections, and closes those on which an endpoint sends anything while no request waits there. */
+class QuietAgent extends Agent {
+	override keepSocketAlive(socket: Socket): boolean {
+		socket.setKeepAlive(true, idleMilliseconds);
+		socket.unref();
+		socket.on('data', destroyOnData);
+		return true;
+	}
+
+	override reuseSocket(socket: Socket, request: ClientRequest): void {
+		socket.off('data', destroyOnData);
+		request.reusedSocket = true;
+		socket.ref();
+	}
+}
+
+function destroyOnData(this: Socket): void {
+	this.destroy();
+}
+
+/**
+ * The connections of one router to all endpoints.
+ *
+ * @example
+ * ```ts
+ * const connections = new EndpointConnections();
+ * const agent = connections.agent('kept');
+ * ```
+ */
+export class EndpointConnections {
+	readonly #kept = new QuietAgent({
+		keepAlive: true, timeout: idleMilliseconds, maxFreeSockets: idleConnections, scheduling: 'lifo',
+	});
+
+	readonly #fresh = new Agent({keepAlive: false});
+
+	/**
+	 * Returns the agent of a request.
+	 *
+	 * @param use `kept` where the request may be sent again, since an unused connection may turn out to be dead; `fresh` otherwise.
+	 */
+	agent(use: 'kept' | 'fresh'): Agent {
+		return use === 'kept' ? this.#kept : this.#fresh;
+	}
+
+	/** Closes all connections. */
+	close(): void {
+		this.#kept.destroy();
+		this.#fresh.destroy();
+	}
+}
--- /dev/null
+++ b/source/forwarding/exchange.ts
@@ -0,0 +1,39 @@
+/**
+ * One request of a caller and the answer to it.
+ *
+ * @module
+ */
+import {type Buffer} from 'node:buffer';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Route, type Service, type Workspace} from '../routing/mod.ts';
+import {type RequestTerms} from './request-terms.ts';
+
+/** One request that was admitted. */
+export type Exchange = {
+	request: IncomingMessage;
+	response: ServerResponse;
+	body: Buffer;
+	terms: RequestTerms;
+	route: Route;
+	service: Service;
+	workspace: Workspace | undefined;
+	/** Name of the request in logs. */
+	requestName: string;
+	/** Steady time at which the request arrived, in milliseconds. */
+	arrivedAt: number;
+	/** Steady time by which it needs its final answer, in milliseconds. */
+	answerBy: number;
+	/** Steady time at which the caller stops to wait, in milliseconds. */
+	callerLeavesAt: number;
+	/** Aborts when the caller's connection has closed. */
+	callerGone: AbortSignal;
+};
+
+/** How a request ended, for logs and metrics. */
+export type ExchangeOutcome = {
+	/** Short stable word. */
+	outcome: string;
+	status: number;
+	/** Endpoints that were asked, in order. */
+	endpoints: readonly string[];
+};
--- /dev/null
+++ b/source/forwarding/forward-call.ts
@@ -0,0 +1,301 @@
+/**
+ * Forwards a call to a plain service.
+ *
+ * @module
+ */
+import {Buffer} from 'node:buffer';
+import {chooseEndpoint, type EndpointFailure} from '../balancing/mod.ts';
+import {type EndpointEntry} from '../beliefs/mod.ts';
+import {encodeSendHeaders} from '../platform/mod.ts';
+import {sendRefusal, sendWholeAnswer, type Refusal} from './answer-caller.ts';
+import {type Exchange, type ExchangeOutcome} from './exchange.ts';
+import {type ForwardingParts} from './forwarding-parts.ts';
+import {mayRunAgain, type AttemptEnd} from './retry-decision.ts';
+import {BrokenAnswerError, sendRequest, type EndpointAnswer} from './send-request.ts';
+
+/** A whole answer of an endpoint. */
+type WholeAnswer = {status: number; rawHeaders: readonly string[]; body: Buffer};
+
+/** How one attempt ended. */
+type CallAttempt
+	= | {kind: 'answered'; endpoint: EndpointEntry; answer: WholeAnswer}
+	| {kind: 'ended'; endpoint: EndpointEntry; end: AttemptEnd; failure: EndpointFailure | undefined; message: string; answer?: WholeAnswer; retryAfterMilliseconds?: number};
+
+/** Time for a connection to an endpoint, in milliseconds. */
+const connectMilliseconds = 150;
+
+/** Share of the target after which an idempotent call is sent to a second endpoint as well. */
+const hedgeShare = 0.5;
+
+/** Shortest time after which a call is hedged, in milliseconds. */
+const shortestHedgeMilliseconds = 40;
+
+/** When a caller may come back that found no endpoint, in milliseconds. */
+const comeBackMilliseconds = 250;
+
+/**
+ * Forwards a call, to another endpoint too where that is allowed, and answers the caller.
+ *
+ * @param exchange The call.
+ * @param parts The router's other parts.
+ * @returns How it ended.
+ */
+export async function forwardCall(exchange: Exchange, parts: ForwardingParts): Promise<ExchangeOutcome> {
+	return new CallForwarding(exchange, parts).run();
+}
+
+class CallForwarding {
+	readonly #exchange: Exchange;
+	readonly #parts: ForwardingParts;
+	readonly #tried = new Set<string>();
+	readonly #ending = new AbortController();
+	readonly #pending = new Set<Promise<CallAttempt>>();
+	#runs = 0;
+
+	constructor(exchange: Exchange, parts: ForwardingParts) {
+		this.#exchange = exchange;
+		this.#parts = parts;
+	}
+
+	async run(): Promise<ExchangeOutcome> {
+		try {
+			return await this.#serve();
+		} finally {
+			this.#ending.abort();
+		}
+	}
+
+	async #serve(): Promise<ExchangeOutcome> {
+		const {response, route} = this.#exchange;
+		const hedgeAt = this.#exchange.arrivedAt + Math.max(shortestHedgeMilliseconds, route.targetMilliseconds * hedgeShare);
+		let mayHedge = route.kind === 'idempotent' && route.maximumAttempts > 1;
+		if (!this.#start()) {
+			return this.#refuse({
+				status: 503, code: 'no_endpoint', message: 'No endpoint of the service is known.', retryAfterMilliseconds: comeBackMilliseconds,
+			});
+		}
+
+		for (;;) {
+			const step = await this.#next(mayHedge ? Math.min(hedgeAt, this.#exchange.answerBy) : this.#exchange.answerBy);
+			if (this.#exchange.callerGone.aborted) {
+				return this.#outcome('caller_left', 0);
+			}
+
+			if (step === undefined && mayHedge && this.#parts.clock() < this.#exchange.answerBy) {
+				mayHedge = false;
+				if (this.#runs < route.maximumAttempts) {
+					this.#retry('hedge');
+				}
+
+				continue;
+			}
+
+			if (step === undefined) {
+				return this.#refuse({status: 504, code: 'timeout', message: 'No endpoint answered in time.'});
+			}
+
+			if (step.kind === 'answered') {
+				sendWholeAnswer(response, step.answer.status, step.answer.rawHeaders, step.answer.body);
+				return this.#outcome('answered', step.answer.status);
+			}
+
+			if (!this.#goesOn(step) && this.#pending.size === 0) {
+				return this.#giveUp(step);
+			}
+		}
+	}
+
+	/** Starts another attempt after one that ended, where that is allowed. */
+	#goesOn({end}: CallAttempt & {kind: 'ended'}): boolean {
+		const {route, answerBy} = this.#exchange;
+		const allowed = mayRunAgain({
+			kind: route.kind, resumable: false, end, runs: this.#runs, maximumRuns: route.maximumAttempts, leftMilliseconds: answerBy - this.#parts.clock(),
+		});
+		return allowed && this.#retry(end);
+	}
+
+	#retry(reason: string): boolean {
+		const {service, requestName} = this.#exchange;
+		const allowed = this.#parts.retryBudgetOf(service.name).take(this.#parts.clock(), this.#parts.liveRouters());
+		if (!allowed) {
+			this.#parts.logger.warn('retry refused by the budget', {request: requestName, service: service.name, reason});
+			return false;
+		}
+
+		return this.#start();
+	}
+
+	/** Waits for the end of an attempt, or until a time; `undefined` when the time came first or the caller left. */
+	async #next(until: number): Promise<CallAttempt | undefined> {
+		const {callerGone} = this.#exchange;
+		let timer: NodeJS.Timeout | undefined;
+		let onGone: (() => void) | undefined;
+		const interrupted = new Promise<undefined>(resolve => {
+			onGone = () => {
+				resolve(undefined);
+			};
+
+			timer = setTimeout(onGone, Math.max(0, until - this.#parts.clock()));
+			callerGone.addEventListener('abort', onGone);
+		});
+		const step = await Promise.race([...this.#pending, interrupted]);
+		clearTimeout(timer);
+		callerGone.removeEventListener('abort', onGone!);
+		return step;
+	}
+
+	#start(): boolean {
+		const {endpoints, loads, health, availabilityZone, clock, random} = this.#parts;
+		const now = clock();
+		const endpoint = chooseEndpoint({
+			endpoints: endpoints.endpointsOf(this.#exchange.service.name, now), tried: this.#tried, loads, health, availabilityZone, now, random,
+		});
+		if (!endpoint) {
+			return false;
+		}
+
+		this.#tried.add(endpoint.id);
+		this.#runs += 1;
+		const attempt = this.#attempt(endpoint).then(ended => {
+			this.#pending.delete(attempt);
+			this.#note(ended);
+			return ended;
+		});
+		this.#pending.add(attempt);
+		return true;
+	}
+
+	async #attempt(endpoint: EndpointEntry): Promise<CallAttempt> {
+		const {request, body, terms, workspace, route, answerBy} = this.#exchange;
+		const ended = this.#parts.loads.started(endpoint.id, 0);
+		try {
+			const sent = await sendRequest({
+				agent: this.#parts.connections.agent(route.kind === 'idempotent' ? 'kept' : 'fresh'),
+				address: endpoint.address,
+				method: request.method!,
+				target: request.url!,
+				rawHeaders: encodeSendHeaders(request.rawHeaders, {
+					endpointId: endpoint.id,
+					workspace: workspace?.name,
+					deadlineMilliseconds: answerBy - this.#parts.clock(),
+					priority: undefined,
+					lastEvent: terms.lastEvent,
+					copyTo: undefined,
+					goOnFrom: undefined,
+				}),
+				body,
+				attempt: terms.attempt,
+				connectMilliseconds,
+				signal: this.#ending.signal,
+			});
+			if (sent.kind === 'answer') {
+				return await readWholeAnswer(endpoint, sent.answer);
+			}
+
+			const unreachable = sent.kind === 'not-sent';
+			return {
+				kind: 'ended', endpoint, end: unreachable ? 'not-run' : 'lost', failure: unreachable ? 'unreachable' : 'broken', message: sent.message,
+			};
+		} finally {
+			ended();
+		}
+	}
+
+	/** Remembers what an attempt says of its endpoint. */
+	#note(attempt: CallAttempt): void {
+		const {endpoints, health, logger, clock} = this.#parts;
+		const {endpoint} = attempt;
+		if (this.#ending.signal.aborted) {
+			if (attempt.kind === 'ended' && attempt.end === 'lost' && !this.#exchange.callerGone.aborted) {
+				health.failed(endpoint.id, 'broken', clock());
+			}
+
+			return;
+		}
+
+		if (attempt.kind === 'answered') {
+			health.succeeded(endpoint.id, clock());
+			return;
+		}
+
+		if (attempt.end === 'not-run') {
+			this.#runs -= 1;
+		}
+
+		if (attempt.failure) {
+			health.failed(endpoint.id, attempt.failure, clock());
+		} else {
+			endpoints.refuse(endpoint.id, endpoint.startedAt);
+		}
+
+		logger.info('attempt failed', {
+			request: this.#exchange.requestName, endpoint: endpoint.id, end: attempt.end, reason: attempt.message, runs: this.#runs,
+		});
+	}
+
+	#giveUp({end, message, answer, retryAfterMilliseconds}: CallAttempt & {kind: 'ended'}): ExchangeOutcome {
+		if (answer && end === 'failed') {
+			sendWholeAnswer(this.#exchange.response, answer.status, answer.rawHeaders, answer.body);
+			return this.#outcome('endpoint_failed', answer.status);
+		}
+
+		if (this.#runs === 0) {
+			return this.#refuse({
+				status: 503, code: 'not_run', message: `No endpoint took the request: ${message}`, retryAfterMilliseconds: retryAfterMilliseconds ?? comeBackMilliseconds,
+			});
+		}
+
+		return this.#refuse({status: 502, code: 'answer_lost', message: `The request may have run, and its answer is lost: ${message}`});
+	}
+
+	#refuse(refusal: Refusal): ExchangeOutcome {
+		sendRefusal(this.#exchange.response, refusal);
+		return this.#outcome(refusal.code, refusal.status);
+	}
+
+	#outcome(outcome: string, status: number): ExchangeOutcome {
+		return {outcome, status, endpoints: [...this.#tried]};
+	}
+}
+
+/** Reads an answer to its end and says what it means. */
+async function readWholeAnswer(endpoint: EndpointEntry, answer: EndpointAnswer): Promise<CallAttempt> {
+	const chunks: Buffer[] = [];
+	try {
+		for await (const chunk of answer.body()) {
+			chunks.push(chunk);
+		}
+	} catch (error) {
+		if (!(error instanceof BrokenAnswerError)) {
+			throw error;
+		}
+
+		return answer.terms.notExecuted
+			? notRun(endpoint, answer)
+			: {
+				kind: 'ended', endpoint, end: 'lost', failure: 'broken', message: error.message,
+			};
+	}
+
+	if (answer.terms.notExecuted) {
+		return notRun(endpoint, answer);
+	}
+
+	const whole = {status: answer.status, rawHeaders: answer.rawHeaders, body: Buffer.concat(chunks)};
+	return answer.status < 500
+		? {kind: 'answered', endpoint, answer: whole}
+		: {
+			kind: 'ended', endpoint, end: 'failed', failure: 'failed', message: `the endpoint answered ${answer.status}`, answer: whole,
+		};
+}
+
+function notRun(endpoint: EndpointEntry, {status, terms}: EndpointAnswer): CallAttempt {
+	return {
+		kind: 'ended',
+		endpoint,
+		end: 'not-run',
+		failure: status === 421 ? undefined : 'full',
+		message: `the endpoint refused with ${status}`,
+		retryAfterMilliseconds: terms.retryAfterMilliseconds,
+	};
+}
--- /dev/null
+++ b/source/forwarding/forward-generation.ts
@@ -0,0 +1,247 @@
+/**
+ * Forwards a generation, over several engines where one is lost, as one answer.
+ *
+ * @module
+ */
+import {
+	chooseCopyHolder, engineCandidates, rankEngines, type AskedEngine, type EngineReport,
+} from '../balancing/mod.ts';
+import {type EndpointEntry} from '../beliefs/mod.ts';
+import {readEngineReport} from '../platform/mod.ts';
+import {sendRefusal, sendWholeAnswer, type Refusal} from './answer-caller.ts';
+import {type Exchange, type ExchangeOutcome} from './exchange.ts';
+import {type ForwardingParts} from './forwarding-parts.ts';
+import {
+	runGenerationAttempt, type AttemptTarget, type GenerationEnd, type GenerationProgress,
+} from './generation-attempt.ts';
+import {mayRunAgain, type AttemptEnd} from './retry-decision.ts';
+
+/** Engines that are asked for their load before a generation is placed. */
+const askedEngines = 3;
+
+/** Deadline of a question before placing, in milliseconds. */
+const placeQuestionMilliseconds = 60;
+
+/** Deadline of a question to a silent engine, in milliseconds. */
+const silentQuestionMilliseconds = 150;
+
+/** When a caller may come back that found no engine, in milliseconds. */
+const comeBackMilliseconds = 500;
+
+/** Tokens of an answer that does not say how many it has. */
+const unknownOutputTokens = 800;
+
+/**
+ * Forwards a generation and answers the caller.
+ *
+ * @param exchange The generation.
+ * @param parts The router's other parts.
+ * @returns How it ended.
+ */
+export async function forwardGeneration(exchange: Exchange, parts: ForwardingParts): Promise<ExchangeOutcome> {
+	return new GenerationForwarding(exchange, parts).run();
+}
+
+class GenerationForwarding {
+	readonly #exchange: Exchange;
+	readonly #parts: ForwardingParts;
+	readonly #progress: GenerationProgress;
+	readonly #tried = new Set<string>();
+	readonly #asked: string[] = [];
+	readonly #tokens: number;
+	#copyHolder: EndpointEntry | undefined;
+	#runs = 0;
+
+	constructor(exchange: Exchange, parts: ForwardingParts) {
+		this.#exchange = exchange;
+		this.#parts = parts;
+		this.#progress = {lastEvent: exchange.terms.lastEvent, events: 0, eventAt: exchange.arrivedAt};
+		this.#tokens = exchange.terms.promptTokens + (exchange.terms.outputTokens || unknownOutputTokens);
+	}
+
+	async run(): Promise<ExchangeOutcome> {
+		let message = 'no engine of the service is known';
+		let retryAfterMilliseconds = comeBackMilliseconds;
+		for (;;) {
+			const target = await this.#chooseTarget();
+			if (this.#exchange.callerGone.aborted) {
+				return this.#outcome('caller_left', 0);
+			}
+
+			if (!target) {
+				return this.#giveUp(message, retryAfterMilliseconds);
+			}
+
+			const end = await this.#attempt(target);
+			if (end.kind === 'finished') {
+				return this.#outcome('answered', end.status);
+			}
+
+			if (end.kind === 'caller-left') {
+				return this.#outcome('caller_left', 0);
+			}
+
+			message = end.kind === 'failed' ? `the engine answered ${end.status}` : end.message;
+			retryAfterMilliseconds = (end.kind === 'not-run' ? end.retryAfterMilliseconds : undefined) ?? comeBackMilliseconds;
+			this.#note(target, end, message);
+			if (!this.#goesOn(endOfAttempt(end))) {
+				return end.kind === 'failed' && !this.#exchange.response.headersSent ? this.#passFailure(end) : this.#giveUp(message, retryAfterMilliseconds);
+			}
+		}
+	}
+
+	async #attempt(target: AttemptTarget): Promise<GenerationEnd> {
+		this.#tried.add(target.endpoint.id);
+		this.#asked.push(target.endpoint.id);
+		this.#runs += 1;
+		this.#copyHolder = target.copyHolder;
+		const ended = this.#parts.loads.started(target.endpoint.id, this.#tokens);
+		try {
+			return await runGenerationAttempt({
+				exchange: this.#exchange,
+				target,
+				progress: this.#progress,
+				agent: this.#parts.connections.agent('kept'),
+				ask: async address => this.#report(address, silentQuestionMilliseconds, 'fresh'),
+				clock: this.#parts.clock,
+			});
+		} finally {
+			ended();
+		}
+	}
+
+	/** Chooses the engine that holds a copy, or else the one with the least work before it. */
+	async #chooseTarget(): Promise<AttemptTarget | undefined> {
+		const holder = this.#copyHolder;
+		this.#copyHolder = undefined;
+		const ranked = await this.#rankEngines();
+		const target = holder && !this.#tried.has(holder.id) && !this.#parts.health.avoids(holder.id, this.#parts.clock())
+			? {endpoint: holder, goOnFrom: holder}
+			: ranked[0] && {endpoint: ranked[0].endpoint, goOnFrom: undefined};
+		if (!target) {
+			return undefined;
+		}
+
+		const copies = this.#exchange.service.engine?.backups === true && this.#exchange.route.resumable;
+		return {...target, copyHolder: copies ? chooseCopyHolder(ranked, target.endpoint, this.#tokens) : undefined};
+	}
+
+	async #rankEngines(): Promise<AskedEngine[]> {
+		const {endpoints, health, loads, clock} = this.#parts;
+		const now = clock();
+		const candidates = engineCandidates({
+			endpoints: endpoints.endpointsOf(this.#exchange.service.name, now),
+			tried: this.#tried,
+			health,
+			preferenceKey: this.#exchange.terms.promptPart ?? this.#exchange.requestName,
+			count: askedEngines,
+			now,
+		});
+		const asked = await Promise.all(candidates.map(async endpoint => ({endpoint, report: await this.#report(endpoint.address, placeQuestionMilliseconds, 'kept')})));
+		for (const {endpoint, report} of asked) {
+			if (!report) {
+				health.failed(endpoint.id, 'unreachable', clock());
+			}
+		}
+
+		const ranked = rankEngines({asked, loads, tokens: this.#tokens});
+		return ranked.length > 0 || candidates.length === 0 || this.#exchange.callerGone.aborted || clock() >= this.#exchange.answerBy
+			? ranked
+			: this.#afterAvoided(candidates);
+	}
+
+	/** Asks other engines, once all that were asked have not answered. */
+	async #afterAvoided(candidates: readonly EndpointEntry[]): Promise<AskedEngine[]> {
+		const {endpoints, health, clock} = this.#parts;
+		const now = clock();
+		const others = endpoints.endpointsOf(this.#exchange.service.name, now).some(({id}) => !this.#tried.has(id) && !health.avoids(id, now));
+		return others ? this.#rankEngines() : candidates.map(endpoint => ({endpoint, report: undefined}));
+	}
+
+	async #report(address: string, timeoutMilliseconds: number, use: 'kept' | 'fresh'): Promise<EngineReport | undefined> {
+		const report = await readEngineReport({agent: this.#parts.connections.agent(use), address, timeoutMilliseconds});
+		return report.unwrapOr(undefined);
+	}
+
+	/** Remembers what the end of an attempt says of its engine. */
+	#note({endpoint, goOnFrom}: AttemptTarget, end: GenerationEnd & {kind: 'not-run' | 'lost' | 'failed'}, reason: string): void {
+		const {health, endpoints, clock, logger} = this.#parts;
+		if (end.kind === 'not-run') {
+			this.#runs -= 1;
+		}
+
+		if (end.kind === 'not-run' && end.status === 421) {
+			endpoints.refuse(endpoint.id, endpoint.startedAt);
+		} else if (end.kind === 'failed') {
+			health.failed(endpoint.id, 'failed', clock());
+		} else if (end.kind === 'not-run' && !end.unreachable) {
+			if (goOnFrom) {
+				// The engine lost its copy; it may still run the generation from its prompt.
+				this.#tried.delete(endpoint.id);
+			} else {
+				health.failed(endpoint.id, 'full', clock());
+			}
+		} else {
+			health.failed(endpoint.id, end.unreachable ? 'unreachable' : 'broken', clock());
+		}
+
+		logger.info('attempt failed', {
+			request: this.#exchange.requestName, endpoint: endpoint.id, end: end.kind, reason, runs: this.#runs, events: this.#progress.events, lastEvent: this.#progress.lastEvent, copyHolder: this.#copyHolder?.id, goOnFrom: goOnFrom?.id,
+		});
+	}
+
+	#goesOn(end: AttemptEnd): boolean {
+		const {route, service, answerBy, requestName} = this.#exchange;
+		const {clock, liveRouters, logger} = this.#parts;
+		const allowed = mayRunAgain({
+			kind: route.kind, resumable: route.resumable, end, runs: this.#runs, maximumRuns: route.maximumAttempts, leftMilliseconds: answerBy - clock(),
+		});
+		if (!allowed) {
+			return false;
+		}
+
+		if (this.#parts.retryBudgetOf(service.name).take(clock(), liveRouters())) {
+			return true;
+		}
+
+		logger.warn('retry refused by the budget', {request: requestName, service: service.name});
+		return false;
+	}
+
+	#passFailure({status, rawHeaders, body}: GenerationEnd & {kind: 'failed'}): ExchangeOutcome {
+		sendWholeAnswer(this.#exchange.response, status, rawHeaders, body);
+		return this.#outcome('endpoint_failed', status);
+	}
+
+	#giveUp(message: string, retryAfterMilliseconds: number): ExchangeOutcome {
+		const {response, answerBy} = this.#exchange;
+		if (response.headersSent) {
+			// A caller sees by the cut connection that the answer is not whole.
+			response.destroy();
+			return this.#outcome('broken_off', 200);
+		}
+
+		if (this.#runs === 0) {
+			return this.#refuse({
+				status: 503, code: 'not_run', message: `No engine took the request: ${message}`, retryAfterMilliseconds,
+			});
+		}
+
+		return this.#parts.clock() >= answerBy
+			? this.#refuse({status: 504, code: 'timeout', message: 'No engine answered in time.'})
+			: this.#refuse({status: 502, code: 'answer_lost', message: `The request may have run, and its answer is lost: ${message}`});
+	}
+
+	#refuse(refusal: Refusal): ExchangeOutcome {
+		sendRefusal(this.#exchange.response, refusal);
+		return this.#outcome(refusal.code, refusal.status);
+	}
+
+	#outcome(outcome: string, status: number): ExchangeOutcome {
+		return {outcome, status, endpoints: this.#asked};
+	}
+}
+
+function endOfAttempt({kind}: GenerationEnd & {kind: 'not-run' | 'lost' | 'failed'}): AttemptEnd {
+	return kind === 'failed' ? 'failed' : kind;
+}
--- /dev/null
+++ b/source/forwarding/forwarding-parts.ts
@@ -0,0 +1,28 @@
+/**
+ * What forwarding needs from the router's other parts.
+ *
+ * @module
+ */
+import {type EndpointHealth, type EndpointLoads} from '../balancing/mod.ts';
+import {type EndpointList} from '../beliefs/mod.ts';
+import {type Logger} from '../telemetry/mod.ts';
+import {type EndpointConnections} from './endpoint-connections.ts';
+import {type SharedRetryBudget} from './retry-budget.ts';
+
+/** Parts shared by all requests. */
+export type ForwardingParts = {
+	endpoints: EndpointList;
+	loads: EndpointLoads;
+	health: EndpointHealth;
+	connections: EndpointConnections;
+	logger: Logger;
+	/** Zone of this router. */
+	availabilityZone: string;
+	/** Budget of retries of a service. */
+	retryBudgetOf(service: string): SharedRetryBudget;
+	/** Routers that take requests, this one included. */
+	liveRouters(): number;
+	/** Steady time, in milliseconds. */
+	clock: () => number;
+	random: () => number;
+};
--- /dev/null
+++ b/source/forwarding/generation-attempt.ts
@@ -0,0 +1,298 @@
+/**
+ * One attempt of a generation: sends it to an engine and forwards its events.
+ *
+ * @module
+ */
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {type EngineReport} from '../balancing/mod.ts';
+import {type EndpointEntry} from '../beliefs/mod.ts';
+import {encodeSendHeaders} from '../platform/mod.ts';
+import {beginAnswer, sendWholeAnswer} from './answer-caller.ts';
+import {EventSplitter, type StreamEvent} from './event-splitter.ts';
+import {type Exchange} from './exchange.ts';
+import {sendRequest, BrokenAnswerError, type EndpointAnswer} from './send-request.ts';
+import {decideOnSilence, provesRestart} from './silence-decision.ts';
+
+/** Where an attempt goes. */
+export type AttemptTarget = {
+	endpoint: EndpointEntry;
+	/** Engine that receives copies of the generation's memory. */
+	copyHolder: EndpointEntry | undefined;
+	/** Engine that holds a copy to go on from. */
+	goOnFrom: EndpointEntry | undefined;
+};
+
+/** How an attempt ended. */
+export type GenerationEnd
+	/** The caller has the whole answer, or the engine's own failure as it is. */
+	= | {kind: 'finished'; status: number}
+	| {kind: 'caller-left'}
+	/** The engine did not run it; `unreachable` where it could not be connected to. */
+	| {kind: 'not-run'; status: number; unreachable: boolean; retryAfterMilliseconds: number | undefined; message: string}
+	/** The engine answered with a failure of its own before any event. */
+	| {kind: 'failed'; status: number; rawHeaders: readonly string[]; body: Buffer}
+	/** The engine is gone, or its answer broke off. */
+	| {kind: 'lost'; unreachable: boolean; message: string};
+
+/** State of a generation over its attempts. */
+export type GenerationProgress = {
+	/** Newest event that the caller has. */
+	lastEvent: string | undefined;
+	/** Events forwarded. */
+	events: number;
+	/** Steady time of the newest event, in milliseconds. */
+	eventAt: number;
+};
+
+/** Options of {@linkcode runGenerationAttempt}. */
+export type GenerationAttemptOptions = {
+	exchange: Exchange;
+	target: AttemptTarget;
+	progress: GenerationProgress;
+	agent: Parameters<typeof sendRequest>[0]['agent'];
+	/** Asks the engine for its load over a new connection; `undefined` where it does not answer. */
+	ask: (address: string) => Promise<EngineReport | undefined>;
+	clock: () => number;
+};
+
+/** Time for a connection to an engine, in milliseconds. */
+const connectMilliseconds = 150;
+
+/** Time between two looks at a silent engine, in milliseconds. */
+const lookMilliseconds = 50;
+
+/** Unanswered questions in a row after which an engine counts as dead. */
+const unansweredQuestions = 2;
+
+/**
+ * Runs one attempt.
+ *
+ * @param options Request, engine and what the caller has.
+ * @returns How it ended; whatever the caller had received by then is in `progress`.
+ */
+export async function runGenerationAttempt(options: GenerationAttemptOptions): Promise<GenerationEnd> {
+	return new GenerationAttempt(options).run();
+}
+
+class GenerationAttempt {
+	readonly #options: GenerationAttemptOptions;
+	readonly #ending = new AbortController();
+	#heardAt: number;
+	#aliveAt: number;
+	#unanswered = 0;
+	#asking = false;
+	#started = false;
+	#leftBecause: {unreachable: boolean; message: string} | undefined;
+
+	constructor(options: GenerationAttemptOptions) {
+		this.#options = options;
+		this.#heardAt = options.clock();
+		this.#aliveAt = this.#heardAt;
+	}
+
+	async run(): Promise<GenerationEnd> {
+		const {callerGone} = this.#options.exchange;
+		const end = () => {
+			this.#ending.abort();
+		};
+
+		const watch = setInterval(() => {
+			this.#watch();
+		}, lookMilliseconds);
+		callerGone.addEventListener('abort', end);
+		try {
+			return await this.#run();
+		} finally {
+			clearInterval(watch);
+			callerGone.removeEventListener('abort', end);
+			end();
+		}
+	}
+
+	async #run(): Promise<GenerationEnd> {
+		const {exchange, target, agent, clock, progress} = this.#options;
+		const sent = await sendRequest({
+			agent,
+			address: target.endpoint.address,
+			method: exchange.request.method!,
+			target: exchange.request.url!,
+			rawHeaders: encodeSendHeaders(exchange.request.rawHeaders, {
+				endpointId: target.endpoint.id,
+				workspace: exchange.workspace?.name,
+				deadlineMilliseconds: exchange.answerBy - clock(),
+				priority: undefined,
+				lastEvent: progress.lastEvent,
+				copyTo: target.copyHolder?.address,
+				goOnFrom: target.goOnFrom && {address: target.goOnFrom.address, attempt: exchange.terms.attempt ?? ''},
+			}),
+			body: exchange.body,
+			attempt: exchange.terms.attempt,
+			connectMilliseconds,
+			signal: this.#ending.signal,
+		});
+		if (exchange.callerGone.aborted) {
+			return {kind: 'caller-left'};
+		}
+
+		if (sent.kind === 'answer') {
+			this.#hear();
+			return this.#takeAnswer(sent.answer);
+		}
+
+		return sent.kind === 'not-sent' && !this.#leftBecause
+			? {
+				kind: 'not-run', status: 0, unreachable: true, retryAfterMilliseconds: undefined, message: sent.message,
+			}
+			: {kind: 'lost', ...this.#leftBecause ?? {unreachable: false, message: sent.message}};
+	}
+
+	async #takeAnswer(answer: EndpointAnswer): Promise<GenerationEnd> {
+		if (answer.terms.notExecuted) {
+			answer.abandon();
+			return {
+				kind: 'not-run', status: answer.status, unreachable: false, retryAfterMilliseconds: answer.terms.retryAfterMilliseconds, message: `the engine refused with ${answer.status}`,
+			};
+		}
+
+		try {
+			return answer.status === 200 ? await this.#forward(answer) : await this.#takeFailure(answer);
+		} catch (error) {
+			if (!(error instanceof BrokenAnswerError)) {
+				throw error;
+			}
+
+			return this.#options.exchange.callerGone.aborted
+				? {kind: 'caller-left'}
+				: {kind: 'lost', ...this.#leftBecause ?? {unreachable: false, message: error.message}};
+		}
+	}
+
+	async #takeFailure(answer: EndpointAnswer): Promise<GenerationEnd> {
+		const chunks: Buffer[] = [];
+		for await (const chunk of answer.body()) {
+			chunks.push(chunk);
+		}
+
+		const body = Buffer.concat(chunks);
+		if (answer.status < 500) {
+			if (!this.#options.exchange.response.headersSent) {
+				sendWholeAnswer(this.#options.exchange.response, answer.status, answer.rawHeaders, body);
+			}
+
+			return {kind: 'finished', status: answer.status};
+		}
+
+		return {
+			kind: 'failed', status: answer.status, rawHeaders: answer.rawHeaders, body,
+		};
+	}
+
+	/** Forwards events as they come; an event that is not whole is kept back, so that it can come from another engine. */
+	async #forward(answer: EndpointAnswer): Promise<GenerationEnd> {
+		const {response} = this.#options.exchange;
+		const splitter = new EventSplitter();
+		for await (const chunk of answer.body()) {
+			this.#hear();
+			if (!response.headersSent) {
+				beginAnswer(response, answer.status, answer.rawHeaders);
+			}
+
+			await this.#deliver(splitter.push(chunk));
+		}
+
+		if (splitter.rest.length > 0) {
+			throw new BrokenAnswerError('the answer ends within an event');
+		}
+
+		if (!response.headersSent) {
+			beginAnswer(response, answer.status, answer.rawHeaders);
+		}
+
+		response.end();
+		return {kind: 'finished', status: answer.status};
+	}
+
+	async #deliver(events: readonly StreamEvent[]): Promise<void> {
+		const {exchange: {response, callerGone}, progress, clock} = this.#options;
+		if (events.length === 0) {
+			return;
+		}
+
+		this.#started = true;
+		for (const event of events) {
+			progress.lastEvent = event.id ?? progress.lastEvent;
+			progress.events += 1;
+		}
+
+		progress.eventAt = clock();
+		const bytes = events.length === 1 ? events[0]!.bytes : Buffer.concat(events.map(event => event.bytes));
+		if (!response.write(bytes)) {
+			await waitForRoom(response, callerGone);
+		}
+	}
+
+	#hear(): void {
+		this.#heardAt = this.#options.clock();
+		this.#aliveAt = this.#heardAt;
+		this.#unanswered = 0;
+	}
+
+	#watch(): void {
+		const {exchange: {route, answerBy}, target, clock} = this.#options;
+		const now = clock();
+		if (now >= answerBy) {
+			this.#leave(false, 'the time of the request is over');
+			return;
+		}
+
+		const step = decideOnSilence({
+			started: this.#started,
+			silentMilliseconds: now - this.#heardAt,
+			unprovenMilliseconds: now - this.#aliveAt,
+			eventPauseMilliseconds: route.eventPauseMilliseconds,
+			targetMilliseconds: route.targetMilliseconds,
+			hasCopy: target.copyHolder !== undefined,
+		});
+		if (step === 'leave') {
+			this.#leave(false, `nothing was heard for ${Math.round(now - this.#heardAt)} ms`);
+		} else if (step === 'ask' && !this.#asking) {
+			void this.#ask();
+		}
+	}
+
+	async #ask(): Promise<void> {
+		const {target: {endpoint}, ask, clock} = this.#options;
+		this.#asking = true;
+		const report = await ask(endpoint.address);
+		this.#asking = false;
+		if (!report) {
+			this.#unanswered += 1;
+			if (this.#unanswered >= unansweredQuestions) {
+				this.#leave(true, 'the engine does not answer');
+			}
+
+			return;
+		}
+
+		this.#unanswered = 0;
+		this.#aliveAt = clock();
+		if (provesRestart(report, endpoint.startedAt)) {
+			this.#leave(true, 'the engine has started anew');
+		}
+	}
+
+	#leave(unreachable: boolean, message: string): void {
+		this.#leftBecause ??= {unreachable, message};
+		this.#ending.abort();
+	}
+}
+
+/** Waits until the caller's connection has room, or the caller leaves. */
+async function waitForRoom(response: Exchange['response'], callerGone: AbortSignal): Promise<void> {
+	try {
+		await once(response, 'drain', {signal: callerGone});
+	} catch {
+		// The caller left; the next read ends the attempt.
+	}
+}
--- /dev/null
+++ b/source/forwarding/silence-decision.ts
@@ -0,0 +1,69 @@
+/**
+ * Decides what to do about an engine that says nothing.
+ *
+ * Answers two loads: an engine that is busy reading other prompts is silent for seconds and must be left alone, and one that has
+ * died without a word must be left within the pause that callers accept.
+ *
+ * @module
+ */
+import {type EngineReport} from '../balancing/mod.ts';
+
+/** What is known of a silent generation. */
+export type SilentGeneration = {
+	/** Whether this attempt has brought an event. */
+	started: boolean;
+	/** Time since anything was heard on its connection, in milliseconds. */
+	silentMilliseconds: number;
+	/** Time since the engine was last known to be alive, in milliseconds. */
+	unprovenMilliseconds: number;
+	/** Longest pause between events of an answer that is on time, in milliseconds. */
+	eventPauseMilliseconds: number;
+	/** Time to the first event of an answer that is on time, in milliseconds. */
+	targetMilliseconds: number;
+	/** Whether an engine holds a copy of its memory, so that going on there costs little. */
+	hasCopy: boolean;
+};
+
+/** What to do. */
+export type SilenceStep = 'wait' | 'ask' | 'leave';
+
+/** Silence in the middle of an answer after which the engine is asked whether it lives, in milliseconds. */
+const askAfterMilliseconds = 300;
+
+/** Silence before the first event after which the engine is asked whether it lives, in milliseconds. */
+const askBeforeFirstMilliseconds = 600;
+
+/** Pauses that a started generation with a copy elsewhere is given. */
+const pausesWithCopy = 3;
+
+/** Pauses that a started generation without a copy is given. */
+const pausesWithoutCopy = 6;
+
+/** Share of the target that a generation is given up to its first event. */
+const firstEventShare = 0.8;
+
+/**
+ * Decides about a silent engine that has not been found dead.
+ *
+ * @param generation What is known.
+ */
+export function decideOnSilence(generation: SilentGeneration): SilenceStep {
+	const {started, silentMilliseconds, unprovenMilliseconds, eventPauseMilliseconds, targetMilliseconds, hasCopy} = generation;
+	const longest = started ? eventPauseMilliseconds * (hasCopy ? pausesWithCopy : pausesWithoutCopy) : targetMilliseconds * firstEventShare;
+	if (silentMilliseconds >= longest) {
+		return 'leave';
+	}
+
+	const askAfter = started ? askAfterMilliseconds : askBeforeFirstMilliseconds;
+	return unprovenMilliseconds >= askAfter ? 'ask' : 'wait';
+}
+
+/**
+ * Whether a report proves that a generation is no longer at its engine.
+ *
+ * @param report The engine's report.
+ * @param startedAt Start of the engine that the generation was sent to, in Unix milliseconds; 0 where it is not known.
+ */
+export function provesRestart(report: EngineReport, startedAt: number): boolean {
+	return startedAt !== 0 && report.startedAt !== 0 && report.startedAt !== startedAt;
+}
--- /dev/null
+++ b/source/gateway/follow-store.ts
@@ -0,0 +1,89 @@
+/**
+ * The tasks that keep a gateway's knowledge of configuration and endpoints fresh.
+ *
+ * @module
+ */
+import {followTable, type EndpointChange, type TableListener} from '../beliefs/mod.ts';
+import {
+	configurationKey, decodeConfiguration, decodeEndpoint, endpointTable, operatorTable, type StoredRow,
+} from '../platform/mod.ts';
+import {type Supervisor} from '../supervision/supervisor.ts';
+import {type GatewayParts} from './gateway-parts.ts';
+
+/** Time for which the store waits for a new configuration before it says that there is none, in milliseconds. */
+const configurationWaitMilliseconds = 1200;
+
+/** Time for which the store waits for a change of the endpoints, in milliseconds. */
+const endpointWaitMilliseconds = 5000;
+
+/** Pause between two questions for changes of the endpoints, in milliseconds; a leaving one must be left within two seconds. */
+const endpointPauseMilliseconds = 900;
+
+/**
+ * Starts the tasks.
+ *
+ * @param supervisor Runs them.
+ * @param parts The gateway's parts.
+ */
+export function followStore(supervisor: Supervisor, parts: GatewayParts): void {
+	const {store, logger, readClock, random} = parts;
+	const shared = {store, logger, readClock, random};
+	supervisor.start('configuration', async signal => followTable({
+		...shared, table: operatorTable, listener: configurationListener(parts), waitMilliseconds: configurationWaitMilliseconds, pauseMilliseconds: 0,
+	}, signal));
+	supervisor.start('endpoints', async signal => followTable({
+		...shared, table: endpointTable, listener: endpointListener(parts), waitMilliseconds: endpointWaitMilliseconds, pauseMilliseconds: endpointPauseMilliseconds,
+	}, signal));
+}
+
+function configurationListener({configuration, logger, metrics}: GatewayParts): TableListener {
+	const take = (rows: readonly StoredRow[]) => {
+		const row = rows.findLast(({key}) => key === configurationKey);
+		if (!row?.content) {
+			return;
+		}
+
+		const decoded = decodeConfiguration(row.content);
+		if (decoded.isErr()) {
+			logger.error('configuration cannot be read', {revision: row.revision, reason: decoded.error});
+			return;
+		}
+
+		if (configuration.learn(decoded.value)) {
+			metrics.configurationVersion.set(decoded.value.version);
+			logger.info('configuration in force', {version: decoded.value.version, revision: row.revision, routes: decoded.value.routes.length});
+		}
+	};
+
+	return {
+		replace: take,
+		apply: take,
+		confirm(askedAt) {
+			configuration.confirm(askedAt);
+		},
+	};
+}
+
+function endpointListener({endpoints, logger, clock}: GatewayParts): TableListener {
+	const decode = (row: StoredRow): EndpointChange => {
+		const decoded = row.content && decodeEndpoint(row.key, row.content);
+		if (decoded?.isErr()) {
+			logger.warn('endpoint entry cannot be read', {endpoint: row.key, revision: row.revision, reason: decoded.error});
+		}
+
+		return {id: row.key, entry: decoded?.unwrapOr(undefined), revision: row.revision};
+	};
+
+	return {
+		replace(rows, revision) {
+			endpoints.replace(rows.map(row => decode(row)), revision, clock());
+			logger.info('endpoints read', {endpoints: endpoints.size, revision});
+		},
+		apply(rows) {
+			endpoints.apply(rows.map(row => decode(row)), clock());
+		},
+		recovered() {
+			endpoints.outageEnded(clock());
+		},
+	};
+}
--- /dev/null
+++ b/source/gateway/gateway-parts.ts
@@ -0,0 +1,83 @@
+/**
+ * The parts of a gateway.
+ *
+ * @module
+ */
+import {EndpointHealth, EndpointLoads} from '../balancing/mod.ts';
+import {
+	ConfigurationBelief, EndpointList, readClock, type ClockReading,
+} from '../beliefs/mod.ts';
+import {MemberTable} from '../fleet/mod.ts';
+import {EndpointConnections, SharedRetryBudget, type ForwardingParts} from '../forwarding/mod.ts';
+import {StoreClient} from '../platform/mod.ts';
+import {type GatewaySettings} from '../settings/gateway-settings.ts';
+import {createGatewayMetrics, type GatewayMetrics} from '../telemetry/gateway-metrics.ts';
+import {type Logger} from '../telemetry/logger.ts';
+import {Stopping} from './stopping.ts';
+
+/** The parts, shared by servers and tasks. */
+export type GatewayParts = ForwardingParts & {
+	settings: GatewaySettings;
+	metrics: GatewayMetrics;
+	store: StoreClient;
+	configuration: ConfigurationBelief;
+	members: MemberTable;
+	stopping: Stopping;
+	readClock: () => ClockReading;
+	/** Age of the configuration up to which keys are trusted, in milliseconds. */
+	trustedKeyMilliseconds: number;
+};
+
+/** Share of the time to withdraw a key for which a configuration is trusted; the rest covers late news of the store. */
+const trustedShare = 0.8;
+
+/**
+ * Creates the parts of a gateway; none of them does anything yet.
+ *
+ * @param settings Checked settings.
+ * @param logger Receives log lines.
+ */
+export function createGatewayParts(settings: GatewaySettings, logger: Logger): GatewayParts {
+	const {hostName, availabilityZone, region, listen, bounds, store} = settings;
+	const metrics = createGatewayMetrics();
+	const members = new MemberTable({
+		self: {
+			name: hostName, availabilityZone, region, callers: listen.callers, peers: listen.peers, incarnation: Date.now(),
+		},
+	});
+	const budgets = new Map<string, SharedRetryBudget>();
+	return {
+		settings,
+		logger,
+		metrics,
+		availabilityZone,
+		members,
+		store: new StoreClient({
+			address: store,
+			observe(operation, outcome, bytes) {
+				metrics.storeCalls.inc({operation, outcome});
+				metrics.storeBytes.inc(bytes);
+			},
+		}),
+		configuration: new ConfigurationBelief(),
+		endpoints: new EndpointList(),
+		loads: new EndpointLoads(),
+		health: new EndpointHealth(),
+		connections: new EndpointConnections(),
+		stopping: new Stopping({stopMilliseconds: bounds.stopSeconds * 1000}),
+		retryBudgetOf(service) {
+			let budget = budgets.get(service);
+			if (!budget) {
+				budget = new SharedRetryBudget({ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMilliseconds: bounds.retryWindowSeconds * 1000});
+				budgets.set(service, budget);
+			}
+
+			return budget;
+		},
+		liveRouters: () => members.live(performance.now()).length,
+		trustedKeyMilliseconds: bounds.revokedKeyMilliseconds * trustedShare,
+		clock: () => performance.now(),
+		random: () => Math.random(),
+		readClock,
+	};
+}
--- /dev/null
+++ b/source/gateway/gateway.ts
@@ -0,0 +1,80 @@
+/**
+ * The gateway daemon: builds its parts, listens, and stops as planned.
+ *
+ * @module
+ */
+import {type Server} from 'node:http';
+import {composeExchange, followMembers, startExchangeServer} from '../fleet/mod.ts';
+import {listen} from '../router/listen.ts';
+import {type GatewaySettings} from '../settings/gateway-settings.ts';
+import {pause} from '../supervision/pause.ts';
+import {Supervisor} from '../supervision/supervisor.ts';
+import {type Logger} from '../telemetry/logger.ts';
+import {createCallerServer, createEntryServer, createMetricsServer} from './caller-server.ts';
+import {followStore} from './follow-store.ts';
+import {createGatewayParts, type GatewayParts} from './gateway-parts.ts';
+import {isReady} from './readiness.ts';
+
+/** A running gateway. */
+export type Gateway = {
+	/** Stops as planned; settles once nothing is in progress or the time is over. */
+	stop(): Promise<void>;
+};
+
+/** Time between two looks at whether a stop is done, in milliseconds. */
+const lookMilliseconds = 50;
+
+/**
+ * Starts a gateway.
+ *
+ * @param settings Checked settings.
+ * @param logger Receives log lines.
+ * @returns The gateway, once it listens.
+ * @throws {Error} When an address cannot be listened on.
+ */
+export async function startGateway(settings: GatewaySettings, logger: Logger): Promise<Gateway> {
+	const parts = createGatewayParts(settings, logger);
+	const supervisor = new Supervisor({logger});
+	followStore(supervisor, parts);
+	const callerServer = createCallerServer(parts);
+	const entryServer = createEntryServer(parts);
+	await listen(callerServer, settings.listen.callers);
+	await listen(entryServer, settings.listen.entries);
+	await listenUnlessSame(createEntryServer(parts), settings.listen.readiness, settings.listen.entries);
+	await listen(createMetricsServer(parts), settings.listen.metrics);
+	await startExchangeServer({
+		listen: settings.listen.peers,
+		answer(message) {
+			parts.members.merge(message.members, parts.clock());
+			return composeExchange(parts.members, parts.clock());
+		},
+	});
+	supervisor.start('members', async signal => followMembers({...parts, ready: () => isReady(parts)}, signal));
+	logger.info('gateway listening', {callers: settings.listen.callers, incarnation: parts.members.self.incarnation});
+	return {
+		stop: async () => stopGateway(parts, callerServer),
+	};
+}
+
+async function listenUnlessSame(server: Server, address: string, other: string): Promise<void> {
+	if (address !== other) {
+		await listen(server, address);
+	}
+}
+
+async function stopGateway(parts: GatewayParts, callerServer: Server): Promise<void> {
+	const {stopping, logger, clock, members} = parts;
+	stopping.begin(clock());
+	members.beat(false);
+	logger.info('gateway stops', {inProgress: stopping.inProgress});
+	while (!stopping.mayEnd(clock())) {
+		if (!stopping.takes(clock()) && callerServer.listening) {
+			callerServer.close();
+			callerServer.closeIdleConnections();
+		}
+
+		await pause(lookMilliseconds);
+	}
+
+	logger.info('gateway stopped', {inProgress: stopping.inProgress});
+}
--- /dev/null
+++ b/source/gateway/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * The gateway daemon, which serves callers on the users' platform.
+ *
+ * @module
+ */
+
+export * from './gateway.ts';
--- /dev/null
+++ b/source/gateway/readiness.ts
@@ -0,0 +1,16 @@
+/**
+ * Decides whether a gateway takes requests.
+ *
+ * @module
+ */
+import {type GatewayParts} from './gateway-parts.ts';
+
+/**
+ * Whether a gateway takes requests: it is not stopping and may still trust its configuration.
+ *
+ * @param parts The gateway's parts.
+ */
+export function isReady({configuration, stopping, trustedKeyMilliseconds, readClock}: GatewayParts): boolean {
+	const {table, ageMilliseconds} = configuration.knowledge(readClock());
+	return !stopping.begun && table !== undefined && (!table.asksForKeys || ageMilliseconds <= trustedKeyMilliseconds);
+}
--- /dev/null
+++ b/source/routing/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * The configuration of routes, services and workspaces, and what it allows.
+ *
+ * @module
+ */
+
+export * from './admit-request.ts';
+export type * from './model.ts';
+export * from './route-table.ts';
--- /dev/null
+++ b/source/settings/gateway-settings.ts
@@ -0,0 +1,43 @@
+/**
+ * Settings of the gateway daemon.
+ *
+ * @module
+ */
+import {z} from 'zod';
+import {addressSchema} from './router-settings.ts';
+
+/** Schema of the gateway's settings file; `deploy/gateway.template.jsonc` shows each field. */
+export const gatewaySettingsSchema = z.object({
+	hostName: z.string().min(1),
+	availabilityZone: z.string().min(1),
+	region: z.string().min(1),
+	/** Where the daemon listens. */
+	listen: z.object({
+		callers: addressSchema,
+		readiness: addressSchema,
+		entries: addressSchema,
+		peers: addressSchema,
+		metrics: addressSchema,
+	}),
+	/** Address of the platform's store. */
+	store: addressSchema,
+	bounds: z.object({
+		/** Time after which a key that was taken away is served nowhere, in milliseconds. */
+		revokedKeyMilliseconds: z.number().positive().default(5000),
+		/** Time from a request to stop until the process is killed, in seconds. */
+		stopSeconds: z.number().positive().default(8),
+		/** Retries allowed for each request to a service. */
+		retryRatio: z.number().nonnegative().default(0.8),
+		/** Retries allowed beyond that in a window, by all gateways together. */
+		retrySlack: z.number().nonnegative().default(300),
+		retryWindowSeconds: z.number().positive().default(10),
+		/** Time for which callers keep an answer that names entries, in seconds. */
+		entriesSeconds: z.number().positive().default(5),
+	}).prefault({}),
+	log: z.object({
+		level: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info'),
+	}).prefault({}),
+});
+
+/** Checked settings of one gateway. */
+export type GatewaySettings = z.output<typeof gatewaySettingsSchema>;
--- a/source/settings/mod.ts
+++ b/source/settings/mod.ts
@@ -4,5 +4,6 @@
  * @module
  */
 
+export * from './gateway-settings.ts';
 export * from './read-document.ts';
 export * from './router-settings.ts';
--- /dev/null
+++ b/source/telemetry/gateway-metrics.ts
@@ -0,0 +1,52 @@
+/**
+ * Prometheus metrics of a gateway.
+ *
+ * @module
+ */
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+
+/** Bucket bounds of times, in seconds. */
+const secondsBuckets = [0.01, 0.03, 0.1, 0.3, 1, 3, 10, 30];
+
+/**
+ * Creates the metrics of one gateway, in a registry of their own.
+ *
+ * @example
+ * ```ts
+ * const metrics = createGatewayMetrics();
+ * metrics.requests.inc({service: 'desk', outcome: 'answered'});
+ * ```
+ */
+export function createGatewayMetrics() {
+	const registry = new Registry();
+	const registers = [registry];
+	return {
+		registry,
+		requests: new Counter({
+			name: 'azuretack_gateway_requests_total', help: 'Requests by service and outcome.', labelNames: ['service', 'outcome'], registers,
+		}),
+		attempts: new Counter({
+			name: 'azuretack_gateway_attempts_total', help: 'Requests sent to endpoints, by service.', labelNames: ['service'], registers,
+		}),
+		answerSeconds: new Histogram({
+			name: 'azuretack_gateway_answer_seconds', help: 'Time from a request to the end of its answer.', labelNames: ['service'], buckets: secondsBuckets, registers,
+		}),
+		storeCalls: new Counter({
+			name: 'azuretack_gateway_store_calls_total', help: 'Calls to the store by operation and outcome.', labelNames: ['operation', 'outcome'], registers,
+		}),
+		storeBytes: new Counter({
+			name: 'azuretack_gateway_store_bytes_total', help: 'Bytes of answers of the store.', registers,
+		}),
+		configurationVersion: new Gauge({
+			name: 'azuretack_gateway_configuration_version', help: 'Version of the configuration in force.', registers,
+		}),
+		liveGateways: new Gauge({
+			name: 'azuretack_gateway_live_gateways', help: 'Gateways that were heard of lately, this one included.', registers,
+		}),
+	};
+}
+
+/** The metrics of one gateway. */
+export type GatewayMetrics = ReturnType<typeof createGatewayMetrics>;
