--- a/source/forwarding/endpoint-connections.ts
+++ b/source/forwarding/endpoint-connections.ts
@@ -12,19 +12,24 @@
 /** Unused connections kept for each endpoint. */
 const idleConnections = 4;
 
+/** The library's own handling, which its types do not declare in full. */
+// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Both methods are documented.
+const agentMethods = Agent.prototype as unknown as {keepSocketAlive(socket: Socket): boolean; reuseSocket(socket: Socket, request: ClientRequest): void};
+
 /** Keeps connections, and closes those on which an endpoint sends anything while no request waits there. */
 class QuietAgent extends Agent {
 	override keepSocketAlive(socket: Socket): boolean {
-		socket.setKeepAlive(true, idleMilliseconds);
-		socket.unref();
-		socket.on('data', destroyOnData);
-		return true;
+		const kept = agentMethods.keepSocketAlive.call(this, socket);
+		if (kept) {
+			socket.on('data', destroyOnData);
+		}
+
+		return kept;
 	}
 
 	override reuseSocket(socket: Socket, request: ClientRequest): void {
 		socket.off('data', destroyOnData);
-		request.reusedSocket = true;
-		socket.ref();
+		agentMethods.reuseSocket.call(this, socket, request);
 	}
 }
 
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -15,6 +15,7 @@
 	runGenerationAttempt, type AttemptTarget, type GenerationEnd, type GenerationProgress,
 } from './generation-attempt.ts';
 import {mayRunAgain, type AttemptEnd} from './retry-decision.ts';
+import {provesRestart} from './silence-decision.ts';
 
 /** Engines that are asked for their load before a generation is placed. */
 const askedEngines = 3;
@@ -73,6 +74,8 @@
 			}
 
 			const end = await this.#attempt(target);
+			// Only an engine that has run the generation can have sent a copy.
+			this.#copyHolder = end.kind === 'lost' && this.#progress.events > 0 ? target.copyHolder : undefined;
 			if (end.kind === 'finished') {
 				return this.#outcome('answered', end.status);
 			}
@@ -94,7 +97,6 @@
 		this.#tried.add(target.endpoint.id);
 		this.#asked.push(target.endpoint.id);
 		this.#runs += 1;
-		this.#copyHolder = target.copyHolder;
 		const ended = this.#parts.loads.started(target.endpoint.id, this.#tokens);
 		try {
 			return await runGenerationAttempt({
@@ -137,10 +139,13 @@
 			count: askedEngines,
 			now,
 		});
-		const asked = await Promise.all(candidates.map(async endpoint => ({endpoint, report: await this.#report(endpoint.address, placeQuestionMilliseconds, 'kept')})));
-		for (const {endpoint, report} of asked) {
-			if (!report) {
-				health.failed(endpoint.id, 'unreachable', clock());
+		const asked: AskedEngine[] = await Promise.all(candidates.map(async endpoint => ({endpoint, report: await this.#report(endpoint.address, placeQuestionMilliseconds, 'kept')})));
+		for (const engine of asked) {
+			if (!engine.report) {
+				health.failed(engine.endpoint.id, 'unreachable', clock());
+			} else if (provesRestart(engine.report, engine.endpoint.startedAt)) {
+				endpoints.refuse(engine.endpoint.id, engine.endpoint.startedAt);
+				engine.report = undefined;
 			}
 		}
 
