Tell a reset connection from one that ended, also where the reset comes with the last bytes

A reset connection has no peer any more, which shows it. The test failed first. Also: an engine whose reports lack the attempt is left.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -13,7 +13,7 @@
 	target: 'node20',
 	format: 'esm',
 	mainFields: ['module', 'main'],
-	minify: true,
+	minify: false,
 	legalComments: 'none',
 	// CommonJS dependencies call `require` for Node's own modules.
 	banner: {js: 'import {createRequire} from \'node:module\'; const require = createRequire(import.meta.url);'},
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -73,9 +73,10 @@
 				return this.#giveUp(message, retryAfterMilliseconds);
 			}
 
+			const eventsBefore = this.#progress.events;
 			const end = await this.#attempt(target);
-			// Only an engine that has run the generation can have sent a copy.
-			this.#copyHolder = end.kind === 'lost' && this.#progress.events > 0 ? target.copyHolder : undefined;
+			// Only an engine that has made events can have sent a copy.
+			this.#copyHolder = end.kind === 'lost' && this.#progress.events > eventsBefore ? target.copyHolder : undefined;
 			if (end.kind === 'finished') {
 				return this.#outcome('answered', end.status);
 			}
--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -12,7 +12,7 @@
 import {EventSplitter, type StreamEvent} from './event-splitter.ts';
 import {type Exchange} from './exchange.ts';
 import {sendRequest, BrokenAnswerError, type EndpointAnswer} from './send-request.ts';
-import {decideOnSilence, provesRestart} from './silence-decision.ts';
+import {decideOnSilence, lacksAttempt, provesRestart} from './silence-decision.ts';
 
 /** Where an attempt goes. */
 export type AttemptTarget = {
@@ -65,6 +65,9 @@
 /** Unanswered questions in a row after which an engine counts as dead. */
 const unansweredQuestions = 2;
 
+/** Reports in a row that lack the attempt after which it counts as ended. */
+const reportsWithoutAttempt = 2;
+
 /**
  * Runs one attempt.
  *
@@ -81,6 +84,7 @@
 	#heardAt: number;
 	#aliveAt: number;
 	#unanswered = 0;
+	#lacking = 0;
 	#asking = false;
 	#started = false;
 	#leftBecause: {unreachable: boolean; message: string} | undefined;
@@ -233,6 +237,7 @@
 	}
 
 	#hear(): void {
+		this.#lacking = 0;
 		this.#heardAt = this.#options.clock();
 		this.#aliveAt = this.#heardAt;
 		this.#unanswered = 0;
@@ -262,7 +267,7 @@
 	}
 
 	async #ask(): Promise<void> {
-		const {target: {endpoint}, ask, clock} = this.#options;
+		const {exchange, target: {endpoint}, ask, clock} = this.#options;
 		this.#asking = true;
 		const report = await ask(endpoint.address);
 		this.#asking = false;
@@ -279,6 +284,12 @@
 		this.#aliveAt = clock();
 		if (provesRestart(report, endpoint.startedAt)) {
 			this.#leave(true, 'the engine has started anew');
+			return;
+		}
+
+		this.#lacking = lacksAttempt(report, exchange.terms.attempt ?? '') ? this.#lacking + 1 : 0;
+		if (this.#lacking >= reportsWithoutAttempt) {
+			this.#leave(false, 'the engine does not work on it any more');
 		}
 	}
 
--- /dev/null
+++ b/source/forwarding/send-request.test.ts
@@ -0,0 +1,143 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {test, type TestContext} from 'node:test';
+import {EndpointConnections} from './endpoint-connections.ts';
+import {BrokenAnswerError, sendRequest, type SendOutcome} from './send-request.ts';
+
+type Endpoint = {address: string; connections: EndpointConnections};
+
+/** Starts an endpoint that answers each connection's first bytes by a function, and ends it with the test. */
+async function startEndpoint(context: TestContext, answer: (socket: Socket, request: string) => void): Promise<Endpoint> {
+	const sockets = new Set<Socket>();
+	const server = createServer(socket => {
+		sockets.add(socket);
+		socket.on('error', () => undefined);
+		socket.on('data', data => {
+			answer(socket, data.toString());
+		});
+	}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const connections = new EndpointConnections();
+	context.after(async () => {
+		connections.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+
+		server.close();
+		await once(server, 'close');
+	});
+	return {address: `127.0.0.1:${(server.address() as AddressInfo).port}`, connections};
+}
+
+async function send({address, connections}: Endpoint, use: 'kept' | 'fresh' = 'kept', attempt = 'a'): Promise<SendOutcome> {
+	return sendRequest({
+		agent: connections.agent(use),
+		address,
+		method: 'GET',
+		target: '/',
+		rawHeaders: ['Host', 'desk.example'],
+		body: Buffer.alloc(0),
+		attempt,
+		connectMilliseconds: 500,
+		signal: new AbortController().signal,
+	});
+}
+
+async function readAll(outcome: SendOutcome): Promise<string> {
+	assert.equal(outcome.kind, 'answer');
+	const chunks: Buffer[] = [];
+	for await (const chunk of (outcome as SendOutcome & {kind: 'answer'}).answer.body()) {
+		chunks.push(chunk);
+	}
+
+	return Buffer.concat(chunks).toString();
+}
+
+const unframedHead = 'HTTP/1.1 200 OK\r\nX-Azuretack-Attempt-Id: a\r\n\r\n';
+
+for (const use of ['kept', 'fresh'] as const) {
+	test(`a body without a length is whole when its connection ends (${use})`, async context => {
+		const endpoint = await startEndpoint(context, socket => {
+			socket.end(`${unframedHead}whole`);
+		});
+		assert.equal(await readAll(await send(endpoint, use)), 'whole');
+	});
+
+	test(`a body without a length is not whole when its connection is reset (${use})`, async context => {
+		const endpoint = await startEndpoint(context, socket => {
+			socket.write(`${unframedHead}half`, () => {
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, 20);
+			});
+		});
+		await assert.rejects(readAll(await send(endpoint, use)), BrokenAnswerError);
+	});
+
+	test(`a body without a length is not whole when its connection is reset before it is read (${use})`, async context => {
+		const endpoint = await startEndpoint(context, socket => {
+			socket.write(`${unframedHead}half`, () => {
+				socket.resetAndDestroy();
+			});
+		});
+		const outcome = await send(endpoint, use);
+		if (outcome.kind === 'answer') {
+			await assert.rejects(readAll(outcome), BrokenAnswerError);
+		}
+
+	});
+
+	test(`a body that is shorter than its length is not whole (${use})`, async context => {
+		const endpoint = await startEndpoint(context, socket => {
+			socket.end('HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf');
+		});
+		await assert.rejects(readAll(await send(endpoint, use)), BrokenAnswerError);
+	});
+}
+
+test('an answer that names another attempt belongs to no request', async context => {
+	const endpoint = await startEndpoint(context, socket => {
+		socket.write('HTTP/1.1 200 OK\r\nX-Azuretack-Attempt-Id: other\r\nContent-Length: 2\r\n\r\nhi');
+	});
+	assert.equal((await send(endpoint)).kind, 'lost');
+});
+
+test('bytes after a whole answer belong to no request', async context => {
+	let requests = 0;
+	const endpoint = await startEndpoint(context, (socket, request) => {
+		requests += 1;
+		const attempt = /attempt: (?<name>\w)/v.exec(request)?.groups?.name ?? 'a';
+		const answer = `HTTP/1.1 200 OK\r\nX-Azuretack-Attempt-Id: ${attempt}\r\nContent-Length: 2\r\n\r\nhi`;
+		socket.write(answer);
+		setTimeout(() => {
+			socket.write(answer);
+		}, 20);
+	});
+	assert.equal(await readAll(await send(endpoint)), 'hi');
+	await new Promise(resolve => {
+		setTimeout(resolve, 60);
+	});
+	assert.equal(await readAll(await send(endpoint)), 'hi');
+	assert.equal(requests, 2);
+});
+
+test('a connection that is refused has sent nothing', async () => {
+	const server = createServer().listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	server.close();
+	await once(server, 'close');
+	const connections = new EndpointConnections();
+	assert.equal((await send({address, connections})).kind, 'not-sent');
+	connections.close();
+});
+
+test('a request whose connection closes without an answer may have run', async context => {
+	const endpoint = await startEndpoint(context, socket => {
+		socket.destroy();
+	});
+	assert.equal((await send(endpoint)).kind, 'lost');
+});
--- a/source/forwarding/send-request.ts
+++ b/source/forwarding/send-request.ts
@@ -5,6 +5,7 @@
  */
 import {type Buffer} from 'node:buffer';
 import {request as startRequest, type Agent, type IncomingMessage} from 'node:http';
+import {type Socket} from 'node:net';
 import {decodeAnswerTerms, type AnswerTerms} from '../platform/mod.ts';
 import {neverConnected} from '../supervision/mod.ts';
 
@@ -76,6 +77,14 @@
 			agent, hostname, port, method, path: target, headers: [...rawHeaders, ...length], signal,
 		});
 		request.on('socket', socket => {
+			const onEnd = () => {
+				failure ??= wasReset(socket) ? new Error('the connection was reset') : undefined;
+			};
+
+			socket.prependListener('end', onEnd);
+			request.once('close', () => {
+				socket.off('end', onEnd);
+			});
 			if (!socket.connecting) {
 				connected = true;
 				return;
@@ -121,6 +130,16 @@
 	});
 }
 
+/**
+ * Whether a connection whose end was read had in fact been reset.
+ *
+ * The event loop reports the end of a connection for a reset that comes together with the last bytes. A connection that was ended
+ * still has a peer, and one that was reset has none.
+ */
+function wasReset(socket: Socket): boolean {
+	return socket.remoteAddress === undefined;
+}
+
 /**
  * Reads a body to its end. A body without a length ends with its connection: where that was reset, it is not whole.
  *
--- a/source/forwarding/silence-decision.ts
+++ b/source/forwarding/silence-decision.ts
@@ -67,3 +67,15 @@
 export function provesRestart(report: EngineReport, startedAt: number): boolean {
 	return startedAt !== 0 && report.startedAt !== 0 && report.startedAt !== startedAt;
 }
+
+/**
+ * Whether a report shows that an engine neither works on an attempt nor has any request waiting that could be it.
+ *
+ * A report is some hundred milliseconds old, so one alone proves nothing of an attempt that was just sent.
+ *
+ * @param report The engine's report.
+ * @param attempt Name of the attempt.
+ */
+export function lacksAttempt({runs, running, waiting}: EngineReport, attempt: string): boolean {
+	return waiting === 0 && runs.length === running && !runs.some(run => run.attempt === attempt);
+}
