Place prompts by the reading that lies before them, and leave an engine only on proof

Cause: engines that read four prompts at once were left after 3.6 s, and their reading was wasted; 'running' in a report counts both prompts being read and answers being generated.

--- a/source/balancing/choose-engine.ts
+++ b/source/balancing/choose-engine.ts
@@ -20,12 +20,14 @@
 	/** Tokens of memory in use that cannot be given up. */
 	usedTokens: number;
 	memoryTokens: number;
+	/** Part of these tokens that copies and reservations take. */
+	heldTokens: number;
 	/** Tokens of the first waiting request. */
 	nextTokens: number;
 	/** Unix milliseconds of the engine's start; 0 where it does not say. */
 	startedAt: number;
 	leaving: boolean;
-	/** Requests in progress. */
+	/** Requests that have brought a token; the other running ones are being read. */
 	runs: ReadonlyArray<{attempt: string; tokens: number; events: number}>;
 };
 
@@ -44,7 +46,8 @@
 };
 
 /**
- * Names the engines that are worth asking for their load: the most preferred ones, from two zones at least where there are two.
+ * Names the engines that are worth asking for their load: the most preferred ones, from as many
+ * zones as there are, since a zone's engines tend to be lost together.
  *
  * @param options Engines and what is known of them.
  */
@@ -57,14 +60,21 @@
 		.map(endpoint => ({endpoint, weight: rendezvousWeight(hashed, endpoint.address)}))
 		.toSorted((left, right) => right.weight - left.weight)
 		.map(({endpoint}) => endpoint);
-	const chosen = ordered.slice(0, count);
-	const [first] = chosen;
-	if (first && chosen.length > 1 && chosen.every(({availabilityZone}) => availabilityZone === first.availabilityZone)) {
-		const elsewhere = ordered.find(({availabilityZone}) => availabilityZone !== first.availabilityZone);
-		chosen[chosen.length - 1] = elsewhere ?? chosen.at(-1)!;
+	return spreadOverZones(ordered, count);
+}
+
+/** Takes the first engine of each zone, and then those that are left, each in their order. */
+function spreadOverZones(ordered: readonly EndpointEntry[], count: number): EndpointEntry[] {
+	const zones = new Set<string>();
+	const firsts: EndpointEntry[] = [];
+	const rest: EndpointEntry[] = [];
+	for (const endpoint of ordered) {
+		const isFirst = !zones.has(endpoint.availabilityZone);
+		zones.add(endpoint.availabilityZone);
+		(isFirst ? firsts : rest).push(endpoint);
 	}
 
-	return chosen;
+	return [...firsts, ...rest].slice(0, count);
 }
 
 /** An engine and its report; no report means that it did not answer. */
@@ -79,11 +89,14 @@
 	tokens: number;
 };
 
-/** Tokens that a waiting request is taken to have, where the report does not say. */
-const waitingTokens = 6000;
+/** Tokens that a request is taken to have, where the report does not say. */
+const usualTokens = 8000;
+
+/** Share of the prompts that are being read that is taken to be still unread. */
+const unreadShare = 0.6;
 
-/** Tokens of reading that a running request counts for: it slows each step a little, and may still be read. */
-const runningTokens = 1500;
+/** Tokens of reading that a generating request counts for, since it slows each step a little. */
+const generatingTokens = 400;
 
 /** Tokens of reading that a lack of memory counts for; the request would push another one out. */
 const fullTokens = 40_000;
@@ -101,12 +114,15 @@
 		.map(({engine}) => engine);
 }
 
+/** Tokens that an engine has to read before it gets to a new request. */
 function workBefore({endpoint, report}: AskedEngine, loads: EndpointLoads, tokens: number): number {
-	const {waiting, running, usedTokens, memoryTokens, nextTokens} = report!;
-	const unseen = Math.max(0, loads.requests(endpoint.id) - waiting - running);
-	const reading = (waiting > 0 ? Math.max(nextTokens, waitingTokens) + ((waiting - 1) * waitingTokens) : 0) + (unseen * waitingTokens);
-	const memoryAfter = usedTokens + tokens + reading;
-	return reading + (running * runningTokens) + (memoryAfter > memoryTokens ? fullTokens : 0);
+	const {waiting, running, runs, usedTokens, memoryTokens, heldTokens, nextTokens} = report!;
+	const generated = runs.reduce((sum, run) => sum + run.tokens, 0);
+	const beingRead = running > runs.length ? Math.max(0, usedTokens - heldTokens - generated) * unreadShare : 0;
+	const queued = waiting === 0 ? 0 : nextTokens + ((waiting - 1) * usualTokens);
+	const unseen = Math.max(0, loads.requests(endpoint.id) - waiting - running) * usualTokens;
+	const lacksMemory = usedTokens + queued + unseen + tokens > memoryTokens;
+	return beingRead + queued + unseen + (runs.length * generatingTokens) + (lacksMemory ? fullTokens : 0);
 }
 
 /**
--- a/source/forwarding/exchange.ts
+++ b/source/forwarding/exchange.ts
@@ -36,4 +36,6 @@
 	status: number;
 	/** Endpoints that were asked, in order. */
 	endpoints: readonly string[];
+	/** What the caller of a generation saw of it. */
+	generation?: {events: number; firstEventMilliseconds: number | undefined; longestPauseMilliseconds: number};
 };
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -18,13 +18,13 @@
 import {provesRestart} from './silence-decision.ts';
 
 /** Engines that are asked for their load before a generation is placed. */
-const askedEngines = 3;
+const askedEngines = 4;
 
 /** Deadline of a question before placing, in milliseconds. */
 const placeQuestionMilliseconds = 60;
 
 /** Deadline of a question to a silent engine, in milliseconds. */
-const silentQuestionMilliseconds = 150;
+const silentQuestionMilliseconds = 100;
 
 /** When a caller may come back that found no engine, in milliseconds. */
 const comeBackMilliseconds = 500;
@@ -51,12 +51,16 @@
 	readonly #asked: string[] = [];
 	readonly #tokens: number;
 	#copyHolder: EndpointEntry | undefined;
+	/** Engines of the last question, in order of their load. */
+	#ranked: readonly AskedEngine[] = [];
 	#runs = 0;
 
 	constructor(exchange: Exchange, parts: ForwardingParts) {
 		this.#exchange = exchange;
 		this.#parts = parts;
-		this.#progress = {lastEvent: exchange.terms.lastEvent, events: 0, eventAt: exchange.arrivedAt};
+		this.#progress = {
+			lastEvent: exchange.terms.lastEvent, events: 0, eventAt: exchange.arrivedAt, firstEventMilliseconds: undefined, longestPauseMilliseconds: 0,
+		};
 		this.#tokens = exchange.terms.promptTokens + (exchange.terms.outputTokens || unknownOutputTokens);
 	}
 
@@ -113,20 +117,28 @@
 		}
 	}
 
-	/** Chooses the engine that holds a copy, or else the one with the least work before it. */
+	/** Chooses the engine that holds a copy, without asking any, or else the one with the least work before it. */
 	async #chooseTarget(): Promise<AttemptTarget | undefined> {
 		const holder = this.#copyHolder;
 		this.#copyHolder = undefined;
-		const ranked = await this.#rankEngines();
-		const target = holder && !this.#tried.has(holder.id) && !this.#parts.health.avoids(holder.id, this.#parts.clock())
-			? {endpoint: holder, goOnFrom: holder}
-			: ranked[0] && {endpoint: ranked[0].endpoint, goOnFrom: undefined};
-		if (!target) {
+		const goesOnFromCopy = holder !== undefined && !this.#tried.has(holder.id) && !this.#parts.health.avoids(holder.id, this.#parts.clock());
+		if (!goesOnFromCopy) {
+			this.#ranked = await this.#rankEngines();
+		}
+
+		const endpoint = goesOnFromCopy ? holder : this.#ranked[0]?.endpoint;
+		return endpoint && {endpoint, goOnFrom: goesOnFromCopy ? holder : undefined, copyHolder: this.#chooseCopyHolder(endpoint)};
+	}
+
+	#chooseCopyHolder(engine: EndpointEntry): EndpointEntry | undefined {
+		const {service, route} = this.#exchange;
+		const {health, clock} = this.#parts;
+		if (service.engine?.backups !== true || !route.resumable) {
 			return undefined;
 		}
 
-		const copies = this.#exchange.service.engine?.backups === true && this.#exchange.route.resumable;
-		return {...target, copyHolder: copies ? chooseCopyHolder(ranked, target.endpoint, this.#tokens) : undefined};
+		const usable = this.#ranked.filter(({endpoint}) => !this.#tried.has(endpoint.id) && !health.avoids(endpoint.id, clock()));
+		return chooseCopyHolder(usable, engine, this.#tokens);
 	}
 
 	async #rankEngines(): Promise<AskedEngine[]> {
@@ -244,7 +256,10 @@
 	}
 
 	#outcome(outcome: string, status: number): ExchangeOutcome {
-		return {outcome, status, endpoints: this.#asked};
+		const {events, firstEventMilliseconds, longestPauseMilliseconds} = this.#progress;
+		return {
+			outcome, status, endpoints: this.#asked, generation: {events, firstEventMilliseconds: firstEventMilliseconds && Math.round(firstEventMilliseconds), longestPauseMilliseconds: Math.round(longestPauseMilliseconds)},
+		};
 	}
 }
 
--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -12,7 +12,7 @@
 import {EventSplitter, type StreamEvent} from './event-splitter.ts';
 import {type Exchange} from './exchange.ts';
 import {sendRequest, BrokenAnswerError, type EndpointAnswer} from './send-request.ts';
-import {decideOnSilence, lacksAttempt, provesRestart} from './silence-decision.ts';
+import {decideOnSilence, lacksAttempt, provesRestart, withholdsEvents} from './silence-decision.ts';
 
 /** Where an attempt goes. */
 export type AttemptTarget = {
@@ -41,8 +41,12 @@
 	lastEvent: string | undefined;
 	/** Events forwarded. */
 	events: number;
-	/** Steady time of the newest event, in milliseconds. */
+	/** Steady time of the newest event, or of the request's arrival, in milliseconds. */
 	eventAt: number;
+	/** Time from the request to its first event, in milliseconds. */
+	firstEventMilliseconds: number | undefined;
+	/** Longest pause between two events, in milliseconds. */
+	longestPauseMilliseconds: number;
 };
 
 /** Options of {@linkcode runGenerationAttempt}. */
@@ -85,8 +89,9 @@
 	#aliveAt: number;
 	#unanswered = 0;
 	#lacking = 0;
+	#lastReport: EngineReport | undefined;
 	#asking = false;
-	#started = false;
+	#received = 0;
 	#leftBecause: {unreachable: boolean; message: string} | undefined;
 
 	constructor(options: GenerationAttemptOptions) {
@@ -223,13 +228,13 @@
 			return;
 		}
 
-		this.#started = true;
+		this.#received += events.length;
 		for (const event of events) {
 			progress.lastEvent = event.id ?? progress.lastEvent;
 			progress.events += 1;
 		}
 
-		progress.eventAt = clock();
+		notePause(progress, clock());
 		const bytes = events.length === 1 ? events[0]!.bytes : Buffer.concat(events.map(event => event.bytes));
 		if (!response.write(bytes)) {
 			await waitForRoom(response, callerGone);
@@ -252,7 +257,7 @@
 		}
 
 		const step = decideOnSilence({
-			started: this.#started,
+			started: this.#received > 0,
 			silentMilliseconds: now - this.#heardAt,
 			unprovenMilliseconds: now - this.#aliveAt,
 			eventPauseMilliseconds: route.eventPauseMilliseconds,
@@ -260,7 +265,7 @@
 			hasCopy: target.copyHolder !== undefined,
 		});
 		if (step === 'leave') {
-			this.#leave(false, `nothing was heard for ${Math.round(now - this.#heardAt)} ms`);
+			this.#leave(false, `nothing was heard for ${Math.round(now - this.#heardAt)} ms; ${describe(this.#lastReport)}`);
 		} else if (step === 'ask' && !this.#asking) {
 			void this.#ask();
 		}
@@ -282,12 +287,19 @@
 
 		this.#unanswered = 0;
 		this.#aliveAt = clock();
+		this.#lastReport = report;
 		if (provesRestart(report, endpoint.startedAt)) {
 			this.#leave(true, 'the engine has started anew');
 			return;
 		}
 
-		this.#lacking = lacksAttempt(report, exchange.terms.attempt ?? '') ? this.#lacking + 1 : 0;
+		const attempt = exchange.terms.attempt ?? '';
+		if (withholdsEvents(report, attempt, this.#received)) {
+			this.#leave(false, 'the engine has made events that do not arrive');
+			return;
+		}
+
+		this.#lacking = lacksAttempt(report, attempt) ? this.#lacking + 1 : 0;
 		if (this.#lacking >= reportsWithoutAttempt) {
 			this.#leave(false, 'the engine does not work on it any more');
 		}
@@ -299,6 +311,22 @@
 	}
 }
 
+function describe(report: EngineReport | undefined): string {
+	return report
+		? `the engine reports ${report.running} running, ${report.waiting} waiting, ${report.usedTokens} of ${report.memoryTokens} tokens in use`
+		: 'the engine was not asked';
+}
+
+function notePause(progress: GenerationProgress, now: number): void {
+	const pauseMilliseconds = now - progress.eventAt;
+	progress.eventAt = now;
+	if (progress.firstEventMilliseconds === undefined) {
+		progress.firstEventMilliseconds = pauseMilliseconds;
+	} else {
+		progress.longestPauseMilliseconds = Math.max(progress.longestPauseMilliseconds, pauseMilliseconds);
+	}
+}
+
 /** Waits until the caller's connection has room, or the caller leaves. */
 async function waitForRoom(response: Exchange['response'], callerGone: AbortSignal): Promise<void> {
 	try {
--- a/source/forwarding/silence-decision.ts
+++ b/source/forwarding/silence-decision.ts
@@ -28,7 +28,7 @@
 export type SilenceStep = 'wait' | 'ask' | 'leave';
 
 /** Silence in the middle of an answer after which the engine is asked whether it lives, in milliseconds. */
-const askAfterMilliseconds = 300;
+const askAfterMilliseconds = 250;
 
 /** Silence before the first event after which the engine is asked whether it lives, in milliseconds. */
 const askBeforeFirstMilliseconds = 600;
@@ -39,8 +39,8 @@
 /** Pauses that a started generation without a copy is given. */
 const pausesWithoutCopy = 6;
 
-/** Share of the target that a generation is given up to its first event. */
-const firstEventShare = 0.8;
+/** Share of the target that a generation is given up to its first event: the engine may read other prompts first. */
+const firstEventShare = 1.6;
 
 /**
  * Decides about a silent engine that has not been found dead.
@@ -79,3 +79,18 @@
 export function lacksAttempt({runs, running, waiting}: EngineReport, attempt: string): boolean {
 	return waiting === 0 && runs.length === running && !runs.some(run => run.attempt === attempt);
 }
+
+/** Events beyond those that were received which an engine reports when its connection is not merely slow. */
+const missedEvents = 12;
+
+/**
+ * Whether a report shows that an engine has made events that have not arrived: the connection to it has fallen silent.
+ *
+ * @param report The engine's report.
+ * @param attempt Name of the attempt.
+ * @param received Events of this attempt that have arrived.
+ */
+export function withholdsEvents({runs}: EngineReport, attempt: string, received: number): boolean {
+	const run = runs.find(candidate => candidate.attempt === attempt);
+	return run !== undefined && run.events - received >= missedEvents;
+}
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -64,13 +64,13 @@
 	}
 
 	const milliseconds = parts.clock() - arrivedAt;
-	const {outcome, status, endpoints, service = 'none', route} = result;
+	const {outcome, status, endpoints, generation, service = 'none', route} = result;
 	parts.metrics.requests.inc({service, outcome});
 	parts.metrics.attempts.inc({service}, endpoints.length);
 	parts.metrics.answerSeconds.observe({service}, milliseconds / 1000);
 	const {table, ageMilliseconds} = parts.configuration.knowledge(parts.readClock());
 	parts.logger.info('request ended', {
-		request: requestName, outcome, status, route, service, endpoints, milliseconds: Math.round(milliseconds), configuration: table?.version, configurationAge: Math.round(ageMilliseconds),
+		request: requestName, outcome, status, route, service, endpoints, milliseconds: Math.round(milliseconds), configuration: table?.version, ...generation, configurationAge: Math.round(ageMilliseconds),
 	});
 }
 
--- a/source/platform/engine-report.ts
+++ b/source/platform/engine-report.ts
@@ -19,6 +19,8 @@
 	/** Tokens of memory that cannot be given up for another request. */
 	kvUsed: z.number(),
 	kvTotal: z.number(),
+	/** Tokens of memory that copies and reservations take. */
+	held: z.number().nullish(),
 	/** Tokens of the first waiting request. */
 	next: z.number().nullish(),
 	born: z.number().nullish(),
@@ -54,12 +56,13 @@
 		return err(`the report cannot be read (status ${answer.value.status})`);
 	}
 
-	const {waiting, running, kvUsed, kvTotal, next, born, state, runs} = checked.data;
+	const {waiting, running, kvUsed, kvTotal, held, next, born, state, runs} = checked.data;
 	return ok({
 		waiting,
 		running,
 		usedTokens: kvUsed,
 		memoryTokens: kvTotal,
+		heldTokens: held ?? 0,
 		nextTokens: next ?? 0,
 		startedAt: born ?? 0,
 		leaving: state === 'draining',
