Let one gateway of each zone follow the store and the others learn from it

News times are divided from the bounds of the settings; a gateway whose source falls behind asks others, then the store itself.

--- a/source/beliefs/endpoint-list.ts
+++ b/source/beliefs/endpoint-list.ts
@@ -4,26 +4,43 @@
  * @module
  */
 
+import {isDeepStrictEqual} from 'node:util';
+import {z} from 'zod';
+import {ageOf, type ClockReading} from './clock.ts';
+
 /** One endpoint as it registered itself. */
-export type EndpointEntry = {
+export const endpointEntrySchema = z.object({
 	/** Names one life of an endpoint, mostly. */
-	id: string;
-	service: string;
+	id: z.string(),
+	service: z.string(),
 	/** IP number and port. */
-	address: string;
-	availabilityZone: string;
+	address: z.string(),
+	availabilityZone: z.string(),
 	/** Requests that it works on at once. */
-	slots: number;
+	slots: z.number(),
 	/** Whether it takes no new requests. */
-	leaving: boolean;
+	leaving: z.boolean(),
 	/** Unix milliseconds of its start; 0 where it does not say. */
-	startedAt: number;
-};
+	startedAt: z.number(),
+});
 
 /** A change of the list: an entry, or the fact that it was removed. */
-export type EndpointChange = {id: string; entry: EndpointEntry | undefined; revision: number};
+export const endpointChangeSchema = z.object({id: z.string(), entry: endpointEntrySchema.optional(), revision: z.number()});
 
-type Known = {entry: EndpointEntry | undefined; revision: number; lapsesAt: number | undefined};
+/** One endpoint as it registered itself. */
+export type EndpointEntry = z.output<typeof endpointEntrySchema>;
+
+/** A change of the list. */
+export type EndpointChange = z.output<typeof endpointChangeSchema>;
+
+type Known = {
+	entry: EndpointEntry | undefined;
+	/** Revision of the newest row. */
+	revision: number;
+	/** Revision at which the entry last changed in what it says here. */
+	changedAt: number;
+	lapsesAt: number | undefined;
+};
 
 /** Time after an outage of the store within which endpoints whose entries lapsed during it register again, in milliseconds. */
 const registerAgainMilliseconds = 2000;
@@ -46,17 +63,42 @@
 	#byService: Map<string, EndpointEntry[]> | undefined;
 	#lapsing = false;
 	#outageEndedAt = Number.NEGATIVE_INFINITY;
+	#revision = 0;
+	#confirmedAt: ClockReading | undefined;
 
 	/** Number of endpoints that are listed. */
 	get size(): number {
 		return [...this.#known.values()].filter(({entry}) => entry).length;
 	}
 
-	/** All entries and removals, for other routers. */
+	/** Revision up to which all changes are known. */
+	get revision(): number {
+		return this.#revision;
+	}
+
+	/** Time since the list was last known to be complete, in milliseconds. */
+	age(now: ClockReading): number {
+		return this.#confirmedAt ? ageOf(this.#confirmedAt, now) : Number.POSITIVE_INFINITY;
+	}
+
+	/**
+	 * Records that all changes up to a revision are known, as of a time.
+	 *
+	 * @param revision The revision.
+	 * @param at A time not after the store looked.
+	 */
+	confirm(revision: number, at: ClockReading): void {
+		this.#revision = Math.max(this.#revision, revision);
+		if (!this.#confirmedAt || at.steady > this.#confirmedAt.steady) {
+			this.#confirmedAt = at;
+		}
+	}
+
+	/** The entries and removals that changed after a revision, for other routers. */
 	changesSince(revision: number): EndpointChange[] {
 		return [...this.#known]
-			.filter(([, known]) => known.revision > revision)
-			.map(([id, {entry, revision: changedAt, lapsesAt}]) => ({id, entry: lapsesAt === undefined ? entry : undefined, revision: changedAt}));
+			.filter(([, known]) => known.changedAt > revision)
+			.map(([id, {entry, changedAt, lapsesAt}]) => ({id, entry: lapsesAt === undefined ? entry : undefined, revision: changedAt}));
 	}
 
 	/**
@@ -71,7 +113,6 @@
 		}
 
 		this.#forgetOldRemovals();
-		this.#byService = undefined;
 	}
 
 	/**
@@ -120,14 +161,23 @@
 		}
 
 		if (!entry && known?.entry && !known.entry.leaving && now - this.#outageEndedAt < registerAgainMilliseconds) {
-			this.#known.set(id, {entry: known.entry, revision, lapsesAt: this.#outageEndedAt + registerAgainMilliseconds});
+			this.#known.set(id, {...known, revision, changedAt: revision, lapsesAt: this.#outageEndedAt + registerAgainMilliseconds});
 			this.#lapsing = true;
 			return;
 		}
 
 		const leftBefore = known?.entry?.leaving === true && entry?.startedAt === known.entry.startedAt;
+		const next = entry && {...entry, leaving: entry.leaving || leftBefore};
+		if (known && known.lapsesAt === undefined && isDeepStrictEqual(known.entry, next)) {
+			known.revision = revision;
+			return;
+		}
+
 		this.#known.delete(id);
-		this.#known.set(id, {entry: entry && {...entry, leaving: entry.leaving || leftBefore}, revision, lapsesAt: undefined});
+		this.#known.set(id, {
+			entry: next, revision, changedAt: revision, lapsesAt: undefined,
+		});
+		this.#byService = undefined;
 	}
 
 	#removeLapsed(now: number): void {
--- a/source/beliefs/follow-table.ts
+++ b/source/beliefs/follow-table.ts
@@ -8,6 +8,7 @@
 import {pause, type TaskFailure} from '../supervision/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {type ClockReading} from './clock.ts';
+import {type StoreClock} from './store-clock.ts';
 
 /** The calls of the store that a follower makes. */
 export type TableReader = {
@@ -21,8 +22,8 @@
 	replace(rows: readonly StoredRow[], revision: number): void;
 	/** Rows that changed. */
 	apply(rows: readonly StoredRow[], revision: number): void;
-	/** Nothing newer was in the table when the store answered a call that was made at this time. */
-	confirm?(askedAt: ClockReading): void;
+	/** All changes up to a revision have been told, and at this time nothing newer was in the table. */
+	confirm(revision: number, at: ClockReading): void;
 	/** The store answers again after it had not. */
 	recovered?(): void;
 };
@@ -33,13 +34,14 @@
 	table: string;
 	listener: TableListener;
 	logger: Logger;
-	/** Time that the store is asked to wait for a change, in milliseconds. */
-	waitMilliseconds: number;
-	/** Pause after each answer, so that changes of that time come in one answer, in milliseconds. */
-	pauseMilliseconds: number;
+	/** Time between two questions, for which the store is asked to wait for a change, in milliseconds. */
+	roundMilliseconds: number;
+	/** Part of that time which passes after an answer with changes, so that more of them come in one answer, in milliseconds. */
+	gatherMilliseconds: number;
 	/** Whether to follow now; while it returns false, the table is left alone. Default always. */
 	wanted?: () => boolean;
 	readClock: () => ClockReading;
+	storeClock: StoreClock;
 	random: () => number;
 };
 
@@ -63,29 +65,31 @@
  * ```
  */
 export async function followTable(options: FollowTableOptions, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
-	const {table, logger, listener, pauseMilliseconds, random, wanted = () => true} = options;
+	const {table, logger, listener, roundMilliseconds, gatherMilliseconds, random, wanted = () => true} = options;
 	let revision: number | undefined;
 	let failures = 0;
+	let gathered = 0;
 	while (!signal.aborted) {
 		if (!wanted()) {
 			await pause(lookMilliseconds, signal);
 			continue;
 		}
 
-		const asked = await askOnce(options, revision, signal);
+		const asked = await askOnce(options, revision, roundMilliseconds - gathered, signal);
 		if (signal.aborted) {
 			break;
 		}
 
 		if (asked.isOk()) {
 			if (failures > 0) {
-				logger.info('table is followed again', {table, failures, revision: asked.value});
+				logger.info('table is followed again', {table, failures, revision: asked.value.revision});
 				listener.recovered?.();
 			}
 
 			failures = 0;
-			revision = asked.value;
-			await pause(pauseMilliseconds, signal);
+			revision = asked.value.revision;
+			gathered = asked.value.changes > 0 ? gatherMilliseconds : 0;
+			await pause(gathered, signal);
 			continue;
 		}
 
@@ -106,21 +110,21 @@
 	return ok();
 }
 
-/** Asks the store once and tells the listener; returns the revision to go on from. */
-async function askOnce(options: FollowTableOptions, revision: number | undefined, signal: AbortSignal): Promise<Result<number, StoreFailure>> {
-	const {store, table, listener, waitMilliseconds, readClock} = options;
+/** Asks the store once and tells the listener; returns the revision to go on from, and how many rows changed. */
+async function askOnce(options: FollowTableOptions, revision: number | undefined, waitMilliseconds: number, signal: AbortSignal): Promise<Result<{revision: number; changes: number}, StoreFailure>> {
+	const {store, table, listener, readClock, storeClock} = options;
 	const askedAt = readClock();
 	const answer = revision === undefined
 		? await store.readTable(table, signal)
 		: await store.changes(table, revision, waitMilliseconds, signal);
-	return answer.map(({rows, revision: newest}) => {
+	return answer.map(({rows, revision: newest, storeMilliseconds}) => {
 		if (revision === undefined) {
 			listener.replace(rows, newest);
 		} else {
 			listener.apply(rows, newest);
 		}
 
-		listener.confirm?.(askedAt);
-		return newest;
+		listener.confirm(newest, storeClock.lookedAt(askedAt, readClock(), storeMilliseconds));
+		return {revision: Math.max(newest, revision ?? 0), changes: revision === undefined ? 0 : rows.length};
 	});
 }
--- a/source/fleet/exchange-protocol.ts
+++ b/source/fleet/exchange-protocol.ts
@@ -6,14 +6,47 @@
 import {Buffer} from 'node:buffer';
 import {type MethodDefinition} from '@grpc/grpc-js';
 import {z} from 'zod';
+import {endpointChangeSchema} from '../beliefs/endpoint-list.ts';
+import {routingConfigurationSchema} from '../routing/mod.ts';
 import {memberSchema} from './member.ts';
 
+/** What the asking side knows of configuration and endpoints. */
+export const knownSchema = z.object({
+	/** Version of the configuration; 0 for none. */
+	configurationVersion: z.number(),
+	/** Revision up to which changes of the endpoints are known. */
+	endpointRevision: z.number(),
+});
+
+/** What the answering side knows beyond that. */
+export const newsSchema = z.object({
+	/** A newer configuration. */
+	configuration: routingConfigurationSchema.optional(),
+	/** Time since the store was last known to hold none newer, in milliseconds; absent where that is not known. */
+	configurationAgeMilliseconds: z.number().optional(),
+	/** Changes of the endpoints. */
+	endpoints: z.array(endpointChangeSchema),
+	endpointRevision: z.number(),
+	/** Time since the store was last known to hold no other change, in milliseconds; absent where that is not known. */
+	endpointAgeMilliseconds: z.number().optional(),
+});
+
 /** What each side tells. */
 export const exchangeMessageSchema = z.object({
 	/** Gateways that the sender knows of, itself first. */
 	members: z.array(memberSchema).min(1),
+	/** In a question: what the asker knows already. */
+	known: knownSchema.optional(),
+	/** In an answer to such a question: what is news to the asker. */
+	news: newsSchema.optional(),
 });
 
+/** What the asking side knows. */
+export type Known = z.output<typeof knownSchema>;
+
+/** What the answering side knows beyond that. */
+export type News = z.output<typeof newsSchema>;
+
 /** One message. */
 export type ExchangeMessage = z.output<typeof exchangeMessageSchema>;
 
--- a/source/fleet/mod.ts
+++ b/source/fleet/mod.ts
@@ -5,7 +5,10 @@
  */
 
 export * from './choose-entries.ts';
+export * from './choose-reader.ts';
+export type {Known, News} from './exchange-protocol.ts';
 export * from './exchange-server.ts';
 export * from './follow-members.ts';
+export * from './follow-source.ts';
 export type * from './member.ts';
 export * from './member-table.ts';
--- a/source/gateway/follow-store.ts
+++ b/source/gateway/follow-store.ts
@@ -3,39 +3,56 @@
  *
  * @module
  */
-import {followTable, type EndpointChange, type TableListener} from '../beliefs/mod.ts';
+import {StoreClock, followTable, type EndpointChange, type TableListener} from '../beliefs/mod.ts';
 import {
 	configurationKey, decodeConfiguration, decodeEndpoint, endpointTable, operatorTable, type StoredRow,
 } from '../platform/mod.ts';
+import {followsStore, type SharedKnowledge} from '../fleet/mod.ts';
 import {type Supervisor} from '../supervision/supervisor.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 
-/** Time for which the store waits for a new configuration before it says that there is none, in milliseconds. */
-const configurationWaitMilliseconds = 1200;
-
-/** Time for which the store waits for a change of the endpoints, in milliseconds. */
-const endpointWaitMilliseconds = 5000;
-
-/** Pause between two questions for changes of the endpoints, in milliseconds; a leaving one must be left within two seconds. */
-const endpointPauseMilliseconds = 900;
-
 /**
  * Starts the tasks.
  *
  * @param supervisor Runs them.
  * @param parts The gateway's parts.
+ * @param knowledge What is known, and how old it is.
  */
-export function followStore(supervisor: Supervisor, parts: GatewayParts): void {
-	const {store, logger, readClock, random} = parts;
-	const shared = {store, logger, readClock, random};
+export function followStore(supervisor: Supervisor, parts: GatewayParts, knowledge: SharedKnowledge): void {
+	const {store, logger, readClock, random, newsTimes} = parts;
+	const shared = {
+		store,
+		logger,
+		readClock,
+		random,
+		roundMilliseconds: newsTimes.storeMilliseconds,
+		storeClock: new StoreClock(),
+		wanted: createWanted(parts, knowledge),
+	};
 	supervisor.start('configuration', async signal => followTable({
-		...shared, table: operatorTable, listener: configurationListener(parts), waitMilliseconds: configurationWaitMilliseconds, pauseMilliseconds: 0,
+		...shared, table: operatorTable, listener: configurationListener(parts), gatherMilliseconds: 0,
 	}, signal));
 	supervisor.start('endpoints', async signal => followTable({
-		...shared, table: endpointTable, listener: endpointListener(parts), waitMilliseconds: endpointWaitMilliseconds, pauseMilliseconds: endpointPauseMilliseconds,
+		...shared, table: endpointTable, listener: endpointListener(parts), gatherMilliseconds: newsTimes.gatherMilliseconds,
 	}, signal));
 }
 
+/** Returns the question whether this gateway follows the store; each change of the answer is logged. */
+function createWanted({members, logger, clock, readClock, newsTimes}: GatewayParts, knowledge: SharedKnowledge): () => boolean {
+	let followed: boolean | undefined;
+	return () => {
+		const ageMilliseconds = knowledge.age(readClock());
+		const live = members.live(clock());
+		const follows = followsStore({self: members.self, members: live, ageMilliseconds, readerIsLateMilliseconds: newsTimes.readerIsLateMilliseconds});
+		if (follows !== followed) {
+			followed = follows;
+			logger.info(follows ? 'gateway follows the store' : 'gateway learns from another one', {ageMilliseconds: Math.round(ageMilliseconds), live: live.length});
+		}
+
+		return follows;
+	};
+}
+
 function configurationListener({configuration, logger, metrics}: GatewayParts): TableListener {
 	const take = (rows: readonly StoredRow[]) => {
 		const row = rows.findLast(({key}) => key === configurationKey);
@@ -58,8 +75,8 @@
 	return {
 		replace: take,
 		apply: take,
-		confirm(askedAt) {
-			configuration.confirm(askedAt);
+		confirm(_revision, at) {
+			configuration.confirm(at);
 		},
 	};
 }
@@ -82,6 +99,9 @@
 		apply(rows) {
 			endpoints.apply(rows.map(row => decode(row)), clock());
 		},
+		confirm(revision, at) {
+			endpoints.confirm(revision, at);
+		},
 		recovered() {
 			endpoints.outageEnded(clock());
 		},
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -5,7 +5,7 @@
  */
 import {EndpointHealth, EndpointLoads} from '../balancing/mod.ts';
 import {
-	ConfigurationBelief, EndpointList, readClock, type ClockReading,
+	ConfigurationBelief, EndpointList, divideNewsTime, readClock, type ClockReading, type NewsTimes,
 } from '../beliefs/mod.ts';
 import {MemberTable} from '../fleet/mod.ts';
 import {EndpointConnections, SharedRetryBudget, type ForwardingParts} from '../forwarding/mod.ts';
@@ -24,6 +24,7 @@
 	members: MemberTable;
 	stopping: Stopping;
 	readClock: () => ClockReading;
+	newsTimes: NewsTimes;
 	/** Age of the configuration up to which keys are trusted, in milliseconds. */
 	trustedKeyMilliseconds: number;
 };
@@ -75,6 +76,7 @@
 			return budget;
 		},
 		liveRouters: () => members.live(performance.now()).length,
+		newsTimes: divideNewsTime(Math.min(bounds.configurationMilliseconds, bounds.leavingMilliseconds)),
 		trustedKeyMilliseconds: bounds.revokedKeyMilliseconds * trustedShare,
 		clock: () => performance.now(),
 		random: () => Math.random(),
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {type Server} from 'node:http';
-import {composeExchange, followMembers, startExchangeServer} from '../fleet/mod.ts';
+import {composeExchange, followMembers, followSource, startExchangeServer} from '../fleet/mod.ts';
 import {listen} from '../router/listen.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
 import {pause} from '../supervision/pause.ts';
@@ -14,6 +14,7 @@
 import {followStore} from './follow-store.ts';
 import {createGatewayParts, type GatewayParts} from './gateway-parts.ts';
 import {isReady} from './readiness.ts';
+import {createSharedKnowledge} from './shared-knowledge.ts';
 
 /** A running gateway. */
 export type Gateway = {
@@ -35,7 +36,8 @@
 export async function startGateway(settings: GatewaySettings, logger: Logger): Promise<Gateway> {
 	const parts = createGatewayParts(settings, logger);
 	const supervisor = new Supervisor({logger});
-	followStore(supervisor, parts);
+	const knowledge = createSharedKnowledge(parts);
+	followStore(supervisor, parts, knowledge);
 	const callerServer = createCallerServer(parts);
 	const entryServer = createEntryServer(parts);
 	await listen(callerServer, settings.listen.callers);
@@ -44,12 +46,15 @@
 	await listen(createMetricsServer(parts), settings.listen.metrics);
 	await startExchangeServer({
 		listen: settings.listen.peers,
-		answer(message) {
-			parts.members.merge(message.members, parts.clock());
-			return composeExchange(parts.members, parts.clock());
+		answer({members, known}) {
+			parts.members.merge(members, parts.clock());
+			return known
+				? {members: [parts.members.self], news: knowledge.newsFor(known, parts.readClock())}
+				: composeExchange(parts.members, parts.clock());
 		},
 	});
 	supervisor.start('members', async signal => followMembers({...parts, ready: () => isReady(parts)}, signal));
+	supervisor.start('source', async signal => followSource({...parts, knowledge}, signal));
 	logger.info('gateway listening', {callers: settings.listen.callers, incarnation: parts.members.self.incarnation});
 	return {
 		stop: async () => stopGateway(parts, callerServer),
--- /dev/null
+++ b/source/gateway/shared-knowledge.ts
@@ -0,0 +1,53 @@
+/**
+ * What a gateway tells others of configuration and endpoints, and takes from them.
+ *
+ * @module
+ */
+import {type ClockReading} from '../beliefs/mod.ts';
+import {type News, type SharedKnowledge} from '../fleet/mod.ts';
+import {type GatewayParts} from './gateway-parts.ts';
+
+/**
+ * Creates the exchange of knowledge.
+ *
+ * @param parts The gateway's parts.
+ */
+export function createSharedKnowledge({configuration, endpoints, logger, metrics}: GatewayParts): SharedKnowledge {
+	return {
+		known: () => ({configurationVersion: configuration.table?.version ?? 0, endpointRevision: endpoints.revision}),
+		age: now => Math.max(configuration.knowledge(now).ageMilliseconds, endpoints.age(now)),
+		newsFor({configurationVersion, endpointRevision}, now) {
+			const {table, ageMilliseconds} = configuration.knowledge(now);
+			return {
+				configuration: table && table.version > configurationVersion ? table.configuration : undefined,
+				configurationAgeMilliseconds: finite(ageMilliseconds),
+				endpoints: endpoints.changesSince(endpointRevision),
+				endpointRevision: endpoints.revision,
+				endpointAgeMilliseconds: finite(endpoints.age(now)),
+			};
+		},
+		learn(news: News, askedAt: ClockReading) {
+			if (news.configuration && configuration.learn(news.configuration)) {
+				metrics.configurationVersion.set(news.configuration.version);
+				logger.info('configuration in force', {version: news.configuration.version, routes: news.configuration.routes.length, source: 'gateway'});
+			}
+
+			if (news.configurationAgeMilliseconds !== undefined) {
+				configuration.confirm(earlier(askedAt, news.configurationAgeMilliseconds));
+			}
+
+			endpoints.apply(news.endpoints, askedAt.steady);
+			if (news.endpointAgeMilliseconds !== undefined) {
+				endpoints.confirm(news.endpointRevision, earlier(askedAt, news.endpointAgeMilliseconds));
+			}
+		},
+	};
+}
+
+function finite(milliseconds: number): number | undefined {
+	return Number.isFinite(milliseconds) ? milliseconds : undefined;
+}
+
+function earlier({steady, wall}: ClockReading, milliseconds: number): ClockReading {
+	return {steady: steady - milliseconds, wall: wall - milliseconds};
+}
--- a/source/platform/configuration-row.ts
+++ b/source/platform/configuration-row.ts
@@ -134,7 +134,7 @@
 	return {
 		name,
 		healthPath: healthPath ?? '/health',
-		connectionsPerEndpoint: maxConnections ?? Number.POSITIVE_INFINITY,
+		connectionsPerEndpoint: maxConnections ?? Number.MAX_SAFE_INTEGER,
 		engine: engine
 			? {
 				slots: engine.slots, memoryTokens: engine.kvCapacity, backups: engine.backups === true, copyMilliseconds: (engine.handleS ?? 0) * 1000,
--- a/source/platform/store-client.ts
+++ b/source/platform/store-client.ts
@@ -27,6 +27,8 @@
 	rows: StoredRow[];
 	/** Newest revision of the whole store at that moment. */
 	revision: number;
+	/** The store's steady time at that moment, in milliseconds; absent where it does not say. */
+	storeMilliseconds: number | undefined;
 };
 
 /**
@@ -58,7 +60,7 @@
 	deleted: z.boolean().nullish(),
 });
 
-const rowsSchema = z.object({rows: z.array(rowSchema), hasMore: z.boolean().nullish(), resourceVersion: z.number()});
+const rowsSchema = z.object({rows: z.array(rowSchema), hasMore: z.boolean().nullish(), resourceVersion: z.number(), serverTimeMs: z.number().nullish()});
 
 /** Rows asked for in one call. */
 const rowsPerCall = 500;
@@ -106,7 +108,7 @@
 			rows.push(...answer.value.rows);
 			const last = answer.value.rows.at(-1);
 			if (!answer.value.hasMore || !last) {
-				return ok({rows, revision: answer.value.revision});
+				return ok({...answer.value, rows});
 			}
 
 			from = `${last.key}\u0000`;
@@ -169,8 +171,10 @@
 				return err({kind: 'unknown', message: 'the answer of the store cannot be read'});
 			}
 
-			const {rows, hasMore, resourceVersion} = checked.data;
-			return ok({rows: rows.map(row => decodeRow(row)), hasMore: hasMore === true, revision: resourceVersion});
+			const {rows, hasMore, resourceVersion, serverTimeMs} = checked.data;
+			return ok({
+				rows: rows.map(row => decodeRow(row)), hasMore: hasMore === true, revision: resourceVersion, storeMilliseconds: serverTimeMs ?? undefined,
+			});
 		});
 	}
 
--- a/source/routing/mod.ts
+++ b/source/routing/mod.ts
@@ -5,5 +5,5 @@
  */
 
 export * from './admit-request.ts';
-export type * from './model.ts';
+export * from './model.ts';
 export * from './route-table.ts';
--- a/source/routing/model.ts
+++ b/source/routing/model.ts
@@ -3,81 +3,90 @@
  *
  * @module
  */
+import {z} from 'zod';
 
 /** What may be repeated: `idempotent` calls freely, `at-most-once` calls never, `generation` streams where they may be resumed. */
-export type RequestKind = 'idempotent' | 'at-most-once' | 'generation';
-
-/** A service that a route leads to, and its share of the route's requests. */
-export type WeightedService = {service: string; weight: number};
+export const requestKindSchema = z.enum(['idempotent', 'at-most-once', 'generation']);
 
 /** One route: requests of a host whose path begins with a prefix. */
-export type Route = {
-	name: string;
-	host: string;
+export const routeSchema = z.object({
+	name: z.string(),
+	host: z.string(),
 	/** Begins and ends with a slash. */
-	pathPrefix: string;
-	kind: RequestKind;
+	pathPrefix: z.string(),
+	kind: requestKindSchema,
 	/** Longest time for which a caller is kept waiting, in milliseconds. */
-	timeoutMilliseconds: number;
+	timeoutMilliseconds: z.number(),
 	/** Time within which an answer is on time, in milliseconds; for a generation, up to its first event. */
-	targetMilliseconds: number;
+	targetMilliseconds: z.number(),
 	/** Rank; 0 is the most urgent. */
-	priority: number;
-	services: readonly WeightedService[];
+	priority: z.number(),
+	/** Services that the route leads to, and the share of its requests that each gets. */
+	services: z.array(z.object({service: z.string(), weight: z.number()})),
 	/** Endpoints to which one request may be sent at most. */
-	maximumAttempts: number;
+	maximumAttempts: z.number(),
 	/** Whether requests without a key are served. */
-	anonymous: boolean;
+	anonymous: z.boolean(),
 	/** Whether a generation may go on at another endpoint after its last event. */
-	resumable: boolean;
+	resumable: z.boolean(),
 	/** Longest pause between events of an answer that is on time, in milliseconds. */
-	eventPauseMilliseconds: number;
-};
-
-/** What an operator says of a model service's engines. */
-export type EngineFacts = {
-	/** Requests that one engine works on at once. */
-	slots: number;
-	/** Tokens that an engine's memory holds. */
-	memoryTokens: number;
-	/** Whether an engine sends a running request's memory to another one as it grows. */
-	backups: boolean;
-	/** Time for which a copy is kept after its last part, in milliseconds. */
-	copyMilliseconds: number;
-};
+	eventPauseMilliseconds: z.number(),
+});
 
 /** One service. */
-export type Service = {
-	name: string;
-	healthPath: string;
+export const serviceSchema = z.object({
+	name: z.string(),
+	healthPath: z.string(),
 	/** Connections that one endpoint accepts from all routers together. */
-	connectionsPerEndpoint: number;
+	connectionsPerEndpoint: z.number(),
 	/** Present for services of model engines. */
-	engine: EngineFacts | undefined;
-};
+	engine: z.object({
+		/** Requests that one engine works on at once. */
+		slots: z.number(),
+		/** Tokens that an engine's memory holds. */
+		memoryTokens: z.number(),
+		/** Whether an engine sends a running request's memory to another one as it grows. */
+		backups: z.boolean(),
+		/** Time for which a copy is kept after its last part, in milliseconds. */
+		copyMilliseconds: z.number(),
+	}).optional(),
+});
 
 /** A workspace and its keys. */
-export type Workspace = {
-	name: string;
-	keys: readonly string[];
+export const workspaceSchema = z.object({
+	name: z.string(),
+	keys: z.array(z.string()),
 	/** Rank that goes before the route's; 0 is the most urgent. */
-	priority: number | undefined;
-};
-
-/** Bounds of callers' requests and connections. */
-export type CallerLimits = {
-	headerBytes: number;
-	bodyBytes: number;
-	headerMilliseconds: number;
-	idleMilliseconds: number;
-};
+	priority: z.number().optional(),
+});
 
 /** One version of the whole configuration. */
-export type RoutingConfiguration = {
-	version: number;
-	routes: readonly Route[];
-	services: readonly Service[];
+export const routingConfigurationSchema = z.object({
+	version: z.number(),
+	routes: z.array(routeSchema),
+	services: z.array(serviceSchema),
 	/** Absent where no keys are asked for. */
-	workspaces: readonly Workspace[] | undefined;
-	limits: CallerLimits;
-};
+	workspaces: z.array(workspaceSchema).optional(),
+	/** Bounds of callers' requests and connections. */
+	limits: z.object({
+		headerBytes: z.number(),
+		bodyBytes: z.number(),
+		headerMilliseconds: z.number(),
+		idleMilliseconds: z.number(),
+	}),
+});
+
+/** What may be repeated. */
+export type RequestKind = z.output<typeof requestKindSchema>;
+
+/** One route. */
+export type Route = z.output<typeof routeSchema>;
+
+/** One service. */
+export type Service = z.output<typeof serviceSchema>;
+
+/** A workspace and its keys. */
+export type Workspace = z.output<typeof workspaceSchema>;
+
+/** One version of the whole configuration. */
+export type RoutingConfiguration = z.output<typeof routingConfigurationSchema>;
--- a/source/settings/gateway-settings.ts
+++ b/source/settings/gateway-settings.ts
@@ -22,6 +22,10 @@
 	/** Address of the platform's store. */
 	store: addressSchema,
 	bounds: z.object({
+		/** Time within which a new configuration is in force, in milliseconds. */
+		configurationMilliseconds: z.number().positive().default(2000),
+		/** Time within which an endpoint that leaves gets no more requests, in milliseconds. */
+		leavingMilliseconds: z.number().positive().default(2000),
 		/** Time after which a key that was taken away is served nowhere, in milliseconds. */
 		revokedKeyMilliseconds: z.number().positive().default(5000),
 		/** Time from a request to stop until the process is killed, in seconds. */
