--- a/source/beliefs/endpoint-list.ts
+++ b/source/beliefs/endpoint-list.ts
@@ -161,7 +161,9 @@
 		}
 
 		if (!entry && known?.entry && !known.entry.leaving && now - this.#outageEndedAt < registerAgainMilliseconds) {
-			this.#known.set(id, {...known, revision, changedAt: revision, lapsesAt: this.#outageEndedAt + registerAgainMilliseconds});
+			this.#known.set(id, {
+				...known, revision, changedAt: revision, lapsesAt: this.#outageEndedAt + registerAgainMilliseconds,
+			});
 			this.#lapsing = true;
 			return;
 		}
--- a/source/fleet/exchange-protocol.ts
+++ b/source/fleet/exchange-protocol.ts
@@ -51,10 +51,10 @@
 export type ExchangeMessage = z.output<typeof exchangeMessageSchema>;
 
 const encode = (message: ExchangeMessage) => Buffer.from(JSON.stringify(message));
-const decode = (bytes: Buffer): unknown => JSON.parse(bytes.toString());
+const decode = (bytes: Uint8Array): unknown => JSON.parse(new TextDecoder().decode(bytes));
 
 /** The method; what is received is checked against {@linkcode exchangeMessageSchema}. */
-export const exchangeMethod: MethodDefinition<ExchangeMessage, unknown> & {requestDeserialize: (bytes: Buffer) => ExchangeMessage} = {
+export const exchangeMethod: MethodDefinition<ExchangeMessage, unknown> & {requestDeserialize: (bytes: Uint8Array) => ExchangeMessage} = {
 	path: '/azuretack.Fleet/Exchange',
 	requestStream: false,
 	responseStream: false,
--- a/source/fleet/exchange-server.ts
+++ b/source/fleet/exchange-server.ts
@@ -28,7 +28,7 @@
 	const service: ServiceDefinition = {exchange: exchangeMethod};
 	server.addService(service, {
 		exchange(call: ServerUnaryCall<ExchangeMessage, ExchangeMessage>, callback: sendUnaryData<ExchangeMessage>) {
-			callback(null, answer(call.request)); // eslint-disable-line unicorn/no-null -- The library's callbacks name no error by null.
+			callback(null, answer(call.request));
 		},
 	});
 	await new Promise<void>((resolve, reject) => {
--- a/source/fleet/follow-members.ts
+++ b/source/fleet/follow-members.ts
@@ -114,7 +114,7 @@
 
 function decodeMember({key, content}: StoredRow, logger: Logger): RegisteredMember[] {
 	try {
-		return [registeredMemberSchema.parse(JSON.parse(content?.toString() ?? ''))];
+		return [registeredMemberSchema.parse(JSON.parse(new TextDecoder().decode(content)))];
 	} catch (error) {
 		logger.warn('registration cannot be read', {key, reason: String(error)});
 		return [];
--- a/source/forwarding/answer-caller.ts
+++ b/source/forwarding/answer-caller.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import {type Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
 import {encodeAnswerHeaders} from '../platform/mod.ts';
 
@@ -48,7 +47,7 @@
  * @param rawHeaders The endpoint's headers, names and values by turns.
  * @param body The whole body.
  */
-export function sendWholeAnswer(response: ServerResponse, status: number, rawHeaders: readonly string[], body: Buffer): void {
+export function sendWholeAnswer(response: ServerResponse, status: number, rawHeaders: readonly string[], body: Uint8Array): void {
 	response.sendDate = false;
 	response.writeHead(status, [...encodeAnswerHeaders(rawHeaders), 'Content-Length', String(body.length)]);
 	response.end(body);
--- a/source/forwarding/endpoint-connections.ts
+++ b/source/forwarding/endpoint-connections.ts
@@ -18,6 +18,7 @@
 
 /** Keeps connections, and closes those on which an endpoint sends anything while no request waits there. */
 class QuietAgent extends Agent {
+	// eslint-disable-next-line @typescript-eslint/strict-void-return -- The library takes the answer, which its types leave out.
 	override keepSocketAlive(socket: Socket): boolean {
 		const kept = agentMethods.keepSocketAlive.call(this, socket);
 		if (kept) {
--- a/source/forwarding/event-splitter.ts
+++ b/source/forwarding/event-splitter.ts
@@ -10,10 +10,11 @@
 	/** Value of its `id` line, if it has one. */
 	id: string | undefined;
 	/** The bytes of the event, its empty line included. */
-	bytes: Buffer;
+	bytes: Uint8Array;
 };
 
 const lineFeed = 0x0A;
+const decoder = new TextDecoder();
 const carriageReturn = 0x0D;
 
 /**
@@ -27,10 +28,10 @@
  * ```
  */
 export class EventSplitter {
-	#kept: Buffer = Buffer.alloc(0);
+	#kept: Uint8Array = new Uint8Array();
 
 	/** Bytes of an event that is not whole yet. */
-	get rest(): Buffer {
+	get rest(): Uint8Array {
 		return this.#kept;
 	}
 
@@ -40,7 +41,7 @@
 	 * @param chunk The bytes.
 	 * @returns The events that are whole now.
 	 */
-	push(chunk: Buffer): StreamEvent[] {
+	push(chunk: Uint8Array): StreamEvent[] {
 		this.#kept = this.#kept.length === 0 ? chunk : Buffer.concat([this.#kept, chunk]);
 		const events: StreamEvent[] = [];
 		let start = 0;
@@ -56,7 +57,7 @@
 }
 
 /** Returns the position after the empty line that ends an event; -1 where there is none yet. */
-function endOfEvent(bytes: Buffer, start: number): number {
+function endOfEvent(bytes: Uint8Array, start: number): number {
 	for (let index = bytes.indexOf(lineFeed, start); index >= 0; index = bytes.indexOf(lineFeed, index + 1)) {
 		const next = bytes[index + 1];
 		if (next === lineFeed) {
@@ -71,7 +72,7 @@
 	return -1;
 }
 
-function idOf(bytes: Buffer): string | undefined {
-	const match = /^id:[ ]?(?<id>[^\r\n]*)/mv.exec(bytes.toString('latin1'));
+function idOf(bytes: Uint8Array): string | undefined {
+	const match = /^id:[ ]?(?<id>[^\r\n]*)/mv.exec(decoder.decode(bytes));
 	return match?.groups?.id;
 }
--- a/source/forwarding/exchange.ts
+++ b/source/forwarding/exchange.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import {type Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Route, type Service, type Workspace} from '../routing/mod.ts';
 import {type RequestTerms} from './request-terms.ts';
@@ -12,7 +11,7 @@
 export type Exchange = {
 	request: IncomingMessage;
 	response: ServerResponse;
-	body: Buffer;
+	body: Uint8Array;
 	terms: RequestTerms;
 	route: Route;
 	service: Service;
--- a/source/forwarding/forward-call.ts
+++ b/source/forwarding/forward-call.ts
@@ -14,12 +14,12 @@
 import {BrokenAnswerError, sendRequest, type EndpointAnswer} from './send-request.ts';
 
 /** A whole answer of an endpoint. */
-type WholeAnswer = {status: number; rawHeaders: readonly string[]; body: Buffer};
+type WholeAnswer = {status: number; rawHeaders: readonly string[]; body: Uint8Array};
 
 /** How one attempt ended. */
 type CallAttempt
 	= | {kind: 'answered'; endpoint: EndpointEntry; answer: WholeAnswer}
-	| {kind: 'ended'; endpoint: EndpointEntry; end: AttemptEnd; failure: EndpointFailure | undefined; message: string; answer?: WholeAnswer; retryAfterMilliseconds?: number};
+		| {kind: 'ended'; endpoint: EndpointEntry; end: AttemptEnd; failure: EndpointFailure | undefined; message: string; answer?: WholeAnswer; retryAfterMilliseconds?: number};
 
 /** Time for a connection to an endpoint, in milliseconds. */
 const connectMilliseconds = 150;
@@ -260,7 +260,7 @@
 
 /** Reads an answer to its end and says what it means. */
 async function readWholeAnswer(endpoint: EndpointEntry, answer: EndpointAnswer): Promise<CallAttempt> {
-	const chunks: Buffer[] = [];
+	const chunks: Uint8Array[] = [];
 	try {
 		for await (const chunk of answer.body()) {
 			chunks.push(chunk);
--- a/source/forwarding/forwarding-parts.ts
+++ b/source/forwarding/forwarding-parts.ts
@@ -18,11 +18,11 @@
 	logger: Logger;
 	/** Zone of this router. */
 	availabilityZone: string;
+	/** Steady time, in milliseconds. */
+	clock: () => number;
+	random: () => number;
 	/** Budget of retries of a service. */
 	retryBudgetOf(service: string): SharedRetryBudget;
 	/** Routers that take requests, this one included. */
 	liveRouters(): number;
-	/** Steady time, in milliseconds. */
-	clock: () => number;
-	random: () => number;
 };
--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -12,7 +12,9 @@
 import {EventSplitter, type StreamEvent} from './event-splitter.ts';
 import {type Exchange} from './exchange.ts';
 import {sendRequest, BrokenAnswerError, type EndpointAnswer} from './send-request.ts';
-import {decideOnSilence, lacksAttempt, provesRestart, withholdsEvents} from './silence-decision.ts';
+import {
+	decideOnSilence, lacksAttempt, provesRestart, withholdsEvents,
+} from './silence-decision.ts';
 
 /** Where an attempt goes. */
 export type AttemptTarget = {
@@ -27,13 +29,13 @@
 export type GenerationEnd
 	/** The caller has the whole answer, or the engine's own failure as it is. */
 	= | {kind: 'finished'; status: number}
-	| {kind: 'caller-left'}
+		| {kind: 'caller-left'}
 	/** The engine did not run it; `unreachable` where it could not be connected to. */
-	| {kind: 'not-run'; status: number; unreachable: boolean; retryAfterMilliseconds: number | undefined; message: string}
+		| {kind: 'not-run'; status: number; unreachable: boolean; retryAfterMilliseconds: number | undefined; message: string}
 	/** The engine answered with a failure of its own before any event. */
-	| {kind: 'failed'; status: number; rawHeaders: readonly string[]; body: Buffer}
+		| {kind: 'failed'; status: number; rawHeaders: readonly string[]; body: Uint8Array}
 	/** The engine is gone, or its answer broke off. */
-	| {kind: 'lost'; unreachable: boolean; message: string};
+		| {kind: 'lost'; unreachable: boolean; message: string};
 
 /** State of a generation over its attempts. */
 export type GenerationProgress = {
@@ -178,7 +180,7 @@
 	}
 
 	async #takeFailure(answer: EndpointAnswer): Promise<GenerationEnd> {
-		const chunks: Buffer[] = [];
+		const chunks: Uint8Array[] = [];
 		for await (const chunk of answer.body()) {
 			chunks.push(chunk);
 		}
--- a/source/forwarding/retry-decision.ts
+++ b/source/forwarding/retry-decision.ts
@@ -10,9 +10,9 @@
 	/** Nothing was sent, or the endpoint says that it did not run the request. */
 	= | 'not-run'
 	/** The endpoint may have run the request, and its answer is lost. */
-	| 'lost'
+		| 'lost'
 	/** The endpoint ran the request and answered with a failure. */
-	| 'failed';
+		| 'failed';
 
 /** Options of {@linkcode mayRunAgain}. */
 export type MayRunAgainOptions = {
--- a/source/forwarding/send-request.test.ts
+++ b/source/forwarding/send-request.test.ts
@@ -48,8 +48,8 @@
 
 async function readAll(outcome: SendOutcome): Promise<string> {
 	assert.equal(outcome.kind, 'answer');
-	const chunks: Buffer[] = [];
-	for await (const chunk of (outcome as SendOutcome & {kind: 'answer'}).answer.body()) {
+	const chunks: Uint8Array[] = [];
+	for await (const chunk of (outcome).answer.body()) {
 		chunks.push(chunk);
 	}
 
@@ -87,7 +87,6 @@
 		if (outcome.kind === 'answer') {
 			await assert.rejects(readAll(outcome), BrokenAnswerError);
 		}
-
 	});
 
 	test(`a body that is shorter than its length is not whole (${use})`, async context => {
@@ -102,7 +101,8 @@
 	const endpoint = await startEndpoint(context, socket => {
 		socket.write('HTTP/1.1 200 OK\r\nX-Azuretack-Attempt-Id: other\r\nContent-Length: 2\r\n\r\nhi');
 	});
-	assert.equal((await send(endpoint)).kind, 'lost');
+	const outcome = await send(endpoint);
+	assert.equal(outcome.kind, 'lost');
 });
 
 test('bytes after a whole answer belong to no request', async context => {
@@ -131,7 +131,8 @@
 	server.close();
 	await once(server, 'close');
 	const connections = new EndpointConnections();
-	assert.equal((await send({address, connections})).kind, 'not-sent');
+	const outcome = await send({address, connections});
+	assert.equal(outcome.kind, 'not-sent');
 	connections.close();
 });
 
@@ -139,5 +140,6 @@
 	const endpoint = await startEndpoint(context, socket => {
 		socket.destroy();
 	});
-	assert.equal((await send(endpoint)).kind, 'lost');
+	const outcome = await send(endpoint);
+	assert.equal(outcome.kind, 'lost');
 });
--- a/source/forwarding/send-request.ts
+++ b/source/forwarding/send-request.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import {type Buffer} from 'node:buffer';
 import {request as startRequest, type Agent, type IncomingMessage} from 'node:http';
 import {type Socket} from 'node:net';
 import {decodeAnswerTerms, type AnswerTerms} from '../platform/mod.ts';
@@ -19,7 +18,7 @@
 	target: string;
 	/** Names and values by turns. */
 	rawHeaders: readonly string[];
-	body: Buffer;
+	body: Uint8Array;
 	/** The caller's attempt; an answer that names another one belongs to another request. */
 	attempt: string | undefined;
 	/** Time for a connection to come about, in milliseconds. */
@@ -34,7 +33,7 @@
 	rawHeaders: readonly string[];
 	terms: AnswerTerms;
 	/** Reads the body; throws when it breaks off. */
-	body(): AsyncGenerator<Buffer, void>;
+	body(): AsyncGenerator<Uint8Array, void>;
 	/** Closes the connection. */
 	abandon(): void;
 };
@@ -42,8 +41,8 @@
 /** How sending ended: an answer has begun, or nothing was sent, or the endpoint may have run the request without an answer. */
 export type SendOutcome
 	= | {kind: 'answer'; answer: EndpointAnswer}
-	| {kind: 'not-sent'; message: string}
-	| {kind: 'lost'; message: string};
+		| {kind: 'not-sent'; message: string}
+		| {kind: 'lost'; message: string};
 
 /** Thrown when an endpoint's answer ends before it is whole. */
 export class BrokenAnswerError extends Error {
@@ -145,10 +144,10 @@
  *
  * @throws {BrokenAnswerError} When the body is not whole.
  */
-async function * readBody(response: IncomingMessage, failureOf: () => Error | undefined): AsyncGenerator<Buffer, void> {
+async function * readBody(response: IncomingMessage, failureOf: () => Error | undefined): AsyncGenerator<Uint8Array, void> {
 	const framed = response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined;
 	try {
-		for await (const chunk of response as AsyncIterable<Buffer>) {
+		for await (const chunk of response as AsyncIterable<Uint8Array>) {
 			yield chunk;
 		}
 	} catch (error) {
--- a/source/gateway/follow-store.ts
+++ b/source/gateway/follow-store.ts
@@ -3,7 +3,9 @@
  *
  * @module
  */
-import {StoreClock, followTable, type EndpointChange, type TableListener} from '../beliefs/mod.ts';
+import {
+	StoreClock, followTable, type EndpointChange, type TableListener,
+} from '../beliefs/mod.ts';
 import {
 	configurationKey, decodeConfiguration, decodeEndpoint, endpointTable, operatorTable, type StoredRow,
 } from '../platform/mod.ts';
@@ -43,7 +45,9 @@
 	return () => {
 		const ageMilliseconds = knowledge.age(readClock());
 		const live = members.live(clock());
-		const follows = followsStore({self: members.self, members: live, ageMilliseconds, readerIsLateMilliseconds: newsTimes.readerIsLateMilliseconds});
+		const follows = followsStore({
+			self: members.self, members: live, ageMilliseconds, readerIsLateMilliseconds: newsTimes.readerIsLateMilliseconds,
+		});
 		if (follows !== followed) {
 			followed = follows;
 			logger.info(follows ? 'gateway follows the store' : 'gateway learns from another one', {ageMilliseconds: Math.round(ageMilliseconds), live: live.length});
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -4,7 +4,9 @@
  * @module
  */
 import {type Server} from 'node:http';
-import {composeExchange, followMembers, followSource, startExchangeServer} from '../fleet/mod.ts';
+import {
+	composeExchange, followMembers, followSource, startExchangeServer,
+} from '../fleet/mod.ts';
 import {listen} from '../router/listen.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
 import {pause} from '../supervision/pause.ts';
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -127,11 +127,11 @@
 	return {outcome: refusal.code, status: refusal.status, endpoints: []};
 }
 
-async function readBody(request: IncomingMessage, largestBytes: number): Promise<Buffer | 'too-large' | 'broken'> {
-	const chunks: Buffer[] = [];
+async function readBody(request: IncomingMessage, largestBytes: number): Promise<Uint8Array | 'too-large' | 'broken'> {
+	const chunks: Uint8Array[] = [];
 	let length = 0;
 	try {
-		for await (const chunk of request as AsyncIterable<Buffer>) {
+		for await (const chunk of request as AsyncIterable<Uint8Array>) {
 			length += chunk.length;
 			if (length > largestBytes) {
 				return 'too-large';
--- a/source/platform/configuration-row.ts
+++ b/source/platform/configuration-row.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import {type Buffer} from 'node:buffer';
 import {
 	err, ok, type Result,
 } from 'neverthrow';
@@ -86,7 +85,7 @@
  * const configuration = decodeConfiguration(row.content);
  * ```
  */
-export function decodeConfiguration(content: Buffer): Result<RoutingConfiguration, string> {
+export function decodeConfiguration(content: Uint8Array): Result<RoutingConfiguration, string> {
 	const checked = configurationSchema.safeParse(parseJson(content));
 	if (!checked.success) {
 		return err(checked.error.issues.map(({path, message}) => `${path.join('.')}: ${message}`).join('; '));
--- a/source/platform/endpoint-row.ts
+++ b/source/platform/endpoint-row.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import {type Buffer} from 'node:buffer';
 import {
 	err, ok, type Result,
 } from 'neverthrow';
@@ -31,7 +30,7 @@
  * @param content Content of the row.
  * @returns The entry, or what is wrong with it; a wrong entry names no endpoint.
  */
-export function decodeEndpoint(id: string, content: Buffer): Result<EndpointEntry, string> {
+export function decodeEndpoint(id: string, content: Uint8Array): Result<EndpointEntry, string> {
 	const checked = entrySchema.safeParse(parseJson(content));
 	if (!checked.success) {
 		return err(checked.error.issues.map(({path, message}) => `${path.join('.')}: ${message}`).join('; '));
--- a/source/platform/http-call.ts
+++ b/source/platform/http-call.ts
@@ -11,7 +11,7 @@
 import {neverConnected} from '../supervision/mod.ts';
 
 /** Answer of a call. */
-export type HttpAnswer = {status: number; headers: IncomingHttpHeaders; body: Buffer};
+export type HttpAnswer = {status: number; headers: IncomingHttpHeaders; body: Uint8Array};
 
 /** Why a call has no answer; `sent` tells whether the other side may have acted on it. */
 export type HttpFailure = {sent: boolean; message: string};
@@ -63,8 +63,10 @@
 			settle(err({sent: !neverConnected(error), message: error.message}));
 		});
 		request.on('response', response => {
-			const chunks: Buffer[] = [];
-			response.on('data', (chunk: Buffer) => chunks.push(chunk));
+			const chunks: Uint8Array[] = [];
+			response.on('data', (chunk: Uint8Array) => {
+				chunks.push(chunk);
+			});
 			response.on('end', () => {
 				settle(response.complete
 					? ok({status: response.statusCode ?? 0, headers: response.headers, body: Buffer.concat(chunks)})
--- a/source/platform/request-terms.ts
+++ b/source/platform/request-terms.ts
@@ -84,8 +84,13 @@
  * @returns Names and values by turns.
  */
 export function encodeSendHeaders(rawHeaders: readonly string[], terms: SendTerms): string[] {
-	const headers = [...forwardable(rawHeaders, name => systemHeaders.has(name))];
-	headers.push('X-Azuretack-Deadline-Ms', String(Math.max(1, Math.floor(terms.deadlineMilliseconds))), 'X-Azuretack-Target-Instance', terms.endpointId);
+	const headers = [
+		...forwardable(rawHeaders, name => systemHeaders.has(name)),
+		'X-Azuretack-Deadline-Ms',
+		String(Math.max(1, Math.floor(terms.deadlineMilliseconds))),
+		'X-Azuretack-Target-Instance',
+		terms.endpointId,
+	];
 	const optional: Array<[string, string | undefined]> = [
 		['X-Azuretack-Tenant', terms.workspace],
 		['X-Azuretack-Request-Priority', terms.priority?.toString()],
--- a/source/platform/store-client.ts
+++ b/source/platform/store-client.ts
@@ -17,7 +17,7 @@
 export type StoredRow = {
 	key: string;
 	/** Content; absent when the row was removed. */
-	content: Buffer | undefined;
+	content: Uint8Array | undefined;
 	/** Rises with each write of the store. */
 	revision: number;
 };
@@ -60,7 +60,9 @@
 	deleted: z.boolean().nullish(),
 });
 
-const rowsSchema = z.object({rows: z.array(rowSchema), hasMore: z.boolean().nullish(), resourceVersion: z.number(), serverTimeMs: z.number().nullish()});
+const rowsSchema = z.object({
+	rows: z.array(rowSchema), hasMore: z.boolean().nullish(), resourceVersion: z.number(), serverTimeMs: z.number().nullish(),
+});
 
 /** Rows asked for in one call. */
 const rowsPerCall = 500;
@@ -149,7 +151,9 @@
 	}
 
 	async #transact(json: unknown): Promise<Result<WriteOutcome, StoreFailure>> {
-		const answer = await this.#call('write', {method: 'POST', path: '/api/rows-tx', json, timeoutMilliseconds: this.#timeoutMilliseconds});
+		const answer = await this.#call('write', {
+			method: 'POST', path: '/api/rows-tx', json, timeoutMilliseconds: this.#timeoutMilliseconds,
+		});
 		return answer.andThen(({status}): Result<WriteOutcome, StoreFailure> => {
 			if (status === 200) {
 				return ok({kind: 'committed'});
--- a/source/routing/admit-request.ts
+++ b/source/routing/admit-request.ts
@@ -27,10 +27,10 @@
 /** Whether a request is allowed. */
 export type Admission
 	= | {kind: 'allowed'; route: Route; workspace: Workspace | undefined}
-	| {kind: 'no-configuration'}
-	| {kind: 'stale-configuration'}
-	| {kind: 'no-route'}
-	| {kind: 'unknown-key'};
+		| {kind: 'no-configuration'}
+		| {kind: 'stale-configuration'}
+		| {kind: 'no-route'}
+		| {kind: 'unknown-key'};
 
 /**
  * Decides whether a request is allowed.
--- a/source/telemetry/line-writer.ts
+++ b/source/telemetry/line-writer.ts
@@ -38,7 +38,7 @@
 	#waiting: string[] = [];
 	#waitingLength = 0;
 	#writing = false;
-	#timer: NodeJS.Timeout | undefined;
+	#scheduled = false;
 	#second = 0;
 	#linesInSecond = 0;
 	#dropped = 0;
@@ -68,9 +68,12 @@
 		}
 
 		this.#add(line);
-		this.#timer ??= setTimeout(() => {
-			this.#flush();
-		}, gatherMilliseconds).unref();
+		if (!this.#scheduled) {
+			this.#scheduled = true;
+			setTimeout(() => {
+				this.#flush();
+			}, gatherMilliseconds).unref();
+		}
 	}
 
 	/** Writes what is waiting before the process ends. */
@@ -98,7 +101,7 @@
 		this.#waitingLength += line.length + 1;
 	}
 
-	#take(): Buffer {
+	#take(): Uint8Array {
 		const text = this.#waiting.map(line => `${line}\n`).join('');
 		this.#waiting = [];
 		this.#waitingLength = 0;
@@ -106,7 +109,7 @@
 	}
 
 	#flush(): void {
-		this.#timer = undefined;
+		this.#scheduled = false;
 		if (this.#writing || this.#waiting.length === 0) {
 			return;
 		}
@@ -115,7 +118,7 @@
 		this.#writeAll(this.#take());
 	}
 
-	#writeAll(bytes: Buffer): void {
+	#writeAll(bytes: Uint8Array): void {
 		write(this.#descriptor, bytes, (error, written) => {
 			if (!error && written < bytes.length) {
 				this.#writeAll(bytes.subarray(written));
