Prove the gateway against stand-ins of the store and the workers

Stand-ins by the published protocol: rows, feed, dropped history, silence and lost answers of the store; refusals, failures, broken, mixed and missing answers, copies and reports of workers. Thirteen tests on real gateway processes.

--- /dev/null
+++ b/source/gateway/gateway.test.ts
@@ -0,0 +1,226 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {GatewayFleet, eventsOf, expectedEvents} from '../testing/gateway-fleet.ts';
+
+test('a call is answered as the endpoint answered it, with the workspace named and the key withheld', async () => {
+	await using fleet = await GatewayFleet.create();
+	const worker = await fleet.startWorker({id: 'desk-1', service: 'desk'});
+	const gateway = await fleet.startGateway('gateway-1');
+	const answer = await fleet.call(gateway, {
+		path: '/deposits/17?x=%20y', method: 'POST', body: 'amount=3', headers: {'x-azuretack-tenant': 'forged', 'x-azuretack-hold': 'forged'},
+	});
+	assert.equal(answer.status, 200);
+	assert.equal(answer.body, 'answer of desk-1');
+	assert.equal(answer.headers['x-azuretack-server-stamp'], 'stamp-desk-1');
+	const [run] = worker.runs;
+	assert.equal(run?.body, 'amount=3');
+	assert.equal(run.target, '/deposits/17?x=%20y');
+	assert.equal(run.headers['x-azuretack-tenant'], 'workspace-1');
+	assert.equal(run.headers['x-azuretack-hold'], undefined);
+	assert.equal(run.headers.authorization, undefined);
+	assert.ok(Number(run.headers['x-azuretack-deadline-ms']) <= 800);
+});
+
+test('unknown keys and paths are refused without a run', async () => {
+	await using fleet = await GatewayFleet.create();
+	const worker = await fleet.startWorker({id: 'desk-1', service: 'desk'});
+	const gateway = await fleet.startGateway('gateway-1');
+	const unknownKey = await fleet.call(gateway, {path: '/status/1', key: 'other'});
+	const unknownPath = await fleet.call(gateway, {path: '/nothing/1'});
+	const large = await fleet.call(gateway, {path: '/deposits/1', method: 'POST', body: 'x'.repeat(100_001)});
+	assert.deepEqual([unknownKey.status, unknownPath.status, large.status], [401, 404, 413]);
+	assert.equal(worker.runs.length, 0);
+});
+
+test('an idempotent call goes to another endpoint after a failure, and one that may not be repeated does not', async () => {
+	await using fleet = await GatewayFleet.create();
+	const failing = await fleet.startWorker({id: 'desk-1', service: 'desk'});
+	const gateway = await fleet.startGateway('gateway-1');
+	for (const fault of ['break', 'reset', 'other-id'] as const) {
+		failing.fault = fault;
+		const before = failing.runs.length;
+		const answer = await fleet.call(gateway, {path: '/deposits/1', method: 'POST'});
+		assert.equal(answer.status, 502, fault);
+		assert.equal(failing.runs.length, before + 1, fault);
+	}
+
+	const sound = await fleet.startWorker({id: 'desk-2', service: 'desk'});
+	await fleet.until(async () => {
+		const answer = await fleet.call(gateway, {path: '/status/1'});
+		return answer.body === 'answer of desk-2';
+	}, 'the second endpoint is known');
+	for (const fault of ['break', 'reset', 'error', 'other-id'] as const) {
+		failing.fault = fault;
+		const answer = await fleet.call(gateway, {path: '/status/1'});
+		assert.equal(answer.body, 'answer of desk-2', fault);
+	}
+
+	assert.ok(sound.runs.length >= 4);
+});
+
+test('a call that no endpoint ran is refused as not run, with a time to come back', async () => {
+	await using fleet = await GatewayFleet.create();
+	const worker = await fleet.startWorker({id: 'desk-1', service: 'desk'});
+	worker.fault = 'full';
+	const gateway = await fleet.startGateway('gateway-1');
+	const answer = await fleet.call(gateway, {path: '/deposits/1', method: 'POST'});
+	assert.equal(answer.status, 503);
+	assert.ok(Number(answer.headers['retry-after']) > 0);
+	assert.equal(worker.runs.length, 0);
+});
+
+test('bytes after a whole answer reach no other caller', async () => {
+	await using fleet = await GatewayFleet.create();
+	const worker = await fleet.startWorker({id: 'desk-1', service: 'desk'});
+	worker.fault = 'extra';
+	const gateway = await fleet.startGateway('gateway-1');
+	for (let index = 0; index < 10; index += 1) {
+		const answer = await fleet.call(gateway, {path: `/status/${index}`});
+		assert.equal(answer.body, 'answer of desk-1');
+	}
+});
+
+test('a generation goes on from its copy when its engine dies, with every event once', async () => {
+	await using fleet = await GatewayFleet.create();
+	const engines = [await fleet.startWorker({id: 'scribe-1', service: 'scribe', events: 40}), await fleet.startWorker({id: 'scribe-2', service: 'scribe', events: 40})];
+	const gateway = await fleet.startGateway('gateway-1');
+	const answering = fleet.draft(gateway);
+	await fleet.until(() => engines.some(({runs}) => runs.length > 0), 'the generation runs');
+	await delay(150);
+	engines.find(({runs}) => runs.length > 0)!.crash();
+	const answer = await answering;
+	assert.ok(answer.whole);
+	assert.deepEqual(eventsOf(answer.body), expectedEvents(40));
+	assert.equal(engines.reduce((sum, {promptsRead}) => sum + promptsRead, 0), 1);
+	assert.equal(engines.reduce((sum, {goneOn}) => sum + goneOn, 0), 1);
+});
+
+test('a generation goes on elsewhere when its answer breaks off within an event, or its events do not arrive', async () => {
+	await using fleet = await GatewayFleet.create();
+	const failing = await fleet.startWorker({id: 'scribe-1', service: 'scribe'});
+	const gateway = await fleet.startGateway('gateway-1');
+	const sound = await fleet.startWorker({id: 'scribe-2', service: 'scribe'});
+	await fleet.until(async () => {
+		await fleet.draft(gateway, {headers: {'x-azuretack-prompt-prefix': `${failing.runs.length + sound.runs.length}:8000`}});
+		return sound.runs.length > 0 && failing.runs.length > 0;
+	}, 'both engines are known');
+	for (const fault of ['break', 'mute'] as const) {
+		failing.fault = fault;
+		for (let index = 0; index < 4; index += 1) {
+			const answer = await fleet.draft(gateway, {headers: {'x-azuretack-prompt-prefix': `${index}:8000`}});
+			assert.ok(answer.whole, fault);
+			assert.deepEqual(eventsOf(answer.body), expectedEvents(20), fault);
+		}
+	}
+});
+
+test('a caller that leaves ends its generation at the engine', async () => {
+	await using fleet = await GatewayFleet.create();
+	const engine = await fleet.startWorker({id: 'scribe-1', service: 'scribe', events: 10_000});
+	const gateway = await fleet.startGateway('gateway-1');
+	const leaving = new AbortController();
+	const answering = fleet.draft(gateway, {signal: leaving.signal});
+	await fleet.until(() => engine.runs.length > 0, 'the generation runs');
+	leaving.abort();
+	await answering;
+	await fleet.until(async () => {
+		const report = await fleet.get(engine.options.listen, '/api/report');
+		return report.body.includes('"runs":[]');
+	}, 'the engine has stopped');
+});
+
+test('a key that was taken away is refused, also by a gateway that the store does not answer', async () => {
+	await using fleet = await GatewayFleet.create();
+	await fleet.startWorker({id: 'desk-1', service: 'desk'});
+	const gateway = await fleet.startGateway('gateway-1');
+	fleet.store.fault = 'silent';
+	fleet.configure({version: 2, keys: ['key-2']});
+	await delay(5000);
+	const refused = await fleet.call(gateway, {path: '/status/1'});
+	assert.equal(refused.status, 503);
+	assert.ok(Number(refused.headers['retry-after']) > 0);
+	fleet.store.fault = 'none';
+	await fleet.until(async () => {
+		const answer = await fleet.call(gateway, {path: '/status/1', key: 'key-2'});
+		return answer.status === 200;
+	}, 'the new key is served');
+	const old = await fleet.call(gateway, {path: '/status/1'});
+	assert.equal(old.status, 401);
+});
+
+test('a gateway whose store refuses it goes on with what another one knows', async () => {
+	await using fleet = await GatewayFleet.create();
+	await fleet.startWorker({id: 'desk-1', service: 'desk'});
+	const first = await fleet.startGateway('gateway-1');
+	const second = await fleet.startGateway('gateway-2');
+	await fleet.until(async () => {
+		const entries = await fleet.get(first.entries, '/api/resolve?name=desk.example&region=home&zone=zone-a');
+		return entries.body.includes(second.callers) && entries.body.includes(first.callers);
+	}, 'both gateways know each other');
+	await delay(2000);
+	const calls = () => fleet.store.calls.get('/api/rows-feed') ?? 0;
+	const before = calls();
+	await delay(3000);
+	assert.ok(calls() - before <= 9, `one gateway follows the store, not both (${calls() - before} calls in 3 s)`);
+	fleet.configure({version: 2, keys: ['key-2']});
+	await delay(2000);
+	for (const gateway of [first, second]) {
+		const old = await fleet.call(gateway, {path: '/status/1'});
+		const current = await fleet.call(gateway, {path: '/status/1', key: 'key-2'});
+		assert.deepEqual([old.status, current.status], [401, 200], gateway.name);
+	}
+});
+
+test('an endpoint that leaves gets no more requests, and one that drops out of a lost history neither', async () => {
+	await using fleet = await GatewayFleet.create();
+	const leaving = await fleet.startWorker({id: 'desk-1', service: 'desk'});
+	const removed = await fleet.startWorker({id: 'desk-2', service: 'desk'});
+	await fleet.startWorker({id: 'desk-3', service: 'desk'});
+	const gateway = await fleet.startGateway('gateway-1');
+	fleet.store.put('servers', 'desk-1', leaving.entry('draining'));
+	fleet.store.remove('servers', 'desk-2');
+	fleet.store.dropHistory();
+	fleet.store.put('servers', 'desk-4', 'not JSON');
+	await delay(2000);
+	const before = leaving.runs.length + removed.runs.length;
+	for (let index = 0; index < 20; index += 1) {
+		const answer = await fleet.call(gateway, {path: `/status/${index}`});
+		assert.equal(answer.body, 'answer of desk-3');
+	}
+
+	assert.equal(leaving.runs.length + removed.runs.length, before);
+});
+
+test('a planned stop finishes the requests in progress', async () => {
+	await using fleet = await GatewayFleet.create();
+	const engine = await fleet.startWorker({
+		id: 'scribe-1', service: 'scribe', events: 60, eventMilliseconds: 20,
+	});
+	const gateway = await fleet.startGateway('gateway-1');
+	const answering = fleet.draft(gateway);
+	await fleet.until(() => engine.runs.length > 0, 'the generation runs');
+	gateway.child.kill('SIGTERM');
+	const exited = once(gateway.child, 'exit');
+	await delay(100);
+	const readiness = await fleet.get(gateway.readiness, '/api/ready');
+	assert.equal(readiness.status, 503);
+	const answer = await answering;
+	assert.ok(answer.whole);
+	assert.deepEqual(eventsOf(answer.body), expectedEvents(60));
+	const [code] = await exited as [number];
+	assert.equal(code, 0);
+});
+
+test('each request leaves one line that says how it ended, and counts in the metrics', async () => {
+	await using fleet = await GatewayFleet.create();
+	await fleet.startWorker({id: 'desk-1', service: 'desk'});
+	const gateway = await fleet.startGateway('gateway-1');
+	await fleet.call(gateway, {path: '/status/1', attempt: 'attempt-to-find'});
+	await fleet.until(() => gateway.log.join('').includes('attempt-to-find'), 'the line is written');
+	const line = gateway.log.join('').split('\n').find(text => text.includes('attempt-to-find'))!;
+	assert.deepEqual(Object.keys(JSON.parse(line) as object).filter(name => ['request', 'outcome', 'status', 'endpoints', 'configuration', 'configurationAge'].includes(name)).length, 6);
+	const metrics = await fleet.get(gateway.metrics, '/metrics');
+	assert.match(metrics.body, /azuretack_gateway_requests_total\{service="desk",outcome="answered"\} 1/v);
+});
--- /dev/null
+++ b/source/testing/gateway-fleet.ts
@@ -0,0 +1,249 @@
+/**
+ * Starts real gateway processes before stand-ins of the platform's store and workers.
+ *
+ * @module
+ */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {request as startRequest} from 'node:http';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
+import {StoreStandIn} from './stand-ins/store-stand-in.ts';
+import {WorkerStandIn, type WorkerStandInOptions} from './stand-ins/worker-stand-in.ts';
+
+const program = path.join(import.meta.dirname, '..', 'binaries', 'azuretack-gateway.js');
+
+/** Host name of all routes in tests. */
+export const routeHost = 'desk.example';
+
+/** Key of the workspace in tests. */
+export const workspaceKey = 'key-1';
+
+/** Changes to the configuration of tests. */
+export type ConfigurationChanges = {version?: number; keys?: string[]; routes?: Array<Record<string, unknown>>};
+
+/** Answer that a caller got; `whole` tells whether it ended as it should. */
+export type CallerAnswer = {status: number; headers: Record<string, string | string[] | undefined>; body: string; whole: boolean};
+
+/** A request of a caller. */
+export type CallerRequest = {path: string; method?: string; body?: string; headers?: Record<string, string>; key?: string; attempt?: string; deadlineMilliseconds?: number; signal?: AbortSignal};
+
+/** One gateway process. */
+export type GatewayProcess = {name: string; callers: string; entries: string; readiness: string; metrics: string; child: ChildProcess; log: string[]};
+
+let fleetsCreated = 0;
+let attemptsMade = 0;
+
+const routes = {
+	draft: {
+		name: 'draft', host: routeHost, prefix: '/drafts/', kind: 'stream', timeoutMs: 10_000, targetLatencyMs: 1000, priority: 1, service: 'scribe', maxAttempts: 5, resumable: true, gapAimMs: 700, stickySessions: true,
+	},
+	deposit: {
+		name: 'deposit', host: routeHost, prefix: '/deposits/', kind: 'non_idempotent', timeoutMs: 800, targetLatencyMs: 120, priority: 2, service: 'desk', maxAttempts: 1,
+	},
+	status: {
+		name: 'status', host: routeHost, prefix: '/status/', kind: 'idempotent', timeoutMs: 800, targetLatencyMs: 120, priority: 2, service: 'desk', maxAttempts: 2,
+	},
+};
+
+/**
+ * A store, workers and gateways on loopback addresses of their own.
+ *
+ * @example
+ * ```ts
+ * await using fleet = await GatewayFleet.create();
+ * await fleet.startWorker({id: 'desk-1', service: 'desk'});
+ * const gateway = await fleet.startGateway('gateway-1');
+ * const answer = await fleet.call(gateway, {path: '/status/1'});
+ * ```
+ */
+export class GatewayFleet implements AsyncDisposable {
+	/** Creates a fleet with its store and a first configuration. */
+	static async create(): Promise<GatewayFleet> {
+		fleetsCreated += 1;
+		const address = `127.${64 + (process.pid % 64)}.${Math.floor(process.pid / 64) % 256}.${fleetsCreated}`;
+		const store = await StoreStandIn.start(`${address}:7000`);
+		const fleet = new GatewayFleet(address, store, await mkdtemp(path.join(tmpdir(), 'azuretack-gateway-')));
+		fleet.configure();
+		return fleet;
+	}
+
+	readonly store: StoreStandIn;
+	readonly workers = new Map<string, WorkerStandIn>();
+	readonly gateways = new Map<string, GatewayProcess>();
+	readonly #address: string;
+	readonly #folder: string;
+	#nextPort = 8000;
+
+	private constructor(address: string, store: StoreStandIn, folder: string) {
+		this.#address = address;
+		this.store = store;
+		this.#folder = folder;
+	}
+
+	/** Publishes a configuration. */
+	configure({version = 1, keys = [workspaceKey], routes: changed}: ConfigurationChanges = {}): void {
+		this.store.put('op', 'config', {
+			version,
+			routes: changed ?? Object.values(routes),
+			services: [
+				{
+					name: 'scribe', healthPath: '/health', maxConnections: 100, engine: {
+						slots: 64, kvCapacity: 88_000, backups: true, handleS: 4,
+					},
+				},
+				{name: 'desk', healthPath: '/health', maxConnections: 100},
+			],
+			limits: {
+				maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+			},
+			tenants: [{name: 'workspace-1', apiKeys: keys}],
+		});
+	}
+
+	/** Starts a worker and registers it. */
+	async startWorker(options: Omit<WorkerStandInOptions, 'listen'>): Promise<WorkerStandIn> {
+		const worker = await WorkerStandIn.start({...options, listen: this.#allocate()});
+		this.workers.set(options.id, worker);
+		this.store.put('servers', options.id, worker.entry());
+		return worker;
+	}
+
+	/** Starts a gateway and waits until it takes requests. */
+	async startGateway(name: string): Promise<GatewayProcess> {
+		const [callers, readiness, entries, peers, metrics] = [1, 2, 3, 4, 5].map(() => this.#allocate());
+		const file = path.join(this.#folder, `${name}.jsonc`);
+		await writeFile(file, JSON.stringify({
+			hostName: name,
+			availabilityZone: 'zone-a',
+			region: 'home',
+			listen: {
+				callers, readiness, entries, peers, metrics,
+			},
+			store: `${this.#address}:7000`,
+		}));
+		const child = spawn(process.execPath, [program, '--settings', file], {stdio: ['ignore', 'pipe', 'inherit']});
+		const log: string[] = [];
+		child.stdout.on('data', (data: Uint8Array) => {
+			log.push(new TextDecoder().decode(data));
+		});
+		const gateway = {
+			name, callers: callers!, entries: entries!, readiness: readiness!, metrics: metrics!, child, log,
+		};
+		this.gateways.set(name, gateway);
+		await this.until(async () => {
+			const answer = await this.get(gateway.readiness, '/api/ready');
+			return answer.status === 200;
+		}, `${name} takes requests`);
+		return gateway;
+	}
+
+	/** Sends a caller's request with a key, an attempt and a deadline. */
+	async call(gateway: GatewayProcess, request: CallerRequest): Promise<CallerAnswer> {
+		attemptsMade += 1;
+		const {key = workspaceKey, attempt = `attempt-${attemptsMade}`, deadlineMilliseconds = 5000, headers} = request;
+		return send(gateway.callers, {
+			...request,
+			headers: {
+				host: routeHost, authorization: `Token ${key}`, 'x-azuretack-attempt-id': attempt, 'x-azuretack-deadline-ms': String(deadlineMilliseconds), ...headers,
+			},
+		});
+	}
+
+	/** Sends a request for a generation. */
+	async draft(gateway: GatewayProcess, request: Partial<CallerRequest> = {}): Promise<CallerAnswer> {
+		return this.call(gateway, {
+			path: '/drafts/1',
+			method: 'POST',
+			body: 'notes',
+			...request,
+			headers: {'x-azuretack-token-counts': '8000,120', 'x-azuretack-prompt-prefix': 'a1:200,b2:7800', ...request.headers},
+		});
+	}
+
+	/** Asks any server of a gateway. */
+	async get(address: string, target: string): Promise<CallerAnswer> {
+		return send(address, {path: target});
+	}
+
+	/** Waits until something holds, for ten seconds at most. */
+	async until(holds: () => Promise<boolean> | boolean, what: string): Promise<void> {
+		const end = performance.now() + 10_000;
+		while (performance.now() < end) {
+			if (await holds()) {
+				return;
+			}
+
+			await delay(20);
+		}
+
+		throw new Error(`not within 10 s: ${what}`);
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		for (const {child} of this.gateways.values()) {
+			if (child.exitCode === null && child.signalCode === null) {
+				child.kill('SIGKILL');
+				await once(child, 'exit');
+			}
+		}
+
+		for (const worker of this.workers.values()) {
+			worker.crash();
+		}
+
+		this.store.close();
+		await rm(this.#folder, {recursive: true});
+	}
+
+	#allocate(): string {
+		this.#nextPort += 1;
+		return `${this.#address}:${this.#nextPort}`;
+	}
+}
+
+/** Texts of the events of a stream, in order. */
+export function eventsOf(body: string): string[] {
+	return body.split('\n\n').filter(event => event !== '').map(event => event.split('data: ')[1] ?? '');
+}
+
+/** The events that a stream must have. */
+export function expectedEvents(count: number): string[] {
+	return Array.from({length: count}, (_unused, index) => `token ${index + 1}`);
+}
+
+async function send(address: string, {path: target, method = 'GET', body, headers, signal}: CallerRequest): Promise<CallerAnswer> {
+	const [hostname, port] = address.split(':');
+	return new Promise(resolve => {
+		const none: CallerAnswer = {
+			status: 0, headers: {}, body: '', whole: false,
+		};
+		const request = startRequest({
+			hostname, port, method, path: target, headers, signal, agent: false,
+		}, response => {
+			let text = '';
+			const answer = (whole: boolean) => {
+				resolve({
+					status: response.statusCode ?? 0, headers: response.headers, body: text, whole,
+				});
+			};
+
+			response.on('data', (chunk: Uint8Array) => {
+				text += new TextDecoder().decode(chunk);
+			});
+			response.on('end', () => {
+				answer(response.complete);
+			});
+			response.on('error', () => {
+				answer(false);
+			});
+		});
+		request.on('error', () => {
+			resolve(none);
+		});
+		request.end(body);
+	});
+}
--- /dev/null
+++ b/source/testing/stand-ins/store-stand-in.ts
@@ -0,0 +1,200 @@
+/**
+ * A stand-in of the platform's store, by its published protocol: rows in tables, a feed of changes, and faults.
+ *
+ * @module
+ */
+import {Buffer} from 'node:buffer';
+import {type Server, type ServerResponse} from 'node:http';
+import {answer, serveJson, type Exchange} from './control.ts';
+
+type Row = {table: string; part: string; key: string; value: string; resourceVersion: number; deleted?: boolean};
+
+type RowPlace = {table: string; part: string; key: string};
+
+type TransactionBody = {
+	expectedRevision: Array<RowPlace & {resourceVersion: number}>;
+	puts: Array<RowPlace & {value: string}>;
+	remove: RowPlace[];
+};
+
+/** What the store does with calls: it serves them, refuses them, resets connections, says nothing, or loses answers of writes. */
+export type StoreFault = 'none' | 'busy' | 'reset' | 'silent' | 'lose-answers';
+
+/**
+ * The store, in the process of a test.
+ *
+ * @example
+ * ```ts
+ * const store = await StoreStandIn.start('127.0.0.1:7000');
+ * store.put('op', 'config', configuration);
+ * ```
+ */
+export class StoreStandIn {
+	static async start(listen: string): Promise<StoreStandIn> {
+		const store = new StoreStandIn();
+		store.#server = await serveJson(listen, {
+			'POST /api/rows-tx': exchange => store.#serve(exchange, () => store.#transact(exchange)),
+			'GET /api/rows-get': exchange => store.#serve(exchange, () => store.#read(exchange)),
+			'GET /api/rows-feed': async exchange => store.#serve(exchange, async () => store.#follow(exchange)),
+		});
+		return store;
+	}
+
+	fault: StoreFault = 'none';
+	/** Calls served, by path. */
+	readonly calls = new Map<string, number>();
+	#server: Server | undefined;
+	#revision = 1;
+	#historyFrom = 0;
+	readonly #rows = new Map<string, Row>();
+	readonly #waiters = new Set<() => void>();
+
+	/** Writes a row as the operator or an endpoint does. */
+	put(table: string, key: string, content: unknown): void {
+		this.#revision += 1;
+		const value = Buffer.from(typeof content === 'string' ? content : JSON.stringify(content)).toString('base64');
+		this.#set({
+			table, part: '', key, value, resourceVersion: this.#revision,
+		});
+	}
+
+	/** Removes a row. */
+	remove(table: string, key: string): void {
+		this.#revision += 1;
+		this.#set({
+			table, part: '', key, value: '', resourceVersion: this.#revision, deleted: true,
+		});
+	}
+
+	/** Forgets which rows changed up to now. */
+	dropHistory(): void {
+		this.#historyFrom = this.#revision;
+		this.#wake();
+	}
+
+	/** Keys of a table. */
+	keys(table: string): string[] {
+		return [...this.#rows.values()].filter(row => row.table === table && !row.deleted).map(({key}) => key);
+	}
+
+	/** Stops the store. */
+	close(): void {
+		this.#server?.close();
+		this.#server?.closeAllConnections();
+		this.#wake();
+	}
+
+	#serve(exchange: Exchange, serve: () => Promise<void> | void): Promise<void> | void {
+		const {pathname} = exchange.url;
+		this.calls.set(pathname, (this.calls.get(pathname) ?? 0) + 1);
+		switch (this.fault) {
+			case 'busy': {
+				answer(exchange.response, 503, {});
+				return;
+			}
+
+			case 'reset': {
+				exchange.response.socket?.resetAndDestroy();
+				return;
+			}
+
+			case 'silent': {
+				return;
+			}
+
+			default: {
+				return serve();
+			}
+		}
+	}
+
+	#transact({body, response}: Exchange): void {
+		const {expectedRevision, puts, remove} = body as TransactionBody;
+		const wrong = expectedRevision.some(expected => (this.#rows.get(nameOf(expected))?.resourceVersion ?? 0) !== expected.resourceVersion);
+		if (wrong) {
+			this.#answer(response, 412, {rows: []});
+			return;
+		}
+
+		this.#revision += 1;
+		for (const row of puts) {
+			this.#set({...row, resourceVersion: this.#revision});
+		}
+
+		for (const row of remove) {
+			this.#set({
+				...row, value: '', resourceVersion: this.#revision, deleted: true,
+			});
+		}
+
+		if (this.fault === 'lose-answers') {
+			response.destroy();
+			return;
+		}
+
+		this.#answer(response, 200, {});
+	}
+
+	#read({url, response}: Exchange): void {
+		const table = url.searchParams.get('table');
+		const from = url.searchParams.get('from') ?? '';
+		const limit = Number(url.searchParams.get('limit') ?? '500');
+		const rows = [...this.#rows.values()]
+			.filter(row => row.table === table && !row.deleted && row.key >= from)
+			.toSorted((left, right) => left.key < right.key ? -1 : 1);
+		this.#answer(response, 200, {rows: rows.slice(0, limit), hasMore: rows.length > limit});
+	}
+
+	async #follow({url, response}: Exchange): Promise<void> {
+		const table = url.searchParams.get('table');
+		const after = Number(url.searchParams.get('afterRevision'));
+		const until = performance.now() + Number(url.searchParams.get('waitMs'));
+		for (;;) {
+			if (after < this.#historyFrom) {
+				this.#answer(response, 410, {});
+				return;
+			}
+
+			const rows = [...this.#rows.values()].filter(row => row.table === table && row.resourceVersion > after);
+			const left = until - performance.now();
+			if (rows.length > 0 || left <= 0) {
+				this.#answer(response, 200, {rows: rows.toSorted((one, other) => one.resourceVersion - other.resourceVersion)});
+				return;
+			}
+
+			await this.#change(left);
+		}
+	}
+
+	async #change(milliseconds: number): Promise<void> {
+		await new Promise<void>(resolve => {
+			const done = () => {
+				clearTimeout(timer);
+				this.#waiters.delete(done);
+				resolve();
+			};
+
+			const timer = setTimeout(done, milliseconds);
+			this.#waiters.add(done);
+		});
+	}
+
+	#answer(response: ServerResponse, status: number, content: Record<string, unknown>): void {
+		answer(response, status, {...content, resourceVersion: this.#revision, serverTimeMs: Math.round(performance.now())});
+	}
+
+	#set(row: Row): void {
+		this.#rows.set(nameOf(row), row);
+		this.#wake();
+	}
+
+	#wake(): void {
+		for (const waiter of this.#waiters) {
+			waiter();
+		}
+	}
+}
+
+function nameOf({table, part, key}: RowPlace): string {
+	return JSON.stringify([table, part, key]);
+}
