--- /dev/null
+++ b/source/fleet/fleet.test.ts
@@ -0,0 +1,92 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+	MemberTable, chooseSource, followsStore, listEntries, readerOf, type Member,
+} from './mod.ts';
+
+const member = (name: string, changes: Partial<Member> = {}): Member => ({
+	name, availabilityZone: 'zone-a', region: 'home', callers: `${name}:1`, peers: `${name}:2`, incarnation: 1, heartbeat: 1, ready: true, ...changes,
+});
+
+const namesOf = (members: readonly Member[]) => members.map(({name}) => name);
+
+test('a gateway lives while its heartbeat rises, and a later process replaces an earlier one', () => {
+	const table = new MemberTable({self: member('self'), silentMilliseconds: 5000});
+	table.merge([member('one', {heartbeat: 9}), member('two')], 0);
+	table.merge([member('one', {heartbeat: 9})], 4000);
+	assert.deepEqual(namesOf(table.live(4999)), ['self', 'one', 'two']);
+	assert.deepEqual(namesOf(table.live(5000)), ['self']);
+	table.merge([member('one', {incarnation: 2, heartbeat: 1}), member('two', {heartbeat: 0})], 6000);
+	assert.deepEqual(namesOf(table.live(6000)), ['self', 'one']);
+});
+
+test('a gateway that did not answer counts as gone until its heartbeat rises', () => {
+	const table = new MemberTable({self: member('self')});
+	table.merge([member('one')], 0);
+	table.unanswered('one');
+	table.merge([member('one')], 100);
+	assert.deepEqual(namesOf(table.live(100)), ['self']);
+	table.merge([member('one', {heartbeat: 2})], 200);
+	assert.deepEqual(namesOf(table.live(200)), ['self', 'one']);
+});
+
+test('a registration says who there is, not who lives', () => {
+	const table = new MemberTable({self: member('self')});
+	table.register([member('self'), member('one')], 0);
+	assert.deepEqual(namesOf(table.live(0)), ['self']);
+	assert.deepEqual(namesOf(table.others()), ['one']);
+	table.merge([member('one', {heartbeat: 1})], 10);
+	assert.deepEqual(namesOf(table.live(10)), ['self', 'one']);
+});
+
+const zones = ['zone-a', 'zone-b', 'zone-c'];
+const fleet = zones.flatMap(availabilityZone => Array.from({length: 4}, (_unused, index) => member(`${availabilityZone}-${index}`, {availabilityZone})));
+
+test('one gateway of each zone follows the store, and another one when that is gone', () => {
+	const following = fleet.filter(self => followsStore({
+		self, members: fleet, ageMilliseconds: 100, readerIsLateMilliseconds: 1600,
+	}));
+	assert.equal(following.length, 3);
+	const reader = readerOf(fleet, 'zone-a')!;
+	const left = fleet.filter(({name}) => name !== reader.name);
+	assert.equal(readerOf(left, 'zone-a')?.availabilityZone, 'zone-a');
+	assert.equal(readerOf(fleet.toReversed(), 'zone-a'), reader);
+});
+
+test('a gateway that has not heard enough follows the store itself', () => {
+	const self = fleet.find(({name}) => name !== readerOf(fleet, 'zone-a')!.name)!;
+	assert.equal(followsStore({
+		self, members: fleet, ageMilliseconds: 1700, readerIsLateMilliseconds: 1600,
+	}), true);
+});
+
+test('a gateway learns from its zone\'s reader, and from another zone\'s while that has fallen behind', () => {
+	const reader = readerOf(fleet, 'zone-a')!;
+	const self = fleet.find(({name, availabilityZone}) => availabilityZone === 'zone-a' && name !== reader.name)!;
+	const random = () => 0.5;
+	assert.equal(chooseSource({
+		self, members: fleet, readerIsLate: false, random,
+	}), reader);
+	const other = chooseSource({
+		self, members: fleet, readerIsLate: true, random,
+	})!;
+	assert.notEqual(other.availabilityZone, 'zone-a');
+	assert.equal(readerOf(fleet, other.availabilityZone), other);
+	assert.equal(chooseSource({
+		self: reader, members: fleet, readerIsLate: false, random,
+	}), undefined);
+});
+
+test('callers are told of ready gateways, some of their zone first, and never of those alone', () => {
+	const members = [...fleet, member('stopping', {ready: false})];
+	const entries = listEntries({
+		members, availabilityZone: 'zone-b', region: 'home', count: 6, random: Math.random,
+	});
+	assert.equal(entries.length, 6);
+	assert.ok(entries.slice(0, 3).every(address => address.startsWith('zone-b')));
+	assert.ok(!entries.includes('stopping:1'));
+	const none = listEntries({
+		members: [member('one', {ready: false})], availabilityZone: 'zone-b', region: 'home', count: 6, random: Math.random,
+	});
+	assert.deepEqual(none, ['one:1']);
+});
--- a/source/gateway/gateway.test.ts
+++ b/source/gateway/gateway.test.ts
@@ -220,7 +220,7 @@
 	await fleet.call(gateway, {path: '/status/1', attempt: 'attempt-to-find'});
 	await fleet.until(() => gateway.log.join('').includes('attempt-to-find'), 'the line is written');
 	const line = gateway.log.join('').split('\n').find(text => text.includes('attempt-to-find'))!;
-	assert.deepEqual(Object.keys(JSON.parse(line) as object).filter(name => ['request', 'outcome', 'status', 'endpoints', 'configuration', 'configurationAge'].includes(name)).length, 6);
+	assert.deepEqual(Object.keys(JSON.parse(line) as Record<string, unknown>).filter(name => ['request', 'outcome', 'status', 'endpoints', 'configuration', 'configurationAge'].includes(name)).length, 6);
 	const metrics = await fleet.get(gateway.metrics, '/metrics');
 	assert.match(metrics.body, /azuretack_gateway_requests_total\{service="desk",outcome="answered"\} 1/v);
 });
--- /dev/null
+++ b/source/platform/platform.test.ts
@@ -0,0 +1,129 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {readFile, readdir} from 'node:fs/promises';
+import path from 'node:path';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {
+	decodeAnswerTerms, decodeConfiguration, decodeEndpoint, decodeEntryCall, decodeRequestTerms, encodeAnswerHeaders, encodeSendHeaders,
+} from './mod.ts';
+
+const row = (content: unknown) => Buffer.from(JSON.stringify(content));
+
+const terms = {
+	endpointId: 'i-1', workspace: 'workspace-1', deadlineMilliseconds: 750.9, priority: undefined, lastEvent: undefined, copyTo: undefined, goOnFrom: undefined,
+};
+
+test('a configuration is decoded into the project\'s own model', () => {
+	const decoded = decodeConfiguration(row({
+		version: 7,
+		routes: [{
+			name: 'r', host: 'h', prefix: '/p/', kind: 'non_idempotent', timeoutMs: 800, targetLatencyMs: 100, priority: 2, backends: [{service: 's', weight: 90}], maxAttempts: 1, allowAnonymous: false,
+		}],
+		services: [{name: 's', maxConnections: 200, unknown: true}],
+		tenants: [{name: 't', apiKeys: ['k']}],
+		limits: {maxBodyBytes: 1000},
+	}));
+	const configuration = decoded._unsafeUnwrap();
+	assert.equal(configuration.version, 7);
+	assert.deepEqual(configuration.routes[0]?.services, [{service: 's', weight: 90}]);
+	assert.equal(configuration.routes[0].kind, 'at-most-once');
+	assert.deepEqual(configuration.workspaces, [{name: 't', keys: ['k'], priority: undefined}]);
+	assert.equal(configuration.limits.bodyBytes, 1000);
+});
+
+test('what cannot be read names the field', () => {
+	const configuration = decodeConfiguration(row({version: 7, routes: [{name: 'r'}], services: []}));
+	assert.match(configuration._unsafeUnwrapErr(), /routes\.0\.host/v);
+	const endpoint = decodeEndpoint('i-1', row({
+		service: 's', address: 'nowhere', zone: 'z', slots: 6, state: 'ready',
+	}));
+	assert.match(endpoint._unsafeUnwrapErr(), /address/v);
+	assert.ok(decodeEndpoint('i-1', row({
+		service: 's', address: '10.0.0.1:80', zone: 'z', slots: 6, state: 'asleep',
+	})).isErr());
+});
+
+test('no content of a row makes a decoder throw', () => {
+	fc.assert(fc.property(fc.oneof(fc.json(), fc.string()), content => {
+		decodeConfiguration(Buffer.from(content));
+		decodeEndpoint('i-1', Buffer.from(content));
+	}));
+});
+
+test('a request reaches the endpoint with the caller\'s headers, less those of its connection and those that only the system sets', () => {
+	const sent = encodeSendHeaders([
+		'Host',
+		'h',
+		'Connection',
+		'close, X-Local, X-Azuretack-Model',
+		'X-Local',
+		'1',
+		'X-Azuretack-Model',
+		'm',
+		'X-Azuretack-Attempt-Id',
+		'a',
+		'Authorization',
+		'Token k',
+		'X-AZURETACK-KV-BACKUP',
+		'10.0.0.9:1',
+		'Kv-From',
+		'x',
+		'X-Azuretack-Pin-Ms',
+		'5',
+		'X-Azuretack-Hold',
+		'h',
+		'Transfer-Encoding',
+		'chunked',
+		'X-Other',
+		'kept',
+	], terms);
+	assert.deepEqual(sent, [
+		'Host', 'h', 'X-Azuretack-Model', 'm', 'X-Azuretack-Attempt-Id', 'a', 'X-Other', 'kept', 'X-Azuretack-Deadline-Ms', '750', 'X-Azuretack-Target-Instance', 'i-1', 'X-Azuretack-Tenant', 'workspace-1',
+	]);
+});
+
+test('a generation that goes on names its event, its copy and where the next copy goes', () => {
+	const sent = encodeSendHeaders(['Last-Event-Id', '3'], {
+		...terms, lastEvent: '12', copyTo: '10.0.0.2:1', goOnFrom: {address: '10.0.0.1:1', attempt: 'a'},
+	});
+	const pairs = Object.fromEntries(sent.flatMap((name, index) => index % 2 === 0 ? [[name, sent[index + 1]]] : []));
+	assert.equal(pairs['Last-Event-Id'], '12');
+	assert.equal(pairs['Kv-From'], '10.0.0.1:1/a');
+	assert.equal(pairs['X-Azuretack-Kv-Backup'], '10.0.0.2:1');
+});
+
+test('the terms of requests and answers are read, and what is malformed counts as absent', () => {
+	const read = decodeRequestTerms({
+		'x-azuretack-attempt-id': 'a', 'x-azuretack-deadline-ms': '1500', authorization: 'token  k ', 'x-azuretack-prompt-prefix': '5c:200, 91:8000', 'x-azuretack-token-counts': '8200,120',
+	});
+	assert.deepEqual(read, {
+		attempt: 'a', deadlineMilliseconds: 1500, key: 'k', lastEvent: undefined, promptTokens: 8200, outputTokens: 120, promptPart: '91',
+	});
+	const malformed = decodeRequestTerms({'x-azuretack-deadline-ms': 'soon', authorization: 'Basic x', 'x-azuretack-token-counts': 'x'});
+	assert.deepEqual([malformed.deadlineMilliseconds, malformed.key, malformed.promptTokens, malformed.outputTokens], [undefined, undefined, 0, 0]);
+	assert.equal(decodeAnswerTerms(421, {}).notExecuted, true);
+	assert.equal(decodeAnswerTerms(503, {}).notExecuted, false);
+	assert.equal(decodeAnswerTerms(503, {'x-azuretack-not-executed': '1'}).notExecuted, true);
+	assert.deepEqual(encodeAnswerHeaders(['Content-Length', '5', 'Keep-Alive', 'timeout=5', 'X-Azuretack-Server-Stamp', 's']), ['X-Azuretack-Server-Stamp', 's']);
+});
+
+test('calls for entries and readiness are told from others', () => {
+	assert.deepEqual(decodeEntryCall('GET', '/api/resolve?name=h&region=r&zone=z'), {kind: 'entries', availabilityZone: 'z', region: 'r'});
+	assert.deepEqual(decodeEntryCall('GET', '/api/ready'), {kind: 'readiness'});
+	assert.equal(decodeEntryCall('POST', '/api/ready'), undefined);
+	assert.equal(decodeEntryCall('GET', '/other'), undefined);
+});
+
+test('no name of the platform stands outside its adapter', async () => {
+	const source = path.join(import.meta.dirname, '..', '..', 'source');
+	const names = await readdir(source, {recursive: true});
+	const wire = /x-azuretack-|rows-(?:tx|get|feed)|\/api\/(?:report|resolve|ready|kv-|hold|blob)|kv-(?:from|fetch|move|backup)/iv;
+	const offending: string[] = [];
+	for (const name of names.filter(each => each.endsWith('.ts') && !each.endsWith('.test.ts') && !/^(?:platform|testing)\//v.test(each))) {
+		const text = await readFile(path.join(source, name), 'utf8');
+		offending.push(...wire.test(text) ? [name] : []);
+	}
+
+	assert.deepEqual(offending, []);
+});
--- a/source/testing/stand-ins/store-stand-in.ts
+++ b/source/testing/stand-ins/store-stand-in.ts
@@ -33,8 +33,12 @@
 	static async start(listen: string): Promise<StoreStandIn> {
 		const store = new StoreStandIn();
 		store.#server = await serveJson(listen, {
-			'POST /api/rows-tx': exchange => store.#serve(exchange, () => store.#transact(exchange)),
-			'GET /api/rows-get': exchange => store.#serve(exchange, () => store.#read(exchange)),
+			'POST /api/rows-tx': async exchange => store.#serve(exchange, () => {
+				store.#transact(exchange);
+			}),
+			'GET /api/rows-get': async exchange => store.#serve(exchange, () => {
+				store.#read(exchange);
+			}),
 			'GET /api/rows-feed': async exchange => store.#serve(exchange, async () => store.#follow(exchange)),
 		});
 		return store;
@@ -102,7 +106,8 @@
 				return;
 			}
 
-			default: {
+			case 'lose-answers':
+			case 'none': {
 				return serve();
 			}
 		}
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -141,7 +141,9 @@
 			},
 			break() {
 				response.writeHead(200, {...headers, 'content-length': body.length}).write(body.slice(0, 3));
-				setTimeout(() => response.destroy(), 5);
+				setTimeout(() => {
+					response.destroy();
+				}, 5);
 			},
 			reset() {
 				response.socket?.resetAndDestroy();
