--- a/source/fleet/choose-reader.ts
+++ b/source/fleet/choose-reader.ts
@@ -47,7 +47,7 @@
  * @param options Gateways and age.
  */
 export function followsStore({self, members, ageMilliseconds, readerIsLateMilliseconds}: FollowsStoreOptions): boolean {
-	return ageMilliseconds > readerIsLateMilliseconds || !self.ready || readerOf(members, self.availabilityZone)?.name === self.name;
+	return ageMilliseconds > readerIsLateMilliseconds || readerOf(members, self.availabilityZone)?.name === self.name;
 }
 
 /** Options of {@linkcode chooseSource}. */
--- a/source/fleet/mod.ts
+++ b/source/fleet/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from './ask-seeds.ts';
 export * from './choose-entries.ts';
 export * from './choose-reader.ts';
 export type {Known, News} from './exchange-protocol.ts';
@@ -11,4 +12,5 @@
 export * from './follow-members.ts';
 export * from './follow-source.ts';
 export type * from './member.ts';
+export * from './register-member.ts';
 export * from './member-table.ts';
--- a/source/gateway/follow-store.ts
+++ b/source/gateway/follow-store.ts
@@ -18,9 +18,9 @@
  *
  * @param supervisor Runs them.
  * @param parts The gateway's parts.
- * @param knowledge What is known, and how old it is.
+ * @param wanted Whether this gateway follows the store now.
  */
-export function followStore(supervisor: Supervisor, parts: GatewayParts, knowledge: SharedKnowledge): void {
+export function followStore(supervisor: Supervisor, parts: GatewayParts, wanted: () => boolean): void {
 	const {store, logger, readClock, random, newsTimes} = parts;
 	const shared = {
 		store,
@@ -29,7 +29,7 @@
 		random,
 		roundMilliseconds: newsTimes.storeMilliseconds,
 		storeClock: new StoreClock(),
-		wanted: createWanted(parts, knowledge),
+		wanted,
 	};
 	supervisor.start('configuration', async signal => followTable({
 		...shared, table: operatorTable, listener: configurationListener(parts), gatherMilliseconds: 0,
@@ -39,8 +39,13 @@
 	}, signal));
 }
 
-/** Returns the question whether this gateway follows the store; each change of the answer is logged. */
-function createWanted({members, logger, clock, readClock, newsTimes}: GatewayParts, knowledge: SharedKnowledge): () => boolean {
+/**
+ * Returns the question whether this gateway follows the store; each change of the answer is logged.
+ *
+ * @param parts The gateway's parts.
+ * @param knowledge What is known, and how old it is.
+ */
+export function createWanted({members, logger, clock, readClock, newsTimes}: GatewayParts, knowledge: SharedKnowledge): () => boolean {
 	let followed: boolean | undefined;
 	return () => {
 		const ageMilliseconds = knowledge.age(readClock());
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -3,9 +3,11 @@
  *
  * @module
  */
+import {once} from 'node:events';
 import {type Server} from 'node:http';
+import {ok} from 'neverthrow';
 import {
-	composeExchange, followMembers, followSource, startExchangeServer,
+	askSeeds, followMembers, followSource, keepRegistered, startExchangeServer, type SharedKnowledge,
 } from '../fleet/mod.ts';
 import {listen} from '../router/listen.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
@@ -13,7 +15,7 @@
 import {Supervisor} from '../supervision/supervisor.ts';
 import {type Logger} from '../telemetry/logger.ts';
 import {createCallerServer, createEntryServer, createMetricsServer} from './caller-server.ts';
-import {followStore} from './follow-store.ts';
+import {createWanted, followStore} from './follow-store.ts';
 import {createGatewayParts, type GatewayParts} from './gateway-parts.ts';
 import {isReady} from './readiness.ts';
 import {createSharedKnowledge} from './shared-knowledge.ts';
@@ -39,7 +41,6 @@
 	const parts = createGatewayParts(settings, logger);
 	const supervisor = new Supervisor({logger});
 	const knowledge = createSharedKnowledge(parts);
-	followStore(supervisor, parts, knowledge);
 	const callerServer = createCallerServer(parts);
 	const entryServer = createEntryServer(parts);
 	await listen(callerServer, settings.listen.callers);
@@ -49,12 +50,16 @@
 	await startExchangeServer({
 		listen: settings.listen.peers,
 		answer({members, known}) {
-			parts.members.merge(members, parts.clock());
-			return known
-				? {members: [parts.members.self], news: knowledge.newsFor(known, parts.readClock())}
-				: composeExchange(parts.members, parts.clock());
+			const now = parts.readClock();
+			const asksAnew = known?.configurationVersion === 0;
+			parts.members.merge(members, now.steady);
+			return {
+				members: known && !asksAnew ? [parts.members.self] : parts.members.live(now.steady),
+				news: known && knowledge.newsFor(known, now),
+			};
 		},
 	});
+	startNews(supervisor, parts, knowledge, settings.seeds);
 	supervisor.start('members', async signal => followMembers({...parts, ready: () => isReady(parts)}, signal));
 	supervisor.start('source', async signal => followSource({...parts, knowledge}, signal));
 	logger.info('gateway listening', {callers: settings.listen.callers, incarnation: parts.members.self.incarnation});
@@ -63,6 +68,29 @@
 	};
 }
 
+/** Asks the seeds, then follows the store or those who do. */
+function startNews(supervisor: Supervisor, parts: GatewayParts, knowledge: SharedKnowledge, seeds: readonly string[]): void {
+	const {members, clock} = parts;
+	supervisor.start('news', async signal => {
+		await askSeeds({
+			...parts, seeds, knowledge, onNews() {
+				members.beat(isReady(parts));
+			},
+		}, signal);
+		const wanted = createWanted(parts, knowledge);
+		followStore(supervisor, parts, wanted);
+		await keepRegistered({...parts, wanted: () => wanted() || members.live(clock()).length === 1}, signal);
+		await untilAborted(signal);
+		return ok();
+	});
+}
+
+async function untilAborted(signal: AbortSignal): Promise<void> {
+	if (!signal.aborted) {
+		await once(signal, 'abort');
+	}
+}
+
 async function listenUnlessSame(server: Server, address: string, other: string): Promise<void> {
 	if (address !== other) {
 		await listen(server, address);
--- a/source/settings/gateway-settings.ts
+++ b/source/settings/gateway-settings.ts
@@ -21,6 +21,8 @@
 	}),
 	/** Address of the platform's store. */
 	store: addressSchema,
+	/** Gateways that are asked first after a start; they may be gone. */
+	seeds: z.array(addressSchema).default([]),
 	bounds: z.object({
 		/** Time within which a new configuration is in force, in milliseconds. */
 		configurationMilliseconds: z.number().positive().default(2000),
