--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -204,7 +204,15 @@
 		}
 
 		logger.info('attempt failed', {
-			request: this.#exchange.requestName, endpoint: endpoint.id, end: end.kind, reason, runs: this.#runs, events: this.#progress.events, lastEvent: this.#progress.lastEvent, copyHolder: this.#copyHolder?.id, goOnFrom: goOnFrom?.id,
+			request: this.#exchange.requestName,
+			endpoint: endpoint.id,
+			end: end.kind,
+			reason,
+			runs: this.#runs,
+			events: this.#progress.events,
+			lastEvent: this.#progress.lastEvent,
+			copyHolder: this.#copyHolder?.id,
+			goOnFrom: goOnFrom?.id,
 		});
 	}
 
@@ -258,7 +266,14 @@
 	#outcome(outcome: string, status: number): ExchangeOutcome {
 		const {events, firstEventMilliseconds, longestPauseMilliseconds} = this.#progress;
 		return {
-			outcome, status, endpoints: this.#asked, generation: {events, firstEventMilliseconds: firstEventMilliseconds && Math.round(firstEventMilliseconds), longestPauseMilliseconds: Math.round(longestPauseMilliseconds)},
+			outcome,
+			status,
+			endpoints: this.#asked,
+			generation: {
+				events,
+				firstEventMilliseconds: firstEventMilliseconds === undefined ? undefined : Math.round(firstEventMilliseconds),
+				longestPauseMilliseconds: Math.round(longestPauseMilliseconds),
+			},
 		};
 	}
 }
--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -9,12 +9,10 @@
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {encodeSendHeaders} from '../platform/mod.ts';
 import {beginAnswer, sendWholeAnswer} from './answer-caller.ts';
+import {EngineWatch, type Departure} from './engine-watch.ts';
 import {EventSplitter, type StreamEvent} from './event-splitter.ts';
 import {type Exchange} from './exchange.ts';
 import {sendRequest, BrokenAnswerError, type EndpointAnswer} from './send-request.ts';
-import {
-	decideOnSilence, lacksAttempt, provesRestart, withholdsEvents,
-} from './silence-decision.ts';
 
 /** Where an attempt goes. */
 export type AttemptTarget = {
@@ -65,15 +63,6 @@
 /** Time for a connection to an engine, in milliseconds. */
 const connectMilliseconds = 150;
 
-/** Time between two looks at a silent engine, in milliseconds. */
-const lookMilliseconds = 50;
-
-/** Unanswered questions in a row after which an engine counts as dead. */
-const unansweredQuestions = 2;
-
-/** Reports in a row that lack the attempt after which it counts as ended. */
-const reportsWithoutAttempt = 2;
-
 /**
  * Runs one attempt.
  *
@@ -87,19 +76,26 @@
 class GenerationAttempt {
 	readonly #options: GenerationAttemptOptions;
 	readonly #ending = new AbortController();
-	#heardAt: number;
-	#aliveAt: number;
-	#unanswered = 0;
-	#lacking = 0;
-	#lastReport: EngineReport | undefined;
-	#asking = false;
-	#received = 0;
-	#leftBecause: {unreachable: boolean; message: string} | undefined;
+	readonly #watch: EngineWatch;
+	#leftBecause: Departure | undefined;
 
 	constructor(options: GenerationAttemptOptions) {
 		this.#options = options;
-		this.#heardAt = options.clock();
-		this.#aliveAt = this.#heardAt;
+		const {exchange: {route, terms, answerBy}, target: {endpoint, copyHolder}, ask, clock} = options;
+		this.#watch = new EngineWatch({
+			startedAt: endpoint.startedAt,
+			attempt: terms.attempt ?? '',
+			answerBy,
+			eventPauseMilliseconds: route.eventPauseMilliseconds,
+			targetMilliseconds: route.targetMilliseconds,
+			hasCopy: copyHolder !== undefined,
+			ask: async () => ask(endpoint.address),
+			onLeave: departure => {
+				this.#leftBecause ??= departure;
+				this.#ending.abort();
+			},
+			clock,
+		});
 	}
 
 	async run(): Promise<GenerationEnd> {
@@ -108,14 +104,12 @@
 			this.#ending.abort();
 		};
 
-		const watch = setInterval(() => {
-			this.#watch();
-		}, lookMilliseconds);
 		callerGone.addEventListener('abort', end);
+		this.#watch.start();
 		try {
 			return await this.#run();
 		} finally {
-			clearInterval(watch);
+			this.#watch.stop();
 			callerGone.removeEventListener('abort', end);
 			end();
 		}
@@ -147,7 +141,7 @@
 		}
 
 		if (sent.kind === 'answer') {
-			this.#hear();
+			this.#watch.hear(0);
 			return this.#takeAnswer(sent.answer);
 		}
 
@@ -204,12 +198,13 @@
 		const {response} = this.#options.exchange;
 		const splitter = new EventSplitter();
 		for await (const chunk of answer.body()) {
-			this.#hear();
+			const events = splitter.push(chunk);
+			this.#watch.hear(events.length);
 			if (!response.headersSent) {
 				beginAnswer(response, answer.status, answer.rawHeaders);
 			}
 
-			await this.#deliver(splitter.push(chunk));
+			await this.#deliver(events);
 		}
 
 		if (splitter.rest.length > 0) {
@@ -230,7 +225,6 @@
 			return;
 		}
 
-		this.#received += events.length;
 		for (const event of events) {
 			progress.lastEvent = event.id ?? progress.lastEvent;
 			progress.events += 1;
@@ -242,81 +236,6 @@
 			await waitForRoom(response, callerGone);
 		}
 	}
-
-	#hear(): void {
-		this.#lacking = 0;
-		this.#heardAt = this.#options.clock();
-		this.#aliveAt = this.#heardAt;
-		this.#unanswered = 0;
-	}
-
-	#watch(): void {
-		const {exchange: {route, answerBy}, target, clock} = this.#options;
-		const now = clock();
-		if (now >= answerBy) {
-			this.#leave(false, 'the time of the request is over');
-			return;
-		}
-
-		const step = decideOnSilence({
-			started: this.#received > 0,
-			silentMilliseconds: now - this.#heardAt,
-			unprovenMilliseconds: now - this.#aliveAt,
-			eventPauseMilliseconds: route.eventPauseMilliseconds,
-			targetMilliseconds: route.targetMilliseconds,
-			hasCopy: target.copyHolder !== undefined,
-		});
-		if (step === 'leave') {
-			this.#leave(false, `nothing was heard for ${Math.round(now - this.#heardAt)} ms; ${describe(this.#lastReport)}`);
-		} else if (step === 'ask' && !this.#asking) {
-			void this.#ask();
-		}
-	}
-
-	async #ask(): Promise<void> {
-		const {exchange, target: {endpoint}, ask, clock} = this.#options;
-		this.#asking = true;
-		const report = await ask(endpoint.address);
-		this.#asking = false;
-		if (!report) {
-			this.#unanswered += 1;
-			if (this.#unanswered >= unansweredQuestions) {
-				this.#leave(true, 'the engine does not answer');
-			}
-
-			return;
-		}
-
-		this.#unanswered = 0;
-		this.#aliveAt = clock();
-		this.#lastReport = report;
-		if (provesRestart(report, endpoint.startedAt)) {
-			this.#leave(true, 'the engine has started anew');
-			return;
-		}
-
-		const attempt = exchange.terms.attempt ?? '';
-		if (withholdsEvents(report, attempt, this.#received)) {
-			this.#leave(false, 'the engine has made events that do not arrive');
-			return;
-		}
-
-		this.#lacking = lacksAttempt(report, attempt) ? this.#lacking + 1 : 0;
-		if (this.#lacking >= reportsWithoutAttempt) {
-			this.#leave(false, 'the engine does not work on it any more');
-		}
-	}
-
-	#leave(unreachable: boolean, message: string): void {
-		this.#leftBecause ??= {unreachable, message};
-		this.#ending.abort();
-	}
-}
-
-function describe(report: EngineReport | undefined): string {
-	return report
-		? `the engine reports ${report.running} running, ${report.waiting} waiting, ${report.usedTokens} of ${report.memoryTokens} tokens in use`
-		: 'the engine was not asked';
 }
 
 function notePause(progress: GenerationProgress, now: number): void {
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -9,7 +9,7 @@
 import {
 	askSeeds, followMembers, followSource, keepRegistered, startExchangeServer, type SharedKnowledge,
 } from '../fleet/mod.ts';
-import {listen} from '../router/listen.ts';
+import {listen} from '../supervision/listen.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
 import {pause} from '../supervision/pause.ts';
 import {Supervisor} from '../supervision/supervisor.ts';
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -70,7 +70,16 @@
 	parts.metrics.answerSeconds.observe({service}, milliseconds / 1000);
 	const {table, ageMilliseconds} = parts.configuration.knowledge(parts.readClock());
 	parts.logger.info('request ended', {
-		request: requestName, outcome, status, route, service, endpoints, milliseconds: Math.round(milliseconds), configuration: table?.version, ...generation, configurationAge: Math.round(ageMilliseconds),
+		request: requestName,
+		outcome,
+		status,
+		route,
+		service,
+		endpoints,
+		milliseconds: Math.round(milliseconds),
+		...generation,
+		configuration: table?.version,
+		configurationAge: Math.round(ageMilliseconds),
 	});
 }
 
--- a/source/router/router.ts
+++ b/source/router/router.ts
@@ -15,7 +15,7 @@
 import {createCallerServer} from './caller-server.ts';
 import {leaveGracefully} from './leave.ts';
 import {Leaving} from './leaving.ts';
-import {listen} from './listen.ts';
+import {listen} from '../supervision/listen.ts';
 import {createOperatorServer} from './operator-server.ts';
 import {runDuties} from './run-duties.ts';
 import {createControlParts, startControl} from './start-control.ts';
--- a/source/supervision/mod.ts
+++ b/source/supervision/mod.ts
@@ -6,6 +6,7 @@
 
 export * from './connect-errors.ts';
 export * from './invariant.ts';
+export * from './listen.ts';
 export * from './pause.ts';
 export * from './poll.ts';
 export * from './supervisor.ts';
