--- a/source/fleet/choose-reader.ts
+++ b/source/fleet/choose-reader.ts
@@ -20,8 +20,12 @@
 	let reader: Member | undefined;
 	let highest = -1;
 	for (const member of members) {
+		if (!member.ready || member.availabilityZone !== availabilityZone) {
+			continue;
+		}
+
 		const weight = rendezvousWeight(key, member.name);
-		if (member.ready && member.availabilityZone === availabilityZone && weight > highest) {
+		if (weight > highest) {
 			reader = member;
 			highest = weight;
 		}
--- a/source/fleet/fleet.test.ts
+++ b/source/fleet/fleet.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	MemberTable, chooseSource, followsStore, listEntries, readerOf, type Member,
+	MemberTable, chooseSource, exchangePeriod, followsStore, listEntries, readerOf, type Member,
 } from './mod.ts';
 
 const member = (name: string, changes: Partial<Member> = {}): Member => ({
@@ -11,7 +11,7 @@
 const namesOf = (members: readonly Member[]) => members.map(({name}) => name);
 
 test('a gateway lives while its heartbeat rises, and a later process replaces an earlier one', () => {
-	const table = new MemberTable({self: member('self'), silentMilliseconds: 5000});
+	const table = new MemberTable({self: member('self'), silentMilliseconds: () => 5000});
 	table.merge([member('one', {heartbeat: 9}), member('two')], 0);
 	table.merge([member('one', {heartbeat: 9})], 4000);
 	assert.deepEqual(namesOf(table.live(4999)), ['self', 'one', 'two']);
@@ -20,6 +20,12 @@
 	assert.deepEqual(namesOf(table.live(6000)), ['self', 'one']);
 });
 
+test('exchanges become rarer as the fleet grows, within bounds', () => {
+	assert.equal(exchangePeriod(16), 1000);
+	assert.equal(exchangePeriod(128), 2000);
+	assert.equal(exchangePeriod(390), 4000);
+});
+
 test('a gateway that did not answer counts as gone until its heartbeat rises', () => {
 	const table = new MemberTable({self: member('self')});
 	table.merge([member('one')], 0);
--- a/source/fleet/follow-members.ts
+++ b/source/fleet/follow-members.ts
@@ -21,8 +21,14 @@
 	random: () => number;
 };
 
-/** Time between two exchanges, in milliseconds. */
-const exchangeMilliseconds = 1000;
+/** Time between two exchanges of a small fleet, in milliseconds. */
+const shortestExchangeMilliseconds = 1000;
+
+/** Longest time between two exchanges, in milliseconds. */
+const longestExchangeMilliseconds = 4000;
+
+/** Gateways above which exchanges, which carry all of them, become rarer. */
+const smallFleet = 64;
 
 /** Deadline of an exchange, in milliseconds. */
 const answerMilliseconds = 500;
@@ -42,7 +48,7 @@
 export async function followMembers(options: FollowMembersOptions, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
 	const {members, logger, ready, clock, random} = options;
 	const client = new ExchangeClient();
-	while (await pause(exchangeMilliseconds * (0.75 + (random() / 2)), signal)) {
+	while (await pause(exchangePeriod(members.size) * (0.75 + (random() / 2)), signal)) {
 		members.beat(ready());
 		const peer = choosePeer(members, clock(), random);
 		if (!peer) {
@@ -62,6 +68,16 @@
 	return ok();
 }
 
+/**
+ * Time between two exchanges: their size grows with the fleet, so their number falls.
+ *
+ * @param gateways Gateways known.
+ * @returns Milliseconds.
+ */
+export function exchangePeriod(gateways: number): number {
+	return Math.min(longestExchangeMilliseconds, shortestExchangeMilliseconds * Math.max(1, gateways / smallFleet));
+}
+
 /** Mostly a live gateway of the own zone, at times one of another zone or any that is known. */
 function choosePeer(members: MemberTable, now: number, random: () => number): Member | undefined {
 	const live = members.live(now).slice(1);
--- a/source/fleet/member-table.ts
+++ b/source/fleet/member-table.ts
@@ -9,8 +9,8 @@
 export type MemberTableOptions = {
 	/** This gateway. */
 	self: RegisteredMember;
-	/** Time without news of a gateway after which it counts as gone, in milliseconds. Default 5,000. */
-	silentMilliseconds?: number;
+	/** Time without news of a gateway after which it counts as gone, in milliseconds, by the number of gateways. Default 5,000. */
+	silentMilliseconds?: (gateways: number) => number;
 };
 
 type Known = {
@@ -34,11 +34,11 @@
  * ```
  */
 export class MemberTable {
-	readonly #silentMilliseconds: number;
+	readonly #silentMilliseconds: (gateways: number) => number;
 	readonly #known = new Map<string, Known>();
 	#self: Member;
 
-	constructor({self, silentMilliseconds = 5000}: MemberTableOptions) {
+	constructor({self, silentMilliseconds = () => 5000}: MemberTableOptions) {
 		this.#self = {...self, heartbeat: 0, ready: false};
 		this.#silentMilliseconds = silentMilliseconds;
 	}
@@ -48,6 +48,11 @@
 		return this.#self;
 	}
 
+	/** Gateways known, this one included, whether they live or not. */
+	get size(): number {
+		return this.#known.size + 1;
+	}
+
 	/** Raises this gateway's heartbeat. */
 	beat(ready: boolean): void {
 		this.#self = {...this.#self, heartbeat: this.#self.heartbeat + 1, ready};
@@ -94,8 +99,9 @@
 
 	/** This gateway and all others that were heard of lately. */
 	live(now: number): Member[] {
+		const silent = this.#silentMilliseconds(this.size);
 		const others = [...this.#known.values()]
-			.filter(({heardAt, unansweredAt}) => heardAt !== undefined && unansweredAt === undefined && now - heardAt < this.#silentMilliseconds)
+			.filter(({heardAt, unansweredAt}) => heardAt !== undefined && unansweredAt === undefined && now - heardAt < silent)
 			.map(({member}) => member);
 		return [this.#self, ...others];
 	}
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -7,7 +7,7 @@
 import {
 	ConfigurationBelief, EndpointList, divideNewsTime, readClock, type ClockReading, type NewsTimes,
 } from '../beliefs/mod.ts';
-import {MemberTable} from '../fleet/mod.ts';
+import {MemberTable, exchangePeriod} from '../fleet/mod.ts';
 import {EndpointConnections, SharedRetryBudget, type ForwardingParts} from '../forwarding/mod.ts';
 import {StoreClient} from '../platform/mod.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
@@ -29,6 +29,9 @@
 	trustedKeyMilliseconds: number;
 };
 
+/** Exchanges without news of a gateway after which it counts as gone; news takes a few of them to reach everyone. */
+const silentExchanges = 5;
+
 /** Share of the time to withdraw a key for which a configuration is trusted; the rest covers late news of the store. */
 const trustedShare = 0.8;
 
@@ -45,6 +48,7 @@
 		self: {
 			name: hostName, availabilityZone, region, callers: listen.callers, peers: listen.peers, incarnation: Date.now(),
 		},
+		silentMilliseconds: gateways => exchangePeriod(gateways) * silentExchanges,
 	});
 	const budgets = new Map<string, SharedRetryBudget>();
 	return {
