Give slow links time for large answers, and bundle no more than is used

Cause: a configuration of 1,848 routes takes longer than the deadline of a call over the grown sites' slowest links (worked out, not seen); the time now runs from the newest byte.

--- a/source/accounts/usage-row.ts
+++ b/source/accounts/usage-row.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {type UsageTotals} from '../membership/mod.ts';
 
 /** Table of usage totals; a key is `WORKSPACE/INCARNATION`, and a workspace's account is the sum over its rows. */
--- a/source/admission/suspects/refused-requests.ts
+++ b/source/admission/suspects/refused-requests.ts
@@ -6,7 +6,7 @@
 import {
 	ok, type Result,
 } from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type PlatformClient, type Row} from '../../table-service/mod.ts';
 import {poll, type TaskFailure} from '../../supervision/mod.ts';
 import {type Logger} from '../../telemetry/mod.ts';
--- a/source/admission/suspects/trial-claims.ts
+++ b/source/admission/suspects/trial-claims.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {type PlatformClient, type Row} from '../../table-service/mod.ts';
 import {pause} from '../../supervision/mod.ts';
 
--- a/source/beliefs/endpoint-list.ts
+++ b/source/beliefs/endpoint-list.ts
@@ -5,7 +5,7 @@
  */
 
 import {isDeepStrictEqual} from 'node:util';
-import {z} from 'zod';
+import * as z from 'zod';
 import {ageOf, type ClockReading} from './clock.ts';
 
 /** One endpoint as it registered itself. */
--- a/source/beliefs/follow-table.ts
+++ b/source/beliefs/follow-table.ts
@@ -5,7 +5,8 @@
  */
 import {ok, type Result} from 'neverthrow';
 import {type StoreFailure, type StoredRow, type StoredRows} from '../platform/mod.ts';
-import {pause, type TaskFailure} from '../supervision/mod.ts';
+import {pause} from '../supervision/pause.ts';
+import {type TaskFailure} from '../supervision/supervisor.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {type ClockReading} from './clock.ts';
 import {type StoreClock} from './store-clock.ts';
--- a/source/calls/claim.ts
+++ b/source/calls/claim.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {createHash} from 'node:crypto';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type ServiceRequest} from '../endpoints/mod.ts';
 
 /** An answer that is kept for repeats of its call. */
--- a/source/client/complete.ts
+++ b/source/client/complete.ts
@@ -8,7 +8,7 @@
 	err, ok, type Result,
 } from 'neverthrow';
 import {Client, type Dispatcher} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {pause} from '../supervision/mod.ts';
 import {IdleTimeout} from './_idle-timeout.ts';
 import {type EntryList} from './entry-list.ts';
--- a/source/client/entry-list.ts
+++ b/source/client/entry-list.ts
@@ -7,7 +7,7 @@
 	err, ok, type Result,
 } from 'neverthrow';
 import {request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const entriesSchema = z.object({
 	entries: z.array(z.object({address: z.string(), availabilityZone: z.string()})),
--- a/source/configuration/configuration.ts
+++ b/source/configuration/configuration.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {serviceFileSchema, workspaceSchema} from './service-file.ts';
 
 /** Schema shared by the publisher and the routers. */
--- a/source/configuration/service-file.ts
+++ b/source/configuration/service-file.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 const nameSchema = z.string().regex(/^[a-z][a-z\d\-]{0,62}$/v, 'expected lower-case letters, digits and dashes');
 
--- a/source/configuration/stored-configuration.ts
+++ b/source/configuration/stored-configuration.ts
@@ -15,7 +15,7 @@
 import {
 	err, ok, type Result,
 } from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type PlatformClient} from '../table-service/mod.ts';
 
 /** Table of the configuration's rows. */
--- a/source/duties/lease.ts
+++ b/source/duties/lease.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Value of a lease's row. */
 export const leaseSchema = z.object({
--- a/source/endpoints/engine-protocol.ts
+++ b/source/endpoints/engine-protocol.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Body of `POST /v1/completions` on an engine. */
 export const engineRequestSchema = z.object({
--- a/source/fleet/ask-seeds.ts
+++ b/source/fleet/ask-seeds.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {type ClockReading} from '../beliefs/mod.ts';
-import {pause} from '../supervision/mod.ts';
+import {pause} from '../supervision/pause.ts';
 import {type Logger} from '../telemetry/logger.ts';
 import {ExchangeClient} from './exchange-client.ts';
 import {type SharedKnowledge} from './follow-source.ts';
--- a/source/fleet/exchange-protocol.ts
+++ b/source/fleet/exchange-protocol.ts
@@ -5,11 +5,14 @@
  */
 import {Buffer} from 'node:buffer';
 import {type MethodDefinition} from '@grpc/grpc-js';
-import {z} from 'zod';
+import * as z from 'zod';
 import {endpointChangeSchema} from '../beliefs/endpoint-list.ts';
 import {routingConfigurationSchema} from '../routing/mod.ts';
 import {memberSchema} from './member.ts';
 
+/** Largest message, in bytes: a whole configuration and all endpoints at the largest size. */
+export const largestMessageBytes = 16_777_216;
+
 /** What the asking side knows of configuration and endpoints. */
 export const knownSchema = z.object({
 	/** Version of the configuration; 0 for none. */
--- a/source/fleet/exchange-server.ts
+++ b/source/fleet/exchange-server.ts
@@ -6,7 +6,7 @@
 import {
 	Server, ServerCredentials, type ServerUnaryCall, type ServiceDefinition, type sendUnaryData,
 } from '@grpc/grpc-js';
-import {exchangeMethod, type ExchangeMessage} from './exchange-protocol.ts';
+import {exchangeMethod, largestMessageBytes, type ExchangeMessage} from './exchange-protocol.ts';
 
 /** Options of {@linkcode startExchangeServer}. */
 export type ExchangeServerOptions = {
@@ -24,7 +24,7 @@
  * @throws {Error} When the address cannot be listened on.
  */
 export async function startExchangeServer({listen, answer}: ExchangeServerOptions): Promise<() => void> {
-	const server = new Server({'grpc.max_concurrent_streams': 256});
+	const server = new Server({'grpc.max_concurrent_streams': 256, 'grpc.max_receive_message_length': largestMessageBytes});
 	const service: ServiceDefinition = {exchange: exchangeMethod};
 	server.addService(service, {
 		exchange(call: ServerUnaryCall<ExchangeMessage, ExchangeMessage>, callback: sendUnaryData<ExchangeMessage>) {
--- a/source/fleet/follow-members.ts
+++ b/source/fleet/follow-members.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import {ok, type Result} from 'neverthrow';
-import {pause, type TaskFailure} from '../supervision/mod.ts';
+import {pause} from '../supervision/pause.ts';
+import {type TaskFailure} from '../supervision/supervisor.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {ExchangeClient} from './exchange-client.ts';
 import {type Member} from './member.ts';
--- a/source/fleet/follow-source.ts
+++ b/source/fleet/follow-source.ts
@@ -5,7 +5,8 @@
  */
 import {ok, type Result} from 'neverthrow';
 import {type ClockReading, type NewsTimes} from '../beliefs/mod.ts';
-import {pause, type TaskFailure} from '../supervision/mod.ts';
+import {pause} from '../supervision/pause.ts';
+import {type TaskFailure} from '../supervision/supervisor.ts';
 import {chooseSource} from './choose-reader.ts';
 import {ExchangeClient} from './exchange-client.ts';
 import {type Known, type News} from './exchange-protocol.ts';
--- a/source/fleet/member.ts
+++ b/source/fleet/member.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Schema of one gateway. */
 export const memberSchema = z.object({
--- a/source/fleet/register-member.ts
+++ b/source/fleet/register-member.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {type StoreClient, type StoredRow} from '../platform/mod.ts';
-import {pause} from '../supervision/mod.ts';
+import {pause} from '../supervision/pause.ts';
 import {type Logger} from '../telemetry/logger.ts';
 import {registeredMemberSchema, type RegisteredMember} from './member.ts';
 import {type MemberTable} from './member-table.ts';
--- a/source/forwarding/send-request.ts
+++ b/source/forwarding/send-request.ts
@@ -6,7 +6,7 @@
 import {request as startRequest, type Agent, type IncomingMessage} from 'node:http';
 import {type Socket} from 'node:net';
 import {decodeAnswerTerms, type AnswerTerms} from '../platform/mod.ts';
-import {neverConnected} from '../supervision/mod.ts';
+import {neverConnected} from '../supervision/connect-errors.ts';
 
 /** Options of {@linkcode sendRequest}. */
 export type SendRequestOptions = {
--- a/source/generation/cursor.ts
+++ b/source/generation/cursor.ts
@@ -11,7 +11,7 @@
 	err, ok, type Result,
 } from 'neverthrow';
 import xxhash from 'xxhash-wasm';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A model that generates: two engines with the same identity continue each other's text. */
 export type ModelIdentity = {name: string; version: string; adapter?: string};
--- a/source/membership/peer-protocol.ts
+++ b/source/membership/peer-protocol.ts
@@ -8,7 +8,7 @@
  */
 import {type MethodDefinition} from '@grpc/grpc-js';
 import {fromJSON} from '@grpc/proto-loader';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A hint that spreads over all routers. */
 export const hintSchema = z.object({
--- a/source/operations/claim-commands.ts
+++ b/source/operations/claim-commands.ts
@@ -6,7 +6,7 @@
 import {
 	err, ok, type Result,
 } from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	readClaim, settleClaim, type Claim, type ClaimName,
 } from '../calls/mod.ts';
--- a/source/operations/commands.ts
+++ b/source/operations/commands.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {err, ok} from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {claimCommand, settleCommand} from './claim-commands.ts';
 import {type OperateCommand} from './command.ts';
 import {explainRequest, formatExplanation} from './explain-request.ts';
--- a/source/operations/explain-request.ts
+++ b/source/operations/explain-request.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	type HostAnswers, type HostFailure, type OperatedHost, type OperatorClient,
 } from './operator-client.ts';
--- a/source/operations/wait-until-in-force.ts
+++ b/source/operations/wait-until-in-force.ts
@@ -6,7 +6,7 @@
 import {
 	err, ok, type Result,
 } from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {pause} from '../supervision/mod.ts';
 import {type HostFailure, type OperatedHost, type OperatorClient} from './operator-client.ts';
 
--- a/source/platform/configuration-row.ts
+++ b/source/platform/configuration-row.ts
@@ -6,7 +6,7 @@
 import {
 	err, ok, type Result,
 } from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	type RequestKind, type Route, type RoutingConfiguration, type Service,
 } from '../routing/mod.ts';
--- a/source/platform/endpoint-row.ts
+++ b/source/platform/endpoint-row.ts
@@ -6,7 +6,7 @@
 import {
 	err, ok, type Result,
 } from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {parseJson} from './http-call.ts';
 
--- a/source/platform/engine-report.ts
+++ b/source/platform/engine-report.ts
@@ -7,7 +7,7 @@
 import {
 	err, ok, type Result,
 } from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type EngineReport} from '../balancing/mod.ts';
 import {httpCall, parseJson} from './http-call.ts';
 
--- a/source/platform/http-call.ts
+++ b/source/platform/http-call.ts
@@ -8,7 +8,7 @@
 import {
 	err, ok, type Result,
 } from 'neverthrow';
-import {neverConnected} from '../supervision/mod.ts';
+import {neverConnected} from '../supervision/connect-errors.ts';
 
 /** Answer of a call. */
 export type HttpAnswer = {status: number; headers: IncomingHttpHeaders; body: Uint8Array};
@@ -27,7 +27,7 @@
 	path: string;
 	/** Content of the request, sent as JSON. Default none. */
 	json?: unknown;
-	/** Deadline of the whole call, in milliseconds. */
+	/** Time without a byte of the answer after which the call is given up, in milliseconds; a large answer over a slow link may take longer. */
 	timeoutMilliseconds: number;
 	/** Ends the call early. */
 	signal?: AbortSignal;
@@ -65,6 +65,7 @@
 		request.on('response', response => {
 			const chunks: Uint8Array[] = [];
 			response.on('data', (chunk: Uint8Array) => {
+				timer.refresh();
 				chunks.push(chunk);
 			});
 			response.on('end', () => {
--- a/source/platform/store-client.ts
+++ b/source/platform/store-client.ts
@@ -8,7 +8,7 @@
 import {
 	err, ok, type Result,
 } from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	httpCall, parseJson, type HttpAnswer, type HttpCallOptions,
 } from './http-call.ts';
--- a/source/router/bodies.ts
+++ b/source/router/bodies.ts
@@ -8,7 +8,7 @@
 import {
 	err, ok, type Result,
 } from 'neverthrow';
-import {z} from 'zod';
+import * as z from 'zod';
 import {type Refusal} from '../answers/mod.ts';
 
 /** Body of `POST /v1/completions`, in the shape of the OpenAI completions call. */
--- a/source/routing/model.ts
+++ b/source/routing/model.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** What may be repeated: `idempotent` calls freely, `at-most-once` calls never, `generation` streams where they may be resumed. */
 export const requestKindSchema = z.enum(['idempotent', 'at-most-once', 'generation']);
--- a/source/settings/gateway-settings.ts
+++ b/source/settings/gateway-settings.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {addressSchema} from './router-settings.ts';
 
 /** Schema of the gateway's settings file; `deploy/gateway.template.jsonc` shows each field. */
--- a/source/settings/router-settings.ts
+++ b/source/settings/router-settings.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** An `address:port` by IP number. */
 export const addressSchema = z.string().regex(/^(?:\d{1,3}(?:\.\d{1,3}){3}|\[[\da-f:]+\]):\d{1,5}$/v, 'expected an IP number and a port, such as "10.0.0.1:8080"');
--- a/source/table-service/host-list-protocol.ts
+++ b/source/table-service/host-list-protocol.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** One host: an entry host of the system, a host of endpoints, or both. */
 export const hostSchema = z.object({
--- a/source/table-service/table-protocol.ts
+++ b/source/table-service/table-protocol.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A row's key within its table. */
 export const rowKeySchema = z.object({table: z.string(), key: z.string()});
--- a/source/testing/scenarios/_answer-expectations.ts
+++ b/source/testing/scenarios/_answer-expectations.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import assert from 'node:assert/strict';
-import {z} from 'zod';
+import * as z from 'zod';
 import {expectedText} from '../stand-ins/expected-text.ts';
 import {type GenerationRequest} from './_requests.ts';
 import {verb, type Verbs} from './_verb.ts';
--- a/source/testing/scenarios/_fleet-expectations.ts
+++ b/source/testing/scenarios/_fleet-expectations.ts
@@ -5,7 +5,7 @@
  */
 import assert from 'node:assert/strict';
 import {request} from 'undici';
-import {z} from 'zod';
+import * as z from 'zod';
 import {usageRowSchema, usageTable} from '../../accounts/mod.ts';
 import {type Row} from '../../table-service/mod.ts';
 import {verb, type Verbs} from './_verb.ts';
--- a/source/testing/scenarios/_platform-actions.ts
+++ b/source/testing/scenarios/_platform-actions.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {serviceFileSchema} from '../../configuration/mod.ts';
 import {linkFaultSchema} from '../stand-ins/fault-proxy.ts';
 import {platformFaultSchema} from '../stand-ins/platform-stand-in.ts';
--- a/source/testing/scenarios/_process-actions.ts
+++ b/source/testing/scenarios/_process-actions.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {processSchema, type ProcessReference} from './_process-reference.ts';
 import {type ScenarioContext} from './_scenario-context.ts';
 import {verb, type Verbs} from './_verb.ts';
--- a/source/testing/scenarios/_process-reference.ts
+++ b/source/testing/scenarios/_process-reference.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A process: by name, or the one that now serves a request as its engine or entry. */
 export const processSchema = z.union([
--- a/source/testing/scenarios/_request-actions.ts
+++ b/source/testing/scenarios/_request-actions.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {startCall} from './_call.ts';
 import {startGeneration} from './_generation-request.ts';
 import {callShape, generationShape} from './_request-shapes.ts';
--- a/source/testing/scenarios/_request-shapes.ts
+++ b/source/testing/scenarios/_request-shapes.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Fields of a `generate` step. */
 export const generationShape = {
--- a/source/testing/scenarios/_verb.ts
+++ b/source/testing/scenarios/_verb.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {type ScenarioContext} from './_scenario-context.ts';
 
 /** A word that may stand in a step. */
--- a/source/testing/scenarios/scenario.ts
+++ b/source/testing/scenarios/scenario.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 import {serviceFileSchema} from '../../configuration/mod.ts';
 import {actions, expectations} from './_verbs.ts';
 import {verbsSchema} from './_verb.ts';
--- a/source/testing/stand-ins/engine-options.ts
+++ b/source/testing/stand-ins/engine-options.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Options of one engine stand-in. */
 export const engineOptionsSchema = z.object({
--- a/source/testing/stand-ins/fault-proxy.ts
+++ b/source/testing/stand-ins/fault-proxy.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {connect, createServer, type Socket} from 'node:net';
-import {z} from 'zod';
+import * as z from 'zod';
 import {answer, serveJson} from './control.ts';
 
 /** Options of the proxy. */
--- a/source/testing/stand-ins/idle-engines.ts
+++ b/source/testing/stand-ins/idle-engines.ts
@@ -5,7 +5,7 @@
  */
 import {createServer} from 'node:http';
 import {createServer as createListener} from 'node:net';
-import {z} from 'zod';
+import * as z from 'zod';
 import {answer} from './control.ts';
 
 /** Options of the idle engines: consecutive ports of one address. */
--- a/source/testing/stand-ins/plain-stand-in.ts
+++ b/source/testing/stand-ins/plain-stand-in.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {setTimeout as delay} from 'node:timers/promises';
-import {z} from 'zod';
+import * as z from 'zod';
 import {answer, serveJson} from './control.ts';
 
 /** Options of the plain service stand-in. */
--- a/source/testing/stand-ins/platform-stand-in.ts
+++ b/source/testing/stand-ins/platform-stand-in.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {setTimeout as delay} from 'node:timers/promises';
-import {z} from 'zod';
+import * as z from 'zod';
 import {
 	hostListSchema, listSchema, readSchema, transactSchema, type Condition, type Host, type Operation, type Row,
 } from '../../table-service/mod.ts';
