Let callers connect only once they can be served

Cause: after a kill a gateway listened up to a second before it had a configuration, and refused what it was sent; a refused connection sends a caller elsewhere at once, while a refusal uses up its one retry. Readiness now waits for the callers' address too (tests of gateway processes failed without that).

--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -23,6 +23,8 @@
 	configuration: ConfigurationBelief;
 	members: MemberTable;
 	stopping: Stopping;
+	/** Whether callers can connect. */
+	callers: {open: boolean};
 	readClock: () => ClockReading;
 	newsTimes: NewsTimes;
 	/** Age of the configuration up to which keys are trusted, in milliseconds. */
@@ -69,6 +71,7 @@
 		loads: new EndpointLoads(),
 		health: new EndpointHealth(),
 		connections: new EndpointConnections(),
+		callers: {open: false},
 		stopping: new Stopping({stopMilliseconds: bounds.stopSeconds * 1000}),
 		retryBudgetOf(service) {
 			let budget = budgets.get(service);
--- a/source/gateway/gateway.test.ts
+++ b/source/gateway/gateway.test.ts
@@ -193,6 +193,27 @@
 	assert.equal(leaving.runs.length + removed.runs.length, before);
 });
 
+test('a gateway without a configuration takes no connections of callers, and says after a while that it has none', async () => {
+	await using fleet = await GatewayFleet.create();
+	await fleet.startWorker({id: 'desk-1', service: 'desk'});
+	fleet.store.fault = 'silent';
+	const starting = fleet.startGateway('gateway-1');
+	await fleet.until(() => fleet.gateways.has('gateway-1'), 'the process is started');
+	const gateway = fleet.gateways.get('gateway-1')!;
+	await fleet.until(async () => {
+		const readiness = await fleet.get(gateway.readiness, '/api/ready');
+		return readiness.status === 503;
+	}, 'it says that it is not ready');
+	const early = await fleet.call(gateway, {path: '/status/1'});
+	assert.equal(early.status, 0);
+	await fleet.until(async () => {
+		const answer = await fleet.call(gateway, {path: '/status/1'});
+		return answer.status === 503 && Number(answer.headers['retry-after']) > 0;
+	}, 'it says that it has no configuration');
+	fleet.store.fault = 'none';
+	await starting;
+});
+
 test('a planned stop finishes the requests in progress', async () => {
 	await using fleet = await GatewayFleet.create();
 	const engine = await fleet.startWorker({
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -26,6 +26,12 @@
 	stop(): Promise<void>;
 };
 
+/** Time for which a first configuration is awaited before callers are told that there is none, in milliseconds. */
+const firstConfigurationMilliseconds = 3000;
+
+/** Time between two looks at whether there is a configuration, in milliseconds. */
+const firstLookMilliseconds = 10;
+
 /** Time between two looks at whether a stop is done, in milliseconds. */
 const lookMilliseconds = 50;
 
@@ -43,7 +49,6 @@
 	const knowledge = createSharedKnowledge(parts);
 	const callerServer = createCallerServer(parts);
 	const entryServer = createEntryServer(parts);
-	await listen(callerServer, settings.listen.callers);
 	await listen(entryServer, settings.listen.entries);
 	await listenUnlessSame(createEntryServer(parts), settings.listen.readiness, settings.listen.entries);
 	await listen(createMetricsServer(parts), settings.listen.metrics);
@@ -62,12 +67,24 @@
 	startNews(supervisor, parts, knowledge, settings.seeds);
 	supervisor.start('members', async signal => followMembers({...parts, ready: () => isReady(parts)}, signal));
 	supervisor.start('source', async signal => followSource({...parts, knowledge}, signal));
+	await firstConfiguration(parts);
+	await listen(callerServer, settings.listen.callers);
+	parts.callers.open = true;
+	parts.members.beat(isReady(parts));
 	logger.info('gateway listening', {callers: settings.listen.callers, incarnation: parts.members.self.incarnation});
 	return {
 		stop: async () => stopGateway(parts, callerServer),
 	};
 }
 
+/** Waits until callers can be served, for a while: until then a refused connection sends them to another gateway at once. */
+async function firstConfiguration({configuration, clock}: GatewayParts): Promise<void> {
+	const until = clock() + firstConfigurationMilliseconds;
+	while (!configuration.table && clock() < until) {
+		await pause(firstLookMilliseconds);
+	}
+}
+
 /** Asks the seeds, then follows the store or those who do. */
 function startNews(supervisor: Supervisor, parts: GatewayParts, knowledge: SharedKnowledge, seeds: readonly string[]): void {
 	const {members, clock} = parts;
--- a/source/gateway/readiness.ts
+++ b/source/gateway/readiness.ts
@@ -6,11 +6,11 @@
 import {type GatewayParts} from './gateway-parts.ts';
 
 /**
- * Whether a gateway takes requests: it is not stopping and may still trust its configuration.
+ * Whether a gateway takes requests: callers can connect, it is not stopping and may still trust its configuration.
  *
  * @param parts The gateway's parts.
  */
-export function isReady({configuration, stopping, trustedKeyMilliseconds, readClock}: GatewayParts): boolean {
+export function isReady({configuration, callers, stopping, trustedKeyMilliseconds, readClock}: GatewayParts): boolean {
 	const {table, ageMilliseconds} = configuration.knowledge(readClock());
-	return !stopping.begun && table !== undefined && (!table.asksForKeys || ageMilliseconds <= trustedKeyMilliseconds);
+	return callers.open && !stopping.begun && table !== undefined && (!table.asksForKeys || ageMilliseconds <= trustedKeyMilliseconds);
 }
