Load settings and watch for leaving callers in one place, and drop what nothing reads

Two programs read and checked their settings with the same lines, and router and gateway had the same signal of a caller who left. Removed: a time of the exchange and a call of the store client that nothing used.

--- a/source/binaries/azuretack-gateway.ts
+++ b/source/binaries/azuretack-gateway.ts
@@ -9,6 +9,7 @@
 import meow from 'meow';
 import {startGateway} from '../gateway/mod.ts';
 import {gatewaySettingsSchema} from '../settings/gateway-settings.ts';
+import {loadSettings} from '../settings/load-settings.ts';
 import {formatFault, readDocument} from '../settings/read-document.ts';
 import {LineWriter} from '../telemetry/line-writer.ts';
 import {createLogger} from '../telemetry/logger.ts';
@@ -29,29 +30,22 @@
 	flags: {settings: {type: 'string', default: process.env.AZURETACK_SETTINGS ?? ''}, check: {type: 'boolean', default: false}},
 });
 
-const settings = await readDocument(command.flags.settings, gatewaySettingsSchema);
-if (settings.isErr()) {
-	for (const fault of settings.error) {
-		console.error(formatFault(fault));
-	}
-
-	process.exit(1);
+const loaded = await loadSettings(command.flags, gatewaySettingsSchema);
+if (loaded.isErr()) {
+	process.exit(loaded.error);
 }
 
-if (command.flags.check) {
-	console.log(`${command.flags.settings}: no faults`);
-	process.exit(0);
-}
+const settings = loaded.value;
 
 const writer = new LineWriter();
 const logger = createLogger('gateway', {
-	level: settings.value.log.level,
-	fields: {host: settings.value.hostName},
+	level: settings.log.level,
+	fields: {host: settings.hostName},
 	write(line) {
 		writer.write(line);
 	},
 });
-const gateway = await startGateway(settings.value, logger);
+const gateway = await startGateway(settings, logger);
 const onSignal = async () => {
 	await gateway.stop();
 	writer.end();
@@ -66,7 +60,7 @@
 	}
 
 	// Addresses and bounds hold until the next start; nothing else is in the file.
-	logger.info('settings read again', {changed: !isDeepStrictEqual(changed.value, settings.value)});
+	logger.info('settings read again', {changed: !isDeepStrictEqual(changed.value, settings)});
 };
 
 process.on('SIGHUP', () => {
--- a/source/binaries/azuretack-router.ts
+++ b/source/binaries/azuretack-router.ts
@@ -7,7 +7,7 @@
 import process from 'node:process';
 import meow from 'meow';
 import {startRouter} from '../router/mod.ts';
-import {formatFault, readDocument, routerSettingsSchema} from '../settings/mod.ts';
+import {loadSettings, routerSettingsSchema} from '../settings/mod.ts';
 
 const command = meow(`
 	Usage
@@ -24,21 +24,14 @@
 	flags: {settings: {type: 'string', isRequired: true}, check: {type: 'boolean', default: false}},
 });
 
-const settings = await readDocument(command.flags.settings, routerSettingsSchema);
-if (settings.isErr()) {
-	for (const fault of settings.error) {
-		console.error(formatFault(fault));
-	}
-
-	process.exit(1);
+const loaded = await loadSettings(command.flags, routerSettingsSchema);
+if (loaded.isErr()) {
+	process.exit(loaded.error);
 }
 
-if (command.flags.check) {
-	console.log(`${command.flags.settings}: no faults`);
-	process.exit(0);
-}
+const settings = loaded.value;
 
-const router = await startRouter(settings.value);
+const router = await startRouter(settings);
 const onSignal = () => {
 	void router.leave();
 };
--- a/source/forwarding/exchange.ts
+++ b/source/forwarding/exchange.ts
@@ -22,8 +22,6 @@
 	arrivedAt: number;
 	/** Steady time by which it needs its final answer, in milliseconds. */
 	answerBy: number;
-	/** Steady time at which the caller stops to wait, in milliseconds. */
-	callerLeavesAt: number;
 	/** Aborts when the caller's connection has closed. */
 	callerGone: AbortSignal;
 };
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -12,6 +12,7 @@
 import {
 	admitRequest, drawService, type Admission, type RequestKind, type Route,
 } from '../routing/mod.ts';
+import {signalOfCaller} from '../supervision/caller-signal.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 
 type Forward = (exchange: Exchange, parts: ForwardingParts) => Promise<ExchangeOutcome>;
@@ -121,14 +122,13 @@
 
 	parts.retryBudgetOf(service.name).countRequest(parts.clock());
 	const outcome = await forwards[route.kind]({
-		...arrived, ...timesOf(arrived, route), request, response, body, route, service, workspace, callerGone,
+		...arrived, answerBy: answerBy(arrived, route), request, response, body, route, service, workspace, callerGone,
 	}, parts);
 	return {...outcome, service: service.name, route: route.name};
 }
 
-function timesOf({terms, arrivedAt}: Arrived, {timeoutMilliseconds}: Route): Pick<Exchange, 'answerBy' | 'callerLeavesAt'> {
-	const callerLeavesAt = arrivedAt + (terms.deadlineMilliseconds ?? timeoutMilliseconds);
-	return {callerLeavesAt, answerBy: Math.min(callerLeavesAt, arrivedAt + timeoutMilliseconds)};
+function answerBy({terms, arrivedAt}: Arrived, {timeoutMilliseconds}: Route): number {
+	return arrivedAt + Math.min(terms.deadlineMilliseconds ?? timeoutMilliseconds, timeoutMilliseconds);
 }
 
 function refuse(response: ServerResponse, refusal: Refusal): ExchangeOutcome {
@@ -154,14 +154,3 @@
 
 	return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
 }
-
-/** Aborts when the caller's connection closes before its answer is complete. */
-function signalOfCaller(response: ServerResponse): AbortSignal {
-	const controller = new AbortController();
-	response.once('close', () => {
-		if (!response.writableFinished) {
-			controller.abort();
-		}
-	});
-	return controller.signal;
-}
--- a/source/platform/store-client.ts
+++ b/source/platform/store-client.ts
@@ -140,11 +140,6 @@
 		});
 	}
 
-	/** Removes rows; those that do not exist are left out. */
-	async removeRows(table: string, keys: readonly string[]): Promise<Result<WriteOutcome, StoreFailure>> {
-		return this.#transact({expectedRevision: [], puts: [], remove: keys.map(key => ({table, part: undividedPart, key}))});
-	}
-
 	/** Closes all connections. */
 	close(): void {
 		this.#agent.destroy();
--- a/source/router/caller-server.ts
+++ b/source/router/caller-server.ts
@@ -12,6 +12,7 @@
 import {type Workspace} from '../configuration/mod.ts';
 import {chooseEntries} from '../membership/mod.ts';
 import {type Host} from '../table-service/mod.ts';
+import {signalOfCaller} from '../supervision/mod.ts';
 import {badRequest} from './bodies.ts';
 import {type CallerExchange, type CallerParts} from './caller-context.ts';
 import {requestUrl} from './request-url.ts';
@@ -166,13 +167,3 @@
 		response.once('close', ended);
 	}
 }
-
-function signalOfCaller(response: ServerResponse): AbortSignal {
-	const controller = new AbortController();
-	response.once('close', () => {
-		if (!response.writableFinished) {
-			controller.abort();
-		}
-	});
-	return controller.signal;
-}
--- a/source/settings/mod.ts
+++ b/source/settings/mod.ts
@@ -5,5 +5,6 @@
  */
 
 export * from './gateway-settings.ts';
+export * from './load-settings.ts';
 export * from './read-document.ts';
 export * from './router-settings.ts';
--- a/source/supervision/mod.ts
+++ b/source/supervision/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from './caller-signal.ts';
 export * from './connect-errors.ts';
 export * from './invariant.ts';
 export * from './listen.ts';
