Soak gateways with faults from outside, and check what callers and workers see

A schedule is drawn from a seed: signals, links of callers, store, gateways and workers, faults of store and workers, changes of the operator. Sixteen checks read only what callers, workers and the operator saw. Gateways can advertise other addresses than those that they listen on, so that links stand between all of them.

The checks are not proved to fire yet.

--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -44,11 +44,11 @@
  * @param logger Receives log lines.
  */
 export function createGatewayParts(settings: GatewaySettings, logger: Logger): GatewayParts {
-	const {hostName, availabilityZone, region, listen, bounds, store} = settings;
+	const {hostName, availabilityZone, region, listen, advertise, bounds, store} = settings;
 	const metrics = createGatewayMetrics();
 	const members = new MemberTable({
 		self: {
-			name: hostName, availabilityZone, region, callers: listen.callers, peers: listen.peers, incarnation: Date.now(),
+			name: hostName, availabilityZone, region, callers: advertise.callers ?? listen.callers, peers: advertise.peers ?? listen.peers, incarnation: Date.now(),
 		},
 		silentMilliseconds: gateways => exchangePeriod(gateways) * silentExchanges,
 	});
--- a/source/settings/gateway-settings.ts
+++ b/source/settings/gateway-settings.ts
@@ -19,6 +19,11 @@
 		peers: addressSchema,
 		metrics: addressSchema,
 	}),
+	/** Addresses that callers and other gateways use, where they differ from those listened on. */
+	advertise: z.object({
+		callers: addressSchema.optional(),
+		peers: addressSchema.optional(),
+	}).prefault({}),
 	/** Address of the platform's store. */
 	store: addressSchema,
 	/** Gateways that are asked first after a start; they may be gone. */
--- a/source/testing/scenarios/_platform-actions.ts
+++ b/source/testing/scenarios/_platform-actions.ts
@@ -5,7 +5,7 @@
  */
 import * as z from 'zod';
 import {serviceFileSchema} from '../../configuration/mod.ts';
-import {linkFaultSchema} from '../stand-ins/fault-proxy.ts';
+import {linkFaultSchema} from '../stand-ins/link.ts';
 import {platformFaultSchema} from '../stand-ins/platform-stand-in.ts';
 import {processSchema} from './_process-reference.ts';
 import {verb, type Verbs} from './_verb.ts';
--- /dev/null
+++ b/source/testing/soak/callers.ts
@@ -0,0 +1,263 @@
+/**
+ * The callers of a soak: they ask for entries, keep connections open, lose patience, and go on with generations elsewhere.
+ *
+ * @module
+ */
+import {
+	Agent, get, request as startRequest, type IncomingMessage,
+} from 'node:http';
+import {connect} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {type CallKind, type SeenAnswer, type SeenRequest} from './history.ts';
+import {type Random} from './random.ts';
+import {lastEventOf, prefixes} from './requests.ts';
+import {soakHost, type SoakWorld} from './world.ts';
+
+/** Requests a second of each kind. */
+const rates: Record<CallKind, number> = {idempotent: 15, once: 15, generation: 5};
+
+/** Callers, each with connections of its own. */
+const callerCount = 8;
+
+/** Time for which a caller keeps its list of entries, in milliseconds. */
+const entriesMilliseconds = 5000;
+
+/** Chance that a caller leaves early, in hundredths. */
+const impatientPercent = 8;
+
+/** Chance that a caller uses a key that was taken away, if there is one, in hundredths. */
+const oldKeyPercent = 15;
+
+/** Chance that a request is followed by one that is never finished, in hundredths. */
+const unfinishedPercent = 2;
+
+/** Deadline of a request, in milliseconds. */
+const deadlines: Record<CallKind, number> = {idempotent: 2500, once: 2500, generation: 10_000};
+
+/** Attempts of a caller for one request. */
+const mostAttempts = 3;
+
+/** Time for which a caller waits for a list of entries, in milliseconds. */
+const entriesTimeoutMilliseconds = 1000;
+
+type Caller = {agent: Agent; entries: string[]; entriesAt: number};
+
+/** Plays callers until the signal aborts. */
+export class Callers {
+	readonly #world: SoakWorld;
+	readonly #random: Random;
+	readonly #callers: Caller[] = Array.from({length: callerCount}, () => ({agent: new Agent({keepAlive: true}), entries: [], entriesAt: Number.NEGATIVE_INFINITY}));
+	readonly #inProgress = new Set<Promise<void>>();
+	#attemptsMade = 0;
+
+	constructor(world: SoakWorld, random: Random) {
+		this.#world = world;
+		this.#random = random;
+	}
+
+	/** Sends requests of all kinds until the signal aborts, then waits for the answers. */
+	async play(signal: AbortSignal): Promise<void> {
+		await Promise.all(Object.keys(rates).map(async kind => this.#playKind(kind as CallKind, signal)));
+		await Promise.all(this.#inProgress);
+		for (const {agent} of this.#callers) {
+			agent.destroy();
+		}
+	}
+
+	async #playKind(kind: CallKind, signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			const task = this.#serve(this.#random.pick(this.#callers), kind);
+			this.#inProgress.add(task);
+			void task.finally(() => {
+				this.#inProgress.delete(task);
+			});
+			await delay(this.#random.integer(1, 2000) / rates[kind]);
+		}
+	}
+
+	/** One request with its retries. */
+	async #serve(caller: Caller, kind: CallKind): Promise<void> {
+		const body = `notes ${this.#random.integer(1, 1_000_000)}`;
+		const [workspace, key] = this.#drawKey();
+		const until = performance.now() + deadlines[kind];
+		let lastEvent = 0;
+		for (let attempt = 0; attempt < mostAttempts; attempt += 1) {
+			const entry = await this.#entry(caller);
+			const gateway = entry === undefined ? undefined : this.#world.gatewayAt(entry);
+			const left = until - performance.now();
+			if (!gateway || left < 100) {
+				return;
+			}
+
+			this.#attemptsMade += 1;
+			const request: SeenRequest = {
+				attempt: `attempt-${this.#attemptsMade}`,
+				kind,
+				gateway: gateway.name,
+				workspace,
+				key,
+				method: 'POST',
+				target: `${prefixes[kind]}${this.#attemptsMade}?x=%20y`,
+				body,
+				lastEvent,
+				sentAt: performance.now(),
+				deadlineMilliseconds: left,
+			};
+			const [hostname, port] = entry!.split(':') as [string, string];
+			this.#world.history.requests.push(request);
+			if (this.#random.chance(unfinishedPercent)) {
+				leaveUnfinished(hostname, Number(port));
+			}
+
+			const leaves = this.#random.chance(impatientPercent) ? this.#random.integer(1, left / 2) : undefined;
+			await send(request, {
+				hostname, port, agent: caller.agent, leaves,
+			});
+			const {answer} = request;
+			if (request.leftAt !== undefined || !answer || !mayRepeat(request, answer)) {
+				return;
+			}
+
+			caller.entriesAt = Number.NEGATIVE_INFINITY;
+			lastEvent += kind === 'generation' && answer.status === 200 ? answer.body.split('\n\n').length - 1 : 0;
+			await delay(this.#random.integer(50, 300));
+		}
+	}
+
+	#drawKey(): [workspace: string, key: string] {
+		const {configurations} = this.#world.history;
+		const from = this.#random.chance(oldKeyPercent) ? this.#random.pick(configurations) : configurations.at(-1)!;
+		const workspace = this.#random.pick(Object.keys(from.keys));
+		return [workspace, from.keys[workspace]![0]!];
+	}
+
+	/** An entry to use: from the list that the caller keeps, or a new one from any gateway that answers. */
+	async #entry(caller: Caller): Promise<string | undefined> {
+		for (let look = 0; look < 3 && performance.now() > caller.entriesAt + entriesMilliseconds; look += 1) {
+			const entries = await askForEntries(this.#random.pick(this.#world.gateways).entries);
+			if (entries.length > 0) {
+				caller.entries = entries;
+				caller.entriesAt = performance.now();
+			}
+		}
+
+		return caller.entries.length > 0 ? this.#random.pick(caller.entries) : undefined;
+	}
+}
+
+/** Whether a caller may send a request again: after any failure, or only after "not run". */
+function mayRepeat({kind, body, lastEvent}: SeenRequest, {status, whole, body: text}: SeenAnswer): boolean {
+	if (kind === 'once') {
+		return status === 503 || status === 429;
+	}
+
+	const isRefused = status !== 200 && status !== 0 && status < 500 && status !== 429;
+	const isDone = kind === 'generation' && lastEvent + text.split('\n\n').length - 1 >= lastEventOf(body);
+	return !isRefused && !isDone && (status !== 200 || !whole);
+}
+
+type SendOptions = {hostname: string; port: string; agent: Agent; leaves: number | undefined};
+
+/** Sends a request and records how it ended. */
+async function send(request: SeenRequest, {hostname, port, agent, leaves}: SendOptions): Promise<void> {
+	const leaving = new AbortController();
+	const impatience = setTimeout(() => {
+		request.leftAt = performance.now();
+		leaving.abort();
+	}, leaves ?? request.deadlineMilliseconds + 2000);
+	await new Promise<void>(resolve => {
+		const end = (seen: Omit<SeenAnswer, 'at'>) => {
+			request.answer ??= {at: performance.now(), ...seen};
+			resolve();
+		};
+
+		const sending = startRequest({
+			hostname, port, agent, signal: leaving.signal, method: request.method, path: request.target, headers: headersOf(request),
+		}, response => {
+			readAnswer(response, end);
+		});
+		sending.on('error', () => {
+			end({
+				status: 0, stamp: undefined, attempt: undefined, body: '', whole: false,
+			});
+		});
+		sending.end(request.body);
+	});
+	clearTimeout(impatience);
+	if (request.leftAt !== undefined) {
+		delete request.answer;
+	}
+}
+
+function headersOf({attempt, key, deadlineMilliseconds, kind, lastEvent}: SeenRequest): Record<string, string> {
+	return {
+		host: soakHost,
+		authorization: `Token ${key}`,
+		'x-azuretack-attempt-id': attempt,
+		'x-azuretack-deadline-ms': String(Math.round(deadlineMilliseconds)),
+		'x-azuretack-tenant': 'forged',
+		'x-azuretack-hold': 'forged',
+		...(kind === 'generation' && {'x-azuretack-token-counts': '800,40', 'x-azuretack-prompt-prefix': 'a1:200,b2:600'}),
+		...(lastEvent > 0 && {'last-event-id': String(lastEvent)}),
+	};
+}
+
+function readAnswer(response: IncomingMessage, end: (seen: Omit<SeenAnswer, 'at'>) => void): void {
+	const {statusCode, headers} = response;
+	let body = '';
+	const finish = (whole: boolean) => {
+		end({
+			status: statusCode!, stamp: textOf(headers['x-azuretack-server-stamp']), attempt: textOf(headers['x-azuretack-attempt-id']), body, whole,
+		});
+	};
+
+	response.setEncoding('utf8');
+	response.on('data', (text: string) => {
+		body += text;
+	});
+	response.on('end', () => {
+		finish(response.complete);
+	});
+	response.on('error', () => {
+		finish(false);
+	});
+}
+
+function textOf(value: string | string[] | undefined): string | undefined {
+	return typeof value === 'string' ? value : undefined;
+}
+
+/** Opens a connection and never finishes the request on it; the gateway must end it. */
+function leaveUnfinished(hostname: string, port: number): void {
+	const socket = connect(port, hostname);
+	socket.on('error', () => undefined);
+	socket.write(`POST ${prefixes.once}unfinished HTTP/1.1\r\nHost: ${soakHost}\r\nContent-Length: 100\r\n`);
+	socket.unref();
+}
+
+/** Addresses that a gateway names to callers; empty where it does not answer. */
+async function askForEntries(address: string): Promise<string[]> {
+	const [hostname, port] = address.split(':');
+	return new Promise(resolve => {
+		const asking = get({
+			hostname, port, path: `/api/resolve?name=${soakHost}&region=home&zone=zone-a`, agent: false, timeout: entriesTimeoutMilliseconds,
+		}, response => {
+			let body = '';
+			response.on('data', (chunk: Uint8Array) => {
+				body += new TextDecoder().decode(chunk);
+			});
+			response.on('end', () => {
+				resolve(body.match(/127\.\d+\.\d+\.\d+:\d+/gv) ?? []);
+			});
+			response.on('error', () => {
+				resolve([]);
+			});
+		});
+		asking.on('timeout', () => {
+			asking.destroy();
+		});
+		asking.on('error', () => {
+			resolve([]);
+		});
+	});
+}
--- /dev/null
+++ b/source/testing/soak/checks/mod.ts
@@ -0,0 +1,40 @@
+/**
+ * The checks of the soak, by name. Each reads only what callers, workers and the operator saw.
+ *
+ * @module
+ */
+import {
+	answersInTime, plannedStops, wholeAnswers, wholeStreams,
+} from './answers.ts';
+import {type Check} from './check.ts';
+import {configurationInTime, withdrawnKeys} from './configuration.ts';
+import {noEndsOfTheirOwn, recovery} from './processes.ts';
+import {
+	boundedAttempts, leavingWorkers, leftCallers, notRunIsTrue, oneEngineAtATime, retryBudget, runsOnce, unchangedRequests,
+} from './runs.ts';
+
+export type {Check, Violation} from './check.ts';
+export {retryBounds} from './runs.ts';
+
+/** All checks. */
+export const checks = {
+	runsOnce,
+	notRunIsTrue,
+	unchangedRequests,
+	oneEngineAtATime,
+	boundedAttempts,
+	retryBudget,
+	leftCallers,
+	leavingWorkers,
+	wholeAnswers,
+	wholeStreams,
+	answersInTime,
+	plannedStops,
+	withdrawnKeys,
+	configurationInTime,
+	noEndsOfTheirOwn,
+	recovery,
+} satisfies Record<string, Check>;
+
+/** Name of a check. */
+export type CheckName = keyof typeof checks;
--- /dev/null
+++ b/source/testing/soak/checks/runs.ts
@@ -0,0 +1,127 @@
+/**
+ * How often, where and for whom requests run.
+ *
+ * @module
+ */
+import {type WorkerRun} from '../../stand-ins/worker-stand-in.ts';
+import {
+	isInTouch, isWorkerSound, type History, type SeenRequest,
+} from '../history.ts';
+import {endOf, requestsWithRuns} from './_index-runs.ts';
+import {type Check, type Violation} from './check.ts';
+
+/** Statuses that say that a request was not and will not be run. */
+const notRunStatuses = new Set([408, 421, 429, 503]);
+
+/** Time for which an engine may go on with a generation that another one has taken over, in milliseconds. */
+const overlapMilliseconds = 400;
+
+/** Endpoints that one attempt may reach, by kind of request. */
+const mostWorkers = {idempotent: 2, once: 1, generation: 5};
+
+/** Attempts beyond that bound which are allowed. */
+const allowedExcesses = 3;
+
+/** Bounds of the retry budget that the soak's gateways are set to. */
+export const retryBounds = {ratio: 0.8, slack: 40, windowMilliseconds: 10_000};
+
+/** A request that may not be repeated runs once at most. */
+export const runsOnce: Check = history => requestsWithRuns(history)
+	.filter(({request, runs}) => request.kind === 'once' && runs.length > 1)
+	.map(({request, runs}) => ({attempt: request.attempt, message: `ran at ${runs.map(({worker}) => worker).join(' and ')}`}));
+
+/** An answer that says "not run" is true, for good. */
+export const notRunIsTrue: Check = history => requestsWithRuns(history)
+	.filter(({request, runs}) => request.kind === 'once' && runs.length > 0 && request.answer && request.answer.stamp === undefined && notRunStatuses.has(request.answer.status))
+	.map(({request, runs}) => ({attempt: request.attempt, message: `answered ${request.answer!.status}, but ran at ${runs[0]!.worker}`}));
+
+/** A worker gets what the caller sent, and the workspace that holds the caller's key. */
+export const unchangedRequests: Check = history => {
+	const requests = new Map(history.requests.map(request => [request.attempt, request]));
+	return history.runs.flatMap(run => {
+		const request = requests.get(run.attempt);
+		const fault = request ? changeOf(request, run) : 'no caller sent it';
+		return fault === undefined ? [] : [{attempt: run.attempt, message: `${run.worker}: ${fault}`}];
+	});
+};
+
+function changeOf(request: SeenRequest, run: WorkerRun): string | undefined {
+	const same: Array<[string, unknown, unknown]> = [
+		['method', run.method, request.method],
+		['target', run.target, request.target],
+		['body', run.body, request.body],
+		['workspace', run.headers['x-azuretack-tenant'], request.workspace],
+		['key', run.headers.authorization, undefined],
+		['hold', run.headers['x-azuretack-hold'], undefined],
+	];
+	const wrong = same.find(([, seen, sent]) => seen !== sent);
+	return wrong && `${wrong[0]} is ${String(wrong[1])} in place of ${String(wrong[2])}`;
+}
+
+/** A generation goes on elsewhere only when the engine before has stopped, or cannot be reached. */
+export const oneEngineAtATime: Check = (history, now) => requestsWithRuns(history).flatMap(({request, runs}) => {
+	if (request.kind !== 'generation') {
+		return [];
+	}
+
+	return runs.slice(1).flatMap((run, index): Violation[] => {
+		const before = runs[index]!;
+		const until = run.startedAt + overlapMilliseconds;
+		const overlaps = now > until && (before.endedAt ?? now) > until;
+		const excused = !isInTouch(history, request.gateway, request.sentAt, until) || !isWorkerSound(history, before, before.startedAt, until);
+		return overlaps && !excused ? [{attempt: request.attempt, message: `${before.worker} still worked on it when ${run.worker} had gone on`}] : [];
+	});
+});
+
+/** An attempt reaches no more workers than its route allows, but for those that failed meanwhile. */
+export const boundedAttempts: Check = (history, now) => {
+	const beyond = requestsWithRuns(history).filter(({request, runs}) => {
+		const sound = runs.filter(run => isWorkerSound(history, run, run.startedAt, endOf(request, now)));
+		return new Set(sound.map(({worker}) => worker)).size > mostWorkers[request.kind];
+	});
+	return beyond.length > allowedExcesses ? beyond.map(({request, runs}) => ({attempt: request.attempt, message: `ran at ${runs.length} workers`})) : [];
+};
+
+/** Retries stay within the budget of all gateways together, in any window. */
+export const retryBudget: Check = history => {
+	const byAttempt = requestsWithRuns(history);
+	const services = new Set(history.runs.map(({service}) => service));
+	return [...services].flatMap(service => {
+		const repeats = byAttempt.flatMap(({runs}) => runs.filter(run => run.service === service).slice(1)).map(({startedAt}) => startedAt).toSorted((left, right) => left - right);
+		const requests = byAttempt.filter(({runs}) => runs.some(run => run.service === service)).map(({request}) => request.sentAt);
+		return repeats.flatMap((start): Violation[] => {
+			const end = start + retryBounds.windowMilliseconds;
+			const count = repeats.filter(at => at >= start && at < end).length;
+			const allowed = (retryBounds.ratio * requests.filter(at => at >= start && at < end).length) + retryBounds.slack;
+			return count > allowed ? [{message: `${count} retries at ${service} within 10 s, ${allowed} are allowed`}] : [];
+		}).slice(0, 1);
+	});
+};
+
+/** Time after which workers are told of a caller that left, in milliseconds. */
+const leftMilliseconds = 500;
+
+/** Requests of callers that left from which their share counts. */
+const leftSample = 8;
+
+/** Work for callers that left ends soon. */
+export const leftCallers: Check = (history, now) => {
+	const left = requestsWithRuns(history).filter(({request, runs}) => request.kind !== 'once' && request.leftAt !== undefined && request.leftAt + leftMilliseconds < now
+		&& runs.length > 0 && isInTouch(history, request.gateway, request.sentAt, request.leftAt + leftMilliseconds)
+		&& runs.every(run => isWorkerSound(history, run, run.startedAt, request.leftAt! + leftMilliseconds)));
+	const working = left.filter(({request, runs}) => runs.some(({endedAt}) => (endedAt ?? now) > request.leftAt! + leftMilliseconds));
+	return left.length >= leftSample && working.length > left.length / 4
+		? working.map(({request}) => ({attempt: request.attempt, message: 'a worker still worked on it after its caller had left'}))
+		: [];
+};
+
+/** Time from which a worker that leaves gets nothing more, in milliseconds. */
+const leavingMilliseconds = 2000;
+
+/** A worker that leaves gets no more requests. */
+export const leavingWorkers: Check = history => requestsWithRuns(history).flatMap(({request, runs}) => runs.flatMap((run): Violation[] => {
+	const leaving = history.leavings.find(({worker}) => worker === run.worker);
+	const late = leaving !== undefined && run.startedAt > leaving.at + leavingMilliseconds;
+	const excused = late && (!isInTouch(history, request.gateway, leaving.at, run.startedAt) || !isWorkerSound(history, run, run.startedAt - leavingMilliseconds, run.startedAt));
+	return late && !excused ? [{attempt: request.attempt, message: `${run.worker} got it ${Math.round(run.startedAt - leaving.at)} ms after it was leaving`}] : [];
+}));
--- /dev/null
+++ b/source/testing/soak/gateway-process.ts
@@ -0,0 +1,169 @@
+/**
+ * One real gateway of the soak, behind links of its own.
+ *
+ * @module
+ */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {writeFile} from 'node:fs/promises';
+import path from 'node:path';
+import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
+import {Link} from '../stand-ins/link.ts';
+import {retryBounds} from './checks/mod.ts';
+import {type History} from './history.ts';
+
+const program = path.join(import.meta.dirname, '..', '..', 'binaries', 'azuretack-gateway.js');
+
+/** Loaded before the program, so that the time of day can be moved. */
+const clockModule = path.join(import.meta.dirname, 'movable-clock.js');
+
+/** Time from SIGTERM to SIGKILL, in milliseconds. */
+const graceMilliseconds = 8000;
+
+/** Options of {@linkcode SoakGateway}. */
+export type SoakGatewayOptions = {
+	name: string;
+	availabilityZone: string;
+	folder: string;
+	store: string;
+	history: History;
+	/** Gives a new address. */
+	allocate: () => string;
+};
+
+/** A gateway and its links. */
+export class SoakGateway {
+	readonly name: string;
+	readonly availabilityZone: string;
+	readonly callersLink: Link;
+	readonly storeLink: Link;
+	readonly peersLink: Link;
+	readonly entries: string;
+	/** What its processes wrote, newest last. */
+	readonly log: string[] = [];
+	readonly #options: SoakGatewayOptions;
+	readonly #listen: Record<'callers' | 'readiness' | 'entries' | 'peers' | 'metrics', string>;
+	#child: ChildProcess | undefined;
+	#isEndExpected = false;
+	#isClosed = false;
+
+	constructor(options: SoakGatewayOptions) {
+		const {allocate} = options;
+		this.#options = options;
+		this.name = options.name;
+		this.availabilityZone = options.availabilityZone;
+		this.#listen = {
+			callers: allocate(), readiness: allocate(), entries: allocate(), peers: allocate(), metrics: allocate(),
+		};
+		this.entries = this.#listen.entries;
+		this.callersLink = new Link(allocate(), this.#listen.callers);
+		this.storeLink = new Link(allocate(), options.store);
+		this.peersLink = new Link(allocate(), this.#listen.peers);
+	}
+
+	/** Process id of the process that runs, if one does. */
+	get pid(): number | undefined {
+		return this.#isRunning ? this.#child?.pid : undefined;
+	}
+
+	/** Opens its links. */
+	async open(): Promise<void> {
+		await Promise.all([this.callersLink.start(), this.storeLink.start(), this.peersLink.start()]);
+		await this.writeSettings(false);
+	}
+
+	/** Starts its process, unless one runs. */
+	async start(): Promise<void> {
+		if (this.#isRunning || this.#isClosed) {
+			return;
+		}
+
+		const child = spawn(process.execPath, ['--import', clockModule, program, '--settings', this.#file], {stdio: ['pipe', 'pipe', 'pipe']});
+		this.#child = child;
+		this.#isEndExpected = false;
+		for (const output of [child.stdout, child.stderr]) {
+			output.on('data', (data: Uint8Array) => {
+				this.log.push(new TextDecoder().decode(data));
+			});
+		}
+
+		// A process that is gone cannot be told anything; its end is recorded below.
+		child.stdin.on('error', () => undefined);
+		child.on('exit', (code, signal) => {
+			this.#options.history.ends.push({
+				gateway: this.name, at: performance.now(), expected: this.#isEndExpected && (signal !== null || code === 0), reason: signal ?? `exit code ${code}`,
+			});
+		});
+	}
+
+	/** Sends a signal to its process, if one runs. */
+	signal(name: NodeJS.Signals): void {
+		if (this.#isRunning) {
+			this.#child?.kill(name);
+		}
+	}
+
+	/** Moves its time of day. */
+	jump(milliseconds: number): void {
+		if (this.#isRunning) {
+			this.#child?.stdin?.write(`${milliseconds}\n`);
+		}
+	}
+
+	/** Kills its process and waits until it is gone. */
+	async kill(): Promise<void> {
+		if (this.#isRunning) {
+			this.#isEndExpected = true;
+			this.#child?.kill('SIGKILL');
+			await once(this.#child!, 'exit');
+		}
+	}
+
+	/** Stops its process as planned; kills it when the time for that is over. */
+	async stop(): Promise<void> {
+		if (!this.#isRunning) {
+			return;
+		}
+
+		this.#isEndExpected = true;
+		this.#child?.kill('SIGTERM');
+		const isGone = await Promise.race([once(this.#child!, 'exit'), delay(graceMilliseconds)]);
+		if (!isGone) {
+			await this.kill();
+		}
+	}
+
+	/** Writes its settings file: as they should be with another log level each time, or with a fault. */
+	async writeSettings(isBroken: boolean): Promise<void> {
+		const settings = {
+			hostName: isBroken ? 5 : this.name,
+			availabilityZone: this.availabilityZone,
+			region: 'home',
+			listen: this.#listen,
+			advertise: {callers: this.callersLink.address, peers: this.peersLink.address},
+			store: this.storeLink.address,
+			bounds: {retryRatio: retryBounds.ratio, retrySlack: retryBounds.slack},
+			log: {level: 'debug'},
+		};
+		await writeFile(this.#file, JSON.stringify(settings));
+	}
+
+	/** Ends its process for good and closes its links. */
+	async close(): Promise<void> {
+		this.#isClosed = true;
+		this.signal('SIGCONT');
+		await this.kill();
+		for (const link of [this.callersLink, this.storeLink, this.peersLink]) {
+			link.close();
+		}
+	}
+
+	get #isRunning(): boolean {
+		return this.#child !== undefined && this.#child.exitCode === null && this.#child.signalCode === null;
+	}
+
+	get #file(): string {
+		return path.join(this.#options.folder, `${this.name}.jsonc`);
+	}
+}
--- /dev/null
+++ b/source/testing/soak/history.ts
@@ -0,0 +1,123 @@
+/**
+ * What callers, workers and the operator saw during a soak; all checks read only this.
+ *
+ * All times are steady, in milliseconds, of the soak's own process.
+ *
+ * @module
+ */
+import {type WorkerRun} from '../stand-ins/worker-stand-in.ts';
+
+/** Kinds of request: repeatable, to be run once at most, and generations, which can be gone on with. */
+export type CallKind = 'idempotent' | 'once' | 'generation';
+
+/** Answer that a caller got. */
+export type SeenAnswer = {
+	at: number;
+	/** HTTP status; 0 where the connection ended without an answer. */
+	status: number;
+	/** Proof of the worker that answered; absent in answers of the gateway's own. */
+	stamp: string | undefined;
+	/** Attempt that the answer names. */
+	attempt: string | undefined;
+	body: string;
+	/** Whether it ended as the protocol says. */
+	whole: boolean;
+};
+
+/** One attempt of a caller. */
+export type SeenRequest = {
+	attempt: string;
+	kind: CallKind;
+	gateway: string;
+	workspace: string;
+	key: string;
+	method: string;
+	target: string;
+	body: string;
+	/** Last event that the caller has, where it goes on with a generation; else 0. */
+	lastEvent: number;
+	sentAt: number;
+	deadlineMilliseconds: number;
+	answer?: SeenAnswer;
+	/** When the caller left without an answer. */
+	leftAt?: number;
+};
+
+/** A configuration, from the moment at which the store has it. */
+export type SeenConfiguration = {
+	version: number;
+	at: number;
+	/** Keys of each workspace. */
+	keys: Record<string, string[]>;
+	/** Service of each path prefix. */
+	services: Record<string, string>;
+};
+
+/** A worker that leaves, from the moment at which the store has it. */
+export type SeenLeaving = {worker: string; at: number};
+
+/** Something was harmed for a while. */
+export type Disturbance = {
+	kind: string;
+	/** What: a gateway's name, a worker's slot, `store`, or `all`. */
+	target: string;
+	from: number;
+	/** When it ended; absent while it lasts. */
+	until: number | undefined;
+};
+
+/** A planned stop of a gateway. */
+export type PlannedStop = {gateway: string; at: number};
+
+/** A process that ended. */
+export type ProcessEnd = {gateway: string; at: number; expected: boolean; reason: string};
+
+/** All that was seen. */
+export type History = {
+	requests: SeenRequest[];
+	runs: WorkerRun[];
+	configurations: SeenConfiguration[];
+	leavings: SeenLeaving[];
+	disturbances: Disturbance[];
+	stops: PlannedStop[];
+	ends: ProcessEnd[];
+	/** Slot of each worker, by the worker's name. */
+	slots: Map<string, string>;
+	/** Time from which all faults are over and must have been made good; absent until then. */
+	settledAt: number | undefined;
+};
+
+/** An empty history. */
+export function createHistory(): History {
+	return {
+		requests: [], runs: [], configurations: [], leavings: [], disturbances: [], stops: [], ends: [], slots: new Map(), settledAt: undefined,
+	};
+}
+
+/** Time for which nothing may have harmed a gateway before rules with a time hold for it, in milliseconds. */
+export const contactMilliseconds = 4000;
+
+/**
+ * Whether something was harmed within a span.
+ *
+ * @param history What was seen.
+ * @param targets A gateway, a worker's slot, or `store`; `all` always counts.
+ * @param from Start of the span.
+ * @param until End of the span.
+ */
+export function isDisturbed({disturbances}: History, targets: readonly string[], from: number, until: number): boolean {
+	return disturbances.some(disturbance =>
+		(disturbance.target === 'all' || targets.includes(disturbance.target))
+		&& disturbance.from <= until
+		&& (disturbance.until ?? Number.POSITIVE_INFINITY) >= from);
+}
+
+/** Whether rules with a time hold for a gateway over a span: it and the store were sound from some seconds before. */
+export function isInTouch(history: History, gateway: string, from: number, until: number): boolean {
+	return !isDisturbed(history, [gateway, 'store'], from - contactMilliseconds, until);
+}
+
+/** Whether the worker of a run was sound over a span. */
+export function isWorkerSound(history: History, {worker}: WorkerRun, from: number, until: number): boolean {
+	return !isDisturbed(history, [history.slots.get(worker) ?? worker], from, until);
+}
--- /dev/null
+++ b/source/testing/soak/requests.ts
@@ -0,0 +1,28 @@
+/**
+ * Shapes of the soak's requests: what they say and what must come back.
+ *
+ * @module
+ */
+import {type CallKind} from './history.ts';
+
+/** Path prefix of each kind of request that every configuration has. */
+export const prefixes: Record<CallKind, string> = {idempotent: '/status/', once: '/deposits/', generation: '/drafts/'};
+
+/** Events of the shortest and the longest generation. */
+const eventRange = {fewest: 10, most: 40};
+
+/** First path segment of a target, with its slashes. */
+export function prefixOf(target: string): string {
+	return `/${target.split('/')[1]}/`;
+}
+
+/** Number of the last event of the generation for a body such as `notes 17`. */
+export function lastEventOf(body: string): number {
+	const number = Number(body.split(' ')[1]);
+	return eventRange.fewest + (number % (eventRange.most - eventRange.fewest + 1));
+}
+
+/** Text of an event of the generation for a body. */
+export function eventText(body: string, event: number): string {
+	return `token ${event} of ${body}`;
+}
--- /dev/null
+++ b/source/testing/soak/world.ts
@@ -0,0 +1,230 @@
+/**
+ * The processes and stand-ins of a soak, and what the operator does.
+ *
+ * @module
+ */
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
+import {StoreStandIn} from '../stand-ins/store-stand-in.ts';
+import {SoakGateway} from './gateway-process.ts';
+import {createHistory, type History} from './history.ts';
+import {type Random} from './random.ts';
+import {prefixes} from './requests.ts';
+import {WorkerSlot} from './worker-slots.ts';
+
+/** Workers of each service. */
+const workerCounts = {scribe: 4, desk: 3, 'desk-b': 2};
+
+/** Service whose workers run for a while at the addresses of each service's workers. */
+const otherServices: Record<string, string> = {scribe: 'desk', desk: 'desk-b', 'desk-b': 'desk'};
+
+const availabilityZones = ['zone-a', 'zone-b', 'zone-c'];
+
+/** Time for which endpoints register again after the store is back, in milliseconds. */
+const registerMilliseconds = 1500;
+
+/** Configurations of a storm. */
+const stormLength = 8;
+
+/** Time between two configurations of a storm, in milliseconds. */
+const stormGapMilliseconds = 150;
+
+/** Gateways that start at once. */
+const startsAtOnce = 8;
+
+let worldsCreated = 0;
+
+/** Options of {@linkcode SoakWorld.create}. */
+export type SoakWorldOptions = {gateways: number; random: Random};
+
+/** All that a soak runs. */
+export class SoakWorld implements AsyncDisposable {
+	/** Creates a store, workers and links; no gateway runs yet. */
+	static async create({gateways, random}: SoakWorldOptions): Promise<SoakWorld> {
+		worldsCreated += 1;
+		const address = `127.${192 + (process.pid % 62)}.${Math.floor(process.pid / 62) % 256}.${worldsCreated % 256}`;
+		const store = await StoreStandIn.start(`${address}:7000`);
+		const world = new SoakWorld(address, store, await mkdtemp(path.join(tmpdir(), 'azuretack-soak-')), random);
+		await world.#open(gateways);
+		return world;
+	}
+
+	readonly history: History = createHistory();
+	readonly store: StoreStandIn;
+	readonly gateways: SoakGateway[] = [];
+	readonly slots: WorkerSlot[] = [];
+	readonly #address: string;
+	readonly #folder: string;
+	readonly #random: Random;
+	readonly #keys: Record<string, string[]> = {'workspace-1': ['key-1'], 'workspace-2': ['key-2'], 'workspace-3': ['key-3']};
+	readonly #services: Record<string, string> = {[prefixes.idempotent]: 'desk', [prefixes.once]: 'desk', [prefixes.generation]: 'scribe'};
+	#nextPort = 8000;
+	#version = 0;
+	#keysMade = 0;
+
+	private constructor(address: string, store: StoreStandIn, folder: string, random: Random) {
+		this.#address = address;
+		this.store = store;
+		this.#folder = folder;
+		this.#random = random;
+	}
+
+	/** Starts all gateways that do not run. */
+	async startGateways(): Promise<void> {
+		for (let first = 0; first < this.gateways.length; first += startsAtOnce) {
+			await Promise.all(this.gateways.slice(first, first + startsAtOnce).map(async gateway => gateway.start()));
+			await delay(first + startsAtOnce < this.gateways.length ? 500 : 0);
+		}
+	}
+
+	/** Gateway behind an address that callers use. */
+	gatewayAt(callers: string): SoakGateway | undefined {
+		return this.gateways.find(({callersLink}) => callersLink.address === callers);
+	}
+
+	/** Publishes configurations: one, a storm, or one that takes a key away or moves a route. */
+	async changeConfiguration(variant: string): Promise<void> {
+		for (let change = 0; change < (variant === 'storm' ? stormLength : 1); change += 1) {
+			this.#draw(variant === 'storm' || variant === 'once' ? this.#random.pick(['key taken away', 'route moved', 'route added']) : variant);
+			this.publish();
+			await delay(stormGapMilliseconds);
+		}
+	}
+
+	/** Publishes the present configuration as a new version. */
+	publish(isStored = true): void {
+		this.#version += 1;
+		const services = {...this.#services};
+		const keys = structuredClone(this.#keys);
+		if (isStored) {
+			this.store.put('op', 'config', configurationRow(this.#version, services, keys));
+		}
+
+		this.history.configurations.push({
+			version: this.#version, at: performance.now(), keys, services,
+		});
+	}
+
+	/** Gives a workspace a new key in place of the one that it has. */
+	withdrawKey(workspace: string): void {
+		this.#keysMade += 1;
+		this.#keys[workspace] = [`key-new-${this.#keysMade}`];
+	}
+
+	/** Silences the store; entries of workers go meanwhile, and are back soon after it is. */
+	lapseEntries(): () => Promise<void> {
+		this.store.fault = 'silent';
+		for (const {id} of this.slots) {
+			this.store.remove('servers', id);
+		}
+
+		return async () => {
+			this.store.fault = 'none';
+			await delay(registerMilliseconds);
+			for (const slot of this.slots) {
+				slot.register();
+			}
+		};
+	}
+
+	/** Records that something is harmed; the result records that it is over. */
+	disturb(kind: string, target: string): () => void {
+		const disturbance: History['disturbances'][number] = {
+			kind, target, from: performance.now(), until: undefined,
+		};
+		this.history.disturbances.push(disturbance);
+		return () => {
+			disturbance.until = performance.now();
+		};
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		await Promise.all(this.gateways.map(async gateway => gateway.close()));
+		for (const slot of this.slots) {
+			slot.close();
+		}
+
+		this.store.close();
+		await rm(this.#folder, {recursive: true});
+	}
+
+	async #open(gateways: number): Promise<void> {
+		const shared = {store: this.store, history: this.history, allocate: () => this.#allocate()};
+		this.publish();
+		for (const [service, count] of Object.entries(workerCounts)) {
+			for (let index = 0; index < count; index += 1) {
+				const slot = new WorkerSlot({
+					...shared, name: `${service}-${index + 1}`, service, otherService: otherServices[service]!, availabilityZone: availabilityZones[index % availabilityZones.length]!,
+				});
+				this.slots.push(slot);
+				await slot.link.start();
+				await slot.start();
+			}
+		}
+
+		for (let index = 0; index < gateways; index += 1) {
+			const gateway = new SoakGateway({
+				...shared, name: `gateway-${index + 1}`, availabilityZone: availabilityZones[index % availabilityZones.length]!, folder: this.#folder, store: `${this.#address}:7000`,
+			});
+			this.gateways.push(gateway);
+			await gateway.open();
+		}
+	}
+
+	#draw(change: string): void {
+		const changes: Record<string, () => void> = {
+			'key taken away': () => {
+				this.withdrawKey(this.#random.pick(Object.keys(this.#keys)));
+			},
+			'route moved': () => {
+				const prefix = this.#random.pick([prefixes.idempotent, prefixes.once]);
+				this.#services[prefix] = this.#services[prefix] === 'desk' ? 'desk-b' : 'desk';
+			},
+			'route added': () => {
+				this.#services[`/added-${this.#version}/`] = 'desk';
+			},
+		};
+		changes[change]!();
+	}
+
+	#allocate(): string {
+		this.#nextPort += 1;
+		return `${this.#address}:${this.#nextPort}`;
+	}
+}
+
+/** Host name of all routes. */
+export const soakHost = 'soak.example';
+
+/** A configuration as the operator writes it. */
+function configurationRow(version: number, services: Record<string, string>, keys: Record<string, string[]>): Record<string, unknown> {
+	const terms: Record<string, Record<string, unknown>> = {
+		[prefixes.once]: {kind: 'non_idempotent', timeoutMs: 3000, maxAttempts: 1},
+		[prefixes.generation]: {
+			kind: 'stream', timeoutMs: 15_000, maxAttempts: 5, resumable: true, gapAimMs: 700,
+		},
+	};
+	return {
+		version,
+		routes: Object.entries(services).map(([prefix, service]) => ({
+			name: prefix, host: soakHost, prefix, kind: 'idempotent', timeoutMs: 3000, targetLatencyMs: 500, priority: 1, service, maxAttempts: 2, ...terms[prefix],
+		})),
+		services: Object.keys(workerCounts).map(name => ({
+			name,
+			healthPath: '/health',
+			maxConnections: 500,
+			...(name === 'scribe' && {
+				engine: {
+					slots: 64, kvCapacity: 88_000, backups: true, handleS: 4,
+				},
+			}),
+		})),
+		limits: {
+			maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+		},
+		tenants: Object.entries(keys).map(([name, apiKeys]) => ({name, apiKeys})),
+	};
+}
--- a/source/testing/stand-ins/store-stand-in.ts
+++ b/source/testing/stand-ins/store-stand-in.ts
@@ -5,6 +5,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {type Server, type ServerResponse} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
 import {answer, serveJson, type Exchange} from './control.ts';
 
 type Row = {table: string; part: string; key: string; value: string; resourceVersion: number; deleted?: boolean};
@@ -17,8 +18,17 @@
 	remove: RowPlace[];
 };
 
-/** What the store does with calls: it serves them, refuses them, resets connections, says nothing, or loses answers of writes. */
-export type StoreFault = 'none' | 'busy' | 'reset' | 'silent' | 'lose-answers';
+/**
+ * What the store does with calls: it serves them, refuses them, resets connections, says nothing, is slow, loses answers of writes, or
+ * loses them and writes seconds later.
+ */
+export type StoreFault = 'none' | 'busy' | 'reset' | 'silent' | 'slow' | 'lose-answers' | 'late-writes';
+
+/** Time of an answer of a slow store, in milliseconds. */
+const slowMilliseconds = 800;
+
+/** Time after which a late write is done, in milliseconds. */
+const lateWriteMilliseconds = 2000;
 
 /**
  * The store, in the process of a test.
@@ -88,7 +98,7 @@
 		this.#wake();
 	}
 
-	#serve(exchange: Exchange, serve: () => Promise<void> | void): Promise<void> | void {
+	async #serve(exchange: Exchange, serve: () => Promise<void> | void): Promise<void> {
 		const {pathname} = exchange.url;
 		this.calls.set(pathname, (this.calls.get(pathname) ?? 0) + 1);
 		switch (this.fault) {
@@ -106,6 +116,12 @@
 				return;
 			}
 
+			case 'slow': {
+				await delay(slowMilliseconds);
+				return serve();
+			}
+
+			case 'late-writes':
 			case 'lose-answers':
 			case 'none': {
 				return serve();
@@ -113,7 +129,19 @@
 		}
 	}
 
-	#transact({body, response}: Exchange): void {
+	#transact(exchange: Exchange): void {
+		if (this.fault === 'late-writes') {
+			exchange.response.destroy();
+			setTimeout(() => {
+				this.#apply(exchange);
+			}, lateWriteMilliseconds);
+			return;
+		}
+
+		this.#apply(exchange);
+	}
+
+	#apply({body, response}: Exchange): void {
 		const {expectedRevision, puts, remove} = body as TransactionBody;
 		const wrong = expectedRevision.some(expected => (this.#rows.get(nameOf(expected))?.resourceVersion ?? 0) !== expected.resourceVersion);
 		if (wrong) {
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -10,11 +10,32 @@
 import {text} from 'node:stream/consumers';
 import {setTimeout as delay} from 'node:timers/promises';
 
-/** One request that a worker ran. */
-export type WorkerRun = {attempt: string; worker: string; headers: IncomingMessage['headers']; body: string; method: string; target: string};
+/** One request that a worker ran. Times are steady, in milliseconds. */
+export type WorkerRun = {
+	attempt: string;
+	worker: string;
+	service: string;
+	headers: IncomingMessage['headers'];
+	body: string;
+	method: string;
+	target: string;
+	startedAt: number;
+	/** When it stopped working on it; absent while it works. */
+	endedAt: number | undefined;
+	/** Status that it answered, or was about to answer. */
+	status: number;
+	/** Body that it answered or was about to answer, of a plain call. */
+	answer: string;
+};
 
-/** What a worker does with requests: it works, fails, refuses, ends answers early, says nothing, or names another one. */
-export type WorkerFault = 'none' | 'error' | 'full' | 'break' | 'reset' | 'mute' | 'other-id' | 'extra';
+/**
+ * What a worker does with requests: it works, fails, refuses, ends answers early, says nothing, names another one, sends more than an
+ * answer, sends no HTTP, or works slowly.
+ */
+export type WorkerFault = 'none' | 'error' | 'full' | 'break' | 'reset' | 'mute' | 'other-id' | 'extra' | 'garble' | 'slow';
+
+/** Factor by which a slow worker is slower. */
+const slowFactor = 8;
 
 /** Options of {@linkcode WorkerStandIn}. */
 export type WorkerStandInOptions = {
@@ -22,6 +43,18 @@
 	service: string;
 	/** `address:port` to listen on. */
 	listen: string;
+	/** Address that others use. Default: the one listened on. */
+	advertised?: string;
+	/** Availability zone. Default `zone-a`. */
+	availabilityZone?: string;
+	/** Body of the answer to a plain call. Default: names the worker. */
+	answerOf?: (run: WorkerRun) => string;
+	/** Receives what it runs. Default: a list of its own. */
+	runs?: WorkerRun[];
+	/** Number of the last event of a stream. Default: `events`. */
+	eventsOf?: (run: WorkerRun) => number;
+	/** Text of an event. Default: names its number. */
+	eventOf?: (run: WorkerRun, event: number) => string;
 	/** Events of a stream. Default 20. */
 	events?: number;
 	/** Time between two events, in milliseconds. Default 10. */
@@ -42,8 +75,10 @@
 	}
 
 	fault: WorkerFault = 'none';
+	/** What its reports say falsely. */
+	falseReport: 'idle' | 'leaving' | undefined;
 	/** Requests that it ran. */
-	readonly runs: WorkerRun[] = [];
+	readonly runs: WorkerRun[];
 	/** Prompts that it read from their start. */
 	promptsRead = 0;
 	/** Runs that went on from a copy. */
@@ -55,15 +90,25 @@
 
 	private constructor(options: WorkerStandInOptions) {
 		this.options = {
-			events: 20, eventMilliseconds: 10, callMilliseconds: 2, ...options,
+			events: 20,
+			eventMilliseconds: 10,
+			callMilliseconds: 2,
+			advertised: options.listen,
+			availabilityZone: 'zone-a',
+			answerOf: ({worker}) => `answer of ${worker}`,
+			eventOf: (_run, event) => `token ${event}`,
+			eventsOf: () => options.events ?? 20,
+			runs: [],
+			...options,
 		};
+		this.runs = this.options.runs;
 	}
 
 	/** What it writes to the store about itself. */
 	entry(state: 'ready' | 'draining' = 'ready'): Record<string, unknown> {
-		const {service, listen} = this.options;
+		const {service, advertised, availabilityZone} = this.options;
 		return {
-			service, address: listen, zone: 'zone-a', version: 'v1', slots: 8, state, sequence: 1, coldRemainingMs: 0, born: this.startedAt,
+			service, address: advertised, zone: availabilityZone, version: 'v1', slots: 8, state, sequence: 1, coldRemainingMs: 0, born: this.startedAt,
 		};
 	}
 
@@ -78,9 +123,15 @@
 		await once(this.#server, 'listening');
 	}
 
-	/** Dies: all connections are reset. */
+	/** Dies: all connections are reset, and the copies that it holds are gone. */
 	crash(): void {
 		this.#running.clear();
+		for (const name of copies.keys()) {
+			if (name.startsWith(`${this.options.advertised}/`)) {
+				copies.delete(name);
+			}
+		}
+
 		this.#server?.close();
 		this.#server?.closeAllConnections();
 	}
@@ -100,18 +151,44 @@
 			return;
 		}
 
-		this.runs.push({
-			attempt, worker: this.options.id, headers: request.headers, body, method: request.method!, target: request.url!,
+		const run: WorkerRun = {
+			attempt,
+			worker: this.options.id,
+			service: this.options.service,
+			headers: request.headers,
+			body,
+			method: request.method!,
+			target: request.url!,
+			startedAt: performance.now(),
+			endedAt: undefined,
+			status: this.fault === 'error' ? 500 : 200,
+			answer: '',
+		};
+		run.answer = this.fault === 'error' ? 'failed' : this.options.answerOf(run);
+		this.runs.push(run);
+		response.on('close', () => {
+			run.endedAt ??= performance.now();
+			this.#running.delete(attempt);
 		});
 		const headers = {'x-azuretack-attempt-id': this.fault === 'other-id' ? 'another' : attempt, 'x-azuretack-server-stamp': `stamp-${this.options.id}`};
-		await (request.headers['x-azuretack-token-counts'] === undefined ? this.#call(response, headers) : this.#stream(request, response, headers));
+		await (request.headers['x-azuretack-token-counts'] === undefined ? this.#call(run, response, headers) : this.#stream(run, response, headers));
 	}
 
 	#report(response: ServerResponse): void {
-		const runs = [...this.#running].map(([attempt, events]) => [attempt, 8000 + events, events, 5]);
+		const running = this.falseReport === 'idle' ? [] : [...this.#running];
+		const runs = running.map(([attempt, events]) => [attempt, 8000 + events, events, 5]);
 		response.writeHead(200, {'content-type': 'application/json'});
 		response.end(JSON.stringify({
-			stage: 'prefill_decode', waiting: 0, running: runs.length, kvUsed: 8000 * runs.length, kvTotal: 88_000, held: 0, next: 0, born: this.startedAt, state: 'ready', runs,
+			stage: 'prefill_decode',
+			waiting: 0,
+			running: runs.length,
+			kvUsed: 8000 * runs.length,
+			kvTotal: 88_000,
+			held: 0,
+			next: 0,
+			born: this.startedAt,
+			state: this.falseReport === 'leaving' ? 'draining' : 'ready',
+			runs,
 		}));
 	}
 
@@ -128,16 +205,21 @@
 		return this.fault === 'full' ? 503 : undefined;
 	}
 
-	async #call(response: ServerResponse, headers: Record<string, string>): Promise<void> {
-		await delay(this.options.callMilliseconds);
-		const body = `answer of ${this.options.id}`;
+	/** Milliseconds that something takes at present. */
+	#time(milliseconds: number): number {
+		return this.fault === 'slow' ? milliseconds * slowFactor : milliseconds;
+	}
+
+	async #call(run: WorkerRun, response: ServerResponse, headers: Record<string, string>): Promise<void> {
+		await delay(this.#time(this.options.callMilliseconds));
+		const body = run.answer;
 		const handlers: Record<WorkerFault, () => void> = {
 			none() {
 				response.writeHead(200, {...headers, 'content-length': body.length}).end(body);
 			},
 			full: () => undefined,
 			error() {
-				response.writeHead(500, headers).end('failed');
+				response.writeHead(500, headers).end(body);
 			},
 			break() {
 				response.writeHead(200, {...headers, 'content-length': body.length}).write(body.slice(0, 3));
@@ -149,6 +231,12 @@
 				response.socket?.resetAndDestroy();
 			},
 			mute: () => undefined,
+			garble() {
+				response.socket?.end('no answer in HTTP\r\n\r\n');
+			},
+			slow() {
+				handlers.none();
+			},
 			'other-id'() {
 				response.writeHead(200, {...headers, 'content-length': body.length}).end(body);
 			},
@@ -161,10 +249,10 @@
 	}
 
 	/** Sends events 1 to the last; an event's text tells its number, so that any gap or repetition shows. */
-	async #stream(request: IncomingMessage, response: ServerResponse, headers: Record<string, string>): Promise<void> {
-		const attempt = headers['x-azuretack-attempt-id']!;
-		const holder = request.headers['x-azuretack-kv-backup'];
-		if (request.headers['kv-from'] === undefined) {
+	async #stream(run: WorkerRun, response: ServerResponse, headers: Record<string, string>): Promise<void> {
+		const {attempt} = run;
+		const holder = run.headers['x-azuretack-kv-backup'];
+		if (run.headers['kv-from'] === undefined) {
 			this.promptsRead += 1;
 		} else {
 			this.goneOn += 1;
@@ -172,11 +260,10 @@
 
 		response.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
 		response.flushHeaders();
-		const first = Number(request.headers['last-event-id'] ?? '0') + 1;
-		for (let event = first; event <= this.options.events; event += 1) {
-			await delay(this.options.eventMilliseconds);
+		const first = Number(run.headers['last-event-id'] ?? '0') + 1;
+		for (let event = first; event <= this.options.eventsOf(run); event += 1) {
+			await delay(this.#time(this.options.eventMilliseconds));
 			if (response.destroyed) {
-				this.#running.delete(attempt);
 				return;
 			}
 
@@ -195,10 +282,9 @@
 				return;
 			}
 
-			response.write(`id: ${event}\ndata: token ${event}\n\n`);
+			response.write(`id: ${event}\ndata: ${this.options.eventOf(run, event)}\n\n`);
 		}
 
-		this.#running.delete(attempt);
 		if (this.fault !== 'mute') {
 			response.end();
 		}
