Prove that each check of the soak fires

Cause: a check that never fires proves nothing.

The test process did not end and one core span: a socket that is ending cannot be reset, and Node keeps its handle. Seen in a list of active handles; links now destroy such a socket. The product resets no sockets in this way.

--- a/source/testing/soak/callers.ts
+++ b/source/testing/soak/callers.ts
@@ -23,7 +23,7 @@
 const entriesMilliseconds = 5000;
 
 /** Chance that a caller leaves early, in hundredths. */
-const impatientPercent = 8;
+const usualImpatientPercent = 8;
 
 /** Chance that a caller uses a key that was taken away, if there is one, in hundredths. */
 const oldKeyPercent = 15;
@@ -46,13 +46,22 @@
 export class Callers {
 	readonly #world: SoakWorld;
 	readonly #random: Random;
+	readonly #impatientPercent: number;
 	readonly #callers: Caller[] = Array.from({length: callerCount}, () => ({agent: new Agent({keepAlive: true}), entries: [], entriesAt: Number.NEGATIVE_INFINITY}));
 	readonly #inProgress = new Set<Promise<void>>();
 	#attemptsMade = 0;
 
-	constructor(world: SoakWorld, random: Random) {
+	/**
+	 * Creates callers.
+	 *
+	 * @param world What they call.
+	 * @param random Draws what they do.
+	 * @param impatientPercent Chance that one leaves early, in hundredths.
+	 */
+	constructor(world: SoakWorld, random: Random, impatientPercent = usualImpatientPercent) {
 		this.#world = world;
 		this.#random = random;
+		this.#impatientPercent = impatientPercent;
 	}
 
 	/** Sends requests of all kinds until the signal aborts, then waits for the answers. */
@@ -109,7 +118,7 @@
 				leaveUnfinished(hostname, Number(port));
 			}
 
-			const leaves = this.#random.chance(impatientPercent) ? this.#random.integer(1, left / 2) : undefined;
+			const leaves = this.#random.chance(this.#impatientPercent) ? this.#random.integer(1, left / 2) : undefined;
 			await send(request, {
 				hostname, port, agent: caller.agent, leaves,
 			});
--- /dev/null
+++ b/source/testing/soak/checks/checks.test.ts
@@ -0,0 +1,110 @@
+import assert from 'node:assert/strict';
+import {describe, test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {type WorkerLie} from '../../stand-ins/worker-stand-in.ts';
+import {Callers} from '../callers.ts';
+import {createHistory} from '../history.ts';
+import {Random} from '../random.ts';
+import {prefixes} from '../requests.ts';
+import {SoakWorld} from '../world.ts';
+import {checks, type CheckName} from './mod.ts';
+
+/** Time within which a broken promise must show, in milliseconds. */
+const showsMilliseconds = 60_000;
+
+/** Share of callers that leave early, in hundredths, so that enough of them do. */
+const impatientPercent = 30;
+
+const tellLie = (lie: WorkerLie) => ({slots}: SoakWorld) => {
+	for (const {worker} of slots) {
+		worker.lie = lie;
+	}
+};
+
+/** Breaks the promise of each check in a stand-in, a link, or what the soak itself does. */
+const mutations: Record<CheckName, (world: SoakWorld) => Promise<void> | void> = {
+	runsOnce: tellLie('runs-refused'),
+	notRunIsTrue: tellLie('runs-refused'),
+	unchangedRequests: tellLie('misreads'),
+	oneEngineAtATime: tellLie('breaks-and-works-on'),
+	boundedAttempts: tellLie('counts-thrice'),
+	retryBudget: tellLie('counts-thrice'),
+	leftCallers({slots}) {
+		for (const {worker} of slots) {
+			worker.lie = 'ignores-close';
+			worker.options.callMilliseconds = 2000;
+		}
+	},
+	async leavingWorkers({history, slots}) {
+		await delay(contactPlus);
+		history.leavings.push({worker: slots.find(({name}) => name === 'desk-1')!.id, at: performance.now()});
+	},
+	wholeAnswers: tellLie('other-body'),
+	wholeStreams({slots}) {
+		for (const {worker} of slots) {
+			worker.options.eventOf = (_run, event) => event === 5 ? 'token 6' : `token ${event}`;
+		}
+	},
+	answersInTime({gateways}) {
+		gateways[0]!.callersLink.apply({mode: 'drop_answers'});
+	},
+	async plannedStops(world) {
+		const {gateways, history} = world;
+		await delay(contactPlus);
+		for (const gateway of gateways) {
+			world.disturb('gateway stopped', gateway.name);
+			history.stops.push({gateway: gateway.name, at: history.disturbances.at(-1)!.from});
+			await gateway.kill();
+		}
+	},
+	withdrawnKeys(world) {
+		world.withdrawKey('workspace-1');
+		world.publish(false);
+	},
+	configurationInTime(world) {
+		world.moveRoute(prefixes.once);
+		world.publish(false);
+	},
+	noEndsOfTheirOwn({gateways}) {
+		gateways[0]!.signal('SIGKILL');
+	},
+	recovery({history, slots}) {
+		for (const {worker} of slots) {
+			worker.fault = 'full';
+		}
+
+		history.settledAt = performance.now();
+	},
+};
+
+/** Time after which rules with a time hold, and generations are under way, in milliseconds. */
+const contactPlus = 5000;
+
+describe('checks of the soak', {concurrency: 4}, () => {
+	for (const [name, mutate] of Object.entries(mutations)) {
+		test(`the check ${name} fires when its promise is broken`, async () => {
+			const random = new Random(7);
+			await using world = await SoakWorld.create({gateways: 2, random});
+			await world.startAll();
+			const ending = new AbortController();
+			const loading = new Callers(world, random, impatientPercent).play(ending.signal);
+			await mutate(world);
+			const until = performance.now() + showsMilliseconds;
+			const violations = () => checks[name as CheckName](world.history, performance.now());
+			while (violations().length === 0 && performance.now() < until) {
+				await delay(250);
+			}
+
+			const found = violations();
+			ending.abort();
+			await loading;
+			assert.notEqual(found.length, 0);
+		});
+	}
+});
+
+test('no check fires where nothing was seen', () => {
+	for (const [name, check] of Object.entries(checks)) {
+		assert.deepEqual(check(createHistory(), 0), [], name);
+	}
+});
--- a/source/testing/soak/soak.ts
+++ b/source/testing/soak/soak.ts
@@ -21,9 +21,6 @@
 /** Time for which requests are watched after that, in milliseconds. */
 const watchMilliseconds = 4000;
 
-/** Time from the start of gateways to that of the load, in milliseconds. */
-const startMilliseconds = 4000;
-
 /** Time between two runs of the checks, in milliseconds. */
 const checkMilliseconds = 1000;
 
@@ -50,10 +47,6 @@
 export type SoakOptions = {
 	/** Receives lines on what happens. */
 	report: (line: string) => void;
-	/** Changes the stand-ins before the load, for tests of the checks. */
-	prepare?: (world: SoakWorld) => Promise<void> | void;
-	/** Stops at the first broken promise. Default: true. */
-	stopsAtFinding?: boolean;
 };
 
 /**
@@ -62,13 +55,12 @@
  * @param plan What happens when.
  * @param options What to do beside.
  */
-export async function playSoak(plan: SoakPlan, {report, prepare}: SoakOptions): Promise<SoakResult> {
+export async function playSoak(plan: SoakPlan, {report}: SoakOptions): Promise<SoakResult> {
 	const random = new Random(plan.seed + 1);
 	await using world = await SoakWorld.create({gateways: plan.gateways, random});
 	const ending = new AbortController();
 	const lags = watchLag(world, ending.signal);
-	await prepare?.(world);
-	await startAll(world);
+	await world.startAll();
 	const loading = new Callers(world, random).play(ending.signal);
 	const playing = playFaults(world, plan, report, ending.signal);
 	const finding = await check(world, playing, ending.signal);
@@ -85,13 +77,6 @@
 	};
 }
 
-async function startAll(world: SoakWorld): Promise<void> {
-	const end = world.disturb('gateways start', 'all');
-	await world.startGateways();
-	await delay(startMilliseconds);
-	end();
-}
-
 /** Plays the faults, then all killed if planned, then waits until all must be made good. */
 async function playFaults(world: SoakWorld, plan: SoakPlan, report: (line: string) => void, signal: AbortSignal): Promise<void> {
 	const started = performance.now();
--- a/source/testing/soak/world.ts
+++ b/source/testing/soak/world.ts
@@ -32,6 +32,9 @@
 /** Time between two configurations of a storm, in milliseconds. */
 const stormGapMilliseconds = 150;
 
+/** Time from the start of gateways to that of the load, in milliseconds. */
+const startMilliseconds = 4000;
+
 /** Gateways that start at once. */
 const startsAtOnce = 8;
 
@@ -80,6 +83,14 @@
 		}
 	}
 
+	/** Starts all gateways, and waits until the load may start. */
+	async startAll(): Promise<void> {
+		const end = this.disturb('gateways start', 'all');
+		await this.startGateways();
+		await delay(startMilliseconds);
+		end();
+	}
+
 	/** Gateway behind an address that callers use. */
 	gatewayAt(callers: string): SoakGateway | undefined {
 		return this.gateways.find(({callersLink}) => callersLink.address === callers);
@@ -114,6 +125,11 @@
 		this.#keys[workspace] = [`key-new-${this.#keysMade}`];
 	}
 
+	/** Moves a route to the other plain service. */
+	moveRoute(prefix: string): void {
+		this.#services[prefix] = this.#services[prefix] === 'desk' ? 'desk-b' : 'desk';
+	}
+
 	/** Silences the store; entries of workers go meanwhile, and are back soon after it is. */
 	lapseEntries(): () => Promise<void> {
 		this.store.fault = 'silent';
@@ -180,8 +196,7 @@
 				this.withdrawKey(this.#random.pick(Object.keys(this.#keys)));
 			},
 			'route moved': () => {
-				const prefix = this.#random.pick([prefixes.idempotent, prefixes.once]);
-				this.#services[prefix] = this.#services[prefix] === 'desk' ? 'desk-b' : 'desk';
+				this.moveRoute(this.#random.pick([prefixes.idempotent, prefixes.once]));
 			},
 			'route added': () => {
 				this.#services[`/added-${this.#version}/`] = 'desk';
--- a/source/testing/stand-ins/link.ts
+++ b/source/testing/stand-ins/link.ts
@@ -89,7 +89,7 @@
 	#accept(fromCaller: Socket): void {
 		this.accepted += 1;
 		if (this.#fault.mode === 'cut') {
-			fromCaller.resetAndDestroy();
+			resetSocket(fromCaller);
 			return;
 		}
 
@@ -111,7 +111,7 @@
 		const passes = () => !hasGap && !connection.silenced && this.#fault.mode !== 'silent' && this.#fault.mode !== dropped;
 		from.on('data', chunk => {
 			if (connection.dropped) {
-				from.resetAndDestroy();
+				resetSocket(from);
 				return;
 			}
 
@@ -134,14 +134,17 @@
 		});
 		from.on('error', () => {
 			// The other side must see a reset too: an end would make an answer without a length look complete.
-			to.resetAndDestroy();
+			resetSocket(to);
 		});
 		from.on('close', () => {
 			if (from === connection.toTarget && connection.dropped) {
 				return;
 			}
 
-			this.#connections.delete(connection);
+			if (to.destroyed) {
+				this.#connections.delete(connection);
+			}
+
 			if (passes()) {
 				setTimeout(() => {
 					to.end();
@@ -167,6 +170,15 @@
 };
 
 function reset({fromCaller, toTarget}: Connection): void {
-	fromCaller.resetAndDestroy();
-	toTarget.resetAndDestroy();
+	resetSocket(fromCaller);
+	resetSocket(toTarget);
+}
+
+/** Resets a socket; one that is ending already cannot be reset, and Node would keep it open. */
+function resetSocket(socket: Socket): void {
+	if (socket.writableEnded) {
+		socket.destroy();
+	} else {
+		socket.resetAndDestroy();
+	}
 }
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -34,6 +34,13 @@
  */
 export type WorkerFault = 'none' | 'error' | 'full' | 'break' | 'reset' | 'mute' | 'other-id' | 'extra' | 'garble' | 'slow';
 
+/**
+ * How a worker breaks the promises that a check relies on, for tests of the checks: it runs what it refuses, works on when a connection
+ * has closed, counts each run three times, sends another body than it notes, breaks streams off while it works on, or notes another body
+ * than it got.
+ */
+export type WorkerLie = 'runs-refused' | 'ignores-close' | 'counts-thrice' | 'other-body' | 'breaks-and-works-on' | 'misreads';
+
 /** Factor by which a slow worker is slower. */
 const slowFactor = 8;
 
@@ -75,6 +82,7 @@
 	}
 
 	fault: WorkerFault = 'none';
+	lie: WorkerLie | undefined;
 	/** What its reports say falsely. */
 	falseReport: 'idle' | 'leaving' | undefined;
 	/** Requests that it ran. */
@@ -156,7 +164,7 @@
 			worker: this.options.id,
 			service: this.options.service,
 			headers: request.headers,
-			body,
+			body: this.lie === 'misreads' ? `${body}?` : body,
 			method: request.method!,
 			target: request.url!,
 			startedAt: performance.now(),
@@ -166,10 +174,21 @@
 		};
 		run.answer = this.fault === 'error' ? 'failed' : this.options.answerOf(run);
 		this.runs.push(run);
+		if (this.lie === 'counts-thrice') {
+			this.runs.push({...run, worker: `${run.worker}-b`}, {...run, worker: `${run.worker}-c`});
+		}
+
 		response.on('close', () => {
-			run.endedAt ??= performance.now();
 			this.#running.delete(attempt);
+			if (this.lie !== 'ignores-close' && this.lie !== 'breaks-and-works-on') {
+				run.endedAt ??= performance.now();
+			}
 		});
+		if (this.lie === 'runs-refused') {
+			response.writeHead(503, {'x-azuretack-not-executed': '1', 'x-azuretack-attempt-id': attempt}).end();
+			return;
+		}
+
 		const headers = {'x-azuretack-attempt-id': this.fault === 'other-id' ? 'another' : attempt, 'x-azuretack-server-stamp': `stamp-${this.options.id}`};
 		await (request.headers['x-azuretack-token-counts'] === undefined ? this.#call(run, response, headers) : this.#stream(run, response, headers));
 	}
@@ -212,7 +231,7 @@
 
 	async #call(run: WorkerRun, response: ServerResponse, headers: Record<string, string>): Promise<void> {
 		await delay(this.#time(this.options.callMilliseconds));
-		const body = run.answer;
+		const body = this.lie === 'other-body' ? run.answer.slice(1) : run.answer;
 		const handlers: Record<WorkerFault, () => void> = {
 			none() {
 				response.writeHead(200, {...headers, 'content-length': body.length}).end(body);
@@ -276,7 +295,7 @@
 				continue;
 			}
 
-			if (this.fault === 'break' && event > first + 3) {
+			if ((this.fault === 'break' || this.lie === 'breaks-and-works-on') && event > first + 3) {
 				response.write(`id: ${event}\ndata: ha`);
 				response.destroy();
 				return;
