Leave an engine whose events do not increase

Traced: the stand-in's mute worker dropped events and then sent later ones on the same connection, which no connection does; it now stays mute. The gateway, though, forwards whatever ids come: an engine that repeats an event reached the caller as it was. Such an attempt is now lost and goes on elsewhere after the newest event.

A gap is not checked: the users' protocol says that ids increase, not that each follows.

--- /dev/null
+++ b/source/forwarding/event-order.ts
@@ -0,0 +1,27 @@
+/**
+ * Decides whether an event may follow another one.
+ *
+ * Answers engines that repeat events, as one that was asked to go on from an earlier event than the caller has.
+ *
+ * @module
+ */
+
+/**
+ * Whether an event comes after the newest one that the caller has. Ids that are no whole numbers are not compared.
+ *
+ * @param lastEvent Id of the newest event, if there is one.
+ * @param event Id of the event, if it has one.
+ * @example
+ * ```ts
+ * followsEvent('7', '8'); // true
+ * followsEvent('7', '7'); // false
+ * ```
+ */
+export function followsEvent(lastEvent: string | undefined, event: string | undefined): boolean {
+	const [last, next] = [wholeNumber(lastEvent), wholeNumber(event)];
+	return last === undefined || next === undefined || next > last;
+}
+
+function wholeNumber(text: string | undefined): number | undefined {
+	return text !== undefined && /^\d{1,15}$/v.test(text) ? Number(text) : undefined;
+}
--- a/source/forwarding/forwarding.test.ts
+++ b/source/forwarding/forwarding.test.ts
@@ -3,6 +3,7 @@
 import {test} from 'node:test';
 import fc from 'fast-check';
 import {type EngineReport} from '../balancing/mod.ts';
+import {followsEvent} from './event-order.ts';
 import {EventSplitter} from './event-splitter.ts';
 import {SharedRetryBudget} from './retry-budget.ts';
 import {mayRunAgain} from './retry-decision.ts';
@@ -18,6 +19,16 @@
 	kind: 'idempotent', resumable: false, end: 'lost', runs: 1, maximumRuns: 2, leftMilliseconds: 500,
 } as const;
 
+test('an event that the caller already has does not follow', () => {
+	assert.equal(followsEvent(undefined, '1'), true);
+	assert.equal(followsEvent('9', '10'), true);
+	assert.equal(followsEvent('9', '12'), true);
+	assert.equal(followsEvent('9', '9'), false);
+	assert.equal(followsEvent('10', '9'), false);
+	assert.equal(followsEvent('10', undefined), true);
+	assert.equal(followsEvent('a', 'a'), true);
+});
+
 test('what may not be repeated goes on only where it was surely not run', () => {
 	assert.equal(mayRunAgain({...retry, kind: 'at-most-once'}), false);
 	assert.equal(mayRunAgain({...retry, kind: 'at-most-once', end: 'failed'}), false);
--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -10,6 +10,7 @@
 import {encodeSendHeaders} from '../platform/mod.ts';
 import {beginAnswer, sendWholeAnswer} from './answer-caller.ts';
 import {EngineWatch, type Departure} from './engine-watch.ts';
+import {followsEvent} from './event-order.ts';
 import {EventSplitter, type StreamEvent} from './event-splitter.ts';
 import {type Exchange} from './exchange.ts';
 import {sendRequest, BrokenAnswerError, type EndpointAnswer} from './send-request.ts';
@@ -226,6 +227,10 @@
 		}
 
 		for (const event of events) {
+			if (!followsEvent(progress.lastEvent, event.id)) {
+				throw new BrokenAnswerError(`event ${event.id} came after event ${progress.lastEvent}`);
+			}
+
 			progress.lastEvent = event.id ?? progress.lastEvent;
 			progress.events += 1;
 		}
--- a/source/gateway/gateway.test.ts
+++ b/source/gateway/gateway.test.ts
@@ -116,6 +116,19 @@
 	}
 });
 
+test('an engine that repeats events is left, and the caller gets each event once', async () => {
+	await using fleet = await GatewayFleet.create();
+	const repeating = await fleet.startWorker({id: 'scribe-1', service: 'scribe'});
+	const gateway = await fleet.startGateway('gateway-1');
+	const sound = await fleet.startWorker({id: 'scribe-2', service: 'scribe'});
+	repeating.fault = 'repeat';
+	await fleet.until(async () => {
+		const answer = await fleet.draft(gateway, {headers: {'x-azuretack-prompt-prefix': `${repeating.runs.length + sound.runs.length}:8000`}});
+		assert.deepEqual(eventsOf(answer.body).slice(0, 5), expectedEvents(5));
+		return repeating.runs.length > 1 && sound.runs.length > 1;
+	}, 'both engines are used');
+});
+
 test('a caller that leaves ends its generation at the engine', async () => {
 	await using fleet = await GatewayFleet.create();
 	const engine = await fleet.startWorker({id: 'scribe-1', service: 'scribe', events: 10_000});
--- a/source/testing/soak/fault-kinds.ts
+++ b/source/testing/soak/fault-kinds.ts
@@ -140,7 +140,7 @@
 		start: (_nothing, _variant, world) => world.lapseEntries(),
 	},
 	'worker misbehaves': {
-		variants: ['error', 'full', 'break', 'reset', 'mute', 'other-id', 'extra', 'garble', 'slow'] satisfies WorkerFault[],
+		variants: ['error', 'full', 'break', 'reset', 'mute', 'other-id', 'extra', 'garble', 'slow', 'repeat'] satisfies WorkerFault[],
 		on: 'worker',
 		disturbs: true,
 		start(slot, variant) {
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -30,9 +30,9 @@
 
 /**
  * What a worker does with requests: it works, fails, refuses, ends answers early, says nothing, names another one, sends more than an
- * answer, sends no HTTP, or works slowly.
+ * answer, sends no HTTP, works slowly, or repeats an event.
  */
-export type WorkerFault = 'none' | 'error' | 'full' | 'break' | 'reset' | 'mute' | 'other-id' | 'extra' | 'garble' | 'slow';
+export type WorkerFault = 'none' | 'error' | 'full' | 'break' | 'reset' | 'mute' | 'other-id' | 'extra' | 'garble' | 'slow' | 'repeat';
 
 /**
  * How a worker breaks the promises that a check relies on, for tests of the checks: it runs what it refuses, works on when a connection
@@ -256,6 +256,9 @@
 			slow() {
 				handlers.none();
 			},
+			repeat() {
+				handlers.none();
+			},
 			'other-id'() {
 				response.writeHead(200, {...headers, 'content-length': body.length}).end(body);
 			},
@@ -280,6 +283,8 @@
 		response.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
 		response.flushHeaders();
 		const first = Number(run.headers['last-event-id'] ?? '0') + 1;
+		// A connection that has lost events never delivers later ones.
+		let isMute = false;
 		for (let event = first; event <= this.options.eventsOf(run); event += 1) {
 			await delay(this.#time(this.options.eventMilliseconds));
 			if (response.destroyed) {
@@ -291,7 +296,8 @@
 				copies.set(`${String(holder)}/${attempt}`, event);
 			}
 
-			if (this.fault === 'mute') {
+			isMute ||= this.fault === 'mute';
+			if (isMute) {
 				continue;
 			}
 
@@ -302,9 +308,12 @@
 			}
 
 			response.write(`id: ${event}\ndata: ${this.options.eventOf(run, event)}\n\n`);
+			if (this.fault === 'repeat' && event === first + 2) {
+				event -= 1;
+			}
 		}
 
-		if (this.fault !== 'mute') {
+		if (!isMute) {
 			response.end();
 		}
 	}
