Ask a second reader before the store, and let newcomers settle before they read for their zone

Gateways that lacked news registered too, though nobody needs to find them.

Change: a gateway that learnt from another one waits two exchanges before it reads for its zone; one whose source has fallen behind asks up to three in the same round; only readers and lone gateways register; seeds are asked for 2 s, each gateway beginning with another one.

--- a/source/beliefs/beliefs.test.ts
+++ b/source/beliefs/beliefs.test.ts
@@ -104,11 +104,16 @@
 });
 
 test('the times of news stay within their bound', () => {
-	const {storeMilliseconds, gatherMilliseconds, sourceMilliseconds, sourceIsLateMilliseconds, readerIsLateMilliseconds} = divideNewsTime(2000);
+	const {
+		storeMilliseconds, gatherMilliseconds, sourceMilliseconds, sourceIsBehindMilliseconds, sourceIsLateMilliseconds, readerIsLateMilliseconds,
+	} = divideNewsTime(2000);
 	assert.ok(gatherMilliseconds < storeMilliseconds);
 	assert.ok(storeMilliseconds + sourceMilliseconds < sourceIsLateMilliseconds);
 	assert.ok(sourceIsLateMilliseconds < readerIsLateMilliseconds);
 	assert.ok(readerIsLateMilliseconds < 2000);
+	assert.ok(storeMilliseconds < sourceIsBehindMilliseconds);
+	// One more question fits between a source that falls behind and the store.
+	assert.ok(sourceIsBehindMilliseconds + (1.1 * sourceMilliseconds) < readerIsLateMilliseconds);
 });
 
 test('a follower reads the whole table again when its history is lost, and tells when the store answers again', async () => {
--- a/source/beliefs/news-times.ts
+++ b/source/beliefs/news-times.ts
@@ -12,7 +12,9 @@
 	gatherMilliseconds: number;
 	/** Time between two questions to another gateway. */
 	sourceMilliseconds: number;
-	/** Age above which another gateway is asked than before. */
+	/** Age right after an answer of another gateway above which that one has fallen behind, and a further one is asked. */
+	sourceIsBehindMilliseconds: number;
+	/** Age above which a gateway that follows the store asks other gateways too. */
 	sourceIsLateMilliseconds: number;
 	/** Age above which a gateway asks the store itself. */
 	readerIsLateMilliseconds: number;
@@ -33,6 +35,7 @@
 		storeMilliseconds: boundMilliseconds * 0.5,
 		gatherMilliseconds: boundMilliseconds * 0.35,
 		sourceMilliseconds: boundMilliseconds * 0.15,
+		sourceIsBehindMilliseconds: boundMilliseconds * 0.6,
 		sourceIsLateMilliseconds: boundMilliseconds * 0.7,
 		readerIsLateMilliseconds: boundMilliseconds * 0.8,
 	};
--- a/source/fleet/ask-seeds.ts
+++ b/source/fleet/ask-seeds.ts
@@ -18,12 +18,13 @@
 	knowledge: SharedKnowledge;
 	logger: Logger;
 	readClock: () => ClockReading;
+	random: () => number;
 	/** Receives each news that has been learnt. */
 	onNews: () => void;
 };
 
 /** Time for which seeds are asked, in milliseconds; whoever has learnt nothing by then asks the store. */
-const askMilliseconds = 1000;
+const askMilliseconds = 2000;
 
 /** Deadline of a question, in milliseconds. */
 const answerMilliseconds = 300;
@@ -38,16 +39,19 @@
  * @param signal Ends the questions.
  * @returns Whether anything was learnt. A gateway that is itself a seed asks nobody.
  */
-export async function askSeeds({seeds, members, knowledge, logger, readClock, onNews}: AskSeedsOptions, signal: AbortSignal): Promise<boolean> {
+export async function askSeeds({seeds, members, knowledge, logger, readClock, random, onNews}: AskSeedsOptions, signal: AbortSignal): Promise<boolean> {
 	if (seeds.includes(members.self.peers)) {
 		return false;
 	}
 
 	const client = new ExchangeClient();
 	const until = readClock().steady + askMilliseconds;
+	// Each gateway begins with another seed, so that a start of all does not fall on the first one.
+	const first = Math.floor(random() * seeds.length);
+	const order = [...seeds.slice(first), ...seeds.slice(0, first)];
 	let learnt = false;
 	while (!learnt && seeds.length > 0 && !signal.aborted && readClock().steady < until) {
-		for (const seed of seeds) {
+		for (const seed of order) {
 			const askedAt = readClock();
 			const answer = await client.exchange(seed, {members: [members.self], known: knowledge.known()}, answerMilliseconds);
 			if (answer.isErr()) {
--- a/source/fleet/choose-reader.ts
+++ b/source/fleet/choose-reader.ts
@@ -34,11 +34,18 @@
 	return reader;
 }
 
+/** Whether a gateway is the reader of its zone, as far as it knows. */
+export function isReader(self: Member, members: readonly Member[]): boolean {
+	return readerOf(members, self.availabilityZone)?.name === self.name;
+}
+
 /** Options of {@linkcode followsStore}. */
 export type FollowsStoreOptions = {
 	self: Member;
 	/** Gateways that live, this one included. */
 	members: readonly Member[];
+	/** Whether this gateway has had time to hear of all others, so that it knows whether it is its zone's reader. */
+	settled: boolean;
 	/** Age of what this gateway knows, in milliseconds. */
 	ageMilliseconds: number;
 	/** Age above which a gateway asks the store itself, in milliseconds. */
@@ -46,38 +53,50 @@
 };
 
 /**
- * Whether a gateway follows the store itself: it is its zone's reader, or it has not heard enough from the reader.
+ * Whether a gateway follows the store itself: it is its zone's reader, or it has not heard enough from others.
  *
  * @param options Gateways and age.
  */
-export function followsStore({self, members, ageMilliseconds, readerIsLateMilliseconds}: FollowsStoreOptions): boolean {
-	return ageMilliseconds > readerIsLateMilliseconds || readerOf(members, self.availabilityZone)?.name === self.name;
+export function followsStore({self, members, settled, ageMilliseconds, readerIsLateMilliseconds}: FollowsStoreOptions): boolean {
+	return ageMilliseconds > readerIsLateMilliseconds || (settled && isReader(self, members));
 }
 
-/** Options of {@linkcode chooseSource}. */
-export type ChooseSourceOptions = {
+/** Options of {@linkcode chooseSources}. */
+export type ChooseSourcesOptions = {
 	self: Member;
 	/** Gateways that live, this one included. */
 	members: readonly Member[];
-	/** Whether the reader of the own zone has fallen behind. */
-	readerIsLate: boolean;
 	random: () => number;
 };
 
+/** Gateways that are asked at most for one piece of news. */
+const mostSources = 3;
+
 /**
- * Chooses the gateway to learn from: the reader of the own zone, or of another one while that has fallen behind.
+ * Chooses the gateways to learn from, to be asked one after the other until one of them knows enough: the reader of the own zone, those
+ * of other zones in any order, then any others that are ready.
+ *
+ * Answers a store that refuses some gateways, readers among them: asking a second reader costs less than asking the store, and many
+ * gateways that lose their reader at once must not all turn to the store.
  *
  * @param options Gateways.
- * @returns The gateway; `undefined` where this one follows the store and has not fallen behind, or there is no other.
  */
-export function chooseSource({self, members, readerIsLate, random}: ChooseSourceOptions): Member | undefined {
-	const reader = readerOf(members, self.availabilityZone);
-	if (!readerIsLate) {
-		return reader?.name === self.name ? undefined : reader;
+export function chooseSources({self, members, random}: ChooseSourcesOptions): Member[] {
+	const others = members.filter(({ready, name}) => ready && name !== self.name);
+	const zones = new Set(others.map(({availabilityZone}) => availabilityZone));
+	const readers = [...zones].flatMap(zone => readerOf(members, zone) ?? []).filter(({name}) => name !== self.name);
+	const near = readers.filter(({availabilityZone}) => availabilityZone === self.availabilityZone);
+	const far = readers.filter(({availabilityZone}) => availabilityZone !== self.availabilityZone);
+	const rest = others.filter(member => !readers.includes(member));
+	return [...near, ...shuffle(far, random), ...shuffle(rest, random)].slice(0, mostSources);
+}
+
+function shuffle(members: readonly Member[], random: () => number): Member[] {
+	const left = [...members];
+	const drawn: Member[] = [];
+	while (left.length > 0 && drawn.length < mostSources) {
+		drawn.push(...left.splice(Math.floor(random() * left.length), 1));
 	}
 
-	const others = members.filter(member => member.ready && member.name !== self.name && member.name !== reader?.name);
-	const elsewhere = others.filter(member => readerOf(members, member.availabilityZone)?.name === member.name);
-	const from = elsewhere.length > 0 ? elsewhere : others;
-	return from[Math.floor(random() * from.length)];
+	return drawn;
 }
--- a/source/fleet/fleet.test.ts
+++ b/source/fleet/fleet.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	MemberTable, chooseSource, exchangePeriod, followsStore, listEntries, readerOf, type Member,
+	MemberTable, chooseSources, exchangePeriod, followsStore, listEntries, readerOf, type Member,
 } from './mod.ts';
 
 const member = (name: string, changes: Partial<Member> = {}): Member => ({
@@ -50,7 +50,7 @@
 
 test('one gateway of each zone follows the store, and another one when that is gone', () => {
 	const following = fleet.filter(self => followsStore({
-		self, members: fleet, ageMilliseconds: 100, readerIsLateMilliseconds: 1600,
+		self, members: fleet, settled: true, ageMilliseconds: 100, readerIsLateMilliseconds: 1600,
 	}));
 	assert.equal(following.length, 3);
 	const reader = readerOf(fleet, 'zone-a')!;
@@ -62,25 +62,33 @@
 test('a gateway that has not heard enough follows the store itself', () => {
 	const self = fleet.find(({name}) => name !== readerOf(fleet, 'zone-a')!.name)!;
 	assert.equal(followsStore({
-		self, members: fleet, ageMilliseconds: 1700, readerIsLateMilliseconds: 1600,
+		self, members: fleet, settled: true, ageMilliseconds: 1700, readerIsLateMilliseconds: 1600,
 	}), true);
 });
 
-test('a gateway learns from its zone\'s reader, and from another zone\'s while that has fallen behind', () => {
-	const reader = readerOf(fleet, 'zone-a')!;
-	const self = fleet.find(({name, availabilityZone}) => availabilityZone === 'zone-a' && name !== reader.name)!;
-	const random = () => 0.5;
-	assert.equal(chooseSource({
-		self, members: fleet, readerIsLate: false, random,
-	}), reader);
-	const other = chooseSource({
-		self, members: fleet, readerIsLate: true, random,
-	})!;
-	assert.notEqual(other.availabilityZone, 'zone-a');
-	assert.equal(readerOf(fleet, other.availabilityZone), other);
-	assert.equal(chooseSource({
-		self: reader, members: fleet, readerIsLate: false, random,
-	}), undefined);
+test('gateways that have just started and know few others do not all follow the store', () => {
+	const following = fleet.filter(self => followsStore({
+		self, members: [self], settled: false, ageMilliseconds: 400, readerIsLateMilliseconds: 1600,
+	}));
+	assert.equal(following.length, 0);
+});
+
+test('a gateway learns from its zone\'s reader, then from those of other zones, never from itself', () => {
+	const readers = zones.map(zone => readerOf(fleet, zone)!);
+	const self = fleet.find(member => member.availabilityZone === 'zone-a' && !readers.includes(member))!;
+	const sources = chooseSources({self, members: fleet, random: () => 0.5});
+	assert.equal(sources[0], readers[0]);
+	assert.deepEqual(new Set(sources), new Set(readers));
+	const ofReader = chooseSources({self: readers[0]!, members: fleet, random: () => 0.5});
+	assert.deepEqual(new Set(ofReader.slice(0, 2)), new Set(readers.slice(1)));
+	assert.ok(!ofReader.includes(readers[0]!));
+});
+
+test('a gateway without any reader in sight asks others that are ready', () => {
+	const self = fleet[0]!;
+	assert.deepEqual(chooseSources({self, members: [self], random: () => 0.5}), []);
+	const sources = chooseSources({self, members: [self, fleet[1]!, member('starting', {ready: false})], random: () => 0.5});
+	assert.deepEqual(sources, [fleet[1]]);
 });
 
 test('callers are told of ready gateways, some of their zone first, and never of those alone', () => {
--- a/source/fleet/follow-source.ts
+++ b/source/fleet/follow-source.ts
@@ -7,9 +7,10 @@
 import {type ClockReading, type NewsTimes} from '../beliefs/mod.ts';
 import {pause} from '../supervision/pause.ts';
 import {type TaskFailure} from '../supervision/supervisor.ts';
-import {chooseSource} from './choose-reader.ts';
+import {chooseSources} from './choose-reader.ts';
 import {ExchangeClient} from './exchange-client.ts';
 import {type Known, type News} from './exchange-protocol.ts';
+import {type Member} from './member.ts';
 import {type MemberTable} from './member-table.ts';
 
 /** What gateways tell each other of the store's content. */
@@ -29,6 +30,8 @@
 	members: MemberTable;
 	knowledge: SharedKnowledge;
 	newsTimes: NewsTimes;
+	/** Whether this gateway follows the store now. */
+	followsStore: () => boolean;
 	readClock: () => ClockReading;
 	random: () => number;
 };
@@ -37,30 +40,38 @@
 const answerMilliseconds = 300;
 
 /**
- * Asks the gateway that follows the store for what is new, until the signal aborts.
+ * Asks gateways that follow the store for what is new, until the signal aborts.
  *
  * @param options What is known, and of whom.
  * @param signal Ends the task.
  */
-export async function followSource({members, knowledge, newsTimes, readClock, random}: FollowSourceOptions, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
+export async function followSource(options: FollowSourceOptions, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
+	const {members, knowledge, newsTimes, followsStore, readClock, random} = options;
 	const client = new ExchangeClient();
 	while (await pause(newsTimes.sourceMilliseconds * (0.9 + (random() / 5)), signal)) {
-		const askedAt = readClock();
-		const source = chooseSource({
-			self: members.self, members: members.live(askedAt.steady), readerIsLate: knowledge.age(askedAt) > newsTimes.sourceIsLateMilliseconds, random,
-		});
-		if (!source) {
+		if (followsStore() && knowledge.age(readClock()) <= newsTimes.sourceIsLateMilliseconds) {
 			continue;
 		}
 
-		const answer = await client.exchange(source.peers, {members: [members.self], known: knowledge.known()}, answerMilliseconds);
-		if (answer.isErr()) {
-			members.unanswered(source.name);
-		} else if (answer.value.news) {
-			knowledge.learn(answer.value.news, askedAt);
+		const sources = chooseSources({self: members.self, members: members.live(readClock().steady), random});
+		for (const source of sources) {
+			await ask(options, client, source);
+			if (knowledge.age(readClock()) <= newsTimes.sourceIsBehindMilliseconds) {
+				break;
+			}
 		}
 	}
 
 	client.close();
 	return ok();
 }
+
+async function ask({members, knowledge, readClock}: FollowSourceOptions, client: ExchangeClient, source: Member): Promise<void> {
+	const askedAt = readClock();
+	const answer = await client.exchange(source.peers, {members: [members.self], known: knowledge.known()}, answerMilliseconds);
+	if (answer.isErr()) {
+		members.unanswered(source.name);
+	} else if (answer.value.news) {
+		knowledge.learn(answer.value.news, askedAt);
+	}
+}
--- a/source/fleet/register-member.ts
+++ b/source/fleet/register-member.ts
@@ -17,7 +17,7 @@
 	members: MemberTable;
 	store: StoreClient;
 	logger: Logger;
-	/** Whether this gateway should be found in the store: it follows the store, or knows no other gateway. */
+	/** Whether this gateway should be found in the store. */
 	wanted: () => boolean;
 	/** Steady time, in milliseconds. */
 	clock: () => number;
--- a/source/gateway/follow-store.ts
+++ b/source/gateway/follow-store.ts
@@ -9,7 +9,6 @@
 import {
 	configurationKey, decodeConfiguration, decodeEndpoint, endpointTable, operatorTable, type StoredRow,
 } from '../platform/mod.ts';
-import {followsStore, type SharedKnowledge} from '../fleet/mod.ts';
 import {type Supervisor} from '../supervision/supervisor.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 
@@ -39,29 +38,6 @@
 	}, signal));
 }
 
-/**
- * Returns the question whether this gateway follows the store; each change of the answer is logged.
- *
- * @param parts The gateway's parts.
- * @param knowledge What is known, and how old it is.
- */
-export function createWanted({members, logger, clock, readClock, newsTimes}: GatewayParts, knowledge: SharedKnowledge): () => boolean {
-	let followed: boolean | undefined;
-	return () => {
-		const ageMilliseconds = knowledge.age(readClock());
-		const live = members.live(clock());
-		const follows = followsStore({
-			self: members.self, members: live, ageMilliseconds, readerIsLateMilliseconds: newsTimes.readerIsLateMilliseconds,
-		});
-		if (follows !== followed) {
-			followed = follows;
-			logger.info(follows ? 'gateway follows the store' : 'gateway learns from another one', {ageMilliseconds: Math.round(ageMilliseconds), live: live.length});
-		}
-
-		return follows;
-	};
-}
-
 function configurationListener({configuration, logger, metrics}: GatewayParts): TableListener {
 	const take = (rows: readonly StoredRow[]) => {
 		const row = rows.findLast(({key}) => key === configurationKey);
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -15,10 +15,11 @@
 import {Supervisor} from '../supervision/supervisor.ts';
 import {type Logger} from '../telemetry/logger.ts';
 import {createCallerServer, createEntryServer, createMetricsServer} from './caller-server.ts';
-import {createWanted, followStore} from './follow-store.ts';
+import {followStore} from './follow-store.ts';
 import {createGatewayParts, type GatewayParts} from './gateway-parts.ts';
 import {isReady} from './readiness.ts';
 import {createSharedKnowledge} from './shared-knowledge.ts';
+import {StoreRole} from './store-role.ts';
 
 /** A running gateway. */
 export type Gateway = {
@@ -64,9 +65,12 @@
 			};
 		},
 	});
-	startNews(supervisor, parts, knowledge, settings.seeds);
+	const role = new StoreRole(parts, knowledge);
+	startNews({
+		supervisor, parts, knowledge, role, seeds: settings.seeds,
+	});
 	supervisor.start('members', async signal => followMembers({...parts, ready: () => isReady(parts)}, signal));
-	supervisor.start('source', async signal => followSource({...parts, knowledge}, signal));
+	supervisor.start('source', async signal => followSource({...parts, knowledge, followsStore: () => role.follows()}, signal));
 	await firstConfiguration(parts);
 	await listen(callerServer, settings.listen.callers);
 	parts.callers.open = true;
@@ -85,18 +89,20 @@
 	}
 }
 
+type NewsOptions = {supervisor: Supervisor; parts: GatewayParts; knowledge: SharedKnowledge; role: StoreRole; seeds: readonly string[]};
+
 /** Asks the seeds, then follows the store or those who do. */
-function startNews(supervisor: Supervisor, parts: GatewayParts, knowledge: SharedKnowledge, seeds: readonly string[]): void {
-	const {members, clock} = parts;
+function startNews({supervisor, parts, knowledge, role, seeds}: NewsOptions): void {
+	const {members} = parts;
 	supervisor.start('news', async signal => {
-		await askSeeds({
+		const learnt = await askSeeds({
 			...parts, seeds, knowledge, onNews() {
 				members.beat(isReady(parts));
 			},
 		}, signal);
-		const wanted = createWanted(parts, knowledge);
-		followStore(supervisor, parts, wanted);
-		await keepRegistered({...parts, wanted: () => wanted() || members.live(clock()).length === 1}, signal);
+		role.begin(learnt);
+		followStore(supervisor, parts, () => role.follows());
+		await keepRegistered({...parts, wanted: () => role.shouldBeFound()}, signal);
 		await untilAborted(signal);
 		return ok();
 	});
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -31,7 +31,7 @@
 		status: 503, code: 'no_configuration', message: 'This gateway has no configuration yet.', retryAfterMilliseconds: elsewhereMilliseconds,
 	},
 	'stale-configuration': {
-		status: 503, code: 'stale_configuration', message: 'This gateway cannot tell whether the key is still valid.', retryAfterMilliseconds: elsewhereMilliseconds,
+		status: 503, code: 'stale_configuration', message: 'The configuration of this gateway is too old to tell whether the request is allowed.', retryAfterMilliseconds: elsewhereMilliseconds,
 	},
 	'no-route': {status: 404, code: 'no_route', message: 'No route matches the host and path.'},
 	'unknown-key': {status: 401, code: 'unknown_key', message: 'The key is unknown.'},
@@ -96,7 +96,7 @@
 
 	const knowledge = configuration.knowledge(readClock());
 	const admission = admitRequest({
-		...knowledge, host: request.headers.host ?? '', path: request.url ?? '', key: arrived.terms.key, trustedKeyMilliseconds,
+		...knowledge, host: request.headers.host ?? '', path: request.url ?? '', key: arrived.terms.key, trustedKeyMilliseconds, deniesWithinMilliseconds: settings.bounds.configurationMilliseconds,
 	});
 	if (admission.kind !== 'allowed') {
 		return refuse(response, refusals[admission.kind]);
--- /dev/null
+++ b/source/gateway/store-role.ts
@@ -0,0 +1,84 @@
+/**
+ * Whether this gateway follows the store, and since when it can tell.
+ *
+ * @module
+ */
+import {
+	exchangePeriod, followsStore, isReader, type SharedKnowledge,
+} from '../fleet/mod.ts';
+import {type GatewayParts} from './gateway-parts.ts';
+
+/** Exchanges after which a new gateway has heard of nearly all others. */
+const settlingExchanges = 2;
+
+/**
+ * The role of a gateway; each change is logged.
+ *
+ * A gateway that has learnt from another one at its start does not follow the store until it has had time to hear of all others: until
+ * then it would take itself for the reader of its zone, as would each of hundreds that start at once.
+ *
+ * @example
+ * ```ts
+ * const role = new StoreRole(parts, knowledge);
+ * role.begin(learnt);
+ * if (role.follows()) { … }
+ * ```
+ */
+export class StoreRole {
+	readonly #parts: GatewayParts;
+	readonly #knowledge: SharedKnowledge;
+	#begunAt: number | undefined;
+	#learnt = false;
+	#followed: boolean | undefined;
+
+	constructor(parts: GatewayParts, knowledge: SharedKnowledge) {
+		this.#parts = parts;
+		this.#knowledge = knowledge;
+	}
+
+	/**
+	 * Begins once seeds were asked.
+	 *
+	 * @param learnt Whether one of them told what it knows.
+	 */
+	begin(learnt: boolean): void {
+		this.#begunAt = this.#parts.clock();
+		this.#learnt = learnt;
+	}
+
+	/** Whether this gateway follows the store now, as its zone's reader or for lack of news. */
+	follows(): boolean {
+		const {members, logger, clock, readClock, newsTimes} = this.#parts;
+		if (this.#begunAt === undefined) {
+			return false;
+		}
+
+		const ageMilliseconds = this.#knowledge.age(readClock());
+		const live = members.live(clock());
+		const follows = followsStore({
+			self: members.self, members: live, settled: this.#isSettled(), ageMilliseconds, readerIsLateMilliseconds: newsTimes.readerIsLateMilliseconds,
+		});
+		if (follows !== this.#followed) {
+			this.#followed = follows;
+			logger.info(follows ? 'gateway follows the store' : 'gateway learns from another one', {ageMilliseconds: Math.round(ageMilliseconds), live: live.length});
+		}
+
+		return follows;
+	}
+
+	/** Whether others should find this gateway in the store: it is its zone's reader, or knows no other. */
+	shouldBeFound(): boolean {
+		const {members, clock} = this.#parts;
+		const live = members.live(clock());
+		return this.#isSettled() && (live.length === 1 || isReader(members.self, live));
+	}
+
+	#isSettled(): boolean {
+		const {members, clock} = this.#parts;
+		if (this.#begunAt === undefined) {
+			return false;
+		}
+
+		return !this.#learnt || clock() - this.#begunAt >= settlingExchanges * exchangePeriod(members.size);
+	}
+}
--- a/source/routing/admit-request.ts
+++ b/source/routing/admit-request.ts
@@ -22,6 +22,8 @@
 	key: string | undefined;
 	/** Age up to which a key may be trusted, in milliseconds: a key that was taken away later must not be served. */
 	trustedKeyMilliseconds: number;
+	/** Age up to which a request may be denied, in milliseconds: a later change could allow it. */
+	deniesWithinMilliseconds: number;
 };
 
 /** Whether a request is allowed. */
@@ -35,7 +37,8 @@
 /**
  * Decides whether a request is allowed.
  *
- * A configuration whose age exceeds the limit neither proves nor disproves a key, so such requests are told to come back.
+ * A configuration that is too old proves neither that a key is valid nor that a route or key is missing; such requests are told to come
+ * back.
  *
  * @param options Request and knowledge.
  * @example
@@ -44,25 +47,29 @@
  * ```
  */
 export function admitRequest(options: AdmitRequestOptions): Admission {
-	const {table, ageMilliseconds, host, path, key, trustedKeyMilliseconds} = options;
+	const {table, ageMilliseconds, host, path, key, trustedKeyMilliseconds, deniesWithinMilliseconds} = options;
 	if (!table) {
 		return {kind: 'no-configuration'};
 	}
 
-	const stale = ageMilliseconds > trustedKeyMilliseconds;
+	const mayDeny = ageMilliseconds <= deniesWithinMilliseconds;
 	const route = table.routeOf(host, path);
 	if (!route) {
-		return {kind: stale ? 'stale-configuration' : 'no-route'};
+		return {kind: mayDeny ? 'no-route' : 'stale-configuration'};
 	}
 
 	if (!table.asksForKeys || route.anonymous) {
 		return {kind: 'allowed', route, workspace: key === undefined ? undefined : table.workspaceOf(key)};
 	}
 
-	if (stale) {
+	if (ageMilliseconds > trustedKeyMilliseconds) {
 		return {kind: 'stale-configuration'};
 	}
 
 	const workspace = key === undefined ? undefined : table.workspaceOf(key);
-	return workspace ? {kind: 'allowed', route, workspace} : {kind: 'unknown-key'};
+	if (workspace) {
+		return {kind: 'allowed', route, workspace};
+	}
+
+	return {kind: mayDeny ? 'unknown-key' : 'stale-configuration'};
 }
--- a/source/routing/routing.test.ts
+++ b/source/routing/routing.test.ts
@@ -34,7 +34,7 @@
 
 function admit(changes: Partial<Parameters<typeof admitRequest>[0]> = {}): string {
 	const admission = admitRequest({
-		table, ageMilliseconds: 100, host: 'desk.example', path: '/deposits/1', key: 'key-1', trustedKeyMilliseconds: 4000, ...changes,
+		table, ageMilliseconds: 100, host: 'desk.example', path: '/deposits/1', key: 'key-1', trustedKeyMilliseconds: 4000, deniesWithinMilliseconds: 2000, ...changes,
 	});
 	return admission.kind === 'allowed' ? admission.route.name : admission.kind;
 }
@@ -60,6 +60,14 @@
 	assert.equal(admit({table: undefined}), 'no-configuration');
 });
 
+test('nothing is denied by a configuration that a newer one may have replaced', () => {
+	assert.equal(admit({ageMilliseconds: 2000, host: 'other.example'}), 'no-route');
+	assert.equal(admit({ageMilliseconds: 2001, host: 'other.example'}), 'stale-configuration');
+	assert.equal(admit({ageMilliseconds: 2000, key: 'key-3'}), 'unknown-key');
+	assert.equal(admit({ageMilliseconds: 2001, key: 'key-3'}), 'stale-configuration');
+	assert.equal(admit({ageMilliseconds: 2001}), 'deposits');
+});
+
 test('services are drawn by their weights', () => {
 	const divided = route('divided', '/', {services: [{service: 'one', weight: 90}, {service: 'two', weight: 10}]});
 	assert.equal(drawService(divided, 0), 'one');
--- a/source/testing/soak.ts
+++ b/source/testing/soak.ts
@@ -46,9 +46,9 @@
 			console.log(`${((performance.now() - started) / 1000).toFixed(1)} s: ${line}`);
 		};
 
-	const {finding, requests, served, runs, lags} = await playSoak(plan, {report});
+	const {finding, requests, served, runs, statuses, lags} = await playSoak(plan, {report});
 	const verdict = finding ? `broken: ${finding.check}: ${finding.attempt ?? ''} ${finding.message}` : 'kept';
-	console.log(`seed ${plan.seed}: ${verdict}; ${requests} requests, ${served} served, ${runs} runs, ${plan.faults.length} faults, ${lags} lags`);
+	console.log(`seed ${plan.seed}: ${verdict}; ${requests} requests, ${served} served, ${runs} runs, ${plan.faults.length} faults, ${lags} lags, statuses ${JSON.stringify(statuses)}`);
 	if (!finding) {
 		return true;
 	}
--- a/source/testing/soak/gateway-process.ts
+++ b/source/testing/soak/gateway-process.ts
@@ -79,6 +79,8 @@
 			return;
 		}
 
+		// A start with broken settings ends at once, as it should; only a running gateway is told of those.
+		await this.writeSettings(false);
 		const child = spawn(process.execPath, ['--import', clockModule, program, '--settings', this.#file], {stdio: ['pipe', 'pipe', 'pipe']});
 		this.#child = child;
 		this.#isEndExpected = false;
--- a/source/testing/soak/soak.ts
+++ b/source/testing/soak/soak.ts
@@ -7,6 +7,7 @@
 import {Callers} from './callers.ts';
 import {checks, type CheckName, type Violation} from './checks/mod.ts';
 import {faultKinds} from './fault-kinds.ts';
+import {type SeenRequest} from './history.ts';
 import {type PlannedFault, type SoakPlan} from './plan.ts';
 import {Random} from './random.ts';
 import {tellStory} from './story.ts';
@@ -39,6 +40,8 @@
 	requests: number;
 	served: number;
 	runs: number;
+	/** Answers by status; 0 where a connection ended without one. */
+	statuses: Record<string, number>;
 	/** Times at which this process itself was late. */
 	lags: number;
 };
@@ -73,10 +76,21 @@
 		requests: requests.length,
 		served: requests.filter(({answer}) => answer?.status === 200 && answer.whole).length,
 		runs: runs.length,
+		statuses: countStatuses(requests),
 		lags: disturbances.filter(({kind}) => kind === 'this process is late').length,
 	};
 }
 
+function countStatuses(requests: readonly SeenRequest[]): Record<string, number> {
+	const counts: Record<string, number> = {};
+	for (const {answer, leftAt} of requests) {
+		const name = leftAt === undefined ? String(answer?.status ?? 'none') : 'left';
+		counts[name] = (counts[name] ?? 0) + 1;
+	}
+
+	return counts;
+}
+
 /** Plays the faults, then all killed if planned, then waits until all must be made good. */
 async function playFaults(world: SoakWorld, plan: SoakPlan, report: (line: string) => void, signal: AbortSignal): Promise<void> {
 	const started = performance.now();
--- a/source/testing/soak/story.ts
+++ b/source/testing/soak/story.ts
@@ -5,6 +5,9 @@
  */
 import {type SoakWorld} from './world.ts';
 
+/** Log lines told of a gateway that ended by itself. */
+const lastLines = 8;
+
 /** Disturbances told without an attempt that they could explain. */
 const lastDisturbances = 20;
 
@@ -25,6 +28,10 @@
 		...runs.map(run => `run: ${JSON.stringify({...run, answer: run.answer.slice(0, 60)})}`),
 		...disturbances.slice(-lastDisturbances).map(disturbance => `disturbance: ${JSON.stringify(disturbance)}`),
 		...history.configurations.slice(-5).map(({version, at, services}) => `configuration ${version} at ${at}: ${JSON.stringify(services)}`),
+		...history.ends.filter(({expected}) => !expected).flatMap(({gateway, at, reason}) => {
+			const lines = gateways.find(({name}) => name === gateway)!.log.join('').trimEnd().split('\n').slice(-lastLines);
+			return [`${gateway} ended at ${at}: ${reason}`, ...lines.map(line => `${gateway}: ${line}`)];
+		}),
 		...gateways.flatMap(({name, log}) => log.join('').split('\n').filter(line => attempt !== undefined && line.includes(`"${attempt}"`)).map(line => `${name}: ${line}`)),
 	];
 }
