Exchange heartbeats in place of whole records between gateways

Change: state of known gateways goes as name, incarnation, heartbeat and readiness; whole records only of those that the other side lacks; messages are checked where they are received only. Tables that are not followed are looked at every 250 ms, not 100.

--- a/source/beliefs/follow-table.ts
+++ b/source/beliefs/follow-table.ts
@@ -53,7 +53,7 @@
 const longestRetryMilliseconds = 800;
 
 /** Time between two looks at whether to follow, in milliseconds. */
-const lookMilliseconds = 100;
+const lookMilliseconds = 250;
 
 /**
  * Follows a table until the signal aborts: reads it whole, then its changes, and whole again when the store has dropped them.
--- a/source/fleet/exchange-client.ts
+++ b/source/fleet/exchange-client.ts
@@ -9,9 +9,7 @@
 import {
 	err, ok, type Result,
 } from 'neverthrow';
-import {
-	exchangeMessageSchema, exchangeMethod, largestMessageBytes, type ExchangeMessage,
-} from './exchange-protocol.ts';
+import {exchangeMethod, largestMessageBytes, type ExchangeMessage} from './exchange-protocol.ts';
 
 /** Connections kept to other gateways; the one unused for longest goes first. */
 const keptClients = 16;
@@ -47,8 +45,7 @@
 					return;
 				}
 
-				const checked = exchangeMessageSchema.safeParse(answer);
-				resolve(checked.success ? ok(checked.data) : err('the answer cannot be read'));
+				resolve(answer ? ok(answer) : err('the answer is empty'));
 			});
 		});
 	}
@@ -62,7 +59,11 @@
 
 	#client(address: string): Client {
 		const client = this.#clients.get(address) ?? new Client(address, credentials.createInsecure(), {
-			'grpc.max_receive_message_length': largestMessageBytes, 'grpc.use_local_subchannel_pool': 1, 'grpc.enable_retries': 0, 'grpc.initial_reconnect_backoff_ms': 100, 'grpc.max_reconnect_backoff_ms': 500,
+			'grpc.max_receive_message_length': largestMessageBytes,
+			'grpc.use_local_subchannel_pool': 1,
+			'grpc.enable_retries': 0,
+			'grpc.initial_reconnect_backoff_ms': 100,
+			'grpc.max_reconnect_backoff_ms': 500,
 		});
 		this.#clients.delete(address);
 		this.#clients.set(address, client);
--- a/source/fleet/exchange-protocol.ts
+++ b/source/fleet/exchange-protocol.ts
@@ -8,7 +8,7 @@
 import * as z from 'zod';
 import {endpointChangeSchema} from '../beliefs/endpoint-list.ts';
 import {routingConfigurationSchema} from '../routing/mod.ts';
-import {memberSchema} from './member.ts';
+import {heartbeatSchema, memberSchema} from './member.ts';
 
 /** Largest message, in bytes: a whole configuration and all endpoints at the largest size. */
 export const largestMessageBytes = 16_777_216;
@@ -36,8 +36,10 @@
 
 /** What each side tells. */
 export const exchangeMessageSchema = z.object({
-	/** Gateways that the sender knows of, itself first. */
+	/** Gateways that the other side may not know, the sender first. */
 	members: z.array(memberSchema).min(1),
+	/** State of all gateways that the sender takes to be alive; absent where only news of the store is asked for. */
+	heartbeats: z.array(heartbeatSchema).optional(),
 	/** In a question: what the asker knows already. */
 	known: knownSchema.optional(),
 	/** In an answer to such a question: what is news to the asker. */
@@ -54,15 +56,15 @@
 export type ExchangeMessage = z.output<typeof exchangeMessageSchema>;
 
 const encode = (message: ExchangeMessage) => Buffer.from(JSON.stringify(message));
-const decode = (bytes: Uint8Array): unknown => JSON.parse(new TextDecoder().decode(bytes));
+const decode = (bytes: Uint8Array) => exchangeMessageSchema.parse(JSON.parse(new TextDecoder().decode(bytes)));
 
-/** The method; what is received is checked against {@linkcode exchangeMessageSchema}. */
-export const exchangeMethod: MethodDefinition<ExchangeMessage, unknown> & {requestDeserialize: (bytes: Uint8Array) => ExchangeMessage} = {
+/** The method; what is received is checked against {@linkcode exchangeMessageSchema}, and gRPC turns a fault into an error of the call. */
+export const exchangeMethod: MethodDefinition<ExchangeMessage, ExchangeMessage> = {
 	path: '/azuretack.Fleet/Exchange',
 	requestStream: false,
 	responseStream: false,
 	requestSerialize: encode,
-	requestDeserialize: bytes => exchangeMessageSchema.parse(decode(bytes)),
-	responseSerialize: message => encode(exchangeMessageSchema.parse(message)),
+	requestDeserialize: decode,
+	responseSerialize: encode,
 	responseDeserialize: decode,
 };
--- a/source/fleet/fleet.test.ts
+++ b/source/fleet/fleet.test.ts
@@ -45,6 +45,20 @@
 	assert.deepEqual(namesOf(table.live(10)), ['self', 'one']);
 });
 
+test('two gateways tell each other the state of those that both know, and records only of those that one does not know', () => {
+	const one = new MemberTable({self: member('one')});
+	const other = new MemberTable({self: member('other')});
+	one.merge([member('other'), member('both'), member('restarted')], 0);
+	other.merge([member('one'), member('both', {heartbeat: 5}), member('restarted', {incarnation: 2}), member('new')], 0);
+	assert.deepEqual(namesOf(other.unknownTo(one.heartbeats(0), 0)), ['restarted', 'new']);
+	one.hear(other.heartbeats(100), 100);
+	assert.equal(one.others().find(({name}) => name === 'both')?.heartbeat, 5);
+	assert.equal(one.others().find(({name}) => name === 'restarted')?.incarnation, 1);
+	one.merge(other.unknownTo(one.heartbeats(100), 100), 100);
+	assert.deepEqual(namesOf(other.unknownTo(one.heartbeats(100), 100)), []);
+	assert.deepEqual(new Set(namesOf(one.live(100))), new Set(['one', 'other', 'both', 'restarted', 'new']));
+});
+
 const zones = ['zone-a', 'zone-b', 'zone-c'];
 const fleet = zones.flatMap(availabilityZone => Array.from({length: 4}, (_unused, index) => member(`${availabilityZone}-${index}`, {availabilityZone})));
 
--- a/source/fleet/follow-members.ts
+++ b/source/fleet/follow-members.ts
@@ -56,9 +56,10 @@
 			continue;
 		}
 
-		const answer = await client.exchange(peer.peers, {members: members.live(clock())}, answerMilliseconds);
+		const answer = await client.exchange(peer.peers, {members: [members.self], heartbeats: members.heartbeats(clock())}, answerMilliseconds);
 		if (answer.isOk()) {
 			members.merge(answer.value.members, clock());
+			members.hear(answer.value.heartbeats ?? [], clock());
 		} else if (members.live(clock()).some(({name}) => name === peer.name)) {
 			logger.info('gateway does not answer', {peer: peer.name, reason: answer.error});
 			members.unanswered(peer.name);
--- a/source/fleet/member-table.ts
+++ b/source/fleet/member-table.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type Member, type RegisteredMember} from './member.ts';
+import {type Heartbeat, type Member, type RegisteredMember} from './member.ts';
 
 /** Options of {@linkcode MemberTable}. */
 export type MemberTableOptions = {
@@ -89,6 +89,32 @@
 		this.#forget(now);
 	}
 
+	/** State of all gateways that live, this one included. */
+	heartbeats(now: number): Heartbeat[] {
+		return this.live(now).map(({name, incarnation, heartbeat, ready}) => [name, incarnation, heartbeat, ready]);
+	}
+
+	/**
+	 * Takes the state of gateways that are known by this or an earlier process; others are left for {@linkcode MemberTable.merge}.
+	 *
+	 * @param heartbeats What another gateway takes to be alive.
+	 * @param now Steady time, in milliseconds.
+	 */
+	hear(heartbeats: readonly Heartbeat[], now: number): void {
+		for (const [name, incarnation, heartbeat, ready] of heartbeats) {
+			const known = this.#known.get(name);
+			if (known?.member.incarnation === incarnation && heartbeat > known.member.heartbeat) {
+				this.#known.set(name, {member: {...known.member, heartbeat, ready}, heardAt: now, unansweredAt: undefined});
+			}
+		}
+	}
+
+	/** Gateways that live and that another one does not know by their present process. */
+	unknownTo(heartbeats: readonly Heartbeat[], now: number): Member[] {
+		const incarnations = new Map(heartbeats.map(([name, incarnation]) => [name, incarnation]));
+		return this.live(now).filter(({name, incarnation}) => name !== this.#self.name && incarnation > (incarnations.get(name) ?? -1));
+	}
+
 	/** Records that a gateway did not answer: it counts as gone until its heartbeat rises. */
 	unanswered(name: string): void {
 		const known = this.#known.get(name);
--- a/source/fleet/member.ts
+++ b/source/fleet/member.ts
@@ -31,3 +31,9 @@
 
 /** A gateway as it lies in the store. */
 export type RegisteredMember = z.output<typeof registeredMemberSchema>;
+
+/** Schema of the state of a gateway that both sides may know already: name, incarnation, heartbeat, and whether it takes requests. */
+export const heartbeatSchema = z.tuple([z.string(), z.number(), z.number(), z.boolean()]);
+
+/** State of a gateway, without what stays the same while its process lives. */
+export type Heartbeat = z.output<typeof heartbeatSchema>;
--- a/source/fleet/mod.ts
+++ b/source/fleet/mod.ts
@@ -7,7 +7,7 @@
 export * from './ask-seeds.ts';
 export * from './choose-entries.ts';
 export * from './choose-reader.ts';
-export type {Known, News} from './exchange-protocol.ts';
+export type {ExchangeMessage, Known, News} from './exchange-protocol.ts';
 export * from './exchange-server.ts';
 export * from './follow-members.ts';
 export * from './follow-source.ts';
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -7,7 +7,7 @@
 import {type Server} from 'node:http';
 import {ok} from 'neverthrow';
 import {
-	askSeeds, followMembers, followSource, keepRegistered, startExchangeServer, type SharedKnowledge,
+	askSeeds, followMembers, followSource, keepRegistered, startExchangeServer, type ExchangeMessage, type SharedKnowledge,
 } from '../fleet/mod.ts';
 import {listen} from '../supervision/listen.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
@@ -53,18 +53,7 @@
 	await listen(entryServer, settings.listen.entries);
 	await listenUnlessSame(createEntryServer(parts), settings.listen.readiness, settings.listen.entries);
 	await listen(createMetricsServer(parts), settings.listen.metrics);
-	await startExchangeServer({
-		listen: settings.listen.peers,
-		answer({members, known}) {
-			const now = parts.readClock();
-			const asksAnew = known?.configurationVersion === 0;
-			parts.members.merge(members, now.steady);
-			return {
-				members: known && !asksAnew ? [parts.members.self] : parts.members.live(now.steady),
-				news: known && knowledge.newsFor(known, now),
-			};
-		},
-	});
+	await startExchangeServer({listen: settings.listen.peers, answer: message => answerGateway(message, parts, knowledge)});
 	const role = new StoreRole(parts, knowledge);
 	startNews({
 		supervisor, parts, knowledge, role, seeds: settings.seeds,
@@ -81,6 +70,22 @@
 	};
 }
 
+/** Takes what another gateway tells, and tells it what it lacks. */
+function answerGateway({members: told, heartbeats, known}: ExchangeMessage, {members, readClock}: GatewayParts, knowledge: SharedKnowledge): ExchangeMessage {
+	const now = readClock();
+	members.merge(told, now.steady);
+	if (heartbeats) {
+		members.hear(heartbeats, now.steady);
+		return {members: [members.self, ...members.unknownTo(heartbeats, now.steady)], heartbeats: members.heartbeats(now.steady)};
+	}
+
+	const asksAnew = known?.configurationVersion === 0;
+	return {
+		members: asksAnew ? members.live(now.steady) : [members.self],
+		news: known && knowledge.newsFor(known, now),
+	};
+}
+
 /** Waits until callers can be served, for a while: until then a refused connection sends them to another gateway at once. */
 async function firstConfiguration({configuration, clock}: GatewayParts): Promise<void> {
 	const until = clock() + firstConfigurationMilliseconds;
