--- a/source/binaries/azuretack-gateway.ts
+++ b/source/binaries/azuretack-gateway.ts
@@ -6,31 +6,16 @@
  */
 import process from 'node:process';
 import {isDeepStrictEqual} from 'node:util';
-import meow from 'meow';
 import {startGateway} from '../gateway/mod.ts';
 import {gatewaySettingsSchema} from '../settings/gateway-settings.ts';
 import {loadSettings} from '../settings/load-settings.ts';
 import {formatFault, readDocument} from '../settings/read-document.ts';
 import {LineWriter} from '../telemetry/line-writer.ts';
 import {createLogger} from '../telemetry/logger.ts';
+import {readGatewayArguments} from './_gateway-arguments.ts';
 
-const command = meow(`
-	Usage
-	  $ azuretack-gateway [--settings FILE]
-
-	Options
-	  --settings FILE  Settings, JSON with comments; by default the file that AZURETACK_SETTINGS names
-	  --check          Only check the settings
-
-	Signals
-	  SIGTERM, SIGINT  Stop: finish requests in progress, then exit
-	  SIGHUP           Read the settings again and log their faults; they hold from the next start
-`, {
-	importMeta: import.meta,
-	flags: {settings: {type: 'string', default: process.env.AZURETACK_SETTINGS ?? ''}, check: {type: 'boolean', default: false}},
-});
-
-const loaded = await loadSettings(command.flags, gatewaySettingsSchema);
+const flags = await readGatewayArguments();
+const loaded = await loadSettings(flags, gatewaySettingsSchema);
 if (loaded.isErr()) {
 	process.exit(loaded.error);
 }
@@ -53,7 +38,7 @@
 };
 
 const onSettingsChanged = async () => {
-	const changed = await readDocument(command.flags.settings, gatewaySettingsSchema);
+	const changed = await readDocument(flags.settings, gatewaySettingsSchema);
 	if (changed.isErr()) {
 		logger.error('settings have faults and stay as they are', {faults: changed.error.map(fault => formatFault(fault))});
 		return;
--- a/source/measurements/measure.ts
+++ b/source/measurements/measure.ts
@@ -9,9 +9,11 @@
 import {measureOverloadRows} from './overload-rows.ts';
 import {measureRecovery} from './recovery.ts';
 import {writeResult} from './run-result.ts';
+import {measureStart} from './start.ts';
 import {measureTokenPath} from './token-path.ts';
 
 const measurements: Record<string, Measurement> = {
+	start: measureStart,
 	recovery: measureRecovery,
 	'token-path': measureTokenPath,
 	overload: measureOverloadRows,
