Keep gateways that are told of new settings while they start

The handler now stands before anything else of the program runs, and a signal that came early is made good.

Test first: 'a signal that settings have changed does not end a gateway that is starting' failed before and passes now.

--- a/source/binaries/azuretack-gateway.ts
+++ b/source/binaries/azuretack-gateway.ts
@@ -12,6 +12,7 @@
 import {formatFault, readDocument} from '../settings/read-document.ts';
 import {LineWriter} from '../telemetry/line-writer.ts';
 import {createLogger} from '../telemetry/logger.ts';
+import {onSettingsSignal} from './_settings-signal.ts';
 import {readGatewayArguments} from './_gateway-arguments.ts';
 
 const flags = await readGatewayArguments();
@@ -48,7 +49,7 @@
 	logger.info('settings read again', {changed: !isDeepStrictEqual(changed.value, settings)});
 };
 
-process.on('SIGHUP', () => {
+onSettingsSignal(() => {
 	void onSettingsChanged();
 });
 for (const signal of ['SIGTERM', 'SIGINT']) {
--- a/source/gateway/gateway.test.ts
+++ b/source/gateway/gateway.test.ts
@@ -261,6 +261,24 @@
 	assert.equal(gateway.child.exitCode, null);
 });
 
+test('a signal that settings have changed does not end a gateway that is starting', async () => {
+	await using fleet = await GatewayFleet.create();
+	fleet.store.fault = 'silent';
+	const starting = fleet.startGateway('gateway-1');
+	await fleet.until(() => fleet.gateways.has('gateway-1'), 'the process is started');
+	const {child, readiness, log} = fleet.gateways.get('gateway-1')!;
+	await fleet.until(async () => {
+		const answer = await fleet.get(readiness, '/api/ready');
+		return answer.status === 503;
+	}, 'it waits for its first configuration');
+	child.kill('SIGHUP');
+	await delay(200);
+	assert.equal(child.signalCode, null);
+	fleet.store.fault = 'none';
+	await starting;
+	await fleet.until(() => log.join('').includes('settings read again'), 'the settings are read again');
+});
+
 test('each request leaves one line that says how it ended, and counts in the metrics', async () => {
 	await using fleet = await GatewayFleet.create();
 	await fleet.startWorker({id: 'desk-1', service: 'desk'});
--- a/source/testing/soak/fault-kinds.ts
+++ b/source/testing/soak/fault-kinds.ts
@@ -83,10 +83,10 @@
 		disturbs: false,
 		async start(gateway, variant) {
 			await gateway.writeSettings(variant === 'broken');
-			gateway.signal('SIGHUP');
+			gateway.tellOfSettings();
 			return async () => {
 				await gateway.writeSettings(false);
-				gateway.signal('SIGHUP');
+				gateway.tellOfSettings();
 			};
 		},
 	},
--- a/source/testing/soak/gateway-process.ts
+++ b/source/testing/soak/gateway-process.ts
@@ -21,6 +21,9 @@
 /** Time from SIGTERM to SIGKILL, in milliseconds. */
 const graceMilliseconds = 8000;
 
+/** Time in which Node loads the program, in milliseconds. */
+const loadMilliseconds = 1000;
+
 /** Options of {@linkcode SoakGateway}. */
 export type SoakGatewayOptions = {
 	name: string;
@@ -45,6 +48,7 @@
 	readonly #options: SoakGatewayOptions;
 	readonly #listen: Record<'callers' | 'readiness' | 'entries' | 'peers' | 'metrics', string>;
 	#child: ChildProcess | undefined;
+	#startedAt = 0;
 	#isEndExpected = false;
 	#isClosed = false;
 
@@ -83,6 +87,7 @@
 		await this.writeSettings(false);
 		const child = spawn(process.execPath, ['--import', clockModule, program, '--settings', this.#file], {stdio: ['pipe', 'pipe', 'pipe']});
 		this.#child = child;
+		this.#startedAt = performance.now();
 		this.#isEndExpected = false;
 		for (const output of [child.stdout, child.stderr]) {
 			output.on('data', (data: Uint8Array) => {
@@ -106,6 +111,13 @@
 		}
 	}
 
+	/** Tells its process, if one runs, that its settings have changed; before the program runs at all nothing can take that signal. */
+	tellOfSettings(): void {
+		if (performance.now() - this.#startedAt > loadMilliseconds) {
+			this.signal('SIGHUP');
+		}
+	}
+
 	/** Moves its time of day. */
 	jump(milliseconds: number): void {
 		if (this.#isRunning) {
