--- a/source/testing/soak/fault-kinds.ts
+++ b/source/testing/soak/fault-kinds.ts
@@ -117,12 +117,7 @@
 		variants: ['busy', 'reset', 'silent', 'slow', 'lose-answers', 'late-writes'] satisfies StoreFault[],
 		on: 'store',
 		disturbs: true,
-		start(_nothing, variant, {store}) {
-			store.fault = variant as StoreFault;
-			return () => {
-				store.fault = 'none';
-			};
-		},
+		start: (_nothing, variant, world) => world.harmStore(variant as StoreFault),
 	},
 	'store forgets': {
 		variants: ['history'],
--- a/source/testing/soak/world.ts
+++ b/source/testing/soak/world.ts
@@ -8,7 +8,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
-import {StoreStandIn} from '../stand-ins/store-stand-in.ts';
+import {StoreStandIn, type StoreFault} from '../stand-ins/store-stand-in.ts';
 import {SoakGateway} from './gateway-process.ts';
 import {createHistory, type History} from './history.ts';
 import {type Random} from './random.ts';
@@ -64,6 +64,7 @@
 	readonly #random: Random;
 	readonly #keys: Record<string, string[]> = {'workspace-1': ['key-1'], 'workspace-2': ['key-2'], 'workspace-3': ['key-3']};
 	readonly #services: Record<string, string> = {[prefixes.idempotent]: 'desk', [prefixes.once]: 'desk', [prefixes.generation]: 'scribe'};
+	readonly #storeFaults: Array<{fault: StoreFault}> = [];
 	#nextPort = 8000;
 	#version = 0;
 	#keysMade = 0;
@@ -130,15 +131,26 @@
 		this.#services[prefix] = this.#services[prefix] === 'desk' ? 'desk-b' : 'desk';
 	}
 
+	/** Starts a fault of the store, which hides those that last already; the result ends it. */
+	harmStore(fault: StoreFault): () => void {
+		const active = {fault};
+		this.#storeFaults.push(active);
+		this.store.fault = fault;
+		return () => {
+			this.#storeFaults.splice(this.#storeFaults.indexOf(active), 1);
+			this.store.fault = this.#storeFaults.at(-1)?.fault ?? 'none';
+		};
+	}
+
 	/** Silences the store; entries of workers go meanwhile, and are back soon after it is. */
 	lapseEntries(): () => Promise<void> {
-		this.store.fault = 'silent';
+		const end = this.harmStore('silent');
 		for (const {id} of this.slots) {
 			this.store.remove('servers', id);
 		}
 
 		return async () => {
-			this.store.fault = 'none';
+			end();
 			await delay(registerMilliseconds);
 			for (const slot of this.slots) {
 				slot.register();
