Wait for seeds that have learnt nothing yet, in place of asking the store

A gateway now waits up to 5 s for a seed that answers, and asks it every 0.4 s instead of all three every 0.1 s.

--- a/source/fleet/ask-seeds.ts
+++ b/source/fleet/ask-seeds.ts
@@ -26,12 +26,18 @@
 /** Time for which seeds are asked, in milliseconds; whoever has learnt nothing by then asks the store. */
 const askMilliseconds = 2000;
 
+/** Time for which seeds are asked that answer but have learnt nothing themselves yet, in milliseconds. */
+const waitMilliseconds = 5000;
+
 /** Deadline of a question, in milliseconds. */
 const answerMilliseconds = 300;
 
-/** Pause between two rounds, in milliseconds. */
+/** Pause between two rounds while no seed answers, in milliseconds. */
 const roundMilliseconds = 100;
 
+/** Pause before a seed that has learnt nothing yet is asked again, in milliseconds; hundreds may wait for three seeds. */
+const againMilliseconds = 400;
+
 /**
  * Asks seeds for what they know, so that a start of many gateways at once does not become as many calls to the store.
  *
@@ -45,12 +51,14 @@
 	}
 
 	const client = new ExchangeClient();
-	const until = readClock().steady + askMilliseconds;
+	const startedAt = readClock().steady;
+	let until = startedAt + askMilliseconds;
 	// Each gateway begins with another seed, so that a start of all does not fall on the first one.
 	const first = Math.floor(random() * seeds.length);
 	const order = [...seeds.slice(first), ...seeds.slice(0, first)];
 	let learnt = false;
 	while (!learnt && seeds.length > 0 && !signal.aborted && readClock().steady < until) {
+		let answered = false;
 		for (const seed of order) {
 			const askedAt = readClock();
 			const answer = await client.exchange(seed, {members: [members.self], known: knowledge.known()}, answerMilliseconds);
@@ -58,17 +66,20 @@
 				continue;
 			}
 
+			answered = true;
+			until = startedAt + waitMilliseconds;
 			members.merge(answer.value.members, readClock().steady);
 			const {news} = answer.value;
 			if (news?.configuration && news.configurationAgeMilliseconds !== undefined && news.endpointAgeMilliseconds !== undefined) {
 				knowledge.learn(news, askedAt);
 				onNews();
 				learnt = true;
-				break;
 			}
+
+			break;
 		}
 
-		await pause(learnt ? 0 : roundMilliseconds, signal);
+		await pause(learnt ? 0 : (answered ? againMilliseconds : roundMilliseconds), signal);
 	}
 
 	client.close();
