Deliver the events before a repeated one

Cause: the one failure of the gateway's tests in five runs, traced by reading: where an engine's repetition came in the same packet as events before it, these counted as delivered but were never written, so that the caller missed one. The stand-in now sends both in one packet, and the test 'an engine that repeats events is left' failed each time; it passes now. The mute stand-in again drops a run that it has ended from its report.

--- a/source/forwarding/event-order.ts
+++ b/source/forwarding/event-order.ts
@@ -22,6 +22,22 @@
 	return last === undefined || next === undefined || next > last;
 }
 
+/**
+ * The events up to the first one that does not come after the one before it.
+ *
+ * @param lastEvent Id of the newest event that the caller has, if there is one.
+ * @param events Events as they came.
+ */
+export function eventsInOrder<Event extends {id: string | undefined}>(lastEvent: string | undefined, events: readonly Event[]): Event[] {
+	let newest = lastEvent;
+	const end = events.findIndex(({id}) => {
+		const follows = followsEvent(newest, id);
+		newest = id ?? newest;
+		return !follows;
+	});
+	return events.slice(0, end === -1 ? events.length : end);
+}
+
 function wholeNumber(text: string | undefined): number | undefined {
 	return text !== undefined && /^\d{1,15}$/v.test(text) ? Number(text) : undefined;
 }
--- a/source/forwarding/forwarding.test.ts
+++ b/source/forwarding/forwarding.test.ts
@@ -3,7 +3,7 @@
 import {test} from 'node:test';
 import fc from 'fast-check';
 import {type EngineReport} from '../balancing/mod.ts';
-import {followsEvent} from './event-order.ts';
+import {eventsInOrder, followsEvent} from './event-order.ts';
 import {EventSplitter} from './event-splitter.ts';
 import {SharedRetryBudget} from './retry-budget.ts';
 import {mayRunAgain} from './retry-decision.ts';
@@ -29,6 +29,14 @@
 	assert.equal(followsEvent('a', 'a'), true);
 });
 
+test('events before one that does not follow are kept', () => {
+	const idsOf = (last: string | undefined, ids: Array<string | undefined>) => eventsInOrder(last, ids.map(id => ({id}))).map(({id}) => id);
+	assert.deepEqual(idsOf(undefined, ['1', '2', '2', '3']), ['1', '2']);
+	assert.deepEqual(idsOf('4', ['5', undefined, '6']), ['5', undefined, '6']);
+	assert.deepEqual(idsOf('4', ['4', '5']), []);
+	assert.deepEqual(idsOf('4', []), []);
+});
+
 test('what may not be repeated goes on only where it was surely not run', () => {
 	assert.equal(mayRunAgain({...retry, kind: 'at-most-once'}), false);
 	assert.equal(mayRunAgain({...retry, kind: 'at-most-once', end: 'failed'}), false);
--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -10,7 +10,7 @@
 import {encodeSendHeaders} from '../platform/mod.ts';
 import {beginAnswer, sendWholeAnswer} from './answer-caller.ts';
 import {EngineWatch, type Departure} from './engine-watch.ts';
-import {followsEvent} from './event-order.ts';
+import {eventsInOrder} from './event-order.ts';
 import {EventSplitter, type StreamEvent} from './event-splitter.ts';
 import {type Exchange} from './exchange.ts';
 import {sendRequest, BrokenAnswerError, type EndpointAnswer} from './send-request.ts';
@@ -205,7 +205,11 @@
 				beginAnswer(response, answer.status, answer.rawHeaders);
 			}
 
-			await this.#deliver(events);
+			const inOrder = eventsInOrder(this.#options.progress.lastEvent, events);
+			await this.#deliver(inOrder);
+			if (inOrder.length < events.length) {
+				throw new BrokenAnswerError(`event ${events[inOrder.length]!.id} came after event ${this.#options.progress.lastEvent}`);
+			}
 		}
 
 		if (splitter.rest.length > 0) {
@@ -227,10 +231,6 @@
 		}
 
 		for (const event of events) {
-			if (!followsEvent(progress.lastEvent, event.id)) {
-				throw new BrokenAnswerError(`event ${event.id} came after event ${progress.lastEvent}`);
-			}
-
 			progress.lastEvent = event.id ?? progress.lastEvent;
 			progress.events += 1;
 		}
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -307,12 +307,12 @@
 				return;
 			}
 
-			response.write(`id: ${event}\ndata: ${this.options.eventOf(run, event)}\n\n`);
-			if (this.fault === 'repeat' && event === first + 2) {
-				event -= 1;
-			}
+			const text = `id: ${event}\ndata: ${this.options.eventOf(run, event)}\n\n`;
+			// A repeated event comes in the same packet as the first one.
+			response.write(this.fault === 'repeat' && event === first + 2 ? text + text : text);
 		}
 
+		this.#running.delete(attempt);
 		if (!isMute) {
 			response.end();
 		}
