--- a/source/testing/soak/gateway-process.ts
+++ b/source/testing/soak/gateway-process.ts
@@ -79,12 +79,12 @@
 
 	/** Starts its process, unless one runs. */
 	async start(): Promise<void> {
+		// A start with broken settings ends at once, as it should; only a running gateway is told of those.
+		await this.writeSettings(false);
 		if (this.#isRunning || this.#isClosed) {
 			return;
 		}
 
-		// A start with broken settings ends at once, as it should; only a running gateway is told of those.
-		await this.writeSettings(false);
 		const child = spawn(process.execPath, ['--import', clockModule, program, '--settings', this.#file], {stdio: ['pipe', 'pipe', 'pipe']});
 		this.#child = child;
 		this.#startedAt = performance.now();
--- a/source/testing/stand-ins/link.ts
+++ b/source/testing/stand-ins/link.ts
@@ -108,6 +108,11 @@
 	#forward(connection: Connection, from: Socket, to: Socket, dropped: LinkFault['mode']): void {
 		// Bytes after a gap would never be delivered by TCP, so a direction that has lost some stays silent.
 		let hasGap = false;
+		const held = new HeldWrites();
+		const hold = (write: () => void) => {
+			held.add(write, this.#fault.mode === 'delay' ? this.#fault.delayMilliseconds : 0);
+		};
+
 		const passes = () => !hasGap && !connection.silenced && this.#fault.mode !== 'silent' && this.#fault.mode !== dropped;
 		from.on('data', chunk => {
 			if (connection.dropped) {
@@ -121,10 +126,10 @@
 				return;
 			}
 
-			if (this.#fault.mode === 'delay') {
-				setTimeout(() => {
+			if (this.#fault.mode === 'delay' || !held.isEmpty) {
+				hold(() => {
 					to.write(chunk);
-				}, this.#fault.delayMilliseconds);
+				});
 			} else if (!to.write(chunk)) {
 				from.pause();
 				to.once('drain', () => {
@@ -146,14 +151,42 @@
 			}
 
 			if (passes()) {
-				setTimeout(() => {
+				hold(() => {
 					to.end();
-				}, this.#fault.mode === 'delay' ? this.#fault.delayMilliseconds : 0);
+				});
 			}
 		});
 	}
 }
 
+/** Writes that are held back, in the order in which they came, also where a delay ends while some are still held. */
+class HeldWrites {
+	readonly #writes: Array<{at: number; write: () => void}> = [];
+
+	get isEmpty(): boolean {
+		return this.#writes.length === 0;
+	}
+
+	add(write: () => void, milliseconds: number): void {
+		this.#writes.push({at: performance.now() + milliseconds, write});
+		if (this.#writes.length === 1) {
+			this.#wait();
+		}
+	}
+
+	#wait(): void {
+		setTimeout(() => {
+			while (this.#writes[0] && this.#writes[0].at <= performance.now()) {
+				this.#writes.shift()!.write();
+			}
+
+			if (!this.isEmpty) {
+				this.#wait();
+			}
+		}, Math.max(0, this.#writes[0]!.at - performance.now()));
+	}
+}
+
 /** What each mode does to a connection that is open when it starts. */
 const harmExisting: Partial<Record<LinkFault['mode'], (connection: Connection) => void>> = {
 	cut: reset,
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -280,6 +280,11 @@
 			this.goneOn += 1;
 		}
 
+		if (this.fault === 'error') {
+			response.writeHead(run.status, headers).end(run.answer);
+			return;
+		}
+
 		response.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
 		response.flushHeaders();
 		const first = Number(run.headers['last-event-id'] ?? '0') + 1;
