--- a/source/testing/soak/gateway-process.ts
+++ b/source/testing/soak/gateway-process.ts
@@ -21,9 +21,6 @@
 /** Time from SIGTERM to SIGKILL, in milliseconds. */
 const graceMilliseconds = 8000;
 
-/** Time in which Node loads the program, in milliseconds. */
-const loadMilliseconds = 1000;
-
 /** Options of {@linkcode SoakGateway}. */
 export type SoakGatewayOptions = {
 	name: string;
@@ -48,7 +45,7 @@
 	readonly #options: SoakGatewayOptions;
 	readonly #listen: Record<'callers' | 'readiness' | 'entries' | 'peers' | 'metrics', string>;
 	#child: ChildProcess | undefined;
-	#startedAt = 0;
+	#hasLogged = false;
 	#isEndExpected = false;
 	#isClosed = false;
 
@@ -87,10 +84,11 @@
 
 		const child = spawn(process.execPath, ['--import', clockModule, program, '--settings', this.#file], {stdio: ['pipe', 'pipe', 'pipe']});
 		this.#child = child;
-		this.#startedAt = performance.now();
+		this.#hasLogged = false;
 		this.#isEndExpected = false;
 		for (const output of [child.stdout, child.stderr]) {
 			output.on('data', (data: Uint8Array) => {
+				this.#hasLogged ||= child === this.#child;
 				this.log.push(new TextDecoder().decode(data));
 			});
 		}
@@ -111,9 +109,9 @@
 		}
 	}
 
-	/** Tells its process, if one runs, that its settings have changed; before the program runs at all nothing can take that signal. */
+	/** Tells its process that its settings have changed, once it has logged a line: before Node has loaded the program, nothing can take that signal. */
 	tellOfSettings(): void {
-		if (performance.now() - this.#startedAt > loadMilliseconds) {
+		if (this.#hasLogged) {
 			this.signal('SIGHUP');
 		}
 	}
