--- a/source/testing/gateway-fleet.ts
+++ b/source/testing/gateway-fleet.ts
@@ -12,7 +12,8 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {StoreStandIn} from './stand-ins/store-stand-in.ts';
-import {WorkerStandIn, type WorkerStandInOptions} from './stand-ins/worker-stand-in.ts';
+import {type WorkerStandInOptions} from './stand-ins/worker-options.ts';
+import {WorkerStandIn} from './stand-ins/worker-stand-in.ts';
 
 const program = path.join(import.meta.dirname, '..', 'binaries', 'azuretack-gateway.js');
 
--- a/source/testing/soak/checks/answers.ts
+++ b/source/testing/soak/checks/answers.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type WorkerRun} from '../../stand-ins/worker-stand-in.ts';
+import {type WorkerRun} from '../../stand-ins/worker-options.ts';
 import {
 	isDisturbed, isInTouch, isWorkerSound, contactMilliseconds, type History, type SeenAnswer, type SeenRequest,
 } from '../history.ts';
--- a/source/testing/soak/checks/checks.test.ts
+++ b/source/testing/soak/checks/checks.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
-import {type WorkerLie} from '../../stand-ins/worker-stand-in.ts';
+import {type WorkerLie} from '../../stand-ins/worker-options.ts';
 import {Callers} from '../callers.ts';
 import {createHistory} from '../history.ts';
 import {Random} from '../random.ts';
--- a/source/testing/soak/checks/runs.ts
+++ b/source/testing/soak/checks/runs.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type WorkerRun} from '../../stand-ins/worker-stand-in.ts';
+import {type WorkerRun} from '../../stand-ins/worker-options.ts';
 import {
 	isInTouch, isWorkerSound, type History, type SeenRequest,
 } from '../history.ts';
--- a/source/testing/soak/fault-kinds.ts
+++ b/source/testing/soak/fault-kinds.ts
@@ -5,7 +5,7 @@
  */
 import {type LinkFault} from '../stand-ins/link.ts';
 import {type StoreFault} from '../stand-ins/store-stand-in.ts';
-import {type WorkerFault} from '../stand-ins/worker-stand-in.ts';
+import {type WorkerFault} from '../stand-ins/worker-options.ts';
 import {type SoakGateway} from './gateway-process.ts';
 import {type SoakWorld} from './world.ts';
 import {type WorkerSlot} from './worker-slots.ts';
--- a/source/testing/soak/history.ts
+++ b/source/testing/soak/history.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import {type WorkerRun} from '../stand-ins/worker-stand-in.ts';
+import {type WorkerRun} from '../stand-ins/worker-options.ts';
 
 /** Kinds of request: repeatable, to be run once at most, and generations, which can be gone on with. */
 export type CallKind = 'idempotent' | 'once' | 'generation';
--- a/source/testing/soak/worker-slots.ts
+++ b/source/testing/soak/worker-slots.ts
@@ -6,7 +6,8 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {Link} from '../stand-ins/link.ts';
 import {type StoreStandIn} from '../stand-ins/store-stand-in.ts';
-import {WorkerStandIn, type WorkerRun} from '../stand-ins/worker-stand-in.ts';
+import {type WorkerRun} from '../stand-ins/worker-options.ts';
+import {WorkerStandIn} from '../stand-ins/worker-stand-in.ts';
 import {type History} from './history.ts';
 import {eventText, lastEventOf} from './requests.ts';
 
--- /dev/null
+++ b/source/testing/stand-ins/worker-options.ts
@@ -0,0 +1,63 @@
+/**
+ * What a worker stand-in is told to do, and what it notes of what it did.
+ *
+ * @module
+ */
+import {type IncomingMessage} from 'node:http';
+
+/** One request that a worker ran. Times are steady, in milliseconds. */
+export type WorkerRun = {
+	attempt: string;
+	worker: string;
+	service: string;
+	headers: IncomingMessage['headers'];
+	body: string;
+	method: string;
+	target: string;
+	startedAt: number;
+	/** When it stopped working on it; absent while it works. */
+	endedAt: number | undefined;
+	/** Status that it answered, or was about to answer. */
+	status: number;
+	/** Body that it answered or was about to answer, of a plain call. */
+	answer: string;
+};
+
+/**
+ * What a worker does with requests: it works, fails, refuses, ends answers early, says nothing, names another one, sends more than an
+ * answer, sends no HTTP, works slowly, or repeats an event.
+ */
+export type WorkerFault = 'none' | 'error' | 'full' | 'break' | 'reset' | 'mute' | 'other-id' | 'extra' | 'garble' | 'slow' | 'repeat';
+
+/**
+ * How a worker breaks the promises that a check relies on, for tests of the checks: it runs what it refuses, works on when a connection
+ * has closed, counts each run three times, sends another body than it notes, breaks streams off while it works on, or notes another body
+ * than it got.
+ */
+export type WorkerLie = 'runs-refused' | 'ignores-close' | 'counts-thrice' | 'other-body' | 'breaks-and-works-on' | 'misreads';
+
+/** Options of a worker stand-in. */
+export type WorkerStandInOptions = {
+	id: string;
+	service: string;
+	/** `address:port` to listen on. */
+	listen: string;
+	/** Address that others use. Default: the one listened on. */
+	advertised?: string;
+	/** Availability zone. Default `zone-a`. */
+	availabilityZone?: string;
+	/** Body of the answer to a plain call. Default: names the worker. */
+	answerOf?: (run: WorkerRun) => string;
+	/** Receives what it runs. Default: a list of its own. */
+	runs?: WorkerRun[];
+	/** Number of the last event of a stream. Default: `events`. */
+	eventsOf?: (run: WorkerRun) => number;
+	/** Text of an event. Default: names its number. */
+	eventOf?: (run: WorkerRun, event: number) => string;
+	/** Events of a stream. Default 20. */
+	events?: number;
+	/** Time between two events, in milliseconds. Default 10. */
+	eventMilliseconds?: number;
+	/** Time of a plain call, in milliseconds. Default 2. */
+	callMilliseconds?: number;
+};
