Write what stands twice once: a configuration taken, a call of tests, their addresses and configurations

Found on rereading the whole change; behaviour stays as it is. - Both ways by which a configuration comes in force counted and logged it in the same lines: take-configuration.ts. - The soak's callers and the fleet of tests each sent HTTP requests: testing/call.ts. Test addresses were drawn in four places beside the function that fleet.ts had: loopback-address.ts holds that one. Both fleets wrote the operator's row: stand-ins/configuration-row.ts. - StoreRole kept a flag that its time can say. Dead: ConfigurationBelief.confirmedAt, StoreStandIn.keys.

--- a/source/beliefs/configuration-belief.ts
+++ b/source/beliefs/configuration-belief.ts
@@ -29,11 +29,6 @@
 		return this.#table;
 	}
 
-	/** Time at which the store was last known to hold nothing newer. */
-	get confirmedAt(): ClockReading | undefined {
-		return this.#confirmedAt;
-	}
-
 	/**
 	 * Takes a version, unless a newer one is known.
 	 *
--- a/source/fleet/ask-seeds.test.ts
+++ b/source/fleet/ask-seeds.test.ts
@@ -1,13 +1,13 @@
 import assert from 'node:assert/strict';
-import process from 'node:process';
 import {test} from 'node:test';
 import {type ClockReading} from '../beliefs/mod.ts';
 import {createLogger} from '../telemetry/logger.ts';
+import {takeLoopbackAddress} from '../testing/loopback-address.ts';
 import {
 	MemberTable, askSeeds, packConfiguration, startExchangeServer, unpackConfiguration, type ExchangeMessage, type Member, type SharedKnowledge,
 } from './mod.ts';
 
-const address = `127.${64 + (process.pid % 64)}.${Math.floor(process.pid / 64) % 256}.251`;
+const address = takeLoopbackAddress();
 
 const member = (name: string): Member => ({
 	name, availabilityZone: 'zone-a', region: 'home', callers: `${name}:1`, peers: `${name}:2`, incarnation: 1, heartbeat: 1, ready: true,
--- a/source/gateway/bundle.test.ts
+++ b/source/gateway/bundle.test.ts
@@ -10,9 +10,10 @@
 import {createInterface} from 'node:readline';
 import {test} from 'node:test';
 import {promisify} from 'node:util';
+import {takeLoopbackAddress} from '../testing/loopback-address.ts';
 
 const run = promisify(execFile); // eslint-disable-line @typescript-eslint/strict-void-return -- Node's own promisified form.
-const address = `127.${64 + (process.pid % 64)}.${Math.floor(process.pid / 64) % 256}.250`;
+const address = takeLoopbackAddress();
 
 test('the bundle starts without any module beside it, and also without its code cache', async context => {
 	const folder = await mkdtemp(path.join(tmpdir(), 'azuretack-bundle-'));
--- a/source/gateway/follow-store.ts
+++ b/source/gateway/follow-store.ts
@@ -11,6 +11,7 @@
 } from '../platform/mod.ts';
 import {type Supervisor} from '../supervision/supervisor.ts';
 import {type GatewayParts} from './gateway-parts.ts';
+import {takeConfiguration} from './take-configuration.ts';
 
 /**
  * Starts the tasks.
@@ -38,7 +39,7 @@
 	}, signal));
 }
 
-function configurationListener({configuration, logger, metrics}: GatewayParts): TableListener {
+function configurationListener(parts: GatewayParts): TableListener {
 	const take = (rows: readonly StoredRow[]) => {
 		const row = rows.findLast(({key}) => key === configurationKey);
 		if (!row?.content) {
@@ -47,21 +48,18 @@
 
 		const decoded = decodeConfiguration(row.content);
 		if (decoded.isErr()) {
-			logger.error('configuration cannot be read', {revision: row.revision, reason: decoded.error});
+			parts.logger.error('configuration cannot be read', {revision: row.revision, reason: decoded.error});
 			return;
 		}
 
-		if (configuration.learn(decoded.value)) {
-			metrics.configurationVersion.set(decoded.value.version);
-			logger.info('configuration in force', {version: decoded.value.version, revision: row.revision, routes: decoded.value.routes.length});
-		}
+		takeConfiguration(parts, decoded.value, {revision: row.revision});
 	};
 
 	return {
 		replace: take,
 		apply: take,
 		confirm(_revision, at) {
-			configuration.confirm(at);
+			parts.configuration.confirm(at);
 		},
 	};
 }
--- a/source/gateway/shared-knowledge.ts
+++ b/source/gateway/shared-knowledge.ts
@@ -8,13 +8,15 @@
 	packConfiguration, unpackConfiguration, type News, type SharedKnowledge,
 } from '../fleet/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
+import {takeConfiguration} from './take-configuration.ts';
 
 /**
  * Creates the exchange of knowledge.
  *
  * @param parts The gateway's parts.
  */
-export function createSharedKnowledge({configuration, endpoints, logger, metrics}: GatewayParts): SharedKnowledge {
+export function createSharedKnowledge(parts: GatewayParts): SharedKnowledge {
+	const {configuration, endpoints, logger} = parts;
 	/** Takes a configuration; returns whether it could be read. */
 	const learnConfiguration = (text: string): boolean => {
 		const unpacked = unpackConfiguration(text);
@@ -23,11 +25,7 @@
 			return false;
 		}
 
-		if (configuration.learn(unpacked.value)) {
-			metrics.configurationVersion.set(unpacked.value.version);
-			logger.info('configuration in force', {version: unpacked.value.version, routes: unpacked.value.routes.length, source: 'gateway'});
-		}
-
+		takeConfiguration(parts, unpacked.value, {source: 'gateway'});
 		return true;
 	};
 
--- a/source/gateway/store-role.ts
+++ b/source/gateway/store-role.ts
@@ -27,8 +27,8 @@
 export class StoreRole {
 	readonly #parts: GatewayParts;
 	readonly #knowledge: SharedKnowledge;
-	#begunAt: number | undefined;
-	#learnt = false;
+	/** Time from which the wait for others counts; absent until the role begins. */
+	#waitsSince: number | undefined;
 	#followed: boolean | undefined;
 
 	constructor(parts: GatewayParts, knowledge: SharedKnowledge) {
@@ -42,14 +42,13 @@
 	 * @param learnt Whether one of them told what it knows.
 	 */
 	begin(learnt: boolean): void {
-		this.#begunAt = this.#parts.clock();
-		this.#learnt = learnt;
+		this.#waitsSince = learnt ? this.#parts.clock() : Number.NEGATIVE_INFINITY;
 	}
 
 	/** Whether this gateway follows the store now, as its zone's reader or for lack of news. */
 	follows(): boolean {
 		const {members, logger, clock, readClock, newsTimes} = this.#parts;
-		if (this.#begunAt === undefined) {
+		if (this.#waitsSince === undefined) {
 			return false;
 		}
 
@@ -75,10 +74,6 @@
 
 	#isSettled(): boolean {
 		const {members, clock} = this.#parts;
-		if (this.#begunAt === undefined) {
-			return false;
-		}
-
-		return !this.#learnt || clock() - this.#begunAt >= settlingExchanges * exchangePeriod(members.size);
+		return this.#waitsSince !== undefined && clock() - this.#waitsSince >= settlingExchanges * exchangePeriod(members.size);
 	}
 }
--- a/source/testing/fleet.ts
+++ b/source/testing/fleet.ts
@@ -18,6 +18,7 @@
 import {EntryList} from '../client/mod.ts';
 import {type Host} from '../table-service/mod.ts';
 import {type RouterSettings} from '../settings/mod.ts';
+import {takeLoopbackAddress} from './loopback-address.ts';
 import {PinnedEntry} from './_pinned-entry.ts';
 
 const binaries = path.join(import.meta.dirname, '..', 'binaries');
@@ -33,8 +34,6 @@
 export const operatorKey = 'operator-key-of-the-tests';
 
 /** Fleets of this process, which gives each one an address of its own. */
-let fleetsCreated = 0;
-
 /** How a program ended. */
 export type ProgramEnd = {code: number; output: string; errors: string};
 
@@ -71,8 +70,7 @@
 
 	private constructor(folder: string) {
 		this.folder = folder;
-		this.#address = loopbackAddress(process.pid, fleetsCreated);
-		fleetsCreated += 1;
+		this.#address = takeLoopbackAddress();
 	}
 
 	/** Returns an `address:port` that nothing else listens on. */
@@ -291,9 +289,3 @@
 		})),
 	};
 }
-
-/** Spreads fleets over the loopback range, so that no two share an address. */
-function loopbackAddress(processId: number, fleet: number): string {
-	const number = (processId * 251) + (fleet % 251);
-	return `127.${1 + (Math.floor(number / 62_500) % 250)}.${Math.floor(number / 250) % 250}.${1 + (number % 250)}`;
-}
--- a/source/testing/gateway-fleet.ts
+++ b/source/testing/gateway-fleet.ts
@@ -6,11 +6,13 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
-import {request as startRequest} from 'node:http';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
+import {sendCall, type CallerAnswer, type SendCallOptions} from './call.ts';
+import {takeLoopbackAddress} from './loopback-address.ts';
+import {configurationRow} from './stand-ins/configuration-row.ts';
 import {StoreStandIn} from './stand-ins/store-stand-in.ts';
 import {type WorkerStandInOptions} from './stand-ins/worker-options.ts';
 import {WorkerStandIn} from './stand-ins/worker-stand-in.ts';
@@ -26,25 +28,12 @@
 /** Changes to the configuration of tests. */
 export type ConfigurationChanges = {version?: number; keys?: string[]; routes?: Array<Record<string, unknown>>};
 
-/** Answer that a caller got; `whole` tells whether it ended as it should. */
-export type CallerAnswer = {status: number; headers: Record<string, string | string[] | undefined>; body: string; whole: boolean};
-
 /** A request of a caller. */
-export type CallerRequest = {
-	path: string;
-	method?: string;
-	body?: string;
-	headers?: Record<string, string>;
-	key?: string;
-	attempt?: string;
-	deadlineMilliseconds?: number;
-	signal?: AbortSignal;
-};
+export type CallerRequest = Omit<SendCallOptions, 'agent'> & {key?: string; attempt?: string; deadlineMilliseconds?: number};
 
 /** One gateway process. */
 export type GatewayProcess = {name: string; callers: string; entries: string; readiness: string; metrics: string; child: ChildProcess; log: string[]};
 
-let fleetsCreated = 0;
 let attemptsMade = 0;
 
 const routes = {
@@ -73,8 +62,7 @@
 export class GatewayFleet implements AsyncDisposable {
 	/** Creates a fleet with its store and a first configuration. */
 	static async create(): Promise<GatewayFleet> {
-		fleetsCreated += 1;
-		const address = `127.${64 + (process.pid % 64)}.${Math.floor(process.pid / 64) % 256}.${fleetsCreated}`;
+		const address = takeLoopbackAddress();
 		const store = await StoreStandIn.start(`${address}:7000`);
 		const fleet = new GatewayFleet(address, store, await mkdtemp(path.join(tmpdir(), 'azuretack-gateway-')));
 		fleet.configure();
@@ -96,22 +84,9 @@
 
 	/** Publishes a configuration. */
 	configure({version = 1, keys = [workspaceKey], routes: changed}: ConfigurationChanges = {}): void {
-		this.store.put('op', 'config', {
-			version,
-			routes: changed ?? Object.values(routes),
-			services: [
-				{
-					name: 'scribe', healthPath: '/health', maxConnections: 100, engine: {
-						slots: 64, kvCapacity: 88_000, backups: true, handleS: 4,
-					},
-				},
-				{name: 'desk', healthPath: '/health', maxConnections: 100},
-			],
-			limits: {
-				maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
-			},
-			tenants: [{name: 'workspace-1', apiKeys: keys}],
-		});
+		this.store.put('op', 'config', configurationRow({
+			version, routes: changed ?? Object.values(routes), keys: {'workspace-1': keys}, plainServices: ['desk'], connections: 100,
+		}));
 	}
 
 	/** Starts a worker and registers it. */
@@ -160,7 +135,7 @@
 	async call(gateway: GatewayProcess, request: CallerRequest): Promise<CallerAnswer> {
 		attemptsMade += 1;
 		const {key = workspaceKey, attempt = `attempt-${attemptsMade}`, deadlineMilliseconds = 5000, headers} = request;
-		return send(gateway.callers, {
+		return sendCall(gateway.callers, {
 			...request,
 			headers: {
 				host: routeHost, authorization: `Token ${key}`, 'x-azuretack-attempt-id': attempt, 'x-azuretack-deadline-ms': String(deadlineMilliseconds), ...headers,
@@ -181,7 +156,7 @@
 
 	/** Asks any server of a gateway. */
 	async get(address: string, target: string): Promise<CallerAnswer> {
-		return send(address, {path: target});
+		return sendCall(address, {path: target});
 	}
 
 	/** Waits until something holds, for ten seconds at most. */
@@ -229,36 +204,3 @@
 export function expectedEvents(count: number): string[] {
 	return Array.from({length: count}, (_unused, index) => `token ${index + 1}`);
 }
-
-async function send(address: string, {path: target, method = 'GET', body, headers, signal}: CallerRequest): Promise<CallerAnswer> {
-	const [hostname, port] = address.split(':');
-	return new Promise(resolve => {
-		const none: CallerAnswer = {
-			status: 0, headers: {}, body: '', whole: false,
-		};
-		const request = startRequest({
-			hostname, port, method, path: target, headers, signal, agent: false,
-		}, response => {
-			let text = '';
-			const answer = (whole: boolean) => {
-				resolve({
-					status: response.statusCode ?? 0, headers: response.headers, body: text, whole,
-				});
-			};
-
-			response.on('data', (chunk: Uint8Array) => {
-				text += new TextDecoder().decode(chunk);
-			});
-			response.on('end', () => {
-				answer(response.complete);
-			});
-			response.on('error', () => {
-				answer(false);
-			});
-		});
-		request.on('error', () => {
-			resolve(none);
-		});
-		request.end(body);
-	});
-}
--- a/source/testing/soak/callers.ts
+++ b/source/testing/soak/callers.ts
@@ -3,11 +3,10 @@
  *
  * @module
  */
-import {
-	Agent, get, request as startRequest, type IncomingMessage,
-} from 'node:http';
+import {Agent} from 'node:http';
 import {connect} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
+import {sendCall} from '../call.ts';
 import {type CallKind, type SeenAnswer, type SeenRequest} from './history.ts';
 import {type Random} from './random.ts';
 import {lastEventOf, prefixes} from './requests.ts';
@@ -112,16 +111,13 @@
 				sentAt: performance.now(),
 				deadlineMilliseconds: left,
 			};
-			const [hostname, port] = entry!.split(':') as [string, string];
 			this.#world.history.requests.push(request);
 			if (this.#random.chance(unfinishedPercent)) {
-				leaveUnfinished(hostname, Number(port));
+				leaveUnfinished(entry!);
 			}
 
 			const leaves = this.#random.chance(this.#impatientPercent) ? this.#random.integer(1, left / 2) : undefined;
-			await send(request, {
-				hostname, port, agent: caller.agent, leaves,
-			});
+			await send(request, {address: entry!, agent: caller.agent, leaves});
 			const {answer} = request;
 			if (request.leftAt !== undefined || !answer || !mayRepeat(request, answer)) {
 				return;
@@ -165,36 +161,29 @@
 	return !isRefused && !isDone && (status !== 200 || !whole);
 }
 
-type SendOptions = {hostname: string; port: string; agent: Agent; leaves: number | undefined};
+type SendOptions = {address: string; agent: Agent; leaves: number | undefined};
 
 /** Sends a request and records how it ended. */
-async function send(request: SeenRequest, {hostname, port, agent, leaves}: SendOptions): Promise<void> {
+async function send(request: SeenRequest, {address, agent, leaves}: SendOptions): Promise<void> {
 	const leaving = new AbortController();
 	const impatience = setTimeout(() => {
 		request.leftAt = performance.now();
 		leaving.abort();
 	}, leaves ?? request.deadlineMilliseconds + 2000);
-	await new Promise<void>(resolve => {
-		const end = (seen: Omit<SeenAnswer, 'at'>) => {
-			request.answer ??= {at: performance.now(), ...seen};
-			resolve();
-		};
-
-		const sending = startRequest({
-			hostname, port, agent, signal: leaving.signal, method: request.method, path: request.target, headers: headersOf(request),
-		}, response => {
-			readAnswer(response, end);
-		});
-		sending.on('error', () => {
-			end({
-				status: 0, stamp: undefined, attempt: undefined, body: '', whole: false,
-			});
-		});
-		sending.end(request.body);
+	const {method, target, body} = request;
+	const answer = await sendCall(address, {
+		path: target, method, body, headers: headersOf(request), signal: leaving.signal, agent,
 	});
 	clearTimeout(impatience);
-	if (request.leftAt !== undefined) {
-		delete request.answer;
+	if (request.leftAt === undefined) {
+		request.answer = {
+			at: performance.now(),
+			status: answer.status,
+			stamp: textOf(answer.headers['x-azuretack-server-stamp']),
+			attempt: textOf(answer.headers['x-azuretack-attempt-id']),
+			body: answer.body,
+			whole: answer.whole,
+		};
 	}
 }
 
@@ -211,34 +200,14 @@
 	};
 }
 
-function readAnswer(response: IncomingMessage, end: (seen: Omit<SeenAnswer, 'at'>) => void): void {
-	const {statusCode, headers} = response;
-	let body = '';
-	const finish = (whole: boolean) => {
-		end({
-			status: statusCode!, stamp: textOf(headers['x-azuretack-server-stamp']), attempt: textOf(headers['x-azuretack-attempt-id']), body, whole,
-		});
-	};
-
-	response.setEncoding('utf8');
-	response.on('data', (text: string) => {
-		body += text;
-	});
-	response.on('end', () => {
-		finish(response.complete);
-	});
-	response.on('error', () => {
-		finish(false);
-	});
-}
-
 function textOf(value: string | string[] | undefined): string | undefined {
 	return typeof value === 'string' ? value : undefined;
 }
 
 /** Opens a connection and never finishes the request on it; the gateway must end it. */
-function leaveUnfinished(hostname: string, port: number): void {
-	const socket = connect(port, hostname);
+function leaveUnfinished(address: string): void {
+	const {hostname, port} = new URL(`http://${address}`);
+	const socket = connect(Number(port), hostname);
 	socket.on('error', () => undefined);
 	socket.write(`POST ${prefixes.once}unfinished HTTP/1.1\r\nHost: ${soakHost}\r\nContent-Length: 100\r\n`);
 	socket.unref();
@@ -246,27 +215,8 @@
 
 /** Addresses that a gateway names to callers; empty where it does not answer. */
 async function askForEntries(address: string): Promise<string[]> {
-	const [hostname, port] = address.split(':');
-	return new Promise(resolve => {
-		const asking = get({
-			hostname, port, path: `/api/resolve?name=${soakHost}&region=home&zone=zone-a`, agent: false, timeout: entriesTimeoutMilliseconds,
-		}, response => {
-			let body = '';
-			response.on('data', (chunk: Uint8Array) => {
-				body += new TextDecoder().decode(chunk);
-			});
-			response.on('end', () => {
-				resolve(body.match(/127\.\d+\.\d+\.\d+:\d+/gv) ?? []);
-			});
-			response.on('error', () => {
-				resolve([]);
-			});
-		});
-		asking.on('timeout', () => {
-			asking.destroy();
-		});
-		asking.on('error', () => {
-			resolve([]);
-		});
+	const {body} = await sendCall(address, {
+		path: `/api/resolve?name=${soakHost}&region=home&zone=zone-a`, signal: AbortSignal.timeout(entriesTimeoutMilliseconds),
 	});
+	return body.match(/127\.\d+\.\d+\.\d+:\d+/gv) ?? [];
 }
--- a/source/testing/soak/world.ts
+++ b/source/testing/soak/world.ts
@@ -6,8 +6,9 @@
 import {mkdtemp, rm} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
-import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
+import {takeLoopbackAddress} from '../loopback-address.ts';
+import {configurationRow} from '../stand-ins/configuration-row.ts';
 import {StoreStandIn, type StoreFault} from '../stand-ins/store-stand-in.ts';
 import {SoakGateway} from './gateway-process.ts';
 import {createHistory, type History} from './history.ts';
@@ -38,8 +39,6 @@
 /** Gateways that start at once. */
 const startsAtOnce = 8;
 
-let worldsCreated = 0;
-
 /** Options of {@linkcode SoakWorld.create}. */
 export type SoakWorldOptions = {gateways: number; random: Random};
 
@@ -47,8 +46,7 @@
 export class SoakWorld implements AsyncDisposable {
 	/** Creates a store, workers and links; no gateway runs yet. */
 	static async create({gateways, random}: SoakWorldOptions): Promise<SoakWorld> {
-		worldsCreated += 1;
-		const address = `127.${192 + (process.pid % 62)}.${Math.floor(process.pid / 62) % 256}.${worldsCreated % 256}`;
+		const address = takeLoopbackAddress();
 		const store = await StoreStandIn.start(`${address}:7000`);
 		const world = new SoakWorld(address, store, await mkdtemp(path.join(tmpdir(), 'azuretack-soak-')), random);
 		await world.#open(gateways);
@@ -112,7 +110,9 @@
 		const services = {...this.#services};
 		const keys = structuredClone(this.#keys);
 		if (isStored) {
-			this.store.put('op', 'config', configurationRow(this.#version, services, keys));
+			this.store.put('op', 'config', configurationRow({
+				version: this.#version, routes: routeRows(services), keys, plainServices: ['desk', 'desk-b'], connections: 500,
+			}));
 		}
 
 		this.history.configurations.push({
@@ -226,32 +226,15 @@
 /** Host name of all routes. */
 export const soakHost = 'soak.example';
 
-/** A configuration as the operator writes it. */
-function configurationRow(version: number, services: Record<string, string>, keys: Record<string, string[]>): Record<string, unknown> {
+/** Routes as the operator writes them. */
+function routeRows(services: Record<string, string>): Array<Record<string, unknown>> {
 	const terms: Record<string, Record<string, unknown>> = {
 		[prefixes.once]: {kind: 'non_idempotent', timeoutMs: 3000, maxAttempts: 1},
 		[prefixes.generation]: {
 			kind: 'stream', timeoutMs: 15_000, maxAttempts: 5, resumable: true, gapAimMs: 700,
 		},
 	};
-	return {
-		version,
-		routes: Object.entries(services).map(([prefix, service]) => ({
-			name: prefix, host: soakHost, prefix, kind: 'idempotent', timeoutMs: 3000, targetLatencyMs: 500, priority: 1, service, maxAttempts: 2, ...terms[prefix],
-		})),
-		services: Object.keys(workerCounts).map(name => ({
-			name,
-			healthPath: '/health',
-			maxConnections: 500,
-			...(name === 'scribe' && {
-				engine: {
-					slots: 64, kvCapacity: 88_000, backups: true, handleS: 4,
-				},
-			}),
-		})),
-		limits: {
-			maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
-		},
-		tenants: Object.entries(keys).map(([name, apiKeys]) => ({name, apiKeys})),
-	};
+	return Object.entries(services).map(([prefix, service]) => ({
+		name: prefix, host: soakHost, prefix, kind: 'idempotent', timeoutMs: 3000, targetLatencyMs: 500, priority: 1, service, maxAttempts: 2, ...terms[prefix],
+	}));
 }
--- a/source/testing/stand-ins/store-stand-in.ts
+++ b/source/testing/stand-ins/store-stand-in.ts
@@ -86,11 +86,6 @@
 		this.#wake();
 	}
 
-	/** Keys of a table. */
-	keys(table: string): string[] {
-		return [...this.#rows.values()].filter(row => row.table === table && !row.deleted).map(({key}) => key);
-	}
-
 	/** Stops the store. */
 	close(): void {
 		this.#server?.close();
