--- a/source/forwarding/forward-call.ts
+++ b/source/forwarding/forward-call.ts
@@ -7,6 +7,7 @@
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {encodeSendHeaders} from '../platform/mod.ts';
 import {sendRefusal, sendWholeAnswer, type Refusal} from './answer-caller.ts';
+import {askRetryBudget} from './ask-retry-budget.ts';
 import {readWholeAnswer, type CallAttempt} from './call-attempt.ts';
 import {type Exchange, type ExchangeOutcome} from './exchange.ts';
 import {type ForwardingParts} from './forwarding-parts.ts';
@@ -107,14 +108,7 @@
 	}
 
 	#retry(reason: string): boolean {
-		const {service, requestName} = this.#exchange;
-		const allowed = this.#parts.retryBudgetOf(service.name).take(this.#parts.clock(), this.#parts.liveRouters());
-		if (!allowed) {
-			this.#parts.logger.warn('retry refused by the budget', {request: requestName, service: service.name, reason});
-			return false;
-		}
-
-		return this.#start();
+		return askRetryBudget(this.#exchange, reason, this.#parts) && this.#start();
 	}
 
 	/** Waits for the end of an attempt, or until a time; `undefined` when the time came first or the caller left. */
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -9,6 +9,7 @@
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {readEngineReport} from '../platform/mod.ts';
 import {sendRefusal, sendWholeAnswer, type Refusal} from './answer-caller.ts';
+import {askRetryBudget} from './ask-retry-budget.ts';
 import {type Exchange, type ExchangeOutcome} from './exchange.ts';
 import {type ForwardingParts} from './forwarding-parts.ts';
 import {
@@ -217,21 +218,11 @@
 	}
 
 	#goesOn(end: AttemptEnd): boolean {
-		const {route, service, answerBy, requestName} = this.#exchange;
-		const {clock, liveRouters, logger} = this.#parts;
+		const {route, answerBy} = this.#exchange;
 		const allowed = mayRunAgain({
-			kind: route.kind, resumable: route.resumable, end, runs: this.#runs, maximumRuns: route.maximumAttempts, leftMilliseconds: answerBy - clock(),
+			kind: route.kind, resumable: route.resumable, end, runs: this.#runs, maximumRuns: route.maximumAttempts, leftMilliseconds: answerBy - this.#parts.clock(),
 		});
-		if (!allowed) {
-			return false;
-		}
-
-		if (this.#parts.retryBudgetOf(service.name).take(clock(), liveRouters())) {
-			return true;
-		}
-
-		logger.warn('retry refused by the budget', {request: requestName, service: service.name});
-		return false;
+		return allowed && askRetryBudget(this.#exchange, end, this.#parts);
 	}
 
 	#passFailure({status, rawHeaders, body}: GenerationEnd & {kind: 'failed'}): ExchangeOutcome {
--- a/source/forwarding/forwarding-parts.ts
+++ b/source/forwarding/forwarding-parts.ts
@@ -25,4 +25,6 @@
 	retryBudgetOf(service: string): SharedRetryBudget;
 	/** Routers that take requests, this one included. */
 	liveRouters(): number;
+	/** Counts a decision on a retry. */
+	countRetry(service: string, reason: string, allowed: boolean): void;
 };
--- a/source/forwarding/forwarding.test.ts
+++ b/source/forwarding/forwarding.test.ts
@@ -62,7 +62,7 @@
 		for (const budget of budgets) {
 			budget.countRequest(now);
 			requests += 1;
-			while (budget.take(now, routers)) {
+			while (budget.take(now, routers).allowed) {
 				retries += 1;
 			}
 		}
--- a/source/forwarding/retry-budget.ts
+++ b/source/forwarding/retry-budget.ts
@@ -20,13 +20,26 @@
 /** Parts into which the window is divided. */
 const windowParts = 10;
 
+/** What a decision on a retry was made from. */
+export type RetryDecision = {
+	allowed: boolean;
+	/** Requests counted in the window. */
+	requests: number;
+	/** Retries taken in the window before this one. */
+	retries: number;
+	/** Retries that this router allows itself in the window. */
+	limit: number;
+	/** Routers among which the slack was divided. */
+	routers: number;
+};
+
 /**
  * This router's part of the budget of one service, over a sliding window.
  *
  * @example
  * ```ts
  * budget.countRequest(now);
- * if (budget.take(now, routers)) retry();
+ * if (budget.take(now, routers).allowed) retry();
  * ```
  */
 export class SharedRetryBudget {
@@ -48,17 +61,19 @@
 	 * @param now Steady time, in milliseconds.
 	 * @param routers Routers that share the slack.
 	 */
-	take(now: number, routers: number): boolean {
+	take(now: number, routers: number): RetryDecision {
 		const part = this.#part(now);
 		const requests = this.#parts.reduce((sum, each) => sum + each.requests, 0);
 		const retries = this.#parts.reduce((sum, each) => sum + each.retries, 0);
-		const allowed = ((this.#options.ratio * requests) + (this.#options.slack / Math.max(1, routers))) * usedShare;
-		if (retries + 1 > allowed) {
-			return false;
+		const limit = ((this.#options.ratio * requests) + (this.#options.slack / Math.max(1, routers))) * usedShare;
+		const allowed = retries + 1 <= limit;
+		if (allowed) {
+			part.retries += 1;
 		}
 
-		part.retries += 1;
-		return true;
+		return {
+			allowed, requests, retries, limit, routers,
+		};
 	}
 
 	#part(now: number): {index: number; requests: number; retries: number} {
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -83,6 +83,9 @@
 			return budget;
 		},
 		liveRouters: () => members.live(performance.now()).length,
+		countRetry(service, reason, allowed) {
+			metrics.retries.inc({service, reason, decision: allowed ? 'allowed' : 'refused'});
+		},
 		newsTimes: divideNewsTime(Math.min(bounds.configurationMilliseconds, bounds.leavingMilliseconds)),
 		trustedKeyMilliseconds: bounds.revokedKeyMilliseconds * trustedShare,
 		clock: () => performance.now(),
--- a/source/telemetry/gateway-metrics.ts
+++ b/source/telemetry/gateway-metrics.ts
@@ -30,6 +30,9 @@
 		attempts: new Counter({
 			name: 'azuretack_gateway_attempts_total', help: 'Requests sent to endpoints, by service.', labelNames: ['service'], registers,
 		}),
+		retries: new Counter({
+			name: 'azuretack_gateway_retries_total', help: 'Decisions of the retry budget by service, reason of the retry and decision.', labelNames: ['service', 'reason', 'decision'], registers,
+		}),
 		answerSeconds: new Histogram({
 			name: 'azuretack_gateway_answer_seconds', help: 'Time from a request to the end of its answer.', labelNames: ['service'], buckets: secondsBuckets, registers,
 		}),
--- a/source/testing/gateway-fleet.ts
+++ b/source/testing/gateway-fleet.ts
@@ -10,6 +10,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
+import {type GatewaySettings} from '../settings/gateway-settings.ts';
 import {sendCall, type CallerAnswer, type SendCallOptions} from './call.ts';
 import {takeLoopbackAddress} from './loopback-address.ts';
 import {configurationRow} from './stand-ins/configuration-row.ts';
@@ -97,8 +98,8 @@
 		return worker;
 	}
 
-	/** Starts a gateway and waits until it takes requests. */
-	async startGateway(name: string): Promise<GatewayProcess> {
+	/** Starts a gateway, with bounds other than the defaults where given, and waits until it takes requests. */
+	async startGateway(name: string, bounds: Partial<GatewaySettings['bounds']> = {}): Promise<GatewayProcess> {
 		const [callers, readiness, entries, peers, metrics] = [1, 2, 3, 4, 5].map(() => this.#allocate());
 		const file = path.join(this.#folder, `${name}.jsonc`);
 		await writeFile(file, JSON.stringify({
@@ -109,6 +110,7 @@
 				callers, readiness, entries, peers, metrics,
 			},
 			store: `${this.#address}:7000`,
+			bounds,
 		}));
 		const child = spawn(process.execPath, [program, '--settings', file], {stdio: ['ignore', 'pipe', 'inherit']});
 		const log: string[] = [];
@@ -126,6 +128,13 @@
 		return gateway;
 	}
 
+	/** Kills a gateway and waits until it has ended. */
+	async killGateway({name, child}: GatewayProcess): Promise<void> {
+		this.gateways.delete(name);
+		child.kill('SIGKILL');
+		await once(child, 'exit');
+	}
+
 	/** Spoils the settings file of a gateway that runs. */
 	async breakSettings(name: string): Promise<void> {
 		await writeFile(path.join(this.#folder, `${name}.jsonc`), '{"hostName": 5}');
@@ -174,10 +183,9 @@
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
-		for (const {child} of this.gateways.values()) {
-			if (child.exitCode === null && child.signalCode === null) {
-				child.kill('SIGKILL');
-				await once(child, 'exit');
+		for (const gateway of this.gateways.values()) {
+			if (gateway.child.exitCode === null && gateway.child.signalCode === null) {
+				await this.killGateway(gateway);
 			}
 		}
 
--- a/source/testing/stand-ins/worker-options.ts
+++ b/source/testing/stand-ins/worker-options.ts
@@ -23,6 +23,14 @@
 	answer: string;
 };
 
+/** One request that reached a worker, whether it ran it or refused it. */
+export type WorkerArrival = {
+	attempt: string;
+	service: string;
+	/** Steady time, in milliseconds. */
+	at: number;
+};
+
 /**
  * What a worker does with requests: it works, fails, refuses, ends answers early, says nothing, names another one, sends more than an
  * answer, sends no HTTP, works slowly, or repeats an event.
@@ -50,6 +58,8 @@
 	answerOf?: (run: WorkerRun) => string;
 	/** Receives what it runs. Default: a list of its own. */
 	runs?: WorkerRun[];
+	/** Receives what reaches it. Default: a list of its own. */
+	arrivals?: WorkerArrival[];
 	/** Number of the last event of a stream. Default: `events`. */
 	eventsOf?: (run: WorkerRun) => number;
 	/** Text of an event. Default: names its number. */
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -10,7 +10,7 @@
 import {text} from 'node:stream/consumers';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	type WorkerFault, type WorkerLie, type WorkerRun, type WorkerStandInOptions,
+	type WorkerArrival, type WorkerFault, type WorkerLie, type WorkerRun, type WorkerStandInOptions,
 } from './worker-options.ts';
 
 /** Factor by which a slow worker is slower. */
@@ -33,6 +33,8 @@
 	falseReport: 'idle' | 'leaving' | undefined;
 	/** Requests that it ran. */
 	readonly runs: WorkerRun[];
+	/** Requests that reached it. */
+	readonly arrivals: WorkerArrival[];
 	/** Prompts that it read from their start. */
 	promptsRead = 0;
 	/** Runs that went on from a copy. */
@@ -53,9 +55,11 @@
 			eventOf: (_run, event) => `token ${event}`,
 			eventsOf: () => options.events ?? 20,
 			runs: [],
+			arrivals: [],
 			...options,
 		};
 		this.runs = this.options.runs;
+		this.arrivals = this.options.arrivals;
 	}
 
 	/** What it writes to the store about itself. */
@@ -98,6 +102,7 @@
 
 		const body = await text(request);
 		const attempt = String(request.headers['x-azuretack-attempt-id']);
+		this.arrivals.push({attempt, service: this.options.service, at: performance.now()});
 		const refusal = this.#refusal(request);
 		if (refusal !== undefined) {
 			response.writeHead(refusal, {'x-azuretack-not-executed': '1', 'x-azuretack-attempt-id': attempt});
