--- a/source/gateway/retry-budget.test.ts
+++ b/source/gateway/retry-budget.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {GatewayFleet} from '../testing/gateway-fleet.ts';
+import {setTimeout as delay} from 'node:timers/promises';
+import {GatewayFleet, type GatewayProcess} from '../testing/gateway-fleet.ts';
 import {type WorkerArrival} from '../testing/stand-ins/worker-options.ts';
 
 /** Budget of all gateways together: a small one, so that few requests reach its bound. */
@@ -9,6 +10,11 @@
 /** Endpoints of the service; each request may be refused by all of them. */
 const endpoints = 8;
 
+/** Longer than the silence after which gateways take each other for gone. */
+const suspendedMilliseconds = 6000;
+
+const windowMilliseconds = bounds.retryWindowSeconds * 1000;
+
 /** Starts a fleet whose endpoints refuse each request, and record what reaches them. */
 async function createRefusingFleet(): Promise<{fleet: GatewayFleet; arrivals: WorkerArrival[]}> {
 	const fleet = await GatewayFleet.create();
@@ -21,6 +27,75 @@
 	return {fleet, arrivals};
 }
 
+/** Sends idempotent calls to a gateway at once; returns when each was sent. */
+async function sendCalls(fleet: GatewayFleet, gateway: GatewayProcess, count: number): Promise<number[]> {
+	return Promise.all(Array.from({length: count}, async (_unused, index) => {
+		const sentAt = performance.now();
+		const answer = await fleet.call(gateway, {path: `/status/${index}`});
+		assert.equal(answer.status, 503);
+		return sentAt;
+	}));
+}
+
+/** Checks each window that begins with a repeat against what is allowed for the requests of the span that has most of them. */
+function assertWithinBudget(arrivals: readonly WorkerArrival[], sentAt: readonly number[]): void {
+	const seen = new Set<string>();
+	const repeats: number[] = [];
+	for (const {attempt, at} of arrivals) {
+		if (seen.has(attempt)) {
+			repeats.push(at);
+		}
+
+		seen.add(attempt);
+	}
+
+	const within = (times: readonly number[], from: number) => times.filter(at => at >= from && at < from + windowMilliseconds).length;
+	for (const from of repeats) {
+		const requests = Math.max(...[0, 0.5, 1].map(windows => within(sentAt, from - (windows * windowMilliseconds))));
+		const allowed = (bounds.retryRatio * requests) + bounds.retrySlack;
+		assert.ok(within(repeats, from) <= allowed, `${within(repeats, from)} repeats within a window of ${requests} requests, ${allowed} are allowed`);
+	}
+}
+
+test('gateways that start together do not each take the slack of the retry budget', async () => {
+	const {fleet, arrivals} = await createRefusingFleet();
+	await using _fleet = fleet;
+	const gateways = await Promise.all(Array.from({length: 6}, async (_unused, index) => fleet.startGateway(`gateway-${index + 1}`, bounds)));
+	const sentAt = await Promise.all(gateways.map(async gateway => sendCalls(fleet, gateway, 4)));
+	assertWithinBudget(arrivals, sentAt.flat());
+});
+
+test('a gateway that is killed and started within a window does not take the slack of the retry budget again', async () => {
+	const {fleet, arrivals} = await createRefusingFleet();
+	await using _fleet = fleet;
+	const sentAt: number[] = [];
+	for (let start = 0; start < 4; start += 1) {
+		const gateway = await fleet.startGateway('gateway-1', bounds);
+		sentAt.push(...await sendCalls(fleet, gateway, 4));
+		await fleet.killGateway(gateway);
+	}
+
+	assertWithinBudget(arrivals, sentAt);
+});
+
+test('gateways that were suspended together do not each take the slack of the retry budget', async () => {
+	const {fleet, arrivals} = await createRefusingFleet();
+	await using _fleet = fleet;
+	const gateways = await Promise.all(Array.from({length: 6}, async (_unused, index) => fleet.startGateway(`gateway-${index + 1}`, bounds)));
+	for (const {child} of gateways) {
+		child.kill('SIGSTOP');
+	}
+
+	await delay(suspendedMilliseconds);
+	const sending = gateways.map(async gateway => sendCalls(fleet, gateway, 4));
+	for (const {child} of gateways) {
+		child.kill('SIGCONT');
+	}
+
+	const sentAt = await Promise.all(sending);
+	assertWithinBudget(arrivals, sentAt.flat());
+});
+
 test('each decision on a retry is logged with its inputs and counted', async () => {
 	const {fleet} = await createRefusingFleet();
 	await using _fleet = fleet;
