--- a/source/forwarding/retry-budget.ts
+++ b/source/forwarding/retry-budget.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import {SlidingCount} from '../retries/mod.ts';
 
 /** Options of {@linkcode SharedRetryBudget}. */
 export type SharedRetryBudgetOptions = {
@@ -17,9 +18,6 @@
 /** Share of the budget that is used; the rest covers routers that this one does not know of. */
 const usedShare = 0.7;
 
-/** Parts into which the window is divided. */
-const windowParts = 10;
-
 /** What a decision on a retry was made from. */
 export type RetryDecision = {
 	allowed: boolean;
@@ -44,15 +42,18 @@
  */
 export class SharedRetryBudget {
 	readonly #options: SharedRetryBudgetOptions;
-	#parts: Array<{index: number; requests: number; retries: number}> = [];
+	readonly #requests: SlidingCount;
+	readonly #retries: SlidingCount;
 
 	constructor(options: SharedRetryBudgetOptions) {
 		this.#options = options;
+		this.#requests = new SlidingCount(options.windowMilliseconds);
+		this.#retries = new SlidingCount(options.windowMilliseconds);
 	}
 
 	/** Counts a caller's request. */
 	countRequest(now: number): void {
-		this.#part(now).requests += 1;
+		this.#requests.add(now);
 	}
 
 	/**
@@ -62,29 +63,16 @@
 	 * @param routers Routers that share the slack.
 	 */
 	take(now: number, routers: number): RetryDecision {
-		const part = this.#part(now);
-		const requests = this.#parts.reduce((sum, each) => sum + each.requests, 0);
-		const retries = this.#parts.reduce((sum, each) => sum + each.retries, 0);
+		const requests = this.#requests.atLeast(now);
+		const retries = this.#retries.atMost(now);
 		const limit = ((this.#options.ratio * requests) + (this.#options.slack / Math.max(1, routers))) * usedShare;
 		const allowed = retries + 1 <= limit;
 		if (allowed) {
-			part.retries += 1;
+			this.#retries.add(now);
 		}
 
 		return {
 			allowed, requests, retries, limit, routers,
 		};
 	}
-
-	#part(now: number): {index: number; requests: number; retries: number} {
-		const index = Math.floor(now / (this.#options.windowMilliseconds / windowParts));
-		this.#parts = this.#parts.filter(part => part.index > index - windowParts);
-		let part = this.#parts.at(-1);
-		if (part?.index !== index) {
-			part = {index, requests: 0, retries: 0};
-			this.#parts.push(part);
-		}
-
-		return part;
-	}
 }
--- /dev/null
+++ b/source/retries/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * How many retries all gateways together may make.
+ *
+ * @module
+ */
+
+export * from './sliding-count.ts';
