--- a/source/forwarding/ask-retry-budget.ts
+++ b/source/forwarding/ask-retry-budget.ts
@@ -13,8 +13,8 @@
  * @param reason Why it would be sent again.
  * @param parts The router's other parts.
  */
-export function askRetryBudget({requestName, service: {name: service}}: Exchange, reason: string, {retryBudgetOf, clock, liveRouters, countRetry, logger}: ForwardingParts): boolean {
-	const {allowed, limit, ...inputs} = retryBudgetOf(service).take(clock(), liveRouters());
+export async function askRetryBudget({requestName, service: {name: service}}: Exchange, reason: string, {retryBudgetOf, countRetry, logger}: ForwardingParts): Promise<boolean> {
+	const {allowed, limit, ...inputs} = await retryBudgetOf(service).take();
 	logger.info(allowed ? 'retry allowed by the budget' : 'retry refused by the budget', {
 		request: requestName, service, reason, ...inputs, limit: Math.round(limit * 10) / 10,
 	});
--- a/source/forwarding/forward-call.ts
+++ b/source/forwarding/forward-call.ts
@@ -42,7 +42,8 @@
 	readonly #parts: ForwardingParts;
 	readonly #tried = new Set<string>();
 	readonly #ending = new AbortController();
-	readonly #pending = new Set<Promise<CallAttempt>>();
+	/** Attempts whose end has not been looked at yet, by endpoint. */
+	readonly #pending = new Map<string, Promise<CallAttempt>>();
 	#runs = 0;
 
 	constructor(exchange: Exchange, parts: ForwardingParts) {
@@ -62,12 +63,14 @@
 		const {response, route} = this.#exchange;
 		const hedgeAt = this.#exchange.arrivedAt + Math.max(shortestHedgeMilliseconds, route.targetMilliseconds * hedgeShare);
 		let mayHedge = route.kind === 'idempotent' && route.maximumAttempts > 1;
-		if (!this.#start()) {
+		const first = this.#choose();
+		if (!first) {
 			return this.#refuse({
 				status: 503, code: 'no_endpoint', message: 'No endpoint of the service is known.', retryAfterMilliseconds: comeBackMilliseconds,
 			});
 		}
 
+		this.#start(first);
 		for (;;) {
 			const step = await this.#next(mayHedge ? Math.min(hedgeAt, this.#exchange.answerBy) : this.#exchange.answerBy);
 			if (this.#exchange.callerGone.aborted) {
@@ -77,7 +80,7 @@
 			if (step === undefined && mayHedge && this.#parts.clock() < this.#exchange.answerBy) {
 				mayHedge = false;
 				if (this.#runs < route.maximumAttempts) {
-					this.#retry('hedge');
+					await this.#retry('hedge');
 				}
 
 				continue;
@@ -92,14 +95,15 @@
 				return this.#outcome('answered', step.answer.status);
 			}
 
-			if (!this.#goesOn(step) && this.#pending.size === 0) {
+			const goesOn = await this.#goesOn(step);
+			if (!goesOn && this.#pending.size === 0) {
 				return this.#giveUp(step);
 			}
 		}
 	}
 
 	/** Starts another attempt after one that ended, where that is allowed. */
-	#goesOn({end}: CallAttempt & {kind: 'ended'}): boolean {
+	async #goesOn({end}: CallAttempt & {kind: 'ended'}): Promise<boolean> {
 		const {route, answerBy} = this.#exchange;
 		const allowed = mayRunAgain({
 			kind: route.kind, resumable: false, end, runs: this.#runs, maximumRuns: route.maximumAttempts, leftMilliseconds: answerBy - this.#parts.clock(),
@@ -107,13 +111,25 @@
 		return allowed && this.#retry(end);
 	}
 
-	#retry(reason: string): boolean {
-		return askRetryBudget(this.#exchange, reason, this.#parts) && this.#start();
+	/** Sends the call to one more endpoint, where there is one and the budget allows it. */
+	async #retry(reason: string): Promise<boolean> {
+		const endpoint = this.#choose();
+		const allowed = endpoint !== undefined && await askRetryBudget(this.#exchange, reason, this.#parts);
+		if (!allowed || this.#exchange.callerGone.aborted) {
+			return false;
+		}
+
+		this.#start(endpoint);
+		return true;
 	}
 
 	/** Waits for the end of an attempt, or until a time; `undefined` when the time came first or the caller left. */
 	async #next(until: number): Promise<CallAttempt | undefined> {
 		const {callerGone} = this.#exchange;
+		if (callerGone.aborted) {
+			return undefined;
+		}
+
 		let timer: NodeJS.Timeout | undefined;
 		let onGone: (() => void) | undefined;
 		const interrupted = new Promise<undefined>(resolve => {
@@ -124,31 +140,31 @@
 			timer = setTimeout(onGone, Math.max(0, until - this.#parts.clock()));
 			callerGone.addEventListener('abort', onGone);
 		});
-		const step = await Promise.race([...this.#pending, interrupted]);
+		const step = await Promise.race([...this.#pending.values(), interrupted]);
 		clearTimeout(timer);
 		callerGone.removeEventListener('abort', onGone!);
+		if (step) {
+			this.#pending.delete(step.endpoint.id);
+		}
+
 		return step;
 	}
 
-	#start(): boolean {
+	#choose(): EndpointEntry | undefined {
 		const {endpoints, loads, health, availabilityZone, clock, random} = this.#parts;
 		const now = clock();
-		const endpoint = chooseEndpoint({
+		return chooseEndpoint({
 			endpoints: endpoints.endpointsOf(this.#exchange.service.name, now), tried: this.#tried, loads, health, availabilityZone, now, random,
 		});
-		if (!endpoint) {
-			return false;
-		}
+	}
 
+	#start(endpoint: EndpointEntry): void {
 		this.#tried.add(endpoint.id);
 		this.#runs += 1;
-		const attempt = this.#attempt(endpoint).then(ended => {
-			this.#pending.delete(attempt);
+		this.#pending.set(endpoint.id, this.#attempt(endpoint).then(ended => {
 			this.#note(ended);
 			return ended;
-		});
-		this.#pending.add(attempt);
-		return true;
+		}));
 	}
 
 	async #attempt(endpoint: EndpointEntry): Promise<CallAttempt> {
@@ -220,6 +236,10 @@
 	}
 
 	#giveUp({end, message, answer, retryAfterMilliseconds}: CallAttempt & {kind: 'ended'}): ExchangeOutcome {
+		if (this.#exchange.callerGone.aborted) {
+			return this.#outcome('caller_left', 0);
+		}
+
 		if (answer && end === 'failed') {
 			sendWholeAnswer(this.#exchange.response, answer.status, answer.rawHeaders, answer.body);
 			return this.#outcome('endpoint_failed', answer.status);
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -93,7 +93,8 @@
 			message = end.kind === 'failed' ? `the engine answered ${end.status}` : end.message;
 			retryAfterMilliseconds = (end.kind === 'not-run' ? end.retryAfterMilliseconds : undefined) ?? comeBackMilliseconds;
 			this.#note(target, end, message);
-			if (!this.#goesOn(endOfAttempt(end))) {
+			const goesOn = await this.#goesOn(endOfAttempt(end));
+			if (!goesOn) {
 				return end.kind === 'failed' && !this.#exchange.response.headersSent ? this.#passFailure(end) : this.#giveUp(message, retryAfterMilliseconds);
 			}
 		}
@@ -217,7 +218,7 @@
 		});
 	}
 
-	#goesOn(end: AttemptEnd): boolean {
+	async #goesOn(end: AttemptEnd): Promise<boolean> {
 		const {route, answerBy} = this.#exchange;
 		const allowed = mayRunAgain({
 			kind: route.kind, resumable: route.resumable, end, runs: this.#runs, maximumRuns: route.maximumAttempts, leftMilliseconds: answerBy - this.#parts.clock(),
--- a/source/forwarding/forwarding-parts.ts
+++ b/source/forwarding/forwarding-parts.ts
@@ -5,9 +5,9 @@
  */
 import {type EndpointHealth, type EndpointLoads} from '../balancing/mod.ts';
 import {type EndpointList} from '../beliefs/mod.ts';
+import {type SharedRetryBudget} from '../retries/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {type EndpointConnections} from './endpoint-connections.ts';
-import {type SharedRetryBudget} from './retry-budget.ts';
 
 /** Parts shared by all requests. */
 export type ForwardingParts = {
@@ -23,8 +23,6 @@
 	random: () => number;
 	/** Budget of retries of a service. */
 	retryBudgetOf(service: string): SharedRetryBudget;
-	/** Routers that take requests, this one included. */
-	liveRouters(): number;
 	/** Counts a decision on a retry. */
 	countRetry(service: string, reason: string, allowed: boolean): void;
 };
--- a/source/forwarding/forwarding.test.ts
+++ b/source/forwarding/forwarding.test.ts
@@ -5,7 +5,6 @@
 import {type EngineReport} from '../balancing/mod.ts';
 import {eventsInOrder, followsEvent} from './event-order.ts';
 import {EventSplitter} from './event-splitter.ts';
-import {SharedRetryBudget} from './retry-budget.ts';
 import {mayRunAgain} from './retry-decision.ts';
 import {
 	decideOnSilence, lacksAttempt, provesRestart, withholdsEvents,
@@ -53,37 +52,6 @@
 	assert.equal(mayRunAgain({...retry, leftMilliseconds: 5}), false);
 });
 
-test('retries of all routers stay within the ratio and the slack in every window', () => {
-	const routers = 14;
-	const budgets = Array.from({length: routers}, () => new SharedRetryBudget({ratio: 0.8, slack: 300, windowMilliseconds: 10_000}));
-	let retries = 0;
-	let requests = 0;
-	for (let now = 0; now < 10_000; now += 100) {
-		for (const budget of budgets) {
-			budget.countRequest(now);
-			requests += 1;
-			while (budget.take(now, routers).allowed) {
-				retries += 1;
-			}
-		}
-	}
-
-	assert.ok(retries <= (0.8 * requests) + 300, `${retries} retries for ${requests} requests`);
-	assert.ok(retries > 0.5 * requests);
-});
-
-test('retries late in a part of the window are not forgotten before a whole window has passed', () => {
-	const budget = new SharedRetryBudget({ratio: 0.8, slack: 300, windowMilliseconds: 10_000});
-	let retries = 0;
-	for (const now of [999, 10_000]) {
-		while (budget.take(now, 1).allowed) {
-			retries += 1;
-		}
-	}
-
-	assert.ok(retries <= 300, `${retries} retries within 9 s`);
-});
-
 test('events come out whole and in order however their bytes are cut', () => {
 	fc.assert(fc.property(fc.array(fc.string({maxLength: 20}), {maxLength: 10}), fc.array(fc.nat({max: 12}), {maxLength: 60}), fc.constantFrom('\n', '\r\n'), (texts, cuts, lineEnd) => {
 		const stream = texts.map((text, index) => `id: ${index + 1}${lineEnd}data: ${text.replaceAll(/[\r\n]/gv, ' ')}${lineEnd}${lineEnd}`).join('');
--- a/source/forwarding/mod.ts
+++ b/source/forwarding/mod.ts
@@ -11,4 +11,3 @@
 export * from './forward-generation.ts';
 export type * from './forwarding-parts.ts';
 export type * from './request-terms.ts';
-export * from './retry-budget.ts';
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -8,8 +8,9 @@
 	ConfigurationBelief, EndpointList, divideNewsTime, readClock, type ClockReading, type NewsTimes,
 } from '../beliefs/mod.ts';
 import {MemberTable, exchangePeriod} from '../fleet/mod.ts';
-import {EndpointConnections, SharedRetryBudget, type ForwardingParts} from '../forwarding/mod.ts';
+import {EndpointConnections, type ForwardingParts} from '../forwarding/mod.ts';
 import {StoreClient} from '../platform/mod.ts';
+import {SharedRetryBudget, SlackBorrower} from '../retries/mod.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
 import {createGatewayMetrics, type GatewayMetrics} from '../telemetry/gateway-metrics.ts';
 import {type Logger} from '../telemetry/logger.ts';
@@ -44,7 +45,7 @@
  * @param logger Receives log lines.
  */
 export function createGatewayParts(settings: GatewaySettings, logger: Logger): GatewayParts {
-	const {hostName, availabilityZone, region, listen, advertise, bounds, store} = settings;
+	const {hostName, availabilityZone, region, listen, advertise, bounds} = settings;
 	const metrics = createGatewayMetrics();
 	const members = new MemberTable({
 		self: {
@@ -52,20 +53,20 @@
 		},
 		silentMilliseconds: gateways => exchangePeriod(gateways) * silentExchanges,
 	});
-	const budgets = new Map<string, SharedRetryBudget>();
+	const store = new StoreClient({
+		address: settings.store,
+		observe(operation, outcome, bytes) {
+			metrics.storeCalls.inc({operation, outcome});
+			metrics.storeBytes.inc(bytes);
+		},
+	});
 	return {
 		settings,
 		logger,
 		metrics,
 		availabilityZone,
 		members,
-		store: new StoreClient({
-			address: store,
-			observe(operation, outcome, bytes) {
-				metrics.storeCalls.inc({operation, outcome});
-				metrics.storeBytes.inc(bytes);
-			},
-		}),
+		store,
 		configuration: new ConfigurationBelief(),
 		endpoints: new EndpointList(),
 		loads: new EndpointLoads(),
@@ -73,16 +74,9 @@
 		connections: new EndpointConnections(),
 		callers: {open: false},
 		stopping: new Stopping({stopMilliseconds: bounds.stopSeconds * 1000}),
-		retryBudgetOf(service) {
-			let budget = budgets.get(service);
-			if (!budget) {
-				budget = new SharedRetryBudget({ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMilliseconds: bounds.retryWindowSeconds * 1000});
-				budgets.set(service, budget);
-			}
-
-			return budget;
-		},
-		liveRouters: () => members.live(performance.now()).length,
+		retryBudgetOf: createRetryBudgets({
+			settings, store, logger, holder: `${hostName}/${members.self.incarnation}`,
+		}),
 		countRetry(service, reason, allowed) {
 			metrics.retries.inc({service, reason, decision: allowed ? 'allowed' : 'refused'});
 		},
@@ -93,3 +87,26 @@
 		readClock,
 	};
 }
+
+type RetryBudgetParts = {settings: GatewaySettings; store: StoreClient; logger: Logger; holder: string};
+
+/** Returns the budgets of services, each made when it is first asked for. */
+function createRetryBudgets({settings: {bounds}, store, logger, holder}: RetryBudgetParts): (service: string) => SharedRetryBudget {
+	const windowMilliseconds = bounds.retryWindowSeconds * 1000;
+	const terms = {slack: bounds.retrySlack, windowMilliseconds};
+	const budgets = new Map<string, SharedRetryBudget>();
+	return service => {
+		let budget = budgets.get(service);
+		if (!budget) {
+			const borrower = new SlackBorrower({
+				service, holder, terms, store, logger, readClock, random: Math.random,
+			});
+			budget = new SharedRetryBudget({
+				ratio: bounds.retryRatio, windowMilliseconds, borrower, readClock,
+			});
+			budgets.set(service, budget);
+		}
+
+		return budget;
+	};
+}
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -120,7 +120,7 @@
 		return refuse(response, {status: 413, code: 'body_too_large', message: 'The body is larger than the configuration allows.'});
 	}
 
-	parts.retryBudgetOf(service.name).countRequest(parts.clock());
+	parts.retryBudgetOf(service.name).countRequest();
 	const outcome = await forwards[route.kind]({
 		...arrived, answerBy: answerBy(arrived, route), request, response, body, route, service, workspace, callerGone,
 	}, parts);
--- a/source/platform/store-client.ts
+++ b/source/platform/store-client.ts
@@ -113,10 +113,19 @@
 				return ok({...answer.value, rows});
 			}
 
-			from = `${last.key}\u0000`;
+			from = nextKey(last.key);
 		}
 	}
 
+	/** Reads one row, as of one moment; it is absent where there is none. */
+	async readRow(table: string, key: string, signal?: AbortSignal): Promise<Result<Omit<StoredRows, 'rows'> & {row: StoredRow | undefined}, StoreFailure>> {
+		const query = new URLSearchParams({
+			table, part: undividedPart, from: key, to: nextKey(key), limit: '1',
+		});
+		const answer = await this.#readRows('read', `/api/rows-get?${query.toString()}`, this.#timeoutMilliseconds, signal);
+		return answer.map(({rows, revision, storeMilliseconds}) => ({row: rows.find(row => row.key === key), revision, storeMilliseconds}));
+	}
+
 	/**
 	 * Waits until rows of a table change.
 	 *
@@ -184,6 +193,11 @@
 	}
 }
 
+/** The first key after another one. */
+function nextKey(key: string): string {
+	return `${key}\u0000`;
+}
+
 function decodeRow({key, value, resourceVersion, deleted}: z.output<typeof rowSchema>): StoredRow {
 	const content = deleted === true || typeof value !== 'string' ? undefined : Buffer.from(value, 'base64');
 	return {key, content, revision: resourceVersion};
--- a/source/retries/mod.ts
+++ b/source/retries/mod.ts
@@ -4,4 +4,6 @@
  * @module
  */
 
-export * from './sliding-count.ts';
+export * from './shared-retry-budget.ts';
+export * from './slack-borrower.ts';
+export type {SlackTerms} from './slack-ledger.ts';
--- /dev/null
+++ b/source/retries/retries.test.ts
@@ -0,0 +1,301 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import fc from 'fast-check';
+import {err, ok} from 'neverthrow';
+import {readClock, type ClockReading} from '../beliefs/mod.ts';
+import {type RowWrite, type StoredRow} from '../platform/mod.ts';
+import {createLogger} from '../telemetry/mod.ts';
+import {SharedRetryBudget} from './shared-retry-budget.ts';
+import {SlackBorrower, type SlackBorrowerOptions} from './slack-borrower.ts';
+import {
+	decodeLedger, encodeLedger, lend, loanMilliseconds, type Loan,
+} from './slack-ledger.ts';
+
+const terms = {slack: 300, windowMilliseconds: 10_000};
+
+/** A store's row of ledgers with the conditions of the real one. */
+class LedgerRow {
+	storeMilliseconds: number | undefined = 0;
+	fault: 'none' | 'down' | 'lose-answers' = 'none';
+	reads = 0;
+	row: StoredRow | undefined;
+	#revision = 0;
+
+	async readRow() {
+		this.reads += 1;
+		return this.fault === 'down'
+			? err({kind: 'refused' as const, message: 'down'})
+			: ok({row: this.row, revision: this.#revision, storeMilliseconds: this.storeMilliseconds});
+	}
+
+	async writeRow({key, content, expectedRevision}: RowWrite) {
+		if (this.fault === 'down') {
+			return err({kind: 'refused' as const, message: 'down'});
+		}
+
+		if ((this.row?.revision ?? 0) !== expectedRevision) {
+			return ok({kind: 'conflict' as const});
+		}
+
+		this.#revision += 1;
+		this.row = {key, content: new TextEncoder().encode(content), revision: this.#revision};
+		return this.fault === 'lose-answers' ? err({kind: 'unknown' as const, message: 'no answer'}) : ok({kind: 'committed' as const});
+	}
+}
+
+function borrowerAt(store: LedgerRow, changes: Partial<SlackBorrowerOptions> = {}): SlackBorrower {
+	return new SlackBorrower({
+		service: 'desk', holder: 'host-1', terms, store, logger: createLogger('test', {level: 'silent'}), readClock, random: () => 0, ...changes,
+	});
+}
+
+function budgetAt(store: LedgerRow, clock: () => ClockReading, holder = 'host-1'): SharedRetryBudget {
+	return new SharedRetryBudget({
+		ratio: 0.8, windowMilliseconds: terms.windowMilliseconds, borrower: borrowerAt(store, {holder, readClock: clock}), readClock: clock,
+	});
+}
+
+test('loans that can be used within one window never exceed the slack, whoever asks and whatever is settled', () => {
+	const asks = fc.array(fc.record({
+		gap: fc.nat({max: 2500}), holder: fc.constantFrom('a', 'b', 'c', 'd'), wanted: fc.integer({min: 1, max: 60}), usedShare: fc.double({min: 0, max: 1, noNaN: true}),
+	}), {maxLength: 60});
+	fc.assert(fc.property(asks, all => {
+		let now = 0;
+		let ledger: readonly Loan[] = [];
+		const made: Array<Loan & {used: number}> = [];
+		const last = new Map<string, Loan & {used: number}>();
+		for (const {gap, holder, wanted, usedShare} of all) {
+			now += gap;
+			const earlier = last.get(holder);
+			const lending = lend({
+				ledger, terms, holder, wanted, used: new Map(earlier ? [[earlier.at, earlier.used]] : []), now,
+			});
+			ledger = lending.ledger;
+			if (lending.granted > 0) {
+				const loan = {
+					holder, at: now, retries: lending.granted, used: Math.floor(lending.granted * usedShare),
+				};
+				made.push(loan);
+				last.set(holder, loan);
+			}
+		}
+
+		for (const {at: end} of made) {
+			const inWindow = made.filter(({at}) => at <= end && at + loanMilliseconds > end - terms.windowMilliseconds);
+			assert.ok(inWindow.reduce((sum, {used}) => sum + used, 0) <= terms.slack);
+		}
+	}));
+});
+
+test('all retries are lent once, and again when the time of their loans and a window have passed', () => {
+	const first = lend({
+		ledger: [], terms, holder: 'a', wanted: 1000, used: new Map(), now: 1000,
+	});
+	assert.equal(first.granted, 270);
+	const ask = (now: number) => lend({
+		ledger: first.ledger, terms, holder: 'b', wanted: 1, used: new Map(), now,
+	});
+	assert.equal(ask(2000).granted, 0);
+	assert.equal(ask(first.freeAt - 1).granted, 0);
+	assert.equal(ask(first.freeAt).granted, 1);
+	assert.ok(first.freeAt >= 1000 + loanMilliseconds + terms.windowMilliseconds);
+});
+
+test('what a holder did not use is lent to others at once', () => {
+	const first = lend({
+		ledger: [], terms, holder: 'a', wanted: 270, used: new Map(), now: 0,
+	});
+	const settled = lend({
+		ledger: first.ledger, terms, holder: 'a', wanted: 5, used: new Map([[0, 10]]), now: 3000,
+	});
+	assert.equal(settled.lent, 15);
+	assert.equal(lend({
+		ledger: settled.ledger, terms, holder: 'b', wanted: 300, used: new Map(), now: 3000,
+	}).granted, 255);
+});
+
+test('a ledger from before the store\'s time began anew is not kept for ever', () => {
+	const ledger = [{holder: 'a', at: 900_000, retries: 270}];
+	const {ledger: kept, granted} = lend({
+		ledger, terms, holder: 'b', wanted: 1, used: new Map(), now: 5,
+	});
+	assert.equal(granted, 0);
+	assert.equal(kept[0]!.at, 5);
+});
+
+test('no content of the ledger\'s row makes its decoder throw', () => {
+	fc.assert(fc.property(fc.oneof(fc.string(), fc.json()), text => {
+		decodeLedger(new TextEncoder().encode(text));
+	}));
+	const ledger = [{holder: 'a', at: 1, retries: 2}];
+	assert.deepEqual(decodeLedger(new TextEncoder().encode(encodeLedger(ledger)))._unsafeUnwrap(), ledger);
+	assert.deepEqual(decodeLedger(undefined)._unsafeUnwrap(), []);
+});
+
+test('a ledger that cannot be read lends nothing until a window has passed, and then again', async () => {
+	const store = new LedgerRow();
+	store.row = {key: 'desk', content: new TextEncoder().encode('{"a":1}'), revision: 0};
+	let now = 0;
+	const borrower = borrowerAt(store, {readClock: () => ({steady: now, wall: now})});
+	for (; now < 20_000; now += 500) {
+		store.storeMilliseconds = now;
+		if (borrower.mayBorrow({steady: now, wall: now})) {
+			await borrower.borrow(1);
+		}
+
+		const lends = borrower.take({steady: now, wall: now});
+		assert.ok(!lends || now > terms.windowMilliseconds);
+		if (lends) {
+			return;
+		}
+	}
+
+	assert.fail('nothing was lent within 20 s');
+});
+
+/** Gateways that share one clock and one ledger. */
+class SimulatedFleet {
+	readonly store = new LedgerRow();
+	now = 0;
+	requests = 0;
+	retries = 0;
+	budgets: SharedRetryBudget[] = [];
+
+	/** Starts as many gateways, in place of all others. */
+	start(gateways: number): void {
+		const startedAt = this.now;
+		this.budgets = Array.from({length: gateways}, (_unused, index) => budgetAt(this.store, () => ({steady: this.now, wall: this.now}), `host-${index}/${startedAt}`));
+	}
+
+	/** Makes all retries that are allowed at a moment, after a number of requests at each gateway. */
+	async retryAll(now: number, requests: number): Promise<void> {
+		this.now = now;
+		this.store.storeMilliseconds = now;
+		for (const budget of this.budgets) {
+			this.requests += requests;
+			for (let request = 0; request < requests; request += 1) {
+				budget.countRequest();
+			}
+
+			for (let decision = await budget.take(); decision.allowed; decision = await budget.take()) {
+				this.retries += 1;
+			}
+		}
+	}
+}
+
+test('gateways that start anew again and again, hundreds at once, stay within the slack together', async () => {
+	const fleet = new SimulatedFleet();
+	for (let now = 0; now < 9000; now += 500) {
+		if (now % 3000 === 0) {
+			fleet.start(390);
+		}
+
+		await fleet.retryAll(now, 1);
+	}
+
+	assert.ok(fleet.retries <= (0.8 * fleet.requests) + terms.slack, `${fleet.retries} retries for ${fleet.requests} requests`);
+	assert.ok(fleet.retries >= 200, `${fleet.retries} retries`);
+});
+
+test('retries of all gateways stay within the ratio and the slack in every window, and most of both can be used', async () => {
+	const fleet = new SimulatedFleet();
+	fleet.start(14);
+	for (let now = 0; now < 10_000; now += 100) {
+		await fleet.retryAll(now, 1);
+	}
+
+	assert.ok(fleet.retries <= (0.8 * fleet.requests) + 300, `${fleet.retries} retries for ${fleet.requests} requests`);
+	assert.ok(fleet.retries > 0.5 * fleet.requests);
+});
+
+test('retries late in a part of the window are not forgotten before a whole window has passed', async () => {
+	const fleet = new SimulatedFleet();
+	fleet.start(1);
+	await fleet.retryAll(999, 0);
+	await fleet.retryAll(10_000, 0);
+	assert.ok(fleet.retries <= 300, `${fleet.retries} retries within 9 s`);
+});
+
+test('without the store only the share of the own requests is left, and callers do not wait for it each time', async () => {
+	const store = new LedgerRow();
+	store.fault = 'down';
+	let now = 0;
+	const budget = budgetAt(store, () => ({steady: now, wall: now}));
+	let retries = 0;
+	for (let request = 0; request < 100; request += 1) {
+		now += 10;
+		budget.countRequest();
+		const {allowed} = await budget.take();
+		retries += allowed ? 1 : 0;
+	}
+
+	assert.equal(retries, 40);
+	assert.ok(store.reads <= 4, `${store.reads} calls`);
+});
+
+test('a loan whose answer was lost is not used', async () => {
+	const store = new LedgerRow();
+	store.fault = 'lose-answers';
+	const borrower = borrowerAt(store);
+	await borrower.borrow(3);
+	assert.equal(borrower.take(readClock()), false);
+	store.fault = 'none';
+	await borrower.borrow(3);
+	assert.equal(borrower.take(readClock()), true);
+	assert.equal(decodeLedger(store.row!.content)._unsafeUnwrap().length, 2);
+});
+
+test('a loan is not used after its time, or after a suspension that the steady clock does not show', async () => {
+	const times = [[loanMilliseconds, loanMilliseconds], [10, loanMilliseconds]] as const;
+	for (const [steady, wall] of times) {
+		let now = {steady: 0, wall: 0};
+		const borrower = borrowerAt(new LedgerRow(), {readClock: () => now});
+		await borrower.borrow(2);
+		assert.equal(borrower.take(now), true);
+		now = {steady, wall};
+		assert.equal(borrower.take(now), false);
+	}
+});
+
+test('retries that wait at the same time are borrowed with one call', async () => {
+	const store = new LedgerRow();
+	const budget = budgetAt(store, readClock);
+	const decisions = await Promise.all(Array.from({length: 12}, async () => budget.take()));
+	assert.ok(decisions.every(({allowed}) => allowed));
+	assert.ok(store.reads <= 4, `${store.reads} calls`);
+});
+
+test('a retry does not wait long for a store that is silent', async () => {
+	const silent = {
+		async readRow(): Promise<never> {
+			return delay(60_000, undefined, {ref: false}) as Promise<never>;
+		},
+		writeRow: async () => ok({kind: 'committed' as const}),
+	};
+	const borrower = new SlackBorrower({
+		service: 'desk', holder: 'host-1', terms, store: silent, logger: createLogger('test', {level: 'silent'}), readClock, random: () => 0,
+	});
+	const budget = new SharedRetryBudget({
+		ratio: 0.8, windowMilliseconds: 10_000, borrower, readClock,
+	});
+	const startedAt = performance.now();
+	const {allowed} = await budget.take();
+	assert.equal(allowed, false);
+	assert.ok(performance.now() - startedAt < 1000);
+});
+
+test('requests of before a suspension allow no retries after it', async () => {
+	const store = new LedgerRow();
+	store.fault = 'down';
+	let now = {steady: 0, wall: 0};
+	const budget = budgetAt(store, () => now);
+	for (let request = 0; request < 100; request += 1) {
+		budget.countRequest();
+	}
+
+	now = {steady: 10, wall: 30_000};
+	const {allowed} = await budget.take();
+	assert.equal(allowed, false);
+});
--- a/source/testing/stand-ins/store-stand-in.ts
+++ b/source/testing/stand-ins/store-stand-in.ts
@@ -166,9 +166,10 @@
 	#read({url, response}: Exchange): void {
 		const table = url.searchParams.get('table');
 		const from = url.searchParams.get('from') ?? '';
+		const to = url.searchParams.get('to');
 		const limit = Number(url.searchParams.get('limit') ?? '500');
 		const rows = [...this.#rows.values()]
-			.filter(row => row.table === table && !row.deleted && row.key >= from)
+			.filter(row => row.table === table && !row.deleted && row.key >= from && (to === null || row.key < to))
 			.toSorted((left, right) => left.key < right.key ? -1 : 1);
 		this.#answer(response, 200, {rows: rows.slice(0, limit), hasMore: rows.length > limit});
 	}
