--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -102,7 +102,8 @@
 
 		const body = await text(request);
 		const attempt = String(request.headers['x-azuretack-attempt-id']);
-		this.arrivals.push({attempt, service: this.options.service, at: performance.now()});
+		const arrival = {attempt, service: this.options.service, at: performance.now()};
+		this.arrivals.push(...Array.from({length: this.lie === 'counts-thrice' ? 3 : 1}, () => arrival));
 		const refusal = this.#refusal(request);
 		if (refusal !== undefined) {
 			response.writeHead(refusal, {'x-azuretack-not-executed': '1', 'x-azuretack-attempt-id': attempt});
@@ -110,6 +111,8 @@
 			return;
 		}
 
+		// A call keeps the fault that it started with; what it notes of itself must be what it answers.
+		const {fault} = this;
 		const run: WorkerRun = {
 			attempt,
 			worker: this.options.id,
@@ -120,10 +123,10 @@
 			target: request.url!,
 			startedAt: performance.now(),
 			endedAt: undefined,
-			status: this.fault === 'error' ? 500 : 200,
+			status: fault === 'error' ? 500 : 200,
 			answer: '',
 		};
-		run.answer = this.fault === 'error' ? 'failed' : this.options.answerOf(run);
+		run.answer = fault === 'error' ? 'failed' : this.options.answerOf(run);
 		this.runs.push(run);
 		if (this.lie === 'counts-thrice') {
 			this.runs.push({...run, worker: `${run.worker}-b`}, {...run, worker: `${run.worker}-c`});
@@ -140,8 +143,8 @@
 			return;
 		}
 
-		const headers = {'x-azuretack-attempt-id': this.fault === 'other-id' ? 'another' : attempt, 'x-azuretack-server-stamp': `stamp-${this.options.id}`};
-		await (request.headers['x-azuretack-token-counts'] === undefined ? this.#call(run, response, headers) : this.#stream(run, response, headers));
+		const headers = {'x-azuretack-attempt-id': fault === 'other-id' ? 'another' : attempt, 'x-azuretack-server-stamp': `stamp-${this.options.id}`};
+		await (request.headers['x-azuretack-token-counts'] === undefined ? this.#call(run, response, {headers, fault}) : this.#stream(run, response, headers));
 	}
 
 	#report(response: ServerResponse): void {
@@ -180,7 +183,7 @@
 		return this.fault === 'slow' ? milliseconds * slowFactor : milliseconds;
 	}
 
-	async #call(run: WorkerRun, response: ServerResponse, headers: Record<string, string>): Promise<void> {
+	async #call(run: WorkerRun, response: ServerResponse, {headers, fault}: {headers: Record<string, string>; fault: WorkerFault}): Promise<void> {
 		await delay(this.#time(this.options.callMilliseconds));
 		const body = this.lie === 'other-body' ? run.answer.slice(1) : run.answer;
 		const handlers: Record<WorkerFault, () => void> = {
@@ -218,7 +221,7 @@
 				response.socket?.write(`HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Azuretack-Attempt-Id: ${headers['x-azuretack-attempt-id']}\r\n\r\nextra`);
 			},
 		};
-		handlers[this.fault]();
+		handlers[fault]();
 	}
 
 	/** Sends events 1 to the last; an event's text tells its number, so that any gap or repetition shows. */
