--- a/source/testing/soak/checks/checks.test.ts
+++ b/source/testing/soak/checks/checks.test.ts
@@ -5,6 +5,7 @@
 import {Callers} from '../callers.ts';
 import {createHistory} from '../history.ts';
 import {Random} from '../random.ts';
+import {retryBounds} from '../plan.ts';
 import {prefixes} from '../requests.ts';
 import {SoakWorld} from '../world.ts';
 import {checks, type CheckName} from './mod.ts';
@@ -105,6 +106,6 @@
 
 test('no check fires where nothing was seen', () => {
 	for (const [name, check] of Object.entries(checks)) {
-		assert.deepEqual(check(createHistory(), 0), [], name);
+		assert.deepEqual(check(createHistory(retryBounds.usual), 0), [], name);
 	}
 });
--- a/source/testing/soak/checks/mod.ts
+++ b/source/testing/soak/checks/mod.ts
@@ -14,7 +14,6 @@
 } from './runs.ts';
 
 export type {Check, Violation} from './check.ts';
-export {retryBounds} from './runs.ts';
 
 /** All checks. */
 export const checks = {
--- a/source/testing/soak/checks/runs.ts
+++ b/source/testing/soak/checks/runs.ts
@@ -22,9 +22,6 @@
 /** Attempts beyond that bound which are allowed. */
 const allowedExcesses = 3;
 
-/** Bounds of the retry budget that the soak's gateways are set to. */
-export const retryBounds = {ratio: 0.8, slack: 40, windowMilliseconds: 10_000};
-
 /** A request that may not be repeated runs once at most. */
 export const runsOnce: Check = history => requestsWithRuns(history)
 	.filter(({request, runs}) => request.kind === 'once' && runs.length > 1)
@@ -82,18 +79,32 @@
 	return beyond.length > allowedExcesses ? beyond.map(({request, runs}) => ({attempt: request.attempt, message: `ran at ${runs.length} workers`})) : [];
 };
 
-/** Retries stay within the budget of all gateways together, in any window. */
+/** Spans, in windows before the one that is looked at, whose requests allow retries: the span with most of them counts. */
+const requestSpans = [0, 0.5, 1];
+
+/** Requests reach a service once more only within the budget of all gateways together, in any window, whether they are run or refused. */
 export const retryBudget: Check = history => {
-	const byAttempt = requestsWithRuns(history);
-	const services = new Set(history.runs.map(({service}) => service));
+	const {ratio, slack, windowMilliseconds} = history.retryBounds;
+	const sentAt = new Map(history.requests.map(request => [request.attempt, request.sentAt]));
+	const services = new Set(history.arrivals.map(({service}) => service));
 	return [...services].flatMap(service => {
-		const repeats = byAttempt.flatMap(({runs}) => runs.filter(run => run.service === service).slice(1)).map(({startedAt}) => startedAt).toSorted((left, right) => left - right);
-		const requests = byAttempt.filter(({runs}) => runs.some(run => run.service === service)).map(({request}) => request.sentAt);
+		const arrivals = history.arrivals.filter(arrival => arrival.service === service);
+		const attempts = new Set<string>();
+		const repeats: number[] = [];
+		for (const {attempt, at} of arrivals) {
+			if (attempts.has(attempt)) {
+				repeats.push(at);
+			}
+
+			attempts.add(attempt);
+		}
+
+		const requests = [...attempts].flatMap(attempt => sentAt.get(attempt) ?? []);
+		const within = (times: readonly number[], from: number) => times.filter(at => at >= from && at < from + windowMilliseconds).length;
 		return repeats.flatMap((start): Violation[] => {
-			const end = start + retryBounds.windowMilliseconds;
-			const count = repeats.filter(at => at >= start && at < end).length;
-			const allowed = (retryBounds.ratio * requests.filter(at => at >= start && at < end).length) + retryBounds.slack;
-			return count > allowed ? [{message: `${count} retries at ${service} within 10 s, ${allowed} are allowed`}] : [];
+			const count = within(repeats, start);
+			const allowed = (ratio * Math.max(...requestSpans.map(windows => within(requests, start - (windows * windowMilliseconds))))) + slack;
+			return count > allowed ? [{message: `${count} retries at ${service} within ${windowMilliseconds} ms, ${allowed} are allowed`}] : [];
 		}).slice(0, 1);
 	});
 };
--- a/source/testing/soak/fault-kinds.ts
+++ b/source/testing/soak/fault-kinds.ts
@@ -20,7 +20,7 @@
 export type FaultKind = {variants: readonly string[]; disturbs: boolean} & (
 	| {on: 'gateway'; start: Start<SoakGateway>}
 	| {on: 'worker'; start: Start<WorkerSlot>}
-	| {on: 'store' | 'operator'; start: Start<undefined>}
+	| {on: 'store' | 'operator' | 'all'; start: Start<undefined>}
 );
 
 const linkModes: Array<LinkFault['mode']> = ['cut', 'reset_existing', 'silent', 'silent_existing', 'drop_requests', 'drop_answers', 'drop_idle', 'delay'];
@@ -67,6 +67,15 @@
 			return async () => gateway.start();
 		},
 	},
+	'gateways killed together': {
+		variants: ['kill'],
+		on: 'all',
+		disturbs: true,
+		async start(_nothing, _variant, world) {
+			await Promise.all(world.gateways.map(async gateway => gateway.kill()));
+			return async () => world.startGateways();
+		},
+	},
 	'gateway stopped': {
 		variants: ['planned'],
 		on: 'gateway',
@@ -145,6 +154,22 @@
 			};
 		},
 	},
+	'workers misbehave together': {
+		variants: ['full', 'error', 'reset'] satisfies WorkerFault[],
+		on: 'all',
+		disturbs: true,
+		start(_nothing, variant, {slots}) {
+			for (const {worker} of slots) {
+				worker.fault = variant as WorkerFault;
+			}
+
+			return () => {
+				for (const {worker} of slots) {
+					worker.fault = 'none';
+				}
+			};
+		},
+	},
 	'worker reports falsely': {
 		variants: ['idle', 'leaving'],
 		on: 'worker',
--- a/source/testing/soak/gateway-process.ts
+++ b/source/testing/soak/gateway-process.ts
@@ -10,7 +10,6 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {Link} from '../stand-ins/link.ts';
-import {retryBounds} from './checks/mod.ts';
 import {type History} from './history.ts';
 
 const program = path.join(import.meta.dirname, '..', '..', 'binaries', 'azuretack-gateway.js');
@@ -148,6 +147,7 @@
 
 	/** Writes its settings file: as they should be with another log level each time, or with a fault. */
 	async writeSettings(isBroken: boolean): Promise<void> {
+		const {ratio, slack, windowMilliseconds} = this.#options.history.retryBounds;
 		const settings = {
 			hostName: isBroken ? 5 : this.name,
 			availabilityZone: this.availabilityZone,
@@ -155,7 +155,7 @@
 			listen: this.#listen,
 			advertise: {callers: this.callersLink.address, peers: this.peersLink.address},
 			store: this.storeLink.address,
-			bounds: {retryRatio: retryBounds.ratio, retrySlack: retryBounds.slack},
+			bounds: {retryRatio: ratio, retrySlack: slack, retryWindowSeconds: windowMilliseconds / 1000},
 			log: {level: 'debug'},
 		};
 		await writeFile(this.#file, JSON.stringify(settings));
--- a/source/testing/soak/history.ts
+++ b/source/testing/soak/history.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import {type WorkerRun} from '../stand-ins/worker-options.ts';
+import {type WorkerArrival, type WorkerRun} from '../stand-ins/worker-options.ts';
 
 /** Kinds of request: repeatable, to be run once at most, and generations, which can be gone on with. */
 export type CallKind = 'idempotent' | 'once' | 'generation';
@@ -72,9 +72,21 @@
 /** A process that ended. */
 export type ProcessEnd = {gateway: string; at: number; expected: boolean; reason: string};
 
+/** Retries that all gateways together may make in any window. */
+export type RetryBounds = {
+	/** Retries for each request. */
+	ratio: number;
+	/** Retries beyond that. */
+	slack: number;
+	windowMilliseconds: number;
+};
+
 /** All that was seen. */
 export type History = {
+	retryBounds: RetryBounds;
 	requests: SeenRequest[];
+	/** What reached workers, whether they ran it or refused it. */
+	arrivals: WorkerArrival[];
 	runs: WorkerRun[];
 	configurations: SeenConfiguration[];
 	leavings: SeenLeaving[];
@@ -87,10 +99,14 @@
 	settledAt: number | undefined;
 };
 
-/** An empty history. */
-export function createHistory(): History {
+/**
+ * An empty history.
+ *
+ * @param retryBounds What the gateways are set to.
+ */
+export function createHistory(retryBounds: RetryBounds): History {
 	return {
-		requests: [], runs: [], configurations: [], leavings: [], disturbances: [], stops: [], ends: [], slots: new Map(), settledAt: undefined,
+		retryBounds, requests: [], arrivals: [], runs: [], configurations: [], leavings: [], disturbances: [], stops: [], ends: [], slots: new Map(), settledAt: undefined,
 	};
 }
 
--- a/source/testing/soak/plan.ts
+++ b/source/testing/soak/plan.ts
@@ -5,6 +5,7 @@
  */
 import * as z from 'zod';
 import {faultKinds} from './fault-kinds.ts';
+import {type RetryBounds} from './history.ts';
 import {Random} from './random.ts';
 
 const faultSchema = z.object({
@@ -29,6 +30,8 @@
 	faultMilliseconds: z.number().positive(),
 	/** Whether all gateways are killed after that. */
 	allKilled: z.boolean(),
+	/** How many retries the gateways may make: `scarce` ones are used up whenever workers fail. */
+	retries: z.enum(['usual', 'scarce']).default('usual'),
 	faults: z.array(faultSchema),
 });
 
@@ -53,6 +56,15 @@
 /** Chance that all gateways are killed after the faults, in hundredths. */
 const allKilledPercent = 40;
 
+/** Chance that retries are scarce, in hundredths. */
+const scarcePercent = 50;
+
+/** Bounds of the retry budget by how many retries there are. */
+export const retryBounds: Record<SoakPlan['retries'], RetryBounds> = {
+	usual: {ratio: 0.8, slack: 40, windowMilliseconds: 10_000},
+	scarce: {ratio: 0.1, slack: 10, windowMilliseconds: 10_000},
+};
+
 /** Options of {@linkcode drawPlan}. */
 export type DrawPlanOptions = {seed: number; gateways: number; faultMilliseconds: number};
 
@@ -83,6 +95,7 @@
 		gateways,
 		faultMilliseconds,
 		allKilled: random.chance(allKilledPercent),
+		retries: random.chance(scarcePercent) ? 'scarce' : 'usual',
 		faults: faults.filter(({at}) => at < faultMilliseconds).toSorted((left, right) => left.at - right.at),
 	};
 }
--- a/source/testing/soak/soak.ts
+++ b/source/testing/soak/soak.ts
@@ -8,7 +8,7 @@
 import {checks, type CheckName, type Violation} from './checks/mod.ts';
 import {faultKinds} from './fault-kinds.ts';
 import {type SeenRequest} from './history.ts';
-import {type PlannedFault, type SoakPlan} from './plan.ts';
+import {retryBounds, type PlannedFault, type SoakPlan} from './plan.ts';
 import {Random} from './random.ts';
 import {tellStory} from './story.ts';
 import {SoakWorld} from './world.ts';
@@ -60,7 +60,7 @@
  */
 export async function playSoak(plan: SoakPlan, {report}: SoakOptions): Promise<SoakResult> {
 	const random = new Random(plan.seed + 1);
-	await using world = await SoakWorld.create({gateways: plan.gateways, random});
+	await using world = await SoakWorld.create({gateways: plan.gateways, random, retryBounds: retryBounds[plan.retries]});
 	const ending = new AbortController();
 	const lags = watchLag(world, ending.signal);
 	await world.startAll();
@@ -124,7 +124,7 @@
 	const gateway = world.gateways[fault.target % world.gateways.length]!;
 	const slot = world.slots[fault.target % world.slots.length]!;
 	const names = {
-		gateway: gateway.name, worker: slot.name, store: 'store', operator: 'operator',
+		gateway: gateway.name, worker: slot.name, store: 'store', operator: 'operator', all: 'all',
 	};
 	report(`${fault.kind} (${fault.variant}) at ${names[kind.on]} for ${fault.forMilliseconds} ms`);
 	const end = kind.disturbs ? world.disturb(fault.kind, names[kind.on]) : () => undefined;
@@ -137,6 +137,7 @@
 		worker: async () => kind.on === 'worker' && kind.start(slot, fault.variant, world),
 		store: async () => kind.on === 'store' && kind.start(undefined, fault.variant, world),
 		operator: async () => kind.on === 'operator' && kind.start(undefined, fault.variant, world),
+		all: async () => kind.on === 'all' && kind.start(undefined, fault.variant, world),
 	};
 	const ending = await starts[kind.on]();
 	if (ending) {
--- a/source/testing/soak/worker-slots.ts
+++ b/source/testing/soak/worker-slots.ts
@@ -81,6 +81,7 @@
 			eventMilliseconds: 30,
 			callMilliseconds: 10,
 			runs: this.#options.history.runs,
+			arrivals: this.#options.history.arrivals,
 			answerOf: ({worker, attempt}) => `answer of ${worker} to ${attempt} ${'.'.repeat(700)}`,
 			eventsOf: ({body}: WorkerRun) => lastEventOf(body),
 			eventOf: ({body}: WorkerRun, event) => eventText(body, event),
--- a/source/testing/soak/world.ts
+++ b/source/testing/soak/world.ts
@@ -11,7 +11,8 @@
 import {configurationRow} from '../stand-ins/configuration-row.ts';
 import {StoreStandIn, type StoreFault} from '../stand-ins/store-stand-in.ts';
 import {SoakGateway} from './gateway-process.ts';
-import {createHistory, type History} from './history.ts';
+import {createHistory, type History, type RetryBounds} from './history.ts';
+import {retryBounds} from './plan.ts';
 import {type Random} from './random.ts';
 import {prefixes} from './requests.ts';
 import {WorkerSlot} from './worker-slots.ts';
@@ -40,20 +41,25 @@
 const startsAtOnce = 8;
 
 /** Options of {@linkcode SoakWorld.create}. */
-export type SoakWorldOptions = {gateways: number; random: Random};
+export type SoakWorldOptions = {gateways: number; random: Random; retryBounds?: RetryBounds};
+
+type WorldParts = {address: string; store: StoreStandIn; folder: string; random: Random; history: History};
 
 /** All that a soak runs. */
 export class SoakWorld implements AsyncDisposable {
 	/** Creates a store, workers and links; no gateway runs yet. */
-	static async create({gateways, random}: SoakWorldOptions): Promise<SoakWorld> {
+	static async create({gateways, random, retryBounds: bounds = retryBounds.usual}: SoakWorldOptions): Promise<SoakWorld> {
 		const address = takeLoopbackAddress();
 		const store = await StoreStandIn.start(`${address}:7000`);
-		const world = new SoakWorld(address, store, await mkdtemp(path.join(tmpdir(), 'azuretack-soak-')), random);
+		const folder = await mkdtemp(path.join(tmpdir(), 'azuretack-soak-'));
+		const world = new SoakWorld({
+			address, store, folder, random, history: createHistory(bounds),
+		});
 		await world.#open(gateways);
 		return world;
 	}
 
-	readonly history: History = createHistory();
+	readonly history: History;
 	readonly store: StoreStandIn;
 	readonly gateways: SoakGateway[] = [];
 	readonly slots: WorkerSlot[] = [];
@@ -67,9 +73,12 @@
 	#version = 0;
 	#keysMade = 0;
 
-	private constructor(address: string, store: StoreStandIn, folder: string, random: Random) {
-		this.#address = address;
+	private constructor({
+		address, store, folder, random, history,
+	}: WorldParts) {
+		this.history = history;
 		this.store = store;
+		this.#address = address;
 		this.#folder = folder;
 		this.#random = random;
 	}
