--- a/source/admission/suspects/suspect-watch.test.ts
+++ b/source/admission/suspects/suspect-watch.test.ts
@@ -3,11 +3,15 @@
 import {err, ok} from 'neverthrow';
 import {createLogger} from '../../telemetry/mod.ts';
 import {RefusedRequests} from './refused-requests.ts';
-import {SuspectWatch} from './suspect-watch.ts';
+import {SuspectWatch, type SuspectWatchOptions} from './suspect-watch.ts';
 import {Suspects} from './suspects.ts';
 import {TrialClaims} from './trial-claims.ts';
 
-function createWatch() {
+type Load = SuspectWatchOptions['engines']['load'];
+
+const unreachable = (connectionRefused: boolean): Awaited<ReturnType<Load>> => err({kind: 'unreachable', message: 'gone', connectionRefused});
+
+function createWatch(load: Load = async () => unreachable(true)) {
 	const logger = createLogger('test', {level: 'silent'});
 	const wallClock = () => 1000;
 	const platform = {
@@ -27,7 +31,7 @@
 			logger,
 			wallClock,
 			claims: new TrialClaims({platform, wallClock}),
-			engines: {load: async () => err({kind: 'unreachable', message: 'gone', connectionRefused: true})},
+			engines: {load},
 			endpointsOf: () => ['one', 'two', 'three'],
 		}),
 	};
@@ -72,6 +76,24 @@
 	assert.equal(suspects.isSuspect('digest', 1000), true);
 });
 
+test('a stream that is lost, and then reset at an endpoint that is still ending, counts as a death once its process is gone', async () => {
+	const answers = [unreachable(false), unreachable(true)];
+	const {watch, suspects} = createWatch(async () => answers.shift()!);
+	const trial = watch.follow('digest', 'briefs');
+	trial.attempting('one', 'start');
+	await trial.attempted('one', {step: 'start', kind: 'lost'});
+	trial.attempting('one', 'resume');
+	await trial.attempted('one', {step: 'resume', kind: 'unreachable', reset: true});
+	assert.equal(suspects.isSuspect('digest', 1000), true);
+	const other = createWatch(async () => unreachable(false));
+	const going = other.watch.follow('going', 'briefs');
+	going.attempting('one', 'start');
+	await going.attempted('one', {step: 'start', kind: 'lost'});
+	going.attempting('one', 'resume');
+	await going.attempted('one', {step: 'resume', kind: 'unreachable', reset: true});
+	assert.equal(other.suspects.isSuspect('going', 1000), false);
+});
+
 test('a cursor that names an endpoint already held against the request shows no second death', async () => {
 	const {watch, suspects} = createWatch();
 	for (const returning of [watch.follow('digest', 'briefs'), watch.follow('digest', 'briefs')]) {
--- a/source/admission/suspects/suspect-watch.ts
+++ b/source/admission/suspects/suspect-watch.ts
@@ -45,6 +45,12 @@
 /** Time for such an endpoint to answer, in milliseconds. */
 const witnessMilliseconds = 600;
 
+/** Questions to an endpoint that has reset a connection, until it is known whether its process is gone. */
+const goneQuestions = 3;
+
+/** Time between two of them, in milliseconds. */
+const goneMilliseconds = 50;
+
 /** Time for which an endpoint that another router's suspect holds is passed over, in milliseconds. */
 const takenMilliseconds = 500;
 
@@ -207,16 +213,30 @@
 
 	/** A silent or reset connection proves nothing; a process that no longer listens, or has forgotten the generation, does. */
 	async #showsDeath(endpoint: string, {step, connectionRefused, forgotten, reset}: AttemptOutcome): Promise<boolean> {
-		if (step === 'resume') {
-			return connectionRefused === true || (forgotten === true && this.#lost.has(endpoint));
+		const isLost = step === 'start' || this.#lost.has(endpoint);
+		if (step === 'resume' && (connectionRefused === true || (forgotten === true && isLost))) {
+			return true;
 		}
 
-		if (reset !== true) {
-			return false;
+		return reset === true && isLost && this.#isGone(endpoint);
+	}
+
+	/** Whether no process listens any more; one that is just ending may still reset a few connections. */
+	async #isGone(endpoint: string): Promise<boolean> {
+		for (let question = 1; question <= goneQuestions; question += 1) {
+			const load = await this.#watch.options.engines.load(endpoint);
+			if (load.isOk() || load.error.kind !== 'unreachable') {
+				return false;
+			}
+
+			if (load.error.connectionRefused) {
+				return true;
+			}
+
+			await pause(question < goneQuestions ? goneMilliseconds : 0);
 		}
 
-		const load = await this.#watch.options.engines.load(endpoint);
-		return load.isErr() && load.error.kind === 'unreachable' && load.error.connectionRefused;
+		return false;
 	}
 
 	#died(endpoint: string): void {
