--- a/source/retries/retries.test.ts
+++ b/source/retries/retries.test.ts
@@ -5,6 +5,7 @@
 import {err, ok} from 'neverthrow';
 import {readClock, type ClockReading} from '../beliefs/mod.ts';
 import {type RowWrite, type StoredRow} from '../platform/mod.ts';
+import {Random} from '../testing/soak/random.ts';
 import {createLogger} from '../telemetry/mod.ts';
 import {SharedRetryBudget} from './shared-retry-budget.ts';
 import {SlackBorrower, type SlackBorrowerOptions} from './slack-borrower.ts';
@@ -19,7 +20,8 @@
 	storeMilliseconds: number | undefined = 0;
 	fault: 'none' | 'down' | 'lose-answers' = 'none';
 	reads = 0;
-	writes = 0;
+	/** Drawn from by all who borrow here. */
+	readonly random = new Random(1);
 	readonly rows = new Map<string, StoredRow>();
 	#revision = 0;
 
@@ -35,7 +37,6 @@
 			return err({kind: 'refused' as const, message: 'down'});
 		}
 
-		this.writes += 1;
 		if ((this.rows.get(key)?.revision ?? 0) !== expectedRevision) {
 			return ok({kind: 'conflict' as const});
 		}
@@ -48,7 +49,7 @@
 
 function borrowerAt(store: LedgerTable, changes: Partial<SlackBorrowerOptions> = {}): SlackBorrower {
 	return new SlackBorrower({
-		service: 'desk', holder: 'host-1', terms, store, logger: createLogger('test', {level: 'silent'}), readClock, random: Math.random, ...changes,
+		service: 'desk', holder: 'host-1', terms, store, logger: createLogger('test', {level: 'silent'}), readClock, random: () => store.random.integer(0, 999) / 1000, ...changes,
 	});
 }
 
