--- a/source/testing/soak/gateway-process.ts
+++ b/source/testing/soak/gateway-process.ts
@@ -5,7 +5,7 @@
  */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
-import {writeFile} from 'node:fs/promises';
+import {rename, writeFile} from 'node:fs/promises';
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -44,6 +44,7 @@
 	readonly #options: SoakGatewayOptions;
 	readonly #listen: Record<'callers' | 'readiness' | 'entries' | 'peers' | 'metrics', string>;
 	#child: ChildProcess | undefined;
+	#filesWritten = 0;
 	#hasLogged = false;
 	#isEndExpected = false;
 	#isClosed = false;
@@ -145,8 +146,15 @@
 		}
 	}
 
-	/** Writes its settings file: as they should be with another log level each time, or with a fault. */
+	/**
+	 * Writes its settings file at once, as it should be or with a fault. A process that may not have read its settings yet is given none
+	 * with a fault, since it would end, as it should.
+	 */
 	async writeSettings(isBroken: boolean): Promise<void> {
+		if (isBroken && !(this.#isRunning && this.#hasLogged)) {
+			return;
+		}
+
 		const {ratio, slack, windowMilliseconds} = this.#options.history.retryBounds;
 		const settings = {
 			hostName: isBroken ? 5 : this.name,
@@ -158,7 +166,10 @@
 			bounds: {retryRatio: ratio, retrySlack: slack, retryWindowSeconds: windowMilliseconds / 1000},
 			log: {level: 'debug'},
 		};
-		await writeFile(this.#file, JSON.stringify(settings));
+		this.#filesWritten += 1;
+		const complete = `${this.#file}.${this.#filesWritten}`;
+		await writeFile(complete, JSON.stringify(settings));
+		await rename(complete, this.#file);
 	}
 
 	/** Ends its process for good and closes its links. */
