Look at endpoints that lost an answer, and log which request lost it

Logs could not tell whether two attempts of callers are the same request, nor whether an endpoint's process ended under an attempt or only broke a connection, so that they could not tell apart the hypotheses of the incident on requests that end endpoints. A request now has a digest of host, method, path, workspace and body, and after a lost attempt a connection shows whether the endpoint still listens. Both are logged and counted; nothing is decided from them.

--- a/source/forwarding/exchange.ts
+++ b/source/forwarding/exchange.ts
@@ -5,6 +5,7 @@
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Route, type Service, type Workspace} from '../routing/mod.ts';
+import {type RequestIdentity} from '../suspects/mod.ts';
 import {type RequestTerms} from './request-terms.ts';
 
 /** One request that was admitted. */
@@ -16,6 +17,8 @@
 	route: Route;
 	service: Service;
 	workspace: Workspace | undefined;
+	/** What stays the same when the caller sends the request again. */
+	identity: RequestIdentity;
 	/** Name of the request in logs. */
 	requestName: string;
 	/** Steady time at which the request arrived, in milliseconds. */
--- a/source/forwarding/forward-call.ts
+++ b/source/forwarding/forward-call.ts
@@ -233,6 +233,9 @@
 		logger.info('attempt failed', {
 			request: this.#exchange.requestName, endpoint: endpoint.id, end: attempt.end, reason: attempt.message, runs: this.#runs,
 		});
+		if (attempt.end === 'lost') {
+			void this.#parts.lostAttempts.look({identity: this.#exchange.identity, requestName: this.#exchange.requestName, endpoint});
+		}
 	}
 
 	#giveUp({end, message, answer, retryAfterMilliseconds}: CallAttempt & {kind: 'ended'}): ExchangeOutcome {
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -216,6 +216,9 @@
 			copyHolder: this.#copyHolder?.id,
 			goOnFrom: goOnFrom?.id,
 		});
+		if (end.kind === 'lost') {
+			void this.#parts.lostAttempts.look({identity: this.#exchange.identity, requestName: this.#exchange.requestName, endpoint});
+		}
 	}
 
 	async #goesOn(end: AttemptEnd): Promise<boolean> {
--- a/source/forwarding/forwarding-parts.ts
+++ b/source/forwarding/forwarding-parts.ts
@@ -8,6 +8,7 @@
 import {type SharedRetryBudget} from '../retries/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {type EndpointConnections} from './endpoint-connections.ts';
+import {type LostAttempts} from './lost-attempts.ts';
 
 /** Parts shared by all requests. */
 export type ForwardingParts = {
@@ -15,6 +16,7 @@
 	loads: EndpointLoads;
 	health: EndpointHealth;
 	connections: EndpointConnections;
+	lostAttempts: LostAttempts;
 	logger: Logger;
 	/** Zone of this router. */
 	availabilityZone: string;
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -8,7 +8,7 @@
 	ConfigurationBelief, EndpointList, divideNewsTime, readClock, type ClockReading, type NewsTimes,
 } from '../beliefs/mod.ts';
 import {MemberTable, exchangePeriod} from '../fleet/mod.ts';
-import {EndpointConnections, type ForwardingParts} from '../forwarding/mod.ts';
+import {EndpointConnections, LostAttempts, type ForwardingParts} from '../forwarding/mod.ts';
 import {StoreClient} from '../platform/mod.ts';
 import {SharedRetryBudget, SlackBorrower} from '../retries/mod.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
@@ -72,6 +72,12 @@
 		loads: new EndpointLoads(),
 		health: new EndpointHealth(),
 		connections: new EndpointConnections(),
+		lostAttempts: new LostAttempts({
+			logger,
+			count(service, fate) {
+				metrics.lostAttempts.inc({service, fate});
+			},
+		}),
 		callers: {open: false},
 		stopping: new Stopping({stopMilliseconds: bounds.stopSeconds * 1000}),
 		retryBudgetOf: createRetryBudgets({
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -13,6 +13,7 @@
 	admitRequest, drawService, type Admission, type RequestKind, type Route,
 } from '../routing/mod.ts';
 import {signalOfCaller} from '../supervision/caller-signal.ts';
+import {RequestIdentity} from '../suspects/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 
 type Forward = (exchange: Exchange, parts: ForwardingParts) => Promise<ExchangeOutcome>;
@@ -121,8 +122,11 @@
 	}
 
 	parts.retryBudgetOf(service.name).countRequest();
+	const identity = new RequestIdentity({
+		host: request.headers.host ?? '', method: request.method ?? '', target: request.url ?? '', workspace: workspace?.name, body,
+	});
 	const outcome = await forwards[route.kind]({
-		...arrived, answerBy: answerBy(arrived, route), request, response, body, route, service, workspace, callerGone,
+		...arrived, answerBy: answerBy(arrived, route), identity, request, response, body, route, service, workspace, callerGone,
 	}, parts);
 	return {...outcome, service: service.name, route: route.name};
 }
--- /dev/null
+++ b/source/suspects/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Requests that end the process of each endpoint that runs them.
+ *
+ * @module
+ */
+
+export * from './request-identity.ts';
--- a/source/telemetry/gateway-metrics.ts
+++ b/source/telemetry/gateway-metrics.ts
@@ -33,6 +33,9 @@
 		retries: new Counter({
 			name: 'azuretack_gateway_retries_total', help: 'Decisions of the retry budget by service, reason of the retry and decision.', labelNames: ['service', 'reason', 'decision'], registers,
 		}),
+		lostAttempts: new Counter({
+			name: 'azuretack_gateway_lost_attempts_total', help: 'Attempts whose answer was lost, by service and what became of the endpoint: ended, lives or unknown.', labelNames: ['service', 'fate'], registers,
+		}),
 		answerSeconds: new Histogram({
 			name: 'azuretack_gateway_answer_seconds', help: 'Time from a request to the end of its answer.', labelNames: ['service'], buckets: secondsBuckets, registers,
 		}),
