--- a/source/testing/stand-ins/worker-options.ts
+++ b/source/testing/stand-ins/worker-options.ts
@@ -70,4 +70,8 @@
 	eventMilliseconds?: number;
 	/** Time of a plain call, in milliseconds. Default 2. */
 	callMilliseconds?: number;
+	/** Whether its process ends when it begins a run. Default never. */
+	endsUnder?: (run: WorkerRun) => boolean;
+	/** Called when its process has ended under a run. Default does nothing. */
+	onEnd?: (run: WorkerRun) => void;
 };
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -54,6 +54,8 @@
 			answerOf: ({worker}) => `answer of ${worker}`,
 			eventOf: (_run, event) => `token ${event}`,
 			eventsOf: () => options.events ?? 20,
+			endsUnder: () => false,
+			onEnd: () => undefined,
 			runs: [],
 			arrivals: [],
 			...options,
@@ -132,6 +134,12 @@
 			this.runs.push({...run, worker: `${run.worker}-b`}, {...run, worker: `${run.worker}-c`});
 		}
 
+		if (this.options.endsUnder(run)) {
+			this.crash();
+			this.options.onEnd(run);
+			return;
+		}
+
 		response.on('close', () => {
 			this.#running.delete(attempt);
 			if (this.lie !== 'ignores-close' && this.lie !== 'breaks-and-works-on') {
