Count the endpoints that end under a request in the store, and refuse it after three

Callers' requests that ended their endpoint were sent on without a bound: a gateway forgot them with its answer, a caller's return has a new attempt name, and no other gateway heard of them (hypothesis 1); one attempt alone ended up to five engines (hypothesis 2, as many as its route has attempts; no attempt ended more, so that not-run attempts are no cause).

A request is now known by host, method, path, workspace and body. An endpoint that lost an answer is looked at before the request goes on; an end is counted in a row of the store, from two ends on all gateways are told, from three on the request is refused but for two trials that must be won in the store. Whoever serves it well clears it. The count depends neither on which gateways know each other nor on their processes.

--- a/source/beliefs/endpoint-list.ts
+++ b/source/beliefs/endpoint-list.ts
@@ -30,6 +30,9 @@
 /** One endpoint as it registered itself. */
 export type EndpointEntry = z.output<typeof endpointEntrySchema>;
 
+/** What the list says of one life of an endpoint: it is listed, it leaves, another life has taken its name, or it was removed. */
+export type LifeState = 'listed' | 'leaving' | 'replaced' | 'removed';
+
 /** A change of the list. */
 export type EndpointChange = z.output<typeof endpointChangeSchema>;
 
@@ -154,6 +157,16 @@
 		return this.#byService.get(service) ?? [];
 	}
 
+	/** Returns what the list says of one life of an endpoint. */
+	stateOf({id, startedAt}: Pick<EndpointEntry, 'id' | 'startedAt'>): LifeState {
+		const entry = this.#known.get(id)?.entry;
+		if (!entry) {
+			return 'removed';
+		}
+
+		return entry.startedAt === startedAt ? (entry.leaving ? 'leaving' : 'listed') : 'replaced';
+	}
+
 	#take({id, entry, revision}: EndpointChange, now: number): void {
 		const known = this.#known.get(id);
 		if (known && revision <= known.revision) {
--- a/source/fleet/ask-seeds.test.ts
+++ b/source/fleet/ask-seeds.test.ts
@@ -17,11 +17,15 @@
 
 const logger = createLogger('test', {level: 'silent', fields: {}, write: () => undefined});
 
+const noNews = {
+	endpoints: [], endpointRevision: 0, suspects: [], suspectRevision: 0,
+};
+
 function knowledgeOf(learnt: string[]): SharedKnowledge {
 	return {
-		known: () => ({configurationVersion: 0, endpointRevision: 0}),
+		known: () => ({configurationVersion: 0, endpointRevision: 0, suspectRevision: 0}),
 		age: () => Number.POSITIVE_INFINITY,
-		newsFor: () => ({endpoints: [], endpointRevision: 0}),
+		newsFor: () => noNews,
 		learn({configuration}) {
 			learnt.push(String(unpackConfiguration(configuration ?? '').unwrapOr(undefined)?.version));
 		},
@@ -42,9 +46,9 @@
 		answer(): ExchangeMessage {
 			questions += 1;
 			const news = {
-				endpoints: [], endpointRevision: 1, configuration: packConfiguration(configuration), configurationAgeMilliseconds: 1, endpointAgeMilliseconds: 1,
+				...noNews, endpointRevision: 1, configuration: packConfiguration(configuration), configurationAgeMilliseconds: 1, endpointAgeMilliseconds: 1,
 			};
-			return {members: [member('seed')], news: performance.now() > knownFrom ? news : {endpoints: [], endpointRevision: 0}};
+			return {members: [member('seed')], news: performance.now() > knownFrom ? news : noNews};
 		},
 	});
 	context.after(stop);
--- a/source/fleet/exchange-protocol.ts
+++ b/source/fleet/exchange-protocol.ts
@@ -7,6 +7,7 @@
 import {type MethodDefinition} from '@grpc/grpc-js';
 import * as z from 'zod';
 import {endpointChangeSchema} from '../beliefs/endpoint-list.ts';
+import {endpointLifeSchema, suspicionSchema} from '../suspects/mod.ts';
 import {heartbeatSchema, memberSchema} from './member.ts';
 
 /** Largest message, in bytes: a whole configuration and all endpoints at the largest size. */
@@ -18,8 +19,16 @@
 	configurationVersion: z.number(),
 	/** Revision up to which changes of the endpoints are known. */
 	endpointRevision: z.number(),
+	/** Revision up to which changes of the suspected requests are known. */
+	suspectRevision: z.number().default(0),
 });
 
+/** A suspected request, or the fact that it was cleared. */
+const suspectChangeSchema = z.object({digest: z.string(), suspicion: suspicionSchema.optional(), revision: z.number()});
+
+/** The end of an endpoint under a request that the store has not taken yet. */
+const unsavedEndSchema = z.object({digest: z.string(), service: z.string(), life: endpointLifeSchema});
+
 /** What the answering side knows beyond that. */
 export const newsSchema = z.object({
 	/** A newer configuration, packed. */
@@ -31,6 +40,9 @@
 	endpointRevision: z.number(),
 	/** Time since the store was last known to hold no other change, in milliseconds; absent where that is not known. */
 	endpointAgeMilliseconds: z.number().optional(),
+	/** Changes of the suspected requests. */
+	suspects: z.array(suspectChangeSchema).default([]),
+	suspectRevision: z.number().default(0),
 });
 
 /** What each side tells. */
@@ -39,6 +51,8 @@
 	members: z.array(memberSchema).min(1),
 	/** State of all gateways that the sender takes to be alive; absent where only news of the store is asked for. */
 	heartbeats: z.array(heartbeatSchema).optional(),
+	/** Ends of endpoints under requests that the store has not taken yet. */
+	unsavedEnds: z.array(unsavedEndSchema).optional(),
 	/** In a question: what the asker knows already. */
 	known: knownSchema.optional(),
 	/** In an answer to such a question: what is news to the asker. */
--- a/source/fleet/follow-members.ts
+++ b/source/fleet/follow-members.ts
@@ -6,6 +6,7 @@
 import {ok, type Result} from 'neverthrow';
 import {pause} from '../supervision/pause.ts';
 import {type TaskFailure} from '../supervision/supervisor.ts';
+import {type RequestSuspects} from '../suspects/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {ExchangeClient} from './exchange-client.ts';
 import {type Member} from './member.ts';
@@ -14,6 +15,7 @@
 /** Options of {@linkcode followMembers}. */
 export type FollowMembersOptions = {
 	members: MemberTable;
+	suspects: Pick<RequestSuspects, 'unsavedEnds' | 'hear'>;
 	logger: Logger;
 	/** Whether this gateway takes requests. */
 	ready: () => boolean;
@@ -47,7 +49,7 @@
  * @param signal Ends the task.
  */
 export async function followMembers(options: FollowMembersOptions, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
-	const {members, logger, ready, clock, random} = options;
+	const {members, suspects, logger, ready, clock, random} = options;
 	const client = new ExchangeClient();
 	while (await pause(exchangePeriod(members.size) * (0.75 + (random() / 2)), signal)) {
 		members.beat(ready());
@@ -56,10 +58,11 @@
 			continue;
 		}
 
-		const answer = await client.exchange(peer.peers, {members: [members.self], heartbeats: members.heartbeats(clock())}, answerMilliseconds);
+		const answer = await client.exchange(peer.peers, {members: [members.self], heartbeats: members.heartbeats(clock()), unsavedEnds: suspects.unsavedEnds()}, answerMilliseconds);
 		if (answer.isOk()) {
 			members.merge(answer.value.members, clock());
 			members.hear(answer.value.heartbeats ?? [], clock());
+			suspects.hear(answer.value.unsavedEnds ?? []);
 		} else if (members.live(clock()).some(({name}) => name === peer.name)) {
 			logger.info('gateway does not answer', {peer: peer.name, reason: answer.error});
 			members.unanswered(peer.name);
--- a/source/forwarding/exchange.ts
+++ b/source/forwarding/exchange.ts
@@ -19,6 +19,8 @@
 	workspace: Workspace | undefined;
 	/** What stays the same when the caller sends the request again. */
 	identity: RequestIdentity;
+	/** How a request under which endpoints have ended is sent: `suspected` to one endpoint at a time, `trial` to one endpoint only. */
+	care: 'none' | 'suspected' | 'trial';
 	/** Name of the request in logs. */
 	requestName: string;
 	/** Steady time at which the request arrived, in milliseconds. */
--- a/source/forwarding/forward-call.ts
+++ b/source/forwarding/forward-call.ts
@@ -11,6 +11,7 @@
 import {readWholeAnswer, type CallAttempt} from './call-attempt.ts';
 import {type Exchange, type ExchangeOutcome} from './exchange.ts';
 import {type ForwardingParts} from './forwarding-parts.ts';
+import {type LostAttempt} from './lost-attempts.ts';
 import {mayRunAgain} from './retry-decision.ts';
 import {sendRequest} from './send-request.ts';
 
@@ -44,7 +45,10 @@
 	readonly #ending = new AbortController();
 	/** Attempts whose end has not been looked at yet, by endpoint. */
 	readonly #pending = new Map<string, Promise<CallAttempt>>();
+	/** What becomes of endpoints that lost an answer, by their names. */
+	readonly #settling = new Map<string, Promise<void>>();
 	#runs = 0;
+	#timedOut = false;
 
 	constructor(exchange: Exchange, parts: ForwardingParts) {
 		this.#exchange = exchange;
@@ -62,7 +66,7 @@
 	async #serve(): Promise<ExchangeOutcome> {
 		const {response, route} = this.#exchange;
 		const hedgeAt = this.#exchange.arrivedAt + Math.max(shortestHedgeMilliseconds, route.targetMilliseconds * hedgeShare);
-		let mayHedge = route.kind === 'idempotent' && route.maximumAttempts > 1;
+		let mayHedge = route.kind === 'idempotent' && route.maximumAttempts > 1 && this.#exchange.care === 'none';
 		const first = this.#choose();
 		if (!first) {
 			return this.#refuse({
@@ -87,6 +91,7 @@
 			}
 
 			if (step === undefined) {
+				this.#timedOut = true;
 				return this.#refuse({status: 504, code: 'timeout', message: 'No endpoint answered in time.'});
 			}
 
@@ -103,8 +108,13 @@
 	}
 
 	/** Starts another attempt after one that ended, where that is allowed. */
-	async #goesOn({end}: CallAttempt & {kind: 'ended'}): Promise<boolean> {
-		const {route, answerBy} = this.#exchange;
+	async #goesOn({end, endpoint}: CallAttempt & {kind: 'ended'}): Promise<boolean> {
+		const {route, answerBy, identity, care} = this.#exchange;
+		await this.#settling.get(endpoint.id);
+		if (care === 'trial' || this.#parts.suspects.isRefused(identity)) {
+			return false;
+		}
+
 		const allowed = mayRunAgain({
 			kind: route.kind, resumable: false, end, runs: this.#runs, maximumRuns: route.maximumAttempts, leftMilliseconds: answerBy - this.#parts.clock(),
 		});
@@ -212,6 +222,10 @@
 				health.failed(endpoint.id, 'broken', clock());
 			}
 
+			if (this.#timedOut) {
+				this.#parts.lostAttempts.watch(this.#lostAt(endpoint));
+			}
+
 			return;
 		}
 
@@ -234,10 +248,22 @@
 			request: this.#exchange.requestName, endpoint: endpoint.id, end: attempt.end, reason: attempt.message, runs: this.#runs,
 		});
 		if (attempt.end === 'lost') {
-			void this.#parts.lostAttempts.look({identity: this.#exchange.identity, requestName: this.#exchange.requestName, endpoint});
+			this.#settle(endpoint);
 		}
 	}
 
+	/** Has it found out what became of an endpoint that lost the answer. */
+	#settle(endpoint: EndpointEntry): void {
+		this.#settling.set(endpoint.id, this.#parts.lostAttempts.settle(this.#lostAt(endpoint)));
+	}
+
+	#lostAt(endpoint: EndpointEntry): LostAttempt {
+		const {identity, requestName} = this.#exchange;
+		return {
+			identity, requestName, endpoint, events: 0,
+		};
+	}
+
 	#giveUp({end, message, answer, retryAfterMilliseconds}: CallAttempt & {kind: 'ended'}): ExchangeOutcome {
 		if (this.#exchange.callerGone.aborted) {
 			return this.#outcome('caller_left', 0);
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -93,6 +93,10 @@
 			message = end.kind === 'failed' ? `the engine answered ${end.status}` : end.message;
 			retryAfterMilliseconds = (end.kind === 'not-run' ? end.retryAfterMilliseconds : undefined) ?? comeBackMilliseconds;
 			this.#note(target, end, message);
+			if (end.kind === 'lost') {
+				await this.#settle(target.endpoint, this.#progress.events - eventsBefore);
+			}
+
 			const goesOn = await this.#goesOn(endOfAttempt(end));
 			if (!goesOn) {
 				return end.kind === 'failed' && !this.#exchange.response.headersSent ? this.#passFailure(end) : this.#giveUp(message, retryAfterMilliseconds);
@@ -216,13 +220,22 @@
 			copyHolder: this.#copyHolder?.id,
 			goOnFrom: goOnFrom?.id,
 		});
-		if (end.kind === 'lost') {
-			void this.#parts.lostAttempts.look({identity: this.#exchange.identity, requestName: this.#exchange.requestName, endpoint});
-		}
+	}
+
+	/** Has it found out what became of an engine that lost the answer. */
+	async #settle(endpoint: EndpointEntry, events: number): Promise<void> {
+		const {identity, requestName} = this.#exchange;
+		await this.#parts.lostAttempts.settle({
+			identity, requestName, endpoint, events,
+		});
 	}
 
 	async #goesOn(end: AttemptEnd): Promise<boolean> {
-		const {route, answerBy} = this.#exchange;
+		const {route, answerBy, identity, care} = this.#exchange;
+		if (care === 'trial' || this.#parts.suspects.isRefused(identity)) {
+			return false;
+		}
+
 		const allowed = mayRunAgain({
 			kind: route.kind, resumable: route.resumable, end, runs: this.#runs, maximumRuns: route.maximumAttempts, leftMilliseconds: answerBy - this.#parts.clock(),
 		});
--- a/source/forwarding/forwarding-parts.ts
+++ b/source/forwarding/forwarding-parts.ts
@@ -6,6 +6,7 @@
 import {type EndpointHealth, type EndpointLoads} from '../balancing/mod.ts';
 import {type EndpointList} from '../beliefs/mod.ts';
 import {type SharedRetryBudget} from '../retries/mod.ts';
+import {type RequestSuspects} from '../suspects/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {type EndpointConnections} from './endpoint-connections.ts';
 import {type LostAttempts} from './lost-attempts.ts';
@@ -17,6 +18,7 @@
 	health: EndpointHealth;
 	connections: EndpointConnections;
 	lostAttempts: LostAttempts;
+	suspects: RequestSuspects;
 	logger: Logger;
 	/** Zone of this router. */
 	availabilityZone: string;
--- a/source/gateway/follow-store.ts
+++ b/source/gateway/follow-store.ts
@@ -10,9 +10,16 @@
 	configurationKey, decodeConfiguration, decodeEndpoint, endpointTable, operatorTable, type StoredRow,
 } from '../platform/mod.ts';
 import {type Supervisor} from '../supervision/supervisor.ts';
+import {decodeSuspicion, toldTable, type SuspectChange} from '../suspects/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 import {takeConfiguration} from './take-configuration.ts';
 
+/**
+ * Time for which the store is asked to wait for a suspected request, in milliseconds: it answers at once when there is one, and none is
+ * the usual case, whose age nobody needs to know.
+ */
+const suspectsRoundMilliseconds = 3000;
+
 /**
  * Starts the tasks.
  *
@@ -37,6 +44,9 @@
 	supervisor.start('endpoints', async signal => followTable({
 		...shared, table: endpointTable, listener: endpointListener(parts), gatherMilliseconds: newsTimes.gatherMilliseconds,
 	}, signal));
+	supervisor.start('suspects', async signal => followTable({
+		...shared, roundMilliseconds: suspectsRoundMilliseconds, table: toldTable, listener: suspectListener(parts), gatherMilliseconds: 0,
+	}, signal));
 }
 
 function configurationListener(parts: GatewayParts): TableListener {
@@ -64,6 +74,29 @@
 	};
 }
 
+function suspectListener({suspects, logger}: GatewayParts): TableListener {
+	const decode = ({key, content, revision}: StoredRow): SuspectChange => {
+		const decoded = content && decodeSuspicion(content);
+		if (decoded?.isErr()) {
+			logger.warn('row of a suspected request cannot be read', {digest: key, revision, reason: decoded.error});
+		}
+
+		return {digest: key, suspicion: decoded?.unwrapOr(undefined), revision};
+	};
+
+	return {
+		replace(rows, revision) {
+			suspects.replace(rows.map(row => decode(row)), revision);
+		},
+		apply(rows) {
+			suspects.apply(rows.map(row => decode(row)));
+		},
+		confirm(revision) {
+			suspects.confirm(revision);
+		},
+	};
+}
+
 function endpointListener({endpoints, logger, clock}: GatewayParts): TableListener {
 	const decode = (row: StoredRow): EndpointChange => {
 		const decoded = row.content && decodeEndpoint(row.key, row.content);
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -12,6 +12,7 @@
 import {StoreClient} from '../platform/mod.ts';
 import {SharedRetryBudget, SlackBorrower} from '../retries/mod.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
+import {RequestSuspects, SuspicionTable} from '../suspects/mod.ts';
 import {createGatewayMetrics, type GatewayMetrics} from '../telemetry/gateway-metrics.ts';
 import {type Logger} from '../telemetry/logger.ts';
 import {Stopping} from './stopping.ts';
@@ -60,6 +61,16 @@
 			metrics.storeBytes.inc(bytes);
 		},
 	});
+	const endpoints = new EndpointList();
+	const clock = () => performance.now();
+	const suspects = new RequestSuspects({
+		table: new SuspicionTable({store, logger, random: Math.random}),
+		logger,
+		clock,
+		count(decision) {
+			metrics.suspects.inc({decision});
+		},
+	});
 	return {
 		settings,
 		logger,
@@ -68,11 +79,14 @@
 		members,
 		store,
 		configuration: new ConfigurationBelief(),
-		endpoints: new EndpointList(),
+		endpoints,
+		suspects,
 		loads: new EndpointLoads(),
 		health: new EndpointHealth(),
 		connections: new EndpointConnections(),
 		lostAttempts: new LostAttempts({
+			endpoints,
+			suspects,
 			logger,
 			count(service, fate) {
 				metrics.lostAttempts.inc({service, fate});
@@ -88,7 +102,7 @@
 		},
 		newsTimes: divideNewsTime(Math.min(bounds.configurationMilliseconds, bounds.leavingMilliseconds)),
 		trustedKeyMilliseconds: bounds.revokedKeyMilliseconds * trustedShare,
-		clock: () => performance.now(),
+		clock,
 		random: () => Math.random(),
 		readClock,
 	};
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -28,9 +28,9 @@
 };
 
 /** Time for which a first configuration is awaited before callers are told that there is none, in milliseconds. */
-const firstConfigurationMilliseconds = 3000;
+const firstNewsMilliseconds = 3000;
 
-/** Time between two looks at whether there is a configuration, in milliseconds. */
+/** Time between two looks at whether it is there, in milliseconds. */
 const firstLookMilliseconds = 10;
 
 /** Time between two looks at whether a stop is done, in milliseconds. */
@@ -59,8 +59,9 @@
 		supervisor, parts, knowledge, role, seeds: settings.seeds,
 	});
 	supervisor.start('members', async signal => followMembers({...parts, ready: () => isReady(parts)}, signal));
+	supervisor.start('unsaved ends', async signal => parts.suspects.saveUnsaved(signal));
 	supervisor.start('source', async signal => followSource({...parts, knowledge, followsStore: () => role.follows()}, signal));
-	await firstConfiguration(parts);
+	await firstNews(parts);
 	await listen(callerServer, settings.listen.callers);
 	parts.callers.open = true;
 	parts.members.beat(isReady(parts));
@@ -71,12 +72,13 @@
 }
 
 /** Takes what another gateway tells, and tells it what it lacks. */
-function answerGateway({members: told, heartbeats, known}: ExchangeMessage, {members, readClock}: GatewayParts, knowledge: SharedKnowledge): ExchangeMessage {
+function answerGateway({members: told, heartbeats, unsavedEnds, known}: ExchangeMessage, {members, suspects, readClock}: GatewayParts, knowledge: SharedKnowledge): ExchangeMessage {
 	const now = readClock();
 	members.merge(told, now.steady);
 	if (heartbeats) {
 		members.hear(heartbeats, now.steady);
-		return {members: [members.self, ...members.unknownTo(heartbeats, now.steady)], heartbeats: members.heartbeats(now.steady)};
+		suspects.hear(unsavedEnds ?? []);
+		return {members: [members.self, ...members.unknownTo(heartbeats, now.steady)], heartbeats: members.heartbeats(now.steady), unsavedEnds: suspects.unsavedEnds()};
 	}
 
 	const asksAnew = known?.configurationVersion === 0;
@@ -86,10 +88,13 @@
 	};
 }
 
-/** Waits until callers can be served, for a while: until then a refused connection sends them to another gateway at once. */
-async function firstConfiguration({configuration, clock}: GatewayParts): Promise<void> {
-	const until = clock() + firstConfigurationMilliseconds;
-	while (!configuration.table && clock() < until) {
+/**
+ * Waits until callers can be served and it is known which requests are suspected, for a while: until then a refused connection sends
+ * callers to another gateway at once.
+ */
+async function firstNews({configuration, suspects, clock}: GatewayParts): Promise<void> {
+	const until = clock() + firstNewsMilliseconds;
+	while (!(configuration.table && suspects.isTold) && clock() < until) {
 		await pause(firstLookMilliseconds);
 	}
 }
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -13,7 +13,7 @@
 	admitRequest, drawService, type Admission, type RequestKind, type Route,
 } from '../routing/mod.ts';
 import {signalOfCaller} from '../supervision/caller-signal.ts';
-import {RequestIdentity} from '../suspects/mod.ts';
+import {RequestIdentity, type RequestSuspects, type SuspectAdmission} from '../suspects/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 
 type Forward = (exchange: Exchange, parts: ForwardingParts) => Promise<ExchangeOutcome>;
@@ -85,6 +85,13 @@
 	});
 }
 
+/** How a request that is not refused is sent. */
+const cares: Record<Exclude<SuspectAdmission['kind'], 'refused'>, Exchange['care']> = {free: 'none', suspected: 'suspected', trial: 'trial'};
+
+const endsEndpoints: Refusal = {
+	status: 503, code: 'ends_endpoints', message: 'Endpoints ended each time they ran this request, and it is not sent to another one for now.',
+};
+
 type Arrived = Pick<Exchange, 'terms' | 'requestName' | 'arrivedAt'>;
 
 async function serve(request: IncomingMessage, response: ServerResponse, arrived: Arrived, parts: GatewayParts): Promise<ExchangeOutcome & {service?: string; route?: string}> {
@@ -125,12 +132,29 @@
 	const identity = new RequestIdentity({
 		host: request.headers.host ?? '', method: request.method ?? '', target: request.url ?? '', workspace: workspace?.name, body,
 	});
+	const suspected = await parts.suspects.admit(identity);
+	if (suspected.kind === 'refused') {
+		return {...refuse(response, {...endsEndpoints, retryAfterMilliseconds: suspected.retryAfterMilliseconds}), service: service.name, route: route.name};
+	}
+
 	const outcome = await forwards[route.kind]({
-		...arrived, answerBy: answerBy(arrived, route), identity, request, response, body, route, service, workspace, callerGone,
+		...arrived, answerBy: answerBy(arrived, route), identity, care: cares[suspected.kind], request, response, body, route, service, workspace, callerGone,
 	}, parts);
+	void learnOfSuspect(parts.suspects, {identity, suspected, outcome});
 	return {...outcome, service: service.name, route: route.name};
 }
 
+type ServedSuspect = {identity: RequestIdentity; suspected: SuspectAdmission; outcome: ExchangeOutcome};
+
+/** Clears a suspected request that was served, and takes back a trial that did not run. */
+async function learnOfSuspect(suspects: RequestSuspects, {identity, suspected, outcome: {outcome, status}}: ServedSuspect): Promise<void> {
+	if (outcome === 'answered') {
+		await suspects.succeeded(identity);
+	} else if (suspected.kind === 'trial' && status === 503) {
+		await suspects.trialNotRun(identity);
+	}
+}
+
 function answerBy({terms, arrivedAt}: Arrived, {timeoutMilliseconds}: Route): number {
 	return arrivedAt + Math.min(terms.deadlineMilliseconds ?? timeoutMilliseconds, timeoutMilliseconds);
 }
--- a/source/gateway/shared-knowledge.ts
+++ b/source/gateway/shared-knowledge.ts
@@ -16,7 +16,7 @@
  * @param parts The gateway's parts.
  */
 export function createSharedKnowledge(parts: GatewayParts): SharedKnowledge {
-	const {configuration, endpoints, logger} = parts;
+	const {configuration, endpoints, suspects, logger} = parts;
 	/** Takes a configuration; returns whether it could be read. */
 	const learnConfiguration = (text: string): boolean => {
 		const unpacked = unpackConfiguration(text);
@@ -30,9 +30,9 @@
 	};
 
 	return {
-		known: () => ({configurationVersion: configuration.table?.version ?? 0, endpointRevision: endpoints.revision}),
+		known: () => ({configurationVersion: configuration.table?.version ?? 0, endpointRevision: endpoints.revision, suspectRevision: suspects.revision}),
 		age: now => Math.max(configuration.knowledge(now).ageMilliseconds, endpoints.age(now)),
-		newsFor({configurationVersion, endpointRevision}, now) {
+		newsFor({configurationVersion, endpointRevision, suspectRevision}, now) {
 			const {table, ageMilliseconds} = configuration.knowledge(now);
 			return {
 				configuration: table && table.version > configurationVersion ? packConfiguration(table.configuration) : undefined,
@@ -40,6 +40,8 @@
 				endpoints: endpoints.changesSince(endpointRevision),
 				endpointRevision: endpoints.revision,
 				endpointAgeMilliseconds: finite(endpoints.age(now)),
+				suspects: suspects.changesSince(suspectRevision),
+				suspectRevision: suspects.revision,
 			};
 		},
 		learn(news: News, askedAt: ClockReading) {
@@ -48,6 +50,8 @@
 				configuration.confirm(earlier(askedAt, news.configurationAgeMilliseconds));
 			}
 
+			suspects.apply(news.suspects);
+			suspects.confirm(news.suspectRevision);
 			endpoints.apply(news.endpoints, askedAt.steady);
 			if (news.endpointAgeMilliseconds !== undefined) {
 				endpoints.confirm(news.endpointRevision, earlier(askedAt, news.endpointAgeMilliseconds));
--- a/source/platform/store-client.ts
+++ b/source/platform/store-client.ts
@@ -43,6 +43,16 @@
 /** A row to write, and the revision that it must have; 0 means that it must not exist, absent means any. */
 export type RowWrite = {table: string; key: string; content: string; expectedRevision?: number};
 
+/** Where a row stands. */
+export type RowPlace = {table: string; key: string};
+
+/** Rows to write and to remove together, if the rows in `expected` have the revisions named there; 0 means that a row must not exist. */
+export type Transaction = {
+	expected: ReadonlyArray<RowPlace & {revision: number}>;
+	puts: ReadonlyArray<RowPlace & {content: string}>;
+	removes: readonly RowPlace[];
+};
+
 /** Options of {@linkcode StoreClient}. */
 export type StoreClientOptions = {
 	/** IP number and port. */
@@ -102,6 +112,16 @@
 		return this.#readAll(table, {from: ''}, signal);
 	}
 
+	/** Reads one row; there is none in the answer where it does not exist. */
+	async readRow(table: string, key: string): Promise<Result<StoredRows, StoreFailure>> {
+		return this.#readAll(table, {from: key, to: `${key}\u0000`});
+	}
+
+	/** Reads some rows of a table, from a key on, in the order of their keys. */
+	async readSome(table: string, from: string, limit: number): Promise<Result<StoredRows, StoreFailure>> {
+		return this.#readPage(table, {from}, limit);
+	}
+
 	/** Reads the rows of a table whose keys begin with a text. */
 	async readPrefix(table: string, prefix: string, signal?: AbortSignal): Promise<Result<StoredRows, StoreFailure>> {
 		return this.#readAll(table, {from: prefix, to: `${prefix}${lastCharacter}`}, signal);
@@ -122,11 +142,32 @@
 
 	/** Writes one row. */
 	async writeRow({table, key, content, expectedRevision}: RowWrite): Promise<Result<WriteOutcome, StoreFailure>> {
-		const place = {table, part: undividedPart, key};
-		return this.#transact({
-			expectedRevision: expectedRevision === undefined ? [] : [{...place, resourceVersion: expectedRevision}],
-			puts: [{...place, value: Buffer.from(content).toString('base64')}],
-			remove: [],
+		return this.transact({
+			expected: expectedRevision === undefined ? [] : [{table, key, revision: expectedRevision}], puts: [{table, key, content}], removes: [],
+		});
+	}
+
+	/** Writes and removes rows, all of them or none. */
+	async transact({expected, puts, removes}: Transaction): Promise<Result<WriteOutcome, StoreFailure>> {
+		const part = undividedPart;
+		const json = {
+			expectedRevision: expected.map(({table, key, revision}) => ({
+				table, part, key, resourceVersion: revision,
+			})),
+			puts: puts.map(({table, key, content}) => ({
+				table, part, key, value: Buffer.from(content).toString('base64'),
+			})),
+			remove: removes.map(({table, key}) => ({table, part, key})),
+		};
+		const answer = await this.#call('write', {
+			method: 'POST', path: '/api/rows-tx', json, timeoutMilliseconds: this.#timeoutMilliseconds,
+		});
+		return answer.andThen(({status}): Result<WriteOutcome, StoreFailure> => {
+			if (status === 200) {
+				return ok({kind: 'committed'});
+			}
+
+			return status === 412 ? ok({kind: 'conflict'}) : err(failureOf(status));
 		});
 	}
 
@@ -139,10 +180,7 @@
 		const rows: StoredRow[] = [];
 		let {from} = range;
 		for (;;) {
-			const query = new URLSearchParams({
-				table, part: undividedPart, ...range, from, limit: String(rowsPerCall),
-			});
-			const answer = await this.#readRows('read', `/api/rows-get?${query.toString()}`, this.#timeoutMilliseconds, signal);
+			const answer = await this.#readPage(table, {...range, from}, rowsPerCall, signal);
 			if (answer.isErr()) {
 				return err(answer.error);
 			}
@@ -157,17 +195,11 @@
 		}
 	}
 
-	async #transact(json: unknown): Promise<Result<WriteOutcome, StoreFailure>> {
-		const answer = await this.#call('write', {
-			method: 'POST', path: '/api/rows-tx', json, timeoutMilliseconds: this.#timeoutMilliseconds,
-		});
-		return answer.andThen(({status}): Result<WriteOutcome, StoreFailure> => {
-			if (status === 200) {
-				return ok({kind: 'committed'});
-			}
-
-			return status === 412 ? ok({kind: 'conflict'}) : err(failureOf(status));
+	async #readPage(table: string, range: {from: string; to?: string}, limit: number, signal?: AbortSignal): Promise<Result<StoredRows & {hasMore: boolean}, StoreFailure>> {
+		const query = new URLSearchParams({
+			table, part: undividedPart, ...range, limit: String(limit),
 		});
+		return this.#readRows('read', `/api/rows-get?${query.toString()}`, this.#timeoutMilliseconds, signal);
 	}
 
 	async #readRows(operation: string, path: string, timeoutMilliseconds: number, signal?: AbortSignal): Promise<Result<StoredRows & {hasMore: boolean}, StoreFailure>> {
--- a/source/suspects/mod.ts
+++ b/source/suspects/mod.ts
@@ -5,3 +5,8 @@
  */
 
 export * from './request-identity.ts';
+export * from './request-suspects.ts';
+export * from './suspicion-table.ts';
+export {
+	decodeSuspicion, endpointLifeSchema, suspicionSchema, type Suspicion,
+} from './suspicion.ts';
--- a/source/telemetry/gateway-metrics.ts
+++ b/source/telemetry/gateway-metrics.ts
@@ -36,6 +36,9 @@
 		lostAttempts: new Counter({
 			name: 'azuretack_gateway_lost_attempts_total', help: 'Attempts whose answer was lost, by service and what became of the endpoint: ended, lives or unknown.', labelNames: ['service', 'fate'], registers,
 		}),
+		suspects: new Counter({
+			name: 'azuretack_gateway_suspected_requests_total', help: 'Decisions on requests under which endpoints end: counted, refused, trial or cleared.', labelNames: ['decision'], registers,
+		}),
 		answerSeconds: new Histogram({
 			name: 'azuretack_gateway_answer_seconds', help: 'Time from a request to the end of its answer.', labelNames: ['service'], buckets: secondsBuckets, registers,
 		}),
