Follow suspected requests with few calls to the store

The feed's question now waits for 10 s, since its age is of no interest; so that a connection that has gone silent does not hide a row for that long, the first follower that gets no answer has all others ask anew (a test that fails without it: the second question never comes). Ends are saved again at pauses that double up to 8 s, and a round stops at the first refusal.

--- a/source/beliefs/beliefs.test.ts
+++ b/source/beliefs/beliefs.test.ts
@@ -4,7 +4,7 @@
 import {type StoreFailure, type StoredRows} from '../platform/mod.ts';
 import {createLogger} from '../telemetry/logger.ts';
 import {
-	ConfigurationBelief, EndpointList, StoreClock, ageOf, divideNewsTime, followTable, type EndpointEntry,
+	ConfigurationBelief, EndpointList, FollowRenewal, StoreClock, ageOf, divideNewsTime, followTable, type EndpointEntry,
 } from './mod.ts';
 
 const at = (steady: number, wall = steady) => ({steady, wall});
@@ -157,7 +157,47 @@
 		gatherMilliseconds: 0,
 		readClock: () => at(performance.now()),
 		storeClock: new StoreClock(),
+		renewal: new FollowRenewal(),
 		random: () => 0,
 	}, ending.signal);
 	assert.deepEqual(told, ['all row-3', 'some row-4', 'all row-5', 'recovered']);
 });
+
+test('once one follower gets no answer, the others ask anew instead of waiting on connections that may be silent', async () => {
+	const renewal = new FollowRenewal();
+	const ending = new AbortController();
+	const questions: string[] = [];
+	const read = async () => ok<StoredRows, StoreFailure>({rows: [], revision: 1, storeMilliseconds: undefined});
+	const follow = async (table: string, changes: (signal: AbortSignal) => Promise<Result<StoredRows, StoreFailure>>) => followTable({
+		store: {
+			readTable: read,
+			async changes(_table, _revision, _wait, signal) {
+				questions.push(table);
+				return changes(signal!);
+			},
+		},
+		table,
+		listener: {replace: () => undefined, apply: () => undefined, confirm: () => undefined},
+		logger: createLogger('test', {level: 'silent'}),
+		roundMilliseconds: 10_000,
+		gatherMilliseconds: 0,
+		readClock: () => at(performance.now()),
+		storeClock: new StoreClock(),
+		renewal,
+		random: () => 0,
+	}, ending.signal);
+	const waiting = follow('waiting', async signal => new Promise(resolve => {
+		signal.addEventListener('abort', () => {
+			resolve(err({kind: 'refused', message: 'ended'}));
+		});
+	}));
+	const silent = follow('silent', async () => {
+		if (questions.filter(table => table === 'waiting').length > 1) {
+			ending.abort();
+		}
+
+		return err({kind: 'unknown', message: 'no answer'});
+	});
+	await Promise.all([waiting, silent]);
+	assert.deepEqual(questions.filter(table => table === 'waiting').length, 2);
+});
--- a/source/beliefs/follow-table.ts
+++ b/source/beliefs/follow-table.ts
@@ -29,6 +29,42 @@
 	recovered?(): void;
 };
 
+/** Has all followers of a store ask anew once one of them gets no answer: when one open connection has gone silent, others may have too. */
+export class FollowRenewal {
+	readonly #questions = new Set<AbortController>();
+
+	/**
+	 * Asks a question that ends early when it is to be asked anew.
+	 *
+	 * @param ask The question.
+	 * @param signal Ends it too.
+	 * @returns The answer; `renewed` where it is to be asked anew.
+	 */
+	async run<Answer>(ask: (signal: AbortSignal) => Promise<Answer>, signal: AbortSignal): Promise<Answer | 'renewed'> {
+		const question = new AbortController();
+		const end = () => {
+			question.abort();
+		};
+
+		this.#questions.add(question);
+		signal.addEventListener('abort', end);
+		try {
+			const answer = await ask(question.signal);
+			return question.signal.aborted ? 'renewed' : answer;
+		} finally {
+			this.#questions.delete(question);
+			signal.removeEventListener('abort', end);
+		}
+	}
+
+	/** Has all questions asked anew. */
+	renew(): void {
+		for (const question of this.#questions) {
+			question.abort();
+		}
+	}
+}
+
 /** Options of {@linkcode followTable}. */
 export type FollowTableOptions = {
 	store: TableReader;
@@ -39,6 +75,10 @@
 	roundMilliseconds: number;
 	/** Part of that time which passes after an answer with changes, so that more of them come in one answer, in milliseconds. */
 	gatherMilliseconds: number;
+	/** Longest pause after a failed call, in milliseconds. Default 800. */
+	longestRetryMilliseconds?: number;
+	/** Shared by the followers of one store. */
+	renewal: FollowRenewal;
 	/** Whether to follow now; while it returns false, the table is left alone. Default always. */
 	wanted?: () => boolean;
 	readClock: () => ClockReading;
@@ -49,9 +89,6 @@
 /** First pause after a failed call, in milliseconds. */
 const firstRetryMilliseconds = 100;
 
-/** Longest pause after a failed call, in milliseconds. */
-const longestRetryMilliseconds = 800;
-
 /** Time between two looks at whether to follow, in milliseconds. */
 const lookMilliseconds = 250;
 
@@ -66,7 +103,7 @@
  * ```
  */
 export async function followTable(options: FollowTableOptions, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
-	const {table, logger, listener, roundMilliseconds, gatherMilliseconds, random, wanted = () => true} = options;
+	const {table, logger, listener, roundMilliseconds, gatherMilliseconds, random, renewal, wanted = () => true, longestRetryMilliseconds = 800} = options;
 	let revision: number | undefined;
 	let failures = 0;
 	let gathered = 0;
@@ -76,9 +113,11 @@
 			continue;
 		}
 
-		const asked = await askOnce(options, revision, roundMilliseconds - gathered, signal);
-		if (signal.aborted) {
-			break;
+		const since = revision;
+		const waitMilliseconds = roundMilliseconds - gathered;
+		const asked = await renewal.run(async ending => askOnce(options, since, waitMilliseconds, ending), signal);
+		if (asked === 'renewed') {
+			continue;
 		}
 
 		if (asked.isOk()) {
@@ -96,6 +135,9 @@
 
 		if (failures === 0) {
 			logger.warn('table cannot be followed', {table, revision, reason: asked.error.message});
+			if (asked.error.kind === 'unknown') {
+				renewal.renew();
+			}
 		}
 
 		failures += 1;
--- a/source/gateway/follow-store.ts
+++ b/source/gateway/follow-store.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {
-	StoreClock, followTable, type EndpointChange, type TableListener,
+	FollowRenewal, StoreClock, followTable, type EndpointChange, type TableListener,
 } from '../beliefs/mod.ts';
 import {
 	configurationKey, decodeConfiguration, decodeEndpoint, endpointTable, operatorTable, type StoredRow,
@@ -18,7 +18,10 @@
  * Time for which the store is asked to wait for a suspected request, in milliseconds: it answers at once when there is one, and none is
  * the usual case, whose age nobody needs to know.
  */
-const suspectsRoundMilliseconds = 3000;
+const suspectsRoundMilliseconds = 10_000;
+
+/** Longest pause until the store is asked for them again, in milliseconds: while it is away, the other tables show when it is back. */
+const suspectsRetryMilliseconds = 2000;
 
 /**
  * Starts the tasks.
@@ -36,6 +39,7 @@
 		random,
 		roundMilliseconds: newsTimes.storeMilliseconds,
 		storeClock: new StoreClock(),
+		renewal: new FollowRenewal(),
 		wanted,
 	};
 	supervisor.start('configuration', async signal => followTable({
@@ -45,7 +49,7 @@
 		...shared, table: endpointTable, listener: endpointListener(parts), gatherMilliseconds: newsTimes.gatherMilliseconds,
 	}, signal));
 	supervisor.start('suspects', async signal => followTable({
-		...shared, roundMilliseconds: suspectsRoundMilliseconds, table: toldTable, listener: suspectListener(parts), gatherMilliseconds: 0,
+		...shared, roundMilliseconds: suspectsRoundMilliseconds, longestRetryMilliseconds: suspectsRetryMilliseconds, table: toldTable, listener: suspectListener(parts), gatherMilliseconds: 0,
 	}, signal));
 }
 
--- a/source/suspects/request-suspects.ts
+++ b/source/suspects/request-suspects.ts
@@ -56,9 +56,12 @@
 /** Time after which a trial that the store could not be asked for is asked for again, in milliseconds. */
 const askAgainMilliseconds = 1000;
 
-/** Time between two tries to save ends that the store did not take, in milliseconds. */
+/** Time between two tries to save ends that the store did not take, in milliseconds; longer each time up to the longest one. */
 const saveMilliseconds = 1000;
 
+/** Longest time between two such tries, in milliseconds. */
+const longestSaveMilliseconds = 8000;
+
 /** Time for which ends that the store has not taken count, in milliseconds. */
 const unsavedMilliseconds = 60_000;
 
@@ -203,24 +206,34 @@
 
 	/** Saves the ends that the store did not take, until the signal aborts. */
 	async saveUnsaved(signal: AbortSignal): Promise<Result<void, TaskFailure>> {
-		while (await pause(saveMilliseconds, signal)) {
-			this.#expireUnsaved();
-			for (const {end, isOwn} of this.#unsaved.values()) {
-				if (isOwn) {
-					await this.#save(end);
-				}
-			}
+		let pauseMilliseconds = saveMilliseconds;
+		while (await pause(pauseMilliseconds, signal)) {
+			const isSaved = await this.#saveAll();
+			pauseMilliseconds = isSaved ? saveMilliseconds : Math.min(pauseMilliseconds * 2, longestSaveMilliseconds);
 		}
 
 		return ok();
 	}
 
-	async #save(end: UnsavedEnd): Promise<void> {
+	/** Saves the ends of this gateway, up to the first that the store does not take. */
+	async #saveAll(): Promise<boolean> {
+		this.#expireUnsaved();
+		for (const {end, isOwn} of this.#unsaved.values()) {
+			if (isOwn && !await this.#save(end)) {
+				return false;
+			}
+		}
+
+		return true;
+	}
+
+	/** Has the store count an end; returns whether it did. */
+	async #save(end: UnsavedEnd): Promise<boolean> {
 		const {digest, service, life} = end;
 		const saved = await this.#options.table.change(digest, (before, now) => addEnd(before, service, life, now));
 		if (saved.isErr()) {
 			this.#options.logger.warn('end of an endpoint under a request is not saved yet', {digest, endpoint: life.id, reason: saved.error});
-			return;
+			return false;
 		}
 
 		this.#unsaved.delete(nameOf(end));
@@ -228,6 +241,8 @@
 		if (saved.value.isChanged) {
 			this.#log('counted', digest, saved.value.suspicion);
 		}
+
+		return true;
 	}
 
 	/** Asks the store for a trial; nobody else gets one at the same time. */
