Let the soak play requests that end workers, and check that they are held back

No fault of the soak made a worker end under a request, and no check counted it. New: the fault 'requests end workers' (a caller that comes back every 0.3 s with the same request, of each kind), the check endingRequests with its mutation (a caller whose path differs each time, so that no gateway can know the request), and workers that refuse connections while they are gone, as an address without a process does.

--- a/source/testing/soak/callers.ts
+++ b/source/testing/soak/callers.ts
@@ -8,8 +8,8 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {sendCall} from '../call.ts';
 import {type CallKind, type SeenAnswer, type SeenRequest} from './history.ts';
-import {type Random} from './random.ts';
-import {lastEventOf, prefixes} from './requests.ts';
+import {Random} from './random.ts';
+import {endingBody, lastEventOf, prefixes} from './requests.ts';
 import {soakHost, type SoakWorld} from './world.ts';
 
 /** Requests a second of each kind. */
@@ -150,6 +150,53 @@
 	}
 }
 
+/** Options of {@linkcode playEndingRequest}. */
+export type EndingRequestOptions = {
+	kind: CallKind;
+	/** Path of each send; default the same each time. */
+	targetOf?: (send: number) => string;
+};
+
+/** Time between two sends of a request that ends workers, in milliseconds. */
+const endingGapMilliseconds = 300;
+
+/** Requests that end workers which were made so far. */
+let endingRequests = 0;
+
+/** Sends a request that ends each worker that runs it to any gateway again and again, until the signal aborts. */
+export async function playEndingRequest(world: SoakWorld, {kind, targetOf}: EndingRequestOptions, signal: AbortSignal): Promise<void> {
+	endingRequests += 1;
+	const number = endingRequests;
+	const random = new Random(number);
+	for (let send = 1; !signal.aborted; send += 1) {
+		const gateway = random.pick(world.gateways);
+		const {keys} = world.history.configurations.at(-1)!;
+		const request: SeenRequest = {
+			attempt: `ending-${number}-${send}`,
+			kind,
+			gateway: gateway.name,
+			workspace: 'workspace-1',
+			key: keys['workspace-1']![0]!,
+			method: 'POST',
+			target: targetOf?.(send) ?? `${prefixes[kind]}ending-${number}`,
+			body: endingBody(number),
+			lastEvent: 0,
+			sentAt: performance.now(),
+			deadlineMilliseconds: deadlines[kind],
+		};
+		world.history.requests.push(request);
+		await sendOnce(request, gateway.callersLink.address);
+		await delay(endingGapMilliseconds);
+	}
+}
+
+/** Sends a request over a connection of its own. */
+async function sendOnce(request: SeenRequest, address: string): Promise<void> {
+	const agent = new Agent();
+	await send(request, {address, agent, leaves: undefined});
+	agent.destroy();
+}
+
 /** Whether a caller may send a request again: after any failure, or only after "not run". */
 function mayRepeat({kind, body, lastEvent}: SeenRequest, {status, whole, body: text}: SeenAnswer): boolean {
 	if (kind === 'once') {
--- a/source/testing/soak/checks/checks.test.ts
+++ b/source/testing/soak/checks/checks.test.ts
@@ -2,7 +2,7 @@
 import {describe, test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type WorkerLie} from '../../stand-ins/worker-options.ts';
-import {Callers} from '../callers.ts';
+import {Callers, playEndingRequest} from '../callers.ts';
 import {createHistory} from '../history.ts';
 import {Random} from '../random.ts';
 import {retryBounds} from '../plan.ts';
@@ -30,6 +30,10 @@
 	oneEngineAtATime: tellLie('breaks-and-works-on'),
 	boundedAttempts: tellLie('counts-thrice'),
 	retryBudget: tellLie('counts-thrice'),
+	endingRequests(world) {
+		// Each send has another path, so that gateways cannot know it for the same request.
+		void playEndingRequest(world, {kind: 'idempotent', targetOf: send => `${prefixes.idempotent}ending-${send}`}, AbortSignal.timeout(showsMilliseconds));
+	},
 	leftCallers({slots}) {
 		for (const {worker} of slots) {
 			worker.lie = 'ignores-close';
--- a/source/testing/soak/checks/mod.ts
+++ b/source/testing/soak/checks/mod.ts
@@ -10,7 +10,7 @@
 import {configurationInTime, withdrawnKeys} from './configuration.ts';
 import {noEndsOfTheirOwn, recovery} from './processes.ts';
 import {
-	boundedAttempts, leavingWorkers, leftCallers, notRunIsTrue, oneEngineAtATime, retryBudget, runsOnce, unchangedRequests,
+	boundedAttempts, endingRequests, leavingWorkers, leftCallers, notRunIsTrue, oneEngineAtATime, retryBudget, runsOnce, unchangedRequests,
 } from './runs.ts';
 
 export type {Check, Violation} from './check.ts';
@@ -23,6 +23,7 @@
 	oneEngineAtATime,
 	boundedAttempts,
 	retryBudget,
+	endingRequests,
 	leftCallers,
 	leavingWorkers,
 	wholeAnswers,
--- a/source/testing/soak/checks/runs.ts
+++ b/source/testing/soak/checks/runs.ts
@@ -4,9 +4,10 @@
  * @module
  */
 import {type WorkerRun} from '../../stand-ins/worker-options.ts';
+import {allowedLateSends, findLateSends} from '../../late-sends.ts';
 import {findRetryExcess} from '../../retry-excess.ts';
 import {
-	isInTouch, isWorkerSound, type History, type SeenRequest,
+	contactMilliseconds, isInTouch, isWorkerSound, type History, type SeenRequest,
 } from '../history.ts';
 import {endOf, requestsWithRuns} from './_index-runs.ts';
 import {type Check, type Violation} from './check.ts';
@@ -91,6 +92,18 @@
 	});
 };
 
+/** A request that ends workers is held back once all gateways must know of it; gateways that were harmed are excused. */
+export const endingRequests: Check = history => {
+	const requests = new Map(history.requests.map(request => [request.attempt, request]));
+	const bodies = new Set(history.endings.map(({attempt}) => requests.get(attempt)!.body));
+	return [...bodies].flatMap((body): Violation[] => {
+		const isOf = ({attempt}: {attempt: string}) => requests.get(attempt)?.body === body;
+		const arrivals = history.arrivals.filter(arrival => isOf(arrival) && isInTouch(history, requests.get(arrival.attempt)!.gateway, arrival.at, arrival.at));
+		const late = findLateSends({arrivals: arrivals.map(({at}) => at), ends: history.endings.filter(ending => isOf(ending)).map(({at}) => at)}, contactMilliseconds);
+		return late.length > allowedLateSends ? [{message: `"${body}" reached workers ${late.length} times later than ${contactMilliseconds} ms after the third end`}] : [];
+	});
+};
+
 /** Time after which workers are told of a caller that left, in milliseconds. */
 const leftMilliseconds = 500;
 
--- a/source/testing/soak/fault-kinds.ts
+++ b/source/testing/soak/fault-kinds.ts
@@ -6,6 +6,8 @@
 import {type LinkFault} from '../stand-ins/link.ts';
 import {type StoreFault} from '../stand-ins/store-stand-in.ts';
 import {type WorkerFault} from '../stand-ins/worker-options.ts';
+import {playEndingRequest} from './callers.ts';
+import {type CallKind} from './history.ts';
 import {type SoakGateway} from './gateway-process.ts';
 import {type SoakWorld} from './world.ts';
 import {type WorkerSlot} from './worker-slots.ts';
@@ -212,6 +214,19 @@
 			return undefined;
 		},
 	},
+	'requests end workers': {
+		variants: ['idempotent', 'once', 'generation'] satisfies CallKind[],
+		on: 'all',
+		disturbs: false,
+		start(_nothing, variant, world) {
+			const ending = new AbortController();
+			const playing = playEndingRequest(world, {kind: variant as CallKind}, ending.signal);
+			return async () => {
+				ending.abort();
+				await playing;
+			};
+		},
+	},
 	'configuration changes': {
 		variants: ['once', 'storm', 'key taken away', 'route moved'],
 		on: 'operator',
--- a/source/testing/soak/history.ts
+++ b/source/testing/soak/history.ts
@@ -67,6 +67,9 @@
 	until: number | undefined;
 };
 
+/** The end of a worker's process under a request that ends it. */
+export type SeenEnding = {attempt: string; at: number};
+
 /** A planned stop of a gateway. */
 export type PlannedStop = {gateway: string; at: number};
 
@@ -82,6 +85,8 @@
 	runs: WorkerRun[];
 	configurations: SeenConfiguration[];
 	leavings: SeenLeaving[];
+	/** Ends of workers under requests that end them. */
+	endings: SeenEnding[];
 	disturbances: Disturbance[];
 	stops: PlannedStop[];
 	ends: ProcessEnd[];
@@ -98,7 +103,7 @@
  */
 export function createHistory(retryBounds: RetryBounds): History {
 	return {
-		retryBounds, requests: [], arrivals: [], runs: [], configurations: [], leavings: [], disturbances: [], stops: [], ends: [], slots: new Map(), settledAt: undefined,
+		retryBounds, requests: [], arrivals: [], runs: [], configurations: [], leavings: [], endings: [], disturbances: [], stops: [], ends: [], slots: new Map(), settledAt: undefined,
 	};
 }
 
--- a/source/testing/soak/requests.ts
+++ b/source/testing/soak/requests.ts
@@ -11,6 +11,19 @@
 /** Events of the shortest and the longest generation. */
 const eventRange = {fewest: 10, most: 40};
 
+/** Begins the bodies of requests that end the worker that runs them. */
+const endingPrefix = 'ending ';
+
+/** Body of a request that ends workers; the number tells one from another, and says how long its generation would be. */
+export function endingBody(number: number): string {
+	return `${endingPrefix}${number}`;
+}
+
+/** Whether a request with this body ends the worker that runs it. */
+export function endsWorkers(body: string): boolean {
+	return body.startsWith(endingPrefix);
+}
+
 /** First path segment of a target, with its slashes. */
 export function prefixOf(target: string): string {
 	return `/${target.split('/')[1]}/`;
--- a/source/testing/soak/worker-slots.ts
+++ b/source/testing/soak/worker-slots.ts
@@ -9,7 +9,7 @@
 import {type WorkerRun} from '../stand-ins/worker-options.ts';
 import {WorkerStandIn} from '../stand-ins/worker-stand-in.ts';
 import {type History} from './history.ts';
-import {eventText, lastEventOf} from './requests.ts';
+import {endsWorkers, eventText, lastEventOf} from './requests.ts';
 
 /** Time without a heartbeat after which the store drops a worker's entry, in milliseconds. */
 const lapseMilliseconds = 3000;
@@ -69,6 +69,7 @@
 			return;
 		}
 
+		await this.link.start();
 		this.#incarnation += 1;
 		const id = `${this.name}-${this.#incarnation}`;
 		this.#options.history.slots.set(id, this.name);
@@ -85,6 +86,10 @@
 			answerOf: ({worker, attempt}) => `answer of ${worker} to ${attempt} ${'.'.repeat(700)}`,
 			eventsOf: ({body}: WorkerRun) => lastEventOf(body),
 			eventOf: ({body}: WorkerRun, event) => eventText(body, event),
+			endsUnder: ({body}) => endsWorkers(body),
+			onEnd: run => {
+				void this.#endUnder(run);
+			},
 		});
 		this.register();
 	}
@@ -97,11 +102,7 @@
 	/** The worker dies; its entry goes some seconds later, and the next one starts. */
 	async crash(): Promise<void> {
 		await this.#exclusively(async () => {
-			const {id} = this;
-			this.worker.crash();
-			void this.#lapse(id);
-			await delay(restartMilliseconds);
-			await this.start();
+			await this.#crash();
 		});
 	}
 
@@ -127,13 +128,13 @@
 	async replace(): Promise<void> {
 		await this.#exclusively(async () => {
 			const {id} = this;
-			this.worker.crash();
+			this.#kill();
 			void this.#lapse(id);
 			await delay(reuseMilliseconds);
 			await this.start(this.#options.otherService);
 			await delay(lapseMilliseconds);
 			this.#options.store.remove('servers', this.id);
-			this.worker.crash();
+			this.#kill();
 			await delay(reuseMilliseconds);
 			await this.start();
 		});
@@ -152,11 +153,37 @@
 			kind: 'worker ends', target: this.name, from: performance.now(), until: performance.now(),
 		};
 		this.#options.history.disturbances.push(disturbance);
-		this.worker.crash();
+		this.#kill();
 		await delay(reuseMilliseconds);
 		disturbance.until = performance.now();
 	}
 
+	/** A request has ended the worker; what else ran there is excused until the next one runs. */
+	async #endUnder({attempt}: WorkerRun): Promise<void> {
+		const {history} = this.#options;
+		const disturbance = {
+			kind: 'worker ended under a request', target: this.name, from: performance.now(), until: undefined as number | undefined,
+		};
+		history.endings.push({attempt, at: performance.now()});
+		history.disturbances.push(disturbance);
+		await this.#exclusively(async () => this.#crash());
+		disturbance.until = performance.now();
+	}
+
+	async #crash(): Promise<void> {
+		const {id} = this;
+		this.#kill();
+		void this.#lapse(id);
+		await delay(restartMilliseconds);
+		await this.start();
+	}
+
+	/** Ends the worker; nothing listens at its address then. */
+	#kill(): void {
+		this.worker.crash();
+		this.link.refuse();
+	}
+
 	async #lapse(id: string): Promise<void> {
 		await delay(lapseMilliseconds);
 		this.#options.store.remove('servers', id);
--- a/source/testing/stand-ins/link.ts
+++ b/source/testing/stand-ins/link.ts
@@ -62,8 +62,12 @@
 		return this.#listen;
 	}
 
-	/** Starts to listen. */
+	/** Starts to listen, unless it does. */
 	async start(): Promise<void> {
+		if (this.#server?.listening) {
+			return;
+		}
+
 		this.#server = createServer(socket => {
 			this.#accept(socket);
 		});
@@ -72,6 +76,11 @@
 		await once(this.#server, 'listening');
 	}
 
+	/** Refuses new connections until it is started again, as an address at which no process listens. */
+	refuse(): void {
+		this.#server?.close();
+	}
+
 	/** Stops, and resets what is open. */
 	close(): void {
 		this.#server?.close();
