--- a/source/suspects/request-suspects.test.ts
+++ b/source/suspects/request-suspects.test.ts
@@ -329,3 +329,9 @@
 		assert.notEqual(new RequestIdentity({...base, ...change}).digest, digest);
 	}
 });
+
+test('attempts that lose one endpoint together have its end counted by one change of the row', async () => {
+	const world = new World(1, 10);
+	await Promise.all(Array.from({length: 20}, async () => world.gateways[0]!.ended(requestOf('popular'), endpointOf(1))));
+	assert.equal(world.store.calls, 2);
+});
--- a/source/suspects/request-suspects.ts
+++ b/source/suspects/request-suspects.ts
@@ -88,6 +88,8 @@
 	readonly #known = new Map<string, Known>();
 	/** Ends that the store has not taken yet, by request and life. */
 	readonly #unsaved = new Map<string, Unsaved>();
+	/** Ends that are being saved. */
+	readonly #saving = new Map<string, Promise<boolean>>();
 	readonly #claiming = new Set<string>();
 	#revision = 0;
 	#isTold = false;
@@ -227,8 +229,17 @@
 		return true;
 	}
 
-	/** Has the store count an end; returns whether it did. */
+	/** Has the store count an end, once for all attempts that saw it; returns whether it did. */
 	async #save(end: UnsavedEnd): Promise<boolean> {
+		const name = nameOf(end);
+		const saving = this.#saving.get(name) ?? this.#saveOnce(end).finally(() => {
+			this.#saving.delete(name);
+		});
+		this.#saving.set(name, saving);
+		return saving;
+	}
+
+	async #saveOnce(end: UnsavedEnd): Promise<boolean> {
 		const {digest, service, life} = end;
 		const saved = await this.#options.table.change(digest, (before, now) => addEnd(before, service, life, now));
 		if (saved.isErr()) {
--- a/source/suspects/suspicion-table.ts
+++ b/source/suspects/suspicion-table.ts
@@ -19,7 +19,7 @@
 export const toldTable = 'request-suspects';
 
 /** Tries to change a row that others change at the same time. */
-const mostTries = 4;
+const mostTries = 6;
 
 /** Share of the changes after which some rows are looked at, and those that hold nothing any more are removed. */
 const sweepShare = 0.05;
