Obey endpoints that say that they leave or want to be left alone

The users' new rules: an endpoint that says in its answers that it leaves gets nothing that a caller sends later than 2 s after its word was passed on; one that turns a request away with a time to come back gets at most two requests of a gateway between half a second and the end of that time. Neither was read. Both hold by the life of the endpoint and need no store; leaving is told to other gateways with heartbeats. Where all want to be left alone, callers are refused with the earliest time to return.

--- a/source/balancing/balancing.test.ts
+++ b/source/balancing/balancing.test.ts
@@ -3,7 +3,7 @@
 import {xoroshiro128plus, type RandomGenerator} from 'pure-rand';
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {
-	EndpointHealth, EndpointLoads, chooseCopyHolder, chooseEndpoint, engineCandidates, rankEngines, type AskedEngine, type EngineReport,
+	EndpointHealth, EndpointLoads, QuietEndpoints, chooseCopyHolder, chooseEndpoint, engineCandidates, rankEngines, type AskedEngine, type EngineReport,
 } from './mod.ts';
 
 const endpoint = (id: string, availabilityZone = 'zone-a'): EndpointEntry => ({
@@ -11,7 +11,7 @@
 });
 
 const report = (changes: Partial<EngineReport> = {}): EngineReport => ({
-	waiting: 0, running: 0, usedTokens: 0, memoryTokens: 88_000, heldTokens: 0, nextTokens: 0, startedAt: 1, leaving: false, runs: [], ...changes,
+	waiting: 0, running: 0, usedTokens: 0, memoryTokens: 88_000, heldTokens: 0, nextTokens: 0, startedAt: 1, reportsLeaving: false, saysLeaving: false, runs: [], ...changes,
 });
 
 const asked = (id: string, changes: Partial<EngineReport> = {}, availabilityZone = 'zone-a'): AskedEngine => ({endpoint: endpoint(id, availabilityZone), report: report(changes)});
@@ -104,7 +104,7 @@
 
 test('engines that did not answer or are leaving get no prompt', () => {
 	const silent: AskedEngine = {endpoint: endpoint('silent'), report: undefined};
-	assert.deepEqual(rankEngines({asked: [silent, asked('leaving', {leaving: true})], loads: new EndpointLoads(), tokens: 9000}), []);
+	assert.deepEqual(rankEngines({asked: [silent, asked('leaving', {reportsLeaving: true}), asked('gone', {saysLeaving: true})], loads: new EndpointLoads(), tokens: 9000}), []);
 });
 
 test('a copy is kept in another zone where there is room', () => {
@@ -116,3 +116,16 @@
 	assert.equal(chooseCopyHolder([near, full], engine, 9000)?.id, '2');
 	assert.equal(chooseCopyHolder([full], engine, 9000), undefined);
 });
+
+test('an endpoint is left alone for as long as it wants, in that life of it', () => {
+	const quiet = new QuietEndpoints();
+	const [one, other] = [endpoint('one'), endpoint('other')];
+	assert.deepEqual(quiet.divide([one, other], 0), {usable: [one, other], firstEnd: undefined});
+	quiet.leave(one, 3000);
+	quiet.leave(one, 1000);
+	assert.deepEqual(quiet.divide([one, other], 2999), {usable: [other], firstEnd: 3000});
+	quiet.leave(other, 5000);
+	assert.deepEqual(quiet.divide([one, other], 2999), {usable: [], firstEnd: 3000});
+	assert.equal(quiet.isQuiet({...one, startedAt: 2}, 2999), false);
+	assert.deepEqual(quiet.divide([one, other], 3000), {usable: [one], firstEnd: 5000});
+});
--- a/source/balancing/choose-engine.ts
+++ b/source/balancing/choose-engine.ts
@@ -26,7 +26,10 @@
 	nextTokens: number;
 	/** Unix milliseconds of the engine's start; 0 where it does not say. */
 	startedAt: number;
-	leaving: boolean;
+	/** Whether the report calls it leaving. */
+	reportsLeaving: boolean;
+	/** Whether the answer that brought the report says, as all its answers then do, that it leaves. */
+	saysLeaving: boolean;
 	/** Requests that have brought a token; the other running ones are being read. */
 	runs: ReadonlyArray<{attempt: string; tokens: number; events: number}>;
 };
@@ -108,7 +111,7 @@
  */
 export function rankEngines({asked, loads, tokens}: RankEnginesOptions): AskedEngine[] {
 	return asked
-		.filter(({report}) => report && !report.leaving)
+		.filter(({report}) => report && !report.reportsLeaving && !report.saysLeaving)
 		.map(engine => ({engine, work: workBefore(engine, loads, tokens)}))
 		.toSorted((left, right) => left.work - right.work)
 		.map(({engine}) => engine);
--- /dev/null
+++ b/source/balancing/quiet-endpoints.ts
@@ -0,0 +1,68 @@
+/**
+ * Endpoints that want to be left alone for a while.
+ *
+ * Answers the load of an endpoint that turns requests away and says when it will take some again: whatever reaches it before costs it
+ * time that it does not have.
+ *
+ * @module
+ */
+
+/** One life of an endpoint's process. */
+type EndpointLife = {id: string; startedAt: number};
+
+/**
+ * Remembers until when each endpoint is left alone; a new life of it is not bound by what an earlier one wanted.
+ *
+ * @example
+ * ```ts
+ * quiet.leave(endpoint, now + 3000);
+ * quiet.isQuiet(endpoint, now); // true
+ * ```
+ */
+export class QuietEndpoints {
+	/** Steady times at which they end, in milliseconds, by name of the life. */
+	readonly #ends = new Map<string, number>();
+
+	/** Leaves an endpoint alone until a steady time, or longer where it wanted that before. */
+	leave(life: EndpointLife, until: number): void {
+		const name = nameOf(life);
+		this.#ends.set(name, Math.max(until, this.#ends.get(name) ?? 0));
+	}
+
+	/** Whether an endpoint is to be left alone. */
+	isQuiet(life: EndpointLife, now: number): boolean {
+		return this.#ends.size > 0 && this.#endOf(life, now) > now;
+	}
+
+	/**
+	 * Divides endpoints into those that may be used and the time at which the first of the others may be.
+	 *
+	 * @param endpoints The endpoints.
+	 * @param now Steady time, in milliseconds.
+	 */
+	divide<Endpoint extends EndpointLife>(endpoints: readonly Endpoint[], now: number): {usable: readonly Endpoint[]; firstEnd: number | undefined} {
+		if (this.#ends.size === 0) {
+			return {usable: endpoints, firstEnd: undefined};
+		}
+
+		const ends = endpoints.map(endpoint => this.#endOf(endpoint, now)).filter(end => end > now);
+		return {
+			usable: ends.length === 0 ? endpoints : endpoints.filter(endpoint => !this.isQuiet(endpoint, now)),
+			firstEnd: ends.length === 0 ? undefined : Math.min(...ends),
+		};
+	}
+
+	#endOf(life: EndpointLife, now: number): number {
+		const name = nameOf(life);
+		const end = this.#ends.get(name) ?? 0;
+		if (end <= now) {
+			this.#ends.delete(name);
+		}
+
+		return end;
+	}
+}
+
+function nameOf({id, startedAt}: EndpointLife): string {
+	return `${id}/${startedAt}`;
+}
--- a/source/beliefs/endpoint-list.ts
+++ b/source/beliefs/endpoint-list.ts
@@ -36,6 +36,15 @@
 /** A change of the list. */
 export type EndpointChange = z.output<typeof endpointChangeSchema>;
 
+/** One life of an endpoint's process. */
+export type EndpointLife = Pick<EndpointEntry, 'id' | 'startedAt'>;
+
+/** One life of an endpoint that has said that it leaves, and the time since then, as gateways tell each other. */
+export const leavingLifeSchema = z.object({id: z.string(), startedAt: z.number(), ageMilliseconds: z.number()});
+
+/** One life of an endpoint that has said that it leaves. */
+export type LeavingLife = z.output<typeof leavingLifeSchema>;
+
 type Known = {
 	entry: EndpointEntry | undefined;
 	/** Revision of the newest row. */
@@ -48,6 +57,9 @@
 /** Time after an outage of the store within which endpoints whose entries lapsed during it register again, in milliseconds. */
 const registerAgainMilliseconds = 2000;
 
+/** Time for which gateways tell each other that an endpoint has said that it leaves, in milliseconds; its entry says so long before. */
+const tellLeavingMilliseconds = 30_000;
+
 /** Removed entries that are remembered, so that an older change cannot bring them back. */
 const rememberedRemovals = 2000;
 
@@ -63,6 +75,8 @@
 export class EndpointList {
 	readonly #known = new Map<string, Known>();
 	readonly #refusedLives = new Map<string, number>();
+	/** Lives that said themselves that they leave, and the steady time at which that was heard, by name of the endpoint. */
+	readonly #leavingLives = new Map<string, {startedAt: number; heardAt: number}>();
 	#byService: Map<string, EndpointEntry[]> | undefined;
 	#lapsing = false;
 	#outageEndedAt = Number.NEGATIVE_INFINITY;
@@ -142,6 +156,42 @@
 		this.#byService = undefined;
 	}
 
+	/**
+	 * Records that an endpoint says that it leaves; it is not used in that life again.
+	 *
+	 * @param life The endpoint and its start.
+	 * @param heardAt Steady time at which it said so, in milliseconds.
+	 * @returns Whether this was news.
+	 */
+	markLeaving({id, startedAt}: EndpointLife, heardAt: number): boolean {
+		if (this.#leavingLives.get(id)?.startedAt === startedAt) {
+			return false;
+		}
+
+		this.#leavingLives.delete(id);
+		this.#leavingLives.set(id, {startedAt, heardAt});
+		if (this.#leavingLives.size > rememberedRemovals) {
+			this.#leavingLives.delete(this.#leavingLives.keys().next().value!);
+		}
+
+		this.#byService = undefined;
+		return true;
+	}
+
+	/** The endpoints that have said in the last while that they leave, for other gateways. */
+	leavingLives(now: number): LeavingLife[] {
+		return [...this.#leavingLives]
+			.filter(([, {heardAt}]) => now - heardAt < tellLeavingMilliseconds)
+			.map(([id, {startedAt, heardAt}]) => ({id, startedAt, ageMilliseconds: Math.round(now - heardAt)}));
+	}
+
+	/** Takes what another gateway tells of endpoints that leave. */
+	hearLeaving(lives: readonly LeavingLife[], now: number): void {
+		for (const {ageMilliseconds, ...life} of lives) {
+			this.markLeaving(life, now - ageMilliseconds);
+		}
+	}
+
 	/**
 	 * Returns the endpoints of a service that take requests.
 	 *
@@ -158,13 +208,17 @@
 	}
 
 	/** Returns what the list says of one life of an endpoint. */
-	stateOf({id, startedAt}: Pick<EndpointEntry, 'id' | 'startedAt'>): LifeState {
+	stateOf({id, startedAt}: EndpointLife): LifeState {
 		const entry = this.#known.get(id)?.entry;
 		if (!entry) {
 			return 'removed';
 		}
 
-		return entry.startedAt === startedAt ? (entry.leaving ? 'leaving' : 'listed') : 'replaced';
+		if (entry.startedAt !== startedAt) {
+			return 'replaced';
+		}
+
+		return entry.leaving || this.#saidLeaving(entry) ? 'leaving' : 'listed';
 	}
 
 	#take({id, entry, revision}: EndpointChange, now: number): void {
@@ -215,7 +269,7 @@
 	#group(): Map<string, EndpointEntry[]> {
 		const groups = new Map<string, EndpointEntry[]>();
 		for (const {entry} of this.#known.values()) {
-			if (!entry || entry.leaving || this.#refusedLives.get(entry.id) === entry.startedAt) {
+			if (!entry || entry.leaving || this.#saidLeaving(entry) || this.#refusedLives.get(entry.id) === entry.startedAt) {
 				continue;
 			}
 
@@ -227,11 +281,16 @@
 		return groups;
 	}
 
+	#saidLeaving({id, startedAt}: EndpointLife): boolean {
+		return this.#leavingLives.get(id)?.startedAt === startedAt;
+	}
+
 	#forgetOldRemovals(): void {
 		const removed = [...this.#known].filter(([, {entry}]) => !entry);
 		for (const [id] of removed.slice(0, Math.max(0, removed.length - rememberedRemovals))) {
 			this.#known.delete(id);
 			this.#refusedLives.delete(id);
+			this.#leavingLives.delete(id);
 		}
 	}
 }
--- a/source/fleet/exchange-protocol.ts
+++ b/source/fleet/exchange-protocol.ts
@@ -6,7 +6,7 @@
 import {Buffer} from 'node:buffer';
 import {type MethodDefinition} from '@grpc/grpc-js';
 import * as z from 'zod';
-import {endpointChangeSchema} from '../beliefs/endpoint-list.ts';
+import {endpointChangeSchema, leavingLifeSchema} from '../beliefs/endpoint-list.ts';
 import {endpointLifeSchema, suspicionSchema} from '../suspects/mod.ts';
 import {heartbeatSchema, memberSchema} from './member.ts';
 
@@ -45,14 +45,22 @@
 	suspectRevision: z.number().default(0),
 });
 
+/** What a gateway has seen itself or heard from others, and the store does not tell; its loss costs time and no promise. */
+export const hintsSchema = z.object({
+	/** Ends of endpoints under requests that the store has not taken yet. */
+	unsavedEnds: z.array(unsavedEndSchema).default([]),
+	/** Endpoints that have said themselves that they leave. */
+	leavingLives: z.array(leavingLifeSchema).default([]),
+});
+
 /** What each side tells. */
 export const exchangeMessageSchema = z.object({
 	/** Gateways that the other side may not know, the sender first. */
 	members: z.array(memberSchema).min(1),
 	/** State of all gateways that the sender takes to be alive; absent where only news of the store is asked for. */
 	heartbeats: z.array(heartbeatSchema).optional(),
-	/** Ends of endpoints under requests that the store has not taken yet. */
-	unsavedEnds: z.array(unsavedEndSchema).optional(),
+	/** What the sender has seen of endpoints; sent with heartbeats. */
+	hints: hintsSchema.optional(),
 	/** In a question: what the asker knows already. */
 	known: knownSchema.optional(),
 	/** In an answer to such a question: what is news to the asker. */
@@ -65,6 +73,9 @@
 /** What the answering side knows beyond that. */
 export type News = z.output<typeof newsSchema>;
 
+/** What a gateway has seen itself or heard from others. */
+export type Hints = z.output<typeof hintsSchema>;
+
 /** One message. */
 export type ExchangeMessage = z.output<typeof exchangeMessageSchema>;
 
--- a/source/fleet/follow-members.ts
+++ b/source/fleet/follow-members.ts
@@ -6,16 +6,24 @@
 import {ok, type Result} from 'neverthrow';
 import {pause} from '../supervision/pause.ts';
 import {type TaskFailure} from '../supervision/supervisor.ts';
-import {type RequestSuspects} from '../suspects/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {ExchangeClient} from './exchange-client.ts';
+import {type Hints} from './exchange-protocol.ts';
 import {type Member} from './member.ts';
 import {type MemberTable} from './member-table.ts';
 
+/** What gateways have seen and tell each other with their heartbeats. */
+export type HintSource = {
+	/** What this gateway has seen or heard. */
+	tell(): Hints;
+	/** Takes what another one has; nothing from one that knows no hints. */
+	hear(hints: Hints | undefined): void;
+};
+
 /** Options of {@linkcode followMembers}. */
 export type FollowMembersOptions = {
 	members: MemberTable;
-	suspects: Pick<RequestSuspects, 'unsavedEnds' | 'hear'>;
+	hints: HintSource;
 	logger: Logger;
 	/** Whether this gateway takes requests. */
 	ready: () => boolean;
@@ -49,7 +57,7 @@
  * @param signal Ends the task.
  */
 export async function followMembers(options: FollowMembersOptions, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
-	const {members, suspects, logger, ready, clock, random} = options;
+	const {members, hints, logger, ready, clock, random} = options;
 	const client = new ExchangeClient();
 	while (await pause(exchangePeriod(members.size) * (0.75 + (random() / 2)), signal)) {
 		members.beat(ready());
@@ -58,11 +66,11 @@
 			continue;
 		}
 
-		const answer = await client.exchange(peer.peers, {members: [members.self], heartbeats: members.heartbeats(clock()), unsavedEnds: suspects.unsavedEnds()}, answerMilliseconds);
+		const answer = await client.exchange(peer.peers, {members: [members.self], heartbeats: members.heartbeats(clock()), hints: hints.tell()}, answerMilliseconds);
 		if (answer.isOk()) {
 			members.merge(answer.value.members, clock());
 			members.hear(answer.value.heartbeats ?? [], clock());
-			suspects.hear(answer.value.unsavedEnds ?? []);
+			hints.hear(answer.value.hints);
 		} else if (members.live(clock()).some(({name}) => name === peer.name)) {
 			logger.info('gateway does not answer', {peer: peer.name, reason: answer.error});
 			members.unanswered(peer.name);
--- a/source/forwarding/forward-call.ts
+++ b/source/forwarding/forward-call.ts
@@ -7,6 +7,7 @@
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {encodeSendHeaders} from '../platform/mod.ts';
 import {sendRefusal, sendWholeAnswer, type Refusal} from './answer-caller.ts';
+import {obeyWishes, usableEndpoints} from './answer-wishes.ts';
 import {askRetryBudget} from './ask-retry-budget.ts';
 import {readWholeAnswer, type CallAttempt} from './call-attempt.ts';
 import {type Exchange, type ExchangeOutcome} from './exchange.ts';
@@ -47,6 +48,8 @@
 	readonly #pending = new Map<string, Promise<CallAttempt>>();
 	/** What becomes of endpoints that lost an answer, by their names. */
 	readonly #settling = new Map<string, Promise<void>>();
+	/** When the first endpoint that wants to be left alone may be used, in steady milliseconds; absent where none wants to. */
+	#firstQuietEnd: number | undefined;
 	#runs = 0;
 	#timedOut = false;
 
@@ -70,7 +73,7 @@
 		const first = this.#choose();
 		if (!first) {
 			return this.#refuse({
-				status: 503, code: 'no_endpoint', message: 'No endpoint of the service is known.', retryAfterMilliseconds: comeBackMilliseconds,
+				status: 503, code: 'no_endpoint', message: 'No endpoint of the service can be used now.', retryAfterMilliseconds: this.#comeBackMilliseconds(),
 			});
 		}
 
@@ -161,10 +164,11 @@
 	}
 
 	#choose(): EndpointEntry | undefined {
-		const {endpoints, loads, health, availabilityZone, clock, random} = this.#parts;
-		const now = clock();
+		const {loads, health, availabilityZone, clock, random} = this.#parts;
+		const {usable, firstEnd} = usableEndpoints(this.#exchange.service.name, this.#parts);
+		this.#firstQuietEnd = firstEnd;
 		return chooseEndpoint({
-			endpoints: endpoints.endpointsOf(this.#exchange.service.name, now), tried: this.#tried, loads, health, availabilityZone, now, random,
+			endpoints: usable, tried: this.#tried, loads, health, availabilityZone, now: clock(), random,
 		});
 	}
 
@@ -201,6 +205,7 @@
 				signal: this.#ending.signal,
 			});
 			if (sent.kind === 'answer') {
+				obeyWishes(endpoint, sent.answer, this.#parts);
 				return await readWholeAnswer(endpoint, sent.answer);
 			}
 
@@ -276,13 +281,18 @@
 
 		if (this.#runs === 0) {
 			return this.#refuse({
-				status: 503, code: 'not_run', message: `No endpoint took the request: ${message}`, retryAfterMilliseconds: retryAfterMilliseconds ?? comeBackMilliseconds,
+				status: 503, code: 'not_run', message: `No endpoint took the request: ${message}`, retryAfterMilliseconds: retryAfterMilliseconds ?? this.#comeBackMilliseconds(),
 			});
 		}
 
 		return this.#refuse({status: 502, code: 'answer_lost', message: `The request may have run, and its answer is lost: ${message}`});
 	}
 
+	/** When the caller may come back: once an endpoint takes requests again, where all want to be left alone. */
+	#comeBackMilliseconds(): number {
+		return this.#firstQuietEnd === undefined ? comeBackMilliseconds : Math.max(1, this.#firstQuietEnd - this.#parts.clock());
+	}
+
 	#refuse(refusal: Refusal): ExchangeOutcome {
 		sendRefusal(this.#exchange.response, refusal);
 		return this.#outcome(refusal.code, refusal.status);
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -9,6 +9,7 @@
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {readEngineReport} from '../platform/mod.ts';
 import {sendRefusal, sendWholeAnswer, type Refusal} from './answer-caller.ts';
+import {obeyLeaving, obeyWishes, usableEndpoints} from './answer-wishes.ts';
 import {askRetryBudget} from './ask-retry-budget.ts';
 import {type Exchange, type ExchangeOutcome} from './exchange.ts';
 import {type ForwardingParts} from './forwarding-parts.ts';
@@ -52,6 +53,8 @@
 	readonly #asked: string[] = [];
 	readonly #tokens: number;
 	#copyHolder: EndpointEntry | undefined;
+	/** When the first engine that wants to be left alone may be used, in steady milliseconds; absent where none wants to. */
+	#firstQuietEnd: number | undefined;
 	/** Engines of the last question, in order of their load. */
 	#ranked: readonly AskedEngine[] = [];
 	#runs = 0;
@@ -67,7 +70,7 @@
 
 	async run(): Promise<ExchangeOutcome> {
 		let message = 'no engine of the service is known';
-		let retryAfterMilliseconds = comeBackMilliseconds;
+		let retryAfterMilliseconds: number | undefined;
 		for (;;) {
 			const target = await this.#chooseTarget();
 			if (this.#exchange.callerGone.aborted) {
@@ -91,7 +94,7 @@
 			}
 
 			message = end.kind === 'failed' ? `the engine answered ${end.status}` : end.message;
-			retryAfterMilliseconds = (end.kind === 'not-run' ? end.retryAfterMilliseconds : undefined) ?? comeBackMilliseconds;
+			retryAfterMilliseconds = end.kind === 'not-run' ? end.retryAfterMilliseconds : undefined;
 			this.#note(target, end, message);
 			if (end.kind === 'lost') {
 				await this.#settle(target.endpoint, this.#progress.events - eventsBefore);
@@ -115,7 +118,10 @@
 				target,
 				progress: this.#progress,
 				agent: this.#parts.connections.agent('kept'),
-				ask: async address => this.#report(address, silentQuestionMilliseconds, 'fresh'),
+				ask: async () => this.#report(target.endpoint, silentQuestionMilliseconds, 'fresh'),
+				onAnswer: answer => {
+					obeyWishes(target.endpoint, answer, this.#parts);
+				},
 				clock: this.#parts.clock,
 			});
 		} finally {
@@ -127,7 +133,7 @@
 	async #chooseTarget(): Promise<AttemptTarget | undefined> {
 		const holder = this.#copyHolder;
 		this.#copyHolder = undefined;
-		const goesOnFromCopy = holder !== undefined && !this.#tried.has(holder.id) && !this.#parts.health.avoids(holder.id, this.#parts.clock());
+		const goesOnFromCopy = holder !== undefined && this.#isUsable(holder);
 		if (!goesOnFromCopy) {
 			this.#ranked = await this.#rankEngines();
 		}
@@ -136,29 +142,37 @@
 		return endpoint && {endpoint, goOnFrom: goesOnFromCopy ? holder : undefined, copyHolder: this.#chooseCopyHolder(endpoint)};
 	}
 
+	/** Whether an engine may still be used: it was not tried, has not just failed, stays, and does not want to be left alone. */
+	#isUsable(endpoint: EndpointEntry): boolean {
+		const {endpoints, health, quiet, clock} = this.#parts;
+		const now = clock();
+		return !this.#tried.has(endpoint.id) && !health.avoids(endpoint.id, now) && !quiet.isQuiet(endpoint, now) && endpoints.stateOf(endpoint) === 'listed';
+	}
+
 	#chooseCopyHolder(engine: EndpointEntry): EndpointEntry | undefined {
 		const {service, route} = this.#exchange;
-		const {health, clock} = this.#parts;
 		if (service.engine?.backups !== true || !route.resumable) {
 			return undefined;
 		}
 
-		const usable = this.#ranked.filter(({endpoint}) => !this.#tried.has(endpoint.id) && !health.avoids(endpoint.id, clock()));
+		const usable = this.#ranked.filter(({endpoint}) => this.#isUsable(endpoint));
 		return chooseCopyHolder(usable, engine, this.#tokens);
 	}
 
 	async #rankEngines(): Promise<AskedEngine[]> {
 		const {endpoints, health, loads, clock} = this.#parts;
 		const now = clock();
+		const {usable, firstEnd} = usableEndpoints(this.#exchange.service.name, this.#parts);
+		this.#firstQuietEnd = firstEnd;
 		const candidates = engineCandidates({
-			endpoints: endpoints.endpointsOf(this.#exchange.service.name, now),
+			endpoints: usable,
 			tried: this.#tried,
 			health,
 			preferenceKey: this.#exchange.terms.promptPart ?? this.#exchange.requestName,
 			count: askedEngines,
 			now,
 		});
-		const asked: AskedEngine[] = await Promise.all(candidates.map(async endpoint => ({endpoint, report: await this.#report(endpoint.address, placeQuestionMilliseconds, 'kept')})));
+		const asked: AskedEngine[] = await Promise.all(candidates.map(async endpoint => ({endpoint, report: await this.#report(endpoint, placeQuestionMilliseconds, 'kept')})));
 		for (const engine of asked) {
 			if (!engine.report) {
 				health.failed(engine.endpoint.id, 'unreachable', clock());
@@ -176,15 +190,18 @@
 
 	/** Asks other engines, once all that were asked have not answered. */
 	async #afterAvoided(candidates: readonly EndpointEntry[]): Promise<AskedEngine[]> {
-		const {endpoints, health, clock} = this.#parts;
-		const now = clock();
-		const others = endpoints.endpointsOf(this.#exchange.service.name, now).some(({id}) => !this.#tried.has(id) && !health.avoids(id, now));
+		const others = usableEndpoints(this.#exchange.service.name, this.#parts).usable.some(endpoint => this.#isUsable(endpoint));
 		return others ? this.#rankEngines() : candidates.map(endpoint => ({endpoint, report: undefined}));
 	}
 
-	async #report(address: string, timeoutMilliseconds: number, use: 'kept' | 'fresh'): Promise<EngineReport | undefined> {
-		const report = await readEngineReport({agent: this.#parts.connections.agent(use), address, timeoutMilliseconds});
-		return report.unwrapOr(undefined);
+	async #report(endpoint: EndpointEntry, timeoutMilliseconds: number, use: 'kept' | 'fresh'): Promise<EngineReport | undefined> {
+		const read = await readEngineReport({agent: this.#parts.connections.agent(use), address: endpoint.address, timeoutMilliseconds});
+		const report = read.unwrapOr(undefined);
+		if (report && !provesRestart(report, endpoint.startedAt)) {
+			obeyLeaving(endpoint, report.saysLeaving, this.#parts);
+		}
+
+		return report;
 	}
 
 	/** Remembers what the end of an attempt says of its engine. */
@@ -247,7 +264,7 @@
 		return this.#outcome('endpoint_failed', status);
 	}
 
-	#giveUp(message: string, retryAfterMilliseconds: number): ExchangeOutcome {
+	#giveUp(message: string, askedMilliseconds: number | undefined): ExchangeOutcome {
 		const {response, answerBy} = this.#exchange;
 		if (response.headersSent) {
 			// A caller sees by the cut connection that the answer is not whole.
@@ -256,8 +273,9 @@
 		}
 
 		if (this.#runs === 0) {
+			const quietMilliseconds = this.#firstQuietEnd === undefined ? undefined : Math.max(1, this.#firstQuietEnd - this.#parts.clock());
 			return this.#refuse({
-				status: 503, code: 'not_run', message: `No engine took the request: ${message}`, retryAfterMilliseconds,
+				status: 503, code: 'not_run', message: `No engine took the request: ${message}`, retryAfterMilliseconds: askedMilliseconds ?? quietMilliseconds ?? comeBackMilliseconds,
 			});
 		}
 
--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -56,6 +56,8 @@
 	target: AttemptTarget;
 	progress: GenerationProgress;
 	agent: Parameters<typeof sendRequest>[0]['agent'];
+	/** Receives each answer of the engine, once its head is there. */
+	onAnswer: (answer: EndpointAnswer) => void;
 	/** Asks the engine for its load over a new connection; `undefined` where it does not answer. */
 	ask: (address: string) => Promise<EngineReport | undefined>;
 	clock: () => number;
@@ -143,6 +145,7 @@
 
 		if (sent.kind === 'answer') {
 			this.#watch.hear(0);
+			this.#options.onAnswer(sent.answer);
 			return this.#takeAnswer(sent.answer);
 		}
 
--- /dev/null
+++ b/source/gateway/endpoint-wishes.test.ts
@@ -0,0 +1,154 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {GatewayFleet, type CallerRequest, type GatewayProcess} from '../testing/gateway-fleet.ts';
+import {type WorkerArrival} from '../testing/stand-ins/worker-options.ts';
+import {type WorkerStandIn} from '../testing/stand-ins/worker-stand-in.ts';
+
+/** Time from which a gateway that has passed on the word of an endpoint's leaving sends it nothing more, in milliseconds. */
+const leavingMilliseconds = 2000;
+
+/** Time after a refusal with a time to come back from which an endpoint gets nothing more, in milliseconds. */
+const quietFromMilliseconds = 500;
+
+/** Requests that an endpoint may get from one gateway all the same. */
+const allowedWhileQuiet = 2;
+
+const draft: CallerRequest = {
+	path: '/drafts/1', method: 'POST', body: 'notes', headers: {'x-azuretack-token-counts': '8000,120'},
+};
+
+/** A request as its caller saw it. */
+type Sent = {attempt: string; gateway: string; sentAt: number; answeredAt: number; status: number; saysLeaving: boolean; retryAfter: string | undefined};
+
+/** Sends requests to all gateways at a steady pace, and keeps what came back. */
+class SteadyCallers {
+	readonly sent: Sent[] = [];
+	readonly #fleet: GatewayFleet;
+	#number = 0;
+
+	constructor(fleet: GatewayFleet) {
+		this.#fleet = fleet;
+	}
+
+	async play(request: CallerRequest, {callers, forMilliseconds}: {callers: number; forMilliseconds: number}): Promise<void> {
+		const until = performance.now() + forMilliseconds;
+		const gateways = [...this.#fleet.gateways.values()];
+		await Promise.all(gateways.flatMap(gateway => Array.from({length: callers}, async () => {
+			while (performance.now() < until) {
+				await this.#send(gateway, request);
+				await delay(20);
+			}
+		})));
+	}
+
+	async #send(gateway: GatewayProcess, request: CallerRequest): Promise<void> {
+		this.#number += 1;
+		const attempt = `steady-${this.#number}`;
+		const sentAt = performance.now();
+		const answer = await this.#fleet.call(gateway, {...request, attempt, headers: {...request.headers, 'x-azuretack-prompt-prefix': `${this.#number.toString(16)}:8000`}});
+		this.sent.push({
+			attempt,
+			gateway: gateway.name,
+			sentAt,
+			answeredAt: performance.now(),
+			status: answer.status,
+			saysLeaving: answer.headers['server-leaving'] === '1',
+			retryAfter: answer.headers['retry-after']?.toString(),
+		});
+	}
+}
+
+/** Requests that reached a worker although their gateway had passed on its leaving long before they were sent. */
+function lateAfterLeaving(sent: readonly Sent[], arrivals: readonly WorkerArrival[]): Sent[] {
+	const reached = new Set(arrivals.map(({attempt}) => attempt));
+	const passedOn = new Map<string, number>();
+	for (const {gateway, answeredAt, saysLeaving} of sent) {
+		if (saysLeaving) {
+			passedOn.set(gateway, Math.min(answeredAt, passedOn.get(gateway) ?? Number.POSITIVE_INFINITY));
+		}
+	}
+
+	return sent.filter(({attempt, gateway, sentAt}) => reached.has(attempt) && sentAt > (passedOn.get(gateway) ?? Number.POSITIVE_INFINITY) + leavingMilliseconds);
+}
+
+for (const [service, request] of [['desk', {path: '/status/1'}], ['scribe', draft]] as const) {
+	test(`an endpoint of ${service} that says in its answers that it leaves gets nothing more, and its next life does`, async () => {
+		await using fleet = await GatewayFleet.create();
+		const workers = await Promise.all([1, 2, 3].map(async index => fleet.startWorker({id: `${service}-${index}`, service})));
+		await Promise.all([1, 2].map(async index => fleet.startGateway(`gateway-${index}`)));
+		const callers = new SteadyCallers(fleet);
+		const [leaving] = workers as [WorkerStandIn];
+		await callers.play(request, {callers: 4, forMilliseconds: 1000});
+		assert.ok(leaving.arrivals.length > 0, 'it is used');
+		leaving.saysLeaving = true;
+		const saidAt = performance.now();
+		await callers.play(request, {callers: 4, forMilliseconds: 5000});
+		assert.equal(lateAfterLeaving(callers.sent, leaving.arrivals).length, 0);
+		const reached = new Set(leaving.arrivals.map(({attempt}) => attempt));
+		assert.equal(callers.sent.filter(({attempt, sentAt}) => reached.has(attempt) && sentAt > saidAt + leavingMilliseconds).length, 0);
+		leaving.crash();
+		leaving.saysLeaving = false;
+		await leaving.listen();
+		fleet.store.put('servers', leaving.options.id, leaving.entry());
+		const before = leaving.runs.length;
+		await callers.play(request, {callers: 4, forMilliseconds: 3000});
+		assert.ok(leaving.runs.length > before, 'its next life is used');
+	});
+}
+
+test('other gateways soon know of an endpoint that says to one of them that it leaves', async () => {
+	await using fleet = await GatewayFleet.create();
+	const leaving = await fleet.startWorker({id: 'desk-1', service: 'desk'});
+	await fleet.startWorker({id: 'desk-2', service: 'desk'});
+	const [first, second] = [await fleet.startGateway('gateway-1'), await fleet.startGateway('gateway-2')];
+	leaving.saysLeaving = true;
+	await fleet.until(async () => {
+		const answer = await fleet.call(first, {path: '/status/1'});
+		return answer.headers['server-leaving'] === '1';
+	}, 'the first gateway hears of it');
+	await delay(4000);
+	const before = leaving.arrivals.length;
+	for (let index = 0; index < 20; index += 1) {
+		await fleet.call(second, {path: `/status/${index}`});
+	}
+
+	assert.equal(leaving.arrivals.length, before);
+});
+
+/** The most requests that reached a quiet worker from one gateway in the time that it wanted to be left alone. */
+function mostWhileQuiet(sent: readonly Sent[], arrivals: readonly WorkerArrival[], seconds: number): number {
+	const gatewayOf = new Map(sent.map(({attempt, gateway}) => [attempt, gateway]));
+	return Math.max(...arrivals.map(({attempt, at}) => arrivals.filter(other =>
+		gatewayOf.get(other.attempt) === gatewayOf.get(attempt) && other.at > at + quietFromMilliseconds && other.at < at + (seconds * 1000)).length));
+}
+
+const quietCases = [
+	['desk', {path: '/status/1'}, 1],
+	['desk', {path: '/deposits/1', method: 'POST'}, 1],
+	['desk', {path: '/status/1'}, 4],
+	['scribe', draft, 1],
+	['scribe', draft, 4],
+] as const;
+for (const [service, request, count] of quietCases) {
+	test(`${count} endpoints of ${service} that want to be left alone for a while are (${request.path}), also under a burst`, async () => {
+		await using fleet = await GatewayFleet.create();
+		const seconds = 3;
+		const workers = await Promise.all(Array.from({length: count}, async (_unused, index) => fleet.startWorker({id: `${service}-${index + 1}`, service})));
+		await Promise.all([1, 2].map(async index => fleet.startGateway(`gateway-${index}`)));
+		for (const worker of workers) {
+			worker.quietSeconds = seconds;
+		}
+
+		const callers = new SteadyCallers(fleet);
+		await callers.play(request, {callers: 8, forMilliseconds: 5000});
+		for (const {arrivals} of workers) {
+			assert.ok(arrivals.length > 0);
+			const most = mostWhileQuiet(callers.sent, arrivals, seconds);
+			assert.ok(most <= allowedWhileQuiet, `${most} requests`);
+		}
+
+		const refused = callers.sent.filter(({sentAt}) => sentAt > callers.sent[0]!.sentAt + quietFromMilliseconds);
+		assert.ok(refused.every(({status, retryAfter}) => status === 503 && Number(retryAfter) > 0 && Number(retryAfter) <= seconds));
+	});
+}
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {EndpointHealth, EndpointLoads} from '../balancing/mod.ts';
+import {EndpointHealth, EndpointLoads, QuietEndpoints} from '../balancing/mod.ts';
 import {
 	ConfigurationBelief, EndpointList, divideNewsTime, readClock, type ClockReading, type NewsTimes,
 } from '../beliefs/mod.ts';
@@ -83,6 +83,7 @@
 		suspects,
 		loads: new EndpointLoads(),
 		health: new EndpointHealth(),
+		quiet: new QuietEndpoints(),
 		connections: new EndpointConnections(),
 		lostAttempts: new LostAttempts({
 			endpoints,
@@ -97,6 +98,9 @@
 		retryBudgetOf: createRetryBudgets({
 			settings, store, logger, holder: `${hostName}/${members.self.incarnation}`,
 		}),
+		countWish(service, wish) {
+			metrics.wishes.inc({service, wish});
+		},
 		countRetry(service, reason, allowed) {
 			metrics.retries.inc({service, reason, decision: allowed ? 'allowed' : 'refused'});
 		},
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -7,7 +7,7 @@
 import {type Server} from 'node:http';
 import {ok} from 'neverthrow';
 import {
-	askSeeds, followMembers, followSource, keepRegistered, startExchangeServer, type ExchangeMessage, type SharedKnowledge,
+	askSeeds, followMembers, followSource, keepRegistered, startExchangeServer, type ExchangeMessage, type HintSource, type SharedKnowledge,
 } from '../fleet/mod.ts';
 import {listen} from '../supervision/listen.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
@@ -18,6 +18,7 @@
 import {followStore} from './follow-store.ts';
 import {createGatewayParts, type GatewayParts} from './gateway-parts.ts';
 import {isReady} from './readiness.ts';
+import {createHints} from './hints.ts';
 import {createSharedKnowledge} from './shared-knowledge.ts';
 import {StoreRole} from './store-role.ts';
 
@@ -48,17 +49,18 @@
 	const parts = createGatewayParts(settings, logger);
 	const supervisor = new Supervisor({logger});
 	const knowledge = createSharedKnowledge(parts);
+	const hints = createHints(parts);
 	const callerServer = createCallerServer(parts);
 	const entryServer = createEntryServer(parts);
 	await listen(entryServer, settings.listen.entries);
 	await listenUnlessSame(createEntryServer(parts), settings.listen.readiness, settings.listen.entries);
 	await listen(createMetricsServer(parts), settings.listen.metrics);
-	await startExchangeServer({listen: settings.listen.peers, answer: message => answerGateway(message, parts, knowledge)});
+	await startExchangeServer({listen: settings.listen.peers, answer: message => answerGateway(message, parts, {knowledge, hints})});
 	const role = new StoreRole(parts, knowledge);
 	startNews({
 		supervisor, parts, knowledge, role, seeds: settings.seeds,
 	});
-	supervisor.start('members', async signal => followMembers({...parts, ready: () => isReady(parts)}, signal));
+	supervisor.start('members', async signal => followMembers({...parts, hints, ready: () => isReady(parts)}, signal));
 	supervisor.start('unsaved ends', async signal => parts.suspects.saveUnsaved(signal));
 	supervisor.start('source', async signal => followSource({...parts, knowledge, followsStore: () => role.follows()}, signal));
 	await firstNews(parts);
@@ -72,13 +74,13 @@
 }
 
 /** Takes what another gateway tells, and tells it what it lacks. */
-function answerGateway({members: told, heartbeats, unsavedEnds, known}: ExchangeMessage, {members, suspects, readClock}: GatewayParts, knowledge: SharedKnowledge): ExchangeMessage {
+function answerGateway({members: told, heartbeats, hints: heard, known}: ExchangeMessage, {members, readClock}: GatewayParts, {knowledge, hints}: {knowledge: SharedKnowledge; hints: HintSource}): ExchangeMessage {
 	const now = readClock();
 	members.merge(told, now.steady);
 	if (heartbeats) {
 		members.hear(heartbeats, now.steady);
-		suspects.hear(unsavedEnds ?? []);
-		return {members: [members.self, ...members.unknownTo(heartbeats, now.steady)], heartbeats: members.heartbeats(now.steady), unsavedEnds: suspects.unsavedEnds()};
+		hints.hear(heard);
+		return {members: [members.self, ...members.unknownTo(heartbeats, now.steady)], heartbeats: members.heartbeats(now.steady), hints: hints.tell()};
 	}
 
 	const asksAnew = known?.configurationVersion === 0;
--- a/source/platform/engine-report.ts
+++ b/source/platform/engine-report.ts
@@ -10,6 +10,7 @@
 import * as z from 'zod';
 import {type EngineReport} from '../balancing/mod.ts';
 import {httpCall, parseJson} from './http-call.ts';
+import {saysLeaving} from './request-terms.ts';
 
 const runSchema = z.tuple([z.string(), z.number(), z.number(), z.number()]);
 
@@ -65,7 +66,8 @@
 		heldTokens: held ?? 0,
 		nextTokens: next ?? 0,
 		startedAt: born ?? 0,
-		leaving: state === 'draining',
+		reportsLeaving: state === 'draining',
+		saysLeaving: saysLeaving(answer.value.headers),
 		runs: (runs ?? []).flatMap(run => decodeRun(run)),
 	});
 }
--- a/source/platform/request-terms.ts
+++ b/source/platform/request-terms.ts
@@ -124,6 +124,8 @@
 	notExecuted: boolean;
 	/** Time after which the endpoint may be asked again, in milliseconds. */
 	retryAfterMilliseconds: number | undefined;
+	/** Whether the endpoint says that it leaves. */
+	leaving: boolean;
 };
 
 /**
@@ -138,9 +140,15 @@
 		attempt: single(headers[attemptHeader]),
 		notExecuted: status === 421 || headers['x-azuretack-not-executed'] !== undefined,
 		retryAfterMilliseconds: seconds === undefined ? undefined : seconds * 1000,
+		leaving: saysLeaving(headers),
 	};
 }
 
+/** Whether the headers of any answer of an endpoint say that it leaves. */
+export function saysLeaving(headers: IncomingHttpHeaders): boolean {
+	return single(headers['server-leaving']) === '1';
+}
+
 /** Drops headers of the connection, those that it names, and those that `drop` picks. */
 function forwardable(rawHeaders: readonly string[], drop: (name: string) => boolean): string[] {
 	const named = new Set<string>();
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -29,6 +29,10 @@
 
 	fault: WorkerFault = 'none';
 	lie: WorkerLie | undefined;
+	/** Whether all its answers say that it leaves. */
+	saysLeaving = false;
+	/** Time for which it wants nothing more, in seconds, which each of its refusals says; it refuses everything while this is set. */
+	quietSeconds: number | undefined;
 	/** What its reports say falsely. */
 	falseReport: 'idle' | 'leaving' | undefined;
 	/** Requests that it ran. */
@@ -97,6 +101,10 @@
 	}
 
 	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		if (this.saysLeaving) {
+			response.setHeader('server-leaving', '1');
+		}
+
 		if (request.url === '/api/report') {
 			this.#report(response);
 			return;
@@ -108,7 +116,7 @@
 		this.arrivals.push(...Array.from({length: this.lie === 'counts-thrice' ? 3 : 1}, () => arrival));
 		const refusal = this.#refusal(request);
 		if (refusal !== undefined) {
-			response.writeHead(refusal, {'x-azuretack-not-executed': '1', 'x-azuretack-attempt-id': attempt});
+			response.writeHead(refusal, {'x-azuretack-not-executed': '1', 'x-azuretack-attempt-id': attempt, ...(this.quietSeconds !== undefined && {'retry-after': String(this.quietSeconds)})});
 			response.end();
 			return;
 		}
@@ -183,7 +191,7 @@
 			return 503;
 		}
 
-		return this.fault === 'full' ? 503 : undefined;
+		return this.fault === 'full' || this.quietSeconds !== undefined ? 503 : undefined;
 	}
 
 	/** Milliseconds that something takes at present. */
