Bound what is held of endpoints' answers

An endpoint whose answers never end used up the memory of a gateway: each answer was held whole until its time was over, and reports without a bound at all. Hosts have 186 MB.

An answer is held up to a bound of its own and one of all together, and passed on as it comes beyond it; failures that another endpoint may make good and refusals are left; events, reports and heads are bounded.

--- a/source/forwarding/answer-caller.ts
+++ b/source/forwarding/answer-caller.ts
@@ -3,8 +3,14 @@
  *
  * @module
  */
+import {once} from 'node:events';
 import {type ServerResponse} from 'node:http';
+import {
+	err, ok, type Result,
+} from 'neverthrow';
 import {encodeAnswerHeaders} from '../platform/mod.ts';
+import {type BegunAnswer} from './call-attempt.ts';
+import {BrokenAnswerError} from './send-request.ts';
 
 /** A final answer of the system itself. */
 export type Refusal = {
@@ -53,6 +59,62 @@
 	response.end(body);
 }
 
+/** Who is to be answered, and until when. */
+type PassOnOptions = {
+	/** Ends the answer early: the caller has left, or its time is over. */
+	signal: AbortSignal;
+};
+
+/**
+ * Passes an answer on as it comes, no faster than the caller reads; one that breaks off is shown by cutting the connection.
+ *
+ * @param response The caller's answer.
+ * @param answer The endpoint's answer.
+ * @param options When to end early.
+ * @returns Whether the caller has it whole, or why not.
+ */
+export async function passAnswerOn(response: ServerResponse, {status, rawHeaders, begin, rest}: BegunAnswer, {signal}: PassOnOptions): Promise<Result<void, string>> {
+	beginAnswer(response, status, rawHeaders);
+	try {
+		for (const chunk of begin) {
+			await writeToCaller(response, chunk, signal);
+		}
+
+		for await (const chunk of rest) {
+			await writeToCaller(response, chunk, signal);
+		}
+	} catch (error) {
+		if (!(error instanceof BrokenAnswerError)) {
+			throw error;
+		}
+
+		response.destroy();
+		return err(error.message);
+	}
+
+	response.end();
+	return ok();
+}
+
+/**
+ * Writes to a caller and waits until its connection has room again.
+ *
+ * @param response The caller's answer.
+ * @param bytes What to write.
+ * @param signal Ends the wait.
+ */
+export async function writeToCaller(response: ServerResponse, bytes: Uint8Array, signal: AbortSignal): Promise<void> {
+	if (response.write(bytes) || signal.aborted) {
+		return;
+	}
+
+	try {
+		await once(response, 'drain', {signal});
+	} catch {
+		// The wait is over; the next read of the answer ends it.
+	}
+}
+
 /**
  * Begins an answer whose body follows in parts; a body that breaks off is shown by cutting the connection.
  *
--- a/source/forwarding/call-attempt.ts
+++ b/source/forwarding/call-attempt.ts
@@ -6,28 +6,52 @@
 import {Buffer} from 'node:buffer';
 import {type EndpointFailure} from '../balancing/mod.ts';
 import {type EndpointEntry} from '../beliefs/mod.ts';
+import {type RequestKind} from '../routing/mod.ts';
+import {type HeldAnswer} from './held-answers.ts';
 import {type AttemptEnd} from './retry-decision.ts';
 import {BrokenAnswerError, type EndpointAnswer} from './send-request.ts';
 
 /** A whole answer of an endpoint. */
 export type WholeAnswer = {status: number; rawHeaders: readonly string[]; body: Uint8Array};
 
-/** How one attempt ended. */
+/** An answer that is too large to be held: what there is of it, and the rest as it comes. */
+export type BegunAnswer = {status: number; rawHeaders: readonly string[]; begin: readonly Uint8Array[]; rest: AsyncGenerator<Uint8Array, void>};
+
+/** How one attempt ended, or that its answer can only be passed on as it comes. */
 export type CallAttempt
 	= | {kind: 'answered'; endpoint: EndpointEntry; answer: WholeAnswer}
+		| {kind: 'begun'; endpoint: EndpointEntry; answer: BegunAnswer}
 		| {kind: 'ended'; endpoint: EndpointEntry; end: AttemptEnd; failure: EndpointFailure | undefined; message: string; answer?: WholeAnswer; retryAfterMilliseconds?: number};
 
+/** Options of {@linkcode readAnswer}. */
+export type ReadAnswerOptions = {
+	/** The endpoint that answers. */
+	endpoint: EndpointEntry;
+	answer: EndpointAnswer;
+	kind: RequestKind;
+	/** Bounds what is held of it. */
+	held: HeldAnswer;
+};
+
 /**
- * Reads an answer to its end and says what it means.
+ * Reads an answer to its end, or to the bound of what is held, and says what it means.
  *
- * @param endpoint The endpoint that answers.
- * @param answer Its answer.
+ * @param options Endpoint and answer.
  */
-export async function readWholeAnswer(endpoint: EndpointEntry, answer: EndpointAnswer): Promise<CallAttempt> {
+export async function readAnswer(options: ReadAnswerOptions): Promise<CallAttempt> {
+	const {endpoint, answer, held} = options;
 	const chunks: Uint8Array[] = [];
+	const body = answer.body();
+	let bytes = 0;
 	try {
-		for await (const chunk of answer.body()) {
-			chunks.push(chunk);
+		for (let next = await body.next(); !next.done; next = await body.next()) {
+			chunks.push(next.value);
+			bytes += next.value.length;
+			if (!held.hold(bytes)) {
+				return takeLarge(options, {
+					status: answer.status, rawHeaders: answer.rawHeaders, begin: chunks, rest: body,
+				});
+			}
 		}
 	} catch (error) {
 		if (!(error instanceof BrokenAnswerError)) {
@@ -53,6 +77,21 @@
 		};
 }
 
+/** Passes a large answer on as it comes; a refusal is known by its head, and a failure that another endpoint may make good is left. */
+function takeLarge({endpoint, answer, kind}: ReadAnswerOptions, begun: BegunAnswer): CallAttempt {
+	const mayBeMadeGood = answer.status >= 500 && kind === 'idempotent';
+	if (!answer.terms.notExecuted && !mayBeMadeGood) {
+		return {kind: 'begun', endpoint, answer: begun};
+	}
+
+	answer.abandon();
+	return answer.terms.notExecuted
+		? notRun(endpoint, answer)
+		: {
+			kind: 'ended', endpoint, end: 'failed', failure: 'broken', message: `the endpoint answered ${answer.status} with a body that is too large to be held`,
+		};
+}
+
 function notRun(endpoint: EndpointEntry, {status, terms}: EndpointAnswer): CallAttempt {
 	return {
 		kind: 'ended',
--- a/source/forwarding/forward-call.ts
+++ b/source/forwarding/forward-call.ts
@@ -6,11 +6,14 @@
 import {chooseEndpoint} from '../balancing/mod.ts';
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {encodeSendHeaders} from '../platform/mod.ts';
-import {sendRefusal, sendWholeAnswer, type Refusal} from './answer-caller.ts';
+import {
+	passAnswerOn, sendRefusal, sendWholeAnswer, type Refusal,
+} from './answer-caller.ts';
 import {obeyWishes, usableEndpoints} from './answer-wishes.ts';
 import {askRetryBudget} from './ask-retry-budget.ts';
-import {readWholeAnswer, type CallAttempt} from './call-attempt.ts';
+import {readAnswer, type CallAttempt} from './call-attempt.ts';
 import {type Exchange, type ExchangeOutcome} from './exchange.ts';
+import {type HeldAnswer} from './held-answers.ts';
 import {type ForwardingParts} from './forwarding-parts.ts';
 import {type LostAttempt} from './lost-attempts.ts';
 import {mayRunAgain} from './retry-decision.ts';
@@ -43,7 +46,11 @@
 	readonly #exchange: Exchange;
 	readonly #parts: ForwardingParts;
 	readonly #tried = new Set<string>();
-	readonly #ending = new AbortController();
+	/** Ends attempts, by their endpoints. */
+	readonly #endings = new Map<string, AbortController>();
+	/** What is held of answers, by their endpoints. */
+	readonly #heldOf = new Map<string, HeldAnswer>();
+	#hasEnded = false;
 	/** Attempts whose end has not been looked at yet, by endpoint. */
 	readonly #pending = new Map<string, Promise<CallAttempt>>();
 	/** What becomes of endpoints that lost an answer, by their names. */
@@ -62,7 +69,7 @@
 		try {
 			return await this.#serve();
 		} finally {
-			this.#ending.abort();
+			this.#endAll();
 		}
 	}
 
@@ -98,6 +105,10 @@
 				return this.#refuse({status: 504, code: 'timeout', message: 'No endpoint answered in time.'});
 			}
 
+			if (step.kind === 'begun') {
+				return this.#passOn(step);
+			}
+
 			if (step.kind === 'answered') {
 				sendWholeAnswer(response, step.answer.status, step.answer.rawHeaders, step.answer.body);
 				return this.#outcome('answered', step.answer.status);
@@ -110,6 +121,36 @@
 		}
 	}
 
+	/** Passes on an answer that is too large to be held, as it comes; the other attempts end. */
+	async #passOn({endpoint, answer}: CallAttempt & {kind: 'begun'}): Promise<ExchangeOutcome> {
+		const {response, answerBy, callerGone, requestName} = this.#exchange;
+		const {loads, health, logger, clock} = this.#parts;
+		this.#endOthers(endpoint);
+		this.#heldOf.get(endpoint.id)?.release();
+		const ended = loads.started(endpoint.id, 0);
+		const ending = this.#endingOf(endpoint);
+		const timer = setTimeout(() => {
+			ending.abort();
+		}, Math.max(0, answerBy - clock()));
+		const passed = await passAnswerOn(response, answer, {signal: ending.signal});
+		clearTimeout(timer);
+		ended();
+		if (passed.isOk()) {
+			health.succeeded(endpoint.id, clock());
+			return this.#outcome('answered', answer.status);
+		}
+
+		if (callerGone.aborted) {
+			return this.#outcome('caller_left', 0);
+		}
+
+		health.failed(endpoint.id, 'broken', clock());
+		logger.info('answer broken off', {
+			request: requestName, endpoint: endpoint.id, status: answer.status, reason: passed.error,
+		});
+		return this.#outcome('broken_off', answer.status);
+	}
+
 	/** Starts another attempt after one that ended, where that is allowed. */
 	async #goesOn({end, endpoint}: CallAttempt & {kind: 'ended'}): Promise<boolean> {
 		const {route, answerBy, identity, care} = this.#exchange;
@@ -202,11 +243,13 @@
 				body,
 				attempt: terms.attempt,
 				connectMilliseconds,
-				signal: this.#ending.signal,
+				signal: this.#endingOf(endpoint).signal,
 			});
 			if (sent.kind === 'answer') {
 				obeyWishes(endpoint, sent.answer, this.#parts);
-				return await readWholeAnswer(endpoint, sent.answer);
+				return await readAnswer({
+					endpoint, answer: sent.answer, kind: route.kind, held: this.#holdFor(endpoint),
+				});
 			}
 
 			const unreachable = sent.kind === 'not-sent';
@@ -218,11 +261,54 @@
 		}
 	}
 
+	#endingOf({id}: EndpointEntry): AbortController {
+		const ending = this.#endings.get(id) ?? new AbortController();
+		this.#endings.set(id, ending);
+		return ending;
+	}
+
+	/** Begins to hold an answer, until the caller has its own or has left. */
+	#holdFor({id}: EndpointEntry): HeldAnswer {
+		const held = this.#parts.heldAnswers.begin();
+		this.#heldOf.set(id, held);
+		return held;
+	}
+
+	#endOthers({id}: EndpointEntry): void {
+		this.#hasEnded = true;
+		for (const [other, ending] of this.#endings) {
+			if (other !== id) {
+				ending.abort();
+				this.#heldOf.get(other)?.release();
+			}
+		}
+	}
+
+	#endAll(): void {
+		const {response} = this.#exchange;
+		this.#hasEnded = true;
+		for (const ending of this.#endings.values()) {
+			ending.abort();
+		}
+
+		const release = () => {
+			for (const held of this.#heldOf.values()) {
+				held.release();
+			}
+		};
+
+		if (response.closed || response.destroyed) {
+			release();
+		} else {
+			response.once('close', release);
+		}
+	}
+
 	/** Remembers what an attempt says of its endpoint. */
 	#note(attempt: CallAttempt): void {
 		const {endpoints, health, logger, clock} = this.#parts;
 		const {endpoint} = attempt;
-		if (this.#ending.signal.aborted) {
+		if (this.#hasEnded) {
 			if (attempt.kind === 'ended' && attempt.end === 'lost' && !this.#exchange.callerGone.aborted) {
 				health.failed(endpoint.id, 'broken', clock());
 			}
@@ -234,6 +320,10 @@
 			return;
 		}
 
+		if (attempt.kind === 'begun') {
+			return;
+		}
+
 		if (attempt.kind === 'answered') {
 			health.succeeded(endpoint.id, clock());
 			return;
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -118,6 +118,7 @@
 				target,
 				progress: this.#progress,
 				agent: this.#parts.connections.agent('kept'),
+				heldAnswers: this.#parts.heldAnswers,
 				ask: async () => this.#report(target.endpoint, silentQuestionMilliseconds, 'fresh'),
 				onAnswer: answer => {
 					obeyWishes(target.endpoint, answer, this.#parts);
--- a/source/forwarding/forwarding-parts.ts
+++ b/source/forwarding/forwarding-parts.ts
@@ -9,6 +9,7 @@
 import {type RequestSuspects} from '../suspects/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {type EndpointConnections} from './endpoint-connections.ts';
+import {type HeldAnswers} from './held-answers.ts';
 import {type LostAttempts} from './lost-attempts.ts';
 
 /** Parts shared by all requests. */
@@ -18,6 +19,7 @@
 	health: EndpointHealth;
 	quiet: QuietEndpoints;
 	connections: EndpointConnections;
+	heldAnswers: HeldAnswers;
 	lostAttempts: LostAttempts;
 	suspects: RequestSuspects;
 	logger: Logger;
--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -4,15 +4,15 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
-import {once} from 'node:events';
 import {type EngineReport} from '../balancing/mod.ts';
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {encodeSendHeaders} from '../platform/mod.ts';
-import {beginAnswer, sendWholeAnswer} from './answer-caller.ts';
+import {beginAnswer, sendWholeAnswer, writeToCaller} from './answer-caller.ts';
 import {EngineWatch, type Departure} from './engine-watch.ts';
 import {eventsInOrder} from './event-order.ts';
 import {EventSplitter, type StreamEvent} from './event-splitter.ts';
 import {type Exchange} from './exchange.ts';
+import {type HeldAnswer, type HeldAnswers} from './held-answers.ts';
 import {sendRequest, BrokenAnswerError, type EndpointAnswer} from './send-request.ts';
 
 /** Where an attempt goes. */
@@ -56,6 +56,8 @@
 	target: AttemptTarget;
 	progress: GenerationProgress;
 	agent: Parameters<typeof sendRequest>[0]['agent'];
+	/** Bounds what is held of answers. */
+	heldAnswers: HeldAnswers;
 	/** Receives each answer of the engine, once its head is there. */
 	onAnswer: (answer: EndpointAnswer) => void;
 	/** Asks the engine for its load over a new connection; `undefined` where it does not answer. */
@@ -80,10 +82,12 @@
 	readonly #options: GenerationAttemptOptions;
 	readonly #ending = new AbortController();
 	readonly #watch: EngineWatch;
+	readonly #held: HeldAnswer;
 	#leftBecause: Departure | undefined;
 
 	constructor(options: GenerationAttemptOptions) {
 		this.#options = options;
+		this.#held = options.heldAnswers.begin();
 		const {exchange: {route, terms, answerBy}, target: {endpoint, copyHolder}, ask, clock} = options;
 		this.#watch = new EngineWatch({
 			startedAt: endpoint.startedAt,
@@ -113,6 +117,7 @@
 			return await this.#run();
 		} finally {
 			this.#watch.stop();
+			this.#held.release();
 			callerGone.removeEventListener('abort', end);
 			end();
 		}
@@ -179,8 +184,11 @@
 
 	async #takeFailure(answer: EndpointAnswer): Promise<GenerationEnd> {
 		const chunks: Uint8Array[] = [];
+		let bytes = 0;
 		for await (const chunk of answer.body()) {
 			chunks.push(chunk);
+			bytes += chunk.length;
+			this.#mustHold(bytes);
 		}
 
 		const body = Buffer.concat(chunks);
@@ -203,6 +211,7 @@
 		const splitter = new EventSplitter();
 		for await (const chunk of answer.body()) {
 			const events = splitter.push(chunk);
+			this.#mustHold(splitter.rest.length);
 			this.#watch.hear(events.length);
 			if (!response.headersSent) {
 				beginAnswer(response, answer.status, answer.rawHeaders);
@@ -227,6 +236,13 @@
 		return {kind: 'finished', status: answer.status};
 	}
 
+	/** Counts the bytes that are held back of the answer, and leaves one that holds back too many. */
+	#mustHold(bytes: number): void {
+		if (!this.#held.hold(bytes)) {
+			throw new BrokenAnswerError(`${bytes} bytes of a failure or an event that does not end are too many to be held`);
+		}
+	}
+
 	async #deliver(events: readonly StreamEvent[]): Promise<void> {
 		const {exchange: {response, callerGone}, progress, clock} = this.#options;
 		if (events.length === 0) {
@@ -240,9 +256,7 @@
 
 		notePause(progress, clock());
 		const bytes = events.length === 1 ? events[0]!.bytes : Buffer.concat(events.map(event => event.bytes));
-		if (!response.write(bytes)) {
-			await waitForRoom(response, callerGone);
-		}
+		await writeToCaller(response, bytes, callerGone);
 	}
 }
 
@@ -255,12 +269,3 @@
 		progress.longestPauseMilliseconds = Math.max(progress.longestPauseMilliseconds, pauseMilliseconds);
 	}
 }
-
-/** Waits until the caller's connection has room, or the caller leaves. */
-async function waitForRoom(response: Exchange['response'], callerGone: AbortSignal): Promise<void> {
-	try {
-		await once(response, 'drain', {signal: callerGone});
-	} catch {
-		// The caller left; the next read ends the attempt.
-	}
-}
--- /dev/null
+++ b/source/gateway/endless-answers.test.ts
@@ -0,0 +1,102 @@
+import assert from 'node:assert/strict';
+import {readFile} from 'node:fs/promises';
+import {connect, type Socket} from 'node:net';
+import {test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	GatewayFleet, routeHost, workspaceKey, type CallerRequest, type GatewayProcess,
+} from '../testing/gateway-fleet.ts';
+
+/** Memory of the smallest host, in megabytes. */
+const hostMegabytes = 186;
+
+/** Time for which such requests come again, in milliseconds. */
+const forMilliseconds = 3000;
+
+/** Requests that are answered without an end at a time. */
+const atOnce = 150;
+
+const call: CallerRequest = {path: '/status/1'};
+const once: CallerRequest = {path: '/deposits/1', method: 'POST'};
+const draft: CallerRequest = {
+	path: '/drafts/1', method: 'POST', body: 'notes', headers: {'x-azuretack-token-counts': '8000,120', 'x-azuretack-prompt-prefix': 'a1:200,b2:7800'},
+};
+
+/** The most memory that a gateway has had, in megabytes. */
+async function peakMegabytes({child}: GatewayProcess): Promise<number> {
+	const status = await readFile(`/proc/${child.pid}/status`, 'utf8');
+	return Number(/^VmHWM:\s+(?<kilobytes>\d+) kB/mv.exec(status)!.groups!.kilobytes) / 1024;
+}
+
+for (const fault of ['endless-body', 'endless-failure', 'endless-head'] as const) {
+	for (const [service, request] of [['desk', call], ['desk', once], ['scribe', draft]] as const) {
+		test(`${atOnce} requests at once (${request.path}) with an ${fault} neither use up the memory nor look complete, and others are served`, async () => {
+			await using fleet = await GatewayFleet.create();
+			const worker = await fleet.startWorker({id: `${service}-1`, service});
+			await fleet.startWorker({id: 'other-1', service: service === 'desk' ? 'scribe' : 'desk'});
+			const gateway = await fleet.startGateway('gateway-1');
+			worker.fault = fault;
+			const ending = new AbortController();
+			const until = performance.now() + forMilliseconds;
+			const endless = Array.from({length: atOnce}, async () => {
+				const seen = [];
+				while (performance.now() < until) {
+					seen.push(await fleet.call(gateway, {...request, dropsBody: true, deadlineMilliseconds: 3000}));
+				}
+
+				return seen;
+			});
+			const others: number[] = [];
+			const serving = (async () => {
+				while (!ending.signal.aborted) {
+					const answer = await fleet.call(gateway, service === 'desk' ? draft : {path: '/status/other'});
+					others.push(answer.status);
+					await delay(100);
+				}
+			})();
+			const seen = await Promise.all(endless);
+			const answers = seen.flat();
+			ending.abort();
+			await serving;
+			assert.ok(answers.every(({status, whole}) => !(status === 200 && whole)), 'none looks complete');
+			const statuses = new Set(answers.filter(({whole}) => whole).map(({status}) => status));
+			assert.ok([...statuses].every(status => [502, 503, 504].includes(status)), `refused with ${[...statuses].join(', ')}`);
+			assert.ok(others.length > 5 && others.every(status => status === 200), `others got ${others.join(', ')}`);
+			const peak = await peakMegabytes(gateway);
+			assert.ok(peak < hostMegabytes, `${peak} MB`);
+		});
+	}
+}
+
+test('reports without an end are left, and do not use up the memory', async () => {
+	await using fleet = await GatewayFleet.create();
+	const endless = await fleet.startWorker({id: 'scribe-1', service: 'scribe'});
+	await fleet.startWorker({id: 'scribe-2', service: 'scribe'});
+	const gateway = await fleet.startGateway('gateway-1');
+	endless.reportsEndlessly = true;
+	const answers = await Promise.all(Array.from({length: 40}, async () => fleet.draft(gateway)));
+	assert.ok(answers.every(({status, whole}) => status === 200 && whole));
+	assert.ok(await peakMegabytes(gateway) < hostMegabytes);
+});
+
+test('a large answer arrives whole, and callers that do not read bound what is read for them', async () => {
+	await using fleet = await GatewayFleet.create();
+	const large = 'x'.repeat(8_000_000);
+	await fleet.startWorker({id: 'desk-1', service: 'desk', answerOf: () => large});
+	const gateway = await fleet.startGateway('gateway-1');
+	const answer = await fleet.call(gateway, call);
+	assert.equal(answer.body.length, large.length);
+	const [hostname, port] = gateway.callers.split(':');
+	const sockets = Array.from({length: 100}, (_unused, index): Socket => {
+		const socket = connect(Number(port), hostname);
+		socket.write(`GET /status/${index} HTTP/1.1\r\nHost: ${routeHost}\r\nAuthorization: Token ${workspaceKey}\r\nX-Azuretack-Attempt-Id: slow-${index}\r\nX-Azuretack-Deadline-Ms: 3000\r\n\r\n`);
+		return socket;
+	});
+	await delay(1500);
+	const peak = await peakMegabytes(gateway);
+	for (const socket of sockets) {
+		socket.destroy();
+	}
+
+	assert.ok(peak < hostMegabytes, `${peak} MB`);
+});
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -8,7 +8,9 @@
 	ConfigurationBelief, EndpointList, divideNewsTime, readClock, type ClockReading, type NewsTimes,
 } from '../beliefs/mod.ts';
 import {MemberTable, exchangePeriod} from '../fleet/mod.ts';
-import {EndpointConnections, LostAttempts, type ForwardingParts} from '../forwarding/mod.ts';
+import {
+	EndpointConnections, HeldAnswers, LostAttempts, type ForwardingParts,
+} from '../forwarding/mod.ts';
 import {StoreClient} from '../platform/mod.ts';
 import {SharedRetryBudget, SlackBorrower} from '../retries/mod.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
@@ -85,6 +87,7 @@
 		health: new EndpointHealth(),
 		quiet: new QuietEndpoints(),
 		connections: new EndpointConnections(),
+		heldAnswers: new HeldAnswers({answerBytes: settings.answers.heldBytes, totalBytes: settings.answers.allHeldBytes}),
 		lostAttempts: new LostAttempts({
 			endpoints,
 			suspects,
--- a/source/platform/engine-report.ts
+++ b/source/platform/engine-report.ts
@@ -29,6 +29,9 @@
 	runs: z.array(z.unknown()).nullish(),
 });
 
+/** Longest report that is read, in bytes: a line for each of some thousand runs. */
+const reportBytes = 262_144;
+
 /** Options of {@linkcode readEngineReport}. */
 export type ReadEngineReportOptions = {
 	agent: Agent;
@@ -46,7 +49,7 @@
  */
 export async function readEngineReport({agent, address, timeoutMilliseconds}: ReadEngineReportOptions): Promise<Result<EngineReport, string>> {
 	const answer = await httpCall({
-		agent, address, path: '/api/report', timeoutMilliseconds,
+		agent, address, path: '/api/report', timeoutMilliseconds, largestBytes: reportBytes,
 	});
 	if (answer.isErr()) {
 		return err(answer.error.message);
--- a/source/platform/http-call.ts
+++ b/source/platform/http-call.ts
@@ -29,6 +29,8 @@
 	json?: unknown;
 	/** Time without a byte of the answer after which the call is given up, in milliseconds; a large answer over a slow link may take longer. */
 	timeoutMilliseconds: number;
+	/** Bytes of an answer after which the call is given up. Default 16,777,216. */
+	largestBytes?: number;
 	/** Ends the call early. */
 	signal?: AbortSignal;
 };
@@ -43,7 +45,7 @@
  * ```
  */
 export async function httpCall(options: HttpCallOptions): Promise<Result<HttpAnswer, HttpFailure>> {
-	const {agent, address, method = 'GET', path, json, timeoutMilliseconds, signal} = options;
+	const {agent, address, method = 'GET', path, json, timeoutMilliseconds, largestBytes = 16_777_216, signal} = options;
 	const [hostname, port] = address.split(':');
 	const body = json === undefined ? undefined : Buffer.from(JSON.stringify(json));
 	const headers = body ? {'content-type': 'application/json', 'content-length': String(body.length)} : {};
@@ -64,9 +66,14 @@
 		});
 		request.on('response', response => {
 			const chunks: Uint8Array[] = [];
+			let bytes = 0;
 			response.on('data', (chunk: Uint8Array) => {
 				timer.refresh();
 				chunks.push(chunk);
+				bytes += chunk.length;
+				if (bytes > largestBytes) {
+					request.destroy(new Error(`the answer is longer than ${largestBytes} bytes`));
+				}
 			});
 			response.on('end', () => {
 				settle(response.complete
--- a/source/settings/gateway-settings.ts
+++ b/source/settings/gateway-settings.ts
@@ -45,6 +45,12 @@
 		/** Time for which callers keep an answer that names entries, in seconds. */
 		entriesSeconds: z.number().positive().default(5),
 	}).prefault({}),
+	answers: z.object({
+		/** Bytes of one endpoint's answer that are held; a larger one is passed on as it comes. */
+		heldBytes: z.number().int().positive().default(262_144),
+		/** Bytes of all such answers that are held together. */
+		allHeldBytes: z.number().int().positive().default(16_777_216),
+	}).prefault({}),
 	log: z.object({
 		level: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info'),
 	}).prefault({}),
--- a/source/testing/call.ts
+++ b/source/testing/call.ts
@@ -17,6 +17,8 @@
 	headers?: Record<string, string>;
 	/** Ends the request early. */
 	signal?: AbortSignal;
+	/** Whether the body is read and dropped. Default false. */
+	dropsBody?: boolean;
 	/** Keeps connections. Default: a connection of its own. */
 	agent?: Agent;
 };
@@ -27,7 +29,9 @@
  * @param address `address:port`.
  * @param options The request.
  */
-export async function sendCall(address: string, {path, method = 'GET', body, headers, signal, agent}: SendCallOptions): Promise<CallerAnswer> {
+export async function sendCall(address: string, {
+	path, method = 'GET', body, headers, signal, dropsBody = false, agent,
+}: SendCallOptions): Promise<CallerAnswer> {
 	const [hostname, port] = address.split(':');
 	return new Promise(resolve => {
 		const request = startRequest({
@@ -42,7 +46,7 @@
 
 			response.setEncoding('utf8');
 			response.on('data', (chunk: string) => {
-				text += chunk;
+				text += dropsBody ? '' : chunk;
 			});
 			response.on('end', () => {
 				answer(response.complete);
--- a/source/testing/gateway-fleet.ts
+++ b/source/testing/gateway-fleet.ts
@@ -20,6 +20,9 @@
 
 const program = path.join(import.meta.dirname, '..', 'binaries', 'azuretack-gateway.js');
 
+/** Limits of the process's memory, as `deploy/system.toml` sets them. */
+const memoryFlags = ['--max-old-space-size=96', '--max-semi-space-size=4'];
+
 /** Host name of all routes in tests. */
 export const routeHost = 'desk.example';
 
@@ -112,7 +115,7 @@
 			store: `${this.#address}:7000`,
 			bounds,
 		}));
-		const child = spawn(process.execPath, [program, '--settings', file], {stdio: ['ignore', 'pipe', 'inherit']});
+		const child = spawn(process.execPath, [...memoryFlags, program, '--settings', file], {stdio: ['ignore', 'pipe', 'inherit']});
 		const log: string[] = [];
 		child.stdout.on('data', (data: Uint8Array) => {
 			log.push(new TextDecoder().decode(data));
--- a/source/testing/stand-ins/worker-options.ts
+++ b/source/testing/stand-ins/worker-options.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {type IncomingMessage} from 'node:http';
+import {type EndlessPart} from './endless-answer.ts';
 
 /** One request that a worker ran. Times are steady, in milliseconds. */
 export type WorkerRun = {
@@ -33,9 +34,9 @@
 
 /**
  * What a worker does with requests: it works, fails, refuses, ends answers early, says nothing, names another one, sends more than an
- * answer, sends no HTTP, works slowly, or repeats an event.
+ * answer, sends no HTTP, works slowly, repeats an event, or begins answers that never end.
  */
-export type WorkerFault = 'none' | 'error' | 'full' | 'break' | 'reset' | 'mute' | 'other-id' | 'extra' | 'garble' | 'slow' | 'repeat';
+export type WorkerFault = 'none' | 'error' | 'full' | 'break' | 'reset' | 'mute' | 'other-id' | 'extra' | 'garble' | 'slow' | 'repeat' | EndlessPart;
 
 /**
  * How a worker breaks the promises that a check relies on, for tests of the checks: it runs what it refuses, works on when a connection
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -9,6 +9,7 @@
 } from 'node:http';
 import {text} from 'node:stream/consumers';
 import {setTimeout as delay} from 'node:timers/promises';
+import {sendEndless, type EndlessPart} from './endless-answer.ts';
 import {
 	type WorkerArrival, type WorkerFault, type WorkerLie, type WorkerRun, type WorkerStandInOptions,
 } from './worker-options.ts';
@@ -35,6 +36,8 @@
 	quietSeconds: number | undefined;
 	/** What its reports say falsely. */
 	falseReport: 'idle' | 'leaving' | undefined;
+	/** Whether its reports never end. */
+	reportsEndlessly = false;
 	/** Requests that it ran. */
 	readonly runs: WorkerRun[];
 	/** Requests that reached it. */
@@ -133,7 +136,7 @@
 			target: request.url!,
 			startedAt: performance.now(),
 			endedAt: undefined,
-			status: fault === 'error' ? 500 : 200,
+			status: fault === 'error' || fault === 'endless-failure' ? 500 : 200,
 			answer: '',
 		};
 		run.answer = fault === 'error' ? 'failed' : this.options.answerOf(run);
@@ -160,10 +163,20 @@
 		}
 
 		const headers = {'x-azuretack-attempt-id': fault === 'other-id' ? 'another' : attempt, 'x-azuretack-server-stamp': `stamp-${this.options.id}`};
+		if (isEndless(fault)) {
+			await sendEndless(fault, response, headers);
+			return;
+		}
+
 		await (request.headers['x-azuretack-token-counts'] === undefined ? this.#call(run, response, {headers, fault}) : this.#stream(run, response, headers));
 	}
 
 	#report(response: ServerResponse): void {
+		if (this.reportsEndlessly) {
+			void sendEndless('endless-body', response, {});
+			return;
+		}
+
 		const running = this.falseReport === 'idle' ? [] : [...this.#running];
 		const runs = running.map(([attempt, events]) => [attempt, 8000 + events, events, 5]);
 		response.writeHead(200, {'content-type': 'application/json'});
@@ -199,10 +212,10 @@
 		return this.fault === 'slow' ? milliseconds * slowFactor : milliseconds;
 	}
 
-	async #call(run: WorkerRun, response: ServerResponse, {headers, fault}: {headers: Record<string, string>; fault: WorkerFault}): Promise<void> {
+	async #call(run: WorkerRun, response: ServerResponse, {headers, fault}: {headers: Record<string, string>; fault: Exclude<WorkerFault, EndlessPart>}): Promise<void> {
 		await delay(this.#time(this.options.callMilliseconds));
 		const body = this.lie === 'other-body' ? run.answer.slice(1) : run.answer;
-		const handlers: Record<WorkerFault, () => void> = {
+		const handlers: Record<typeof fault, () => void> = {
 			none() {
 				response.writeHead(200, {...headers, 'content-length': body.length}).end(body);
 			},
@@ -293,3 +306,7 @@
 		}
 	}
 }
+
+function isEndless(fault: WorkerFault): fault is EndlessPart {
+	return fault.startsWith('endless-');
+}
