Let the soak play workers that leave by their own word, want to be left alone, or answer without an end

Faults 'worker says that it leaves', 'worker wants to be left alone' and three variants of 'worker misbehaves'; checks wordOfLeaving and quietWorkers, each with its mutation.

--- a/source/testing/soak/callers.ts
+++ b/source/testing/soak/callers.ts
@@ -227,6 +227,7 @@
 			at: performance.now(),
 			status: answer.status,
 			stamp: textOf(answer.headers['x-azuretack-server-stamp']),
+			saysLeaving: answer.headers['server-leaving'] === '1',
 			attempt: textOf(answer.headers['x-azuretack-attempt-id']),
 			body: answer.body,
 			whole: answer.whole,
--- a/source/testing/soak/checks/checks.test.ts
+++ b/source/testing/soak/checks/checks.test.ts
@@ -7,6 +7,7 @@
 import {Random} from '../random.ts';
 import {retryBounds} from '../plan.ts';
 import {prefixes} from '../requests.ts';
+import {type WorkerSlot} from '../worker-slots.ts';
 import {SoakWorld} from '../world.ts';
 import {checks, type CheckName} from './mod.ts';
 
@@ -44,6 +45,22 @@
 		await delay(contactPlus);
 		history.leavings.push({worker: slots.find(({name}) => name === 'desk-1')!.id, at: performance.now()});
 	},
+	async wordOfLeaving({slots}) {
+		// The same worker is registered again as a new life, so that gateways use it on.
+		const [{worker}] = slots.filter(({name}) => name === 'desk-1') as [WorkerSlot];
+		worker.saysLeaving = true;
+		await delay(contactPlus);
+		worker.startedAt += 1;
+		worker.saysLeaving = false;
+		slots.find(({name}) => name === 'desk-1')!.register();
+	},
+	quietWorkers({slots}) {
+		// What is noted of arrivals says that workers want to be left alone, and their answers do not.
+		for (const {worker} of slots) {
+			worker.lie = 'wants-quiet-silently';
+			worker.quietSeconds = 3;
+		}
+	},
 	wholeAnswers: tellLie('other-body'),
 	wholeStreams({slots}) {
 		for (const {worker} of slots) {
--- a/source/testing/soak/checks/mod.ts
+++ b/source/testing/soak/checks/mod.ts
@@ -12,6 +12,7 @@
 import {
 	boundedAttempts, endingRequests, leavingWorkers, leftCallers, notRunIsTrue, oneEngineAtATime, retryBudget, runsOnce, unchangedRequests,
 } from './runs.ts';
+import {quietWorkers, wordOfLeaving} from './wishes.ts';
 
 export type {Check, Violation} from './check.ts';
 
@@ -26,6 +27,8 @@
 	endingRequests,
 	leftCallers,
 	leavingWorkers,
+	wordOfLeaving,
+	quietWorkers,
 	wholeAnswers,
 	wholeStreams,
 	answersInTime,
--- a/source/testing/soak/fault-kinds.ts
+++ b/source/testing/soak/fault-kinds.ts
@@ -146,7 +146,7 @@
 		start: (_nothing, _variant, world) => world.lapseEntries(),
 	},
 	'worker misbehaves': {
-		variants: ['error', 'full', 'break', 'reset', 'mute', 'other-id', 'extra', 'garble', 'slow', 'repeat'] satisfies WorkerFault[],
+		variants: ['error', 'full', 'break', 'reset', 'mute', 'other-id', 'extra', 'garble', 'slow', 'repeat', 'endless-body', 'endless-failure', 'endless-head'] satisfies WorkerFault[],
 		on: 'worker',
 		disturbs: true,
 		start(slot, variant) {
@@ -205,6 +205,27 @@
 			return undefined;
 		},
 	},
+	'worker says that it leaves': {
+		variants: ['in its answers'],
+		on: 'worker',
+		disturbs: false,
+		async start(slot) {
+			await slot.sayLeaving();
+			return undefined;
+		},
+	},
+	'worker wants to be left alone': {
+		variants: ['1', '3'],
+		on: 'worker',
+		disturbs: true,
+		start(slot, variant) {
+			const {worker} = slot;
+			worker.quietSeconds = Number(variant);
+			return () => {
+				worker.quietSeconds = undefined;
+			};
+		},
+	},
 	'worker returns at another one\'s address': {
 		variants: ['swap'],
 		on: 'worker',
--- a/source/testing/soak/history.ts
+++ b/source/testing/soak/history.ts
@@ -18,6 +18,8 @@
 	status: number;
 	/** Proof of the worker that answered; absent in answers of the gateway's own. */
 	stamp: string | undefined;
+	/** Whether it says that the worker leaves. */
+	saysLeaving: boolean;
 	/** Attempt that the answer names. */
 	attempt: string | undefined;
 	body: string;
--- a/source/testing/soak/worker-slots.ts
+++ b/source/testing/soak/worker-slots.ts
@@ -124,6 +124,18 @@
 		});
 	}
 
+	/** The worker says in its answers that it leaves, before its entry does, serves on for a while and ends, and the next one starts. */
+	async sayLeaving(): Promise<void> {
+		await this.#exclusively(async () => {
+			const {id} = this;
+			this.worker.saysLeaving = true;
+			await delay(leavingMilliseconds);
+			await this.#end();
+			this.#options.store.remove('servers', id);
+			await this.start();
+		});
+	}
+
 	/** The worker dies, and one of another service runs at its address for a while. */
 	async replace(): Promise<void> {
 		await this.#exclusively(async () => {
--- a/source/testing/stand-ins/worker-options.ts
+++ b/source/testing/stand-ins/worker-options.ts
@@ -28,8 +28,11 @@
 export type WorkerArrival = {
 	attempt: string;
 	service: string;
+	worker: string;
 	/** Steady time, in milliseconds. */
 	at: number;
+	/** Steady time until which the worker said that it wants to be left alone, in milliseconds. */
+	quietUntil: number | undefined;
 };
 
 /**
@@ -41,9 +44,9 @@
 /**
  * How a worker breaks the promises that a check relies on, for tests of the checks: it runs what it refuses, works on when a connection
  * has closed, counts each run three times, sends another body than it notes, breaks streams off while it works on, or notes another body
- * than it got.
+ * than it got, or notes that it wants to be left alone and does not say so.
  */
-export type WorkerLie = 'runs-refused' | 'ignores-close' | 'counts-thrice' | 'other-body' | 'breaks-and-works-on' | 'misreads';
+export type WorkerLie = 'runs-refused' | 'ignores-close' | 'counts-thrice' | 'other-body' | 'breaks-and-works-on' | 'misreads' | 'wants-quiet-silently';
 
 /** Options of a worker stand-in. */
 export type WorkerStandInOptions = {
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -115,11 +115,13 @@
 
 		const body = await text(request);
 		const attempt = String(request.headers['x-azuretack-attempt-id']);
-		const arrival = {attempt, service: this.options.service, at: performance.now()};
+		const arrival = {
+			attempt, service: this.options.service, worker: this.options.id, at: performance.now(), quietUntil: this.#quietUntil(),
+		};
 		this.arrivals.push(...Array.from({length: this.lie === 'counts-thrice' ? 3 : 1}, () => arrival));
 		const refusal = this.#refusal(request);
 		if (refusal !== undefined) {
-			response.writeHead(refusal, {'x-azuretack-not-executed': '1', 'x-azuretack-attempt-id': attempt, ...(this.quietSeconds !== undefined && {'retry-after': String(this.quietSeconds)})});
+			response.writeHead(refusal, {'x-azuretack-not-executed': '1', 'x-azuretack-attempt-id': attempt, ...(this.quietSeconds !== undefined && this.lie !== 'wants-quiet-silently' && {'retry-after': String(this.quietSeconds)})});
 			response.end();
 			return;
 		}
@@ -194,6 +196,10 @@
 		}));
 	}
 
+	#quietUntil(): number | undefined {
+		return this.quietSeconds === undefined ? undefined : performance.now() + (this.quietSeconds * 1000);
+	}
+
 	#refusal(request: IncomingMessage): number | undefined {
 		if (request.headers['x-azuretack-target-instance'] !== this.options.id) {
 			return 421;
