--- a/source/beliefs/beliefs.test.ts
+++ b/source/beliefs/beliefs.test.ts
@@ -201,3 +201,26 @@
 	await Promise.all([waiting, silent]);
 	assert.deepEqual(questions.filter(table => table === 'waiting').length, 2);
 });
+
+test('an endpoint that says that it leaves is used no more in that life, here and where others hear of it', () => {
+	const [list, other] = [new EndpointList(), new EndpointList()];
+	for (const each of [list, other]) {
+		each.apply([{id: 'one', entry: endpoint('one'), revision: 1}], 0);
+	}
+
+	const life = {id: 'one', startedAt: endpoint('one').startedAt};
+	assert.equal(list.markLeaving(life, 100), true);
+	assert.equal(list.markLeaving(life, 200), false);
+	assert.deepEqual(list.leavingLives(1100), [{...life, ageMilliseconds: 1000}]);
+	other.hearLeaving(list.leavingLives(1100), 5000);
+	for (const each of [list, other]) {
+		assert.deepEqual(each.endpointsOf('desk', 5000), []);
+		assert.equal(each.stateOf(life), 'leaving');
+		each.apply([{id: 'one', entry: {...endpoint('one'), startedAt: life.startedAt + 1}, revision: 2}], 6000);
+		assert.equal(each.endpointsOf('desk', 6000).length, 1);
+		assert.equal(each.stateOf(life), 'replaced');
+	}
+
+	assert.deepEqual(list.leavingLives(60_000), []);
+	assert.equal(list.stateOf({id: 'unknown', startedAt: 1}), 'removed');
+});
--- a/source/forwarding/send-request.test.ts
+++ b/source/forwarding/send-request.test.ts
@@ -3,6 +3,7 @@
 import {once} from 'node:events';
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import {test, type TestContext} from 'node:test';
+import fc from 'fast-check';
 import {EndpointConnections} from './endpoint-connections.ts';
 import {BrokenAnswerError, sendRequest, type SendOutcome} from './send-request.ts';
 
@@ -143,3 +144,29 @@
 	const outcome = await send(endpoint);
 	assert.equal(outcome.kind, 'lost');
 });
+
+const headLine = fc.oneof(
+	fc.constantFrom('HTTP/1.1 200 OK', 'HTTP/1.1 100 Continue', 'HTTP/1.1 503', 'HTTP/9.9 200', 'Content-Length: 5', 'Content-Length: -1', 'Transfer-Encoding: chunked', 'X-Azuretack-Attempt-Id: a', ''),
+	fc.string({maxLength: 40}),
+	fc.integer({min: 1, max: 40_000}).map(length => `X-Long: ${'x'.repeat(length)}`),
+);
+
+test('whatever bytes come in place of a head, the outcome is an answer with a status, or that there is none', async context => {
+	let bytes = '';
+	const endpoint = await startEndpoint(context, socket => {
+		socket.write(bytes);
+		setTimeout(() => {
+			socket.destroy();
+		}, 5);
+	});
+	await fc.assert(fc.asyncProperty(fc.array(headLine, {maxLength: 12}), async lines => {
+		bytes = `${lines.join('\r\n')}\r\n\r\n`;
+		const outcome = await send(endpoint, 'fresh');
+		if (outcome.kind === 'answer') {
+			assert.ok(outcome.answer.status >= 100 && outcome.answer.status <= 999);
+			outcome.answer.abandon();
+		} else {
+			assert.equal(outcome.kind, 'lost');
+		}
+	}), {seed: 19, numRuns: 200});
+});
--- a/source/platform/platform.test.ts
+++ b/source/platform/platform.test.ts
@@ -105,6 +105,10 @@
 	assert.equal(decodeAnswerTerms(421, {}).notExecuted, true);
 	assert.equal(decodeAnswerTerms(503, {}).notExecuted, false);
 	assert.equal(decodeAnswerTerms(503, {'x-azuretack-not-executed': '1'}).notExecuted, true);
+	assert.deepEqual(decodeAnswerTerms(503, {'retry-after': '1.5', 'server-leaving': '1'}), {
+		attempt: undefined, notExecuted: false, retryAfterMilliseconds: 1500, leaving: true,
+	});
+	assert.deepEqual([decodeAnswerTerms(200, {'server-leaving': '0'}).leaving, decodeAnswerTerms(503, {'retry-after': 'soon'}).retryAfterMilliseconds], [false, undefined]);
 	assert.deepEqual(encodeAnswerHeaders(['Content-Length', '5', 'Keep-Alive', 'timeout=5', 'X-Azuretack-Server-Stamp', 's']), ['X-Azuretack-Server-Stamp', 's']);
 });
 
