Tell callers the earliest time at which an endpoint takes requests again

Where all endpoints of a service want to be left alone, a caller was told what the last of them had said, or a time found before it had refused. The time is now found when the caller is answered, in one place for calls and generations. A row of a suspected request that cannot be changed leaves a line.

--- a/source/forwarding/answer-wishes.ts
+++ b/source/forwarding/answer-wishes.ts
@@ -7,6 +7,9 @@
 import {type AnswerTerms} from '../platform/mod.ts';
 import {type ForwardingParts} from './forwarding-parts.ts';
 
+/** Shortest time to come back that callers are told, in milliseconds: an answer names no shorter one. */
+const shortestMilliseconds = 1;
+
 /** Status of an answer that turns a request away for now. */
 const turnedAwayStatus = 503;
 
@@ -45,12 +48,26 @@
 }
 
 /**
- * Returns the endpoints of a service that may be used now, and when the first of those that want to be left alone may be.
+ * Returns the endpoints of a service that may be used now: those that do not want to be left alone.
+ *
+ * @param service Name of the service.
+ * @param parts The router's other parts.
+ */
+export function usableEndpoints(service: string, {endpoints, quiet, clock}: ForwardingParts): readonly EndpointEntry[] {
+	const now = clock();
+	return quiet.divide(endpoints.endpointsOf(service, now), now).usable;
+}
+
+/**
+ * Returns when a caller may come back that no endpoint served: once the first one takes requests again, where all want to be left alone.
  *
  * @param service Name of the service.
+ * @param otherwiseMilliseconds Time to come back in the other case, in milliseconds.
  * @param parts The router's other parts.
+ * @returns Milliseconds.
  */
-export function usableEndpoints(service: string, {endpoints, quiet, clock}: ForwardingParts): {usable: readonly EndpointEntry[]; firstEnd: number | undefined} {
+export function comeBackAfter(service: string, otherwiseMilliseconds: number, {endpoints, quiet, clock}: ForwardingParts): number {
 	const now = clock();
-	return quiet.divide(endpoints.endpointsOf(service, now), now);
+	const {usable, firstEnd} = quiet.divide(endpoints.endpointsOf(service, now), now);
+	return usable.length === 0 && firstEnd !== undefined ? Math.max(shortestMilliseconds, firstEnd - now) : otherwiseMilliseconds;
 }
--- a/source/forwarding/engine-placing.ts
+++ b/source/forwarding/engine-placing.ts
@@ -42,17 +42,11 @@
  */
 export class EnginePlacing {
 	readonly #options: EnginePlacingOptions;
-	#firstQuietEnd: number | undefined;
 
 	constructor(options: EnginePlacingOptions) {
 		this.#options = options;
 	}
 
-	/** When the first engine that wants to be left alone may be used, in steady milliseconds; absent where none wants to. */
-	get firstQuietEnd(): number | undefined {
-		return this.#firstQuietEnd;
-	}
-
 	/** Whether an engine may still be used: it was not tried, has not just failed, stays, and does not want to be left alone. */
 	isUsable(endpoint: EndpointEntry): boolean {
 		const {tried, parts: {endpoints, health, quiet, clock}} = this.#options;
@@ -64,10 +58,8 @@
 	async rank(): Promise<AskedEngine[]> {
 		const {exchange, parts, tried, tokens} = this.#options;
 		const {endpoints, health, loads, clock} = parts;
-		const {usable, firstEnd} = usableEndpoints(exchange.service.name, parts);
-		this.#firstQuietEnd = firstEnd;
 		const candidates = engineCandidates({
-			endpoints: usable, tried, health, preferenceKey: exchange.terms.promptPart ?? exchange.requestName, count: askedEngines, now: clock(),
+			endpoints: usableEndpoints(exchange.service.name, parts), tried, health, preferenceKey: exchange.terms.promptPart ?? exchange.requestName, count: askedEngines, now: clock(),
 		});
 		const asked: AskedEngine[] = await Promise.all(candidates.map(async endpoint => ({endpoint, report: await this.ask(endpoint, 'place')})));
 		for (const engine of asked) {
@@ -101,7 +93,7 @@
 	/** Asks other engines, once all that were asked have not answered. */
 	async #afterAvoided(candidates: readonly EndpointEntry[]): Promise<AskedEngine[]> {
 		const {exchange, parts} = this.#options;
-		const others = usableEndpoints(exchange.service.name, parts).usable.some(endpoint => this.isUsable(endpoint));
+		const others = usableEndpoints(exchange.service.name, parts).some(endpoint => this.isUsable(endpoint));
 		return others ? this.rank() : candidates.map(endpoint => ({endpoint, report: undefined}));
 	}
 }
--- a/source/forwarding/forward-call.ts
+++ b/source/forwarding/forward-call.ts
@@ -8,7 +8,7 @@
 import {
 	passAnswerOn, sendRefusal, sendWholeAnswer, type Refusal,
 } from './answer-caller.ts';
-import {usableEndpoints} from './answer-wishes.ts';
+import {comeBackAfter, usableEndpoints} from './answer-wishes.ts';
 import {askRetryBudget} from './ask-retry-budget.ts';
 import {type CallAttempt} from './call-attempt.ts';
 import {CallAttempts} from './call-attempts.ts';
@@ -45,8 +45,6 @@
 	readonly #attempts: CallAttempts;
 	/** What becomes of endpoints that lost an answer, by their names. */
 	readonly #settling = new Map<string, Promise<void>>();
-	/** When the first endpoint that wants to be left alone may be used, in steady milliseconds; absent where none wants to. */
-	#firstQuietEnd: number | undefined;
 	#runs = 0;
 	#timedOut = false;
 
@@ -71,7 +69,7 @@
 		const first = this.#choose();
 		if (!first) {
 			return this.#refuse({
-				status: 503, code: 'no_endpoint', message: 'No endpoint of the service can be used now.', retryAfterMilliseconds: this.#comeBackMilliseconds(),
+				status: 503, code: 'no_endpoint', message: 'No endpoint of the service can be used now.', retryAfterMilliseconds: this.#comeBackAfter(),
 			});
 		}
 
@@ -164,10 +162,8 @@
 
 	#choose(): EndpointEntry | undefined {
 		const {loads, health, availabilityZone, clock, random} = this.#parts;
-		const {usable, firstEnd} = usableEndpoints(this.#exchange.service.name, this.#parts);
-		this.#firstQuietEnd = firstEnd;
 		return chooseEndpoint({
-			endpoints: usable, tried: this.#tried, loads, health, availabilityZone, now: clock(), random,
+			endpoints: usableEndpoints(this.#exchange.service.name, this.#parts), tried: this.#tried, loads, health, availabilityZone, now: clock(), random,
 		});
 	}
 
@@ -248,16 +244,15 @@
 
 		if (this.#runs === 0) {
 			return this.#refuse({
-				status: 503, code: 'not_run', message: `No endpoint took the request: ${message}`, retryAfterMilliseconds: retryAfterMilliseconds ?? this.#comeBackMilliseconds(),
+				status: 503, code: 'not_run', message: `No endpoint took the request: ${message}`, retryAfterMilliseconds: this.#comeBackAfter(retryAfterMilliseconds),
 			});
 		}
 
 		return this.#refuse({status: 502, code: 'answer_lost', message: `The request may have run, and its answer is lost: ${message}`});
 	}
 
-	/** When the caller may come back: once an endpoint takes requests again, where all want to be left alone. */
-	#comeBackMilliseconds(): number {
-		return this.#firstQuietEnd === undefined ? comeBackMilliseconds : Math.max(1, this.#firstQuietEnd - this.#parts.clock());
+	#comeBackAfter(askedMilliseconds = comeBackMilliseconds): number {
+		return comeBackAfter(this.#exchange.service.name, askedMilliseconds, this.#parts);
 	}
 
 	#refuse(refusal: Refusal): ExchangeOutcome {
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -6,7 +6,7 @@
 import {chooseCopyHolder, type AskedEngine} from '../balancing/mod.ts';
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {sendRefusal, sendWholeAnswer, type Refusal} from './answer-caller.ts';
-import {obeyWishes} from './answer-wishes.ts';
+import {comeBackAfter, obeyWishes} from './answer-wishes.ts';
 import {askRetryBudget} from './ask-retry-budget.ts';
 import {EnginePlacing} from './engine-placing.ts';
 import {type Exchange, type ExchangeOutcome} from './exchange.ts';
@@ -212,9 +212,8 @@
 		}
 
 		if (this.#runs === 0) {
-			const quietMilliseconds = this.#placing.firstQuietEnd === undefined ? undefined : Math.max(1, this.#placing.firstQuietEnd - this.#parts.clock());
 			return this.#refuse({
-				status: 503, code: 'not_run', message: `No engine took the request: ${message}`, retryAfterMilliseconds: askedMilliseconds ?? quietMilliseconds ?? comeBackMilliseconds,
+				status: 503, code: 'not_run', message: `No engine took the request: ${message}`, retryAfterMilliseconds: comeBackAfter(this.#exchange.service.name, askedMilliseconds ?? comeBackMilliseconds, this.#parts),
 			});
 		}
 
--- a/source/suspects/request-suspects.ts
+++ b/source/suspects/request-suspects.ts
@@ -225,6 +225,7 @@
 	/** Takes what a row says after this gateway has changed it. */
 	#take(digest: string, stored: Result<StoredSuspicion, string>): void {
 		if (stored.isErr()) {
+			this.#options.logger.warn('row of a suspected request is not changed', {digest, reason: stored.error});
 			return;
 		}
 
