Name backing off and signals of endpoints by the field's terms, and keep one type of an endpoint's life

Read as a newcomer would: 'wishes', 'quiet' and 'left alone' are now back off and signals; the type of one life of an endpoint stood three times.

--- a/source/balancing/balancing.test.ts
+++ b/source/balancing/balancing.test.ts
@@ -3,7 +3,7 @@
 import {xoroshiro128plus, type RandomGenerator} from 'pure-rand';
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {
-	EndpointHealth, EndpointLoads, QuietEndpoints, chooseCopyHolder, chooseEndpoint, engineCandidates, rankEngines, type AskedEngine, type EngineReport,
+	EndpointHealth, EndpointLoads, EndpointBackoff, chooseCopyHolder, chooseEndpoint, engineCandidates, rankEngines, type AskedEngine, type EngineReport,
 } from './mod.ts';
 
 const endpoint = (id: string, availabilityZone = 'zone-a'): EndpointEntry => ({
@@ -117,15 +117,15 @@
 	assert.equal(chooseCopyHolder([full], engine, 9000), undefined);
 });
 
-test('an endpoint is left alone for as long as it wants, in that life of it', () => {
-	const quiet = new QuietEndpoints();
+test('an endpoint is sent nothing for as long as it asks, in that life of it', () => {
+	const backoff = new EndpointBackoff();
 	const [one, other] = [endpoint('one'), endpoint('other')];
-	assert.deepEqual(quiet.divide([one, other], 0), {usable: [one, other], firstEnd: undefined});
-	quiet.leave(one, 3000);
-	quiet.leave(one, 1000);
-	assert.deepEqual(quiet.divide([one, other], 2999), {usable: [other], firstEnd: 3000});
-	quiet.leave(other, 5000);
-	assert.deepEqual(quiet.divide([one, other], 2999), {usable: [], firstEnd: 3000});
-	assert.equal(quiet.isQuiet({...one, startedAt: 2}, 2999), false);
-	assert.deepEqual(quiet.divide([one, other], 3000), {usable: [one], firstEnd: 5000});
+	assert.deepEqual(backoff.divide([one, other], 0), {usable: [one, other], firstEnd: undefined});
+	backoff.start(one, 3000);
+	backoff.start(one, 1000);
+	assert.deepEqual(backoff.divide([one, other], 2999), {usable: [other], firstEnd: 3000});
+	backoff.start(other, 5000);
+	assert.deepEqual(backoff.divide([one, other], 2999), {usable: [], firstEnd: 3000});
+	assert.equal(backoff.isBackedOff({...one, startedAt: 2}, 2999), false);
+	assert.deepEqual(backoff.divide([one, other], 3000), {usable: [one], firstEnd: 5000});
 });
--- a/source/balancing/quiet-endpoints.ts
+++ b/source/balancing/endpoint-backoff.ts
@@ -1,36 +1,34 @@
 /**
- * Endpoints that want to be left alone for a while.
+ * Endpoints that ask to back off for a while.
  *
  * Answers the load of an endpoint that turns requests away and says when it will take some again: whatever reaches it before costs it
  * time that it does not have.
  *
  * @module
  */
-
-/** One life of an endpoint's process. */
-type EndpointLife = {id: string; startedAt: number};
+import {type EndpointLife} from '../beliefs/mod.ts';
 
 /**
- * Remembers until when each endpoint is left alone; a new life of it is not bound by what an earlier one wanted.
+ * Remembers until when each endpoint is sent nothing; a new life of it is not bound by what an earlier one asked.
  *
  * @example
  * ```ts
- * quiet.leave(endpoint, now + 3000);
- * quiet.isQuiet(endpoint, now); // true
+ * backoff.start(endpoint, now + 3000);
+ * backoff.isBackedOff(endpoint, now); // true
  * ```
  */
-export class QuietEndpoints {
+export class EndpointBackoff {
 	/** Steady times at which they end, in milliseconds, by name of the life. */
 	readonly #ends = new Map<string, number>();
 
-	/** Leaves an endpoint alone until a steady time, or longer where it wanted that before. */
-	leave(life: EndpointLife, until: number): void {
+	/** Sends an endpoint nothing until a steady time, or longer where it asked for that before. */
+	start(life: EndpointLife, until: number): void {
 		const name = nameOf(life);
 		this.#ends.set(name, Math.max(until, this.#ends.get(name) ?? 0));
 	}
 
-	/** Whether an endpoint is to be left alone. */
-	isQuiet(life: EndpointLife, now: number): boolean {
+	/** Whether an endpoint is sent nothing now. */
+	isBackedOff(life: EndpointLife, now: number): boolean {
 		return this.#ends.size > 0 && this.#endOf(life, now) > now;
 	}
 
@@ -47,7 +45,7 @@
 
 		const ends = endpoints.map(endpoint => this.#endOf(endpoint, now)).filter(end => end > now);
 		return {
-			usable: ends.length === 0 ? endpoints : endpoints.filter(endpoint => !this.isQuiet(endpoint, now)),
+			usable: ends.length === 0 ? endpoints : endpoints.filter(endpoint => !this.isBackedOff(endpoint, now)),
 			firstEnd: ends.length === 0 ? undefined : Math.min(...ends),
 		};
 	}
--- a/source/balancing/mod.ts
+++ b/source/balancing/mod.ts
@@ -8,4 +8,4 @@
 export * from './choose-engine.ts';
 export * from './endpoint-health.ts';
 export * from './endpoint-loads.ts';
-export * from './quiet-endpoints.ts';
+export * from './endpoint-backoff.ts';
--- a/source/beliefs/endpoint-list.ts
+++ b/source/beliefs/endpoint-list.ts
@@ -37,10 +37,13 @@
 export type EndpointChange = z.output<typeof endpointChangeSchema>;
 
 /** One life of an endpoint's process. */
-export type EndpointLife = Pick<EndpointEntry, 'id' | 'startedAt'>;
+export const endpointLifeSchema = endpointEntrySchema.pick({id: true, startedAt: true});
+
+/** One life of an endpoint's process. */
+export type EndpointLife = z.output<typeof endpointLifeSchema>;
 
 /** One life of an endpoint that has said that it leaves, and the time since then, as gateways tell each other. */
-export const leavingLifeSchema = z.object({id: z.string(), startedAt: z.number(), ageMilliseconds: z.number()});
+export const leavingLifeSchema = endpointLifeSchema.extend({ageMilliseconds: z.number()});
 
 /** One life of an endpoint that has said that it leaves. */
 export type LeavingLife = z.output<typeof leavingLifeSchema>;
--- a/source/fleet/exchange-protocol.ts
+++ b/source/fleet/exchange-protocol.ts
@@ -6,8 +6,8 @@
 import {Buffer} from 'node:buffer';
 import {type MethodDefinition} from '@grpc/grpc-js';
 import * as z from 'zod';
-import {endpointChangeSchema, leavingLifeSchema} from '../beliefs/endpoint-list.ts';
-import {endpointLifeSchema, suspicionSchema} from '../suspects/mod.ts';
+import {endpointChangeSchema, endpointLifeSchema, leavingLifeSchema} from '../beliefs/endpoint-list.ts';
+import {suspicionSchema} from '../suspects/mod.ts';
 import {heartbeatSchema, memberSchema} from './member.ts';
 
 /** Largest message, in bytes: a whole configuration and all endpoints at the largest size. */
--- a/source/forwarding/answer-wishes.ts
+++ b/source/forwarding/endpoint-signals.ts
@@ -14,7 +14,7 @@
 const turnedAwayStatus = 503;
 
 /**
- * Remembers that an endpoint leaves, or wants to be left alone for a while.
+ * Remembers that an endpoint leaves, or asks to back off.
  *
  * Both hold for the life of the endpoint that said it, whatever the store's list says, since the endpoint knows better and sooner.
  *
@@ -22,14 +22,14 @@
  * @param answer Status and terms of its answer.
  * @param parts The router's other parts.
  */
-export function obeyWishes(endpoint: EndpointEntry, {status, terms: {leaving, retryAfterMilliseconds}}: {status: number; terms: AnswerTerms}, parts: ForwardingParts): void {
-	const {quiet, logger, clock, countWish} = parts;
+export function noteSignals(endpoint: EndpointEntry, {status, terms: {leaving, retryAfterMilliseconds}}: {status: number; terms: AnswerTerms}, parts: ForwardingParts): void {
+	const {backoff, logger, clock, countSignal} = parts;
 	const now = clock();
-	obeyLeaving(endpoint, leaving, parts);
+	noteLeaving(endpoint, leaving, parts);
 	if (status === turnedAwayStatus && retryAfterMilliseconds !== undefined) {
-		quiet.leave(endpoint, now + retryAfterMilliseconds);
-		countWish(endpoint.service, 'quiet');
-		logger.info('endpoint wants to be left alone', {endpoint: endpoint.id, startedAt: endpoint.startedAt, milliseconds: retryAfterMilliseconds});
+		backoff.start(endpoint, now + retryAfterMilliseconds);
+		countSignal(endpoint.service, 'backoff');
+		logger.info('endpoint asks to back off', {endpoint: endpoint.id, startedAt: endpoint.startedAt, milliseconds: retryAfterMilliseconds});
 	}
 }
 
@@ -40,34 +40,34 @@
  * @param leaving Whether it says that it leaves.
  * @param parts The router's other parts.
  */
-export function obeyLeaving(endpoint: EndpointEntry, leaving: boolean, {endpoints, logger, clock, countWish}: ForwardingParts): void {
+export function noteLeaving(endpoint: EndpointEntry, leaving: boolean, {endpoints, logger, clock, countSignal}: ForwardingParts): void {
 	if (leaving && endpoints.markLeaving(endpoint, clock())) {
-		countWish(endpoint.service, 'leaving');
+		countSignal(endpoint.service, 'leaving');
 		logger.info('endpoint says that it leaves', {endpoint: endpoint.id, startedAt: endpoint.startedAt});
 	}
 }
 
 /**
- * Returns the endpoints of a service that may be used now: those that do not want to be left alone.
+ * Returns the endpoints of a service that may be used now: those that do not ask to back off.
  *
  * @param service Name of the service.
  * @param parts The router's other parts.
  */
-export function usableEndpoints(service: string, {endpoints, quiet, clock}: ForwardingParts): readonly EndpointEntry[] {
+export function usableEndpoints(service: string, {endpoints, backoff, clock}: ForwardingParts): readonly EndpointEntry[] {
 	const now = clock();
-	return quiet.divide(endpoints.endpointsOf(service, now), now).usable;
+	return backoff.divide(endpoints.endpointsOf(service, now), now).usable;
 }
 
 /**
- * Returns when a caller may come back that no endpoint served: once the first one takes requests again, where all want to be left alone.
+ * Returns when a caller may come back that no endpoint served: once the first one takes requests again, where all ask to back off.
  *
  * @param service Name of the service.
  * @param otherwiseMilliseconds Time to come back in the other case, in milliseconds.
  * @param parts The router's other parts.
  * @returns Milliseconds.
  */
-export function comeBackAfter(service: string, otherwiseMilliseconds: number, {endpoints, quiet, clock}: ForwardingParts): number {
+export function comeBackAfter(service: string, otherwiseMilliseconds: number, {endpoints, backoff, clock}: ForwardingParts): number {
 	const now = clock();
-	const {usable, firstEnd} = quiet.divide(endpoints.endpointsOf(service, now), now);
+	const {usable, firstEnd} = backoff.divide(endpoints.endpointsOf(service, now), now);
 	return usable.length === 0 && firstEnd !== undefined ? Math.max(shortestMilliseconds, firstEnd - now) : otherwiseMilliseconds;
 }
--- a/source/forwarding/engine-placing.ts
+++ b/source/forwarding/engine-placing.ts
@@ -8,7 +8,7 @@
 } from '../balancing/mod.ts';
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {readEngineReport} from '../platform/mod.ts';
-import {obeyLeaving, usableEndpoints} from './answer-wishes.ts';
+import {noteLeaving, usableEndpoints} from './endpoint-signals.ts';
 import {type Exchange} from './exchange.ts';
 import {type ForwardingParts} from './forwarding-parts.ts';
 import {provesRestart} from './silence-decision.ts';
@@ -47,11 +47,11 @@
 		this.#options = options;
 	}
 
-	/** Whether an engine may still be used: it was not tried, has not just failed, stays, and does not want to be left alone. */
+	/** Whether an engine may still be used: it was not tried, has not just failed, stays, and does not ask to back off. */
 	isUsable(endpoint: EndpointEntry): boolean {
-		const {tried, parts: {endpoints, health, quiet, clock}} = this.#options;
+		const {tried, parts: {endpoints, health, backoff, clock}} = this.#options;
 		const now = clock();
-		return !tried.has(endpoint.id) && !health.avoids(endpoint.id, now) && !quiet.isQuiet(endpoint, now) && endpoints.stateOf(endpoint) === 'listed';
+		return !tried.has(endpoint.id) && !health.avoids(endpoint.id, now) && !backoff.isBackedOff(endpoint, now) && endpoints.stateOf(endpoint) === 'listed';
 	}
 
 	/** Asks some engines for their load; returns them in the order of the work before them. */
@@ -84,7 +84,7 @@
 		const read = await readEngineReport({agent: parts.connections.agent(use), address: endpoint.address, timeoutMilliseconds});
 		const report = read.unwrapOr(undefined);
 		if (report && !provesRestart(report, endpoint.startedAt)) {
-			obeyLeaving(endpoint, report.saysLeaving, parts);
+			noteLeaving(endpoint, report.saysLeaving, parts);
 		}
 
 		return report;
--- a/source/forwarding/forward-call.ts
+++ b/source/forwarding/forward-call.ts
@@ -8,7 +8,7 @@
 import {
 	passAnswerOn, sendRefusal, sendWholeAnswer, type Refusal,
 } from './answer-caller.ts';
-import {comeBackAfter, usableEndpoints} from './answer-wishes.ts';
+import {comeBackAfter, usableEndpoints} from './endpoint-signals.ts';
 import {askRetryBudget} from './ask-retry-budget.ts';
 import {type CallAttempt} from './call-attempt.ts';
 import {CallAttempts} from './call-attempts.ts';
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -6,7 +6,7 @@
 import {chooseCopyHolder, type AskedEngine} from '../balancing/mod.ts';
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {sendRefusal, sendWholeAnswer, type Refusal} from './answer-caller.ts';
-import {comeBackAfter, obeyWishes} from './answer-wishes.ts';
+import {comeBackAfter, noteSignals} from './endpoint-signals.ts';
 import {askRetryBudget} from './ask-retry-budget.ts';
 import {EnginePlacing} from './engine-placing.ts';
 import {type Exchange, type ExchangeOutcome} from './exchange.ts';
@@ -111,7 +111,7 @@
 				heldAnswers: this.#parts.heldAnswers,
 				ask: async () => this.#placing.ask(target.endpoint, 'silent'),
 				onAnswer: answer => {
-					obeyWishes(target.endpoint, answer, this.#parts);
+					noteSignals(target.endpoint, answer, this.#parts);
 				},
 				clock: this.#parts.clock,
 			});
--- a/source/forwarding/forwarding-parts.ts
+++ b/source/forwarding/forwarding-parts.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type EndpointHealth, type EndpointLoads, type QuietEndpoints} from '../balancing/mod.ts';
+import {type EndpointHealth, type EndpointLoads, type EndpointBackoff} from '../balancing/mod.ts';
 import {type EndpointList} from '../beliefs/mod.ts';
 import {type SharedRetryBudget} from '../retries/mod.ts';
 import {type RequestSuspects} from '../suspects/mod.ts';
@@ -17,7 +17,7 @@
 	endpoints: EndpointList;
 	loads: EndpointLoads;
 	health: EndpointHealth;
-	quiet: QuietEndpoints;
+	backoff: EndpointBackoff;
 	connections: EndpointConnections;
 	heldAnswers: HeldAnswers;
 	lostAttempts: LostAttempts;
@@ -30,8 +30,8 @@
 	random: () => number;
 	/** Budget of retries of a service. */
 	retryBudgetOf(service: string): SharedRetryBudget;
-	/** Counts an endpoint that says that it leaves or wants to be left alone. */
-	countWish(service: string, wish: 'leaving' | 'quiet'): void;
+	/** Counts an endpoint that says that it leaves or asks to back off. */
+	countSignal(service: string, signal: 'leaving' | 'backoff'): void;
 	/** Counts a decision on a retry. */
 	countRetry(service: string, reason: string, allowed: boolean): void;
 };
--- a/source/forwarding/send-call-attempt.ts
+++ b/source/forwarding/send-call-attempt.ts
@@ -5,7 +5,7 @@
  */
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {encodeSendHeaders} from '../platform/mod.ts';
-import {obeyWishes} from './answer-wishes.ts';
+import {noteSignals} from './endpoint-signals.ts';
 import {readAnswer, type CallAttempt} from './call-attempt.ts';
 import {type AttemptContext} from './call-attempts.ts';
 import {type Exchange} from './exchange.ts';
@@ -48,7 +48,7 @@
 			signal,
 		});
 		if (sent.kind === 'answer') {
-			obeyWishes(endpoint, sent.answer, parts);
+			noteSignals(endpoint, sent.answer, parts);
 			return await readAnswer({
 				endpoint, answer: sent.answer, kind: route.kind, held,
 			});
--- a/source/gateway/endpoint-wishes.test.ts
+++ b/source/gateway/endpoint-signals.test.ts
@@ -9,10 +9,10 @@
 const leavingMilliseconds = 2000;
 
 /** Time after a refusal with a time to come back from which an endpoint gets nothing more, in milliseconds. */
-const quietFromMilliseconds = 500;
+const backoffFromMilliseconds = 500;
 
 /** Requests that an endpoint may get from one gateway all the same. */
-const allowedWhileQuiet = 2;
+const allowedWhileBackedOff = 2;
 
 const draft: CallerRequest = {
 	path: '/drafts/1', method: 'POST', body: 'notes', headers: {'x-azuretack-token-counts': '8000,120'},
@@ -116,39 +116,39 @@
 	assert.equal(leaving.arrivals.length, before);
 });
 
-/** The most requests that reached a quiet worker from one gateway in the time that it wanted to be left alone. */
-function mostWhileQuiet(sent: readonly Sent[], arrivals: readonly WorkerArrival[], seconds: number): number {
+/** The most requests that reached a worker from one gateway in the time for which it asked to back off. */
+function mostWhileBackedOff(sent: readonly Sent[], arrivals: readonly WorkerArrival[], seconds: number): number {
 	const gatewayOf = new Map(sent.map(({attempt, gateway}) => [attempt, gateway]));
 	return Math.max(...arrivals.map(({attempt, at}) => arrivals.filter(other =>
-		gatewayOf.get(other.attempt) === gatewayOf.get(attempt) && other.at > at + quietFromMilliseconds && other.at < at + (seconds * 1000)).length));
+		gatewayOf.get(other.attempt) === gatewayOf.get(attempt) && other.at > at + backoffFromMilliseconds && other.at < at + (seconds * 1000)).length));
 }
 
-const quietCases = [
+const backoffCases = [
 	['desk', {path: '/status/1'}, 1],
 	['desk', {path: '/deposits/1', method: 'POST'}, 1],
 	['desk', {path: '/status/1'}, 4],
 	['scribe', draft, 1],
 	['scribe', draft, 4],
 ] as const;
-for (const [service, request, count] of quietCases) {
-	test(`${count} endpoints of ${service} that want to be left alone for a while are (${request.path}), also under a burst`, async () => {
+for (const [service, request, count] of backoffCases) {
+	test(`${count} endpoints of ${service} that ask to back off are sent nothing (${request.path}), also under a burst`, async () => {
 		await using fleet = await GatewayFleet.create();
 		const seconds = 3;
 		const workers = await Promise.all(Array.from({length: count}, async (_unused, index) => fleet.startWorker({id: `${service}-${index + 1}`, service})));
 		await Promise.all([1, 2].map(async index => fleet.startGateway(`gateway-${index}`)));
 		for (const worker of workers) {
-			worker.quietSeconds = seconds;
+			worker.backoffSeconds = seconds;
 		}
 
 		const callers = new SteadyCallers(fleet);
 		await callers.play(request, {callers: 8, forMilliseconds: 5000});
 		for (const {arrivals} of workers) {
 			assert.ok(arrivals.length > 0);
-			const most = mostWhileQuiet(callers.sent, arrivals, seconds);
-			assert.ok(most <= allowedWhileQuiet, `${most} requests`);
+			const most = mostWhileBackedOff(callers.sent, arrivals, seconds);
+			assert.ok(most <= allowedWhileBackedOff, `${most} requests`);
 		}
 
-		const refused = callers.sent.filter(({sentAt}) => sentAt > callers.sent[0]!.sentAt + quietFromMilliseconds);
+		const refused = callers.sent.filter(({sentAt}) => sentAt > callers.sent[0]!.sentAt + backoffFromMilliseconds);
 		assert.ok(refused.every(({status, retryAfter}) => status === 503 && Number(retryAfter) > 0 && Number(retryAfter) <= seconds));
 	});
 }
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {EndpointHealth, EndpointLoads, QuietEndpoints} from '../balancing/mod.ts';
+import {EndpointHealth, EndpointLoads, EndpointBackoff} from '../balancing/mod.ts';
 import {
 	ConfigurationBelief, EndpointList, divideNewsTime, readClock, type ClockReading, type NewsTimes,
 } from '../beliefs/mod.ts';
@@ -85,7 +85,7 @@
 		suspects,
 		loads: new EndpointLoads(),
 		health: new EndpointHealth(),
-		quiet: new QuietEndpoints(),
+		backoff: new EndpointBackoff(),
 		connections: new EndpointConnections(),
 		heldAnswers: new HeldAnswers({answerBytes: settings.answers.heldBytes, totalBytes: settings.answers.allHeldBytes}),
 		lostAttempts: new LostAttempts({
@@ -101,8 +101,8 @@
 		retryBudgetOf: createRetryBudgets({
 			settings, store, logger, holder: `${hostName}/${members.self.incarnation}`,
 		}),
-		countWish(service, wish) {
-			metrics.wishes.inc({service, wish});
+		countSignal(service, signal) {
+			metrics.endpointSignals.inc({service, signal});
 		},
 		countRetry(service, reason, allowed) {
 			metrics.retries.inc({service, reason, decision: allowed ? 'allowed' : 'refused'});
--- a/source/suspects/mod.ts
+++ b/source/suspects/mod.ts
@@ -9,5 +9,5 @@
 export * from './request-suspects.ts';
 export * from './suspicion-table.ts';
 export {
-	decodeSuspicion, endpointLifeSchema, suspicionSchema, type Suspicion,
+	decodeSuspicion, suspicionSchema, type Suspicion,
 } from './suspicion.ts';
--- a/source/suspects/suspicion.ts
+++ b/source/suspects/suspicion.ts
@@ -10,13 +10,7 @@
 	err, ok, type Result,
 } from 'neverthrow';
 import * as z from 'zod';
-
-/** One life of an endpoint's process. */
-export const endpointLifeSchema = z.object({
-	id: z.string(),
-	/** Unix milliseconds of its start; 0 where it does not say. */
-	startedAt: z.number(),
-});
+import {endpointLifeSchema, type EndpointLife} from '../beliefs/endpoint-list.ts';
 
 /** Lives of endpoints that ended under a request, and how often it was tried since it was refused. */
 export const suspicionSchema = z.object({
@@ -28,9 +22,6 @@
 	changedAt: z.number(),
 });
 
-/** One life of an endpoint's process. */
-export type EndpointLife = z.output<typeof endpointLifeSchema>;
-
 /** What is held against one request. */
 export type Suspicion = z.output<typeof suspicionSchema>;
 
--- a/source/suspects/unsaved-ends.ts
+++ b/source/suspects/unsaved-ends.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type EndpointLife} from './suspicion.ts';
+import {type EndpointLife} from '../beliefs/mod.ts';
 
 /** The end of an endpoint under a request. */
 export type UnsavedEnd = {digest: string; service: string; life: EndpointLife};
--- a/source/telemetry/gateway-metrics.ts
+++ b/source/telemetry/gateway-metrics.ts
@@ -39,8 +39,8 @@
 		suspects: new Counter({
 			name: 'azuretack_gateway_suspected_requests_total', help: 'Decisions on requests under which endpoints end: counted, refused, trial or cleared.', labelNames: ['decision'], registers,
 		}),
-		wishes: new Counter({
-			name: 'azuretack_gateway_endpoint_wishes_total', help: 'Answers in which an endpoint says for the first time that it leaves, or that it wants to be left alone, by service.', labelNames: ['service', 'wish'], registers,
+		endpointSignals: new Counter({
+			name: 'azuretack_gateway_endpoint_signals_total', help: 'Answers in which an endpoint says for the first time that it leaves, or that it asks to back off, by service.', labelNames: ['service', 'signal'], registers,
 		}),
 		answerSeconds: new Histogram({
 			name: 'azuretack_gateway_answer_seconds', help: 'Time from a request to the end of its answer.', labelNames: ['service'], buckets: secondsBuckets, registers,
--- a/source/testing/soak/checks/checks.test.ts
+++ b/source/testing/soak/checks/checks.test.ts
@@ -54,11 +54,11 @@
 		worker.saysLeaving = false;
 		slots.find(({name}) => name === 'desk-1')!.register();
 	},
-	quietWorkers({slots}) {
-		// What is noted of arrivals says that workers want to be left alone, and their answers do not.
+	backedOffWorkers({slots}) {
+		// What is noted of arrivals says that workers ask to back off, and their answers do not.
 		for (const {worker} of slots) {
-			worker.lie = 'wants-quiet-silently';
-			worker.quietSeconds = 3;
+			worker.lie = 'asks-no-backoff';
+			worker.backoffSeconds = 3;
 		}
 	},
 	wholeAnswers: tellLie('other-body'),
--- a/source/testing/soak/checks/wishes.ts
+++ b/source/testing/soak/checks/endpoint-signals.ts
@@ -10,15 +10,15 @@
 const leavingMilliseconds = 2000;
 
 /** Time after a refusal with a time to come back from which a worker gets nothing more, in milliseconds. */
-const quietFromMilliseconds = 500;
+const backoffFromMilliseconds = 500;
 
 /** Requests that a worker may get from one gateway all the same. */
-const allowedWhileQuiet = 2;
+const allowedWhileBackedOff = 2;
 
 /** What lets a gateway forget, or act late on, what it was told: it starts anew, or stands still. */
 const forgetfulKinds = new Set(['gateway paused', 'gateway killed', 'gateways killed together', 'gateway stopped', 'all gateways killed', 'this process is late']);
 
-/** What else excuses requests to a worker that wants to be left alone: they may have been under way. */
+/** What else excuses requests to a worker that asks to back off: they may have been under way. */
 const cutKinds = new Set(['link to a worker']);
 
 type Excuse = {kinds: ReadonlySet<string>; targets: readonly string[]; from: number; until: number};
@@ -58,23 +58,23 @@
 	});
 };
 
-/** A worker that wants to be left alone gets next to nothing from each gateway that it told. */
-export const quietWorkers: Check = history => {
+/** A worker that asks to back off gets next to nothing from each gateway that it told. */
+export const backedOffWorkers: Check = history => {
 	const requests = requestsByAttempt(history);
-	return history.arrivals.flatMap(({attempt, worker, at, quietUntil}): Violation[] => {
+	return history.arrivals.flatMap(({attempt, worker, at, backoffUntil}): Violation[] => {
 		const gateway = requests.get(attempt)?.gateway;
-		if (quietUntil === undefined || gateway === undefined) {
+		if (backoffUntil === undefined || gateway === undefined) {
 			return [];
 		}
 
-		const during = history.arrivals.filter(other => other.worker === worker && requests.get(other.attempt)?.gateway === gateway && other.at > at + quietFromMilliseconds && other.at < quietUntil);
-		const excused = during.length > allowedWhileQuiet && (
+		const during = history.arrivals.filter(other => other.worker === worker && requests.get(other.attempt)?.gateway === gateway && other.at > at + backoffFromMilliseconds && other.at < backoffUntil);
+		const excused = during.length > allowedWhileBackedOff && (
 			isExcused(history, {
-				kinds: forgetfulKinds, targets: [gateway], from: at - quietFromMilliseconds, until: quietUntil,
+				kinds: forgetfulKinds, targets: [gateway], from: at - backoffFromMilliseconds, until: backoffUntil,
 			}) || isExcused(history, {
-				kinds: cutKinds, targets: [history.slots.get(worker) ?? worker], from: at - quietFromMilliseconds, until: quietUntil,
+				kinds: cutKinds, targets: [history.slots.get(worker) ?? worker], from: at - backoffFromMilliseconds, until: backoffUntil,
 			}));
-		return during.length > allowedWhileQuiet && !excused ? [{attempt, message: `${worker} got ${during.length} more from ${gateway} while it wanted to be left alone`}] : [];
+		return during.length > allowedWhileBackedOff && !excused ? [{attempt, message: `${worker} got ${during.length} more from ${gateway} while it asked to back off`}] : [];
 	});
 };
 
--- a/source/testing/soak/checks/mod.ts
+++ b/source/testing/soak/checks/mod.ts
@@ -12,7 +12,7 @@
 import {
 	boundedAttempts, endingRequests, leavingWorkers, leftCallers, notRunIsTrue, oneEngineAtATime, retryBudget, runsOnce, unchangedRequests,
 } from './runs.ts';
-import {quietWorkers, wordOfLeaving} from './wishes.ts';
+import {backedOffWorkers, wordOfLeaving} from './endpoint-signals.ts';
 
 export type {Check, Violation} from './check.ts';
 
@@ -28,7 +28,7 @@
 	leftCallers,
 	leavingWorkers,
 	wordOfLeaving,
-	quietWorkers,
+	backedOffWorkers,
 	wholeAnswers,
 	wholeStreams,
 	answersInTime,
--- a/source/testing/soak/fault-kinds.ts
+++ b/source/testing/soak/fault-kinds.ts
@@ -214,15 +214,15 @@
 			return undefined;
 		},
 	},
-	'worker wants to be left alone': {
+	'worker asks to back off': {
 		variants: ['1', '3'],
 		on: 'worker',
 		disturbs: true,
 		start(slot, variant) {
 			const {worker} = slot;
-			worker.quietSeconds = Number(variant);
+			worker.backoffSeconds = Number(variant);
 			return () => {
-				worker.quietSeconds = undefined;
+				worker.backoffSeconds = undefined;
 			};
 		},
 	},
--- a/source/testing/stand-ins/worker-options.ts
+++ b/source/testing/stand-ins/worker-options.ts
@@ -31,8 +31,8 @@
 	worker: string;
 	/** Steady time, in milliseconds. */
 	at: number;
-	/** Steady time until which the worker said that it wants to be left alone, in milliseconds. */
-	quietUntil: number | undefined;
+	/** Steady time until which the worker said that it asks to back off, in milliseconds. */
+	backoffUntil: number | undefined;
 };
 
 /**
@@ -44,9 +44,9 @@
 /**
  * How a worker breaks the promises that a check relies on, for tests of the checks: it runs what it refuses, works on when a connection
  * has closed, counts each run three times, sends another body than it notes, breaks streams off while it works on, or notes another body
- * than it got, or notes that it wants to be left alone and does not say so.
+ * than it got, or notes that it asks to back off and does not say so.
  */
-export type WorkerLie = 'runs-refused' | 'ignores-close' | 'counts-thrice' | 'other-body' | 'breaks-and-works-on' | 'misreads' | 'wants-quiet-silently';
+export type WorkerLie = 'runs-refused' | 'ignores-close' | 'counts-thrice' | 'other-body' | 'breaks-and-works-on' | 'misreads' | 'asks-no-backoff';
 
 /** Options of a worker stand-in. */
 export type WorkerStandInOptions = {
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -34,7 +34,7 @@
 	/** Whether all its answers say that it leaves. */
 	saysLeaving = false;
 	/** Time for which it wants nothing more, in seconds, which each of its refusals says; it refuses everything while this is set. */
-	quietSeconds: number | undefined;
+	backoffSeconds: number | undefined;
 	/** What its reports say falsely. */
 	falseReport: 'idle' | 'leaving' | undefined;
 	/** Whether its reports never end. */
@@ -117,12 +117,12 @@
 		const body = await text(request);
 		const attempt = String(request.headers['x-azuretack-attempt-id']);
 		const arrival = {
-			attempt, service: this.options.service, worker: this.options.id, at: performance.now(), quietUntil: this.#quietUntil(),
+			attempt, service: this.options.service, worker: this.options.id, at: performance.now(), backoffUntil: this.#backoffUntil(),
 		};
 		this.arrivals.push(...Array.from({length: this.lie === 'counts-thrice' ? 3 : 1}, () => arrival));
 		const refusal = this.#refusal(request);
 		if (refusal !== undefined) {
-			response.writeHead(refusal, {'x-azuretack-not-executed': '1', 'x-azuretack-attempt-id': attempt, ...(this.quietSeconds !== undefined && this.lie !== 'wants-quiet-silently' && {'retry-after': String(this.quietSeconds)})});
+			response.writeHead(refusal, {'x-azuretack-not-executed': '1', 'x-azuretack-attempt-id': attempt, ...(this.backoffSeconds !== undefined && this.lie !== 'asks-no-backoff' && {'retry-after': String(this.backoffSeconds)})});
 			response.end();
 			return;
 		}
@@ -197,8 +197,8 @@
 		}));
 	}
 
-	#quietUntil(): number | undefined {
-		return this.quietSeconds === undefined ? undefined : performance.now() + (this.quietSeconds * 1000);
+	#backoffUntil(): number | undefined {
+		return this.backoffSeconds === undefined ? undefined : performance.now() + (this.backoffSeconds * 1000);
 	}
 
 	#refusal(request: IncomingMessage): number | undefined {
@@ -211,7 +211,7 @@
 			return 503;
 		}
 
-		return this.fault === 'full' || this.quietSeconds !== undefined ? 503 : undefined;
+		return this.fault === 'full' || this.backoffSeconds !== undefined ? 503 : undefined;
 	}
 
 	/** Milliseconds that something takes at present. */
