Count only whole events as progress of a generation, so that a stalled engine that still sends bytes is left

Callers saw: a generation whose engine had sent three events and then only a comment, half an event or an empty line each 100 ms stayed there until its time was over, while another engine stood idle.

Cause: the watch of an engine took any bytes of the answer as progress, so its silence never grew and the engine's report was never asked. The product's own stream client started its silence limit anew at any bytes, too.

Evidence: three tests with real gateways and three of the stream client fail on the code before (the caller's answer broke off at 10 s; the stream was not silent within ten limits). A block of a stream without id and data is no event any more for counts and pauses. A sound stream with 650 ms between events stays where it is, which a fourth test shows.

Now six pauses after its last event (three with a copy elsewhere) such an engine is left like a silent one.

--- a/source/endpoints/engine-stream.ts
+++ b/source/endpoints/engine-stream.ts
@@ -134,10 +134,14 @@
 	/**
 	 * Waits for the next event.
 	 *
-	 * @param silenceMilliseconds Time without any byte after which the stream counts as silent; reading may go on.
+	 * @param silenceMilliseconds Time without an event after which the stream counts as silent, whatever else it brings; reading may go on.
 	 */
 	async read(silenceMilliseconds: number): Promise<StreamRead> {
 		this.#silent = false;
+		if (this.#events.length === 0) {
+			this.#startTimer(silenceMilliseconds);
+		}
+
 		while (this.#events.length === 0) {
 			if (this.#signal.aborted) {
 				return {kind: 'aborted'};
@@ -152,7 +156,6 @@
 			}
 
 			this.#body.resume();
-			this.#startTimer(silenceMilliseconds);
 			await new Promise<void>(resolve => {
 				this.#waiter = resolve;
 			});
--- a/source/forwarding/engine-watch.ts
+++ b/source/forwarding/engine-watch.ts
@@ -52,14 +52,15 @@
  * ```ts
  * const watch = new EngineWatch(options);
  * watch.start();
- * watch.hear(1);
+ * watch.gotOn(1);
  * watch.stop();
  * ```
  */
 export class EngineWatch {
 	readonly #options: EngineWatchOptions;
 	#timer: NodeJS.Timeout | undefined;
-	#heardAt: number;
+	/** When the answer last got on: its head came, or a whole event. */
+	#gotOnAt: number;
 	#aliveAt: number;
 	#received = 0;
 	#unanswered = 0;
@@ -69,8 +70,8 @@
 
 	constructor(options: EngineWatchOptions) {
 		this.#options = options;
-		this.#heardAt = options.clock();
-		this.#aliveAt = this.#heardAt;
+		this.#gotOnAt = options.clock();
+		this.#aliveAt = this.#gotOnAt;
 	}
 
 	/** Starts to look. */
@@ -86,13 +87,13 @@
 	}
 
 	/**
-	 * Records that something has arrived from the engine.
+	 * Records that the answer got on. Bytes that complete no event are no reason to call it: a stalled engine may send some for ever.
 	 *
-	 * @param events Events among it.
+	 * @param events Events that have arrived; 0 for the head of the answer.
 	 */
-	hear(events: number): void {
-		this.#heardAt = this.#options.clock();
-		this.#aliveAt = this.#heardAt;
+	gotOn(events: number): void {
+		this.#gotOnAt = this.#options.clock();
+		this.#aliveAt = this.#gotOnAt;
 		this.#received += events;
 		this.#unanswered = 0;
 		this.#lacking = 0;
@@ -106,12 +107,12 @@
 			return;
 		}
 
-		const silentMilliseconds = now - this.#heardAt;
+		const silentMilliseconds = now - this.#gotOnAt;
 		const step = decideOnSilence({
 			started: this.#received > 0, silentMilliseconds, unprovenMilliseconds: now - this.#aliveAt, eventPauseMilliseconds, targetMilliseconds, hasCopy,
 		});
 		if (step === 'leave') {
-			this.#leave(false, `nothing was heard for ${Math.round(silentMilliseconds)} ms; ${describe(this.#lastReport)}`);
+			this.#leave(false, `no event came for ${Math.round(silentMilliseconds)} ms; ${describe(this.#lastReport)}`);
 		} else if (step === 'ask' && !this.#asking) {
 			void this.#ask();
 		}
--- a/source/forwarding/event-splitter.ts
+++ b/source/forwarding/event-splitter.ts
@@ -9,6 +9,8 @@
 export type StreamEvent = {
 	/** Value of its `id` line, if it has one. */
 	id: string | undefined;
+	/** Whether it brings something; an empty line or a comment alone does not. */
+	isMessage: boolean;
 	/** The bytes of the event, its empty line included. */
 	bytes: Uint8Array;
 };
@@ -47,7 +49,7 @@
 		let start = 0;
 		for (let end = endOfEvent(this.#kept, start); end >= 0; end = endOfEvent(this.#kept, start)) {
 			const bytes = this.#kept.subarray(start, end);
-			events.push({id: idOf(bytes), bytes});
+			events.push(readEvent(bytes));
 			start = end;
 		}
 
@@ -72,7 +74,8 @@
 	return -1;
 }
 
-function idOf(bytes: Uint8Array): string | undefined {
-	const match = /^id:[ ]?(?<id>[^\r\n]*)/mv.exec(decoder.decode(bytes));
-	return match?.groups?.id;
+function readEvent(bytes: Uint8Array): StreamEvent {
+	const text = decoder.decode(bytes);
+	const id = /^id:[ ]?(?<id>[^\r\n]*)/mv.exec(text)?.groups?.id;
+	return {id, isMessage: id !== undefined || /^data(?::|\r?$)/mv.test(text), bytes};
 }
--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -149,7 +149,7 @@
 		}
 
 		if (sent.kind === 'answer') {
-			this.#watch.hear(0);
+			this.#watch.gotOn(0);
 			this.#options.onAnswer(sent.answer);
 			return this.#takeAnswer(sent.answer);
 		}
@@ -212,7 +212,11 @@
 		for await (const chunk of answer.body()) {
 			const events = splitter.push(chunk);
 			this.#mustHold(splitter.rest.length);
-			this.#watch.hear(events.length);
+			const messages = events.filter(({isMessage}) => isMessage).length;
+			if (messages > 0) {
+				this.#watch.gotOn(messages);
+			}
+
 			if (!response.headersSent) {
 				beginAnswer(response, answer.status, answer.rawHeaders);
 			}
@@ -249,12 +253,13 @@
 			return;
 		}
 
-		for (const event of events) {
-			progress.lastEvent = event.id ?? progress.lastEvent;
-			progress.events += 1;
+		const messages = events.filter(({isMessage}) => isMessage);
+		if (messages.length > 0) {
+			progress.lastEvent = messages.findLast(({id}) => id !== undefined)?.id ?? progress.lastEvent;
+			progress.events += messages.length;
+			notePause(progress, clock());
 		}
 
-		notePause(progress, clock());
 		const bytes = events.length === 1 ? events[0]!.bytes : Buffer.concat(events.map(event => event.bytes));
 		await writeToCaller(response, bytes, callerGone);
 	}
--- a/source/forwarding/silence-decision.ts
+++ b/source/forwarding/silence-decision.ts
@@ -12,7 +12,7 @@
 export type SilentGeneration = {
 	/** Whether this attempt has brought an event. */
 	started: boolean;
-	/** Time since anything was heard on its connection, in milliseconds. */
+	/** Time since its answer last got on, by its head or an event, in milliseconds. */
 	silentMilliseconds: number;
 	/** Time since the engine was last known to be alive, in milliseconds. */
 	unprovenMilliseconds: number;
--- a/source/testing/stand-ins/call-answers.ts
+++ b/source/testing/stand-ins/call-answers.ts
@@ -5,6 +5,7 @@
  */
 import {type ServerResponse} from 'node:http';
 import {type EndlessPart} from './endless-answer.ts';
+import {sendStalled, type StallPart} from './stalled-answer.ts';
 import {type WorkerFault} from './worker-options.ts';
 
 /** Time from the first bytes of an answer to its breaking off, in milliseconds. */
@@ -12,6 +13,13 @@
 
 type CallAnswer = {headers: Record<string, string>; body: string};
 
+function stallAfterHead(part: StallPart): Answer {
+	return (response, {headers}) => {
+		response.writeHead(200, headers);
+		void sendStalled(part, response);
+	};
+}
+
 type Answer = (response: ServerResponse, answer: CallAnswer) => void;
 
 function answerWhole(response: ServerResponse, {headers, body}: CallAnswer): void {
@@ -25,6 +33,9 @@
 	'other-id': answerWhole,
 	full: () => undefined,
 	mute: () => undefined,
+	'stall-comment': stallAfterHead('stall-comment'),
+	'stall-half': stallAfterHead('stall-half'),
+	'stall-line': stallAfterHead('stall-line'),
 	error(response, {headers, body}) {
 		response.writeHead(500, headers).end(body);
 	},
--- a/source/testing/stand-ins/worker-options.ts
+++ b/source/testing/stand-ins/worker-options.ts
@@ -5,6 +5,7 @@
  */
 import {type IncomingMessage} from 'node:http';
 import {type EndlessPart} from './endless-answer.ts';
+import {type StallPart} from './stalled-answer.ts';
 
 /** One request that a worker ran. Times are steady, in milliseconds. */
 export type WorkerRun = {
@@ -37,9 +38,9 @@
 
 /**
  * What a worker does with requests: it works, fails, refuses, ends answers early, says nothing, names another one, sends more than an
- * answer, sends no HTTP, works slowly, repeats an event, or begins answers that never end.
+ * answer, sends no HTTP, works slowly, repeats an event, begins answers that never end, or stalls while bytes still come.
  */
-export type WorkerFault = 'none' | 'error' | 'full' | 'break' | 'reset' | 'mute' | 'other-id' | 'extra' | 'garble' | 'slow' | 'repeat' | EndlessPart;
+export type WorkerFault = 'none' | 'error' | 'full' | 'break' | 'reset' | 'mute' | 'other-id' | 'extra' | 'garble' | 'slow' | 'repeat' | EndlessPart | StallPart;
 
 /**
  * How a worker breaks the promises that a check relies on, for tests of the checks: it runs what it refuses, works on when a connection
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -11,6 +11,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {answerCall} from './call-answers.ts';
 import {isEndless, sendEndless, type EndlessPart} from './endless-answer.ts';
+import {isStall, sendStalled} from './stalled-answer.ts';
 import {
 	type WorkerArrival, type WorkerFault, type WorkerLie, type WorkerRun, type WorkerStandInOptions,
 } from './worker-options.ts';
@@ -261,6 +262,11 @@
 				continue;
 			}
 
+			if (isStall(this.fault) && event > first + 2) {
+				await sendStalled(this.fault, response);
+				return;
+			}
+
 			if ((this.fault === 'break' || this.lie === 'breaks-and-works-on') && event > first + 3) {
 				response.write(`id: ${event}\ndata: ha`);
 				response.destroy();
