Pass on a bounded number of large answers at a time, and hold half as much of all

Cause: answers beyond what is held are passed on as they come, any number of them, each with the buffers of two connections; besides, 16 MB were held. Ruled out: the connections alone (900 ordinary calls at once: 110 MB peak).

Now 96 such answers are passed on at a time, a further one is left, its endpoint distrusted, and its caller told at once that the answer is lost (502); 8 MB are held.

--- a/source/forwarding/call-attempt.ts
+++ b/source/forwarding/call-attempt.ts
@@ -77,10 +77,14 @@
 		};
 }
 
-/** Passes a large answer on as it comes; a refusal is known by its head, and a failure that another endpoint may make good is left. */
-function takeLarge({endpoint, answer, kind}: ReadAnswerOptions, begun: BegunAnswer): CallAttempt {
+/**
+ * Passes a large answer on as it comes; a refusal is known by its head, and a failure that another endpoint may make good is left, as is
+ * any answer while too many are passed on.
+ */
+function takeLarge({endpoint, answer, kind, held}: ReadAnswerOptions, begun: BegunAnswer): CallAttempt {
 	const mayBeMadeGood = answer.status >= 500 && kind === 'idempotent';
-	if (!answer.terms.notExecuted && !mayBeMadeGood) {
+	const mayPass = !answer.terms.notExecuted && !mayBeMadeGood && held.passOn();
+	if (mayPass) {
 		return {kind: 'begun', endpoint, answer: begun};
 	}
 
@@ -88,7 +92,7 @@
 	return answer.terms.notExecuted
 		? notRun(endpoint, answer)
 		: {
-			kind: 'ended', endpoint, end: 'failed', failure: 'broken', message: `the endpoint answered ${answer.status} with a body that is too large to be held`,
+			kind: 'ended', endpoint, end: mayBeMadeGood ? 'failed' : 'lost', failure: 'broken', message: `the endpoint answered ${answer.status} with a body that is too large to be held`,
 		};
 }
 
--- a/source/forwarding/call-attempts.ts
+++ b/source/forwarding/call-attempts.ts
@@ -104,8 +104,8 @@
 		const kept = this.#inProgress.get(id)!;
 		this.#hasEnded = true;
 		for (const [other, {ending, held}] of this.#inProgress) {
-			held.release();
 			if (other !== id) {
+				held.release();
 				ending.abort();
 			}
 		}
--- a/source/forwarding/held-answers.ts
+++ b/source/forwarding/held-answers.ts
@@ -13,13 +13,17 @@
 	answerBytes: number;
 	/** Bytes that are held of all answers together at most. */
 	totalBytes: number;
+	/** Answers that are passed on as they come at a time at most; each takes the buffers of two connections. */
+	passedOn: number;
 };
 
 /** What is held of one answer. */
 export type HeldAnswer = {
 	/** Sets how much is held; returns whether that is within the bounds. */
 	hold(bytes: number): boolean;
-	/** Nothing is held any more. */
+	/** Passes it on as it comes from now on, so that nothing is held; returns whether one more may be passed on. */
+	passOn(): boolean;
+	/** Nothing is held any more, and it is not passed on any more. */
 	release(): void;
 };
 
@@ -36,6 +40,7 @@
 export class HeldAnswers {
 	readonly #options: HeldAnswersOptions;
 	#total = 0;
+	#passedOn = 0;
 
 	constructor(options: HeldAnswersOptions) {
 		this.#options = options;
@@ -49,6 +54,7 @@
 	/** Begins to hold an answer. */
 	begin(): HeldAnswer {
 		let held = 0;
+		let isPassedOn = false;
 		const hold = (bytes: number) => {
 			this.#total += bytes - held;
 			held = bytes;
@@ -57,8 +63,17 @@
 
 		return {
 			hold,
-			release() {
+			passOn: () => {
 				hold(0);
+				const mayPass = isPassedOn || this.#passedOn < this.#options.passedOn;
+				this.#passedOn += mayPass && !isPassedOn ? 1 : 0;
+				isPassedOn ||= mayPass;
+				return mayPass;
+			},
+			release: () => {
+				hold(0);
+				this.#passedOn -= isPassedOn ? 1 : 0;
+				isPassedOn = false;
 			},
 		};
 	}
--- a/source/gateway/endless-answers.test.ts
+++ b/source/gateway/endless-answers.test.ts
@@ -16,8 +16,8 @@
 /** Requests of others that must be served meanwhile. */
 const othersServed = 6;
 
-/** Requests that are answered without an end at a time. */
-const atOnce = 150;
+/** Requests that are answered without an end at a time, and as many as the smallest host has connections for. */
+const [atOnce, mostAtOnce] = [150, 900];
 
 const call: CallerRequest = {path: '/status/1'};
 const once: CallerRequest = {path: '/deposits/1', method: 'POST'};
@@ -31,9 +31,14 @@
 	return Number(/^VmHWM:\s+(?<kilobytes>\d+) kB/mv.exec(status)!.groups!.kilobytes) / 1024;
 }
 
-for (const fault of ['endless-body', 'endless-failure', 'endless-head'] as const) {
+const loads = [
+	...(['endless-body', 'endless-failure', 'endless-head'] as const).map(fault => ({fault, count: atOnce})),
+	{fault: 'endless-body', count: mostAtOnce} as const,
+];
+
+for (const {fault, count} of loads) {
 	for (const [service, request] of [['desk', call], ['desk', once], ['scribe', draft]] as const) {
-		test(`${atOnce} requests at once (${request.path}) with an ${fault} neither use up the memory nor look complete, and others are served`, async () => {
+		test(`${count} requests at once (${request.path}) with an ${fault} neither use up the memory nor look complete, and others are served`, async () => {
 			await using fleet = await GatewayFleet.create();
 			const worker = await fleet.startWorker({id: `${service}-1`, service});
 			await fleet.startWorker({id: 'other-1', service: service === 'desk' ? 'scribe' : 'desk'});
@@ -42,7 +47,7 @@
 			const ending = new AbortController();
 			const until = performance.now() + forMilliseconds;
 			const others: number[] = [];
-			const endless = Array.from({length: atOnce}, async () => {
+			const endless = Array.from({length: count}, async () => {
 				const seen = [];
 				while (performance.now() < until || others.length < othersServed) {
 					seen.push(await fleet.call(gateway, {...request, dropsBody: true, deadlineMilliseconds: 3000}));
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -87,7 +87,7 @@
 		health: new EndpointHealth(),
 		backoff: new EndpointBackoff(),
 		connections: new EndpointConnections(),
-		heldAnswers: new HeldAnswers({answerBytes: settings.answers.heldBytes, totalBytes: settings.answers.allHeldBytes}),
+		heldAnswers: new HeldAnswers({answerBytes: settings.answers.heldBytes, totalBytes: settings.answers.allHeldBytes, passedOn: settings.answers.passedOnAtOnce}),
 		lostAttempts: new LostAttempts({
 			endpoints,
 			suspects,
--- a/source/settings/gateway-settings.ts
+++ b/source/settings/gateway-settings.ts
@@ -49,7 +49,9 @@
 		/** Bytes of one endpoint's answer that are held; a larger one is passed on as it comes. */
 		heldBytes: z.number().int().positive().default(262_144),
 		/** Bytes of all such answers that are held together. */
-		allHeldBytes: z.number().int().positive().default(16_777_216),
+		allHeldBytes: z.number().int().positive().default(8_388_608),
+		/** Larger answers that are passed on as they come at a time; further ones are left. */
+		passedOnAtOnce: z.number().int().positive().default(96),
 	}).prefault({}),
 	log: z.object({
 		level: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info'),
