Place generations by the steps they share, too, and ask six engines

The choice counted what is read before a prompt and next to nothing (0.05 s) for answers that are generated beside it, so it preferred an engine with three answers to one that has half a prompt to read. What is in flight for longer is lost more often with its engine or gateway.

Since then each prompt that is being read counts its answer, too.

A test of the order fails on the code before.

--- a/source/balancing/balancing.test.ts
+++ b/source/balancing/balancing.test.ts
@@ -82,6 +82,21 @@
 	assert.deepEqual(ranked.map(engine => engine.endpoint.id), ['generating', 'reading', 'queueing']);
 });
 
+test('a prompt goes to an engine that will soon have read one rather than beside several that generate', () => {
+	const reading = asked('reading', {running: 1, usedTokens: 8200});
+	const generating3 = asked('generating', {running: 3, usedTokens: 25_500, runs: generating(3)});
+	const idle = asked('idle');
+	const ranked = rankEngines({asked: [generating3, reading, idle], loads: new EndpointLoads(), tokens: 9000});
+	assert.deepEqual(ranked.map(engine => engine.endpoint.id), ['idle', 'reading', 'generating']);
+});
+
+test('a prompt goes beside an answer rather than behind a prompt that is being read', () => {
+	const reading = asked('reading', {running: 1, usedTokens: 8200});
+	const generating1 = asked('generating', {running: 1, usedTokens: 8500, runs: generating(1)});
+	const ranked = rankEngines({asked: [reading, generating1], loads: new EndpointLoads(), tokens: 9000});
+	assert.deepEqual(ranked.map(engine => engine.endpoint.id), ['generating', 'reading']);
+});
+
 test('copies do not count as reading, and engines without memory come last', () => {
 	const copies = asked('copies', {
 		running: 1, usedTokens: 26_500, heldTokens: 18_000, runs: generating(1),
--- a/source/balancing/choose-engine.ts
+++ b/source/balancing/choose-engine.ts
@@ -2,7 +2,7 @@
  * Chooses the engine of a generation and the engine that keeps a copy of its memory.
  *
  * Answers the load of long prompts: each takes a second of an engine's time to read and a tenth of its memory, so two prompts
- * on one engine delay each other while another engine is idle.
+ * on one engine delay each other while another engine is idle, and requests that generate together slow each other for seconds.
  *
  * @module
  */
@@ -98,8 +98,8 @@
 /** Share of the prompts that are being read that is taken to be still unread. */
 const unreadShare = 0.6;
 
-/** Tokens of reading that a generating request counts for, since it slows each step a little. */
-const generatingTokens = 400;
+/** Tokens of reading that each other request counts for, since requests that generate together slow each other's steps. */
+const sharedStepsTokens = 3000;
 
 /** Tokens of reading that a lack of memory counts for; the request would push another one out. */
 const fullTokens = 40_000;
@@ -117,15 +117,17 @@
 		.map(({engine}) => engine);
 }
 
-/** Tokens that an engine has to read before it gets to a new request. */
+/** Work that an engine has before and beside a new request, in tokens of reading. */
 function workBefore({endpoint, report}: AskedEngine, loads: EndpointLoads, tokens: number): number {
 	const {waiting, running, runs, usedTokens, memoryTokens, heldTokens, nextTokens} = report!;
 	const generated = runs.reduce((sum, run) => sum + run.tokens, 0);
 	const beingRead = running > runs.length ? Math.max(0, usedTokens - heldTokens - generated) * unreadShare : 0;
 	const queued = waiting === 0 ? 0 : nextTokens + ((waiting - 1) * usualTokens);
-	const unseen = Math.max(0, loads.requests(endpoint.id) - waiting - running) * usualTokens;
+	const unseenRequests = Math.max(0, loads.requests(endpoint.id) - waiting - running);
+	const unseen = unseenRequests * usualTokens;
+	const sharedSteps = (running + waiting + unseenRequests) * sharedStepsTokens;
 	const lacksMemory = usedTokens + queued + unseen + tokens > memoryTokens;
-	return beingRead + queued + unseen + (runs.length * generatingTokens) + (lacksMemory ? fullTokens : 0);
+	return beingRead + queued + unseen + sharedSteps + (lacksMemory ? fullTokens : 0);
 }
 
 /**
--- a/source/forwarding/engine-placing.ts
+++ b/source/forwarding/engine-placing.ts
@@ -14,7 +14,7 @@
 import {provesRestart} from './silence-decision.ts';
 
 /** Engines that are asked for their load before a generation is placed. */
-const askedEngines = 4;
+const askedEngines = 6;
 
 /** How an engine is asked: before placing on a kept connection, when it is silent on a new one. */
 const questions = {
