Take an answer on a used connection only if it names the request, so that a late copy reaches no other caller

Operators of similar systems saw a second copy of an answer reach the next caller on the same connection. Here it could happen where the copy does not name its request: bytes on an unused connection close it, but a copy that comes after the next request was sent, or in the same moment, was taken for its answer, since only an answer that named another request was refused. A late report of an engine on a connection that then serves a generation is the same case.

--- a/source/forwarding/send-request.ts
+++ b/source/forwarding/send-request.ts
@@ -19,7 +19,7 @@
 	/** Names and values by turns. */
 	rawHeaders: readonly string[];
 	body: Uint8Array;
-	/** The caller's attempt; an answer that names another one belongs to another request. */
+	/** The caller's attempt, which the answer must name; on a new connection it may leave the name out. */
 	attempt: string | undefined;
 	/** Time for a connection to come about, in milliseconds. */
 	connectMilliseconds: number;
@@ -106,9 +106,9 @@
 		});
 		request.on('response', response => {
 			const terms = decodeAnswerTerms(response.statusCode ?? 0, response.headers);
-			if (attempt !== undefined && terms.attempt !== undefined && terms.attempt !== attempt) {
+			if (attempt !== undefined && !belongsTo(attempt, terms.attempt, request.reusedSocket)) {
 				request.destroy();
-				resolve({kind: 'lost', message: 'the answer belongs to another request'});
+				resolve({kind: 'lost', message: terms.attempt === undefined ? 'the answer does not say to which request it belongs' : 'the answer belongs to another request'});
 				return;
 			}
 
@@ -129,6 +129,11 @@
 	});
 }
 
+/** Whether an answer is the one to an attempt; on a connection that was used before, only its name tells it from a late copy of another. */
+function belongsTo(attempt: string, named: string | undefined, isReused: boolean): boolean {
+	return named === attempt || (named === undefined && !isReused);
+}
+
 /**
  * Whether a connection whose end was read had in fact been reset.
  *
--- a/source/testing/gateway-fleet.ts
+++ b/source/testing/gateway-fleet.ts
@@ -14,6 +14,7 @@
 import {sendCall, type CallerAnswer, type SendCallOptions} from './call.ts';
 import {takeLoopbackAddress} from './loopback-address.ts';
 import {configurationRow} from './stand-ins/configuration-row.ts';
+import {RawWorker, type RawWorkerOptions} from './stand-ins/raw-worker.ts';
 import {StoreStandIn} from './stand-ins/store-stand-in.ts';
 import {type WorkerStandInOptions} from './stand-ins/worker-options.ts';
 import {WorkerStandIn} from './stand-ins/worker-stand-in.ts';
@@ -76,6 +77,7 @@
 	readonly store: StoreStandIn;
 	readonly workers = new Map<string, WorkerStandIn>();
 	readonly gateways = new Map<string, GatewayProcess>();
+	readonly #rawWorkers: RawWorker[] = [];
 	readonly #address: string;
 	readonly #folder: string;
 	#nextPort = 8000;
@@ -101,6 +103,14 @@
 		return worker;
 	}
 
+	/** Starts a worker on a bare socket and registers it. */
+	async startRawWorker(options: Omit<RawWorkerOptions, 'listen'>): Promise<RawWorker> {
+		const worker = await RawWorker.start({...options, listen: this.#allocate()});
+		this.#rawWorkers.push(worker);
+		this.store.put('servers', options.id, worker.entry());
+		return worker;
+	}
+
 	/** Starts a gateway, with bounds other than the defaults where given, and waits until it takes requests. */
 	async startGateway(name: string, bounds: Partial<GatewaySettings['bounds']> = {}): Promise<GatewayProcess> {
 		const [callers, readiness, entries, peers, metrics] = [1, 2, 3, 4, 5].map(() => this.#allocate());
@@ -192,7 +202,7 @@
 			}
 		}
 
-		for (const worker of this.workers.values()) {
+		for (const worker of [...this.workers.values(), ...this.#rawWorkers]) {
 			worker.crash();
 		}
 
