Have the soak play stalled answers and check memory and stalls, each proved to fire

Gateways of the soak run with the memory flags of the deploy file; the most memory that each process has had is noted each second and must stay below that of the smallest host (186 MB). A generation whose engine stalled must have left it after six of its route's pauses and a second.

Mutations: a gateway that is told to use 200 MB, engines that note no end when their connection closes. Comments and empty lines between events are no events of a stream, for callers and the check of streams alike; everything else of that check is as it was.

--- a/source/gateway/endless-answers.test.ts
+++ b/source/gateway/endless-answers.test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
-import {readFile} from 'node:fs/promises';
 import {connect, type Socket} from 'node:net';
 import {test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
 	GatewayFleet, routeHost, workspaceKey, type CallerRequest, type GatewayProcess,
 } from '../testing/gateway-fleet.ts';
+import {peakMegabytes} from '../testing/process-memory.ts';
 
 /** Memory of the smallest host, in megabytes. */
 const hostMegabytes = 186;
@@ -26,9 +26,10 @@
 };
 
 /** The most memory that a gateway has had, in megabytes. */
-async function peakMegabytes({child}: GatewayProcess): Promise<number> {
-	const status = await readFile(`/proc/${child.pid}/status`, 'utf8');
-	return Number(/^VmHWM:\s+(?<kilobytes>\d+) kB/mv.exec(status)!.groups!.kilobytes) / 1024;
+async function peakOf({child}: GatewayProcess): Promise<number> {
+	const peak = await peakMegabytes(child.pid!);
+	assert.ok(peak !== undefined, 'the gateway has ended');
+	return peak;
 }
 
 const loads = [
@@ -70,7 +71,7 @@
 			const statuses = new Set(answers.filter(({whole}) => whole).map(({status}) => status));
 			assert.ok([...statuses].every(status => [502, 503, 504].includes(status)), `refused with ${[...statuses].join(', ')}`);
 			assert.ok(others.length >= othersServed && others.every(status => status === 200), `others got ${others.join(', ')}`);
-			const peak = await peakMegabytes(gateway);
+			const peak = await peakOf(gateway);
 			assert.ok(peak < hostMegabytes, `${peak} MB`);
 		});
 	}
@@ -84,7 +85,7 @@
 	endless.reportsEndlessly = true;
 	const answers = await Promise.all(Array.from({length: 40}, async () => fleet.draft(gateway)));
 	assert.ok(answers.every(({status, whole}) => status === 200 && whole));
-	assert.ok(await peakMegabytes(gateway) < hostMegabytes);
+	assert.ok(await peakOf(gateway) < hostMegabytes);
 });
 
 test('a large answer arrives whole, and callers that do not read bound what is read for them', async () => {
@@ -101,7 +102,7 @@
 		return socket;
 	});
 	await delay(1500);
-	const peak = await peakMegabytes(gateway);
+	const peak = await peakOf(gateway);
 	for (const socket of sockets) {
 		socket.destroy();
 	}
--- a/source/testing/gateway-fleet.ts
+++ b/source/testing/gateway-fleet.ts
@@ -13,6 +13,7 @@
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
 import {sendCall, type CallerAnswer, type SendCallOptions} from './call.ts';
 import {takeLoopbackAddress} from './loopback-address.ts';
+import {memoryFlags} from './process-memory.ts';
 import {configurationRow} from './stand-ins/configuration-row.ts';
 import {RawWorker, type RawWorkerOptions} from './stand-ins/raw-worker.ts';
 import {StoreStandIn} from './stand-ins/store-stand-in.ts';
@@ -21,9 +22,6 @@
 
 const program = path.join(import.meta.dirname, '..', 'binaries', 'azuretack-gateway.js');
 
-/** Limits of the process's memory, as `deploy/system.toml` sets them. */
-const memoryFlags = ['--max-old-space-size=96', '--max-semi-space-size=4'];
-
 /** Host name of all routes in tests. */
 export const routeHost = 'desk.example';
 
--- /dev/null
+++ b/source/testing/process-memory.ts
@@ -0,0 +1,26 @@
+/**
+ * Memory of a gateway's process, in tests.
+ *
+ * @module
+ */
+import {readFile} from 'node:fs/promises';
+
+/** Limits of the process's memory, as `deploy/system.toml` sets them. */
+export const memoryFlags = ['--max-old-space-size=96', '--max-semi-space-size=4'];
+
+/**
+ * The most memory that a process has had, in megabytes.
+ *
+ * @param pid Its id.
+ * @returns `undefined` where it has ended meanwhile.
+ */
+export async function peakMegabytes(pid: number): Promise<number | undefined> {
+	try {
+		const status = await readFile(`/proc/${pid}/status`, 'utf8');
+		const kilobytes = /^VmHWM:\s+(?<kilobytes>\d+) kB/mv.exec(status)?.groups?.kilobytes;
+		return kilobytes === undefined ? undefined : Number(kilobytes) / 1024;
+	} catch {
+		// The process has ended between the look whether it runs and this one.
+		return undefined;
+	}
+}
--- a/source/testing/soak/callers.ts
+++ b/source/testing/soak/callers.ts
@@ -9,7 +9,9 @@
 import {sendCall} from '../call.ts';
 import {type CallKind, type SeenAnswer, type SeenRequest} from './history.ts';
 import {Random} from './random.ts';
-import {endingBody, lastEventOf, prefixes} from './requests.ts';
+import {
+	endingBody, lastEventOf, prefixes, splitEvents,
+} from './requests.ts';
 import {soakHost, type SoakWorld} from './world.ts';
 
 /** Requests a second of each kind. */
@@ -124,7 +126,7 @@
 			}
 
 			caller.entriesAt = Number.NEGATIVE_INFINITY;
-			lastEvent += kind === 'generation' && answer.status === 200 ? answer.body.split('\n\n').length - 1 : 0;
+			lastEvent += kind === 'generation' && answer.status === 200 ? splitEvents(answer.body).events.length : 0;
 			await delay(this.#random.integer(50, 300));
 		}
 	}
@@ -204,7 +206,7 @@
 	}
 
 	const isRefused = status !== 200 && status !== 0 && status < 500 && status !== 429;
-	const isDone = kind === 'generation' && lastEvent + text.split('\n\n').length - 1 >= lastEventOf(body);
+	const isDone = kind === 'generation' && lastEvent + splitEvents(text).events.length >= lastEventOf(body);
 	return !isRefused && !isDone && (status !== 200 || !whole);
 }
 
--- a/source/testing/soak/checks/answers.ts
+++ b/source/testing/soak/checks/answers.ts
@@ -7,7 +7,7 @@
 import {
 	isDisturbed, isInTouch, isWorkerSound, contactMilliseconds, type History, type SeenAnswer, type SeenRequest,
 } from '../history.ts';
-import {eventText, lastEventOf} from '../requests.ts';
+import {eventText, lastEventOf, splitEvents} from '../requests.ts';
 import {endOf, requestsWithRuns} from './_index-runs.ts';
 import {type Check, type Violation} from './check.ts';
 
@@ -46,8 +46,7 @@
 		return [];
 	}
 
-	const events = answer.body.split('\n\n');
-	const rest = events.pop();
+	const {events, rest} = splitEvents(answer.body);
 	const wrong = events.findIndex((event, index) => event !== `id: ${request.lastEvent + index + 1}\ndata: ${eventText(request.body, request.lastEvent + index + 1)}`);
 	if (wrong !== -1) {
 		return [{attempt: request.attempt, message: `after event ${request.lastEvent + wrong} came ${JSON.stringify(events[wrong])}`}];
--- a/source/testing/soak/checks/checks.test.ts
+++ b/source/testing/soak/checks/checks.test.ts
@@ -45,6 +45,12 @@
 		await delay(contactPlus);
 		history.leavings.push({worker: slots.find(({name}) => name === 'desk-1')!.id, at: performance.now()});
 	},
+	stalledGenerations({slots}) {
+		for (const {worker} of slots) {
+			worker.lie = 'ignores-close';
+			worker.fault = 'stall-comment';
+		}
+	},
 	async wordOfLeaving({slots}) {
 		// The same worker is registered again as a new life, so that gateways use it on.
 		const [{worker}] = slots.filter(({name}) => name === 'desk-1') as [WorkerSlot];
@@ -90,6 +96,9 @@
 	noEndsOfTheirOwn({gateways}) {
 		gateways[0]!.signal('SIGKILL');
 	},
+	boundedMemory({gateways}) {
+		gateways[0]!.useMemory(200);
+	},
 	recovery({history, slots}) {
 		for (const {worker} of slots) {
 			worker.fault = 'full';
@@ -114,6 +123,7 @@
 			const until = performance.now() + showsMilliseconds;
 			const violations = () => checks[name as CheckName](world.history, performance.now());
 			while (violations().length === 0 && performance.now() < until) {
+				await world.noteMemory();
 				await delay(250);
 			}
 
--- a/source/testing/soak/checks/mod.ts
+++ b/source/testing/soak/checks/mod.ts
@@ -8,9 +8,9 @@
 } from './answers.ts';
 import {type Check} from './check.ts';
 import {configurationInTime, withdrawnKeys} from './configuration.ts';
-import {noEndsOfTheirOwn, recovery} from './processes.ts';
+import {boundedMemory, noEndsOfTheirOwn, recovery} from './processes.ts';
 import {
-	boundedAttempts, endingRequests, leavingWorkers, leftCallers, notRunIsTrue, oneEngineAtATime, retryBudget, runsOnce, unchangedRequests,
+	boundedAttempts, endingRequests, leavingWorkers, leftCallers, notRunIsTrue, oneEngineAtATime, retryBudget, runsOnce, stalledGenerations, unchangedRequests,
 } from './runs.ts';
 import {backedOffWorkers, wordOfLeaving} from './endpoint-signals.ts';
 
@@ -27,6 +27,7 @@
 	endingRequests,
 	leftCallers,
 	leavingWorkers,
+	stalledGenerations,
 	wordOfLeaving,
 	backedOffWorkers,
 	wholeAnswers,
@@ -36,6 +37,7 @@
 	withdrawnKeys,
 	configurationInTime,
 	noEndsOfTheirOwn,
+	boundedMemory,
 	recovery,
 } satisfies Record<string, Check>;
 
--- a/source/testing/soak/checks/processes.ts
+++ b/source/testing/soak/checks/processes.ts
@@ -16,6 +16,14 @@
 	.filter(({expected}) => !expected)
 	.map(({gateway, reason}) => ({message: `${gateway} ended by itself (${reason})`}));
 
+/** Memory of the smallest host, in megabytes. */
+const hostMegabytes = 186;
+
+/** A gateway stays within the memory of the smallest host, whatever endpoints send. */
+export const boundedMemory: Check = ({memory}) => memory
+	.filter(({megabytes}) => megabytes > hostMegabytes)
+	.map(({gateway, megabytes}) => ({message: `${gateway} has had ${Math.round(megabytes)} MB`}));
+
 /** Once faults are over and the time to recover has passed, requests are served. */
 export const recovery: Check = (history, now) => {
 	const {settledAt} = history;
--- a/source/testing/soak/checks/runs.ts
+++ b/source/testing/soak/checks/runs.ts
@@ -131,3 +131,17 @@
 	const excused = late && (!isInTouch(history, request.gateway, leaving.at, run.startedAt) || !isWorkerSound(history, run, run.startedAt - leavingMilliseconds, run.startedAt));
 	return late && !excused ? [{attempt: request.attempt, message: `${run.worker} got it ${Math.round(run.startedAt - leaving.at)} ms after it was leaving`}] : [];
 }));
+
+/** Time from which a stalled generation must have been left: six of the pauses that its route allows, and a second, in milliseconds. */
+const stalledMilliseconds = 5200;
+
+/** An engine whose answer stalls is left, also when bytes that complete no event still come. */
+export const stalledGenerations: Check = (history, now) => requestsWithRuns(history).flatMap(({request, runs}) => runs.flatMap((run): Violation[] => {
+	const until = Math.min(run.endedAt ?? now, now);
+	const heldMilliseconds = run.stalledAt === undefined ? 0 : until - run.stalledAt;
+	const slot = history.slots.get(run.worker) ?? run.worker;
+	const isCut = history.disturbances.some(disturbance => disturbance.kind === 'link to a worker' && disturbance.target === slot
+		&& disturbance.from <= until && (disturbance.until ?? now) >= run.startedAt);
+	const excused = isCut || !isInTouch(history, request.gateway, run.startedAt, until);
+	return heldMilliseconds > stalledMilliseconds && !excused ? [{attempt: request.attempt, message: `stayed at ${run.worker} for ${Math.round(heldMilliseconds)} ms after it had stalled`}] : [];
+}));
--- a/source/testing/soak/fault-kinds.ts
+++ b/source/testing/soak/fault-kinds.ts
@@ -146,7 +146,7 @@
 		start: (_nothing, _variant, world) => world.lapseEntries(),
 	},
 	'worker misbehaves': {
-		variants: ['error', 'full', 'break', 'reset', 'mute', 'other-id', 'extra', 'garble', 'slow', 'repeat', 'endless-body', 'endless-failure', 'endless-head'] satisfies WorkerFault[],
+		variants: ['error', 'full', 'break', 'reset', 'mute', 'other-id', 'extra', 'garble', 'slow', 'repeat', 'endless-body', 'endless-failure', 'endless-head', 'stall-comment', 'stall-half', 'stall-line'] satisfies WorkerFault[],
 		on: 'worker',
 		disturbs: true,
 		start(slot, variant) {
--- a/source/testing/soak/gateway-process.ts
+++ b/source/testing/soak/gateway-process.ts
@@ -10,6 +10,7 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {Link} from '../stand-ins/link.ts';
+import {memoryFlags, peakMegabytes} from '../process-memory.ts';
 import {type History} from './history.ts';
 
 const program = path.join(import.meta.dirname, '..', '..', 'binaries', 'azuretack-gateway.js');
@@ -82,7 +83,7 @@
 			return;
 		}
 
-		const child = spawn(process.execPath, ['--import', clockModule, program, '--settings', this.#file], {stdio: ['pipe', 'pipe', 'pipe']});
+		const child = spawn(process.execPath, [...memoryFlags, '--import', clockModule, program, '--settings', this.#file], {stdio: ['pipe', 'pipe', 'pipe']});
 		this.#child = child;
 		this.#hasLogged = false;
 		this.#isEndExpected = false;
@@ -118,9 +119,17 @@
 
 	/** Moves its time of day. */
 	jump(milliseconds: number): void {
-		if (this.#isRunning) {
-			this.#child?.stdin?.write(`${milliseconds}\n`);
-		}
+		this.#order('jump', milliseconds);
+	}
+
+	/** Has it use memory for nothing. */
+	useMemory(megabytes: number): void {
+		this.#order('use', megabytes);
+	}
+
+	/** The most memory that its process has had, in megabytes; absent where none runs. */
+	async peakMegabytes(): Promise<number | undefined> {
+		return this.pid === undefined ? undefined : peakMegabytes(this.pid);
 	}
 
 	/** Kills its process and waits until it is gone. */
@@ -182,6 +191,12 @@
 		}
 	}
 
+	#order(order: 'jump' | 'use', amount: number): void {
+		if (this.#isRunning) {
+			this.#child?.stdin?.write(`${order} ${amount}\n`);
+		}
+	}
+
 	get #isRunning(): boolean {
 		return this.#child !== undefined && this.#child.exitCode === null && this.#child.signalCode === null;
 	}
--- a/source/testing/soak/history.ts
+++ b/source/testing/soak/history.ts
@@ -78,6 +78,9 @@
 /** A process that ended. */
 export type ProcessEnd = {gateway: string; at: number; expected: boolean; reason: string};
 
+/** The most memory that a gateway's process had had by then. */
+export type SeenMemory = {gateway: string; at: number; megabytes: number};
+
 /** All that was seen. */
 export type History = {
 	retryBounds: RetryBounds;
@@ -92,6 +95,7 @@
 	disturbances: Disturbance[];
 	stops: PlannedStop[];
 	ends: ProcessEnd[];
+	memory: SeenMemory[];
 	/** Slot of each worker, by the worker's name. */
 	slots: Map<string, string>;
 	/** Time from which all faults are over and must have been made good; absent until then. */
@@ -105,7 +109,7 @@
  */
 export function createHistory(retryBounds: RetryBounds): History {
 	return {
-		retryBounds, requests: [], arrivals: [], runs: [], configurations: [], leavings: [], endings: [], disturbances: [], stops: [], ends: [], slots: new Map(), settledAt: undefined,
+		retryBounds, requests: [], arrivals: [], runs: [], configurations: [], leavings: [], endings: [], disturbances: [], stops: [], ends: [], memory: [], slots: new Map(), settledAt: undefined,
 	};
 }
 
--- a/source/testing/soak/requests.ts
+++ b/source/testing/soak/requests.ts
@@ -35,6 +35,13 @@
 	return eventRange.fewest + (number % (eventRange.most - eventRange.fewest + 1));
 }
 
+/** Whole events of a stream, without comments and empty lines that come between them, and what is left of an event that is not whole. */
+export function splitEvents(body: string): {events: string[]; rest: string} {
+	const blocks = body.split('\n\n');
+	const rest = blocks.pop()!;
+	return {events: blocks.filter(block => block !== '' && !block.startsWith(':')), rest};
+}
+
 /** Text of an event of the generation for a body. */
 export function eventText(body: string, event: number): string {
 	return `token ${event} of ${body}`;
--- a/source/testing/soak/soak.ts
+++ b/source/testing/soak/soak.ts
@@ -162,6 +162,7 @@
 	const watching = playing.then(() => 'over');
 	for (;;) {
 		const state = await Promise.race([watching, delay(checkMilliseconds)]);
+		await world.noteMemory();
 		const finding = findViolation(world);
 		if (finding !== undefined || state === 'over' || signal.aborted) {
 			return finding;
--- a/source/testing/soak/world.ts
+++ b/source/testing/soak/world.ts
@@ -100,6 +100,16 @@
 		end();
 	}
 
+	/** Notes how much memory the gateways have had. */
+	async noteMemory(): Promise<void> {
+		for (const gateway of this.gateways) {
+			const megabytes = await gateway.peakMegabytes();
+			if (megabytes !== undefined) {
+				this.history.memory.push({gateway: gateway.name, at: performance.now(), megabytes});
+			}
+		}
+	}
+
 	/** Gateway behind an address that callers use. */
 	gatewayAt(callers: string): SoakGateway | undefined {
 		return this.gateways.find(({callersLink}) => callersLink.address === callers);
--- a/source/testing/stand-ins/worker-options.ts
+++ b/source/testing/stand-ins/worker-options.ts
@@ -19,6 +19,8 @@
 	startedAt: number;
 	/** When it stopped working on it; absent while it works. */
 	endedAt: number | undefined;
+	/** When its answer stalled while bytes still came; absent where it did not. */
+	stalledAt?: number;
 	/** Status that it answered, or was about to answer. */
 	status: number;
 	/** Body that it answered or was about to answer, of a plain call. */
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -263,6 +263,7 @@
 			}
 
 			if (isStall(this.fault) && event > first + 2) {
+				run.stalledAt = performance.now();
 				await sendStalled(this.fault, response);
 				return;
 			}
