--- a/source/router/operator-server.ts
+++ b/source/router/operator-server.ts
@@ -35,6 +35,7 @@
 			incarnation: parts.identity.incarnation,
 			peers: parts.peers.open.map(({hostName, direction}) => ({hostName, direction})),
 			knownHosts: parts.directory.hosts.length,
+			leavingHosts: parts.directory.hosts.filter(host => parts.directory.isLeaving(host, parts.wallClock())).map(({name}) => name),
 		});
 	},
 	'GET /explain'(url, response, parts) {
--- a/source/testing/scenarios/_fleet-expectations.ts
+++ b/source/testing/scenarios/_fleet-expectations.ts
@@ -37,6 +37,17 @@
 
 		return `version ${version} in force on ${names.join(', ')}`;
 	}),
+	host_leaving: verb({host: z.string(), routers: z.array(z.string()).optional(), withinSeconds}, async ({host, routers, withinSeconds: seconds}, run) => {
+		const names = routers ?? run.routerNames;
+		for (const name of names) {
+			await run.fleet.until(async () => {
+				const {leavingHosts} = await run.fleet.operator<{leavingHosts: string[]}>(name, '/status');
+				return leavingHosts.includes(host);
+			}, `${name} holds ${host} for leaving`, seconds * 1000);
+		}
+
+		return `${names.join(', ')} hold ${host} for leaving`;
+	}),
 	entries: verb({
 		from: z.string(), list: z.array(z.string()).default([]), omit: z.array(z.string()).default([]), withinSeconds,
 	}, async ({from, list, omit, withinSeconds: seconds}, run) => {
