--- a/source/testing/stand-ins/worker-options.ts
+++ b/source/testing/stand-ins/worker-options.ts
@@ -75,6 +75,8 @@
 	events?: number;
 	/** Time between two events, in milliseconds. Default 10. */
 	eventMilliseconds?: number;
+	/** Time until a report is answered, in milliseconds. Default 0. */
+	reportMilliseconds?: number;
 	/** Time of a plain call, in milliseconds. Default 2. */
 	callMilliseconds?: number;
 	/** Whether its process ends when it begins a run. Default never. */
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -58,6 +58,7 @@
 			events: 20,
 			eventMilliseconds: 10,
 			callMilliseconds: 2,
+			reportMilliseconds: 0,
 			advertised: options.listen,
 			availabilityZone: 'zone-a',
 			answerOf: ({worker}) => `answer of ${worker}`,
@@ -111,6 +112,7 @@
 		}
 
 		if (request.url === '/api/report') {
+			await delay(this.options.reportMilliseconds);
 			this.#report(response);
 			return;
 		}
