--- a/source/admission/fair-queue.ts
+++ b/source/admission/fair-queue.ts
@@ -33,7 +33,7 @@
  *
  * @example
  * ```ts
- * const dropped = queue.push({flow: 'brushwake', weight: 1, tokens: 300});
+ * const dropped = queue.push({flow: 'workspace-1', weight: 1, tokens: 300});
  * const next = queue.shift();
  * ```
  */
--- a/source/measurements/recovery.ts
+++ b/source/measurements/recovery.ts
@@ -11,8 +11,8 @@
 import {failureKinds, RecoveryBench, type FailureKind} from './_recovery-bench.ts';
 import {callWithRestarts} from './_restarting-caller.ts';
 
-/** Engines of each user's largest service of model engines. */
-const workloads = {Heladería: 12, Brushwake: 25};
+/** Engines of each size that is measured. */
+const workloads = {small: 12, large: 25};
 
 const policies = ['latency', 'cost'] as const;
 
--- a/source/platform/platform.test.ts
+++ b/source/platform/platform.test.ts
@@ -119,15 +119,27 @@
 	assert.equal(decodeEntryCall('GET', '/other'), undefined);
 });
 
-test('no name of the platform stands outside its adapter', async () => {
+/** Names of the source files, less tests and the given folders, whose text a pattern matches. */
+async function filesWith(pattern: RegExp, leftOut: RegExp): Promise<string[]> {
 	const source = path.join(import.meta.dirname, '..', '..', 'source');
 	const names = await readdir(source, {recursive: true});
-	const wire = /x-azuretack-|rows-(?:tx|get|feed)|\/api\/(?:report|resolve|ready|kv-|hold|blob)|kv-(?:from|fetch|move|backup)/iv;
-	const offending: string[] = [];
-	for (const name of names.filter(each => each.endsWith('.ts') && !each.endsWith('.test.ts') && !/^(?:platform|testing)\//v.test(each))) {
+	const matching: string[] = [];
+	for (const name of names.filter(each => each.endsWith('.ts') && !each.endsWith('.test.ts') && !leftOut.test(each))) {
 		const text = await readFile(path.join(source, name), 'utf8');
-		offending.push(...wire.test(text) ? [name] : []);
+		matching.push(...pattern.test(text) ? [name] : []);
 	}
 
-	assert.deepEqual(offending, []);
+	return matching;
+}
+
+test('no name of the platform stands outside its adapter', async () => {
+	const wire = /x-azuretack-|rows-(?:tx|get|feed)|\/api\/(?:report|resolve|ready|kv-|hold|blob)|kv-(?:from|fetch|move|backup)/iv;
+	assert.deepEqual(await filesWith(wire, /^(?:platform|testing)\//v), []);
+});
+
+test('no name or figure of a deployment stands in the sources', async () => {
+	const names = /brushwake|quillota|togas|corales|helader[ií]a|dublin|valparaiso|xela|toto-norte|solola|limache|la-calera|villa-alemana|la-cruz|coral-llm|alquiler|batido|pedidos/iv;
+	const figures = /\b(?:25_?001|1_?501|88_?000|2_?069)\b/v;
+	assert.deepEqual(await filesWith(names, /^testing\//v), []);
+	assert.deepEqual(await filesWith(figures, /^testing\//v), []);
 });
--- a/source/suspects/request-identity.ts
+++ b/source/suspects/request-identity.ts
@@ -26,7 +26,7 @@
  *
  * @example
  * ```ts
- * const identity = new RequestIdentity({host, method: 'POST', target: '/drafts/1', workspace: 'brushwake', body});
+ * const identity = new RequestIdentity({host, method: 'POST', target: '/drafts/1', workspace: 'workspace-1', body});
  * suspects.refusalOf(identity.digest, now);
  * ```
  */
--- a/source/testing/demo.ts
+++ b/source/testing/demo.ts
@@ -97,7 +97,7 @@
 		const response = await request(`http://${address}/v1/services/orders/refills`, {
 			method: 'POST',
 			headers: {authorization: `Bearer ${testKey}`, 'content-type': 'application/json', 'idempotency-key': 'refill-2026-001'},
-			body: JSON.stringify({cafe: 'Quillota Centro', liters: 12}),
+			body: JSON.stringify({cafe: 'Centro', liters: 12}),
 		});
 		const body = await response.body.text();
 		console.log(`${attempt} booking: ${response.statusCode} ${body.trim()}`);
