--- a/source/gateway/endless-answers.test.ts
+++ b/source/gateway/endless-answers.test.ts
@@ -2,28 +2,16 @@
 import {connect, type Socket} from 'node:net';
 import {test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
+import {endlessRequests, playEndlessAnswers} from '../testing/endless-load.ts';
 import {
 	GatewayFleet, routeHost, workspaceKey, type CallerRequest, type GatewayProcess,
 } from '../testing/gateway-fleet.ts';
-import {peakMegabytes} from '../testing/process-memory.ts';
+import {peakMegabytes, smallestHostMegabytes} from '../testing/process-memory.ts';
 
-/** Memory of the smallest host, in megabytes. */
-const hostMegabytes = 186;
-
-/** Time for which such requests come again, in milliseconds. */
-const forMilliseconds = 3000;
-
-/** Requests of others that must be served meanwhile. */
-const othersServed = 6;
-
-/** Requests that are answered without an end at a time, and as many as the smallest host has connections for. */
-const [atOnce, mostAtOnce] = [150, 900];
+/** Requests that are answered without an end at a time. */
+const atOnce = 150;
 
 const call: CallerRequest = {path: '/status/1'};
-const once: CallerRequest = {path: '/deposits/1', method: 'POST'};
-const draft: CallerRequest = {
-	path: '/drafts/1', method: 'POST', body: 'notes', headers: {'x-azuretack-token-counts': '8000,120', 'x-azuretack-prompt-prefix': 'a1:200,b2:7800'},
-};
 
 /** The most memory that a gateway has had, in megabytes. */
 async function peakOf({child}: GatewayProcess): Promise<number> {
@@ -32,47 +20,12 @@
 	return peak;
 }
 
-const loads = [
-	...(['endless-body', 'endless-failure', 'endless-head'] as const).map(fault => ({fault, count: atOnce})),
-	{fault: 'endless-body', count: mostAtOnce} as const,
-];
-
-for (const {fault, count} of loads) {
-	for (const [service, request] of [['desk', call], ['desk', once], ['scribe', draft]] as const) {
-		test(`${count} requests at once (${request.path}) with an ${fault} neither use up the memory nor look complete, and others are served`, async () => {
-			await using fleet = await GatewayFleet.create();
-			const worker = await fleet.startWorker({id: `${service}-1`, service});
-			await fleet.startWorker({id: 'other-1', service: service === 'desk' ? 'scribe' : 'desk'});
-			const gateway = await fleet.startGateway('gateway-1');
-			worker.fault = fault;
-			const ending = new AbortController();
-			const until = performance.now() + forMilliseconds;
-			const others: number[] = [];
-			const endless = Array.from({length: count}, async () => {
-				const seen = [];
-				while (performance.now() < until || others.length < othersServed) {
-					seen.push(await fleet.call(gateway, {...request, dropsBody: true, deadlineMilliseconds: 3000}));
-				}
-
-				return seen;
-			});
-			const serving = (async () => {
-				while (!ending.signal.aborted) {
-					const answer = await fleet.call(gateway, service === 'desk' ? draft : {path: '/status/other'});
-					others.push(answer.status);
-					await delay(100);
-				}
-			})();
-			const seen = await Promise.all(endless);
-			const answers = seen.flat();
-			ending.abort();
-			await serving;
-			assert.ok(answers.every(({status, whole}) => !(status === 200 && whole)), 'none looks complete');
-			const statuses = new Set(answers.filter(({whole}) => whole).map(({status}) => status));
-			assert.ok([...statuses].every(status => [502, 503, 504].includes(status)), `refused with ${[...statuses].join(', ')}`);
-			assert.ok(others.length >= othersServed && others.every(status => status === 200), `others got ${others.join(', ')}`);
-			const peak = await peakOf(gateway);
-			assert.ok(peak < hostMegabytes, `${peak} MB`);
+for (const fault of ['endless-body', 'endless-failure', 'endless-head'] as const) {
+	for (const [name, {service, request}] of Object.entries(endlessRequests)) {
+		test(`${atOnce} times ${name} with an ${fault} at once: neither is the memory used up nor does one look complete, and others are served`, async () => {
+			assert.deepEqual(await playEndlessAnswers({
+				fault, count: atOnce, service, request,
+			}), []);
 		});
 	}
 }
@@ -85,7 +38,7 @@
 	endless.reportsEndlessly = true;
 	const answers = await Promise.all(Array.from({length: 40}, async () => fleet.draft(gateway)));
 	assert.ok(answers.every(({status, whole}) => status === 200 && whole));
-	assert.ok(await peakOf(gateway) < hostMegabytes);
+	assert.ok(await peakOf(gateway) < smallestHostMegabytes);
 });
 
 test('a large answer arrives whole, and callers that do not read bound what is read for them', async () => {
@@ -107,7 +60,7 @@
 		socket.destroy();
 	}
 
-	assert.ok(peak < hostMegabytes, `${peak} MB`);
+	assert.ok(peak < smallestHostMegabytes, `${peak} MB`);
 });
 
 test('a caller that leaves in the middle of an answer without an end ends it at the endpoint', async () => {
--- a/source/testing/process-memory.ts
+++ b/source/testing/process-memory.ts
@@ -5,6 +5,9 @@
  */
 import {readFile} from 'node:fs/promises';
 
+/** Memory of the smallest host, in megabytes. */
+export const smallestHostMegabytes = 186;
+
 /** Limits of the process's memory, as `deploy/system.toml` sets them. */
 export const memoryFlags = ['--max-old-space-size=96', '--max-semi-space-size=4'];
 
--- a/source/testing/soak/checks/processes.ts
+++ b/source/testing/soak/checks/processes.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import {smallestHostMegabytes} from '../../process-memory.ts';
 import {type Check} from './check.ts';
 
 /** Share of requests that is served once all faults are made good. */
@@ -16,12 +17,9 @@
 	.filter(({expected}) => !expected)
 	.map(({gateway, reason}) => ({message: `${gateway} ended by itself (${reason})`}));
 
-/** Memory of the smallest host, in megabytes. */
-const hostMegabytes = 186;
-
 /** A gateway stays within the memory of the smallest host, whatever endpoints send. */
 export const boundedMemory: Check = ({memory}) => memory
-	.filter(({megabytes}) => megabytes > hostMegabytes)
+	.filter(({megabytes}) => megabytes > smallestHostMegabytes)
 	.map(({gateway, megabytes}) => ({message: `${gateway} has had ${Math.round(megabytes)} MB`}));
 
 /** Once faults are over and the time to recover has passed, requests are served. */
