--- a/source/gateway/broken-answers.test.ts
+++ b/source/gateway/broken-answers.test.ts
@@ -4,38 +4,36 @@
 import {test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import fc from 'fast-check';
-import {GatewayFleet, routeHost, workspaceKey} from '../testing/gateway-fleet.ts';
-import {rawBody, type RawRequest} from '../testing/stand-ins/raw-worker.ts';
-
-const head = (attempt: string) => `HTTP/1.1 200 OK\r\nX-Azuretack-Attempt-Id: ${attempt}\r\nX-Azuretack-Server-Stamp: stamp\r\n`;
+import {GatewayFleet, rawRequest} from '../testing/gateway-fleet.ts';
+import {rawBody, rawHead, type RawRequest} from '../testing/stand-ins/raw-worker.ts';
 
 const large = 'x'.repeat(400_000);
 
 /** Answers that break off halfway. */
 const breaks: Record<string, (request: RawRequest) => void> = {
 	'shorter than its length'({attempt, socket}) {
-		socket.end(`${head(attempt)}Content-Length: 100\r\n\r\n${rawBody(attempt)}`);
+		socket.end(`${rawHead(attempt)}Content-Length: 100\r\n\r\n${rawBody(attempt)}`);
 	},
 	'in chunks without the last one'({attempt, socket}) {
-		socket.end(`${head(attempt)}Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n`);
+		socket.end(`${rawHead(attempt)}Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n`);
 	},
 	'within a chunk'({attempt, socket}) {
-		socket.end(`${head(attempt)}Transfer-Encoding: chunked\r\n\r\nff\r\nabcde`);
+		socket.end(`${rawHead(attempt)}Transfer-Encoding: chunked\r\n\r\nff\r\nabcde`);
 	},
 	'with its trailers lost'({attempt, socket}) {
-		socket.end(`${head(attempt)}Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n5\r\nabcde\r\n0\r\nX-Sum: `);
+		socket.end(`${rawHead(attempt)}Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n5\r\nabcde\r\n0\r\nX-Sum: `);
 	},
 	'without a length, reset'({attempt, socket}) {
-		socket.write(`${head(attempt)}\r\n${rawBody(attempt)}`);
+		socket.write(`${rawHead(attempt)}\r\n${rawBody(attempt)}`);
 		setTimeout(() => {
 			socket.resetAndDestroy();
 		}, 20);
 	},
 	'large, shorter than its length'({attempt, socket}) {
-		socket.end(`${head(attempt)}Content-Length: 500000\r\n\r\n${large}`);
+		socket.end(`${rawHead(attempt)}Content-Length: 500000\r\n\r\n${large}`);
 	},
 	'large, in chunks without the last one'({attempt, socket}) {
-		socket.end(`${head(attempt)}Transfer-Encoding: chunked\r\n\r\n${large.length.toString(16)}\r\n${large}\r\n`);
+		socket.end(`${rawHead(attempt)}Transfer-Encoding: chunked\r\n\r\n${large.length.toString(16)}\r\n${large}\r\n`);
 	},
 };
 
@@ -61,7 +59,7 @@
 		service: 'scribe',
 		answer({attempt, socket}) {
 			const event = 'id: 1\ndata: token 1\n\nid: 2\nda';
-			socket.end(`${head(attempt)}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n${event.length.toString(16)}\r\n${event}\r\n`);
+			socket.end(`${rawHead(attempt)}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n${event.length.toString(16)}\r\n${event}\r\n`);
 		},
 	});
 	const gateway = await fleet.startGateway('gateway-1');
@@ -78,7 +76,7 @@
 		service: 'desk',
 		answer({attempt, socket}) {
 			const body = rawBody(attempt);
-			const bytes = `${head(attempt)}Content-Length: ${body.length}\r\n\r\n${body}`;
+			const bytes = `${rawHead(attempt)}Content-Length: ${body.length}\r\n\r\n${body}`;
 			const at = cuts.get(attempt)!;
 			socket.write(bytes.slice(0, at));
 			if (at < bytes.length) {
@@ -102,7 +100,6 @@
 	const worker = await fleet.startWorker({id: 'desk-1', service: 'desk', callMilliseconds: 30});
 	const gateway = await fleet.startGateway('gateway-1');
 	const [hostname, port] = gateway.callers.split(':');
-	const headOf = (attempt: string, length: number) => `POST /status/1 HTTP/1.1\r\nHost: ${routeHost}\r\nAuthorization: Token ${workspaceKey}\r\nX-Azuretack-Attempt-Id: ${attempt}\r\nX-Azuretack-Deadline-Ms: 3000\r\nContent-Length: ${length}\r\n\r\n`;
 	const callers = await Promise.all(Array.from({length: 20}, async (_unused, index) => {
 		const socket = connect(Number(port), hostname);
 		await once(socket, 'connect');
@@ -116,7 +113,9 @@
 		};
 	}));
 	for (const [index, {socket, attempt}] of callers.entries()) {
-		socket.write(headOf(attempt, 10) + (index % 2 === 0 ? 'whole body' : 'half '));
+		socket.write(rawRequest({
+			method: 'POST', path: '/status/1', attempt, bodyLength: 10,
+		}) + (index % 2 === 0 ? 'whole body' : 'half '));
 	}
 
 	gateway.child.kill('SIGTERM');
--- a/source/gateway/endless-answers.test.ts
+++ b/source/gateway/endless-answers.test.ts
@@ -4,7 +4,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {endlessRequests, playEndlessAnswers} from '../testing/endless-load.ts';
 import {
-	GatewayFleet, routeHost, workspaceKey, type CallerRequest, type GatewayProcess,
+	GatewayFleet, rawRequest, routeHost, type CallerRequest, type GatewayProcess,
 } from '../testing/gateway-fleet.ts';
 import {peakMegabytes, smallestHostMegabytes} from '../testing/process-memory.ts';
 
@@ -51,7 +51,7 @@
 	const [hostname, port] = gateway.callers.split(':');
 	const sockets = Array.from({length: 100}, (_unused, index): Socket => {
 		const socket = connect(Number(port), hostname);
-		socket.write(`GET /status/${index} HTTP/1.1\r\nHost: ${routeHost}\r\nAuthorization: Token ${workspaceKey}\r\nX-Azuretack-Attempt-Id: slow-${index}\r\nX-Azuretack-Deadline-Ms: 3000\r\n\r\n`);
+		socket.write(rawRequest({method: 'GET', path: `/status/${index}`, attempt: `slow-${index}`}));
 		return socket;
 	});
 	await delay(1500);
--- a/source/gateway/foreign-answers.test.ts
+++ b/source/gateway/foreign-answers.test.ts
@@ -3,7 +3,9 @@
 import {test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {GatewayFleet} from '../testing/gateway-fleet.ts';
-import {rawAnswer, rawBody, type RawRequest} from '../testing/stand-ins/raw-worker.ts';
+import {
+	rawAnswer, rawBody, rawHead, type RawRequest,
+} from '../testing/stand-ins/raw-worker.ts';
 
 /** Calls of each test, eight at a time. */
 const calls = 160;
@@ -101,7 +103,7 @@
 		answer({attempt, socket}) {
 			const [status, rest] = attempt.startsWith('empty') ? ['204 No Content', 'unexpected body'] : ['200 OK', rawBody(attempt)];
 			const length = attempt.startsWith('empty') ? '' : `Content-Length: ${rest.length}\r\n`;
-			socket.write(`HTTP/1.1 ${status}\r\nX-Azuretack-Attempt-Id: ${attempt}\r\nX-Azuretack-Server-Stamp: stamp\r\n${length}\r\n${rest}`);
+			socket.write(`${rawHead(attempt, status)}${length}\r\n${rest}`);
 		},
 	});
 	const gateway = await fleet.startGateway('gateway-1');
--- a/source/testing/gateway-fleet.ts
+++ b/source/testing/gateway-fleet.ts
@@ -34,6 +34,21 @@
 /** A request of a caller. */
 export type CallerRequest = Omit<SendCallOptions, 'agent'> & {key?: string; attempt?: string; deadlineMilliseconds?: number};
 
+/** Options of {@linkcode rawRequest}. */
+export type RawRequestOptions = {
+	method: string;
+	path: string;
+	attempt: string;
+	/** Length of the body that follows, in bytes. Default none. */
+	bodyLength?: number;
+};
+
+/** The bytes of the head of a caller's request, for callers on bare sockets. */
+export function rawRequest({method, path: target, attempt, bodyLength}: RawRequestOptions): string {
+	const length = bodyLength === undefined ? '' : `Content-Length: ${bodyLength}\r\n`;
+	return `${method} ${target} HTTP/1.1\r\nHost: ${routeHost}\r\nAuthorization: Token ${workspaceKey}\r\nX-Azuretack-Attempt-Id: ${attempt}\r\nX-Azuretack-Deadline-Ms: 3000\r\n${length}\r\n`;
+}
+
 /** One gateway process. */
 export type GatewayProcess = {name: string; callers: string; entries: string; readiness: string; metrics: string; child: ChildProcess; log: string[]};
 
--- a/source/testing/stand-ins/raw-worker.ts
+++ b/source/testing/stand-ins/raw-worker.ts
@@ -26,9 +26,15 @@
 	return `answer to ${attempt}`;
 }
 
+/** The beginning of the head of an answer to an attempt, up to the headers that frame its body. */
+export function rawHead(attempt: string, status = '200 OK'): string {
+	return `HTTP/1.1 ${status}\r\nX-Azuretack-Attempt-Id: ${attempt}\r\nX-Azuretack-Server-Stamp: stamp\r\n`;
+}
+
 /** The bytes of a proper answer to an attempt. */
-export function rawAnswer(attempt: string, body = rawBody(attempt)): string {
-	return `HTTP/1.1 200 OK\r\nX-Azuretack-Attempt-Id: ${attempt}\r\nX-Azuretack-Server-Stamp: stamp\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+export function rawAnswer(attempt: string): string {
+	const body = rawBody(attempt);
+	return `${rawHead(attempt)}Content-Length: ${body.length}\r\n\r\n${body}`;
 }
 
 /** A worker, in the process of a test. */
