Send generations on new connections, so that a dropped unused one costs no copy and no prompt

Cause: generations used kept connections. One that its engine has dropped without a word is reset by what comes next, which counts as a lost answer; a copy can be gone on from once only, and an engine that was tried is not used again. In the test, with two engines, the answer broke off.

The test fails on the code before. Reports stay on kept connections: one without an answer is asked elsewhere.

--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -107,7 +107,8 @@
 				exchange: this.#exchange,
 				target,
 				progress: this.#progress,
-				agent: this.#parts.connections.agent('kept'),
+				// An unused connection may be dead, and a copy can be gone on from once only.
+				agent: this.#parts.connections.agent('fresh'),
 				heldAnswers: this.#parts.heldAnswers,
 				ask: async () => this.#placing.ask(target.endpoint, 'silent'),
 				onAnswer: answer => {
--- a/source/gateway/gateway.test.ts
+++ b/source/gateway/gateway.test.ts
@@ -110,6 +110,23 @@
 	assert.equal(engines.reduce((sum, {goneOn}) => sum + goneOn, 0), 1);
 });
 
+test('a generation goes on from its copy although the engine that holds it has dropped the connection that was kept to it', async () => {
+	await using fleet = await GatewayFleet.create();
+	const engines = [await fleet.startWorker({id: 'scribe-1', service: 'scribe'}), await fleet.startWorker({id: 'scribe-2', service: 'scribe', availabilityZone: 'zone-b'})];
+	const gateway = await fleet.startGateway('gateway-1');
+	for (const engine of engines) {
+		engine.dropsUsedConnections = true;
+	}
+
+	const answering = fleet.draft(gateway);
+	await fleet.until(() => engines.some(({runs}) => runs.length > 0), 'the generation runs');
+	await delay(80);
+	engines.find(({runs}) => runs.length > 0)!.crash();
+	const answer = await answering;
+	assert.deepEqual(eventsOf(answer.body), expectedEvents(20));
+	assert.deepEqual(engines.map(({promptsRead}) => promptsRead).toSorted((left, right) => left - right), [0, 1]);
+});
+
 test('a generation goes on elsewhere when its answer breaks off within an event, or its events do not arrive', async () => {
 	await using fleet = await GatewayFleet.create();
 	const failing = await fleet.startWorker({id: 'scribe-1', service: 'scribe'});
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -7,6 +7,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import {type Socket} from 'node:net';
 import {text} from 'node:stream/consumers';
 import {setTimeout as delay} from 'node:timers/promises';
 import {answerCall} from './call-answers.ts';
@@ -40,6 +41,8 @@
 	falseReport: 'idle' | 'leaving' | undefined;
 	/** Whether its reports never end. */
 	reportsEndlessly = false;
+	/** Whether it has dropped each connection that was used before without a word, so that what comes on it is reset. */
+	dropsUsedConnections = false;
 	/** Requests that it ran. */
 	readonly runs: WorkerRun[];
 	/** Requests that reached it. */
@@ -51,6 +54,7 @@
 	readonly options: Required<WorkerStandInOptions>;
 	startedAt = Date.now();
 	#server: Server | undefined;
+	readonly #usedConnections = new WeakSet<Socket>();
 	readonly #running = new Map<string, number>();
 
 	private constructor(options: WorkerStandInOptions) {
@@ -107,6 +111,12 @@
 	}
 
 	async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		if (this.dropsUsedConnections && this.#usedConnections.has(request.socket)) {
+			request.socket.resetAndDestroy();
+			return;
+		}
+
+		this.#usedConnections.add(request.socket);
 		if (this.saysLeaving) {
 			response.setHeader('server-leaving', '1');
 		}
