Give an engine that may only be slow to report the accepted pause where there is no copy

The operators' report 'a machine that was only slow to report had its running work started again elsewhere' could happen here: an engine that takes 300 ms to report was left after two questions without an answer, about 0.45 s after an event, although the next one came within the 0.7 s that the route allows. Its prompt was read again elsewhere, which takes longer than that pause, so nothing was gained.

With a copy elsewhere such an engine is left as before, in time to go on within the pause.

--- a/source/forwarding/engine-watch.ts
+++ b/source/forwarding/engine-watch.ts
@@ -5,7 +5,7 @@
  */
 import {type EngineReport} from '../balancing/mod.ts';
 import {
-	decideOnSilence, lacksAttempt, provesRestart, withholdsEvents,
+	countsAsDead, decideOnSilence, lacksAttempt, provesRestart, withholdsEvents,
 } from './silence-decision.ts';
 
 /** Why an engine was left. */
@@ -39,9 +39,6 @@
 /** Time between two looks at an engine, in milliseconds. */
 const lookMilliseconds = 50;
 
-/** Unanswered questions in a row after which an engine counts as dead. */
-const unansweredQuestions = 2;
-
 /** Reports in a row that lack the attempt after which it counts as ended. */
 const reportsWithoutAttempt = 2;
 
@@ -128,7 +125,11 @@
 		}
 
 		this.#unanswered += 1;
-		if (this.#unanswered >= unansweredQuestions) {
+		const {eventPauseMilliseconds, hasCopy, clock} = this.#options;
+		const isDead = countsAsDead({
+			unanswered: this.#unanswered, silentMilliseconds: clock() - this.#gotOnAt, eventPauseMilliseconds, hasCopy,
+		});
+		if (isDead) {
 			this.#leave(true, 'the engine does not answer');
 		}
 	}
--- a/source/forwarding/forwarding.test.ts
+++ b/source/forwarding/forwarding.test.ts
@@ -7,7 +7,7 @@
 import {EventSplitter} from './event-splitter.ts';
 import {mayRunAgain} from './retry-decision.ts';
 import {
-	decideOnSilence, lacksAttempt, provesRestart, withholdsEvents,
+	countsAsDead, decideOnSilence, lacksAttempt, provesRestart, withholdsEvents,
 } from './silence-decision.ts';
 
 const report = (changes: Partial<EngineReport> = {}): EngineReport => ({
@@ -95,6 +95,16 @@
 	}), 'wait');
 });
 
+test('an engine that does not answer questions is left at once where there is a copy, and after the accepted pause where there is none', () => {
+	const questions = {
+		unanswered: 2, silentMilliseconds: 450, eventPauseMilliseconds: 700, hasCopy: true,
+	};
+	assert.equal(countsAsDead(questions), true);
+	assert.equal(countsAsDead({...questions, unanswered: 1}), false);
+	assert.equal(countsAsDead({...questions, hasCopy: false}), false);
+	assert.equal(countsAsDead({...questions, hasCopy: false, silentMilliseconds: 700}), true);
+});
+
 test('an engine that reads other prompts first is not left while it is alive', () => {
 	assert.equal(decideOnSilence({
 		...silent, started: false, silentMilliseconds: 4000, unprovenMilliseconds: 100,
--- a/source/forwarding/silence-decision.ts
+++ b/source/forwarding/silence-decision.ts
@@ -58,6 +58,33 @@
 	return unprovenMilliseconds >= askAfter ? 'ask' : 'wait';
 }
 
+/** What is known of an engine that does not answer questions. */
+export type UnansweredQuestions = {
+	/** Questions in a row that it has not answered. */
+	unanswered: number;
+	/** Time since its answer last got on, in milliseconds. */
+	silentMilliseconds: number;
+	/** Longest pause between events of an answer that is on time, in milliseconds. */
+	eventPauseMilliseconds: number;
+	/** Whether an engine holds a copy of the generation's memory, so that going on there costs little. */
+	hasCopy: boolean;
+};
+
+/** Unanswered questions in a row after which an engine may count as dead. */
+const unansweredQuestions = 2;
+
+/**
+ * Whether an engine that does not answer questions counts as dead.
+ *
+ * Where there is a copy, it is left in time to go on within the pause that callers accept. Without one the prompt must be read again,
+ * which takes longer than that pause, so an engine that may only be slow to report is given the whole of it.
+ *
+ * @param questions What is known.
+ */
+export function countsAsDead({unanswered, silentMilliseconds, eventPauseMilliseconds, hasCopy}: UnansweredQuestions): boolean {
+	return unanswered >= unansweredQuestions && (hasCopy || silentMilliseconds >= eventPauseMilliseconds);
+}
+
 /**
  * Whether a report proves that a generation is no longer at its engine.
  *
