--- a/source/balancing/endpoint-backoff.ts
+++ b/source/balancing/endpoint-backoff.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import {type EndpointLife} from '../beliefs/mod.ts';
+import {type EndpointIncarnation} from '../beliefs/mod.ts';
 
 /**
  * Remembers until when each endpoint is sent nothing; a new life of it is not bound by what an earlier one asked.
@@ -22,13 +22,13 @@
 	readonly #ends = new Map<string, number>();
 
 	/** Sends an endpoint nothing until a steady time, or longer where it asked for that before. */
-	start(life: EndpointLife, until: number): void {
+	start(life: EndpointIncarnation, until: number): void {
 		const name = nameOf(life);
 		this.#ends.set(name, Math.max(until, this.#ends.get(name) ?? 0));
 	}
 
 	/** Whether an endpoint is sent nothing now. */
-	isBackedOff(life: EndpointLife, now: number): boolean {
+	isBackedOff(life: EndpointIncarnation, now: number): boolean {
 		return this.#ends.size > 0 && this.#endOf(life, now) > now;
 	}
 
@@ -38,7 +38,7 @@
 	 * @param endpoints The endpoints.
 	 * @param now Steady time, in milliseconds.
 	 */
-	divide<Endpoint extends EndpointLife>(endpoints: readonly Endpoint[], now: number): {usable: readonly Endpoint[]; firstEnd: number | undefined} {
+	divide<Endpoint extends EndpointIncarnation>(endpoints: readonly Endpoint[], now: number): {usable: readonly Endpoint[]; firstEnd: number | undefined} {
 		if (this.#ends.size === 0) {
 			return {usable: endpoints, firstEnd: undefined};
 		}
@@ -50,7 +50,7 @@
 		};
 	}
 
-	#endOf(life: EndpointLife, now: number): number {
+	#endOf(life: EndpointIncarnation, now: number): number {
 		const name = nameOf(life);
 		const end = this.#ends.get(name) ?? 0;
 		if (end <= now) {
@@ -61,6 +61,6 @@
 	}
 }
 
-function nameOf({id, startedAt}: EndpointLife): string {
+function nameOf({id, startedAt}: EndpointIncarnation): string {
 	return `${id}/${startedAt}`;
 }
--- a/source/beliefs/clock.ts
+++ b/source/beliefs/clock.ts
@@ -1,19 +1,19 @@
 /**
- * A clock that shows when the host was suspended.
+ * Paired steady and wall-clock readings that reveal a suspension of the host.
  *
  * @module
  */
 
-/** Readings of both clocks at one moment. */
+/** Readings of the steady and the wall clock at one moment. */
 export type ClockReading = {
-	/** Steady time, in milliseconds; does not count while the host is suspended. */
+	/** Steady (monotonic) time, in milliseconds; does not advance while the host is suspended. */
 	steady: number;
-	/** Time of day, in Unix milliseconds; counts always, and may jump. */
+	/** Wall-clock time, in Unix milliseconds; advances during a suspension, and may jump. */
 	wall: number;
 };
 
-/** Difference between both clocks beyond which the host counts as suspended, in milliseconds. */
-const suspensionMilliseconds = 250;
+/** Difference between the advances of both clocks above which the host is taken to have been suspended, in milliseconds. */
+const suspensionThresholdMilliseconds = 250;
 
 /**
  * Reads both clocks.
@@ -28,16 +28,16 @@
 }
 
 /**
- * Returns the time that has certainly not been exceeded since a reading; infinite when the host may have been suspended between.
+ * Returns the time elapsed since a reading; infinite when the host may have been suspended in between.
  *
- * A jump of the time of day forward looks like a suspension. It is taken for one, since the cost is one more call to the store.
+ * A forward jump of the wall clock cannot be told from a suspension and is treated as one; it costs one extra call to the store.
  *
  * @param since Earlier reading.
- * @param now Present reading.
+ * @param now Current reading.
  * @returns Age in milliseconds.
  */
 export function ageOf(since: ClockReading, now: ClockReading): number {
 	const steadyAge = now.steady - since.steady;
 	const wallAge = now.wall - since.wall;
-	return wallAge - steadyAge > suspensionMilliseconds ? Number.POSITIVE_INFINITY : steadyAge;
+	return wallAge - steadyAge > suspensionThresholdMilliseconds ? Number.POSITIVE_INFINITY : steadyAge;
 }
--- a/source/beliefs/endpoint-list.ts
+++ b/source/beliefs/endpoint-list.ts
@@ -1,5 +1,5 @@
 /**
- * What this router knows of the endpoints of all services.
+ * Caches the registered endpoints of all services.
  *
  * @module
  */
@@ -10,64 +10,65 @@
 
 /** One endpoint as it registered itself. */
 export const endpointEntrySchema = z.object({
-	/** Names one life of an endpoint, mostly. */
+	/** Name of the endpoint; in most cases unique to one incarnation. */
 	id: z.string(),
 	service: z.string(),
-	/** IP number and port. */
+	/** IP address and port. */
 	address: z.string(),
 	availabilityZone: z.string(),
-	/** Requests that it works on at once. */
+	/** Number of requests that it processes concurrently. */
 	slots: z.number(),
-	/** Whether it takes no new requests. */
+	/** Whether it is shutting down and accepts no new requests. */
 	leaving: z.boolean(),
-	/** Unix milliseconds of its start; 0 where it does not say. */
+	/** Start time of its process, in Unix milliseconds; 0 if the endpoint does not report it. */
 	startedAt: z.number(),
 });
 
-/** A change of the list: an entry, or the fact that it was removed. */
+/** A change of the list: a new or updated entry, or a removal when `entry` is absent. */
 export const endpointChangeSchema = z.object({id: z.string(), entry: endpointEntrySchema.optional(), revision: z.number()});
 
 /** One endpoint as it registered itself. */
 export type EndpointEntry = z.output<typeof endpointEntrySchema>;
 
-/** What the list says of one life of an endpoint: it is listed, it leaves, another life has taken its name, or it was removed. */
-export type LifeState = 'listed' | 'leaving' | 'replaced' | 'removed';
+/** State of one incarnation of an endpoint: listed, leaving, replaced by another incarnation with the same id, or removed. */
+export type IncarnationState = 'listed' | 'leaving' | 'replaced' | 'removed';
 
 /** A change of the list. */
 export type EndpointChange = z.output<typeof endpointChangeSchema>;
 
-/** One life of an endpoint's process. */
-export const endpointLifeSchema = endpointEntrySchema.pick({id: true, startedAt: true});
+/** Identifies one incarnation of an endpoint: one run of its process. */
+export const endpointIncarnationSchema = endpointEntrySchema.pick({id: true, startedAt: true});
 
-/** One life of an endpoint's process. */
-export type EndpointLife = z.output<typeof endpointLifeSchema>;
+/** One incarnation of an endpoint. */
+export type EndpointIncarnation = z.output<typeof endpointIncarnationSchema>;
 
-/** One life of an endpoint that has said that it leaves, and the time since then, as gateways tell each other. */
-export const leavingLifeSchema = endpointLifeSchema.extend({ageMilliseconds: z.number()});
+/** An incarnation that has announced that it is leaving, and the time since then, as gateways send it to each other. */
+export const leavingIncarnationSchema = endpointIncarnationSchema.extend({ageMilliseconds: z.number()});
 
-/** One life of an endpoint that has said that it leaves. */
-export type LeavingLife = z.output<typeof leavingLifeSchema>;
+/** An incarnation that has announced that it is leaving. */
+export type LeavingIncarnation = z.output<typeof leavingIncarnationSchema>;
 
-type Known = {
+type KnownEndpoint = {
 	entry: EndpointEntry | undefined;
-	/** Revision of the newest row. */
+	/** Revision of the newest row received. */
 	revision: number;
-	/** Revision at which the entry last changed in what it says here. */
+	/** Revision at which the content of the entry last changed. */
 	changedAt: number;
-	lapsesAt: number | undefined;
+	/** Steady time at which an entry removed around a store outage is dropped, in milliseconds; undefined for all others. */
+	expiresAt: number | undefined;
 };
 
-/** Time after an outage of the store within which endpoints whose entries lapsed during it register again, in milliseconds. */
-const registerAgainMilliseconds = 2000;
+/** Time after a store outage within which endpoints whose entries expired during it register again, in milliseconds. */
+const reregistrationMilliseconds = 2000;
 
-/** Time for which gateways tell each other that an endpoint has said that it leaves, in milliseconds; its entry says so long before. */
-const tellLeavingMilliseconds = 30_000;
+/** Time for which gateways send each other the announcement that an endpoint is leaving, in milliseconds; its entry shows it much sooner. */
+const leavingAnnouncementMilliseconds = 30_000;
 
-/** Removed entries that are remembered, so that an older change cannot bring them back. */
-const rememberedRemovals = 2000;
+/** Number of removed entries that are retained, so that an older change that arrives late cannot restore them. */
+const retainedRemovals = 2000;
 
 /**
- * Keeps the newest entry of each endpoint. An endpoint that was once seen to leave stays so for that life of it.
+ * Holds the newest entry of each endpoint. Once an incarnation has been seen leaving, it stays so until a new incarnation replaces it.
  *
  * @example
  * ```ts
@@ -76,67 +77,69 @@
  * ```
  */
 export class EndpointList {
-	readonly #known = new Map<string, Known>();
-	readonly #refusedLives = new Map<string, number>();
-	/** Lives that said themselves that they leave, and the steady time at which that was heard, by name of the endpoint. */
-	readonly #leavingLives = new Map<string, {startedAt: number; heardAt: number}>();
+	readonly #known = new Map<string, KnownEndpoint>();
+	/** Start time of the incarnation that is not to be used again, by id of the endpoint. */
+	readonly #excludedIncarnations = new Map<string, number>();
+	/** Incarnations that announced that they are leaving, and the steady time of the announcement in milliseconds, by id of the endpoint. */
+	readonly #leavingIncarnations = new Map<string, {startedAt: number; reportedAt: number}>();
+	/** Available endpoints by service; undefined until it is built again after a change. */
 	#byService: Map<string, EndpointEntry[]> | undefined;
-	#lapsing = false;
+	#hasExpiring = false;
 	#outageEndedAt = Number.NEGATIVE_INFINITY;
 	#revision = 0;
 	#confirmedAt: ClockReading | undefined;
 
-	/** Number of endpoints that are listed. */
+	/** Number of endpoints that have an entry. */
 	get size(): number {
 		return [...this.#known.values()].filter(({entry}) => entry).length;
 	}
 
-	/** Revision up to which all changes are known. */
+	/** Revision up to which all changes have been received. */
 	get revision(): number {
 		return this.#revision;
 	}
 
-	/** Time since the list was last known to be complete, in milliseconds. */
+	/** Returns the time since the list was last confirmed to be complete, in milliseconds; infinite if it never was. */
 	age(now: ClockReading): number {
 		return this.#confirmedAt ? ageOf(this.#confirmedAt, now) : Number.POSITIVE_INFINITY;
 	}
 
 	/**
-	 * Records that all changes up to a revision are known, as of a time.
+	 * Records that all changes up to a revision have been received and that the store held no later one at the given time.
 	 *
 	 * @param revision The revision.
-	 * @param at A time not after the store looked.
+	 * @param readAt A time no later than the store's read.
 	 */
-	confirm(revision: number, at: ClockReading): void {
+	confirm(revision: number, readAt: ClockReading): void {
 		this.#revision = Math.max(this.#revision, revision);
-		if (!this.#confirmedAt || at.steady > this.#confirmedAt.steady) {
-			this.#confirmedAt = at;
+		if (!this.#confirmedAt || readAt.steady > this.#confirmedAt.steady) {
+			this.#confirmedAt = readAt;
 		}
 	}
 
-	/** The entries and removals that changed after a revision, for other routers. */
+	/** Returns the entries and removals that changed after a revision, to send to another gateway. */
 	changesSince(revision: number): EndpointChange[] {
 		return [...this.#known]
 			.filter(([, known]) => known.changedAt > revision)
-			.map(([id, {entry, changedAt, lapsesAt}]) => ({id, entry: lapsesAt === undefined ? entry : undefined, revision: changedAt}));
+			.map(([id, {entry, changedAt, expiresAt}]) => ({id, entry: expiresAt === undefined ? entry : undefined, revision: changedAt}));
 	}
 
 	/**
-	 * Takes changes, in any order.
+	 * Applies changes, which may arrive in any order.
 	 *
 	 * @param changes Entries and removals.
 	 * @param now Steady time, in milliseconds.
 	 */
 	apply(changes: readonly EndpointChange[], now: number): void {
 		for (const change of changes) {
-			this.#take(change, now);
+			this.#applyChange(change, now);
 		}
 
-		this.#forgetOldRemovals();
+		this.#pruneRemovals();
 	}
 
 	/**
-	 * Takes the whole list; whatever it lacks is removed.
+	 * Replaces the whole list; entries that it lacks are removed.
 	 *
 	 * @param changes All entries.
 	 * @param revision Revision of the list.
@@ -148,70 +151,70 @@
 		this.apply([...changes, ...removed], now);
 	}
 
-	/** Records that the store answers again after an outage, during which entries of live endpoints may have lapsed. */
-	outageEnded(now: number): void {
+	/** Records that the store responds again after an outage, during which entries of live endpoints may have expired. */
+	recordOutageEnd(now: number): void {
 		this.#outageEndedAt = now;
 	}
 
-	/** Records that an endpoint has refused as another one, or has shown another start: it is not used in that life again. */
-	refuse(id: string, startedAt: number): void {
-		this.#refusedLives.set(id, startedAt);
+	/** Excludes an incarnation: the process at its address rejected a request as meant for another endpoint, or reported another start time. */
+	excludeIncarnation(id: string, startedAt: number): void {
+		this.#excludedIncarnations.set(id, startedAt);
 		this.#byService = undefined;
 	}
 
 	/**
-	 * Records that an endpoint says that it leaves; it is not used in that life again.
+	 * Records that an endpoint announced that it is leaving; that incarnation is not used again.
 	 *
-	 * @param life The endpoint and its start.
-	 * @param heardAt Steady time at which it said so, in milliseconds.
-	 * @returns Whether this was news.
+	 * @param incarnation The endpoint's id and start time.
+	 * @param reportedAt Steady time of the announcement, in milliseconds.
+	 * @returns Whether the announcement was new.
 	 */
-	markLeaving({id, startedAt}: EndpointLife, heardAt: number): boolean {
-		if (this.#leavingLives.get(id)?.startedAt === startedAt) {
+	markLeaving({id, startedAt}: EndpointIncarnation, reportedAt: number): boolean {
+		if (this.#leavingIncarnations.get(id)?.startedAt === startedAt) {
 			return false;
 		}
 
-		this.#leavingLives.delete(id);
-		this.#leavingLives.set(id, {startedAt, heardAt});
-		if (this.#leavingLives.size > rememberedRemovals) {
-			this.#leavingLives.delete(this.#leavingLives.keys().next().value!);
+		this.#leavingIncarnations.delete(id);
+		this.#leavingIncarnations.set(id, {startedAt, reportedAt});
+		if (this.#leavingIncarnations.size > retainedRemovals) {
+			this.#leavingIncarnations.delete(this.#leavingIncarnations.keys().next().value!);
 		}
 
 		this.#byService = undefined;
 		return true;
 	}
 
-	/** The endpoints that have said in the last while that they leave, for other gateways. */
-	leavingLives(now: number): LeavingLife[] {
-		return [...this.#leavingLives]
-			.filter(([, {heardAt}]) => now - heardAt < tellLeavingMilliseconds)
-			.map(([id, {startedAt, heardAt}]) => ({id, startedAt, ageMilliseconds: Math.round(now - heardAt)}));
+	/** Returns the incarnations that recently announced that they are leaving, to send to other gateways. */
+	leavingIncarnations(now: number): LeavingIncarnation[] {
+		return [...this.#leavingIncarnations]
+			.filter(([, {reportedAt}]) => now - reportedAt < leavingAnnouncementMilliseconds)
+			.map(([id, {startedAt, reportedAt}]) => ({id, startedAt, ageMilliseconds: Math.round(now - reportedAt)}));
 	}
 
-	/** Takes what another gateway tells of endpoints that leave. */
-	hearLeaving(lives: readonly LeavingLife[], now: number): void {
-		for (const {ageMilliseconds, ...life} of lives) {
-			this.markLeaving(life, now - ageMilliseconds);
+	/** Merges the leaving incarnations that another gateway sent. */
+	mergeLeaving(incarnations: readonly LeavingIncarnation[], now: number): void {
+		for (const {ageMilliseconds, ...incarnation} of incarnations) {
+			this.markLeaving(incarnation, now - ageMilliseconds);
 		}
 	}
 
 	/**
-	 * Returns the endpoints of a service that take requests.
+	 * Returns the endpoints of a service that accept requests.
 	 *
 	 * @param service Name of the service.
 	 * @param now Steady time, in milliseconds.
 	 */
 	endpointsOf(service: string, now: number): readonly EndpointEntry[] {
-		if (this.#lapsing) {
-			this.#removeLapsed(now);
+		if (this.#hasExpiring) {
+			this.#removeExpired(now);
 		}
 
-		this.#byService ??= this.#group();
+		this.#byService ??= this.#groupByService();
 		return this.#byService.get(service) ?? [];
 	}
 
-	/** Returns what the list says of one life of an endpoint. */
-	stateOf({id, startedAt}: EndpointLife): LifeState {
+	/** Returns the state of one incarnation of an endpoint. */
+	stateOf({id, startedAt}: EndpointIncarnation): IncarnationState {
 		const entry = this.#known.get(id)?.entry;
 		if (!entry) {
 			return 'removed';
@@ -221,58 +224,58 @@
 			return 'replaced';
 		}
 
-		return entry.leaving || this.#saidLeaving(entry) ? 'leaving' : 'listed';
+		return entry.leaving || this.#announcedLeaving(entry) ? 'leaving' : 'listed';
 	}
 
-	#take({id, entry, revision}: EndpointChange, now: number): void {
+	#applyChange({id, entry, revision}: EndpointChange, now: number): void {
 		const known = this.#known.get(id);
 		if (known && revision <= known.revision) {
 			return;
 		}
 
-		if (!entry && known?.entry && !known.entry.leaving && now - this.#outageEndedAt < registerAgainMilliseconds) {
+		if (!entry && known?.entry && !known.entry.leaving && now - this.#outageEndedAt < reregistrationMilliseconds) {
 			this.#known.set(id, {
-				...known, revision, changedAt: revision, lapsesAt: this.#outageEndedAt + registerAgainMilliseconds,
+				...known, revision, changedAt: revision, expiresAt: this.#outageEndedAt + reregistrationMilliseconds,
 			});
-			this.#lapsing = true;
+			this.#hasExpiring = true;
 			return;
 		}
 
-		const leftBefore = known?.entry?.leaving === true && entry?.startedAt === known.entry.startedAt;
-		const next = entry && {...entry, leaving: entry.leaving || leftBefore};
-		if (known && known.lapsesAt === undefined && isDeepStrictEqual(known.entry, next)) {
+		const wasLeaving = known?.entry?.leaving === true && entry?.startedAt === known.entry.startedAt;
+		const next = entry && {...entry, leaving: entry.leaving || wasLeaving};
+		if (known && known.expiresAt === undefined && isDeepStrictEqual(known.entry, next)) {
 			known.revision = revision;
 			return;
 		}
 
 		this.#known.delete(id);
 		this.#known.set(id, {
-			entry: next, revision, changedAt: revision, lapsesAt: undefined,
+			entry: next, revision, changedAt: revision, expiresAt: undefined,
 		});
 		this.#byService = undefined;
 	}
 
-	#removeLapsed(now: number): void {
-		this.#lapsing = false;
+	#removeExpired(now: number): void {
+		this.#hasExpiring = false;
 		for (const known of this.#known.values()) {
-			if (known.lapsesAt === undefined) {
+			if (known.expiresAt === undefined) {
 				continue;
 			}
 
-			if (now < known.lapsesAt) {
-				this.#lapsing = true;
+			if (now < known.expiresAt) {
+				this.#hasExpiring = true;
 			} else {
 				known.entry = undefined;
-				known.lapsesAt = undefined;
+				known.expiresAt = undefined;
 				this.#byService = undefined;
 			}
 		}
 	}
 
-	#group(): Map<string, EndpointEntry[]> {
+	#groupByService(): Map<string, EndpointEntry[]> {
 		const groups = new Map<string, EndpointEntry[]>();
 		for (const {entry} of this.#known.values()) {
-			if (!entry || entry.leaving || this.#saidLeaving(entry) || this.#refusedLives.get(entry.id) === entry.startedAt) {
+			if (!entry || entry.leaving || this.#announcedLeaving(entry) || this.#excludedIncarnations.get(entry.id) === entry.startedAt) {
 				continue;
 			}
 
@@ -284,16 +287,16 @@
 		return groups;
 	}
 
-	#saidLeaving({id, startedAt}: EndpointLife): boolean {
-		return this.#leavingLives.get(id)?.startedAt === startedAt;
+	#announcedLeaving({id, startedAt}: EndpointIncarnation): boolean {
+		return this.#leavingIncarnations.get(id)?.startedAt === startedAt;
 	}
 
-	#forgetOldRemovals(): void {
+	#pruneRemovals(): void {
 		const removed = [...this.#known].filter(([, {entry}]) => !entry);
-		for (const [id] of removed.slice(0, Math.max(0, removed.length - rememberedRemovals))) {
+		for (const [id] of removed.slice(0, Math.max(0, removed.length - retainedRemovals))) {
 			this.#known.delete(id);
-			this.#refusedLives.delete(id);
-			this.#leavingLives.delete(id);
+			this.#excludedIncarnations.delete(id);
+			this.#leavingIncarnations.delete(id);
 		}
 	}
 }
--- a/source/beliefs/follow-table.ts
+++ b/source/beliefs/follow-table.ts
@@ -1,5 +1,5 @@
 /**
- * Follows the changes of one table of the store.
+ * Follows the changes of one table of the store by long polling.
  *
  * @module
  */
@@ -11,56 +11,56 @@
 import {type ClockReading} from './clock.ts';
 import {type StoreClock} from './store-clock.ts';
 
-/** The calls of the store that a follower makes. */
+/** The store calls that a follower makes. */
 export type TableReader = {
 	readTable(table: string, signal?: AbortSignal): Promise<Result<StoredRows, StoreFailure>>;
 	changes(table: string, revision: number, waitMilliseconds: number, signal?: AbortSignal): Promise<Result<StoredRows, StoreFailure>>;
 };
 
-/** Receives what the store tells. */
+/** Receives the rows that the store returns. */
 export type TableListener = {
-	/** The whole table. */
+	/** Called with the whole table. */
 	replace(rows: readonly StoredRow[], revision: number): void;
-	/** Rows that changed. */
+	/** Called with the rows that changed. */
 	apply(rows: readonly StoredRow[], revision: number): void;
-	/** All changes up to a revision have been told, and at this time nothing newer was in the table. */
-	confirm(revision: number, at: ClockReading): void;
-	/** The store answers again after it had not. */
+	/** Called when all changes up to a revision have been delivered and the table held none later at the given time. */
+	confirm(revision: number, readAt: ClockReading): void;
+	/** Called when the store responds again after failed calls. */
 	recovered?(): void;
 };
 
-/** Has all followers of a store ask anew once one of them gets no answer: when one open connection has gone silent, others may have too. */
-export class FollowRenewal {
-	readonly #questions = new Set<AbortController>();
+/** Restarts the polls of all followers of a store when one of them gets no response: if one open connection has gone silent, others may have too. */
+export class PollRenewal {
+	readonly #polls = new Set<AbortController>();
 
 	/**
-	 * Asks a question that ends early when it is to be asked anew.
+	 * Runs a poll that {@linkcode PollRenewal.renewAll} can abort.
 	 *
-	 * @param ask The question.
-	 * @param signal Ends it too.
-	 * @returns The answer; `renewed` where it is to be asked anew.
+	 * @param poll Sends the request; its signal aborts it.
+	 * @param signal Aborts it as well.
+	 * @returns The response, or `renewed` if the poll was aborted.
 	 */
-	async run<Answer>(ask: (signal: AbortSignal) => Promise<Answer>, signal: AbortSignal): Promise<Answer | 'renewed'> {
-		const question = new AbortController();
-		const end = () => {
-			question.abort();
+	async run<Response>(poll: (signal: AbortSignal) => Promise<Response>, signal: AbortSignal): Promise<Response | 'renewed'> {
+		const controller = new AbortController();
+		const abort = () => {
+			controller.abort();
 		};
 
-		this.#questions.add(question);
-		signal.addEventListener('abort', end);
+		this.#polls.add(controller);
+		signal.addEventListener('abort', abort);
 		try {
-			const answer = await ask(question.signal);
-			return question.signal.aborted ? 'renewed' : answer;
+			const response = await poll(controller.signal);
+			return controller.signal.aborted ? 'renewed' : response;
 		} finally {
-			this.#questions.delete(question);
-			signal.removeEventListener('abort', end);
+			this.#polls.delete(controller);
+			signal.removeEventListener('abort', abort);
 		}
 	}
 
-	/** Has all questions asked anew. */
-	renew(): void {
-		for (const question of this.#questions) {
-			question.abort();
+	/** Aborts all current polls, so that their followers send them again. */
+	renewAll(): void {
+		for (const controller of this.#polls) {
+			controller.abort();
 		}
 	}
 }
@@ -71,103 +71,103 @@
 	table: string;
 	listener: TableListener;
 	logger: Logger;
-	/** Time between two questions, for which the store is asked to wait for a change, in milliseconds. */
+	/** Interval between two polls, during which the store is asked to wait for a change, in milliseconds. */
 	roundMilliseconds: number;
-	/** Part of that time which passes after an answer with changes, so that more of them come in one answer, in milliseconds. */
-	gatherMilliseconds: number;
-	/** Longest pause after a failed call, in milliseconds. Default 800. */
+	/** Part of that interval to pause after a response with changes, so that the next response carries several of them, in milliseconds. */
+	batchMilliseconds: number;
+	/** Longest backoff after a failed call, in milliseconds. Default 800. */
 	longestRetryMilliseconds?: number;
-	/** Shared by the followers of one store. */
-	renewal: FollowRenewal;
-	/** Whether to follow now; while it returns false, the table is left alone. Default always. */
+	/** Shared by all followers of one store. */
+	renewal: PollRenewal;
+	/** Returns whether to follow the table now; it is not polled while this returns false. Default: always. */
 	wanted?: () => boolean;
 	readClock: () => ClockReading;
 	storeClock: StoreClock;
 	random: () => number;
 };
 
-/** First pause after a failed call, in milliseconds. */
+/** Base of the exponential backoff after failed calls, in milliseconds. */
 const firstRetryMilliseconds = 100;
 
-/** Time between two looks at whether to follow, in milliseconds. */
-const lookMilliseconds = 250;
+/** Interval at which a paused follower checks whether to follow again, in milliseconds. */
+const recheckMilliseconds = 250;
 
 /**
- * Follows a table until the signal aborts: reads it whole, then its changes, and whole again when the store has dropped them.
+ * Follows a table until the signal aborts: reads the whole table, then its changes, and the whole table again if the store has dropped changes.
  *
  * @param options Store, table and listener.
- * @param signal Ends the task.
+ * @param signal Aborts the task.
  * @example
  * ```ts
  * supervisor.start('endpoints', signal => followTable({store, table, listener, ...options}, signal));
  * ```
  */
 export async function followTable(options: FollowTableOptions, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
-	const {table, logger, listener, roundMilliseconds, gatherMilliseconds, random, renewal, wanted = () => true, longestRetryMilliseconds = 800} = options;
+	const {table, logger, listener, roundMilliseconds, batchMilliseconds, random, renewal, wanted = () => true, longestRetryMilliseconds = 800} = options;
 	let revision: number | undefined;
 	let failures = 0;
-	let gathered = 0;
+	let batchPauseMilliseconds = 0;
 	while (!signal.aborted) {
 		if (!wanted()) {
-			await pause(lookMilliseconds, signal);
+			await pause(recheckMilliseconds, signal);
 			continue;
 		}
 
 		const since = revision;
-		const waitMilliseconds = roundMilliseconds - gathered;
-		const asked = await renewal.run(async ending => askOnce(options, since, waitMilliseconds, ending), signal);
-		if (asked === 'renewed') {
+		const waitMilliseconds = roundMilliseconds - batchPauseMilliseconds;
+		const polled = await renewal.run(async abortSignal => pollOnce(options, since, waitMilliseconds, abortSignal), signal);
+		if (polled === 'renewed') {
 			continue;
 		}
 
-		if (asked.isOk()) {
+		if (polled.isOk()) {
 			if (failures > 0) {
-				logger.info('table is followed again', {table, failures, revision: asked.value.revision});
+				logger.info('table is followed again', {table, failures, revision: polled.value.revision});
 				listener.recovered?.();
 			}
 
 			failures = 0;
-			revision = asked.value.revision;
-			gathered = asked.value.changes > 0 ? gatherMilliseconds : 0;
-			await pause(gathered, signal);
+			revision = polled.value.revision;
+			batchPauseMilliseconds = polled.value.changes > 0 ? batchMilliseconds : 0;
+			await pause(batchPauseMilliseconds, signal);
 			continue;
 		}
 
 		if (failures === 0) {
-			logger.warn('table cannot be followed', {table, revision, reason: asked.error.message});
-			if (asked.error.kind === 'unknown') {
-				renewal.renew();
+			logger.warn('table cannot be followed', {table, revision, reason: polled.error.message});
+			if (polled.error.kind === 'unknown') {
+				renewal.renewAll();
 			}
 		}
 
 		failures += 1;
-		if (asked.error.kind === 'history-lost') {
+		if (polled.error.kind === 'history-lost') {
 			revision = undefined;
 			continue;
 		}
 
-		const longest = Math.min(longestRetryMilliseconds, firstRetryMilliseconds * (2 ** Math.min(failures, 6)));
-		await pause(longest * (0.5 + (random() / 2)), signal);
+		const backoffMilliseconds = Math.min(longestRetryMilliseconds, firstRetryMilliseconds * (2 ** Math.min(failures, 6)));
+		await pause(backoffMilliseconds * (0.5 + (random() / 2)), signal);
 	}
 
 	return ok();
 }
 
-/** Asks the store once and tells the listener; returns the revision to go on from, and how many rows changed. */
-async function askOnce(options: FollowTableOptions, revision: number | undefined, waitMilliseconds: number, signal: AbortSignal): Promise<Result<{revision: number; changes: number}, StoreFailure>> {
+/** Polls the store once and passes the rows to the listener; returns the revision to continue from and the number of changed rows. */
+async function pollOnce(options: FollowTableOptions, revision: number | undefined, waitMilliseconds: number, signal: AbortSignal): Promise<Result<{revision: number; changes: number}, StoreFailure>> {
 	const {store, table, listener, readClock, storeClock} = options;
-	const askedAt = readClock();
-	const answer = revision === undefined
+	const requestedAt = readClock();
+	const response = revision === undefined
 		? await store.readTable(table, signal)
 		: await store.changes(table, revision, waitMilliseconds, signal);
-	return answer.map(({rows, revision: newest, storeMilliseconds}) => {
+	return response.map(({rows, revision: newest, storeMilliseconds}) => {
 		if (revision === undefined) {
 			listener.replace(rows, newest);
 		} else {
 			listener.apply(rows, newest);
 		}
 
-		listener.confirm(newest, storeClock.lookedAt(askedAt, readClock(), storeMilliseconds));
+		listener.confirm(newest, storeClock.readTime(requestedAt, readClock(), storeMilliseconds));
 		return {revision: Math.max(newest, revision ?? 0), changes: revision === undefined ? 0 : rows.length};
 	});
 }
--- a/source/beliefs/mod.ts
+++ b/source/beliefs/mod.ts
@@ -1,12 +1,12 @@
 /**
- * What a router knows of configuration and endpoints, and how old that is.
+ * Caches of the configuration and the endpoints that the store holds, with the age of their content.
  *
  * @module
  */
 
 export * from './clock.ts';
-export * from './configuration-belief.ts';
+export * from './configuration-cache.ts';
 export * from './endpoint-list.ts';
 export * from './follow-table.ts';
-export * from './news-times.ts';
+export * from './update-times.ts';
 export * from './store-clock.ts';
--- a/source/beliefs/store-clock.ts
+++ b/source/beliefs/store-clock.ts
@@ -1,49 +1,49 @@
 /**
- * Maps the store's steady time to this host's.
+ * Maps the store's steady time to the steady time of this host.
  *
  * @module
  */
 import {type ClockReading} from './clock.ts';
 
-/** Time by which a mapped moment may lie ahead of the answer that told it, in milliseconds; more shows a suspension. */
-const toleratedMilliseconds = 5;
+/** Time by which a mapped store time may exceed the arrival of its response, in milliseconds; a larger excess indicates a suspension. */
+const toleranceMilliseconds = 5;
 
 /**
- * Learns from each answer how both clocks lie to each other, and tells how recent an answer is that was waited for.
+ * Estimates the offset between both clocks from each response, to determine how recent the response to a long poll is.
  *
- * The store looked after it was asked, so its time then is at least the time at which it was asked; the call with the shortest way
- * there gives the closest bound.
+ * The store reads after the request was sent, so its read time, mapped to this host, is no earlier than the time of sending; the request
+ * with the shortest delay gives the tightest bound.
  *
  * @example
  * ```ts
- * const lookedAt = clock.lookedAt(askedAt, answeredAt, storeMilliseconds);
+ * const readTime = clock.readTime(requestedAt, respondedAt, storeMilliseconds);
  * ```
  */
 export class StoreClock {
-	/** Least difference between this host's steady time and the store's. */
-	#difference = Number.NEGATIVE_INFINITY;
+	/** Lower bound of this host's steady time minus the store's, in milliseconds: the largest value seen. */
+	#offsetMilliseconds = Number.NEGATIVE_INFINITY;
 
 	/**
-	 * Returns a time at or before the moment at which the store looked, as close to it as is certain.
+	 * Returns the latest time that is certainly no later than the store's read.
 	 *
-	 * @param askedAt Time of the question.
-	 * @param answeredAt Time of the answer.
-	 * @param storeMilliseconds The store's time when it looked; absent where it does not say.
+	 * @param requestedAt Time at which the request was sent.
+	 * @param respondedAt Time at which the response arrived.
+	 * @param storeMilliseconds The store's steady time at its read; undefined if it does not report it.
 	 */
-	lookedAt(askedAt: ClockReading, answeredAt: ClockReading, storeMilliseconds: number | undefined): ClockReading {
+	readTime(requestedAt: ClockReading, respondedAt: ClockReading, storeMilliseconds: number | undefined): ClockReading {
 		if (storeMilliseconds === undefined) {
-			return askedAt;
+			return requestedAt;
 		}
 
-		const known = storeMilliseconds + this.#difference;
-		if (known > answeredAt.steady + toleratedMilliseconds) {
-			// The steady clock stood still while the host was suspended.
-			this.#difference = askedAt.steady - storeMilliseconds;
-			return askedAt;
+		const mappedReadTime = storeMilliseconds + this.#offsetMilliseconds;
+		if (mappedReadTime > respondedAt.steady + toleranceMilliseconds) {
+			// This host's steady clock stopped during a suspension, so the offset is estimated anew.
+			this.#offsetMilliseconds = requestedAt.steady - storeMilliseconds;
+			return requestedAt;
 		}
 
-		this.#difference = Math.max(this.#difference, askedAt.steady - storeMilliseconds);
-		const steady = Math.min(storeMilliseconds + this.#difference, answeredAt.steady);
-		return {steady, wall: answeredAt.wall - (answeredAt.steady - steady)};
+		this.#offsetMilliseconds = Math.max(this.#offsetMilliseconds, requestedAt.steady - storeMilliseconds);
+		const steady = Math.min(storeMilliseconds + this.#offsetMilliseconds, respondedAt.steady);
+		return {steady, wall: respondedAt.wall - (respondedAt.steady - steady)};
 	}
 }
--- a/source/fleet/choose-reader.ts
+++ b/source/fleet/choose-reader.ts
@@ -1,8 +1,8 @@
 /**
- * Decides which gateways follow the store, and from whom the others learn.
+ * Decides which gateways follow the store, and from which gateways the others fetch updates.
  *
- * Answers the load of hundreds of gateways before one store whose calls are limited and paid for: one gateway in each zone
- * follows it, and the others ask that one.
+ * Limits the load of hundreds of gateways on one store whose calls are rate-limited and billed: one gateway in each zone follows the
+ * store, and the others query that gateway.
  *
  * @module
  */
@@ -10,9 +10,9 @@
 import {type Member} from './member.ts';
 
 /**
- * Names the gateway of a zone that follows the store: always the same one while the zone's gateways stay the same.
+ * Returns the gateway of a zone that follows the store, its reader; the result changes only when the zone's ready gateways do.
  *
- * @param members Gateways that live.
+ * @param members Live gateways.
  * @param availabilityZone The zone.
  */
 export function readerOf(members: readonly Member[], availabilityZone: string): Member | undefined {
@@ -34,7 +34,7 @@
 	return reader;
 }
 
-/** Whether a gateway is the reader of its zone, as far as it knows. */
+/** Returns whether a gateway is the reader of its zone, according to its own member table. */
 export function isReader(self: Member, members: readonly Member[]): boolean {
 	return readerOf(members, self.availabilityZone)?.name === self.name;
 }
@@ -42,44 +42,44 @@
 /** Options of {@linkcode followsStore}. */
 export type FollowsStoreOptions = {
 	self: Member;
-	/** Gateways that live, this one included. */
+	/** Live gateways, this one included. */
 	members: readonly Member[];
-	/** Whether this gateway has had time to hear of all others, so that it knows whether it is its zone's reader. */
-	settled: boolean;
-	/** Age of what this gateway knows, in milliseconds. */
+	/** Whether this gateway has had time to discover all others, so that it can tell whether it is its zone's reader. */
+	membershipSettled: boolean;
+	/** Age of this gateway's cached state, in milliseconds. */
 	ageMilliseconds: number;
-	/** Age above which a gateway asks the store itself, in milliseconds. */
-	readerIsLateMilliseconds: number;
+	/** Age above which a gateway reads from the store itself, in milliseconds. */
+	storeFallbackMilliseconds: number;
 };
 
 /**
- * Whether a gateway follows the store itself: it is its zone's reader, or it has not heard enough from others.
+ * Returns whether a gateway follows the store itself: it is its zone's reader, or the updates of other gateways are too old.
  *
- * @param options Gateways and age.
+ * @param options Live gateways and age of the cached state.
  */
-export function followsStore({self, members, settled, ageMilliseconds, readerIsLateMilliseconds}: FollowsStoreOptions): boolean {
-	return ageMilliseconds > readerIsLateMilliseconds || (settled && isReader(self, members));
+export function followsStore({self, members, membershipSettled, ageMilliseconds, storeFallbackMilliseconds}: FollowsStoreOptions): boolean {
+	return ageMilliseconds > storeFallbackMilliseconds || (membershipSettled && isReader(self, members));
 }
 
 /** Options of {@linkcode chooseSources}. */
 export type ChooseSourcesOptions = {
 	self: Member;
-	/** Gateways that live, this one included. */
+	/** Live gateways, this one included. */
 	members: readonly Member[];
 	random: () => number;
 };
 
-/** Gateways that are asked at most for one piece of news. */
-const mostSources = 3;
+/** Maximum number of gateways that are queried for one update. */
+const maximumSources = 3;
 
 /**
- * Chooses the gateways to learn from, to be asked one after the other until one of them knows enough: the reader of the own zone, those
- * of other zones in any order, then any others that are ready.
+ * Chooses the gateways to query one after the other until one of them has recent enough state: the reader of the own zone, the readers
+ * of other zones in random order, then any other ready gateways.
  *
- * Answers a store that refuses some gateways, readers among them: asking a second reader costs less than asking the store, and many
- * gateways that lose their reader at once must not all turn to the store.
+ * This matters when the store rejects some gateways, possibly readers: querying a second reader costs less than a call to the store, and
+ * many gateways that lose their reader at once must not all fall back to the store.
  *
- * @param options Gateways.
+ * @param options This gateway and the live gateways.
  */
 export function chooseSources({self, members, random}: ChooseSourcesOptions): Member[] {
 	const others = members.filter(({ready, name}) => ready && name !== self.name);
@@ -88,14 +88,14 @@
 	const near = readers.filter(({availabilityZone}) => availabilityZone === self.availabilityZone);
 	const far = readers.filter(({availabilityZone}) => availabilityZone !== self.availabilityZone);
 	const rest = others.filter(member => !readers.includes(member));
-	return [...near, ...shuffle(far, random), ...shuffle(rest, random)].slice(0, mostSources);
+	return [...near, ...shuffle(far, random), ...shuffle(rest, random)].slice(0, maximumSources);
 }
 
 function shuffle(members: readonly Member[], random: () => number): Member[] {
-	const left = [...members];
+	const remaining = [...members];
 	const drawn: Member[] = [];
-	while (left.length > 0 && drawn.length < mostSources) {
-		drawn.push(...left.splice(Math.floor(random() * left.length), 1));
+	while (remaining.length > 0 && drawn.length < maximumSources) {
+		drawn.push(...remaining.splice(Math.floor(random() * remaining.length), 1));
 	}
 
 	return drawn;
--- a/source/fleet/exchange-client.ts
+++ b/source/fleet/exchange-client.ts
@@ -1,5 +1,5 @@
 /**
- * Calls other gateways.
+ * Client of the exchange call between gateways.
  *
  * @module
  */
@@ -11,11 +11,11 @@
 } from 'neverthrow';
 import {exchangeMethod, largestMessageBytes, type ExchangeMessage} from './exchange-protocol.ts';
 
-/** Connections kept to other gateways; the one unused for longest goes first. */
-const keptClients = 16;
+/** Maximum number of open connections to other gateways; the least recently used one is closed first. */
+const maximumClients = 16;
 
 /**
- * Keeps connections to other gateways.
+ * Exchanges messages with other gateways and keeps the connections open.
  *
  * @example
  * ```ts
@@ -26,26 +26,26 @@
 	readonly #clients = new Map<string, Client>();
 
 	/**
-	 * Exchanges what is known with another gateway.
+	 * Sends a message to another gateway and returns its response.
 	 *
-	 * @param address IP number and port.
-	 * @param message What to tell.
-	 * @param timeoutMilliseconds Deadline, in milliseconds.
-	 * @returns What the other one tells, or why there is no answer.
+	 * @param address IP address and port.
+	 * @param message The message to send.
+	 * @param timeoutMilliseconds Timeout of the call, in milliseconds.
+	 * @returns The response, or the reason why there is none.
 	 */
 	async exchange(address: string, message: ExchangeMessage, timeoutMilliseconds: number): Promise<Result<ExchangeMessage, string>> {
 		const client = this.#client(address);
 		return new Promise(resolve => {
 			const {path, requestSerialize, responseDeserialize} = exchangeMethod;
-			client.makeUnaryRequest(path, requestSerialize, responseDeserialize, message, new Metadata(), {deadline: Date.now() + timeoutMilliseconds}, (error, answer) => {
+			client.makeUnaryRequest(path, requestSerialize, responseDeserialize, message, new Metadata(), {deadline: Date.now() + timeoutMilliseconds}, (error, response) => {
 				if (error) {
-					// A connection that does not answer may have gone silent, so the next call opens a new one.
-					this.#drop(address);
+					// The connection may be dead without having been closed, so the next call opens a new one.
+					this.#disconnect(address);
 					resolve(err(error.details || error.message));
 					return;
 				}
 
-				resolve(answer ? ok(answer) : err('the answer is empty'));
+				resolve(response ? ok(response) : err('the answer is empty'));
 			});
 		});
 	}
@@ -53,7 +53,7 @@
 	/** Closes all connections. */
 	close(): void {
 		for (const address of this.#clients.keys()) {
-			this.#drop(address);
+			this.#disconnect(address);
 		}
 	}
 
@@ -67,14 +67,14 @@
 		});
 		this.#clients.delete(address);
 		this.#clients.set(address, client);
-		if (this.#clients.size > keptClients) {
-			this.#drop(this.#clients.keys().next().value!);
+		if (this.#clients.size > maximumClients) {
+			this.#disconnect(this.#clients.keys().next().value!);
 		}
 
 		return client;
 	}
 
-	#drop(address: string): void {
+	#disconnect(address: string): void {
 		this.#clients.get(address)?.close();
 		this.#clients.delete(address);
 	}
--- a/source/fleet/exchange-protocol.ts
+++ b/source/fleet/exchange-protocol.ts
@@ -1,88 +1,88 @@
 /**
- * The gRPC call by which two gateways tell each other what they know.
+ * The gRPC call by which two gateways exchange state.
  *
  * @module
  */
 import {Buffer} from 'node:buffer';
 import {type MethodDefinition} from '@grpc/grpc-js';
 import * as z from 'zod';
-import {endpointChangeSchema, endpointLifeSchema, leavingLifeSchema} from '../beliefs/endpoint-list.ts';
+import {endpointChangeSchema, endpointIncarnationSchema, leavingIncarnationSchema} from '../beliefs/endpoint-list.ts';
 import {suspicionSchema} from '../suspects/mod.ts';
 import {heartbeatSchema, memberSchema} from './member.ts';
 
-/** Largest message, in bytes: a whole configuration and all endpoints at the largest size. */
+/** Largest message, in bytes; fits a full configuration and all endpoints at their largest size. */
 export const largestMessageBytes = 16_777_216;
 
-/** What the asking side knows of configuration and endpoints. */
-export const knownSchema = z.object({
-	/** Version of the configuration; 0 for none. */
+/** Schema of the revisions that the requesting gateway has. */
+export const knownRevisionsSchema = z.object({
+	/** Version of the configuration; 0 if it has none. */
 	configurationVersion: z.number(),
-	/** Revision up to which changes of the endpoints are known. */
+	/** Revision up to which it has received changes of the endpoints. */
 	endpointRevision: z.number(),
-	/** Revision up to which changes of the suspected requests are known. */
+	/** Revision up to which it has received changes of the suspected requests. */
 	suspectRevision: z.number().default(0),
 });
 
-/** A suspected request, or the fact that it was cleared. */
+/** A suspected request, or its clearance when `suspicion` is absent. */
 const suspectChangeSchema = z.object({digest: z.string(), suspicion: suspicionSchema.optional(), revision: z.number()});
 
-/** The end of an endpoint under a request that the store has not taken yet. */
-const unsavedEndSchema = z.object({digest: z.string(), service: z.string(), life: endpointLifeSchema});
+/** The crash of an endpoint while it ran a request, not yet written to the store. */
+const unsavedCrashSchema = z.object({digest: z.string(), service: z.string(), life: endpointIncarnationSchema});
 
-/** What the answering side knows beyond that. */
-export const newsSchema = z.object({
-	/** A newer configuration, packed. */
+/** Schema of the changes that the requesting gateway lacks. */
+export const storeUpdateSchema = z.object({
+	/** A newer configuration, compressed. */
 	configuration: z.string().optional(),
-	/** Time since the store was last known to hold none newer, in milliseconds; absent where that is not known. */
+	/** Time since the configuration was last confirmed to be the newest, in milliseconds; absent if it never was. */
 	configurationAgeMilliseconds: z.number().optional(),
-	/** Changes of the endpoints. */
+	/** Changes of the endpoints since the known revision. */
 	endpoints: z.array(endpointChangeSchema),
 	endpointRevision: z.number(),
-	/** Time since the store was last known to hold no other change, in milliseconds; absent where that is not known. */
+	/** Time since the endpoints were last confirmed to be complete, in milliseconds; absent if they never were. */
 	endpointAgeMilliseconds: z.number().optional(),
-	/** Changes of the suspected requests. */
+	/** Changes of the suspected requests since the known revision. */
 	suspects: z.array(suspectChangeSchema).default([]),
 	suspectRevision: z.number().default(0),
 });
 
-/** What a gateway has seen itself or heard from others, and the store does not tell; its loss costs time and no promise. */
+/** Schema of observations that the store does not hold, made by the sender or received from others; losing them costs time but breaks no guarantee. */
 export const hintsSchema = z.object({
-	/** Ends of endpoints under requests that the store has not taken yet. */
-	unsavedEnds: z.array(unsavedEndSchema).default([]),
-	/** Endpoints that have said themselves that they leave. */
-	leavingLives: z.array(leavingLifeSchema).default([]),
+	/** Crashes of endpoints during requests that are not yet written to the store. */
+	unsavedEnds: z.array(unsavedCrashSchema).default([]),
+	/** Endpoints that announced that they are leaving. */
+	leavingLives: z.array(leavingIncarnationSchema).default([]),
 });
 
-/** What each side tells. */
+/** Schema of the message that each side sends. */
 export const exchangeMessageSchema = z.object({
-	/** Gateways that the other side may not know, the sender first. */
+	/** Records of gateways that the receiver may not know, the sender first. */
 	members: z.array(memberSchema).min(1),
-	/** State of all gateways that the sender takes to be alive; absent where only news of the store is asked for. */
+	/** State of all gateways that the sender considers alive; absent if only an update of the store content is requested. */
 	heartbeats: z.array(heartbeatSchema).optional(),
-	/** What the sender has seen of endpoints; sent with heartbeats. */
+	/** The sender's observations of endpoints; sent with heartbeats. */
 	hints: hintsSchema.optional(),
-	/** In a question: what the asker knows already. */
-	known: knownSchema.optional(),
-	/** In an answer to such a question: what is news to the asker. */
-	news: newsSchema.optional(),
+	/** In a request: the revisions that the sender has. */
+	known: knownRevisionsSchema.optional(),
+	/** In the response to such a request: the changes that the requester lacks. */
+	news: storeUpdateSchema.optional(),
 });
 
-/** What the asking side knows. */
-export type Known = z.output<typeof knownSchema>;
+/** Revisions that the requesting gateway has. */
+export type KnownRevisions = z.output<typeof knownRevisionsSchema>;
 
-/** What the answering side knows beyond that. */
-export type News = z.output<typeof newsSchema>;
+/** Changes that the requesting gateway lacks. */
+export type StoreUpdate = z.output<typeof storeUpdateSchema>;
 
-/** What a gateway has seen itself or heard from others. */
+/** Observations of endpoints, made by the sender or received from others. */
 export type Hints = z.output<typeof hintsSchema>;
 
-/** One message. */
+/** Message that each side sends. */
 export type ExchangeMessage = z.output<typeof exchangeMessageSchema>;
 
 const encode = (message: ExchangeMessage) => Buffer.from(JSON.stringify(message));
 const decode = (bytes: Uint8Array) => exchangeMessageSchema.parse(JSON.parse(new TextDecoder().decode(bytes)));
 
-/** The method; what is received is checked against {@linkcode exchangeMessageSchema}, and gRPC turns a fault into an error of the call. */
+/** Definition of the gRPC method; received messages are validated against {@linkcode exchangeMessageSchema}, and a validation error fails the call. */
 export const exchangeMethod: MethodDefinition<ExchangeMessage, ExchangeMessage> = {
 	path: '/azuretack.Fleet/Exchange',
 	requestStream: false,
--- a/source/fleet/exchange-server.ts
+++ b/source/fleet/exchange-server.ts
@@ -1,5 +1,5 @@
 /**
- * Answers other gateways.
+ * Server of the exchange call between gateways.
  *
  * @module
  */
@@ -10,25 +10,25 @@
 
 /** Options of {@linkcode startExchangeServer}. */
 export type ExchangeServerOptions = {
-	/** IP number and port. */
+	/** IP address and port to listen on. */
 	listen: string;
-	/** Takes a message and returns the answer. */
-	answer: (message: ExchangeMessage) => ExchangeMessage;
+	/** Handles a message and returns the response. */
+	handle: (message: ExchangeMessage) => ExchangeMessage;
 };
 
 /**
- * Starts to answer other gateways.
+ * Starts a server that responds to other gateways.
  *
  * @param options Address and handler.
- * @returns The function that stops it.
- * @throws {Error} When the address cannot be listened on.
+ * @returns A function that stops the server.
+ * @throws {Error} If the server cannot listen on the address.
  */
-export async function startExchangeServer({listen, answer}: ExchangeServerOptions): Promise<() => void> {
+export async function startExchangeServer({listen, handle}: ExchangeServerOptions): Promise<() => void> {
 	const server = new Server({'grpc.max_concurrent_streams': 256, 'grpc.max_receive_message_length': largestMessageBytes});
 	const service: ServiceDefinition = {exchange: exchangeMethod};
 	server.addService(service, {
 		exchange(call: ServerUnaryCall<ExchangeMessage, ExchangeMessage>, callback: sendUnaryData<ExchangeMessage>) {
-			callback(null, answer(call.request));
+			callback(null, handle(call.request));
 		},
 	});
 	await new Promise<void>((resolve, reject) => {
--- a/source/fleet/fleet.test.ts
+++ b/source/fleet/fleet.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	MemberTable, chooseSources, exchangePeriod, followsStore, listEntries, packConfiguration, readerOf, unpackConfiguration, type Member,
+	MemberTable, chooseSources, exchangePeriod, followsStore, listGateways, packConfiguration, readerOf, unpackConfiguration, type Member,
 } from './mod.ts';
 
 const member = (name: string, changes: Partial<Member> = {}): Member => ({
@@ -10,8 +10,8 @@
 
 const namesOf = (members: readonly Member[]) => members.map(({name}) => name);
 
-test('a gateway lives while its heartbeat rises, and a later process replaces an earlier one', () => {
-	const table = new MemberTable({self: member('self'), silentMilliseconds: () => 5000});
+test('a gateway is alive while its heartbeat increases, and a later incarnation replaces an earlier one', () => {
+	const table = new MemberTable({self: member('self'), heartbeatTimeoutMilliseconds: () => 5000});
 	table.merge([member('one', {heartbeat: 9}), member('two')], 0);
 	table.merge([member('one', {heartbeat: 9})], 4000);
 	assert.deepEqual(namesOf(table.live(4999)), ['self', 'one', 'two']);
@@ -20,23 +20,23 @@
 	assert.deepEqual(namesOf(table.live(6000)), ['self', 'one']);
 });
 
-test('exchanges become rarer as the fleet grows, within bounds', () => {
+test('the exchange period grows with the fleet, within bounds', () => {
 	assert.equal(exchangePeriod(16), 1000);
 	assert.equal(exchangePeriod(128), 2000);
 	assert.equal(exchangePeriod(390), 4000);
 });
 
-test('a gateway that did not answer counts as gone until its heartbeat rises', () => {
+test('a gateway that did not respond counts as dead until its heartbeat increases', () => {
 	const table = new MemberTable({self: member('self')});
 	table.merge([member('one')], 0);
-	table.unanswered('one');
+	table.markUnreachable('one');
 	table.merge([member('one')], 100);
 	assert.deepEqual(namesOf(table.live(100)), ['self']);
 	table.merge([member('one', {heartbeat: 2})], 200);
 	assert.deepEqual(namesOf(table.live(200)), ['self', 'one']);
 });
 
-test('a registration says who there is, not who lives', () => {
+test('a registered gateway is known but does not count as alive', () => {
 	const table = new MemberTable({self: member('self')});
 	table.register([member('self'), member('one')], 0);
 	assert.deepEqual(namesOf(table.live(0)), ['self']);
@@ -45,13 +45,13 @@
 	assert.deepEqual(namesOf(table.live(10)), ['self', 'one']);
 });
 
-test('two gateways tell each other the state of those that both know, and records only of those that one does not know', () => {
+test('gateways exchange heartbeats of members that both know, and full records only of those that one of them lacks', () => {
 	const one = new MemberTable({self: member('one')});
 	const other = new MemberTable({self: member('other')});
 	one.merge([member('other'), member('both'), member('restarted')], 0);
 	other.merge([member('one'), member('both', {heartbeat: 5}), member('restarted', {incarnation: 2}), member('new')], 0);
 	assert.deepEqual(namesOf(other.unknownTo(one.heartbeats(0), 0)), ['restarted', 'new']);
-	one.hear(other.heartbeats(100), 100);
+	one.mergeHeartbeats(other.heartbeats(100), 100);
 	assert.equal(one.others().find(({name}) => name === 'both')?.heartbeat, 5);
 	assert.equal(one.others().find(({name}) => name === 'restarted')?.incarnation, 1);
 	one.merge(other.unknownTo(one.heartbeats(100), 100), 100);
@@ -62,32 +62,32 @@
 const zones = ['zone-a', 'zone-b', 'zone-c'];
 const fleet = zones.flatMap(availabilityZone => Array.from({length: 4}, (_unused, index) => member(`${availabilityZone}-${index}`, {availabilityZone})));
 
-test('one gateway of each zone follows the store, and another one when that is gone', () => {
+test('one gateway of each zone follows the store, and another one when that one is gone', () => {
 	const following = fleet.filter(self => followsStore({
-		self, members: fleet, settled: true, ageMilliseconds: 100, readerIsLateMilliseconds: 1600,
+		self, members: fleet, membershipSettled: true, ageMilliseconds: 100, storeFallbackMilliseconds: 1600,
 	}));
 	assert.equal(following.length, 3);
 	const reader = readerOf(fleet, 'zone-a')!;
-	const left = fleet.filter(({name}) => name !== reader.name);
-	assert.equal(readerOf(left, 'zone-a')?.availabilityZone, 'zone-a');
+	const remaining = fleet.filter(({name}) => name !== reader.name);
+	assert.equal(readerOf(remaining, 'zone-a')?.availabilityZone, 'zone-a');
 	assert.equal(readerOf(fleet.toReversed(), 'zone-a'), reader);
 });
 
-test('a gateway that has not heard enough follows the store itself', () => {
+test('a gateway whose cached state is too old follows the store itself', () => {
 	const self = fleet.find(({name}) => name !== readerOf(fleet, 'zone-a')!.name)!;
 	assert.equal(followsStore({
-		self, members: fleet, settled: true, ageMilliseconds: 1700, readerIsLateMilliseconds: 1600,
+		self, members: fleet, membershipSettled: true, ageMilliseconds: 1700, storeFallbackMilliseconds: 1600,
 	}), true);
 });
 
 test('gateways that have just started and know few others do not all follow the store', () => {
 	const following = fleet.filter(self => followsStore({
-		self, members: [self], settled: false, ageMilliseconds: 400, readerIsLateMilliseconds: 1600,
+		self, members: [self], membershipSettled: false, ageMilliseconds: 400, storeFallbackMilliseconds: 1600,
 	}));
 	assert.equal(following.length, 0);
 });
 
-test('a gateway learns from its zone\'s reader, then from those of other zones, never from itself', () => {
+test('a gateway queries its zone\'s reader first, then those of other zones, never itself', () => {
 	const readers = zones.map(zone => readerOf(fleet, zone)!);
 	const self = fleet.find(member => member.availabilityZone === 'zone-a' && !readers.includes(member))!;
 	const sources = chooseSources({self, members: fleet, random: () => 0.5});
@@ -98,14 +98,14 @@
 	assert.ok(!ofReader.includes(readers[0]!));
 });
 
-test('a gateway without any reader in sight asks others that are ready', () => {
+test('a gateway that knows no other reader queries other ready gateways', () => {
 	const self = fleet[0]!;
 	assert.deepEqual(chooseSources({self, members: [self], random: () => 0.5}), []);
 	const sources = chooseSources({self, members: [self, fleet[1]!, member('starting', {ready: false})], random: () => 0.5});
 	assert.deepEqual(sources, [fleet[1]]);
 });
 
-test('a configuration of thousands of routes is packed to a tenth and comes out as it was; anything else is refused', () => {
+test('a configuration of thousands of routes is packed to less than a tenth and unpacked unchanged; any other input is rejected', () => {
 	const route = (index: number) => ({
 		name: `route-${index}`,
 		host: 'desk.example',
@@ -138,15 +138,15 @@
 	}
 });
 
-test('callers are told of ready gateways, some of their zone first, and never of those alone', () => {
+test('callers get the addresses of ready gateways, some of their zone first, and not only those', () => {
 	const members = [...fleet, member('stopping', {ready: false})];
-	const entries = listEntries({
+	const entries = listGateways({
 		members, availabilityZone: 'zone-b', region: 'home', count: 6, random: Math.random,
 	});
 	assert.equal(entries.length, 6);
 	assert.ok(entries.slice(0, 3).every(address => address.startsWith('zone-b')));
 	assert.ok(!entries.includes('stopping:1'));
-	const none = listEntries({
+	const none = listGateways({
 		members: [member('one', {ready: false})], availabilityZone: 'zone-b', region: 'home', count: 6, random: Math.random,
 	});
 	assert.deepEqual(none, ['one:1']);
--- a/source/fleet/follow-members.ts
+++ b/source/fleet/follow-members.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps this gateway's knowledge of the others fresh.
+ * Keeps the member table current by exchanging heartbeats with other gateways (gossip).
  *
  * @module
  */
@@ -12,68 +12,68 @@
 import {type Member} from './member.ts';
 import {type MemberTable} from './member-table.ts';
 
-/** What gateways have seen and tell each other with their heartbeats. */
-export type HintSource = {
-	/** What this gateway has seen or heard. */
-	tell(): Hints;
-	/** Takes what another one has; nothing from one that knows no hints. */
-	hear(hints: Hints | undefined): void;
+/** Provides and merges the hints that gateways exchange along with their heartbeats. */
+export type HintExchange = {
+	/** Returns the hints to send: those observed here and those received. */
+	collect(): Hints;
+	/** Merges the hints of another gateway; undefined from a gateway that does not support hints. */
+	merge(hints: Hints | undefined): void;
 };
 
 /** Options of {@linkcode followMembers}. */
 export type FollowMembersOptions = {
 	members: MemberTable;
-	hints: HintSource;
+	hints: HintExchange;
 	logger: Logger;
-	/** Whether this gateway takes requests. */
+	/** Returns whether this gateway accepts requests. */
 	ready: () => boolean;
 	/** Steady time, in milliseconds. */
 	clock: () => number;
 	random: () => number;
 };
 
-/** Time between two exchanges of a small fleet, in milliseconds. */
-const shortestExchangeMilliseconds = 1000;
+/** Period between exchanges in a small fleet, in milliseconds. */
+const shortestPeriodMilliseconds = 1000;
 
-/** Longest time between two exchanges, in milliseconds. */
-const longestExchangeMilliseconds = 4000;
+/** Longest period between exchanges, in milliseconds. */
+const longestPeriodMilliseconds = 4000;
 
-/** Gateways above which exchanges, which carry all of them, become rarer. */
-const smallFleet = 64;
+/** Number of gateways above which exchanges become less frequent, since each carries the state of all gateways. */
+const smallFleetSize = 64;
 
-/** Deadline of an exchange, in milliseconds. */
-const answerMilliseconds = 500;
+/** Timeout of an exchange, in milliseconds. */
+const exchangeTimeoutMilliseconds = 500;
 
-/** Share of exchanges that stay in the own zone where it has others, since bytes between zones cost more. */
+/** Share of exchanges that stay in the own zone if it has other gateways, since traffic between zones costs more. */
 const ownZoneShare = 0.75;
 
-/** Share of exchanges with any gateway that is known, so that those that were cut off are found again. */
-const anyShare = 0.1;
+/** Share of exchanges with any known gateway, alive or dead, so that gateways are rediscovered after a network partition. */
+const anyGatewayShare = 0.1;
 
 /**
- * Exchanges what is known with one other gateway at a time, until the signal aborts.
+ * Periodically exchanges state with one other gateway, until the signal aborts.
  *
- * @param options What is known.
- * @param signal Ends the task.
+ * @param options Member table, hints and clock.
+ * @param signal Aborts the task.
  */
 export async function followMembers(options: FollowMembersOptions, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
 	const {members, hints, logger, ready, clock, random} = options;
 	const client = new ExchangeClient();
 	while (await pause(exchangePeriod(members.size) * (0.75 + (random() / 2)), signal)) {
-		members.beat(ready());
+		members.raiseHeartbeat(ready());
 		const peer = choosePeer(members, clock(), random);
 		if (!peer) {
 			continue;
 		}
 
-		const answer = await client.exchange(peer.peers, {members: [members.self], heartbeats: members.heartbeats(clock()), hints: hints.tell()}, answerMilliseconds);
-		if (answer.isOk()) {
-			members.merge(answer.value.members, clock());
-			members.hear(answer.value.heartbeats ?? [], clock());
-			hints.hear(answer.value.hints);
+		const response = await client.exchange(peer.peers, {members: [members.self], heartbeats: members.heartbeats(clock()), hints: hints.collect()}, exchangeTimeoutMilliseconds);
+		if (response.isOk()) {
+			members.merge(response.value.members, clock());
+			members.mergeHeartbeats(response.value.heartbeats ?? [], clock());
+			hints.merge(response.value.hints);
 		} else if (members.live(clock()).some(({name}) => name === peer.name)) {
-			logger.info('gateway does not answer', {peer: peer.name, reason: answer.error});
-			members.unanswered(peer.name);
+			logger.info('gateway does not answer', {peer: peer.name, reason: response.error});
+			members.markUnreachable(peer.name);
 		}
 	}
 
@@ -82,22 +82,22 @@
 }
 
 /**
- * Time between two exchanges: their size grows with the fleet, so their number falls.
+ * Returns the period between exchanges. It grows with the fleet, because the size of an exchange does too.
  *
- * @param gateways Gateways known.
- * @returns Milliseconds.
+ * @param gateways Number of known gateways.
+ * @returns Period in milliseconds.
  */
 export function exchangePeriod(gateways: number): number {
-	return Math.min(longestExchangeMilliseconds, shortestExchangeMilliseconds * Math.max(1, gateways / smallFleet));
+	return Math.min(longestPeriodMilliseconds, shortestPeriodMilliseconds * Math.max(1, gateways / smallFleetSize));
 }
 
-/** Mostly a live gateway of the own zone, at times one of another zone or any that is known. */
+/** Chooses mostly a live gateway of the own zone, sometimes one of another zone or any known gateway. */
 function choosePeer(members: MemberTable, now: number, random: () => number): Member | undefined {
 	const live = members.live(now).slice(1);
 	const near = live.filter(({availabilityZone}) => availabilityZone === members.self.availabilityZone);
 	const far = live.filter(({availabilityZone}) => availabilityZone !== members.self.availabilityZone);
 	const draw = random();
-	const preferred = draw < anyShare ? [members.others()] : (draw < anyShare + ownZoneShare ? [near, far] : [far, near]);
-	const from = [...preferred, members.others()].find(group => group.length > 0) ?? [];
-	return from[Math.floor(random() * from.length)];
+	const preferred = draw < anyGatewayShare ? [members.others()] : (draw < anyGatewayShare + ownZoneShare ? [near, far] : [far, near]);
+	const candidates = [...preferred, members.others()].find(group => group.length > 0) ?? [];
+	return candidates[Math.floor(random() * candidates.length)];
 }
--- a/source/fleet/follow-source.ts
+++ b/source/fleet/follow-source.ts
@@ -1,62 +1,62 @@
 /**
- * Learns configuration and endpoints from another gateway.
+ * Fetches updates of configuration and endpoints from another gateway.
  *
  * @module
  */
 import {ok, type Result} from 'neverthrow';
-import {type ClockReading, type NewsTimes} from '../beliefs/mod.ts';
+import {type ClockReading, type UpdateTimes} from '../beliefs/mod.ts';
 import {pause} from '../supervision/pause.ts';
 import {type TaskFailure} from '../supervision/supervisor.ts';
 import {chooseSources} from './choose-reader.ts';
 import {ExchangeClient} from './exchange-client.ts';
-import {type Known, type News} from './exchange-protocol.ts';
+import {type KnownRevisions, type StoreUpdate} from './exchange-protocol.ts';
 import {type Member} from './member.ts';
 import {type MemberTable} from './member-table.ts';
 
-/** What gateways tell each other of the store's content. */
-export type SharedKnowledge = {
-	/** What this gateway knows. */
-	known(): Known;
-	/** Age of the older part of it, in milliseconds. */
+/** The cached content of the store that gateways share with each other. */
+export type SharedState = {
+	/** Returns the revisions that this gateway has. */
+	knownRevisions(): KnownRevisions;
+	/** Returns the age of the least recently confirmed part, in milliseconds. */
 	age(now: ClockReading): number;
-	/** What is news to another gateway. */
-	newsFor(known: Known, now: ClockReading): News;
-	/** Takes what another gateway told after it was asked at a time. */
-	learn(news: News, askedAt: ClockReading): void;
+	/** Returns the changes that a gateway with the given revisions lacks. */
+	updateFor(known: KnownRevisions, now: ClockReading): StoreUpdate;
+	/** Applies an update of another gateway to a request sent at the given time. */
+	apply(update: StoreUpdate, requestedAt: ClockReading): void;
 };
 
 /** Options of {@linkcode followSource}. */
 export type FollowSourceOptions = {
 	members: MemberTable;
-	knowledge: SharedKnowledge;
-	newsTimes: NewsTimes;
-	/** Whether this gateway follows the store now. */
+	sharedState: SharedState;
+	newsTimes: UpdateTimes;
+	/** Returns whether this gateway follows the store now. */
 	followsStore: () => boolean;
 	readClock: () => ClockReading;
 	random: () => number;
 };
 
-/** Deadline of a question, in milliseconds. */
-const answerMilliseconds = 300;
+/** Timeout of a request, in milliseconds. */
+const requestTimeoutMilliseconds = 300;
 
 /**
- * Asks gateways that follow the store for what is new, until the signal aborts.
+ * Polls gateways that follow the store for updates, until the signal aborts.
  *
- * @param options What is known, and of whom.
- * @param signal Ends the task.
+ * @param options Member table, shared state and intervals.
+ * @param signal Aborts the task.
  */
 export async function followSource(options: FollowSourceOptions, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
-	const {members, knowledge, newsTimes, followsStore, readClock, random} = options;
+	const {members, sharedState, newsTimes, followsStore, readClock, random} = options;
 	const client = new ExchangeClient();
-	while (await pause(newsTimes.sourceMilliseconds * (0.9 + (random() / 5)), signal)) {
-		if (followsStore() && knowledge.age(readClock()) <= newsTimes.sourceIsLateMilliseconds) {
+	while (await pause(newsTimes.sourcePollMilliseconds * (0.9 + (random() / 5)), signal)) {
+		if (followsStore() && sharedState.age(readClock()) <= newsTimes.sourceFallbackMilliseconds) {
 			continue;
 		}
 
 		const sources = chooseSources({self: members.self, members: members.live(readClock().steady), random});
 		for (const source of sources) {
-			await ask(options, client, source);
-			if (knowledge.age(readClock()) <= newsTimes.sourceIsBehindMilliseconds) {
+			await querySource(options, client, source);
+			if (sharedState.age(readClock()) <= newsTimes.sourceBehindMilliseconds) {
 				break;
 			}
 		}
@@ -66,12 +66,12 @@
 	return ok();
 }
 
-async function ask({members, knowledge, readClock}: FollowSourceOptions, client: ExchangeClient, source: Member): Promise<void> {
-	const askedAt = readClock();
-	const answer = await client.exchange(source.peers, {members: [members.self], known: knowledge.known()}, answerMilliseconds);
-	if (answer.isErr()) {
-		members.unanswered(source.name);
-	} else if (answer.value.news) {
-		knowledge.learn(answer.value.news, askedAt);
+async function querySource({members, sharedState, readClock}: FollowSourceOptions, client: ExchangeClient, source: Member): Promise<void> {
+	const requestedAt = readClock();
+	const response = await client.exchange(source.peers, {members: [members.self], known: sharedState.knownRevisions()}, requestTimeoutMilliseconds);
+	if (response.isErr()) {
+		members.markUnreachable(source.name);
+	} else if (response.value.news) {
+		sharedState.apply(response.value.news, requestedAt);
 	}
 }
--- a/source/fleet/choose-entries.ts
+++ b/source/fleet/list-gateways.ts
@@ -1,33 +1,34 @@
 /**
- * Decides which gateways callers are told to use.
+ * Selects the gateways whose addresses are given to callers.
  *
  * @module
  */
 import {type Member} from './member.ts';
 
-/** Options of {@linkcode listEntries}. */
-export type ListEntriesOptions = {
-	/** Gateways that live. */
+/** Options of {@linkcode listGateways}. */
+export type ListGatewaysOptions = {
+	/** Live gateways. */
 	members: readonly Member[];
 	/** Zone and region of the caller. */
 	availabilityZone: string;
 	region: string;
-	/** Addresses to name at most. */
+	/** Maximum number of addresses. */
 	count: number;
 	random: () => number;
 };
 
-/** Gateways named of the caller's own zone at most, where others must be named too. */
+/** Largest share of the addresses that is filled first with gateways of the caller's own zone. */
 const ownZoneShare = 0.5;
 
 /**
- * Lists the gateways that take requests: some of the caller's zone first, then others in random order, so that callers spread
- * and still have some left when a zone is lost. Where none says that it takes requests, all are named.
+ * Lists the gateways that accept requests: some of the caller's zone first, then the others of its region, then the rest, each group in
+ * random order, so that the load spreads and callers still have gateways left when a zone fails. If no gateway accepts requests, all are
+ * listed.
  *
- * @param options Gateways and caller.
- * @returns Addresses for callers.
+ * @param options Live gateways and the caller's location.
+ * @returns Addresses that serve callers.
  */
-export function listEntries({members, availabilityZone, region, count, random}: ListEntriesOptions): string[] {
+export function listGateways({members, availabilityZone, region, count, random}: ListGatewaysOptions): string[] {
 	const ready = members.filter(member => member.ready);
 	const from = ready.length > 0 ? ready : members;
 	const shuffled = from
--- a/source/fleet/member-table.ts
+++ b/source/fleet/member-table.ts
@@ -1,5 +1,5 @@
 /**
- * Which gateways live, as far as this one knows.
+ * Tracks which gateways are alive, as far as this gateway knows.
  *
  * @module
  */
@@ -9,69 +9,69 @@
 export type MemberTableOptions = {
 	/** This gateway. */
 	self: RegisteredMember;
-	/** Time without news of a gateway after which it counts as gone, in milliseconds, by the number of gateways. Default 5,000. */
-	silentMilliseconds?: (gateways: number) => number;
+	/** Time without a new heartbeat after which a gateway counts as dead, in milliseconds, by the number of known gateways. Default 5,000. */
+	heartbeatTimeoutMilliseconds?: (gateways: number) => number;
 };
 
-type Known = {
+type KnownMember = {
 	member: Member;
-	/** Steady time at which its heartbeat last rose; absent while only its registration is known. */
-	heardAt: number | undefined;
-	/** Heartbeat at which it did not answer this gateway. */
-	unansweredAt: number | undefined;
+	/** Steady time at which its heartbeat last increased, in milliseconds; undefined while only its registration is known. */
+	updatedAt: number | undefined;
+	/** Heartbeat at which it failed to respond to this gateway; undefined if it responded or has a newer heartbeat. */
+	unansweredHeartbeat: number | undefined;
 };
 
-/** Time after which a silent gateway is forgotten, in milliseconds. */
-const forgetMilliseconds = 60_000;
+/** Time without a new heartbeat after which a gateway is removed from the table, in milliseconds. */
+const retentionMilliseconds = 60_000;
 
 /**
- * Keeps the newest state of each gateway: a later process of a host replaces an earlier one, and a higher heartbeat a lower one.
+ * Holds the newest state of each gateway: a later incarnation replaces an earlier one, and a higher heartbeat a lower one.
  *
  * @example
  * ```ts
  * members.merge(message.members, now);
- * const entries = members.live(now).filter(member => member.ready);
+ * const ready = members.live(now).filter(member => member.ready);
  * ```
  */
 export class MemberTable {
-	readonly #silentMilliseconds: (gateways: number) => number;
-	readonly #known = new Map<string, Known>();
+	readonly #heartbeatTimeoutMilliseconds: (gateways: number) => number;
+	readonly #known = new Map<string, KnownMember>();
 	#self: Member;
 
-	constructor({self, silentMilliseconds = () => 5000}: MemberTableOptions) {
+	constructor({self, heartbeatTimeoutMilliseconds = () => 5000}: MemberTableOptions) {
 		this.#self = {...self, heartbeat: 0, ready: false};
-		this.#silentMilliseconds = silentMilliseconds;
+		this.#heartbeatTimeoutMilliseconds = heartbeatTimeoutMilliseconds;
 	}
 
-	/** This gateway. */
+	/** Record of this gateway. */
 	get self(): Member {
 		return this.#self;
 	}
 
-	/** Gateways known, this one included, whether they live or not. */
+	/** Number of known gateways, alive or dead, this one included. */
 	get size(): number {
 		return this.#known.size + 1;
 	}
 
-	/** Raises this gateway's heartbeat. */
-	beat(ready: boolean): void {
+	/** Increments this gateway's heartbeat and sets whether it accepts requests. */
+	raiseHeartbeat(ready: boolean): void {
 		this.#self = {...this.#self, heartbeat: this.#self.heartbeat + 1, ready};
 	}
 
-	/** Takes gateways that are registered in the store, which says nothing of whether they live. */
+	/** Adds gateways that are registered in the store; a registration does not show that a gateway is alive. */
 	register(registered: readonly RegisteredMember[], now: number): void {
 		for (const member of registered) {
 			const known = this.#known.get(member.name);
 			if (member.name !== this.#self.name && (!known || known.member.incarnation < member.incarnation)) {
-				this.#known.set(member.name, {member: {...member, heartbeat: 0, ready: false}, heardAt: known ? now : undefined, unansweredAt: undefined});
+				this.#known.set(member.name, {member: {...member, heartbeat: 0, ready: false}, updatedAt: known ? now : undefined, unansweredHeartbeat: undefined});
 			}
 		}
 	}
 
 	/**
-	 * Takes what another gateway knows.
+	 * Merges the records that another gateway sent.
 	 *
-	 * @param members Gateways, the other one included.
+	 * @param members Records of gateways, the sender included.
 	 * @param now Steady time, in milliseconds.
 	 */
 	merge(members: readonly Member[], now: number): void {
@@ -82,64 +82,64 @@
 
 			const known = this.#known.get(member.name);
 			if (!known || isNewer(member, known.member)) {
-				this.#known.set(member.name, {member, heardAt: now, unansweredAt: undefined});
+				this.#known.set(member.name, {member, updatedAt: now, unansweredHeartbeat: undefined});
 			}
 		}
 
-		this.#forget(now);
+		this.#removeSilent(now);
 	}
 
-	/** State of all gateways that live, this one included. */
+	/** Returns the state of all live gateways, this one included. */
 	heartbeats(now: number): Heartbeat[] {
 		return this.live(now).map(({name, incarnation, heartbeat, ready}) => [name, incarnation, heartbeat, ready]);
 	}
 
 	/**
-	 * Takes the state of gateways that are known by this or an earlier process; others are left for {@linkcode MemberTable.merge}.
+	 * Merges heartbeats of incarnations that are known already; {@linkcode MemberTable.merge} adds the records of others.
 	 *
-	 * @param heartbeats What another gateway takes to be alive.
+	 * @param heartbeats State of the gateways that another gateway considers alive.
 	 * @param now Steady time, in milliseconds.
 	 */
-	hear(heartbeats: readonly Heartbeat[], now: number): void {
+	mergeHeartbeats(heartbeats: readonly Heartbeat[], now: number): void {
 		for (const [name, incarnation, heartbeat, ready] of heartbeats) {
 			const known = this.#known.get(name);
 			if (known?.member.incarnation === incarnation && heartbeat > known.member.heartbeat) {
-				this.#known.set(name, {member: {...known.member, heartbeat, ready}, heardAt: now, unansweredAt: undefined});
+				this.#known.set(name, {member: {...known.member, heartbeat, ready}, updatedAt: now, unansweredHeartbeat: undefined});
 			}
 		}
 	}
 
-	/** Gateways that live and that another one does not know by their present process. */
+	/** Returns the live gateways whose current incarnation is missing from the heartbeats of another gateway. */
 	unknownTo(heartbeats: readonly Heartbeat[], now: number): Member[] {
 		const incarnations = new Map(heartbeats.map(([name, incarnation]) => [name, incarnation]));
 		return this.live(now).filter(({name, incarnation}) => name !== this.#self.name && incarnation > (incarnations.get(name) ?? -1));
 	}
 
-	/** Records that a gateway did not answer: it counts as gone until its heartbeat rises. */
-	unanswered(name: string): void {
+	/** Records that a gateway did not respond: it counts as dead until its heartbeat increases. */
+	markUnreachable(name: string): void {
 		const known = this.#known.get(name);
 		if (known) {
-			known.unansweredAt = known.member.heartbeat;
+			known.unansweredHeartbeat = known.member.heartbeat;
 		}
 	}
 
-	/** This gateway and all others that were heard of lately. */
+	/** Returns this gateway, followed by all others with a recent heartbeat. */
 	live(now: number): Member[] {
-		const silent = this.#silentMilliseconds(this.size);
+		const timeoutMilliseconds = this.#heartbeatTimeoutMilliseconds(this.size);
 		const others = [...this.#known.values()]
-			.filter(({heardAt, unansweredAt}) => heardAt !== undefined && unansweredAt === undefined && now - heardAt < silent)
+			.filter(({updatedAt, unansweredHeartbeat}) => updatedAt !== undefined && unansweredHeartbeat === undefined && now - updatedAt < timeoutMilliseconds)
 			.map(({member}) => member);
 		return [this.#self, ...others];
 	}
 
-	/** All other gateways that are not forgotten, whether they live or not. */
+	/** Returns all other known gateways, alive or dead. */
 	others(): Member[] {
 		return [...this.#known.values()].map(({member}) => member);
 	}
 
-	#forget(now: number): void {
-		for (const [name, {heardAt}] of this.#known) {
-			if (heardAt !== undefined && now - heardAt > forgetMilliseconds) {
+	#removeSilent(now: number): void {
+		for (const [name, {updatedAt}] of this.#known) {
+			if (updatedAt !== undefined && now - updatedAt > retentionMilliseconds) {
 				this.#known.delete(name);
 			}
 		}
--- a/source/fleet/member.ts
+++ b/source/fleet/member.ts
@@ -1,39 +1,39 @@
 /**
- * Gateways as they tell each other of themselves.
+ * Schemas of the records that gateways exchange about themselves.
  *
  * @module
  */
 import * as z from 'zod';
 
-/** Schema of one gateway. */
+/** Schema of the record of one gateway. */
 export const memberSchema = z.object({
-	/** Name of the host. */
+	/** Host name. */
 	name: z.string().min(1),
 	availabilityZone: z.string(),
 	region: z.string(),
-	/** Address for callers. */
+	/** Address that serves callers. */
 	callers: z.string(),
-	/** Address for other gateways. */
+	/** Address that serves other gateways. */
 	peers: z.string(),
-	/** Unix milliseconds of the process's start; tells two processes of one host apart. */
+	/** Start time of the process, in Unix milliseconds; distinguishes two processes of one host. */
 	incarnation: z.number(),
-	/** Rises while the process lives. */
+	/** Counter that increases while the process runs. */
 	heartbeat: z.number(),
-	/** Whether it takes requests. */
+	/** Whether it accepts requests. */
 	ready: z.boolean(),
 });
 
-/** One gateway. */
+/** Record of one gateway. */
 export type Member = z.output<typeof memberSchema>;
 
-/** What lies in the store of a gateway, so that others find it. */
+/** Schema of the registration of a gateway in the store, through which other gateways discover it. */
 export const registeredMemberSchema = memberSchema.omit({heartbeat: true, ready: true});
 
-/** A gateway as it lies in the store. */
+/** Registration of a gateway in the store. */
 export type RegisteredMember = z.output<typeof registeredMemberSchema>;
 
-/** Schema of the state of a gateway that both sides may know already: name, incarnation, heartbeat, and whether it takes requests. */
+/** Schema of the changing state of a gateway whose record both sides may have: name, incarnation, heartbeat, and whether it accepts requests. */
 export const heartbeatSchema = z.tuple([z.string(), z.number(), z.number(), z.boolean()]);
 
-/** State of a gateway, without what stays the same while its process lives. */
+/** State of a gateway without the fields that are constant during an incarnation. */
 export type Heartbeat = z.output<typeof heartbeatSchema>;
--- a/source/fleet/mod.ts
+++ b/source/fleet/mod.ts
@@ -1,13 +1,13 @@
 /**
- * The gateways of one installation and what they tell each other.
+ * Membership of the gateways of one installation, and the exchange of state between them.
  *
  * @module
  */
 
-export * from './ask-seeds.ts';
-export * from './choose-entries.ts';
+export * from './query-seeds.ts';
+export * from './list-gateways.ts';
 export * from './choose-reader.ts';
-export type {ExchangeMessage, Known, News} from './exchange-protocol.ts';
+export type {ExchangeMessage, KnownRevisions, StoreUpdate} from './exchange-protocol.ts';
 export * from './exchange-server.ts';
 export * from './follow-members.ts';
 export * from './follow-source.ts';
--- a/source/fleet/pack-configuration.ts
+++ b/source/fleet/pack-configuration.ts
@@ -1,8 +1,8 @@
 /**
- * Packs configurations for other gateways.
+ * Compresses configurations for transfer to other gateways.
  *
- * Answers configurations of thousands of routes that dozens of gateways of a zone ask one other for, over links as slow as 7 Mbit/s: each
- * is compressed once, to about a tenth.
+ * Dozens of gateways of a zone may request a configuration of thousands of routes from one gateway, over links as slow as 7 Mbit/s. Each
+ * configuration is therefore compressed, to about a tenth, and only once.
  *
  * @module
  */
@@ -13,17 +13,17 @@
 } from 'neverthrow';
 import {routingConfigurationSchema, type RoutingConfiguration} from '../routing/mod.ts';
 
-/** Largest configuration, in bytes before it is packed. */
+/** Largest size of an uncompressed configuration, in bytes. */
 const largestBytes = 67_108_864;
 
-/** Speed over size: the work is done on small hosts while callers wait. */
+/** Favours speed over size, since small hosts compress while callers wait. */
 const compression = {level: 1};
 
-/** Packed forms of configurations, which never change. */
+/** Cache of packed configurations; a configuration object never changes. */
 const packed = new WeakMap<RoutingConfiguration, string>();
 
 /**
- * Packs a configuration; the same one is packed once.
+ * Packs a configuration; the result is cached for each configuration object.
  *
  * @param configuration The configuration.
  * @returns Base64 of the compressed JSON.
@@ -33,9 +33,9 @@
  * ```
  */
 export function packConfiguration(configuration: RoutingConfiguration): string {
-	const known = packed.get(configuration);
-	if (known !== undefined) {
-		return known;
+	const cached = packed.get(configuration);
+	if (cached !== undefined) {
+		return cached;
 	}
 
 	const text = gzipSync(JSON.stringify(configuration), compression).toString('base64');
@@ -44,10 +44,10 @@
 }
 
 /**
- * Unpacks a configuration of another gateway.
+ * Unpacks a configuration that another gateway sent.
  *
- * @param text What that gateway sent.
- * @returns The configuration, or why it cannot be read.
+ * @param text The packed configuration.
+ * @returns The configuration, or the reason why it cannot be unpacked.
  */
 export function unpackConfiguration(text: string): Result<RoutingConfiguration, string> {
 	try {
--- /dev/null
+++ b/source/fleet/query-seeds.test.ts
@@ -0,0 +1,72 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type ClockReading} from '../beliefs/mod.ts';
+import {createLogger} from '../telemetry/logger.ts';
+import {takeLoopbackAddress} from '../testing/loopback-address.ts';
+import {
+	MemberTable, querySeeds, packConfiguration, startExchangeServer, unpackConfiguration, type ExchangeMessage, type Member, type SharedState,
+} from './mod.ts';
+
+const address = takeLoopbackAddress();
+
+const member = (name: string): Member => ({
+	name, availabilityZone: 'zone-a', region: 'home', callers: `${name}:1`, peers: `${name}:2`, incarnation: 1, heartbeat: 1, ready: true,
+});
+
+const readClock = (): ClockReading => ({steady: performance.now(), wall: Date.now()});
+
+const logger = createLogger('test', {level: 'silent', fields: {}, write: () => undefined});
+
+const emptyUpdate = {
+	endpoints: [], endpointRevision: 0, suspects: [], suspectRevision: 0,
+};
+
+function sharedStateOf(applied: string[]): SharedState {
+	return {
+		knownRevisions: () => ({configurationVersion: 0, endpointRevision: 0, suspectRevision: 0}),
+		age: () => Number.POSITIVE_INFINITY,
+		updateFor: () => emptyUpdate,
+		apply({configuration}) {
+			applied.push(String(unpackConfiguration(configuration ?? '').unwrapOr(undefined)?.version));
+		},
+	};
+}
+
+const configuration = {
+	version: 7, routes: [], services: [], workspaces: [], limits: {
+		headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1,
+	},
+};
+
+test('a gateway waits for a seed that responds but has no state yet, and queries it at a low rate', async context => {
+	const availableFrom = performance.now() + 2600;
+	let requests = 0;
+	const stop = await startExchangeServer({
+		listen: `${address}:7501`,
+		handle(): ExchangeMessage {
+			requests += 1;
+			const update = {
+				...emptyUpdate, endpointRevision: 1, configuration: packConfiguration(configuration), configurationAgeMilliseconds: 1, endpointAgeMilliseconds: 1,
+			};
+			return {members: [member('seed')], news: performance.now() > availableFrom ? update : emptyUpdate};
+		},
+	});
+	context.after(stop);
+	const applied: string[] = [];
+	const members = new MemberTable({self: member('self')});
+	const updated = await querySeeds({
+		seeds: [`${address}:7501`], members, sharedState: sharedStateOf(applied), logger, readClock, random: () => 0, onUpdate: () => undefined,
+	}, new AbortController().signal);
+	assert.equal(updated, true);
+	assert.deepEqual(applied, ['7']);
+	assert.ok(requests <= 10, `${requests} requests`);
+});
+
+test('a gateway whose seeds do not respond gives up on them within 5 s', async () => {
+	const startedAt = performance.now();
+	const updated = await querySeeds({
+		seeds: [`${address}:7502`], members: new MemberTable({self: member('self')}), sharedState: sharedStateOf([]), logger, readClock, random: () => 0, onUpdate: () => undefined,
+	}, new AbortController().signal);
+	assert.equal(updated, false);
+	assert.ok(performance.now() - startedAt < 5000);
+});
--- a/source/fleet/register-member.ts
+++ b/source/fleet/register-member.ts
@@ -1,5 +1,5 @@
 /**
- * Registers gateways in the store, so that others find one when all that they know are gone.
+ * Registers gateways in the store, so that other gateways can discover one when all those that they know are gone.
  *
  * @module
  */
@@ -12,43 +12,43 @@
 /** Table in which gateways register themselves. */
 const memberTable = 'gateways';
 
-/** Options of {@linkcode keepRegistered}. */
-export type KeepRegisteredOptions = {
+/** Options of {@linkcode registerMember}. */
+export type RegisterMemberOptions = {
 	members: MemberTable;
 	store: StoreClient;
 	logger: Logger;
-	/** Whether this gateway should be found in the store. */
-	wanted: () => boolean;
+	/** Returns whether this gateway should be registered now. */
+	shouldRegister: () => boolean;
 	/** Steady time, in milliseconds. */
 	clock: () => number;
 	random: () => number;
 };
 
-/** First pause before the store is asked again, in milliseconds. */
+/** Initial backoff after a failed registration, in milliseconds. */
 const firstRetryMilliseconds = 200;
 
-/** Longest pause before the store is asked again, in milliseconds. */
+/** Longest backoff after a failed registration, in milliseconds. */
 const longestRetryMilliseconds = 3000;
 
-/** Time between two looks at whether to register, in milliseconds. */
-const lookMilliseconds = 500;
+/** Interval at which to check whether to register, in milliseconds. */
+const recheckMilliseconds = 500;
 
 /**
- * Registers this gateway once it should be found, and reads who else is registered.
+ * Registers this gateway as soon as `shouldRegister` returns true, and reads the registrations of the others; retries until it succeeds.
  *
- * @param options What is known, and the store.
- * @param signal Ends the task.
+ * @param options Member table, store and condition.
+ * @param signal Aborts the task.
  */
-export async function keepRegistered(options: KeepRegisteredOptions, signal: AbortSignal): Promise<void> {
-	const {logger, wanted, random} = options;
+export async function registerMember(options: RegisterMemberOptions, signal: AbortSignal): Promise<void> {
+	const {logger, shouldRegister, random} = options;
 	let retryMilliseconds = firstRetryMilliseconds;
 	while (!signal.aborted) {
-		if (!wanted()) {
-			await pause(lookMilliseconds, signal);
+		if (!shouldRegister()) {
+			await pause(recheckMilliseconds, signal);
 			continue;
 		}
 
-		if (await register(options, signal)) {
+		if (await tryRegister(options, signal)) {
 			return;
 		}
 
@@ -58,7 +58,7 @@
 	}
 }
 
-async function register({members, store, logger, clock}: KeepRegisteredOptions, signal: AbortSignal): Promise<boolean> {
+async function tryRegister({members, store, logger, clock}: RegisterMemberOptions, signal: AbortSignal): Promise<boolean> {
 	const self = registeredMemberSchema.parse(members.self);
 	const written = await store.writeRow({table: memberTable, key: self.name, content: JSON.stringify(self)});
 	const rows = written.isOk() ? await store.readTable(memberTable, signal) : undefined;
--- a/source/forwarding/engine-placing.ts
+++ b/source/forwarding/engine-placing.ts
@@ -66,7 +66,7 @@
 			if (!engine.report) {
 				health.failed(engine.endpoint.id, 'unreachable', clock());
 			} else if (provesRestart(engine.report, engine.endpoint.startedAt)) {
-				endpoints.refuse(engine.endpoint.id, engine.endpoint.startedAt);
+				endpoints.excludeIncarnation(engine.endpoint.id, engine.endpoint.startedAt);
 				engine.report = undefined;
 			}
 		}
--- a/source/forwarding/forward-call.ts
+++ b/source/forwarding/forward-call.ts
@@ -209,7 +209,7 @@
 		if (attempt.failure) {
 			health.failed(endpoint.id, attempt.failure, clock());
 		} else {
-			endpoints.refuse(endpoint.id, endpoint.startedAt);
+			endpoints.excludeIncarnation(endpoint.id, endpoint.startedAt);
 		}
 
 		logger.info('attempt failed', {
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -152,7 +152,7 @@
 		}
 
 		if (end.kind === 'not-run' && end.status === 421) {
-			endpoints.refuse(endpoint.id, endpoint.startedAt);
+			endpoints.excludeIncarnation(endpoint.id, endpoint.startedAt);
 		} else if (end.kind === 'failed') {
 			health.failed(endpoint.id, 'failed', clock());
 		} else if (end.kind === 'not-run' && !end.unreachable) {
--- a/source/forwarding/lost-attempts.ts
+++ b/source/forwarding/lost-attempts.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type EndpointEntry, type EndpointList, type LifeState} from '../beliefs/mod.ts';
+import {type EndpointEntry, type EndpointList, type IncarnationState} from '../beliefs/mod.ts';
 import {pause} from '../supervision/pause.ts';
 import {type RequestIdentity, type RequestSuspects} from '../suspects/mod.ts';
 import {type Logger} from '../telemetry/logger.ts';
@@ -47,7 +47,7 @@
 const listMilliseconds = 10_000;
 
 /** Whether the end of a process is held against what ran there, by what the list says of it: one that was to leave ends for its own reasons. */
-const countsEnd: Record<LifeState, boolean> = {
+const countsEnd: Record<IncarnationState, boolean> = {
 	listed: true, replaced: true, leaving: false, removed: false,
 };
 
@@ -133,7 +133,7 @@
 		}
 	}
 
-	async #count({identity, endpoint, events}: LostAttempt, listed: LifeState): Promise<void> {
+	async #count({identity, endpoint, events}: LostAttempt, listed: IncarnationState): Promise<void> {
 		if (countsEnd[listed] && events < harmlessEvents) {
 			await this.#options.suspects.ended(identity, endpoint);
 		}
--- a/source/gateway/caller-server.ts
+++ b/source/gateway/caller-server.ts
@@ -6,7 +6,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {listEntries} from '../fleet/mod.ts';
+import {listGateways} from '../fleet/mod.ts';
 import {decodeEntryCall, encodeEntries, type EntryCall} from '../platform/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 import {isReady} from './readiness.ts';
@@ -29,7 +29,7 @@
 
 const entryHandlers: {[Kind in EntryCall['kind']]: EntryHandler<Kind>} = {
 	entries({availabilityZone, region}, response, {members, clock, random, settings}) {
-		const addresses = listEntries({
+		const addresses = listGateways({
 			members: members.live(clock()), availabilityZone, region, count: entryCount, random,
 		});
 		const body = encodeEntries(addresses, Math.min(entriesSeconds, settings.bounds.entriesSeconds));
--- a/source/gateway/follow-store.ts
+++ b/source/gateway/follow-store.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {
-	FollowRenewal, StoreClock, followTable, type EndpointChange, type TableListener,
+	PollRenewal, StoreClock, followTable, type EndpointChange, type TableListener,
 } from '../beliefs/mod.ts';
 import {
 	configurationKey, decodeConfiguration, decodeEndpoint, endpointTable, operatorTable, type StoredRow,
@@ -37,19 +37,19 @@
 		logger,
 		readClock,
 		random,
-		roundMilliseconds: newsTimes.storeMilliseconds,
+		roundMilliseconds: newsTimes.storePollMilliseconds,
 		storeClock: new StoreClock(),
-		renewal: new FollowRenewal(),
+		renewal: new PollRenewal(),
 		wanted,
 	};
 	supervisor.start('configuration', async signal => followTable({
-		...shared, table: operatorTable, listener: configurationListener(parts), gatherMilliseconds: 0,
+		...shared, table: operatorTable, listener: configurationListener(parts), batchMilliseconds: 0,
 	}, signal));
 	supervisor.start('endpoints', async signal => followTable({
-		...shared, table: endpointTable, listener: endpointListener(parts), gatherMilliseconds: newsTimes.gatherMilliseconds,
+		...shared, table: endpointTable, listener: endpointListener(parts), batchMilliseconds: newsTimes.batchMilliseconds,
 	}, signal));
 	supervisor.start('suspects', async signal => followTable({
-		...shared, roundMilliseconds: suspectsRoundMilliseconds, longestRetryMilliseconds: suspectsRetryMilliseconds, table: toldTable, listener: suspectListener(parts), gatherMilliseconds: 0,
+		...shared, roundMilliseconds: suspectsRoundMilliseconds, longestRetryMilliseconds: suspectsRetryMilliseconds, table: toldTable, listener: suspectListener(parts), batchMilliseconds: 0,
 	}, signal));
 }
 
@@ -123,7 +123,7 @@
 			endpoints.confirm(revision, at);
 		},
 		recovered() {
-			endpoints.outageEnded(clock());
+			endpoints.recordOutageEnd(clock());
 		},
 	};
 }
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -5,7 +5,7 @@
  */
 import {EndpointHealth, EndpointLoads, EndpointBackoff} from '../balancing/mod.ts';
 import {
-	ConfigurationBelief, EndpointList, divideNewsTime, readClock, type ClockReading, type NewsTimes,
+	ConfigurationCache, EndpointList, divideUpdateTime, readClock, type ClockReading, type UpdateTimes,
 } from '../beliefs/mod.ts';
 import {MemberTable, exchangePeriod} from '../fleet/mod.ts';
 import {
@@ -24,13 +24,13 @@
 	settings: GatewaySettings;
 	metrics: GatewayMetrics;
 	store: StoreClient;
-	configuration: ConfigurationBelief;
+	configuration: ConfigurationCache;
 	members: MemberTable;
 	stopping: Stopping;
 	/** Whether callers can connect. */
 	callers: {open: boolean};
 	readClock: () => ClockReading;
-	newsTimes: NewsTimes;
+	newsTimes: UpdateTimes;
 	/** Age of the configuration up to which keys are trusted, in milliseconds. */
 	trustedKeyMilliseconds: number;
 };
@@ -54,7 +54,7 @@
 		self: {
 			name: hostName, availabilityZone, region, callers: advertise.callers ?? listen.callers, peers: advertise.peers ?? listen.peers, incarnation: Date.now(),
 		},
-		silentMilliseconds: gateways => exchangePeriod(gateways) * silentExchanges,
+		heartbeatTimeoutMilliseconds: gateways => exchangePeriod(gateways) * silentExchanges,
 	});
 	const store = new StoreClient({
 		address: settings.store,
@@ -80,7 +80,7 @@
 		availabilityZone,
 		members,
 		store,
-		configuration: new ConfigurationBelief(),
+		configuration: new ConfigurationCache(),
 		endpoints,
 		suspects,
 		loads: new EndpointLoads(),
@@ -107,7 +107,7 @@
 		countRetry(service, reason, allowed) {
 			metrics.retries.inc({service, reason, decision: allowed ? 'allowed' : 'refused'});
 		},
-		newsTimes: divideNewsTime(Math.min(bounds.configurationMilliseconds, bounds.leavingMilliseconds)),
+		newsTimes: divideUpdateTime(Math.min(bounds.configurationMilliseconds, bounds.leavingMilliseconds)),
 		trustedKeyMilliseconds: bounds.revokedKeyMilliseconds * trustedShare,
 		clock,
 		random: () => Math.random(),
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -7,7 +7,7 @@
 import {type Server} from 'node:http';
 import {ok} from 'neverthrow';
 import {
-	askSeeds, followMembers, followSource, keepRegistered, startExchangeServer, type ExchangeMessage, type HintSource, type SharedKnowledge,
+	querySeeds, followMembers, followSource, registerMember, startExchangeServer, type ExchangeMessage, type HintExchange, type SharedState,
 } from '../fleet/mod.ts';
 import {listen} from '../supervision/listen.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
@@ -55,18 +55,18 @@
 	await listen(entryServer, settings.listen.entries);
 	await listenUnlessSame(createEntryServer(parts), settings.listen.readiness, settings.listen.entries);
 	await listen(createMetricsServer(parts), settings.listen.metrics);
-	await startExchangeServer({listen: settings.listen.peers, answer: message => answerGateway(message, parts, {knowledge, hints})});
+	await startExchangeServer({listen: settings.listen.peers, handle: message => answerGateway(message, parts, {knowledge, hints})});
 	const role = new StoreRole(parts, knowledge);
 	startNews({
 		supervisor, parts, knowledge, role, seeds: settings.seeds,
 	});
 	supervisor.start('members', async signal => followMembers({...parts, hints, ready: () => isReady(parts)}, signal));
 	supervisor.start('unsaved ends', async signal => parts.suspects.saveUnsaved(signal));
-	supervisor.start('source', async signal => followSource({...parts, knowledge, followsStore: () => role.follows()}, signal));
+	supervisor.start('source', async signal => followSource({...parts, sharedState: knowledge, followsStore: () => role.follows()}, signal));
 	await firstNews(parts);
 	await listen(callerServer, settings.listen.callers);
 	parts.callers.open = true;
-	parts.members.beat(isReady(parts));
+	parts.members.raiseHeartbeat(isReady(parts));
 	logger.info('gateway listening', {callers: settings.listen.callers, incarnation: parts.members.self.incarnation});
 	return {
 		stop: async () => stopGateway(parts, callerServer),
@@ -74,19 +74,19 @@
 }
 
 /** Takes what another gateway tells, and tells it what it lacks. */
-function answerGateway({members: told, heartbeats, hints: heard, known}: ExchangeMessage, {members, readClock}: GatewayParts, {knowledge, hints}: {knowledge: SharedKnowledge; hints: HintSource}): ExchangeMessage {
+function answerGateway({members: told, heartbeats, hints: heard, known}: ExchangeMessage, {members, readClock}: GatewayParts, {knowledge, hints}: {knowledge: SharedState; hints: HintExchange}): ExchangeMessage {
 	const now = readClock();
 	members.merge(told, now.steady);
 	if (heartbeats) {
-		members.hear(heartbeats, now.steady);
-		hints.hear(heard);
-		return {members: [members.self, ...members.unknownTo(heartbeats, now.steady)], heartbeats: members.heartbeats(now.steady), hints: hints.tell()};
+		members.mergeHeartbeats(heartbeats, now.steady);
+		hints.merge(heard);
+		return {members: [members.self, ...members.unknownTo(heartbeats, now.steady)], heartbeats: members.heartbeats(now.steady), hints: hints.collect()};
 	}
 
 	const asksAnew = known?.configurationVersion === 0;
 	return {
 		members: asksAnew ? members.live(now.steady) : [members.self],
-		news: known && knowledge.newsFor(known, now),
+		news: known && knowledge.updateFor(known, now),
 	};
 }
 
@@ -101,20 +101,20 @@
 	}
 }
 
-type NewsOptions = {supervisor: Supervisor; parts: GatewayParts; knowledge: SharedKnowledge; role: StoreRole; seeds: readonly string[]};
+type NewsOptions = {supervisor: Supervisor; parts: GatewayParts; knowledge: SharedState; role: StoreRole; seeds: readonly string[]};
 
 /** Asks the seeds, then follows the store or those who do. */
 function startNews({supervisor, parts, knowledge, role, seeds}: NewsOptions): void {
 	const {members} = parts;
 	supervisor.start('news', async signal => {
-		const learnt = await askSeeds({
-			...parts, seeds, knowledge, onNews() {
-				members.beat(isReady(parts));
+		const learnt = await querySeeds({
+			...parts, seeds, sharedState: knowledge, onUpdate() {
+				members.raiseHeartbeat(isReady(parts));
 			},
 		}, signal);
 		role.begin(learnt);
 		followStore(supervisor, parts, () => role.follows());
-		await keepRegistered({...parts, wanted: () => role.shouldBeFound()}, signal);
+		await registerMember({...parts, shouldRegister: () => role.shouldBeFound()}, signal);
 		await untilAborted(signal);
 		return ok();
 	});
@@ -135,7 +135,7 @@
 async function stopGateway(parts: GatewayParts, callerServer: Server): Promise<void> {
 	const {stopping, logger, clock, members} = parts;
 	stopping.begin(clock());
-	members.beat(false);
+	members.raiseHeartbeat(false);
 	logger.info('gateway stops', {inProgress: stopping.inProgress});
 	while (!stopping.mayEnd(clock())) {
 		if (!stopping.takes(clock()) && callerServer.listening) {
--- a/source/gateway/hints.ts
+++ b/source/gateway/hints.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type HintSource} from '../fleet/mod.ts';
+import {type HintExchange} from '../fleet/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 
 /**
@@ -11,13 +11,13 @@
  *
  * @param parts The gateway's parts.
  */
-export function createHints({endpoints, suspects, clock}: GatewayParts): HintSource {
+export function createHints({endpoints, suspects, clock}: GatewayParts): HintExchange {
 	return {
-		tell: () => ({unsavedEnds: suspects.unsavedEnds(), leavingLives: endpoints.leavingLives(clock())}),
-		hear(hints) {
+		collect: () => ({unsavedEnds: suspects.unsavedEnds(), leavingLives: endpoints.leavingIncarnations(clock())}),
+		merge(hints) {
 			if (hints) {
 				suspects.hear(hints.unsavedEnds);
-				endpoints.hearLeaving(hints.leavingLives, clock());
+				endpoints.mergeLeaving(hints.leavingLives, clock());
 			}
 		},
 	};
--- a/source/gateway/readiness.ts
+++ b/source/gateway/readiness.ts
@@ -11,6 +11,6 @@
  * @param parts The gateway's parts.
  */
 export function isReady({configuration, callers, stopping, trustedKeyMilliseconds, readClock}: GatewayParts): boolean {
-	const {table, ageMilliseconds} = configuration.knowledge(readClock());
+	const {table, ageMilliseconds} = configuration.snapshot(readClock());
 	return callers.open && !stopping.begun && table !== undefined && (!table.asksForKeys || ageMilliseconds <= trustedKeyMilliseconds);
 }
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -70,7 +70,7 @@
 	parts.metrics.requests.inc({service, outcome});
 	parts.metrics.attempts.inc({service}, endpoints.length);
 	parts.metrics.answerSeconds.observe({service}, milliseconds / 1000);
-	const {table, ageMilliseconds} = parts.configuration.knowledge(parts.readClock());
+	const {table, ageMilliseconds} = parts.configuration.snapshot(parts.readClock());
 	parts.logger.info('request ended', {
 		request: requestName,
 		outcome,
@@ -102,7 +102,7 @@
 		});
 	}
 
-	const knowledge = configuration.knowledge(readClock());
+	const knowledge = configuration.snapshot(readClock());
 	const admission = admitRequest({
 		...knowledge, host: request.headers.host ?? '', path: request.url ?? '', key: arrived.terms.key, trustedKeyMilliseconds, deniesWithinMilliseconds: settings.bounds.configurationMilliseconds,
 	});
--- a/source/gateway/shared-knowledge.ts
+++ b/source/gateway/shared-knowledge.ts
@@ -5,7 +5,7 @@
  */
 import {type ClockReading} from '../beliefs/mod.ts';
 import {
-	packConfiguration, unpackConfiguration, type News, type SharedKnowledge,
+	packConfiguration, unpackConfiguration, type StoreUpdate, type SharedState,
 } from '../fleet/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 import {takeConfiguration} from './take-configuration.ts';
@@ -15,7 +15,7 @@
  *
  * @param parts The gateway's parts.
  */
-export function createSharedKnowledge(parts: GatewayParts): SharedKnowledge {
+export function createSharedKnowledge(parts: GatewayParts): SharedState {
 	const {configuration, endpoints, suspects, logger} = parts;
 	/** Takes a configuration; returns whether it could be read. */
 	const learnConfiguration = (text: string): boolean => {
@@ -30,10 +30,10 @@
 	};
 
 	return {
-		known: () => ({configurationVersion: configuration.table?.version ?? 0, endpointRevision: endpoints.revision, suspectRevision: suspects.known.revision}),
-		age: now => Math.max(configuration.knowledge(now).ageMilliseconds, endpoints.age(now)),
-		newsFor({configurationVersion, endpointRevision, suspectRevision}, now) {
-			const {table, ageMilliseconds} = configuration.knowledge(now);
+		knownRevisions: () => ({configurationVersion: configuration.table?.version ?? 0, endpointRevision: endpoints.revision, suspectRevision: suspects.known.revision}),
+		age: now => Math.max(configuration.snapshot(now).ageMilliseconds, endpoints.age(now)),
+		updateFor({configurationVersion, endpointRevision, suspectRevision}, now) {
+			const {table, ageMilliseconds} = configuration.snapshot(now);
 			return {
 				configuration: table && table.version > configurationVersion ? packConfiguration(table.configuration) : undefined,
 				configurationAgeMilliseconds: finite(ageMilliseconds),
@@ -44,7 +44,7 @@
 				suspectRevision: suspects.known.revision,
 			};
 		},
-		learn(news: News, askedAt: ClockReading) {
+		apply(news: StoreUpdate, askedAt: ClockReading) {
 			const isRead = news.configuration === undefined || learnConfiguration(news.configuration);
 			if (isRead && news.configurationAgeMilliseconds !== undefined) {
 				configuration.confirm(earlier(askedAt, news.configurationAgeMilliseconds));
--- a/source/gateway/store-role.ts
+++ b/source/gateway/store-role.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {
-	exchangePeriod, followsStore, isReader, type SharedKnowledge,
+	exchangePeriod, followsStore, isReader, type SharedState,
 } from '../fleet/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 
@@ -26,12 +26,12 @@
  */
 export class StoreRole {
 	readonly #parts: GatewayParts;
-	readonly #knowledge: SharedKnowledge;
+	readonly #knowledge: SharedState;
 	/** Time from which the wait for others counts; absent until the role begins. */
 	#waitsSince: number | undefined;
 	#followed: boolean | undefined;
 
-	constructor(parts: GatewayParts, knowledge: SharedKnowledge) {
+	constructor(parts: GatewayParts, knowledge: SharedState) {
 		this.#parts = parts;
 		this.#knowledge = knowledge;
 	}
@@ -55,7 +55,7 @@
 		const ageMilliseconds = this.#knowledge.age(readClock());
 		const live = members.live(clock());
 		const follows = followsStore({
-			self: members.self, members: live, settled: this.#isSettled(), ageMilliseconds, readerIsLateMilliseconds: newsTimes.readerIsLateMilliseconds,
+			self: members.self, members: live, membershipSettled: this.#isSettled(), ageMilliseconds, storeFallbackMilliseconds: newsTimes.storeFallbackMilliseconds,
 		});
 		if (follows !== this.#followed) {
 			this.#followed = follows;
--- a/source/gateway/take-configuration.ts
+++ b/source/gateway/take-configuration.ts
@@ -14,7 +14,7 @@
  * @param origin Where it came from, for the log.
  */
 export function takeConfiguration({configuration, metrics, logger}: GatewayParts, newest: RoutingConfiguration, origin: {revision: number} | {source: 'gateway'}): void {
-	if (configuration.learn(newest)) {
+	if (configuration.update(newest)) {
 		metrics.configurationVersion.set(newest.version);
 		logger.info('configuration in force', {version: newest.version, routes: newest.routes.length, ...origin});
 	}
--- a/source/suspects/suspicion.ts
+++ b/source/suspects/suspicion.ts
@@ -10,12 +10,12 @@
 	err, ok, type Result,
 } from 'neverthrow';
 import * as z from 'zod';
-import {endpointLifeSchema, type EndpointLife} from '../beliefs/endpoint-list.ts';
+import {endpointIncarnationSchema, type EndpointIncarnation} from '../beliefs/endpoint-list.ts';
 
 /** Lives of endpoints that ended under a request, and how often it was tried since it was refused. */
 export const suspicionSchema = z.object({
 	service: z.string(),
-	ends: z.array(endpointLifeSchema),
+	ends: z.array(endpointIncarnationSchema),
 	/** Trials that were begun, however they ended. */
 	trials: z.number(),
 	/** When an end or a trial was last added. */
@@ -59,7 +59,7 @@
 }
 
 /** Whether two lives are the same. */
-export function isSameLife(one: EndpointLife, other: EndpointLife): boolean {
+export function isSameLife(one: EndpointIncarnation, other: EndpointIncarnation): boolean {
 	return one.id === other.id && one.startedAt === other.startedAt;
 }
 
@@ -72,7 +72,7 @@
  * @param now Present time.
  * @returns What is held now; `before` itself where this end is known already.
  */
-export function addEnd(before: Suspicion | undefined, service: string, life: EndpointLife, now: number): Suspicion {
+export function addEnd(before: Suspicion | undefined, service: string, life: EndpointIncarnation, now: number): Suspicion {
 	if (!before || isForgotten(before, now)) {
 		return {
 			service, ends: [life], trials: 0, changedAt: now,
--- a/source/suspects/unsaved-ends.ts
+++ b/source/suspects/unsaved-ends.ts
@@ -3,10 +3,10 @@
  *
  * @module
  */
-import {type EndpointLife} from '../beliefs/mod.ts';
+import {type EndpointIncarnation} from '../beliefs/mod.ts';
 
 /** The end of an endpoint under a request. */
-export type UnsavedEnd = {digest: string; service: string; life: EndpointLife};
+export type UnsavedEnd = {digest: string; service: string; life: EndpointIncarnation};
 
 type Unsaved = {end: UnsavedEnd; seenAt: number; isOwn: boolean};
 
