--- a/source/admission/admission.ts
+++ b/source/admission/admission.ts
@@ -1,5 +1,5 @@
 /**
- * Decides when a request may start.
+ * Limits the requests that run at the same time and queues the others.
  *
  * @module
  */
@@ -7,67 +7,67 @@
 	err, ok, type Result,
 } from 'neverthrow';
 import {type Refusal} from '../answers/mod.ts';
-import {ServiceAdmission, type Waiting} from './service-admission.ts';
+import {ServiceAdmission, type QueuedRequest} from './service-admission.ts';
 
-/** A request that wants to start. */
+/** A request to be admitted. */
 export type AdmissionRequest = {
 	workspace: string;
-	/** Share of the workspace relative to the others. */
+	/** Weight of the workspace in fair queueing, relative to other workspaces. */
 	weight: number;
 	service: string;
-	/** Tokens of prompt and expected output; 1 for a plain call. */
+	/** Number of prompt tokens and expected output tokens; 1 for a plain call. */
 	tokens: number;
 	/** Digest of workspace, service and body. */
 	requestDigest: string;
-	/** Wall-clock time after which an answer is of no use, in milliseconds. */
+	/** Wall-clock time after which the caller no longer needs the answer, in milliseconds. */
 	deadline: number;
-	/** Whether it continues work that has started; it then goes before new work and is never refused. Default false. */
-	started?: boolean;
+	/** Whether it continues work that has already started; a continuation is admitted at once, ahead of new work. Default false. */
+	isContinuation?: boolean;
 };
 
-/** Leave to start; must be released once the work has ended. */
+/** Capacity granted to an admitted request; must be released when the request has ended. */
 export type Permit = {
-	/** Gives the capacity back. */
+	/** Returns the capacity; further calls have no effect. */
 	release(): void;
 };
 
 /** Options of {@linkcode Admission}. */
 export type AdmissionOptions = {
-	/** Whether requests are held back at all. Default true. */
+	/** Whether admission is limited; if false, every request is admitted at once. Default true. */
 	enabled?: boolean;
-	/** Requests that wait for one service at most. Default 2,000. */
+	/** Maximum number of queued requests for each service. Default 2,000. */
 	queuedRequests?: number;
-	/** Time that a request waits at most, in milliseconds; shorter than the silence after which callers try another entry. Default 2,500. */
+	/** Maximum time in the queue, in milliseconds; shorter than the time without an answer after which callers try another router. Default 2,500. */
 	queueMilliseconds?: number;
-	/** Returns the tokens that may be in progress at a service. Default without limit. */
+	/** Returns the maximum number of tokens in progress at a service. Default unlimited. */
 	capacityOf?: (service: string) => number;
-	/** Returns the refusal of a request that must not run at all. Default none. */
+	/** Returns the refusal of a request that must not run, such as a blocked one. Default none. */
 	refusalOf?: (requestDigest: string, now: number) => Refusal | undefined;
-	/** Returns the wall-clock time, in milliseconds. Default the system's. */
+	/** Returns the wall-clock time, in milliseconds. Default `Date.now`. */
 	wallClock?: () => number;
-	/** Returns a random number from 0 to 1. Default the system's. */
+	/** Returns a random number from 0 to 1. Default `Math.random`. */
 	random?: () => number;
 };
 
-/** Time between two looks at the requests that wait, in milliseconds. */
+/** Interval between two sweeps of the queued requests, in milliseconds. */
 const sweepMilliseconds = 100;
 
 /**
- * Admits requests to services, in fair order over workspaces.
+ * Admits requests to services, with fair queueing between workspaces.
  *
- * The permit names no endpoint: placement spreads admitted work by its own exact counts and passes over full endpoints,
- * while admission bounds the sum over the endpoints that answer. When endpoints are lost, the sum falls below what is in
- * progress, and continuations go on before new work starts.
+ * A permit is not tied to an endpoint: admission limits the total over the available endpoints, while placement
+ * distributes admitted work by its own exact counts and skips full endpoints. When endpoints are lost, the capacity falls
+ * below the tokens in progress; continuations are still admitted, and new requests wait.
  *
  * @example
  * ```ts
- * const permit = await admission.enter(request, Date.now(), signal);
+ * const permit = await admission.acquire(request, Date.now(), signal);
  * ```
  */
 export class Admission {
 	readonly #options: Required<AdmissionOptions>;
 	readonly #services = new Map<string, ServiceAdmission>();
-	#sweeping = false;
+	#sweepScheduled = false;
 
 	constructor(options: AdmissionOptions = {}) {
 		this.#options = {
@@ -83,14 +83,14 @@
 	}
 
 	/**
-	 * Waits until a request may start.
+	 * Waits until a request is admitted.
 	 *
 	 * @param request The request.
 	 * @param now Wall-clock time, in milliseconds.
-	 * @param signal Ends the wait when the caller is gone.
-	 * @returns A permit, or the answer to a request that cannot start in time.
+	 * @param signal Cancels the wait when the caller disconnects.
+	 * @returns A permit, or the refusal of a request that is blocked or cannot start in time.
 	 */
-	async enter(request: AdmissionRequest, now: number, signal: AbortSignal): Promise<Result<Permit, Refusal>> {
+	async acquire(request: AdmissionRequest, now: number, signal: AbortSignal): Promise<Result<Permit, Refusal>> {
 		const refusal = this.#options.refusalOf(request.requestDigest, now);
 		if (refusal) {
 			return err(refusal);
@@ -100,7 +100,7 @@
 			return ok(uncountedPermit);
 		}
 
-		if (request.started) {
+		if (request.isContinuation) {
 			const service = this.#serviceOf(request.service);
 			service.resume(request.tokens, now);
 			return ok(this.#permit(service, request.tokens));
@@ -109,7 +109,7 @@
 		return this.#wait(request, now, signal);
 	}
 
-	/** Requests that wait and tokens in progress, by service. */
+	/** Returns the number of queued requests, the tokens in progress and the capacity of each service. */
 	status(): Array<{service: string; waiting: number; tokensInProgress: number; capacity: number}> {
 		return [...this.#services].map(([service, {waiting, tokensInProgress}]) => ({
 			service, waiting, tokensInProgress, capacity: this.#options.capacityOf(service),
@@ -120,15 +120,15 @@
 		const service = this.#serviceOf(request.service);
 		return new Promise(resolve => {
 			const finish = (outcome: Result<Permit, Refusal>) => {
-				signal.removeEventListener('abort', onAbort);
+				signal.removeEventListener('abort', onDisconnect);
 				resolve(outcome);
 			};
 
-			const waiting: Waiting = {
+			const queued: QueuedRequest = {
 				flow: request.workspace,
 				weight: request.weight,
 				tokens: request.tokens,
-				limitAt: Math.min(request.deadline, now + this.#options.queueMilliseconds),
+				waitDeadline: Math.min(request.deadline, now + this.#options.queueMilliseconds),
 				admit: () => {
 					finish(ok(this.#permit(service, request.tokens)));
 				},
@@ -136,15 +136,15 @@
 					finish(err(refusal));
 				},
 			};
-			const onAbort = () => {
-				if (service.leave(waiting)) {
-					finish(err(callerGone));
+			const onDisconnect = () => {
+				if (service.cancel(queued)) {
+					finish(err(callerDisconnected));
 				}
 			};
 
-			signal.addEventListener('abort', onAbort, {once: true});
-			service.enter(waiting, now);
-			this.#startSweeping();
+			signal.addEventListener('abort', onDisconnect, {once: true});
+			service.submit(queued, now);
+			this.#scheduleSweep();
 		});
 	}
 
@@ -162,38 +162,38 @@
 	}
 
 	#serviceOf(name: string): ServiceAdmission {
-		let service = this.#services.get(name);
-		if (!service) {
-			service = new ServiceAdmission({
+		let admission = this.#services.get(name);
+		if (!admission) {
+			admission = new ServiceAdmission({
 				service: name,
 				queuedRequests: this.#options.queuedRequests,
 				capacity: () => this.#options.capacityOf(name),
 				random: this.#options.random,
 			});
-			this.#services.set(name, service);
+			this.#services.set(name, admission);
 		}
 
-		return service;
+		return admission;
 	}
 
-	/** Looks at the waiting requests again and again while there are any. */
-	#startSweeping(): void {
-		if (this.#sweeping || this.#waiting() === 0) {
+	/** Schedules the next sweep if requests are queued and none is scheduled. */
+	#scheduleSweep(): void {
+		if (this.#sweepScheduled || this.#countWaiting() === 0) {
 			return;
 		}
 
-		this.#sweeping = true;
+		this.#sweepScheduled = true;
 		setTimeout(() => {
-			this.#sweeping = false;
+			this.#sweepScheduled = false;
 			for (const service of this.#services.values()) {
 				service.sweep(this.#options.wallClock());
 			}
 
-			this.#startSweeping();
+			this.#scheduleSweep();
 		}, sweepMilliseconds);
 	}
 
-	#waiting(): number {
+	#countWaiting(): number {
 		let waiting = 0;
 		for (const service of this.#services.values()) {
 			waiting += service.waiting;
@@ -203,14 +203,14 @@
 	}
 }
 
-/** Permit of a router that admits everything. */
+/** Permit of a router whose admission is disabled. */
 const uncountedPermit: Permit = {
 	release() {
-		// Nothing is counted.
+		// No capacity was taken.
 	},
 };
 
-/** Outcome of a request whose caller has gone; nobody reads it. */
-const callerGone: Refusal = {
-	status: 503, code: 'overloaded', message: 'The caller has gone.', run: 'no',
+/** Outcome of a queued request whose caller disconnected; it is not sent to anyone. */
+const callerDisconnected: Refusal = {
+	status: 503, code: 'overloaded', message: 'The caller disconnected.', run: 'no',
 };
--- a/source/admission/fair-queue.test.ts
+++ b/source/admission/fair-queue.test.ts
@@ -10,7 +10,7 @@
 }), {minLength: 1, maxLength: 300});
 const weights = fastCheck.record(Object.fromEntries(flows.map(flow => [flow, fastCheck.integer({min: 1, max: 8})])));
 
-test('flows that both wait get tokens by weight, within one item of each', () => {
+test('backlogged flows get tokens in proportion to their weights, within one item of each', () => {
 	fastCheck.assert(fastCheck.property(pushes, weights, (items, weightOf) => {
 		const queue = new FairQueue<QueuedItem>({capacity: 1000});
 		for (const {flow, tokens} of items) {
@@ -31,24 +31,24 @@
 	}), {seed: 11});
 });
 
-test('a late flow is served before the backlog of a flood', () => {
-	fastCheck.assert(fastCheck.property(fastCheck.integer({min: 10, max: 500}), fastCheck.integer({min: 0, max: 9}), (flood, before) => {
+test('a newly backlogged flow is served before the backlog of a large flow', () => {
+	fastCheck.assert(fastCheck.property(fastCheck.integer({min: 10, max: 500}), fastCheck.integer({min: 0, max: 9}), (burst, servedBefore) => {
 		const queue = new FairQueue<QueuedItem>({capacity: 1000});
-		for (let index = 0; index < flood; index += 1) {
-			queue.push({flow: 'flood', tokens: 100, weight: 1});
+		for (let index = 0; index < burst; index += 1) {
+			queue.push({flow: 'burst', tokens: 100, weight: 1});
 		}
 
-		for (let index = 0; index < before; index += 1) {
+		for (let index = 0; index < servedBefore; index += 1) {
 			queue.shift();
 		}
 
-		queue.push({flow: 'late', tokens: 100, weight: 1});
+		queue.push({flow: 'new', tokens: 100, weight: 1});
 		const next = [queue.shift(), queue.shift()].map(item => item?.flow);
-		assert.ok(next.includes('late'));
+		assert.ok(next.includes('new'));
 	}), {seed: 12});
 });
 
-test('no item starves while others keep coming, and none is lost', () => {
+test('no item starves while others keep arriving, and none is lost', () => {
 	fastCheck.assert(fastCheck.property(pushes, items => {
 		const queue = new FairQueue<QueuedItem>({capacity: 1000});
 		const waiting = items.map(item => ({...item, weight: 1}));
@@ -56,11 +56,11 @@
 			queue.push(item);
 		}
 
-		const patient = {flow: 'patient', tokens: largestTokens, weight: 1};
-		queue.push(patient);
+		const starving = {flow: 'starving', tokens: largestTokens, weight: 1};
+		queue.push(starving);
 		const served = new Map<string, number>();
 		let shifted = 0;
-		for (let next = queue.shift(); next !== patient; next = queue.shift()) {
+		for (let next = queue.shift(); next !== starving; next = queue.shift()) {
 			assert.ok(next);
 			shifted += 1;
 			served.set(next.flow, (served.get(next.flow) ?? 0) + next.tokens);
@@ -73,7 +73,7 @@
 	}), {seed: 13});
 });
 
-test('the length is bounded and only the largest backlog loses items', () => {
+test('the length is bounded and only the flow with the largest backlog loses items', () => {
 	fastCheck.assert(fastCheck.property(pushes, fastCheck.integer({min: 1, max: 50}), (items, capacity) => {
 		const queue = new FairQueue<QueuedItem>({capacity});
 		for (const item of items) {
--- a/source/admission/fair-queue.ts
+++ b/source/admission/fair-queue.ts
@@ -1,14 +1,14 @@
 /**
- * Weighted fair queueing by virtual time: start-time fair queueing over flows, with a bounded length.
+ * Start-time fair queueing (weighted, by virtual time) over flows, with a bounded length.
  *
  * @module
  */
 
-/** An item that waits. */
+/** An item of the queue. */
 export type QueuedItem = {
-	/** Flow that it belongs to, the workspace. */
+	/** Flow that the item belongs to: its workspace. */
 	flow: string;
-	/** Share of the flow relative to the others. */
+	/** Weight of the flow, relative to other flows. */
 	weight: number;
 	/** Size in tokens. */
 	tokens: number;
@@ -16,20 +16,20 @@
 
 /** Options of {@linkcode FairQueue}. */
 export type FairQueueOptions = {
-	/** Items that wait at most. */
+	/** Maximum number of queued items. */
 	capacity: number;
 };
 
 type Flow<Item> = {
 	items: Item[];
-	/** Virtual time at which the next item starts. */
-	start: number;
+	/** Virtual start time of the next item. */
+	virtualStart: number;
 	weight: number;
 	queuedTokens: number;
 };
 
 /**
- * Orders items so that each flow that waits gets its share of tokens, whatever the others ask for.
+ * Orders items so that each backlogged flow gets its share of tokens, however much the other flows request.
  *
  * @example
  * ```ts
@@ -40,7 +40,7 @@
 export class FairQueue<Item extends QueuedItem> {
 	readonly #capacity: number;
 	readonly #flows = new Map<string, Flow<Item>>();
-	readonly #waiting = new Set<Flow<Item>>();
+	readonly #backlogged = new Set<Flow<Item>>();
 	#virtualTime = 0;
 	#size = 0;
 
@@ -48,15 +48,15 @@
 		this.#capacity = options.capacity;
 	}
 
-	/** Items that wait. */
+	/** Number of queued items. */
 	get size(): number {
 		return this.#size;
 	}
 
-	/** Tokens that wait. */
+	/** Number of queued tokens. */
 	get queuedTokens(): number {
 		let tokens = 0;
-		for (const flow of this.#waiting) {
+		for (const flow of this.#backlogged) {
 			tokens += flow.queuedTokens;
 		}
 
@@ -64,26 +64,26 @@
 	}
 
 	/**
-	 * Adds an item; when the queue is full, drops the last item of the flow whose backlog is the largest for its weight.
+	 * Adds an item; when the queue is full, drops the last item of the flow with the largest backlog relative to its weight.
 	 *
 	 * @param item The item.
-	 * @returns The item dropped, which may be the one added.
+	 * @returns The dropped item, which may be the added one.
 	 */
 	push(item: Item): Item | undefined {
 		const flow = this.#flowOf(item);
 		flow.items.push(item);
 		flow.queuedTokens += item.tokens;
-		this.#waiting.add(flow);
+		this.#backlogged.add(flow);
 		this.#size += 1;
-		return this.#size > this.#capacity ? this.#dropLongest() : undefined;
+		return this.#size > this.#capacity ? this.#dropFromLargestBacklog() : undefined;
 	}
 
-	/** Returns the item that starts next, without removing it. */
+	/** Returns the next item, without removing it. */
 	peek(): Item | undefined {
 		return this.#nextFlow()?.items[0];
 	}
 
-	/** Removes the item that starts next and charges its flow. */
+	/** Removes the next item, charges its tokens to its flow and returns it. */
 	shift(): Item | undefined {
 		const flow = this.#nextFlow();
 		const item = flow?.items[0];
@@ -91,13 +91,13 @@
 			return undefined;
 		}
 
-		this.#virtualTime = Math.max(this.#virtualTime, flow.start);
-		flow.start += item.tokens / flow.weight;
-		this.#take(flow, 0);
+		this.#virtualTime = Math.max(this.#virtualTime, flow.virtualStart);
+		flow.virtualStart += item.tokens / flow.weight;
+		this.#removeAt(flow, 0);
 		return item;
 	}
 
-	/** Removes an item that no longer waits; its flow is not charged. */
+	/** Removes an item without charging its flow; returns whether it was queued. */
 	remove(item: Item): boolean {
 		const flow = this.#flows.get(item.flow);
 		const position = flow?.items.indexOf(item) ?? -1;
@@ -105,41 +105,41 @@
 			return false;
 		}
 
-		this.#take(flow, position);
+		this.#removeAt(flow, position);
 		return true;
 	}
 
-	/** Returns the last item of each flow that waits. */
+	/** Returns the last item of each backlogged flow. */
 	tails(): Item[] {
-		return [...this.#waiting].map(flow => flow.items.at(-1)!);
+		return [...this.#backlogged].map(flow => flow.items.at(-1)!);
 	}
 
-	/** Returns every item that waits. */
+	/** Returns all queued items. */
 	items(): Item[] {
-		return [...this.#waiting].flatMap(flow => flow.items);
+		return [...this.#backlogged].flatMap(flow => flow.items);
 	}
 
 	/**
-	 * Estimates the tokens that start before the last item of a flow, or before a new one when `own` is its whole backlog.
+	 * Estimates the tokens that start before the last item of a flow, or before a new item when `ownTokens` is its whole backlog.
 	 *
 	 * @param name Name of the flow.
 	 * @param weight Weight of the flow.
-	 * @param own Tokens of the flow itself that start before.
+	 * @param ownTokens Tokens of the flow itself that start before the item.
 	 */
-	tokensAhead(name: string, weight: number, own: number): number {
+	tokensAhead(name: string, weight: number, ownTokens: number): number {
 		const flow = this.#flows.get(name);
-		const start = Math.max(this.#virtualTime, flow?.start ?? 0) + (own / weight);
-		let tokens = own;
-		for (const other of this.#waiting) {
+		const start = Math.max(this.#virtualTime, flow?.virtualStart ?? 0) + (ownTokens / weight);
+		let tokens = ownTokens;
+		for (const other of this.#backlogged) {
 			if (other !== flow) {
-				tokens += Math.min(other.queuedTokens, Math.max(0, start - other.start) * other.weight);
+				tokens += Math.min(other.queuedTokens, Math.max(0, start - other.virtualStart) * other.weight);
 			}
 		}
 
 		return tokens;
 	}
 
-	/** Tokens of a flow that wait. */
+	/** Returns the queued tokens of a flow. */
 	backlogOf(name: string): number {
 		return this.#flows.get(name)?.queuedTokens ?? 0;
 	}
@@ -148,14 +148,14 @@
 		let flow = this.#flows.get(item.flow);
 		if (!flow) {
 			flow = {
-				items: [], start: 0, weight: item.weight, queuedTokens: 0,
+				items: [], virtualStart: 0, weight: item.weight, queuedTokens: 0,
 			};
 			this.#flows.set(item.flow, flow);
 		}
 
 		flow.weight = item.weight;
 		if (flow.items.length === 0) {
-			flow.start = Math.max(flow.start, this.#virtualTime);
+			flow.virtualStart = Math.max(flow.virtualStart, this.#virtualTime);
 		}
 
 		return flow;
@@ -163,8 +163,8 @@
 
 	#nextFlow(): Flow<Item> | undefined {
 		let next: Flow<Item> | undefined;
-		for (const flow of this.#waiting) {
-			if (next === undefined || flow.start < next.start) {
+		for (const flow of this.#backlogged) {
+			if (next === undefined || flow.virtualStart < next.virtualStart) {
 				next = flow;
 			}
 		}
@@ -172,23 +172,23 @@
 		return next;
 	}
 
-	#dropLongest(): Item {
-		let longest: Flow<Item> | undefined;
-		for (const flow of this.#waiting) {
-			if (longest === undefined || flow.queuedTokens / flow.weight > longest.queuedTokens / longest.weight) {
-				longest = flow;
+	#dropFromLargestBacklog(): Item {
+		let largest: Flow<Item> | undefined;
+		for (const flow of this.#backlogged) {
+			if (largest === undefined || flow.queuedTokens / flow.weight > largest.queuedTokens / largest.weight) {
+				largest = flow;
 			}
 		}
 
-		return this.#take(longest!, longest!.items.length - 1);
+		return this.#removeAt(largest!, largest!.items.length - 1);
 	}
 
-	#take(flow: Flow<Item>, position: number): Item {
+	#removeAt(flow: Flow<Item>, position: number): Item {
 		const [item] = flow.items.splice(position, 1);
 		flow.queuedTokens -= item!.tokens;
 		this.#size -= 1;
 		if (flow.items.length === 0) {
-			this.#waiting.delete(flow);
+			this.#backlogged.delete(flow);
 		}
 
 		return item!;
--- a/source/admission/hold-time.ts
+++ b/source/admission/hold-time.ts
@@ -1,37 +1,37 @@
 /**
- * How long admitted work holds its tokens, from which the drain rate of a service follows.
+ * Measures how long admitted requests hold their tokens, to derive the drain rate of a service.
  *
  * @module
  */
 
-/** Weight of a new measurement in the mean, for each share of the capacity that it held. */
-const learningRate = 0.1;
+/** Weight of a new measurement in the exponential moving average. */
+const smoothingFactor = 0.1;
 
 /**
- * Estimates the tokens that a service gives back in a second: by Little's law, tokens in progress over the time they are held.
+ * Estimates the tokens that a service releases in a second: by Little's law, the tokens in progress divided by their hold time.
  *
  * @example
  * ```ts
- * holdTime.released(heldMilliseconds);
+ * holdTime.record(heldMilliseconds);
  * const perSecond = holdTime.drainRate(tokensInProgress);
  * ```
  */
 export class HoldTime {
 	#meanMilliseconds: number | undefined;
 
-	/** Learns from work that has ended, by the time for which it held its tokens, in milliseconds. */
-	released(milliseconds: number): void {
+	/** Records how long a request that has ended held its tokens, in milliseconds. */
+	record(milliseconds: number): void {
 		this.#meanMilliseconds = this.#meanMilliseconds === undefined
 			? milliseconds
-			: this.#meanMilliseconds + (learningRate * (milliseconds - this.#meanMilliseconds));
+			: this.#meanMilliseconds + (smoothingFactor * (milliseconds - this.#meanMilliseconds));
 	}
 
 	/**
-	 * Returns the tokens that start in a second while the service is full.
+	 * Returns the tokens that a full service releases in a second, which is the rate at which queued requests start.
 	 *
-	 * @param capacity Tokens that may be in progress.
-	 * @param meanAge Mean age of the work in progress, in milliseconds; it counts when work has stalled.
-	 * @returns Tokens a second; infinite before the first measurement, 0 without capacity.
+	 * @param capacity Maximum number of tokens in progress.
+	 * @param meanAge Mean age of the requests in progress, in milliseconds; replaces the mean hold time when it is longer, as when requests stall.
+	 * @returns Tokens per second; infinite before the first measurement, 0 without capacity.
 	 */
 	drainRate(capacity: number, meanAge: number): number {
 		if (capacity <= 0) {
--- a/source/admission/retry-budget.ts
+++ b/source/admission/retry-budget.ts
@@ -1,31 +1,31 @@
 /**
- * A budget of retries, as a share of first attempts.
+ * Limits retries to a ratio of first attempts.
  *
  * @module
  */
 
 /** Options of {@linkcode RetryBudget}. */
 export type RetryBudgetOptions = {
-	/** Retries allowed for each first attempt. Default 0.2. */
-	share?: number;
-	/** Retries that can be saved up. Default 50. */
-	largest?: number;
-	/** Retries allowed in a second whatever the number of first attempts. Default 1. */
+	/** Retries added to the budget by each first attempt. Default 0.2. */
+	ratio?: number;
+	/** Maximum number of available retries, also the initial number. Default 50. */
+	capacity?: number;
+	/** Retries added to the budget each second, whatever the number of first attempts. Default 1. */
 	perSecond?: number;
 };
 
-/** Delay of a first retry beyond the budget, in milliseconds; it doubles with each further one. */
-const firstDelayMilliseconds = 100;
+/** Base of the exponential back-off of retries, in milliseconds; doubles with each retry. */
+const initialDelayMilliseconds = 100;
 
-/** Longest delay of a retry, in milliseconds. */
-const longestDelayMilliseconds = 2000;
+/** Maximum delay of a retry, in milliseconds. */
+const maximumDelayMilliseconds = 2000;
 
 /**
- * Allows retries while they are few beside first attempts, so that a fault is not answered by a storm of them.
+ * Allows retries while they are few relative to first attempts, which prevents retry storms during a fault.
  *
  * @example
  * ```ts
- * budget.firstAttempt();
+ * budget.recordFirstAttempt();
  * if (!budget.take(now)) {
  * 	await pause(retryDelay(attempt, random()));
  * }
@@ -38,18 +38,18 @@
 
 	constructor(options: RetryBudgetOptions = {}) {
 		this.#options = {
-			share: 0.2, largest: 50, perSecond: 1, ...options,
+			ratio: 0.2, capacity: 50, perSecond: 1, ...options,
 		};
-		this.#available = this.#options.largest;
+		this.#available = this.#options.capacity;
 	}
 
-	/** Records a first attempt. */
-	firstAttempt(): void {
-		this.#add(this.#options.share);
+	/** Records a first attempt, which adds to the budget. */
+	recordFirstAttempt(): void {
+		this.#add(this.#options.ratio);
 	}
 
 	/**
-	 * Takes one retry from the budget.
+	 * Takes one retry from the budget, if available.
 	 *
 	 * @param now Monotonic time, in milliseconds.
 	 * @returns Whether the retry may be made now.
@@ -66,22 +66,22 @@
 	}
 
 	#add(retries: number): void {
-		this.#available = Math.min(this.#options.largest, this.#available + retries);
+		this.#available = Math.min(this.#options.capacity, this.#available + retries);
 	}
 }
 
 /**
- * Returns the jittered delay of a retry.
+ * Returns the delay of a retry: exponential back-off with jitter.
  *
- * @param retry Number of the retry, from 1.
+ * @param retryNumber Number of the retry, from 1.
  * @param random Random number from 0 to 1.
- * @returns Milliseconds.
+ * @returns Delay, in milliseconds.
  * @example
  * ```ts
  * await pause(retryDelay(2, Math.random()));
  * ```
  */
-export function retryDelay(retry: number, random: number): number {
-	const longest = Math.min(firstDelayMilliseconds * (2 ** Math.min(retry, 16)), longestDelayMilliseconds);
-	return longest * (0.5 + (random / 2));
+export function retryDelay(retryNumber: number, random: number): number {
+	const maximum = Math.min(initialDelayMilliseconds * (2 ** Math.min(retryNumber, 16)), maximumDelayMilliseconds);
+	return maximum * (0.5 + (random / 2));
 }
--- a/source/admission/service-admission.test.ts
+++ b/source/admission/service-admission.test.ts
@@ -3,9 +3,9 @@
 import fastCheck from 'fast-check';
 import {type Refusal} from '../answers/mod.ts';
 import {RetryBudget, retryDelay} from './retry-budget.ts';
-import {ServiceAdmission, type Waiting} from './service-admission.ts';
+import {ServiceAdmission, type QueuedRequest} from './service-admission.ts';
 
-type Asked = {waiting: Waiting; state: 'waiting' | 'admitted' | 'refused'; at: number; refusal?: Refusal};
+type SubmittedRequest = {queued: QueuedRequest; state: 'waiting' | 'admitted' | 'refused'; at: number; refusal?: Refusal};
 
 function createService(capacity: () => number, queuedRequests = 100) {
 	let now = 0;
@@ -17,58 +17,58 @@
 		advance(milliseconds: number) {
 			now += milliseconds;
 		},
-		release(asked: Asked) {
-			service.release(asked.waiting.tokens, asked.at, now);
+		release(submitted: SubmittedRequest) {
+			service.release(submitted.queued.tokens, submitted.at, now);
 		},
 		sweep() {
 			service.sweep(now);
 		},
-		ask(flow: string, tokens: number, patience: number): Asked {
-			const asked: Asked = {
+		submit(flow: string, tokens: number, maximumWait: number): SubmittedRequest {
+			const submitted: SubmittedRequest = {
 				state: 'waiting',
 				at: now,
-				waiting: {
-					flow, tokens, weight: 1, limitAt: now + patience,
+				queued: {
+					flow, tokens, weight: 1, waitDeadline: now + maximumWait,
 					admit() {
-						asked.state = 'admitted';
-						asked.at = now;
+						submitted.state = 'admitted';
+						submitted.at = now;
 					},
 					refuse(refusal) {
-						asked.state = 'refused';
-						asked.at = now;
-						asked.refusal = refusal;
+						submitted.state = 'refused';
+						submitted.at = now;
+						submitted.refusal = refusal;
 					},
 				},
 			};
-			service.enter(asked.waiting, now);
-			return asked;
+			service.submit(submitted.queued, now);
+			return submitted;
 		},
 	};
 }
 
-test('a request that cannot start in time is answered at arrival, with the time to come back', () => {
-	const {ask, advance, release} = createService(() => 1000);
-	const first = ask('a', 1000, 60_000);
+test('a request that cannot start in time is refused on arrival, with a Retry-After value', () => {
+	const {submit, advance, release} = createService(() => 1000);
+	const first = submit('a', 1000, 60_000);
 	advance(10_000);
 	release(first);
-	ask('a', 1000, 60_000);
-	const patient = ask('a', 1000, 30_000);
-	const impatient = ask('a', 1000, 5000);
-	assert.equal(patient.state, 'waiting');
-	assert.equal(impatient.state, 'refused');
-	assert.equal(impatient.refusal?.run, 'no');
-	assert.equal(impatient.refusal?.code, 'overloaded');
-	assert.ok(impatient.refusal.retryAfterSeconds! >= 5 && impatient.refusal.retryAfterSeconds! <= 40);
+	submit('a', 1000, 60_000);
+	const tolerant = submit('a', 1000, 30_000);
+	const urgent = submit('a', 1000, 5000);
+	assert.equal(tolerant.state, 'waiting');
+	assert.equal(urgent.state, 'refused');
+	assert.equal(urgent.refusal?.run, 'no');
+	assert.equal(urgent.refusal?.code, 'overloaded');
+	assert.ok(urgent.refusal.retryAfterSeconds! >= 5 && urgent.refusal.retryAfterSeconds! <= 40);
 });
 
-test('a request that waits is answered as soon as it is known not to start in time', () => {
+test('a queued request is refused as soon as it is known that it cannot start in time', () => {
 	let capacity = 1000;
-	const {ask, advance, release, sweep} = createService(() => capacity);
-	const first = ask('a', 1000, 60_000);
+	const {submit, advance, release, sweep} = createService(() => capacity);
+	const first = submit('a', 1000, 60_000);
 	advance(1000);
 	release(first);
-	ask('a', 900, 60_000);
-	const waiting = ask('b', 900, 20_000);
+	submit('a', 900, 60_000);
+	const waiting = submit('b', 900, 20_000);
 	assert.equal(waiting.state, 'waiting');
 	capacity = 0;
 	sweep();
@@ -78,25 +78,25 @@
 	assert.equal(waiting.refusal?.code, 'no_endpoint');
 });
 
-test('tokens in progress stay within the capacity, all are given back, and each request has one outcome', () => {
+test('tokens in progress stay within the capacity, all are released, and each request has one outcome', () => {
 	const steps = fastCheck.array(fastCheck.record({
-		kind: fastCheck.constantFrom('ask', 'ask', 'release', 'sweep'),
+		kind: fastCheck.constantFrom('submit', 'submit', 'release', 'sweep'),
 		flow: fastCheck.constantFrom('a', 'b', 'c'),
 		tokens: fastCheck.integer({min: 1, max: 700}),
-		patience: fastCheck.integer({min: 0, max: 20_000}),
+		maximumWait: fastCheck.integer({min: 0, max: 20_000}),
 	}), {maxLength: 200});
 	fastCheck.assert(fastCheck.property(steps, sequence => {
-		const {service, ask, advance, release, sweep} = createService(() => 1000, 20);
-		const all: Asked[] = [];
-		const running: Asked[] = [];
-		for (const {kind, flow, tokens, patience} of sequence) {
+		const {service, submit, advance, release, sweep} = createService(() => 1000, 20);
+		const all: SubmittedRequest[] = [];
+		const released: SubmittedRequest[] = [];
+		for (const {kind, flow, tokens, maximumWait} of sequence) {
 			advance(100);
-			if (kind === 'ask') {
-				all.push(ask(flow, tokens, patience));
+			if (kind === 'submit') {
+				all.push(submit(flow, tokens, maximumWait));
 			} else if (kind === 'release') {
-				const done = all.find(asked => asked.state === 'admitted' && !running.includes(asked));
+				const done = all.find(entry => entry.state === 'admitted' && !released.includes(entry));
 				if (done) {
-					running.push(done);
+					released.push(done);
 					release(done);
 				}
 			} else {
@@ -108,8 +108,8 @@
 			assert.equal(service.waiting, all.filter(({state}) => state === 'waiting').length);
 		}
 
-		for (let next = all.find(asked => asked.state === 'admitted' && !running.includes(asked)); next; next = all.find(asked => asked.state === 'admitted' && !running.includes(asked))) {
-			running.push(next);
+		for (let next = all.find(entry => entry.state === 'admitted' && !released.includes(entry)); next; next = all.find(entry => entry.state === 'admitted' && !released.includes(entry))) {
+			released.push(next);
 			release(next);
 		}
 
@@ -118,11 +118,11 @@
 	}), {seed: 21});
 });
 
-test('retries stay a share of first attempts and their delays are spread', () => {
-	const budget = new RetryBudget({share: 0.2, largest: 10, perSecond: 0});
+test('retries stay within their ratio of first attempts and their delays have jitter', () => {
+	const budget = new RetryBudget({ratio: 0.2, capacity: 10, perSecond: 0});
 	let retries = 0;
 	for (let index = 0; index < 1000; index += 1) {
-		budget.firstAttempt();
+		budget.recordFirstAttempt();
 		retries += Number(budget.take(index));
 	}
 
--- a/source/admission/service-admission.ts
+++ b/source/admission/service-admission.ts
@@ -1,5 +1,5 @@
 /**
- * Admission to one service at one router: the fair queue, the tokens in progress and the answers to those who cannot start in time.
+ * Admission to one service at one router: the fair queue, the tokens in progress and the refusal of requests that cannot start in time.
  *
  * @module
  */
@@ -7,46 +7,46 @@
 import {FairQueue, type QueuedItem} from './fair-queue.ts';
 import {HoldTime} from './hold-time.ts';
 
-/** A request that waits for its start. */
-export type Waiting = QueuedItem & {
-	/** Wall-clock time after which it must not wait any longer, in milliseconds. */
-	limitAt: number;
-	/** Starts the request. */
+/** A request to be admitted to a service. */
+export type QueuedRequest = QueuedItem & {
+	/** Wall-clock time by which the request must start or be refused, in milliseconds. */
+	waitDeadline: number;
+	/** Called when the request is admitted. */
 	admit: () => void;
-	/** Answers the request without running it. */
+	/** Called when the request is refused without having run. */
 	refuse: (refusal: Refusal) => void;
 };
 
 /** Options of {@linkcode ServiceAdmission}. */
 export type ServiceAdmissionOptions = {
 	service: string;
-	/** Requests that wait at most. */
+	/** Maximum number of queued requests. */
 	queuedRequests: number;
-	/** Returns the tokens that may be in progress. */
+	/** Returns the maximum number of tokens in progress. */
 	capacity: () => number;
 	/** Returns a random number from 0 to 1. */
 	random: () => number;
 };
 
-/** Factor by which an estimate must exceed the time left before a request that already waits is answered. */
-const waitingTolerance = 1.25;
+/** Factor by which the predicted wait of a queued request must exceed its remaining time before the request is refused early. */
+const queuedWaitTolerance = 1.25;
 
-/** Time without any capacity for which requests wait all the same, in milliseconds. */
-const noCapacityMilliseconds = 3000;
+/** Time without any capacity during which requests are still queued, in milliseconds. */
+const noCapacityToleranceMilliseconds = 3000;
 
-/** Bounds of the time after which a refused caller may come back, in seconds. */
-const retryAfterSeconds = {least: 1, most: 30};
+/** Bounds of the Retry-After value of a refusal, in seconds. */
+const retryAfterSeconds = {minimum: 1, maximum: 30};
 
-/** Admits requests in fair order while tokens are left, and answers at once those that cannot start in time. */
+/** Admits requests in fair order while capacity is available, and refuses those that cannot start in time as soon as this is known. */
 export class ServiceAdmission {
 	readonly #options: ServiceAdmissionOptions;
-	readonly #queue: FairQueue<Waiting>;
+	readonly #queue: FairQueue<QueuedRequest>;
 	readonly #holdTime = new HoldTime();
 	#tokensInProgress = 0;
-	/** Sum of tokens times start time, from which the mean age follows. */
+	/** Sum of tokens times start time over the admitted requests, used to compute their mean age. */
 	#startedTokenTime = 0;
 	#withoutCapacitySince: number | undefined;
-	/** Tokens of refused requests whose callers have been told to come back, less what has drained since. */
+	/** Tokens of refused requests that callers are expected to retry, less what has drained since, and the time of the last change. */
 	#deferred = {tokens: 0, at: 0};
 
 	constructor(options: ServiceAdmissionOptions) {
@@ -54,28 +54,28 @@
 		this.#queue = new FairQueue({capacity: options.queuedRequests});
 	}
 
-	/** Requests that wait. */
+	/** Number of queued requests. */
 	get waiting(): number {
 		return this.#queue.size;
 	}
 
-	/** Tokens of admitted requests. */
+	/** Number of tokens of admitted requests. */
 	get tokensInProgress(): number {
 		return this.#tokensInProgress;
 	}
 
 	/**
-	 * Takes a request: it starts, waits or is refused.
+	 * Admits, queues or refuses a request.
 	 *
 	 * @param request The request.
 	 * @param now Wall-clock time, in milliseconds.
 	 */
-	enter(request: Waiting, now: number): void {
-		this.#noteCapacity(now);
-		const ahead = this.#queue.tokensAhead(request.flow, request.weight, this.#queue.backlogOf(request.flow));
-		const wait = this.#predictedWait(ahead + request.tokens, now);
-		if (wait > request.limitAt - now) {
-			request.refuse(this.#refusal(wait - (request.limitAt - now), request.tokens, now));
+	submit(request: QueuedRequest, now: number): void {
+		this.#observeCapacity(now);
+		const tokensAhead = this.#queue.tokensAhead(request.flow, request.weight, this.#queue.backlogOf(request.flow));
+		const wait = this.#predictedWait(tokensAhead + request.tokens, now);
+		if (wait > request.waitDeadline - now) {
+			request.refuse(this.#refusal(wait - (request.waitDeadline - now), request.tokens, now));
 			return;
 		}
 
@@ -84,18 +84,18 @@
 			dropped.refuse(this.#refusal(wait, dropped.tokens, now));
 		}
 
-		this.pump(now);
+		this.admitQueued(now);
 	}
 
-	/** Counts work that has started elsewhere and goes on here, whether or not there is room; new work waits until there is. */
+	/** Counts work that has started already and continues, even beyond the capacity; new requests wait until there is capacity. */
 	resume(tokens: number, now: number): void {
 		this.#tokensInProgress += tokens;
 		this.#startedTokenTime += tokens * now;
 	}
 
-	/** Starts as many requests as there is room for. */
-	pump(now: number): void {
-		const capacity = this.#noteCapacity(now);
+	/** Admits queued requests as long as they fit. */
+	admitQueued(now: number): void {
+		const capacity = this.#observeCapacity(now);
 		for (let next = this.#queue.peek(); next && this.#fits(next, capacity); next = this.#queue.peek()) {
 			this.#queue.shift();
 			this.#tokensInProgress += next.tokens;
@@ -104,70 +104,70 @@
 		}
 	}
 
-	/** Answers every request whose time has passed or that is now known not to start in time. */
+	/** Refuses queued requests whose deadline has passed or whose predicted wait exceeds it. */
 	sweep(now: number): void {
-		this.pump(now);
+		this.admitQueued(now);
 		for (const request of this.#queue.items()) {
-			if (now >= request.limitAt) {
+			if (now >= request.waitDeadline) {
 				this.#queue.remove(request);
 				request.refuse(this.#refusal(this.#predictedWait(this.#queue.queuedTokens, now), request.tokens, now));
 			}
 		}
 
-		for (let hopeless = this.#hopeless(now); hopeless.length > 0; hopeless = this.#hopeless(now)) {
-			for (const request of hopeless) {
-				const wait = this.#waitOfLast(request, now);
+		for (let late = this.#lateTails(now); late.length > 0; late = this.#lateTails(now)) {
+			for (const request of late) {
+				const wait = this.#predictedWaitOfTail(request, now);
 				this.#queue.remove(request);
-				request.refuse(this.#refusal(wait - (request.limitAt - now), request.tokens, now));
+				request.refuse(this.#refusal(wait - (request.waitDeadline - now), request.tokens, now));
 			}
 		}
 	}
 
-	/** Forgets a request whose caller has gone; returns whether it still waited. */
-	leave(request: Waiting): boolean {
+	/** Removes a request whose caller disconnected; returns whether it was still queued. */
+	cancel(request: QueuedRequest): boolean {
 		return this.#queue.remove(request);
 	}
 
-	/** Gives back the tokens of a request that has ended. */
+	/** Releases the tokens of a request that has ended. */
 	release(tokens: number, startedAt: number, now: number): void {
 		this.#tokensInProgress -= tokens;
 		this.#startedTokenTime -= tokens * startedAt;
-		this.#holdTime.released(now - startedAt);
-		this.pump(now);
+		this.#holdTime.record(now - startedAt);
+		this.admitQueued(now);
 	}
 
-	/** The last requests of their workspaces that will not start in time; those before them may. */
-	#hopeless(now: number): Waiting[] {
-		return this.#queue.tails().filter(request => this.#waitOfLast(request, now) > waitingTolerance * (request.limitAt - now));
+	/** Returns the last requests of each workspace that will not start in time; the requests before them still may. */
+	#lateTails(now: number): QueuedRequest[] {
+		return this.#queue.tails().filter(request => this.#predictedWaitOfTail(request, now) > queuedWaitTolerance * (request.waitDeadline - now));
 	}
 
-	#waitOfLast(request: Waiting, now: number): number {
-		const own = this.#queue.backlogOf(request.flow) - request.tokens;
-		return this.#predictedWait(this.#queue.tokensAhead(request.flow, request.weight, own) + request.tokens, now);
+	#predictedWaitOfTail(request: QueuedRequest, now: number): number {
+		const ownTokens = this.#queue.backlogOf(request.flow) - request.tokens;
+		return this.#predictedWait(this.#queue.tokensAhead(request.flow, request.weight, ownTokens) + request.tokens, now);
 	}
 
-	#fits(request: Waiting, capacity: number): boolean {
+	#fits(request: QueuedRequest, capacity: number): boolean {
 		return capacity > 0 && (this.#tokensInProgress === 0 || this.#tokensInProgress + request.tokens <= capacity);
 	}
 
-	/** Time until a number of tokens has room, in milliseconds. */
+	/** Returns the predicted time until a number of tokens fits into the capacity, in milliseconds. */
 	#predictedWait(tokens: number, now: number): number {
 		const capacity = this.#options.capacity();
-		const missing = Math.min(tokens, tokens + this.#tokensInProgress - capacity);
+		const excessTokens = Math.min(tokens, tokens + this.#tokensInProgress - capacity);
 		if (capacity <= 0) {
 			const since = this.#withoutCapacitySince ?? now;
-			return now - since > noCapacityMilliseconds ? Number.POSITIVE_INFINITY : 0;
+			return now - since > noCapacityToleranceMilliseconds ? Number.POSITIVE_INFINITY : 0;
 		}
 
-		if (missing <= 0 || this.#tokensInProgress === 0) {
+		if (excessTokens <= 0 || this.#tokensInProgress === 0) {
 			return 0;
 		}
 
 		const meanAge = now - (this.#startedTokenTime / this.#tokensInProgress);
-		return missing / this.#holdTime.drainRate(capacity, meanAge) * 1000;
+		return excessTokens / this.#holdTime.drainRate(capacity, meanAge) * 1000;
 	}
 
-	#noteCapacity(now: number): number {
+	#observeCapacity(now: number): number {
 		const capacity = this.#options.capacity();
 		if (capacity > 0) {
 			this.#withoutCapacitySince = undefined;
@@ -178,8 +178,8 @@
 		return capacity;
 	}
 
-	/** Time after which the callers told to come back, this one included, have been served, in milliseconds. */
-	#deferredWait(tokens: number, now: number): number {
+	/** Returns the predicted time until the expected retries of refused requests, this one included, are served, in milliseconds. */
+	#predictedDeferredWait(tokens: number, now: number): number {
 		const capacity = this.#options.capacity();
 		const meanAge = this.#tokensInProgress > 0 ? now - (this.#startedTokenTime / this.#tokensInProgress) : 0;
 		const rate = this.#holdTime.drainRate(capacity, meanAge);
@@ -192,19 +192,19 @@
 		return this.#deferred.tokens / rate * 1000;
 	}
 
-	#refusal(missingMilliseconds: number, tokens: number, now: number): Refusal {
+	#refusal(excessMilliseconds: number, tokens: number, now: number): Refusal {
 		const jitter = 1 + (this.#options.random() / 2);
-		const milliseconds = missingMilliseconds + this.#deferredWait(tokens, now);
-		const seconds = Math.min(Math.max(milliseconds / 1000, retryAfterSeconds.least) * jitter, retryAfterSeconds.most);
-		const empty = this.#withoutCapacitySince !== undefined;
+		const milliseconds = excessMilliseconds + this.#predictedDeferredWait(tokens, now);
+		const seconds = Math.min(Math.max(milliseconds / 1000, retryAfterSeconds.minimum) * jitter, retryAfterSeconds.maximum);
+		const isWithoutCapacity = this.#withoutCapacitySince !== undefined;
 		return {
 			status: 503,
-			code: empty ? 'no_endpoint' : 'overloaded',
-			message: empty
+			code: isWithoutCapacity ? 'no_endpoint' : 'overloaded',
+			message: isWithoutCapacity
 				? `No endpoint of "${this.#options.service}" answers now.`
 				: `"${this.#options.service}" cannot start the request in time.`,
 			run: 'no',
-			retryAfterSeconds: empty ? retryAfterSeconds.least * 5 * jitter : seconds,
+			retryAfterSeconds: isWithoutCapacity ? retryAfterSeconds.minimum * 5 * jitter : seconds,
 		};
 	}
 }
--- a/source/admission/suspects/_suspect.ts
+++ b/source/admission/suspects/_suspect.ts
@@ -1,36 +1,38 @@
 /**
- * What is held against one request.
+ * Crashes counted against one request, and the rules of evidence.
  *
  * @module
  */
-import {type Death, type Run} from './deaths.ts';
+import {type Crash, type Run} from './crashes.ts';
 
-/** A request that ran on endpoints when they died. */
+/** A request that was running on endpoints when they crashed. */
 export type Suspect = {
-	deaths: Death[];
-	/** Deaths that the request has gone on from by enough tokens, which a request that kills at one point of its text cannot. */
-	passed: Set<Death>;
+	crashes: Crash[];
+	/** Crashes after which the request produced enough tokens elsewhere; a request that causes a crash at a fixed point of its text cannot do so. */
+	progressedPast: Set<Crash>;
 	expiresAt: number;
+	/** Whether the request has produced enough tokens since its last crash to share its endpoint with others. */
 	released: boolean;
-	convictAt: number | undefined;
+	/** Wall-clock time of a pending decision to block the request, in milliseconds. */
+	blockAt: number | undefined;
 };
 
-/** Deaths within the time of suspicion that convict a request although it went on in between. */
-const mostDeaths = 4;
+/** Crashes within the suspicion period that block a request even if it progressed in between. */
+const crashesToBlock = 4;
 
-/** Returns the digest that all runs share, if there is just one. */
-export function loneOf(runs: Run[]): string | undefined {
+/** Returns the digest shared by all runs, or nothing if the digests differ or there is no run. */
+export function onlyDigestOf(runs: Run[]): string | undefined {
 	const digests = new Set(runs.map(({digest}) => digest));
 	return digests.size === 1 ? runs[0]!.digest : undefined;
 }
 
-/** Returns the deaths that are held against a request. */
-export function standing(suspect: Suspect): Death[] {
-	return suspect.deaths.filter(({common}) => !common);
+/** Returns the crashes counted against a request: those without a correlated failure. */
+export function countedCrashes(suspect: Suspect): Crash[] {
+	return suspect.crashes.filter(({correlated}) => !correlated);
 }
 
-/** Whether a request's deaths are too many for chance: two that it never went on from, or several in all. */
-export function isConvincing(suspect: Suspect): boolean {
-	const deaths = standing(suspect);
-	return deaths.length >= mostDeaths || deaths.filter(death => !suspect.passed.has(death)).length >= 2;
+/** Whether the crashes are too many for a coincidence: two without progress since, or several in total. */
+export function hasEnoughEvidence(suspect: Suspect): boolean {
+	const crashes = countedCrashes(suspect);
+	return crashes.length >= crashesToBlock || crashes.filter(crash => !suspect.progressedPast.has(crash)).length >= 2;
 }
--- a/source/admission/suspects/refused-requests.ts
+++ b/source/admission/suspects/blocked-requests.ts
@@ -1,5 +1,5 @@
 /**
- * The small table of convicted requests, which every router reads.
+ * The table of blocked requests, which every router reads.
  *
  * @module
  */
@@ -16,14 +16,14 @@
 
 const rowSchema = z.object({expiresAt: z.number()});
 
-/** Rows read at once; convictions are rare and expire. */
-const longestList = 1000;
+/** Maximum number of rows read at once; blocked requests are rare and expire. */
+const listLimit = 1000;
 
-/** Share of the reads after which a router removes the expired rows that it saw. */
-const removalShare = 0.02;
+/** Probability that a router removes the expired rows after a read. */
+const removalProbability = 0.02;
 
-/** Options of {@linkcode RefusedRequests}. */
-export type RefusedRequestsOptions = {
+/** Options of {@linkcode BlockedRequests}. */
+export type BlockedRequestsOptions = {
 	platform: Pick<PlatformClient, 'transact' | 'read' | 'list'>;
 	suspects: Suspects;
 	logger: Logger;
@@ -36,40 +36,40 @@
 };
 
 /**
- * Writes convictions to the table and learns those of others from it.
+ * Writes blocked requests to the table and reads those of other routers from it.
  *
- * While the table cannot be reached, a conviction holds at this router and is written later.
+ * While the table is unavailable, a request is blocked at this router only and written later.
  *
  * @example
  * ```ts
- * await refused.save(digest, expiresAt);
- * supervisor.start('refused', signal => refused.follow(signal));
+ * await blockedRequests.save(digest, expiresAt);
+ * supervisor.start('refused', signal => blockedRequests.follow(signal));
  * ```
  */
-export class RefusedRequests {
-	readonly #options: RefusedRequestsOptions;
+export class BlockedRequests {
+	readonly #options: BlockedRequestsOptions;
 	readonly #unsaved = new Map<string, number>();
 
-	constructor(options: RefusedRequestsOptions) {
+	constructor(options: BlockedRequestsOptions) {
 		this.#options = options;
 	}
 
-	/** Writes a conviction; the following reads write it again until it is known to be there. */
+	/** Writes a blocked request; if that fails, {@linkcode BlockedRequests.follow} retries before each read. */
 	async save(digest: string, expiresAt: number): Promise<void> {
 		this.#unsaved.set(digest, expiresAt);
 		await this.#saveAll();
 	}
 
-	/** Reads whether a request was convicted elsewhere. */
+	/** Reads whether another router has blocked a request. */
 	async read(digest: string): Promise<void> {
 		const rows = await this.#options.platform.read([{table, key: digest}]);
 		if (rows.isOk()) {
-			this.#learn(rows.value);
+			this.#apply(rows.value);
 		}
 	}
 
 	/**
-	 * Reads the table again and again.
+	 * Reads the table periodically.
 	 *
 	 * @param signal Ends the task.
 	 */
@@ -77,28 +77,28 @@
 		const {platform, logger, random, periodMilliseconds = 1000} = this.#options;
 		const read = async () => {
 			await this.#saveAll();
-			return platform.list({table, prefix: '', limit: longestList});
+			return platform.list({table, prefix: '', limit: listLimit});
 		};
 
 		await poll(read, {periodMilliseconds, random, signal}).observe(rows => {
 			if (rows.isErr()) {
-				logger.warn('refused requests not read', rows.error);
+				logger.warn('cannot read the table of blocked requests', rows.error);
 				return;
 			}
 
-			this.#learn(rows.value);
-			if (random() < removalShare) {
+			this.#apply(rows.value);
+			if (random() < removalProbability) {
 				void this.#removeExpired(rows.value);
 			}
 		});
 		return ok();
 	}
 
-	#learn(rows: Row[]): void {
+	#apply(rows: Row[]): void {
 		for (const {key, value} of rows) {
 			const checked = rowSchema.safeParse(value);
 			if (checked.success) {
-				this.#options.suspects.hear(key, checked.data.expiresAt);
+				this.#options.suspects.receiveBlock(key, checked.data.expiresAt);
 			}
 		}
 	}
--- a/source/admission/suspects/trial-claims.ts
+++ b/source/admission/suspects/endpoint-claims.ts
@@ -1,5 +1,5 @@
 /**
- * Claims of endpoints for suspects, so that suspects of different routers do not share one.
+ * Claims of endpoints for suspect requests, so that suspects of different routers do not share an endpoint.
  *
  * @module
  */
@@ -11,21 +11,21 @@
 
 const claimSchema = z.object({digest: z.string(), until: z.number()});
 
-/** Time after which a claim lapses, in milliseconds. */
+/** Time after which a claim expires, in milliseconds. */
 const claimMilliseconds = 10_000;
 
-/** Longest wait for the table; without an answer the router counts for itself. */
-const answerMilliseconds = 400;
+/** Maximum wait for the table, in milliseconds; without an answer the claim counts as granted, so that only this router avoids sharing. */
+const claimTimeoutMilliseconds = 400;
 
-/** Options of {@linkcode TrialClaims}. */
-export type TrialClaimsOptions = {
+/** Options of {@linkcode EndpointClaims}. */
+export type EndpointClaimsOptions = {
 	platform: Pick<PlatformClient, 'transact' | 'read'>;
 	/** Returns the wall-clock time, in milliseconds. */
 	wallClock: () => number;
 };
 
 /**
- * Claims endpoints by an insert into the table.
+ * Claims endpoints by conditional writes to a table.
  *
  * @example
  * ```ts
@@ -34,23 +34,23 @@
  * }
  * ```
  */
-export class TrialClaims {
-	readonly #options: TrialClaimsOptions;
+export class EndpointClaims {
+	readonly #options: EndpointClaimsOptions;
 
-	constructor(options: TrialClaimsOptions) {
+	constructor(options: EndpointClaimsOptions) {
 		this.#options = options;
 	}
 
 	/**
-	 * Claims an endpoint for a suspect.
+	 * Claims an endpoint for a suspect request.
 	 *
-	 * @returns False when another suspect holds it; true also when the table does not answer.
+	 * @returns False if another suspect holds the claim; true if it is granted or the table does not answer.
 	 */
 	async claim(endpoint: string, digest: string): Promise<boolean> {
-		return Promise.race([this.#insert(endpoint, digest), pause(answerMilliseconds)]);
+		return Promise.race([this.#insert(endpoint, digest), pause(claimTimeoutMilliseconds)]);
 	}
 
-	/** Gives an endpoint back; a claim that cannot be given back lapses. */
+	/** Releases a claim; a claim that cannot be released expires. */
 	async release(endpoint: string, digest: string): Promise<void> {
 		const row = await this.#read(endpoint);
 		if (row && claimSchema.safeParse(row.value).data?.digest === digest) {
@@ -70,8 +70,8 @@
 		}
 
 		const row = await this.#read(endpoint);
-		const held = claimSchema.safeParse(row?.value).data;
-		if (!row || (held && held.until > this.#options.wallClock())) {
+		const existing = claimSchema.safeParse(row?.value).data;
+		if (!row || (existing && existing.until > this.#options.wallClock())) {
 			return false;
 		}
 
--- a/source/admission/suspects/mod.ts
+++ b/source/admission/suspects/mod.ts
@@ -1,11 +1,11 @@
 /**
- * Requests that kill endpoints.
+ * Detection and blocking of requests that crash endpoints.
  *
  * @module
  */
 
-export * from './deaths.ts';
-export * from './refused-requests.ts';
-export * from './suspect-watch.ts';
+export * from './crashes.ts';
+export * from './blocked-requests.ts';
+export * from './suspect-monitor.ts';
 export * from './suspects.ts';
-export * from './trial-claims.ts';
+export * from './endpoint-claims.ts';
--- a/source/admission/suspects/suspects.ts
+++ b/source/admission/suspects/suspects.ts
@@ -1,65 +1,65 @@
 /**
- * Which requests are suspected of killing endpoints, and which are convicted.
+ * Tracks which requests are suspected of crashing endpoints, and which are blocked.
  *
- * The deaths that a router sees count for itself only: routers that cannot reach the table or each other each need the
- * evidence of their own, so that every side of a partition may lose two endpoints to one request.
+ * Each router counts only the crashes that it observes. Routers that can reach neither the table nor each other each need
+ * their own evidence, so one request may crash two endpoints on every side of a network partition.
  *
  * @module
  */
 import {
-	isConvincing, loneOf, standing, type Suspect,
+	hasEnoughEvidence, onlyDigestOf, countedCrashes, type Suspect,
 } from './_suspect.ts';
 import {
-	isNear, type Death, type EndpointPlace, type Run,
-} from './deaths.ts';
+	sharesFailureDomain, type Crash, type EndpointLocation, type Run,
+} from './crashes.ts';
 
 /** Options of {@linkcode Suspects}. */
 export type SuspectsOptions = {
-	/** Returns where a listed endpoint runs; nothing for one that is leaving or no longer listed, whose end accuses nobody. */
-	placeOf: (address: string) => EndpointPlace | undefined;
-	/** Called with each request convicted here. Default does nothing. */
-	onConvicted?: (digest: string, expiresAt: number) => void;
+	/** Returns the location of a listed endpoint; nothing for an endpoint that is leaving or no longer listed, whose end counts against no request. */
+	locationOf: (address: string) => EndpointLocation | undefined;
+	/** Called with each request that this router blocks. Default does nothing. */
+	onBlocked?: (digest: string, expiresAt: number) => void;
 };
 
-/** Tokens after which a request counts as harmless at its endpoint. */
+/** Number of tokens after which a run is considered harmless to its endpoint. */
 export const harmlessTokens = 16;
 
-/** Time between a death and the look at the endpoints beside it, in milliseconds. */
-export const lookMilliseconds = 500;
+/** Delay between a crash and the check of the neighboring endpoints, in milliseconds. */
+export const neighborCheckDelayMilliseconds = 500;
 
-/** Time between the second death and the conviction, in which a common loss can still show, in milliseconds. */
-export const convictionMilliseconds = 1300;
+/** Delay between sufficient evidence and blocking, in milliseconds; leaves time to detect a correlated failure. */
+export const blockDelayMilliseconds = 1300;
 
-/** Time for which a death is held against a request, in milliseconds. */
+/** Time after the last crash for which a request stays suspect, in milliseconds. */
 const suspicionMilliseconds = 60_000;
 
-/** Time for which a convicted request is refused, in milliseconds. */
-const convictedMilliseconds = 3_600_000;
+/** Time for which a request stays blocked, in milliseconds. */
+const blockMilliseconds = 3_600_000;
 
 /**
- * Counts deaths of endpoints against what ran there.
+ * Counts crashes of endpoints against the requests that ran on them.
  *
  * @example
  * ```ts
- * const run = suspects.start(digest, endpoint);
- * suspects.died(run, now);
- * suspects.isConvicted(digest, now);
+ * const run = suspects.startRun(digest, endpoint);
+ * suspects.recordCrash(run, now);
+ * suspects.isBlocked(digest, now);
  * ```
  */
 export class Suspects {
 	readonly #options: Required<SuspectsOptions>;
 	readonly #runs = new Map<string, Set<Run>>();
 	readonly #suspects = new Map<string, Suspect>();
-	readonly #convicted = new Map<string, number>();
+	readonly #blocked = new Map<string, number>();
 
 	constructor(options: SuspectsOptions) {
-		this.#options = {onConvicted: () => undefined, ...options};
+		this.#options = {onBlocked: () => undefined, ...options};
 	}
 
-	/** Records that a request starts at an endpoint. */
-	start(digest: string, endpoint: string): Run {
+	/** Records the start of a request on an endpoint. */
+	startRun(digest: string, endpoint: string): Run {
 		const run: Run = {
-			digest, endpoint, tokens: 0, dead: false,
+			digest, endpoint, tokens: 0, crashed: false,
 		};
 		const runs = this.#runs.get(endpoint) ?? new Set<Run>();
 		runs.add(run);
@@ -67,14 +67,14 @@
 		return run;
 	}
 
-	/** Records a token; a suspect that has produced enough of them gives its endpoint back to others, which this returns. */
-	progressed(run: Run): boolean {
+	/** Records a token; returns whether a suspect has now produced enough tokens to share its endpoint with other requests. */
+	recordToken(run: Run): boolean {
 		run.tokens += 1;
 		if (run.tokens === harmlessTokens) {
 			const suspect = this.#suspects.get(run.digest);
 			if (suspect) {
 				suspect.released = true;
-				suspect.passed = new Set(suspect.deaths);
+				suspect.progressedPast = new Set(suspect.crashes);
 				return true;
 			}
 		}
@@ -82,8 +82,8 @@
 		return false;
 	}
 
-	/** Records that a request has left its endpoint. */
-	end(run: Run): void {
+	/** Records the end of a run. */
+	endRun(run: Run): void {
 		const runs = this.#runs.get(run.endpoint);
 		runs?.delete(run);
 		if (runs?.size === 0) {
@@ -92,116 +92,117 @@
 	}
 
 	/**
-	 * Records that an endpoint's process died while a request ran there; all that ran there become suspects.
+	 * Records that an endpoint's process crashed during a run; all requests running on it become suspects.
 	 *
-	 * @param run The request that saw it.
+	 * @param run The run that observed the crash.
 	 * @param now Wall-clock time, in milliseconds.
-	 * @returns The death, unless it was known or accuses nobody; whoever has looked at its neighbours sets `common`.
+	 * @returns The crash, unless it is already known or counts against no request; the caller checks the neighbors and sets `correlated`.
 	 */
-	died(run: Run, now: number): Death | undefined {
-		if (run.dead) {
+	recordCrash(run: Run, now: number): Crash | undefined {
+		if (run.crashed) {
 			return undefined;
 		}
 
 		this.#expire(now);
-		const victims = [...this.#runs.get(run.endpoint) ?? []];
+		const affected = [...this.#runs.get(run.endpoint) ?? []];
 		this.#runs.delete(run.endpoint);
-		for (const victim of victims) {
-			victim.dead = true;
+		for (const affectedRun of affected) {
+			affectedRun.crashed = true;
 		}
 
-		const place = this.#options.placeOf(run.endpoint);
-		if (!place) {
+		const location = this.#options.locationOf(run.endpoint);
+		if (!location) {
 			return undefined;
 		}
 
-		const death: Death = {endpoint: run.endpoint, place, common: false};
-		this.#accuse(death, victims, now);
-		return death;
+		const crash: Crash = {endpoint: run.endpoint, location, correlated: false};
+		this.#suspectRuns(crash, affected, now);
+		return crash;
 	}
 
 	/**
-	 * Returns the endpoints beside a death by whose life a common loss is told: on the same host, and in the same zone.
+	 * Returns the endpoints on the same host and in the same availability zone, whose state shows whether a crash is a correlated failure.
 	 *
-	 * Endpoints that died under the same requests are left out, since they may be lost for the same reason.
+	 * Endpoints that crashed under the same requests are left out, since these requests may have crashed them.
 	 *
-	 * @param death The death.
+	 * @param crash The crash.
 	 * @param endpoints Endpoints of the service.
 	 */
-	witnesses(death: Death, endpoints: readonly string[]): {host: string[]; zone: string[]} {
-		const fallen = new Set([death.endpoint]);
-		for (const {deaths} of this.#suspects.values()) {
-			if (deaths.includes(death)) {
-				for (const {endpoint} of deaths) {
-					fallen.add(endpoint);
+	neighbors(crash: Crash, endpoints: readonly string[]): {host: string[]; zone: string[]} {
+		const crashed = new Set([crash.endpoint]);
+		for (const {crashes} of this.#suspects.values()) {
+			if (crashes.includes(crash)) {
+				for (const {endpoint} of crashes) {
+					crashed.add(endpoint);
 				}
 			}
 		}
 
-		const others = endpoints.filter(endpoint => !fallen.has(endpoint));
+		const others = endpoints.filter(endpoint => !crashed.has(endpoint));
 		return {
-			host: others.filter(endpoint => this.#options.placeOf(endpoint)?.host === death.place.host),
-			zone: others.filter(endpoint => this.#options.placeOf(endpoint)?.availabilityZone === death.place.availabilityZone),
+			host: others.filter(endpoint => this.#options.locationOf(endpoint)?.host === crash.location.host),
+			zone: others.filter(endpoint => this.#options.locationOf(endpoint)?.availabilityZone === crash.location.availabilityZone),
 		};
 	}
 
-	/** Whether a death is held against a request. */
+	/** Whether any crash is counted against a request. */
 	isSuspect(digest: string, now: number): boolean {
 		const suspect = this.#suspects.get(digest);
-		return suspect !== undefined && suspect.expiresAt > now && standing(suspect).length > 0;
+		return suspect !== undefined && suspect.expiresAt > now && countedCrashes(suspect).length > 0;
 	}
 
-	/** Whether the death of an endpoint is held against a request already, so that a cursor from before shows nothing new. */
-	hasKilled(digest: string, endpoint: string): boolean {
-		return this.#suspects.get(digest)?.deaths.some(death => death.endpoint === endpoint) ?? false;
+	/** Whether a crash of an endpoint has already been attributed to a request, so that an older cursor that names the endpoint is no new evidence. */
+	hasCrashed(digest: string, endpoint: string): boolean {
+		return this.#suspects.get(digest)?.crashes.some(crash => crash.endpoint === endpoint) ?? false;
 	}
 
-	/** Whether a request is refused for good. */
-	isConvicted(digest: string, now: number): boolean {
-		this.#settle(digest, now);
-		return (this.#convicted.get(digest) ?? 0) > now;
+	/** Whether a request is blocked; carries out a decision that is due. */
+	isBlocked(digest: string, now: number): boolean {
+		this.#decide(digest, now);
+		return (this.#blocked.get(digest) ?? 0) > now;
 	}
 
-	/** Milliseconds until a pending conviction is settled; nothing when there is none. */
-	millisecondsUntilSettled(digest: string, now: number): number | undefined {
-		const convictAt = this.#suspects.get(digest)?.convictAt;
-		return convictAt === undefined ? undefined : Math.max(0, convictAt - now);
+	/** Returns the time until a pending decision to block a request, in milliseconds; nothing if none is pending. */
+	millisecondsUntilDecision(digest: string, now: number): number | undefined {
+		const blockAt = this.#suspects.get(digest)?.blockAt;
+		return blockAt === undefined ? undefined : Math.max(0, blockAt - now);
 	}
 
-	/** Takes a conviction of another router. */
-	hear(digest: string, expiresAt: number): void {
-		this.#convicted.set(digest, Math.max(expiresAt, this.#convicted.get(digest) ?? 0));
+	/** Records that another router has blocked a request. */
+	receiveBlock(digest: string, expiresAt: number): void {
+		this.#blocked.set(digest, Math.max(expiresAt, this.#blocked.get(digest) ?? 0));
 	}
 
 	/**
-	 * Returns the endpoints that a request must not be placed on, the most careful set first.
+	 * Returns the sets of endpoints that a request must not be placed on, the strictest set first.
 	 *
-	 * An ordinary request keeps away from endpoints where a suspect is on trial; a suspect keeps away from other suspects
-	 * always and, where it can, from requests that are not known to be harmless and from the places of earlier deaths.
+	 * An ordinary request avoids endpoints that run a suspect in isolation. A suspect always avoids endpoints of other suspects
+	 * and, where possible, endpoints that run requests not yet known to be harmless, and the endpoints, hosts and availability
+	 * zones of its earlier crashes.
 	 *
 	 * @param digest The request.
 	 * @param endpointsOf Returns the endpoints of its service.
 	 * @param now Wall-clock time, in milliseconds.
 	 */
-	avoidance(digest: string, endpointsOf: () => readonly string[], now: number): Array<ReadonlySet<string>> {
+	exclusions(digest: string, endpointsOf: () => readonly string[], now: number): Array<ReadonlySet<string>> {
 		if (this.#suspects.size === 0) {
 			return [new Set()];
 		}
 
 		const endpoints = endpointsOf();
-		const tried = new Set(endpoints.filter(endpoint => this.#othersOnTrial(endpoint, digest, now)));
+		const isolated = new Set(endpoints.filter(endpoint => this.#runsOtherSuspect(endpoint, digest, now)));
 		if (!this.isSuspect(digest, now)) {
-			return [tried, new Set()];
+			return [isolated, new Set()];
 		}
 
-		const deaths = standing(this.#suspects.get(digest)!);
-		const fallen = new Set([...tried, ...deaths.map(({endpoint}) => endpoint)]);
-		const unproven = new Set([...fallen, ...endpoints.filter(endpoint => this.#hasUnproven(endpoint, digest))]);
-		const near = new Set([...unproven, ...endpoints.filter(endpoint => deaths.some(({place}) => isNear(place, this.#options.placeOf(endpoint))))]);
-		return [near, unproven, fallen, tried];
+		const crashes = countedCrashes(this.#suspects.get(digest)!);
+		const crashed = new Set([...isolated, ...crashes.map(({endpoint}) => endpoint)]);
+		const unproven = new Set([...crashed, ...endpoints.filter(endpoint => this.#runsUnproven(endpoint, digest))]);
+		const near = new Set([...unproven, ...endpoints.filter(endpoint => crashes.some(({location}) => sharesFailureDomain(location, this.#options.locationOf(endpoint))))]);
+		return [near, unproven, crashed, isolated];
 	}
 
-	#othersOnTrial(endpoint: string, digest: string, now: number): boolean {
+	#runsOtherSuspect(endpoint: string, digest: string, now: number): boolean {
 		for (const run of this.#runs.get(endpoint) ?? []) {
 			if (run.digest !== digest && this.isSuspect(run.digest, now) && !(this.#suspects.get(run.digest)!.released && run.tokens >= harmlessTokens)) {
 				return true;
@@ -211,74 +212,74 @@
 		return false;
 	}
 
-	#hasUnproven(endpoint: string, digest: string): boolean {
+	#runsUnproven(endpoint: string, digest: string): boolean {
 		return [...this.#runs.get(endpoint) ?? []].some(run => run.digest !== digest && run.tokens < harmlessTokens);
 	}
 
-	#accuse(death: Death, victims: Run[], now: number): void {
-		const lone = loneOf(victims.filter(({digest}) => this.isSuspect(digest, now)));
-		const harmless = victims.every(({digest, tokens}) => digest === lone || tokens >= harmlessTokens);
-		for (const {digest} of victims) {
+	#suspectRuns(crash: Crash, affected: Run[], now: number): void {
+		const onlySuspect = onlyDigestOf(affected.filter(({digest}) => this.isSuspect(digest, now)));
+		const harmless = affected.every(({digest, tokens}) => digest === onlySuspect || tokens >= harmlessTokens);
+		for (const {digest} of affected) {
 			const suspect = this.#suspects.get(digest) ?? {
-				deaths: [], passed: new Set(), expiresAt: 0, released: false, convictAt: undefined,
+				crashes: [], progressedPast: new Set(), expiresAt: 0, released: false, blockAt: undefined,
 			};
-			if (!suspect.deaths.includes(death)) {
-				suspect.deaths.push(death);
+			if (!suspect.crashes.includes(crash)) {
+				suspect.crashes.push(crash);
 			}
 
 			suspect.expiresAt = now + suspicionMilliseconds;
 			suspect.released = false;
 			this.#suspects.set(digest, suspect);
-			if (digest === lone && harmless && isConvincing(suspect)) {
-				suspect.convictAt ??= now + convictionMilliseconds;
+			if (digest === onlySuspect && harmless && hasEnoughEvidence(suspect)) {
+				suspect.blockAt ??= now + blockDelayMilliseconds;
 			}
 		}
 	}
 
-	/** Convicts a request whose second death still stands, and clears those who were merely there. */
-	#settle(digest: string, now: number): void {
+	/** Blocks a request whose decision is due if the evidence still suffices, and clears the requests that ran on the same endpoints. */
+	#decide(digest: string, now: number): void {
 		const suspect = this.#suspects.get(digest);
-		if (suspect?.convictAt === undefined || now < suspect.convictAt) {
+		if (suspect?.blockAt === undefined || now < suspect.blockAt) {
 			return;
 		}
 
-		suspect.convictAt = undefined;
-		const deaths = standing(suspect);
-		if (!isConvincing(suspect)) {
+		suspect.blockAt = undefined;
+		const crashes = countedCrashes(suspect);
+		if (!hasEnoughEvidence(suspect)) {
 			return;
 		}
 
-		const expiresAt = now + convictedMilliseconds;
-		this.#convicted.set(digest, expiresAt);
+		const expiresAt = now + blockMilliseconds;
+		this.#blocked.set(digest, expiresAt);
 		this.#suspects.delete(digest);
-		this.#clear(deaths);
-		this.#options.onConvicted(digest, expiresAt);
+		this.#clearOthers(crashes);
+		this.#options.onBlocked(digest, expiresAt);
 	}
 
-	/** Clears the others of the last death, and of the first one too once they have gone on since; until then either may have caused it. */
-	#clear(explained: readonly Death[]): void {
+	/** Clears the other requests of the last crash, and of the earlier ones if they have progressed since; otherwise they may still have caused those. */
+	#clearOthers(explained: readonly Crash[]): void {
 		const last = explained.at(-1);
 		for (const [digest, suspect] of this.#suspects) {
-			if (suspect.convictAt === undefined) {
-				suspect.deaths = suspect.deaths.filter(death => death !== last && !(suspect.released && explained.includes(death)));
+			if (suspect.blockAt === undefined) {
+				suspect.crashes = suspect.crashes.filter(crash => crash !== last && !(suspect.released && explained.includes(crash)));
 			}
 
-			if (suspect.deaths.length === 0) {
+			if (suspect.crashes.length === 0) {
 				this.#suspects.delete(digest);
 			}
 		}
 	}
 
 	#expire(now: number): void {
-		for (const [digest, {expiresAt, convictAt}] of this.#suspects) {
-			if (expiresAt <= now && convictAt === undefined) {
+		for (const [digest, {expiresAt, blockAt}] of this.#suspects) {
+			if (expiresAt <= now && blockAt === undefined) {
 				this.#suspects.delete(digest);
 			}
 		}
 
-		for (const [digest, expiresAt] of this.#convicted) {
+		for (const [digest, expiresAt] of this.#blocked) {
 			if (expiresAt <= now) {
-				this.#convicted.delete(digest);
+				this.#blocked.delete(digest);
 			}
 		}
 	}
--- a/source/calls/run-at-most-once.ts
+++ b/source/calls/run-at-most-once.ts
@@ -102,18 +102,18 @@
 	}
 
 	const span = parts.tracing.start('call', call.span, {endpoint});
-	parts.placement.started(endpoint, 1);
+	parts.placement.recordStart(endpoint, 1);
 	const request = {...call.request, headers: {...call.request.headers, ...parts.tracing.inject(span)}};
 	const answer = await sendOnce(socket, request, AbortSignal.timeout(Math.ceil(remaining)));
-	parts.placement.finished(endpoint, 1);
+	parts.placement.recordEnd(endpoint, 1);
 	span.setAttribute('outcome', answer.isOk() ? answer.value.status : answer.error.message);
 	span.end();
 	if (answer.isOk()) {
-		parts.placement.succeeded(endpoint, parts.clock());
+		parts.placement.recordSuccess(endpoint, parts.clock());
 		return ended(claimed, answer.value);
 	}
 
-	parts.placement.failed(endpoint, parts.clock());
+	parts.placement.recordFailure(endpoint, parts.clock());
 	if (!answer.error.sent) {
 		return withdrawn(claimed, noEndpointRefusal(call.service.service, 'no'));
 	}
@@ -138,7 +138,7 @@
 		}
 
 		call.span.addEvent('not connected', {endpoint, message: socket.error});
-		parts.placement.failed(endpoint, parts.clock());
+		parts.placement.recordFailure(endpoint, parts.clock());
 		failed.add(endpoint);
 	}
 
--- a/source/calls/run-idempotent.ts
+++ b/source/calls/run-idempotent.ts
@@ -59,7 +59,7 @@
 	}
 
 	async run(): Promise<CallEnd> {
-		this.#parts.retryBudgetOf(this.#call.service.service).firstAttempt();
+		this.#parts.retryBudgetOf(this.#call.service.service).recordFirstAttempt();
 		if (!this.#launch()) {
 			return this.#refuse();
 		}
@@ -131,15 +131,15 @@
 		const {endpoint, controller} = attempt;
 		const span = tracing.start('call', parent, {endpoint, attempt: this.#launched});
 		const startedAt = clock();
-		placement.started(endpoint, 1);
+		placement.recordStart(endpoint, 1);
 		const signal = AbortSignal.any([controller.signal, AbortSignal.timeout(Math.max(1, Math.ceil(this.#call.deadline - startedAt)))]);
 		const result = await serviceClient.send(endpoint, {...request, headers: {...request.headers, ...tracing.inject(span)}}, signal);
-		placement.finished(endpoint, 1);
+		placement.recordEnd(endpoint, 1);
 		if (result.isOk()) {
 			recentLatency.record(service.service, clock() - startedAt, clock());
-			placement.succeeded(endpoint, clock());
+			placement.recordSuccess(endpoint, clock());
 		} else if (!controller.signal.aborted) {
-			placement.failed(endpoint, clock());
+			placement.recordFailure(endpoint, clock());
 		}
 
 		span.setAttribute('outcome', result.isOk() ? result.value.status : result.error.message);
--- a/source/generation/generation-parts.ts
+++ b/source/generation/generation-parts.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {type Accounts} from '../accounts/mod.ts';
-import {type RetryBudget, type SuspectWatch} from '../admission/mod.ts';
+import {type RetryBudget, type SuspectMonitor} from '../admission/mod.ts';
 import {type EngineClient} from '../endpoints/mod.ts';
 import {type Placement} from '../placement/mod.ts';
 import {type Logger, type Metrics, type Tracing} from '../telemetry/mod.ts';
@@ -14,7 +14,7 @@
 	accounts: Accounts;
 	placement: Placement;
 	/** Looks for requests that kill endpoints. */
-	suspects: SuspectWatch;
+	suspects: SuspectMonitor;
 	/** Limits how many generations start again at once. */
 	retries: RetryBudget;
 	engines: EngineClient;
--- a/source/generation/run-attempt.ts
+++ b/source/generation/run-attempt.ts
@@ -41,13 +41,13 @@
 	const span = parts.tracing.start('attempt', options.span, {
 		generation: progress.generation, attempt: progress.attempt, endpoint, step,
 	});
-	parts.placement.started(endpoint, tokens);
+	parts.placement.recordStart(endpoint, tokens);
 	try {
 		const end = await openAndRead(options, parts.tracing.inject(span));
 		span.setAttributes({end: end.kind, nextIndex: progress.nextIndex, ...('message' in end && {message: end.message})});
 		return end;
 	} finally {
-		parts.placement.finished(endpoint, tokens);
+		parts.placement.recordEnd(endpoint, tokens);
 		span.end();
 	}
 }
@@ -66,7 +66,7 @@
 
 	const stream = opened.value;
 	progress.endpoint = endpoint;
-	parts.placement.succeeded(endpoint, parts.clock());
+	parts.placement.recordSuccess(endpoint, parts.clock());
 	try {
 		return await readAttempt({
 			...options,
@@ -90,7 +90,7 @@
 	}
 
 	if (failure.kind === 'unreachable') {
-		parts.placement.failed(endpoint, parts.clock());
+		parts.placement.recordFailure(endpoint, parts.clock());
 		return {
 			kind: 'unreachable', message: failure.message, connectionRefused: failure.connectionRefused, reset: failure.crashed,
 		};
--- a/source/generation/run-generation.ts
+++ b/source/generation/run-generation.ts
@@ -5,7 +5,7 @@
  */
 import {type Span} from '@opentelemetry/api';
 import {type Refusal} from '../answers/mod.ts';
-import {retryDelay, type Trial} from '../admission/mod.ts';
+import {retryDelay, type MonitoredRequest} from '../admission/mod.ts';
 import {pause} from '../supervision/mod.ts';
 import {type GenerationParts} from './generation-parts.ts';
 import {
@@ -57,8 +57,8 @@
  */
 export async function runGeneration(options: RunGenerationOptions): Promise<GenerationEnd> {
 	const {progress, parts} = options;
-	const trial = parts.suspects.follow(progress.requestDigest, progress.service.service);
-	parts.retries.firstAttempt();
+	const trial = parts.suspects.monitor(progress.requestDigest, progress.service.service);
+	parts.retries.recordFirstAttempt();
 	try {
 		return await runAttempts(options, trial);
 	} finally {
@@ -66,7 +66,7 @@
 	}
 }
 
-async function runAttempts(options: RunGenerationOptions, trial: Trial): Promise<GenerationEnd> {
+async function runAttempts(options: RunGenerationOptions, trial: MonitoredRequest): Promise<GenerationEnd> {
 	const {progress, parts, signal} = options;
 	const policy = recoveryPolicy(progress.service);
 	const excluded = new Set<string>();
@@ -81,12 +81,12 @@
 			return {kind: 'incomplete', refusal: giveUpRefusal(progress)};
 		}
 
-		const refusal = await trial.verdict();
+		const refusal = await trial.waitForDecision();
 		if (refusal) {
 			return {kind: 'incomplete', refusal};
 		}
 
-		const endpoint = step === 'resume' ? progress.endpoint : chooseEndpoint(options, trial.avoidance(excluded));
+		const endpoint = step === 'resume' ? progress.endpoint : chooseEndpoint(options, trial.exclusions(excluded));
 		if (endpoint === undefined) {
 			excluded.clear();
 			step = 'start';
@@ -99,7 +99,7 @@
 		}
 
 		cancelAtPrevious(options, endpoint);
-		trial.attempting(endpoint, step);
+		trial.recordAttemptStart(endpoint, step);
 		sink.attempting(endpoint, step);
 		const indexBefore = progress.nextIndex;
 		const end = await runAttempt({
@@ -107,7 +107,7 @@
 		});
 		silences = end.kind === 'silent' && progress.nextIndex === indexBefore ? silences + 1 : 0;
 		parts.metrics.attempts.inc({service: progress.service.service, end: end.kind});
-		await trial.attempted(endpoint, {...end, step});
+		await trial.recordAttemptEnd(endpoint, {...end, step});
 		if (end.kind === 'finished') {
 			return {kind: 'complete', totalTokens: end.totalTokens, finishReason: end.finishReason};
 		}
@@ -139,11 +139,11 @@
 	/** Monotonic time of the last token, in milliseconds; the start of the call before the first one. */
 	lastTokenAt: number;
 	readonly #options: RunGenerationOptions;
-	readonly #trial: Trial;
+	readonly #trial: MonitoredRequest;
 	#lossAt: number | undefined;
 	#started: {endpoint: string; at: number} | undefined;
 
-	constructor(options: RunGenerationOptions, trial: Trial) {
+	constructor(options: RunGenerationOptions, trial: MonitoredRequest) {
 		this.#options = options;
 		this.#trial = trial;
 		this.lastTokenAt = options.parts.clock();
@@ -164,9 +164,9 @@
 	token(token: DeliveredToken): boolean | Promise<boolean> {
 		const {parts, progress, sink} = this.#options;
 		this.lastTokenAt = parts.clock();
-		this.#trial.token(token.endpoint);
+		this.#trial.recordToken(token.endpoint);
 		if (this.#started?.endpoint === token.endpoint) {
-			parts.placement.firstToken(token.endpoint, this.lastTokenAt - this.#started.at, this.lastTokenAt);
+			parts.placement.recordFirstToken(token.endpoint, this.lastTokenAt - this.#started.at, this.lastTokenAt);
 			this.#started = undefined;
 		}
 
--- a/source/measurements/overload-placement.ts
+++ b/source/measurements/overload-placement.ts
@@ -49,9 +49,9 @@
 			service: 'briefs', exclude: new Set(), now: choice, random: Math.random(), tokens: 300, ...(prompt && {prompt: `Lore of clan ${choice % 500}`}),
 		});
 		histogram.recordValue(Number(process.hrtime.bigint() - startedAt));
-		placement.started(address!, 300);
+		placement.recordStart(address!, 300);
 		if (choice % 2 === 0) {
-			placement.finished(address!, 300);
+			placement.recordEnd(address!, 300);
 		}
 	}
 
--- a/source/placement/endpoint-reports.ts
+++ b/source/placement/endpoint-reports.ts
@@ -1,20 +1,20 @@
 /**
- * What endpoints report late and with gaps: load, loaded versions and cache events. Every report ages out.
+ * Load, loaded versions and cache events reported by endpoints. Reports may be late or missing, so each one expires.
  *
  * @module
  */
 import {type CacheEvents, type EngineLoad} from '../endpoints/mod.ts';
 
-/** Time after which a reported load no longer counts, in milliseconds. */
-const loadAgeMilliseconds = 10_000;
+/** Age at which a reported load expires, in milliseconds. */
+const maximumLoadAgeMilliseconds = 10_000;
 
-/** Time after which reported versions no longer count, in milliseconds. */
-const versionsAgeMilliseconds = 30_000;
+/** Age at which reported versions expire, in milliseconds. */
+const maximumVersionsAgeMilliseconds = 30_000;
 
-/** Time after which a cache event no longer counts, in milliseconds. */
-const cacheAgeMilliseconds = 120_000;
+/** Age at which a cache event expires, in milliseconds. */
+const maximumCacheEventAgeMilliseconds = 120_000;
 
-/** Prefixes remembered for each endpoint. */
+/** Maximum number of prefixes stored for each endpoint. */
 const prefixesPerEndpoint = 256;
 
 type Report = {
@@ -26,27 +26,27 @@
 type CachedPrefixes = {lastSequence: number; prefixes: Map<string, number>};
 
 /**
- * Holds the last report of each endpoint.
+ * Stores the latest reports of each endpoint.
  *
  * @example
  * ```ts
- * reports.takeLoad(address, load, ownTokens, now);
+ * reports.recordLoad(address, load, ownTokens, now);
  * reports.othersTokens(address, now);
  * ```
  */
 export class EndpointReports {
 	readonly #reports = new Map<string, Report>();
-	readonly #cached = new Map<string, CachedPrefixes>();
+	readonly #cachedPrefixes = new Map<string, CachedPrefixes>();
 
 	/**
-	 * Takes a load.
+	 * Records a load report.
 	 *
-	 * @param address Endpoint that reported it.
+	 * @param address Address of the endpoint that sent the report.
 	 * @param load The report.
-	 * @param ownTokens Tokens that this router has in progress there.
+	 * @param ownTokens Tokens that this router has in progress at the endpoint.
 	 * @param now Monotonic time, in milliseconds.
 	 */
-	takeLoad(address: string, load: EngineLoad, ownTokens: number, now: number): void {
+	recordLoad(address: string, load: EngineLoad, ownTokens: number, now: number): void {
 		this.#reports.set(address, {
 			othersTokens: Math.max(0, load.tokens_in_progress - ownTokens),
 			versions: new Set(load.models.map(({version}) => version)),
@@ -54,10 +54,10 @@
 		});
 	}
 
-	/** Takes cache events. */
-	takeCacheEvents(address: string, {events}: CacheEvents, now: number): void {
-		const cached = this.#cached.get(address) ?? {lastSequence: 0, prefixes: new Map<string, number>()};
-		this.#cached.set(address, cached);
+	/** Records cache events. */
+	recordCacheEvents(address: string, {events}: CacheEvents, now: number): void {
+		const cached = this.#cachedPrefixes.get(address) ?? {lastSequence: 0, prefixes: new Map<string, number>()};
+		this.#cachedPrefixes.set(address, cached);
 		for (const {sequence, kind, prefix} of events) {
 			cached.lastSequence = Math.max(cached.lastSequence, sequence);
 			cached.prefixes.delete(prefix);
@@ -75,37 +75,37 @@
 		}
 	}
 
-	/** Sequence number of the last cache event taken. */
+	/** Returns the sequence number of the last cache event received from an endpoint. */
 	lastSequence(address: string): number {
-		return this.#cached.get(address)?.lastSequence ?? 0;
+		return this.#cachedPrefixes.get(address)?.lastSequence ?? 0;
 	}
 
-	/** Tokens that others have in progress at an endpoint; the estimate fades with the report's age. */
+	/** Returns the estimated tokens that other routers have in progress at an endpoint; decreases linearly with the age of the report. */
 	othersTokens(address: string, now: number): number {
 		const report = this.#reports.get(address);
 		if (!report) {
 			return 0;
 		}
 
-		const freshness = Math.max(0, 1 - ((now - report.receivedAt) / loadAgeMilliseconds));
+		const freshness = Math.max(0, 1 - ((now - report.receivedAt) / maximumLoadAgeMilliseconds));
 		return report.othersTokens * freshness;
 	}
 
-	/** Whether a recent report says that an endpoint has not loaded a version. */
+	/** Whether a recent report shows that an endpoint has not loaded a version. */
 	lacksVersion(address: string, version: string, now: number): boolean {
 		const report = this.#reports.get(address);
-		return report !== undefined && now - report.receivedAt < versionsAgeMilliseconds && !report.versions.has(version);
+		return report !== undefined && now - report.receivedAt < maximumVersionsAgeMilliseconds && !report.versions.has(version);
 	}
 
-	/** Whether a recent event says that an endpoint holds a prefix. */
+	/** Whether a recent event shows that an endpoint has cached a prefix. */
 	holdsPrefix(address: string, prefix: string, now: number): boolean {
-		const storedAt = this.#cached.get(address)?.prefixes.get(prefix);
-		return storedAt !== undefined && now - storedAt < cacheAgeMilliseconds;
+		const storedAt = this.#cachedPrefixes.get(address)?.prefixes.get(prefix);
+		return storedAt !== undefined && now - storedAt < maximumCacheEventAgeMilliseconds;
 	}
 
-	/** Forgets endpoints that are no longer listed. */
+	/** Removes the reports of endpoints that are no longer listed. */
 	keepOnly(addresses: ReadonlySet<string>): void {
-		for (const reports of [this.#reports, this.#cached]) {
+		for (const reports of [this.#reports, this.#cachedPrefixes]) {
 			for (const address of reports.keys()) {
 				if (!addresses.has(address)) {
 					reports.delete(address);
--- a/source/placement/endpoint-shares.ts
+++ b/source/placement/endpoint-shares.ts
@@ -1,5 +1,5 @@
 /**
- * How much of an endpoint one router may use before hints of demand say more.
+ * Initial limits of endpoints, and the default share of each that one router may use.
  *
  * @module
  */
@@ -7,25 +7,25 @@
 import {type HostDirectory} from '../membership/mod.ts';
 
 /**
- * Creates the default share of each endpoint: one over the routers that can be expected to use it.
+ * Creates a function that returns the share of an endpoint: 1 divided by the expected number of routers that use it.
  *
- * A router uses a subset of the endpoints, so an endpoint is shared by that fraction of the routers only.
+ * Each router uses a subset of the endpoints, so only the corresponding fraction of the routers shares an endpoint.
  *
- * @param directory The hosts known.
- * @param endpointsPerService Endpoints of each service that a router uses.
- * @returns The share of an endpoint by address, from 0 to 1.
+ * @param directory Directory of the known hosts.
+ * @param endpointsPerService Number of endpoints of each service that a router uses.
+ * @returns A function that maps an endpoint's address to its share, from 0 to 1.
  * @example
  * ```ts
- * const shareOf = createShares(directory, 48);
+ * const shareOf = createEndpointShares(directory, 48);
  * ```
  */
-export function createShares(directory: HostDirectory, endpointsPerService: number): (address: string) => number {
+export function createEndpointShares(directory: HostDirectory, endpointsPerService: number): (address: string) => number {
 	let hosts: HostDirectory['hosts'] | undefined;
 	let shares = new Map<string, number>();
 	return address => {
 		if (directory.hosts !== hosts) {
 			({hosts} = directory);
-			shares = sharesOf(hosts, endpointsPerService);
+			shares = computeShares(hosts, endpointsPerService);
 		}
 
 		return shares.get(address) ?? 1;
@@ -33,9 +33,9 @@
 }
 
 /**
- * Returns the tokens that one endpoint of a service takes at the start, or its calls for a plain service.
+ * Returns the initial limit of one endpoint of a service: tokens for a model service, calls for a plain one.
  *
- * @param service The service; one that is unknown has no limit.
+ * @param service The service; an unknown service has no limit.
  */
 export function startTokensOf(service: Service | undefined): number {
 	if (!service) {
@@ -45,12 +45,12 @@
 	return service.kind === 'model' ? service.engineTokens : service.endpointCalls;
 }
 
-/** Returns the names of the services of model engines in force. */
+/** Returns the names of the model services in the current configuration. */
 export function modelServices(configuration: ConfigurationInForce): string[] {
 	return (configuration.current?.services ?? []).filter(({kind}) => kind === 'model').map(({service}) => service);
 }
 
-function sharesOf(hosts: HostDirectory['hosts'], endpointsPerService: number): Map<string, number> {
+function computeShares(hosts: HostDirectory['hosts'], endpointsPerService: number): Map<string, number> {
 	const routers = hosts.filter(host => host.entry && host.state === 'live').length;
 	const endpoints = hosts.filter(host => host.state === 'live').flatMap(host => host.endpoints);
 	const counts = new Map<string, number>();
--- a/source/placement/mod.ts
+++ b/source/placement/mod.ts
@@ -1,13 +1,13 @@
 /**
- * The choice of endpoints.
+ * Choice of endpoints for requests.
  *
  * @module
  */
 
-export * from './circuits.ts';
+export * from './circuit-breakers.ts';
 export * from './endpoint-limits.ts';
 export * from './endpoint-shares.ts';
-export * from './follow-endpoints.ts';
+export * from './poll-endpoints.ts';
 export * from './placement.ts';
 export * from './prefix-key.ts';
 export * from './rendezvous.ts';
--- a/source/placement/placement.ts
+++ b/source/placement/placement.ts
@@ -5,20 +5,20 @@
  */
 import {xoroshiro128plus, unsafeUniformIntDistribution} from 'pure-rand';
 import {type CacheEvents, type EngineLoad} from '../endpoints/mod.ts';
-import {Circuits, type CircuitsOptions} from './circuits.ts';
+import {CircuitBreakers, type CircuitBreakersOptions} from './circuit-breakers.ts';
 import {EndpointLimits, type EndpointLimitsOptions} from './endpoint-limits.ts';
 import {EndpointReports} from './endpoint-reports.ts';
 import {prefixKey} from './prefix-key.ts';
-import {hashKey, highestMembers, rendezvousWeight} from './rendezvous.ts';
+import {hashKey, highestWeightMembers, rendezvousWeight} from './rendezvous.ts';
 
-/** What a choice takes into account. */
+/** Criteria for the choice of an endpoint. */
 export type PlacementRequest = {
 	service: string;
-	/** Prompt whose cached prefix is worth going to; absent for plain calls. */
+	/** Prompt, whose prefix may be cached at an endpoint; absent for plain calls. */
 	prompt?: string;
 	/** Model version that the endpoint must have loaded. Default any. */
 	version?: string;
-	/** Tokens of the work. Default 0. */
+	/** Number of tokens of the request. Default 0. */
 	tokens?: number;
 	/** Endpoints that must not be chosen. */
 	exclude: ReadonlySet<string>;
@@ -28,41 +28,41 @@
 	random: number;
 };
 
-/** An endpoint as placement knows it. */
+/** An endpoint that can be chosen. */
 export type PlacementEndpoint = {address: string};
 
 /** Options of {@linkcode Placement}. */
 export type PlacementOptions = {
-	/** Returns a service's endpoints that take new work; the same array until they change. */
+	/** Returns the endpoints of a service that accept new work; must return the same array until they change. */
 	endpointsOf: (service: string) => readonly PlacementEndpoint[];
-	/** Key of this router's subset of endpoints, its host name. Default empty. */
+	/** Rendezvous key of this router's subset of endpoints: its host name. Default empty. */
 	subsetKey?: string;
-	/** Endpoints of each service that this router uses. Default 48. */
+	/** Number of endpoints of each service that this router uses. Default 48. */
 	endpointsPerService?: number;
-	/** Returns the tokens that one endpoint of a service takes at the start. Default without limit. */
+	/** Returns the initial token limit of one endpoint of a service. Default unlimited. */
 	startTokensOf?: (service: string) => number;
 	/** Options of the adaptive limits. */
 	limits?: EndpointLimitsOptions;
-	/** Options of the circuits. */
-	circuits?: CircuitsOptions;
+	/** Options of the circuit breakers. */
+	circuits?: CircuitBreakersOptions;
 };
 
-/** Endpoints drawn at random, of which the least loaded is chosen. */
+/** Number of endpoints sampled at random, of which the least loaded is chosen. */
 const candidateCount = 3;
 
-/** Load over the mean at which the owner of a prefix is passed over. */
+/** Multiple of the mean load above which the owner of a prefix is skipped. */
 const affinityBound = 1.25;
 
-/** Multiple of its limit up to which an endpoint takes work that was already admitted, such as a continuation. */
+/** Multiple of its limit up to which an endpoint is given work that is already admitted, such as a continuation. */
 const admittedHeadroom = 2;
 
-/** Time between two tries of an endpoint when every circuit of its service is open, in milliseconds. */
-const lastResortMilliseconds = 500;
+/** Minimum time between two attempts at an endpoint when all circuits of its service are open, in milliseconds. */
+const lastResortIntervalMilliseconds = 500;
 
-type Subset = {all: readonly PlacementEndpoint[]; chosen: readonly PlacementEndpoint[]};
+type Subset = {all: readonly PlacementEndpoint[]; selected: readonly PlacementEndpoint[]};
 
 /**
- * Counts the work that this router has at each endpoint and chooses among them.
+ * Tracks the work that this router has in progress at each endpoint, and chooses endpoints for new work.
  *
  * @example
  * ```ts
@@ -74,7 +74,7 @@
 	readonly #outstanding = new Map<string, number>();
 	readonly #serviceOf = new Map<string, string>();
 	readonly #subsets = new Map<string, Subset>();
-	readonly #circuits: Circuits;
+	readonly #circuitBreakers: CircuitBreakers;
 	readonly #limits: EndpointLimits;
 	readonly #reports = new EndpointReports();
 
@@ -82,35 +82,35 @@
 		this.#options = {
 			subsetKey: '', endpointsPerService: 48, startTokensOf: () => Number.MAX_SAFE_INTEGER, ...options,
 		};
-		this.#circuits = new Circuits(options.circuits);
+		this.#circuitBreakers = new CircuitBreakers(options.circuits);
 		this.#limits = new EndpointLimits(options.limits);
 	}
 
-	/** Chooses an endpoint, or none when all are excluded, leaving, failing or full. */
+	/** Chooses an endpoint; returns nothing if all are excluded, failing, full or lack the version. */
 	choose(request: PlacementRequest): string | undefined {
-		const {chosen, all} = this.#subset(request.service);
-		const address = this.#chooseAmong(chosen, request)
-			?? (all === chosen ? undefined : this.#chooseAmong(all, request))
+		const {selected, all} = this.#subset(request.service);
+		const address = this.#chooseAmong(selected, request)
+			?? (all === selected ? undefined : this.#chooseAmong(all, request))
 			?? this.#lastResort(all, request);
 		if (address !== undefined) {
-			this.#circuits.chosen(address, request.now);
+			this.#circuitBreakers.recordChoice(address, request.now);
 		}
 
 		return address;
 	}
 
-	/** Endpoints of a service that this router uses. */
+	/** Returns the endpoints of a service that this router uses. */
 	subsetOf(service: string): readonly PlacementEndpoint[] {
-		return this.#subset(service).chosen;
+		return this.#subset(service).selected;
 	}
 
-	/** Tokens that this router may have in progress at a service; an endpoint due for a probe counts for one, to let one request in. */
+	/** Returns the maximum number of tokens in progress at a service for this router; an endpoint due for a probe counts as one token, to admit one request. */
 	capacityOf(service: string, now: number): number {
 		let capacity = 0;
 		for (const {address} of this.subsetOf(service)) {
-			if (!this.#circuits.isOpen(address)) {
+			if (!this.#circuitBreakers.isOpen(address)) {
 				capacity += this.limitOf(address, service);
-			} else if (this.#circuits.allows(address, now)) {
+			} else if (this.#circuitBreakers.allows(address, now)) {
 				capacity += 1;
 			}
 		}
@@ -118,23 +118,23 @@
 		return capacity;
 	}
 
-	/** Tokens that this router may have in progress at an endpoint. */
+	/** Returns the maximum number of tokens that this router may have in progress at an endpoint. */
 	limitOf(address: string, service: string): number {
 		return this.#limits.limitOf(address, this.#options.startTokensOf(service));
 	}
 
-	/** Tokens that this router has in progress at an endpoint. */
+	/** Returns the number of tokens that this router has in progress at an endpoint. */
 	outstanding(address: string): number {
 		return this.#outstanding.get(address) ?? 0;
 	}
 
-	/** Counts work that starts at an endpoint. */
-	started(address: string, tokens: number): void {
+	/** Records the start of work at an endpoint. */
+	recordStart(address: string, tokens: number): void {
 		this.#outstanding.set(address, this.outstanding(address) + tokens);
 	}
 
-	/** Counts work that has ended there. */
-	finished(address: string, tokens: number): void {
+	/** Records the end of work at an endpoint. */
+	recordEnd(address: string, tokens: number): void {
 		const left = this.outstanding(address) - tokens;
 		this.#outstanding.set(address, left);
 		if (left <= 0) {
@@ -143,37 +143,37 @@
 	}
 
 	/** Records that an endpoint answered. */
-	succeeded(address: string, _now: number): void {
-		this.#circuits.succeeded(address);
+	recordSuccess(address: string, _now: number): void {
+		this.#circuitBreakers.recordSuccess(address);
 	}
 
 	/** Records that an endpoint did not answer. */
-	failed(address: string, now: number): void {
-		this.#circuits.failed(address, now);
+	recordFailure(address: string, now: number): void {
+		this.#circuitBreakers.recordFailure(address, now);
 	}
 
-	/** Learns from a measured time to first token, in milliseconds. */
-	firstToken(address: string, milliseconds: number, now: number): void {
+	/** Records a measured time to first token, in milliseconds, which adjusts the limit of the endpoint. */
+	recordFirstToken(address: string, milliseconds: number, now: number): void {
 		const service = this.#serviceOf.get(address);
 		if (service !== undefined) {
-			this.#limits.firstToken({
+			this.#limits.recordFirstToken({
 				address, milliseconds, now, outstanding: this.outstanding(address), startTokens: this.#options.startTokensOf(service),
 			});
 		}
 	}
 
-	/** Takes a load that an endpoint reported. */
-	takeLoad(address: string, load: EngineLoad, now: number): void {
-		this.#reports.takeLoad(address, load, this.outstanding(address), now);
-		this.#circuits.reachable(address, now);
+	/** Records the load reported by an endpoint. */
+	recordLoad(address: string, load: EngineLoad, now: number): void {
+		this.#reports.recordLoad(address, load, this.outstanding(address), now);
+		this.#circuitBreakers.recordReachable(address, now);
 	}
 
-	/** Takes cache events that an endpoint published. */
-	takeCacheEvents(address: string, events: CacheEvents, now: number): void {
-		this.#reports.takeCacheEvents(address, events, now);
+	/** Records cache events published by an endpoint. */
+	recordCacheEvents(address: string, events: CacheEvents, now: number): void {
+		this.#reports.recordCacheEvents(address, events, now);
 	}
 
-	/** Sequence number of the last cache event taken from an endpoint. */
+	/** Returns the sequence number of the last cache event received from an endpoint. */
 	lastSequence(address: string): number {
 		return this.#reports.lastSequence(address);
 	}
@@ -185,7 +185,7 @@
 			return known;
 		}
 
-		const subset = {all, chosen: highestMembers(all, this.#options.subsetKey, this.#options.endpointsPerService)};
+		const subset = {all, selected: highestWeightMembers(all, this.#options.subsetKey, this.#options.endpointsPerService)};
 		this.#subsets.set(service, subset);
 		this.#forgetUnlisted(service, all);
 		return subset;
@@ -204,23 +204,23 @@
 		}
 
 		const known = new Set(this.#serviceOf.keys());
-		this.#circuits.keepOnly(known);
+		this.#circuitBreakers.keepOnly(known);
 		this.#limits.keepOnly(known);
 		this.#reports.keepOnly(known);
 	}
 
 	#chooseAmong(endpoints: readonly PlacementEndpoint[], request: PlacementRequest): string | undefined {
-		const usable = endpoints.filter(({address}) => this.#usable(address, request) && this.#hasRoom(address, request));
-		if (usable.length === 0) {
+		const candidates = endpoints.filter(({address}) => this.#usable(address, request) && this.#hasRoom(address, request));
+		if (candidates.length === 0) {
 			return undefined;
 		}
 
-		return this.#prefixOwner(usable, request) ?? this.#leastLoaded(usable, request);
+		return this.#prefixOwner(candidates, request) ?? this.#leastLoaded(candidates, request);
 	}
 
 	#usable(address: string, {exclude, version, now}: PlacementRequest): boolean {
 		return !exclude.has(address)
-			&& this.#circuits.allows(address, now)
+			&& this.#circuitBreakers.allows(address, now)
 			&& !(version !== undefined && this.#reports.lacksVersion(address, version, now));
 	}
 
@@ -229,18 +229,18 @@
 		return outstanding === 0 || outstanding + tokens <= admittedHeadroom * this.limitOf(address, service);
 	}
 
-	/** Finds the endpoint that holds or would hold the prompt's prefix and is not loaded far above the mean. */
-	#prefixOwner(usable: readonly PlacementEndpoint[], {prompt, tokens = 0, now}: PlacementRequest): string | undefined {
+	/** Returns the owner of the prompt's prefix: an endpoint that has cached it, else the one with the highest rendezvous weight; skips endpoints loaded far above the mean. */
+	#prefixOwner(candidates: readonly PlacementEndpoint[], {prompt, tokens = 0, now}: PlacementRequest): string | undefined {
 		if (prompt === undefined) {
 			return undefined;
 		}
 
-		const total = usable.reduce((sum, {address}) => sum + this.#load(address, now), 0);
-		const bound = (affinityBound * total / usable.length) + tokens;
+		const total = candidates.reduce((sum, {address}) => sum + this.#load(address, now), 0);
+		const bound = (affinityBound * total / candidates.length) + tokens;
 		const prefix = prefixKey(prompt);
 		const key = hashKey(prefix);
 		let owner: {address: string; weight: number} | undefined;
-		for (const {address} of usable) {
+		for (const {address} of candidates) {
 			if (this.#load(address, now) > bound) {
 				continue;
 			}
@@ -255,11 +255,11 @@
 		return owner?.address;
 	}
 
-	#leastLoaded(usable: readonly PlacementEndpoint[], {now, random}: PlacementRequest): string | undefined {
+	#leastLoaded(candidates: readonly PlacementEndpoint[], {now, random}: PlacementRequest): string | undefined {
 		const generator = xoroshiro128plus(Math.floor(random * (2 ** 32)));
 		let best: {address: string; load: number} | undefined;
 		for (let drawn = 0; drawn < candidateCount; drawn += 1) {
-			const {address} = usable[unsafeUniformIntDistribution(0, usable.length - 1, generator)]!;
+			const {address} = candidates[unsafeUniformIntDistribution(0, candidates.length - 1, generator)]!;
 			const load = this.#load(address, now);
 			if (best === undefined || load < best.load) {
 				best = {address, load};
@@ -269,7 +269,7 @@
 		return best?.address;
 	}
 
-	/** Tries, now and then, the endpoint that has waited longest when every circuit is open. */
+	/** Returns the least recently tried endpoint when all circuits are open, at a limited rate. */
 	#lastResort(endpoints: readonly PlacementEndpoint[], request: PlacementRequest): string | undefined {
 		let oldest: string | undefined;
 		for (const {address} of endpoints) {
@@ -277,16 +277,16 @@
 				continue;
 			}
 
-			if (!this.#circuits.isOpen(address)) {
+			if (!this.#circuitBreakers.isOpen(address)) {
 				return undefined;
 			}
 
-			if (oldest === undefined || this.#circuits.triedAt(address) < this.#circuits.triedAt(oldest)) {
+			if (oldest === undefined || this.#circuitBreakers.lastTriedAt(address) < this.#circuitBreakers.lastTriedAt(oldest)) {
 				oldest = address;
 			}
 		}
 
-		return oldest !== undefined && request.now - this.#circuits.triedAt(oldest) >= lastResortMilliseconds ? oldest : undefined;
+		return oldest !== undefined && request.now - this.#circuitBreakers.lastTriedAt(oldest) >= lastResortIntervalMilliseconds ? oldest : undefined;
 	}
 
 	#load(address: string, now: number): number {
--- a/source/placement/follow-endpoints.ts
+++ b/source/placement/poll-endpoints.ts
@@ -1,5 +1,5 @@
 /**
- * Reads the load and the cache events of a router's subset of endpoints at a paced rate.
+ * Polls the load and the cache events of a router's subset of endpoints at a constant rate.
  *
  * @module
  */
@@ -10,45 +10,45 @@
 import {poll, type TaskFailure} from '../supervision/mod.ts';
 import {type Placement} from './placement.ts';
 
-/** Options of {@linkcode followEndpoints}. */
-export type FollowEndpointsOptions = {
+/** Options of {@linkcode pollEndpoints}. */
+export type PollEndpointsOptions = {
 	placement: Placement;
 	engines: Pick<EngineClient, 'load' | 'cacheEvents'>;
-	/** Returns the names of the services of model engines. */
+	/** Returns the names of the model services. */
 	services: () => readonly string[];
 	/** Returns the monotonic time, in milliseconds. */
 	clock: () => number;
 	/** Returns a random number from 0 to 1. */
 	random: () => number;
-	/** Mean time between two reads, whatever the number of endpoints, in milliseconds. Default 250. */
+	/** Mean interval between two reads, independent of the number of endpoints, in milliseconds. Default 250. */
 	periodMilliseconds?: number;
 };
 
-/** Reads of an endpoint's load for each read of its cache events. */
-const loadsPerCacheRead = 4;
+/** Number of load reads of an endpoint for each read of its cache events. */
+const loadReadsPerCacheRead = 4;
 
 /**
- * Reads one endpoint after the other, so that the rate of messages does not grow with the fleet.
+ * Polls one endpoint at a time, so that the message rate does not grow with the number of endpoints.
  *
- * @param options Placement, client and pace.
- * @param signal Ends the task.
+ * @param options Placement, engine client and polling interval.
+ * @param signal Stops the task.
  * @example
  * ```ts
- * supervisor.start('endpoints', signal => followEndpoints(options, signal));
+ * supervisor.start('endpoints', signal => pollEndpoints(options, signal));
  * ```
  */
-export async function followEndpoints(options: FollowEndpointsOptions, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
+export async function pollEndpoints(options: PollEndpointsOptions, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
 	const {periodMilliseconds = 250, random} = options;
 	const reads = new Map<string, number>();
-	await poll(async () => readNext(options, reads), {periodMilliseconds, random, signal}).drain();
+	await poll(async () => pollNext(options, reads), {periodMilliseconds, random, signal}).drain();
 	return ok();
 }
 
-/** Reads the endpoint that was read the fewest times. */
-async function readNext(options: FollowEndpointsOptions, reads: Map<string, number>): Promise<void> {
+/** Reads the endpoint with the fewest reads. */
+async function pollNext(options: PollEndpointsOptions, reads: Map<string, number>): Promise<void> {
 	const {placement, engines, clock} = options;
 	const addresses = new Set(options.services().flatMap(service => placement.subsetOf(service).map(({address}) => address)));
-	forgetUnlisted(reads, addresses);
+	updateReadCounts(reads, addresses);
 	const address = leastRead(addresses, reads);
 	if (address === undefined) {
 		return;
@@ -61,11 +61,11 @@
 		return;
 	}
 
-	placement.takeLoad(address, load.value, clock());
-	if (count % loadsPerCacheRead === 0) {
+	placement.recordLoad(address, load.value, clock());
+	if (count % loadReadsPerCacheRead === 0) {
 		const events = await engines.cacheEvents(address, placement.lastSequence(address));
 		if (events.isOk()) {
-			placement.takeCacheEvents(address, events.value, clock());
+			placement.recordCacheEvents(address, events.value, clock());
 		}
 	}
 }
@@ -81,8 +81,8 @@
 	return least;
 }
 
-/** Starts newly listed endpoints at the count of the others, so that they do not take every turn. */
-function forgetUnlisted(reads: Map<string, number>, listed: ReadonlySet<string>): void {
+/** Removes unlisted endpoints and starts new ones one below the highest count, so that they are not read on every turn. */
+function updateReadCounts(reads: Map<string, number>, listed: ReadonlySet<string>): void {
 	for (const address of reads.keys()) {
 		if (!listed.has(address)) {
 			reads.delete(address);
--- a/source/placement/prefix-key.ts
+++ b/source/placement/prefix-key.ts
@@ -1,15 +1,15 @@
 /**
- * Names of prompt prefixes.
+ * Keys of prompt prefixes.
  *
  * @module
  */
 import {createHash} from 'node:crypto';
 
-/** Characters of a prompt whose digest names its prefix. */
+/** Number of leading characters of a prompt that form its prefix. */
 const prefixLength = 256;
 
 /**
- * Returns the key of a prompt's first block, as cache events name it.
+ * Returns the key of a prompt's prefix, as used in cache events: a truncated SHA-256 digest.
  *
  * @param prompt The prompt.
  * @example
--- a/source/placement/rendezvous.ts
+++ b/source/placement/rendezvous.ts
@@ -1,5 +1,5 @@
 /**
- * Rendezvous hashing: each key orders the members in its own stable way.
+ * Rendezvous hashing: each key has its own stable order of the members.
  *
  * @module
  */
@@ -24,24 +24,24 @@
 /**
  * Hashes a key once for many members.
  *
- * @param key Any text.
+ * @param key The key.
  */
 export function hashKey(key: string): number {
 	return h32(key);
 }
 
 /**
- * Returns the members with the highest weights, which change little when members come and go.
+ * Returns the members with the highest weights for a key; the result changes little when members are added or removed.
  *
  * @param members All members.
- * @param key Key that orders them.
- * @param count Members to keep at most.
+ * @param key Key whose weights order the members.
+ * @param count Maximum number of members to return.
  * @example
  * ```ts
- * const subset = highestMembers(endpoints, 'router-1', 48);
+ * const subset = highestWeightMembers(endpoints, 'router-1', 48);
  * ```
  */
-export function highestMembers<Member extends {address: string}>(members: readonly Member[], key: string, count: number): readonly Member[] {
+export function highestWeightMembers<Member extends {address: string}>(members: readonly Member[], key: string, count: number): readonly Member[] {
 	if (members.length <= count) {
 		return members;
 	}
--- a/source/router/admission-parts.ts
+++ b/source/router/admission-parts.ts
@@ -4,11 +4,11 @@
  * @module
  */
 import {
-	Admission, RefusedRequests, RetryBudget, SuspectWatch, Suspects, TrialClaims, type EndpointPlace,
+	Admission, BlockedRequests, RetryBudget, SuspectMonitor, Suspects, EndpointClaims, type EndpointLocation,
 } from '../admission/mod.ts';
 import {type HostDirectory} from '../membership/mod.ts';
 import {type Host} from '../table-service/mod.ts';
-import {Placement, createShares, startTokensOf} from '../placement/mod.ts';
+import {Placement, createEndpointShares, startTokensOf} from '../placement/mod.ts';
 import {type CallerParts} from './caller-context.ts';
 
 /** Kind of the hints that name convicted requests; the value is the time until which they are refused. */
@@ -36,11 +36,11 @@
 		endpointsPerService: settings.placement.endpointsPerService,
 		endpointsOf: service => directory.endpointsOf(service),
 		startTokensOf: service => startTokensOf(configuration.service(service)),
-		limits: {shareOf: createShares(directory, settings.placement.endpointsPerService)},
+		limits: {shareOf: createEndpointShares(directory, settings.placement.endpointsPerService)},
 	});
 	const suspects: Suspects = new Suspects({
-		placeOf: createPlaces(directory, wallClock),
-		onConvicted(digest, expiresAt) {
+		locationOf: createPlaces(directory, wallClock),
+		onBlocked(digest, expiresAt) {
 			logger.warn('request convicted', {digest});
 			hints.publish({kind: convictedHintKind, key: digest, value: String(expiresAt)}, wallClock());
 			void refused.save(digest, expiresAt);
@@ -48,20 +48,20 @@
 	});
 	hints.onHint(({kind, key, value}) => {
 		if (kind === convictedHintKind && Number.isFinite(Number(value))) {
-			suspects.hear(key, Number(value));
+			suspects.receiveBlock(key, Number(value));
 		}
 	});
-	const refused = new RefusedRequests({
+	const refused = new BlockedRequests({
 		platform, suspects, logger, wallClock, random,
 	});
-	const watch = new SuspectWatch({
-		suspects, refused, claims: new TrialClaims({platform, wallClock}), engines, logger, wallClock, endpointsOf: service => directory.endpointsOf(service).map(({address}) => address),
+	const watch = new SuspectMonitor({
+		suspects, blockedRequests: refused, claims: new EndpointClaims({platform, wallClock}), engines, logger, wallClock, endpointsOf: service => directory.endpointsOf(service).map(({address}) => address),
 	});
 	return {
 		placement,
 		refused,
 		suspects: watch,
-		retries: new RetryBudget({share: settings.admission.retryShare}),
+		retries: new RetryBudget({ratio: settings.admission.retryShare}),
 		admission: new Admission({
 			...settings.admission,
 			wallClock,
@@ -73,7 +73,7 @@
 }
 
 /** Finds the host and zone of an endpoint that is listed and not leaving. */
-function createPlaces(directory: HostDirectory, wallClock: () => number): (address: string) => EndpointPlace | undefined {
+function createPlaces(directory: HostDirectory, wallClock: () => number): (address: string) => EndpointLocation | undefined {
 	let hosts: HostDirectory['hosts'] | undefined;
 	let hostOf = new Map<string, Host>();
 	return address => {
--- a/source/router/call-parts.ts
+++ b/source/router/call-parts.ts
@@ -33,7 +33,7 @@
 		serviceClient: new PooledServiceClient(),
 		claims: new ClaimStore({platform, clock, random}),
 		retryBudgetOf(service) {
-			const budget = budgets.get(service) ?? new RetryBudget({share: settings.admission.retryShare, largest: savedRetries, perSecond: 0});
+			const budget = budgets.get(service) ?? new RetryBudget({ratio: settings.admission.retryShare, capacity: savedRetries, perSecond: 0});
 			budgets.set(service, budget);
 			return budget;
 		},
--- a/source/router/caller-context.ts
+++ b/source/router/caller-context.ts
@@ -5,7 +5,7 @@
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Span} from '@opentelemetry/api';
-import {type Admission, type RefusedRequests} from '../admission/mod.ts';
+import {type Admission, type BlockedRequests} from '../admission/mod.ts';
 import {type CallParts} from '../calls/mod.ts';
 import {type ConfigurationInForce, type Workspace} from '../configuration/mod.ts';
 import {type GenerationParts} from '../generation/mod.ts';
@@ -29,7 +29,7 @@
 	peers: PeerRegistry;
 	platform: PlatformClient;
 	/** Requests that are refused everywhere. */
-	refused: RefusedRequests;
+	refused: BlockedRequests;
 	leaving: Leaving;
 	calls: CallParts;
 };
--- a/source/router/serve-call.ts
+++ b/source/router/serve-call.ts
@@ -64,7 +64,7 @@
 	}
 
 	const call = createCall(exchange, parts, service, body.value);
-	const permit = await parts.admission.enter({
+	const permit = await parts.admission.acquire({
 		workspace: call.workspace,
 		weight: exchange.workspace.weight,
 		service: service.service,
--- a/source/router/serve-completion.ts
+++ b/source/router/serve-completion.ts
@@ -42,14 +42,14 @@
 	}
 
 	const {progress, body, scope} = prepared.value;
-	const permit = await parts.admission.enter({
+	const permit = await parts.admission.acquire({
 		workspace: exchange.workspace.workspace,
 		weight: exchange.workspace.weight,
 		service: progress.service.service,
 		tokens: Math.ceil(progress.prompt.length / charactersPerToken) + progress.maxTokens - progress.nextIndex,
 		requestDigest: progress.requestDigest,
 		deadline: progress.deadline,
-		started: progress.nextIndex > 0,
+		isContinuation: progress.nextIndex > 0,
 	}, parts.wallClock(), exchange.signal);
 	if (permit.isErr()) {
 		sendRefusal(exchange.response, permit.error);
--- a/source/router/start-control.ts
+++ b/source/router/start-control.ts
@@ -11,7 +11,7 @@
 import {
 	ConfigurationExchange, HintBoard, HostDirectory, HostHints, LoadBoard, PeerRegistry, followHosts, followPeers, type PeerContext, type RouterIdentity,
 } from '../membership/mod.ts';
-import {followEndpoints, modelServices} from '../placement/mod.ts';
+import {pollEndpoints, modelServices} from '../placement/mod.ts';
 import {type RouterSettings} from '../settings/mod.ts';
 import {type Supervisor} from '../supervision/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
@@ -96,7 +96,7 @@
 	}, signal));
 	supervisor.start('peers', async signal => followPeers(context, signal));
 	supervisor.start('refused', async signal => parts.refused.follow(signal));
-	supervisor.start('endpoints', async signal => followEndpoints({
+	supervisor.start('endpoints', async signal => pollEndpoints({
 		placement: parts.placement, engines: parts.engines, clock: parts.clock, random, services: () => modelServices(configuration),
 	}, signal));
 	supervisor.start('usage', async signal => writer.follow(signal));
--- a/source/supervision/caller-signal.ts
+++ b/source/supervision/caller-signal.ts
@@ -11,7 +11,7 @@
  * @param response The caller's answer.
  * @example
  * ```ts
- * const callerGone = signalOfCaller(response);
+ * const callerDisconnected = signalOfCaller(response);
  * ```
  */
 export function signalOfCaller(response: ServerResponse): AbortSignal {
