--- a/source/beliefs/configuration-cache.ts
+++ b/source/beliefs/configuration-cache.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {RouteTable, type ConfigurationKnowledge, type RoutingConfiguration} from '../routing/mod.ts';
+import {RouteTable, type ConfigurationSnapshot, type RoutingConfiguration} from '../routing/mod.ts';
 import {ageOf, type ClockReading} from './clock.ts';
 
 /** Called with the route table of each new version. */
@@ -60,7 +60,7 @@
 	}
 
 	/** Returns the current route table and the time since it was last confirmed, in milliseconds; infinite if it never was. */
-	snapshot(now: ClockReading): ConfigurationKnowledge {
+	snapshot(now: ClockReading): ConfigurationSnapshot {
 		return {table: this.#table, ageMilliseconds: this.#confirmedAt ? ageOf(this.#confirmedAt, now) : Number.POSITIVE_INFINITY};
 	}
 
--- a/source/gateway/broken-answers.test.ts
+++ b/source/gateway/broken-answers.test.ts
@@ -9,21 +9,21 @@
 
 const large = 'x'.repeat(400_000);
 
-/** Answers that break off halfway. */
-const breaks: Record<string, (request: RawRequest) => void> = {
+/** Truncated answers, by how they are cut off. */
+const truncatedAnswers: Record<string, (request: RawRequest) => void> = {
 	'shorter than its length'({attempt, socket}) {
 		socket.end(`${rawHead(attempt)}Content-Length: 100\r\n\r\n${rawBody(attempt)}`);
 	},
-	'in chunks without the last one'({attempt, socket}) {
+	'chunked without the final chunk'({attempt, socket}) {
 		socket.end(`${rawHead(attempt)}Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n`);
 	},
 	'within a chunk'({attempt, socket}) {
 		socket.end(`${rawHead(attempt)}Transfer-Encoding: chunked\r\n\r\nff\r\nabcde`);
 	},
-	'with its trailers lost'({attempt, socket}) {
+	'with truncated trailers'({attempt, socket}) {
 		socket.end(`${rawHead(attempt)}Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n5\r\nabcde\r\n0\r\nX-Sum: `);
 	},
-	'without a length, reset'({attempt, socket}) {
+	'without a length, then a reset'({attempt, socket}) {
 		socket.write(`${rawHead(attempt)}\r\n${rawBody(attempt)}`);
 		setTimeout(() => {
 			socket.resetAndDestroy();
@@ -32,13 +32,13 @@
 	'large, shorter than its length'({attempt, socket}) {
 		socket.end(`${rawHead(attempt)}Content-Length: 500000\r\n\r\n${large}`);
 	},
-	'large, in chunks without the last one'({attempt, socket}) {
+	'large, chunked without the final chunk'({attempt, socket}) {
 		socket.end(`${rawHead(attempt)}Transfer-Encoding: chunked\r\n\r\n${large.length.toString(16)}\r\n${large}\r\n`);
 	},
 };
 
-for (const [name, answer] of Object.entries(breaks)) {
-	test(`an answer that breaks off never looks complete: ${name}`, async () => {
+for (const [name, answer] of Object.entries(truncatedAnswers)) {
+	test(`a truncated answer never looks complete to the caller: ${name}`, async () => {
 		await using fleet = await GatewayFleet.create();
 		await fleet.startRawWorker({id: 'desk-1', service: 'desk', answer});
 		const gateway = await fleet.startGateway('gateway-1');
@@ -52,7 +52,7 @@
 	});
 }
 
-test('a stream that ends within an event or without its end never looks complete', async () => {
+test('a stream that ends in the middle of an event never looks complete to the caller', async () => {
 	await using fleet = await GatewayFleet.create();
 	await fleet.startRawWorker({
 		id: 'scribe-1',
@@ -68,7 +68,7 @@
 	assert.ok(!answer.body.includes('id: 2'));
 });
 
-test('however the bytes of answers are cut, a caller gets its own whole answer or none', async () => {
+test('a caller gets its own complete answer or none, wherever the answer is cut off', async () => {
 	await using fleet = await GatewayFleet.create();
 	const cuts = new Map<string, number>();
 	await fleet.startRawWorker({
@@ -95,7 +95,7 @@
 	}), {numRuns: 500});
 });
 
-test('requests whose bytes are under way when a gateway is told to stop are answered', async () => {
+test('requests that are being received when a gateway gets SIGTERM are answered', async () => {
 	await using fleet = await GatewayFleet.create();
 	const worker = await fleet.startWorker({id: 'desk-1', service: 'desk', callMilliseconds: 30});
 	const gateway = await fleet.startGateway('gateway-1');
--- a/source/gateway/bundle.test.ts
+++ b/source/gateway/bundle.test.ts
@@ -15,7 +15,7 @@
 const run = promisify(execFile); // eslint-disable-line @typescript-eslint/strict-void-return -- Node's own promisified form.
 const address = takeLoopbackAddress();
 
-test('the bundle starts without any module beside it, and also without its code cache', async context => {
+test('the bundled gateway starts without any other module present, with and without its code cache', async context => {
 	const folder = await mkdtemp(path.join(tmpdir(), 'azuretack-bundle-'));
 	context.after(async () => rm(folder, {recursive: true}));
 	await run(process.execPath, ['deploy/bundle.mjs', folder]);
--- a/source/gateway/caller-server.ts
+++ b/source/gateway/caller-server.ts
@@ -1,5 +1,5 @@
 /**
- * The HTTP servers of a gateway: for callers, for whoever asks which gateways to use, and for its readiness and metrics.
+ * The HTTP servers of a gateway: for callers, for gateway discovery and readiness, and for metrics.
  *
  * @module
  */
@@ -12,27 +12,27 @@
 import {isReady} from './readiness.ts';
 import {serveRequest} from './serve-request.ts';
 
-/** Headers of one request that are read at most, in bytes; the configuration may set a lower bound. */
-const headerBytes = 65_536;
+/** Maximum size of the headers of one request, in bytes; the configuration may set a lower limit. */
+const maximumHeaderBytes = 65_536;
 
-/** Time for which an unused connection of a caller is kept before there is a configuration, in milliseconds. */
+/** Idle timeout of caller connections until a configuration is known, in milliseconds. */
 const defaultIdleMilliseconds = 15_000;
 
-/** Time for which callers should keep an answer that names entries, in seconds. */
-const entriesSeconds = 2;
+/** Maximum time for which callers should cache a list of entries, in seconds. */
+const maximumEntriesSeconds = 2;
 
-/** Entries named at most. */
-const entryCount = 64;
+/** Maximum number of entries in a list. */
+const maximumEntries = 64;
 
-/** Answers one call that is not a request to a service. */
+/** Handles one kind of call for entries or readiness. */
 type EntryHandler<Kind extends EntryCall['kind']> = (call: Extract<EntryCall, {kind: Kind}>, response: ServerResponse, parts: GatewayParts) => void;
 
 const entryHandlers: {[Kind in EntryCall['kind']]: EntryHandler<Kind>} = {
 	entries({availabilityZone, region}, response, {members, clock, random, settings}) {
 		const addresses = listGateways({
-			members: members.live(clock()), availabilityZone, region, count: entryCount, random,
+			members: members.live(clock()), availabilityZone, region, count: maximumEntries, random,
 		});
-		const body = encodeEntries(addresses, Math.min(entriesSeconds, settings.bounds.entriesSeconds));
+		const body = encodeEntries(addresses, Math.min(maximumEntriesSeconds, settings.bounds.entriesSeconds));
 		response.writeHead(200, {'content-type': 'application/json', 'content-length': body.length});
 		response.end(body);
 	},
@@ -43,12 +43,12 @@
 };
 
 /**
- * Creates the server that callers send their requests to; it does not listen yet.
+ * Creates the server for requests of callers; it does not listen yet.
  *
- * @param parts The gateway's parts.
+ * @param parts The gateway's components.
  */
 export function createCallerServer(parts: GatewayParts): Server {
-	const server = createServer({maxHeaderSize: headerBytes, keepAliveTimeout: defaultIdleMilliseconds, requestTimeout: 0}, (request, response) => {
+	const server = createServer({maxHeaderSize: maximumHeaderBytes, keepAliveTimeout: defaultIdleMilliseconds, requestTimeout: 0}, (request, response) => {
 		void serveRequest(request, response, parts);
 	});
 	parts.configuration.onChange(({configuration: {limits}}) => {
@@ -58,9 +58,9 @@
 }
 
 /**
- * Creates the server that says which gateways to use and whether this one is ready; it does not listen yet.
+ * Creates the server for the list of entries (addresses of live gateways) and the readiness of this gateway; it does not listen yet.
  *
- * @param parts The gateway's parts.
+ * @param parts The gateway's components.
  */
 export function createEntryServer(parts: GatewayParts): Server {
 	return createServer((request, response) => {
@@ -76,9 +76,9 @@
 }
 
 /**
- * Creates the server of the metrics; it does not listen yet.
+ * Creates the metrics server; it does not listen yet.
  *
- * @param parts The gateway's parts.
+ * @param parts The gateway's components.
  */
 export function createMetricsServer({metrics, members, clock}: GatewayParts): Server {
 	return createServer((request, response) => {
--- a/source/gateway/ending-requests.test.ts
+++ b/source/gateway/ending-requests.test.ts
@@ -4,79 +4,79 @@
 import {EndingFleet, endingBody} from '../testing/ending-fleet.ts';
 import {allowedLateSends, knownAfterEnds} from '../testing/late-sends.ts';
 
-/** How a caller comes back. */
-const pace = {everyMilliseconds: 400, forMilliseconds: 12_000};
+/** How often and for how long a caller repeats a request. */
+const schedule = {everyMilliseconds: 400, forMilliseconds: 12_000};
 
-test('a repeatable call that ends its endpoints is not sent on once that must be known', async () => {
-	await using ending = await EndingFleet.create({service: 'desk', gateways: 3, workers: 8});
-	await ending.repeat({path: '/status/1', method: 'POST', body: endingBody}, pace);
-	assert.ok(ending.lateSends().length <= allowedLateSends, `${ending.ends.length} endpoints ended, ${ending.lateSends().length} sends were late`);
+test('an idempotent call that crashes its endpoints is not sent again once all gateways must know of it', async () => {
+	await using crashFleet = await EndingFleet.create({service: 'desk', gateways: 3, workers: 8});
+	await crashFleet.repeat({path: '/status/1', method: 'POST', body: endingBody}, schedule);
+	assert.ok(crashFleet.lateSends().length <= allowedLateSends, `${crashFleet.ends.length} endpoints crashed, ${crashFleet.lateSends().length} late sends`);
 });
 
-test('a call that may run once and ends its endpoints is not sent on once that must be known', async () => {
-	await using ending = await EndingFleet.create({service: 'desk', gateways: 3, workers: 8});
-	await ending.repeat({path: '/deposits/1', method: 'POST', body: endingBody}, pace);
-	assert.ok(ending.lateSends().length <= allowedLateSends, `${ending.ends.length} endpoints ended, ${ending.lateSends().length} sends were late`);
+test('an at-most-once call that crashes its endpoints is not sent again once all gateways must know of it', async () => {
+	await using crashFleet = await EndingFleet.create({service: 'desk', gateways: 3, workers: 8});
+	await crashFleet.repeat({path: '/deposits/1', method: 'POST', body: endingBody}, schedule);
+	assert.ok(crashFleet.lateSends().length <= allowedLateSends, `${crashFleet.ends.length} endpoints crashed, ${crashFleet.lateSends().length} late sends`);
 });
 
-test('a generation that ends its engines is not sent on once that must be known', async () => {
-	await using ending = await EndingFleet.create({service: 'scribe', gateways: 3, workers: 8});
-	await ending.repeat({
+test('a generation that crashes its engines is not sent again once all gateways must know of it', async () => {
+	await using crashFleet = await EndingFleet.create({service: 'scribe', gateways: 3, workers: 8});
+	await crashFleet.repeat({
 		path: '/drafts/1', method: 'POST', body: endingBody, headers: {'x-azuretack-token-counts': '8000,120', 'x-azuretack-prompt-prefix': 'a1:200,b2:7800'},
-	}, pace);
-	assert.ok(ending.lateSends().length <= allowedLateSends, `${ending.ends.length} endpoints ended, ${ending.lateSends().length} sends were late`);
+	}, schedule);
+	assert.ok(crashFleet.lateSends().length <= allowedLateSends, `${crashFleet.ends.length} endpoints crashed, ${crashFleet.lateSends().length} late sends`);
 });
 
-test('a request that ends its endpoints stays held back when all gateways are killed at once and start anew', async () => {
-	await using ending = await EndingFleet.create({service: 'desk', gateways: 3, workers: 8});
-	const repeating = ending.repeat({path: '/status/1', method: 'POST', body: endingBody}, pace);
+test('a request that crashes its endpoints stays refused after all gateways are killed together and restarted', async () => {
+	await using crashFleet = await EndingFleet.create({service: 'desk', gateways: 3, workers: 8});
+	const crashing = crashFleet.repeat({path: '/status/1', method: 'POST', body: endingBody}, schedule);
 	for (const wait of [1500, 4000]) {
 		await delay(wait);
-		const killed = ending.gateways;
-		await Promise.all(killed.map(async gateway => ending.fleet.killGateway(gateway)));
-		await Promise.all(killed.map(async ({name}) => ending.startGateway(name)));
+		const killed = crashFleet.gateways;
+		await Promise.all(killed.map(async gateway => crashFleet.fleet.killGateway(gateway)));
+		await Promise.all(killed.map(async ({name}) => crashFleet.startGateway(name)));
 	}
 
-	await repeating;
-	assert.ok(ending.ends.length >= 3);
-	assert.ok(ending.lateSends().length <= allowedLateSends, `${ending.ends.length} endpoints ended, ${ending.lateSends().length} sends were late`);
+	await crashing;
+	assert.ok(crashFleet.ends.length >= 3);
+	assert.ok(crashFleet.lateSends().length <= allowedLateSends, `${crashFleet.ends.length} endpoints crashed, ${crashFleet.lateSends().length} late sends`);
 });
 
-test('a request that ends its endpoints is held back by each gateway alone while the store is away', async () => {
-	await using ending = await EndingFleet.create({service: 'desk', gateways: 3, workers: 16});
-	ending.fleet.store.fault = 'busy';
-	await ending.repeat({path: '/status/1', method: 'POST', body: endingBody}, {everyMilliseconds: 100, forMilliseconds: 3500});
-	assert.ok(ending.ends.length <= knownAfterEnds * 3, `${ending.ends.length} endpoints ended`);
+test('each gateway refuses a request that crashes its endpoints on its own while the store is unavailable', async () => {
+	await using crashFleet = await EndingFleet.create({service: 'desk', gateways: 3, workers: 16});
+	crashFleet.fleet.store.fault = 'busy';
+	await crashFleet.repeat({path: '/status/1', method: 'POST', body: endingBody}, {everyMilliseconds: 100, forMilliseconds: 3500});
+	assert.ok(crashFleet.ends.length <= knownAfterEnds * 3, `${crashFleet.ends.length} endpoints crashed`);
 });
 
-test('others are served while a request ends endpoints, and are not taken for the cause', async () => {
-	await using ending = await EndingFleet.create({
+test('other requests are served while one crashes endpoints, and are not suspected of the crashes', async () => {
+	await using crashFleet = await EndingFleet.create({
 		service: 'desk', gateways: 3, workers: 8, worker: {callMilliseconds: 20},
 	});
-	const repeating = ending.repeat({path: '/status/1', method: 'POST', body: endingBody}, pace);
-	const others = Array.from({length: 12}, async (_unused, index) => ending.repeat({path: `/status/other-${index}`}, {everyMilliseconds: 30, forMilliseconds: pace.forMilliseconds}));
+	const crashing = crashFleet.repeat({path: '/status/1', method: 'POST', body: endingBody}, schedule);
+	const others = Array.from({length: 12}, async (_unused, index) => crashFleet.repeat({path: `/status/other-${index}`}, {everyMilliseconds: 30, forMilliseconds: schedule.forMilliseconds}));
 	const answers = await Promise.all(others);
-	await repeating;
+	await crashing;
 	const served = answers.flat().filter(({status}) => status === 200).length;
 	assert.ok(served >= 0.95 * answers.flat().length, `${served} of ${answers.flat().length} were served`);
-	assert.ok(answers.every(list => list.slice(-20).every(({status}) => status === 200)), 'all are served in the end');
+	assert.ok(answers.every(list => list.slice(-20).every(({status}) => status === 200)), 'the last requests of each caller are served');
 });
 
-test('a popular request is served although endpoints end under it for reasons of their own', async () => {
-	await using ending = await EndingFleet.create({
+test('a popular request is served although endpoints crash during it for unrelated reasons', async () => {
+	await using crashFleet = await EndingFleet.create({
 		service: 'desk', gateways: 3, workers: 8, worker: {callMilliseconds: 60},
 	});
-	const popular = Array.from({length: 16}, async () => ending.repeat({path: '/status/popular'}, {everyMilliseconds: 20, forMilliseconds: pace.forMilliseconds}));
+	const popular = Array.from({length: 16}, async () => crashFleet.repeat({path: '/status/popular'}, {everyMilliseconds: 20, forMilliseconds: schedule.forMilliseconds}));
 	for (const count of [3, 2, 4]) {
 		await delay(2500);
-		await Promise.all(ending.workers.slice(0, count).map(async worker => {
-			void ending.endWorker(worker);
+		await Promise.all(crashFleet.workers.slice(0, count).map(async worker => {
+			void crashFleet.endWorker(worker);
 		}));
 	}
 
 	const answers = await Promise.all(popular);
 	const served = answers.flat().filter(({status}) => status === 200).length;
 	assert.ok(served >= 0.5 * answers.flat().length, `${served} of ${answers.flat().length} were served`);
-	assert.ok(answers.every(list => list.slice(-20).every(({status}) => status === 200)), 'all are served in the end');
-	assert.ok(ending.gateways.some(({log}) => log.join('').includes('"fate":"ended"')), 'endpoints ended under it');
+	assert.ok(answers.every(list => list.slice(-20).every(({status}) => status === 200)), 'the last requests of each caller are served');
+	assert.ok(crashFleet.gateways.some(({log}) => log.join('').includes('"fate":"ended"')), 'endpoints crashed during it');
 });
--- a/source/gateway/endless-answers.test.ts
+++ b/source/gateway/endless-answers.test.ts
@@ -8,23 +8,23 @@
 } from '../testing/gateway-fleet.ts';
 import {peakMegabytes, smallestHostMegabytes} from '../testing/process-memory.ts';
 
-/** Requests that are answered without an end at a time. */
-const atOnce = 150;
+/** Number of concurrent requests with an endless answer. */
+const concurrentRequests = 150;
 
 const call: CallerRequest = {path: '/status/1'};
 
-/** The most memory that a gateway has had, in megabytes. */
-async function peakOf({child}: GatewayProcess): Promise<number> {
+/** Returns the peak memory of a gateway process, in megabytes. */
+async function peakMemoryOf({child}: GatewayProcess): Promise<number> {
 	const peak = await peakMegabytes(child.pid!);
-	assert.ok(peak !== undefined, 'the gateway has ended');
+	assert.ok(peak !== undefined, 'the gateway process has exited');
 	return peak;
 }
 
 for (const fault of ['endless-body', 'endless-failure', 'endless-head'] as const) {
 	for (const [name, {service, request}] of Object.entries(endlessRequests)) {
-		test(`${atOnce} times ${name} with an ${fault} at once: neither is the memory used up nor does one look complete, and others are served`, async () => {
+		test(`${concurrentRequests} times ${name} with an ${fault} at once: neither is the memory used up nor does one look complete, and others are served`, async () => {
 			assert.deepEqual(await playEndlessAnswers({
-				fault, count: atOnce, service, request,
+				fault, count: concurrentRequests, service, request,
 			}), []);
 		});
 	}
@@ -38,7 +38,7 @@
 	endless.reportsEndlessly = true;
 	const answers = await Promise.all(Array.from({length: 40}, async () => fleet.draft(gateway)));
 	assert.ok(answers.every(({status, whole}) => status === 200 && whole));
-	assert.ok(await peakOf(gateway) < smallestHostMegabytes);
+	assert.ok(await peakMemoryOf(gateway) < smallestHostMegabytes);
 });
 
 test('a large answer arrives whole, and callers that do not read bound what is read for them', async () => {
@@ -55,7 +55,7 @@
 		return socket;
 	});
 	await delay(1500);
-	const peak = await peakOf(gateway);
+	const peak = await peakMemoryOf(gateway);
 	for (const socket of sockets) {
 		socket.destroy();
 	}
@@ -74,15 +74,15 @@
 	});
 	await delay(2500);
 	worker.fault = 'endless-body';
-	const leaving = new AbortController();
+	const abortController = new AbortController();
 	const answering = fleet.call(gateway, {
-		...call, dropsBody: true, signal: leaving.signal, deadlineMilliseconds: 20_000,
+		...call, dropsBody: true, signal: abortController.signal, deadlineMilliseconds: 20_000,
 	});
 	await delay(1500);
-	leaving.abort();
-	const leftAt = performance.now();
+	abortController.abort();
+	const disconnectedAt = performance.now();
 	await answering;
 	await fleet.until(() => worker.runs.every(({endedAt}) => endedAt !== undefined), 'the endpoint has stopped');
 	assert.ok(worker.runs.length > 0);
-	assert.ok(worker.runs.every(({endedAt}) => endedAt! < leftAt + 500));
+	assert.ok(worker.runs.every(({endedAt}) => endedAt! < disconnectedAt + 500));
 });
--- a/source/gateway/follow-store.ts
+++ b/source/gateway/follow-store.ts
@@ -1,5 +1,5 @@
 /**
- * The tasks that keep a gateway's knowledge of configuration and endpoints fresh.
+ * The tasks that follow the store's tables of configuration, endpoints and suspected requests.
  *
  * @module
  */
@@ -12,25 +12,25 @@
 import {type Supervisor} from '../supervision/supervisor.ts';
 import {decodeSuspicion, toldTable, type SuspectChange} from '../suspects/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
-import {takeConfiguration} from './take-configuration.ts';
+import {applyConfiguration} from './apply-configuration.ts';
 
 /**
- * Time for which the store is asked to wait for a suspected request, in milliseconds: it answers at once when there is one, and none is
- * the usual case, whose age nobody needs to know.
+ * Duration of a long poll for suspected requests, in milliseconds. The store answers as soon as there is one; usually there is none, and
+ * nothing depends on the age of that state, so the poll may be long.
  */
-const suspectsRoundMilliseconds = 10_000;
+const suspectsPollMilliseconds = 10_000;
 
-/** Longest pause until the store is asked for them again, in milliseconds: while it is away, the other tables show when it is back. */
-const suspectsRetryMilliseconds = 2000;
+/** Maximum retry delay of the poll for suspected requests, in milliseconds; during an outage of the store, polls of the other tables detect its recovery. */
+const suspectsMaximumRetryMilliseconds = 2000;
 
 /**
- * Starts the tasks.
+ * Starts the tasks that follow the tables.
  *
- * @param supervisor Runs them.
- * @param parts The gateway's parts.
- * @param wanted Whether this gateway follows the store now.
+ * @param supervisor Runs the tasks.
+ * @param parts The gateway's components.
+ * @param shouldFollow Whether this gateway follows the store now.
  */
-export function followStore(supervisor: Supervisor, parts: GatewayParts, wanted: () => boolean): void {
+export function followStore(supervisor: Supervisor, parts: GatewayParts, shouldFollow: () => boolean): void {
 	const {store, logger, readClock, random, newsTimes} = parts;
 	const shared = {
 		store,
@@ -40,7 +40,7 @@
 		roundMilliseconds: newsTimes.storePollMilliseconds,
 		storeClock: new StoreClock(),
 		renewal: new PollRenewal(),
-		wanted,
+		wanted: shouldFollow,
 	};
 	supervisor.start('configuration', async signal => followTable({
 		...shared, table: operatorTable, listener: configurationListener(parts), batchMilliseconds: 0,
@@ -49,12 +49,12 @@
 		...shared, table: endpointTable, listener: endpointListener(parts), batchMilliseconds: newsTimes.batchMilliseconds,
 	}, signal));
 	supervisor.start('suspects', async signal => followTable({
-		...shared, roundMilliseconds: suspectsRoundMilliseconds, longestRetryMilliseconds: suspectsRetryMilliseconds, table: toldTable, listener: suspectListener(parts), batchMilliseconds: 0,
+		...shared, roundMilliseconds: suspectsPollMilliseconds, longestRetryMilliseconds: suspectsMaximumRetryMilliseconds, table: toldTable, listener: suspectListener(parts), batchMilliseconds: 0,
 	}, signal));
 }
 
 function configurationListener(parts: GatewayParts): TableListener {
-	const take = (rows: readonly StoredRow[]) => {
+	const applyRows = (rows: readonly StoredRow[]) => {
 		const row = rows.findLast(({key}) => key === configurationKey);
 		if (!row?.content) {
 			return;
@@ -66,12 +66,12 @@
 			return;
 		}
 
-		takeConfiguration(parts, decoded.value, {revision: row.revision});
+		applyConfiguration(parts, decoded.value, {revision: row.revision});
 	};
 
 	return {
-		replace: take,
-		apply: take,
+		replace: applyRows,
+		apply: applyRows,
 		confirm(_revision, at) {
 			parts.configuration.confirm(at);
 		},
--- a/source/gateway/foreign-answers.test.ts
+++ b/source/gateway/foreign-answers.test.ts
@@ -7,27 +7,27 @@
 	rawAnswer, rawBody, rawHead, type RawRequest,
 } from '../testing/stand-ins/raw-worker.ts';
 
-/** Calls of each test, eight at a time. */
+/** Number of calls in each test; eight run concurrently. */
 const calls = 160;
 
-/** How a worker's answers mix with those to others. */
+/** Faults by which a worker sends bytes that do not belong to the answer to the current request. */
 const faults: Record<string, (request: RawRequest) => void> = {
-	'a second copy right behind the answer'({attempt, socket}) {
+	'a duplicate immediately after the answer'({attempt, socket}) {
 		socket.write(rawAnswer(attempt) + rawAnswer(attempt));
 	},
-	'a second copy once the connection is unused'({attempt, socket}) {
+	'a duplicate once the connection is idle'({attempt, socket}) {
 		socket.write(rawAnswer(attempt));
 		setTimeout(() => {
 			socket.write(rawAnswer(attempt));
 		}, 3);
 	},
-	'a second copy without a name once the connection is unused'({attempt, socket}) {
+	'a duplicate without an attempt id once the connection is idle'({attempt, socket}) {
 		socket.write(rawAnswer(attempt));
 		setTimeout(() => {
 			socket.write(rawAnswer(attempt).replace(/X-Azuretack-Attempt-Id: .*\r\n/v, ''));
 		}, 3);
 	},
-	'a second copy before the answer to the next request': (() => {
+	'a duplicate before the answer to the next request': (() => {
 		const last = new WeakMap<Socket, string>();
 		return ({attempt, socket}: RawRequest) => {
 			const before = last.get(socket);
@@ -35,7 +35,7 @@
 			socket.write((before === undefined ? '' : rawAnswer(before)) + rawAnswer(attempt));
 		};
 	})(),
-	'a second copy without a name before the answer to the next request': (() => {
+	'a duplicate without an attempt id before the answer to the next request': (() => {
 		const last = new WeakMap<Socket, string>();
 		return ({attempt, socket}: RawRequest) => {
 			const before = last.get(socket);
@@ -46,22 +46,22 @@
 	'a body that is longer than its length'({attempt, socket}) {
 		socket.write(`${rawAnswer(attempt)}and more`);
 	},
-	'informational answers before the answer'({attempt, socket}) {
+	'informational responses before the answer'({attempt, socket}) {
 		socket.write(`HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n${rawAnswer(attempt)}`);
 	},
 };
 
 for (const [name, answer] of Object.entries(faults)) {
-	test(`no caller gets an answer that is not its own: ${name}`, async () => {
+	test(`no caller gets the answer to another request: ${name}`, async () => {
 		await using fleet = await GatewayFleet.create();
 		await fleet.startRawWorker({id: 'desk-1', service: 'desk', answer});
 		await fleet.startRawWorker({id: 'desk-2', service: 'desk', answer});
 		const gateway = await fleet.startGateway('gateway-1');
 		let served = 0;
-		const caller = async (lane: number) => {
+		const caller = async (callerIndex: number) => {
 			for (let call = 0; call < calls / 8; call += 1) {
-				const attempt = `lane-${lane}-${call}`;
-				const {status, body, whole} = await fleet.call(gateway, {path: `/status/${lane}`, attempt});
+				const attempt = `caller-${callerIndex}-${call}`;
+				const {status, body, whole} = await fleet.call(gateway, {path: `/status/${callerIndex}`, attempt});
 				if (status === 200 && whole) {
 					assert.equal(body, rawBody(attempt));
 					served += 1;
@@ -71,12 +71,12 @@
 			}
 		};
 
-		await Promise.all(Array.from({length: 8}, async (_unused, lane) => caller(lane)));
+		await Promise.all(Array.from({length: 8}, async (_unused, callerIndex) => caller(callerIndex)));
 		assert.ok(served >= calls / 2, `${served} of ${calls} were served`);
 	});
 }
 
-test('an answer that comes before any request is nobody\'s', async () => {
+test('an answer that arrives before any request is not delivered to a caller', async () => {
 	await using fleet = await GatewayFleet.create();
 	await fleet.startRawWorker({
 		id: 'desk-1',
@@ -95,7 +95,7 @@
 	}
 });
 
-test('answers that may have no body leave the connection usable, and a body that comes all the same reaches nobody', async () => {
+test('answers without a body leave the connection usable, and an unexpected body reaches no caller', async () => {
 	await using fleet = await GatewayFleet.create();
 	await fleet.startRawWorker({
 		id: 'desk-1',
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -1,5 +1,5 @@
 /**
- * The parts of a gateway.
+ * The components of a gateway.
  *
  * @module
  */
@@ -17,34 +17,34 @@
 import {RequestSuspects, SuspicionTable} from '../suspects/mod.ts';
 import {createGatewayMetrics, type GatewayMetrics} from '../telemetry/gateway-metrics.ts';
 import {type Logger} from '../telemetry/logger.ts';
-import {Stopping} from './stopping.ts';
+import {GracefulShutdown} from './graceful-shutdown.ts';
 
-/** The parts, shared by servers and tasks. */
+/** The components that the servers and background tasks of a gateway share. */
 export type GatewayParts = ForwardingParts & {
 	settings: GatewaySettings;
 	metrics: GatewayMetrics;
 	store: StoreClient;
 	configuration: ConfigurationCache;
 	members: MemberTable;
-	stopping: Stopping;
-	/** Whether callers can connect. */
+	shutdown: GracefulShutdown;
+	/** Whether the gateway accepts connections from callers. */
 	callers: {open: boolean};
 	readClock: () => ClockReading;
 	newsTimes: UpdateTimes;
-	/** Age of the configuration up to which keys are trusted, in milliseconds. */
+	/** Maximum age of the configuration at which its keys are still accepted, in milliseconds. */
 	trustedKeyMilliseconds: number;
 };
 
-/** Exchanges without news of a gateway after which it counts as gone; news takes a few of them to reach everyone. */
-const silentExchanges = 5;
+/** Exchange periods without an update about a gateway after which it counts as gone; an update takes several exchanges to reach all gateways. */
+const maximumMissedExchanges = 5;
 
-/** Share of the time to withdraw a key for which a configuration is trusted; the rest covers late news of the store. */
-const trustedShare = 0.8;
+/** Fraction of the time limit for revoking a key during which a configuration's keys are accepted; the rest allows for late updates from the store. */
+const trustedKeyShare = 0.8;
 
 /**
- * Creates the parts of a gateway; none of them does anything yet.
+ * Creates the components of a gateway without starting any of them.
  *
- * @param settings Checked settings.
+ * @param settings Validated settings.
  * @param logger Receives log lines.
  */
 export function createGatewayParts(settings: GatewaySettings, logger: Logger): GatewayParts {
@@ -54,7 +54,7 @@
 		self: {
 			name: hostName, availabilityZone, region, callers: advertise.callers ?? listen.callers, peers: advertise.peers ?? listen.peers, incarnation: Date.now(),
 		},
-		heartbeatTimeoutMilliseconds: gateways => exchangePeriod(gateways) * silentExchanges,
+		heartbeatTimeoutMilliseconds: gateways => exchangePeriod(gateways) * maximumMissedExchanges,
 	});
 	const store = new StoreClient({
 		address: settings.store,
@@ -92,12 +92,12 @@
 			endpoints,
 			suspects,
 			logger,
-			count(service, fate) {
-				metrics.lostAttempts.inc({service, fate});
+			count(service, outcome) {
+				metrics.lostAttempts.inc({service, fate: outcome});
 			},
 		}),
 		callers: {open: false},
-		stopping: new Stopping({stopMilliseconds: bounds.stopSeconds * 1000}),
+		shutdown: new GracefulShutdown({timeoutMilliseconds: bounds.stopSeconds * 1000}),
 		retryBudgetOf: createRetryBudgets({
 			settings, store, logger, holder: `${hostName}/${members.self.incarnation}`,
 		}),
@@ -108,7 +108,7 @@
 			metrics.retries.inc({service, reason, decision: allowed ? 'allowed' : 'refused'});
 		},
 		newsTimes: divideUpdateTime(Math.min(bounds.configurationMilliseconds, bounds.leavingMilliseconds)),
-		trustedKeyMilliseconds: bounds.revokedKeyMilliseconds * trustedShare,
+		trustedKeyMilliseconds: bounds.revokedKeyMilliseconds * trustedKeyShare,
 		clock,
 		random: () => Math.random(),
 		readClock,
@@ -117,7 +117,7 @@
 
 type RetryBudgetParts = {settings: GatewaySettings; store: StoreClient; logger: Logger; holder: string};
 
-/** Returns the budgets of services, each made when it is first asked for. */
+/** Returns a function that looks up the retry budget of a service and creates it on first use. */
 function createRetryBudgets({settings: {bounds}, store, logger, holder}: RetryBudgetParts): (service: string) => SharedRetryBudget {
 	const windowMilliseconds = bounds.retryWindowSeconds * 1000;
 	const terms = {slack: bounds.retrySlack, windowMilliseconds};
--- a/source/gateway/gateway.test.ts
+++ b/source/gateway/gateway.test.ts
@@ -7,7 +7,7 @@
 } from '../testing/gateway-fleet.ts';
 import {type WorkerStandIn} from '../testing/stand-ins/worker-stand-in.ts';
 
-/** Sends generations until both engines have run some, so that the gateway knows both. */
+/** Sends generations until each engine has run one, so that the gateway knows both. */
 async function untilBothRun(fleet: GatewayFleet, gateway: GatewayProcess, engines: WorkerStandIn[]): Promise<void> {
 	let sent = 0;
 	await fleet.until(async () => {
@@ -17,7 +17,7 @@
 	}, 'both engines are known');
 }
 
-test('a call is answered as the endpoint answered it, with the workspace named and the key withheld', async () => {
+test('a call gets the answer of the endpoint, which receives the workspace name and not the key', async () => {
 	await using fleet = await GatewayFleet.create();
 	const worker = await fleet.startWorker({id: 'desk-1', service: 'desk'});
 	const gateway = await fleet.startGateway('gateway-1');
@@ -36,7 +36,7 @@
 	assert.ok(Number(run.headers['x-azuretack-deadline-ms']) <= 800);
 });
 
-test('unknown keys and paths are refused without a run', async () => {
+test('unknown keys, unknown paths and oversized bodies are refused without reaching an endpoint', async () => {
 	await using fleet = await GatewayFleet.create();
 	const worker = await fleet.startWorker({id: 'desk-1', service: 'desk'});
 	const gateway = await fleet.startGateway('gateway-1');
@@ -47,7 +47,7 @@
 	assert.equal(worker.runs.length, 0);
 });
 
-test('an idempotent call goes to another endpoint after a failure, and one that may not be repeated does not', async () => {
+test('an idempotent call is retried at another endpoint after a failure, and an at-most-once call is not', async () => {
 	await using fleet = await GatewayFleet.create();
 	const failing = await fleet.startWorker({id: 'desk-1', service: 'desk'});
 	const gateway = await fleet.startGateway('gateway-1');
@@ -73,7 +73,7 @@
 	assert.ok(sound.runs.length >= 4);
 });
 
-test('a call that no endpoint ran is refused as not run, with a time to come back', async () => {
+test('a call that no endpoint ran is refused with 503 and a retry delay', async () => {
 	await using fleet = await GatewayFleet.create();
 	const worker = await fleet.startWorker({id: 'desk-1', service: 'desk'});
 	worker.fault = 'full';
@@ -84,7 +84,7 @@
 	assert.equal(worker.runs.length, 0);
 });
 
-test('bytes after a whole answer reach no other caller', async () => {
+test('extra bytes after a complete answer reach no other caller', async () => {
 	await using fleet = await GatewayFleet.create();
 	const worker = await fleet.startWorker({id: 'desk-1', service: 'desk'});
 	worker.fault = 'extra';
@@ -95,7 +95,7 @@
 	}
 });
 
-test('a generation goes on from its copy when its engine dies, with every event once', async () => {
+test('a generation resumes from its copy when its engine crashes, and each event is delivered once', async () => {
 	await using fleet = await GatewayFleet.create();
 	const engines = [await fleet.startWorker({id: 'scribe-1', service: 'scribe', events: 40}), await fleet.startWorker({id: 'scribe-2', service: 'scribe', events: 40})];
 	const gateway = await fleet.startGateway('gateway-1');
@@ -110,7 +110,7 @@
 	assert.equal(engines.reduce((sum, {goneOn}) => sum + goneOn, 0), 1);
 });
 
-test('a generation goes on from its copy although the engine that holds it has dropped the connection that was kept to it', async () => {
+test('a generation resumes from its copy although the engine that holds the copy has closed its idle connections', async () => {
 	await using fleet = await GatewayFleet.create();
 	const engines = [await fleet.startWorker({id: 'scribe-1', service: 'scribe'}), await fleet.startWorker({id: 'scribe-2', service: 'scribe', availabilityZone: 'zone-b'})];
 	const gateway = await fleet.startGateway('gateway-1');
@@ -127,7 +127,7 @@
 	assert.deepEqual(engines.map(({promptsRead}) => promptsRead).toSorted((left, right) => left - right), [0, 1]);
 });
 
-test('a generation goes on elsewhere when its answer breaks off within an event, or its events do not arrive', async () => {
+test('a generation resumes at another engine when its answer is cut off within an event or its events do not arrive', async () => {
 	await using fleet = await GatewayFleet.create();
 	const failing = await fleet.startWorker({id: 'scribe-1', service: 'scribe'});
 	const gateway = await fleet.startGateway('gateway-1');
@@ -143,7 +143,7 @@
 	}
 });
 
-test('an engine that repeats events is left, and the caller gets each event once', async () => {
+test('a generation leaves an engine that repeats events, and the caller gets each event once', async () => {
 	await using fleet = await GatewayFleet.create();
 	const repeating = await fleet.startWorker({id: 'scribe-1', service: 'scribe'});
 	const gateway = await fleet.startGateway('gateway-1');
@@ -156,17 +156,17 @@
 		assert.ok(answer.whole);
 		assert.deepEqual(eventsOf(answer.body), expectedEvents(20));
 		return repeating.runs.length > before;
-	}, 'the engine is used');
+	}, 'the repeating engine is used');
 });
 
-test('a caller that leaves ends its generation at the engine', async () => {
+test('a generation is aborted at the engine when its caller disconnects', async () => {
 	await using fleet = await GatewayFleet.create();
 	const engine = await fleet.startWorker({id: 'scribe-1', service: 'scribe', events: 10_000});
 	const gateway = await fleet.startGateway('gateway-1');
-	const leaving = new AbortController();
-	const answering = fleet.draft(gateway, {signal: leaving.signal});
+	const abortController = new AbortController();
+	const answering = fleet.draft(gateway, {signal: abortController.signal});
 	await fleet.until(() => engine.runs.length > 0, 'the generation runs');
-	leaving.abort();
+	abortController.abort();
 	await answering;
 	await fleet.until(async () => {
 		const report = await fleet.get(engine.options.listen, '/api/report');
@@ -174,7 +174,7 @@
 	}, 'the engine has stopped');
 });
 
-test('a key that was taken away is refused, also by a gateway that the store does not answer', async () => {
+test('a revoked key is refused, also by a gateway that cannot reach the store', async () => {
 	await using fleet = await GatewayFleet.create();
 	await fleet.startWorker({id: 'desk-1', service: 'desk'});
 	const gateway = await fleet.startGateway('gateway-1');
@@ -193,7 +193,7 @@
 	assert.equal(old.status, 401);
 });
 
-test('a gateway whose store refuses it goes on with what another one knows', async () => {
+test('a gateway that does not follow the store gets configuration updates from one that does', async () => {
 	await using fleet = await GatewayFleet.create();
 	await fleet.startWorker({id: 'desk-1', service: 'desk'});
 	const first = await fleet.startGateway('gateway-1');
@@ -216,7 +216,7 @@
 	}
 });
 
-test('an endpoint that leaves gets no more requests, and one that drops out of a lost history neither', async () => {
+test('an endpoint that is draining, or that was removed in a lost part of the history, gets no more requests', async () => {
 	await using fleet = await GatewayFleet.create();
 	const leaving = await fleet.startWorker({id: 'desk-1', service: 'desk'});
 	const removed = await fleet.startWorker({id: 'desk-2', service: 'desk'});
@@ -236,7 +236,7 @@
 	assert.equal(leaving.runs.length + removed.runs.length, before);
 });
 
-test('a gateway without a configuration takes no connections of callers, and says after a while that it has none', async () => {
+test('a gateway without a configuration accepts no caller connections at first, and refuses requests with 503 after a timeout', async () => {
 	await using fleet = await GatewayFleet.create();
 	await fleet.startWorker({id: 'desk-1', service: 'desk'});
 	fleet.store.fault = 'silent';
@@ -246,18 +246,18 @@
 	await fleet.until(async () => {
 		const readiness = await fleet.get(gateway.readiness, '/api/ready');
 		return readiness.status === 503;
-	}, 'it says that it is not ready');
+	}, 'it reports that it is not ready');
 	const early = await fleet.call(gateway, {path: '/status/1'});
 	assert.equal(early.status, 0);
 	await fleet.until(async () => {
 		const answer = await fleet.call(gateway, {path: '/status/1'});
 		return answer.status === 503 && Number(answer.headers['retry-after']) > 0;
-	}, 'it says that it has no configuration');
+	}, 'it refuses requests with 503');
 	fleet.store.fault = 'none';
 	await starting;
 });
 
-test('a planned stop finishes the requests in progress', async () => {
+test('a graceful shutdown completes the requests in progress', async () => {
 	await using fleet = await GatewayFleet.create();
 	const engine = await fleet.startWorker({
 		id: 'scribe-1', service: 'scribe', events: 60, eventMilliseconds: 20,
@@ -277,7 +277,7 @@
 	assert.equal(code, 0);
 });
 
-test('a gateway goes on after SIGHUP, and keeps its settings where the new ones have faults', async () => {
+test('a gateway keeps running after SIGHUP, and keeps its settings if the new ones are invalid', async () => {
 	await using fleet = await GatewayFleet.create();
 	await fleet.startWorker({id: 'desk-1', service: 'desk'});
 	const gateway = await fleet.startGateway('gateway-1');
@@ -285,13 +285,13 @@
 	await fleet.until(() => gateway.log.join('').includes('settings read again'), 'the settings are read again');
 	await fleet.breakSettings('gateway-1');
 	gateway.child.kill('SIGHUP');
-	await fleet.until(() => gateway.log.join('').includes('settings have faults'), 'the faults are told');
+	await fleet.until(() => gateway.log.join('').includes('settings have faults'), 'the invalid settings are logged');
 	const answer = await fleet.call(gateway, {path: '/status/1'});
 	assert.equal(answer.status, 200);
 	assert.equal(gateway.child.exitCode, null);
 });
 
-test('a signal that settings have changed does not end a gateway that is starting', async () => {
+test('SIGHUP does not terminate a gateway that is starting', async () => {
 	await using fleet = await GatewayFleet.create();
 	fleet.store.fault = 'silent';
 	const starting = fleet.startGateway('gateway-1');
@@ -309,7 +309,7 @@
 	await fleet.until(() => log.join('').includes('settings read again'), 'the settings are read again');
 });
 
-test('each request leaves one line that says how it ended, and counts in the metrics', async () => {
+test('each request writes one log line with its outcome, and is counted in the metrics', async () => {
 	await using fleet = await GatewayFleet.create();
 	await fleet.startWorker({id: 'desk-1', service: 'desk'});
 	const gateway = await fleet.startGateway('gateway-1');
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -1,5 +1,5 @@
 /**
- * The gateway daemon: builds its parts, listens, and stops as planned.
+ * The gateway daemon: creates the components, listens, starts the background tasks and shuts down gracefully.
  *
  * @module
  */
@@ -18,52 +18,52 @@
 import {followStore} from './follow-store.ts';
 import {createGatewayParts, type GatewayParts} from './gateway-parts.ts';
 import {isReady} from './readiness.ts';
-import {createHints} from './hints.ts';
-import {createSharedKnowledge} from './shared-knowledge.ts';
+import {createHintSource} from './hints.ts';
+import {createSharedState} from './shared-state.ts';
 import {StoreRole} from './store-role.ts';
 
 /** A running gateway. */
 export type Gateway = {
-	/** Stops as planned; settles once nothing is in progress or the time is over. */
+	/** Shuts down gracefully; resolves once no request is in progress or the shutdown timeout has passed. */
 	stop(): Promise<void>;
 };
 
-/** Time for which a first configuration is awaited before callers are told that there is none, in milliseconds. */
-const firstNewsMilliseconds = 3000;
+/** Maximum wait for the initial state before caller connections are accepted without it, in milliseconds. */
+const initialStateTimeoutMilliseconds = 3000;
 
-/** Time between two looks at whether it is there, in milliseconds. */
-const firstLookMilliseconds = 10;
+/** Interval between checks for the initial state, in milliseconds. */
+const initialStatePollMilliseconds = 10;
 
-/** Time between two looks at whether a stop is done, in milliseconds. */
-const lookMilliseconds = 50;
+/** Interval between checks for a complete shutdown, in milliseconds. */
+const shutdownPollMilliseconds = 50;
 
 /**
  * Starts a gateway.
  *
- * @param settings Checked settings.
+ * @param settings Validated settings.
  * @param logger Receives log lines.
- * @returns The gateway, once it listens.
- * @throws {Error} When an address cannot be listened on.
+ * @returns The gateway, once it accepts connections from callers.
+ * @throws {Error} When it cannot listen on an address.
  */
 export async function startGateway(settings: GatewaySettings, logger: Logger): Promise<Gateway> {
 	const parts = createGatewayParts(settings, logger);
 	const supervisor = new Supervisor({logger});
-	const knowledge = createSharedKnowledge(parts);
-	const hints = createHints(parts);
+	const sharedState = createSharedState(parts);
+	const hints = createHintSource(parts);
 	const callerServer = createCallerServer(parts);
 	const entryServer = createEntryServer(parts);
 	await listen(entryServer, settings.listen.entries);
 	await listenUnlessSame(createEntryServer(parts), settings.listen.readiness, settings.listen.entries);
 	await listen(createMetricsServer(parts), settings.listen.metrics);
-	await startExchangeServer({listen: settings.listen.peers, handle: message => answerGateway(message, parts, {knowledge, hints})});
-	const role = new StoreRole(parts, knowledge);
-	startNews({
-		supervisor, parts, knowledge, role, seeds: settings.seeds,
+	await startExchangeServer({listen: settings.listen.peers, handle: message => answerExchange(message, parts, {sharedState, hints})});
+	const role = new StoreRole(parts, sharedState);
+	startUpdates({
+		supervisor, parts, sharedState, role, seeds: settings.seeds,
 	});
 	supervisor.start('members', async signal => followMembers({...parts, hints, ready: () => isReady(parts)}, signal));
-	supervisor.start('unsaved ends', async signal => parts.suspects.saveUnsaved(signal));
-	supervisor.start('source', async signal => followSource({...parts, sharedState: knowledge, followsStore: () => role.follows()}, signal));
-	await firstNews(parts);
+	supervisor.start('unsaved crashes', async signal => parts.suspects.saveUnsaved(signal));
+	supervisor.start('source', async signal => followSource({...parts, sharedState, followsStore: () => role.followsStore()}, signal));
+	await waitForInitialState(parts);
 	await listen(callerServer, settings.listen.callers);
 	parts.callers.open = true;
 	parts.members.raiseHeartbeat(isReady(parts));
@@ -73,48 +73,52 @@
 	};
 }
 
-/** Takes what another gateway tells, and tells it what it lacks. */
-function answerGateway({members: told, heartbeats, hints: heard, known}: ExchangeMessage, {members, readClock}: GatewayParts, {knowledge, hints}: {knowledge: SharedState; hints: HintExchange}): ExchangeMessage {
+/** Applies a message of another gateway, and replies with the members, hints and updates that it lacks. */
+function answerExchange(
+	{members: receivedMembers, heartbeats, hints: receivedHints, known}: ExchangeMessage,
+	{members, readClock}: GatewayParts,
+	{sharedState, hints}: {sharedState: SharedState; hints: HintExchange},
+): ExchangeMessage {
 	const now = readClock();
-	members.merge(told, now.steady);
+	members.merge(receivedMembers, now.steady);
 	if (heartbeats) {
 		members.mergeHeartbeats(heartbeats, now.steady);
-		hints.merge(heard);
+		hints.merge(receivedHints);
 		return {members: [members.self, ...members.unknownTo(heartbeats, now.steady)], heartbeats: members.heartbeats(now.steady), hints: hints.collect()};
 	}
 
-	const asksAnew = known?.configurationVersion === 0;
+	const hasNoConfiguration = known?.configurationVersion === 0;
 	return {
-		members: asksAnew ? members.live(now.steady) : [members.self],
-		news: known && knowledge.updateFor(known, now),
+		members: hasNoConfiguration ? members.live(now.steady) : [members.self],
+		news: known && sharedState.updateFor(known, now),
 	};
 }
 
 /**
- * Waits until callers can be served and it is known which requests are suspected, for a while: until then a refused connection sends
- * callers to another gateway at once.
+ * Waits for the first configuration and the first list of suspected requests, up to a timeout. Caller connections are refused until
+ * then, so that callers turn to another gateway immediately.
  */
-async function firstNews({configuration, suspects, clock}: GatewayParts): Promise<void> {
-	const until = clock() + firstNewsMilliseconds;
+async function waitForInitialState({configuration, suspects, clock}: GatewayParts): Promise<void> {
+	const until = clock() + initialStateTimeoutMilliseconds;
 	while (!(configuration.table && suspects.known.isTold) && clock() < until) {
-		await pause(firstLookMilliseconds);
+		await pause(initialStatePollMilliseconds);
 	}
 }
 
-type NewsOptions = {supervisor: Supervisor; parts: GatewayParts; knowledge: SharedState; role: StoreRole; seeds: readonly string[]};
+type UpdateOptions = {supervisor: Supervisor; parts: GatewayParts; sharedState: SharedState; role: StoreRole; seeds: readonly string[]};
 
-/** Asks the seeds, then follows the store or those who do. */
-function startNews({supervisor, parts, knowledge, role, seeds}: NewsOptions): void {
+/** Requests the current state from the seeds, then follows the store or a gateway that follows it. */
+function startUpdates({supervisor, parts, sharedState, role, seeds}: UpdateOptions): void {
 	const {members} = parts;
 	supervisor.start('news', async signal => {
-		const learnt = await querySeeds({
-			...parts, seeds, sharedState: knowledge, onUpdate() {
+		const receivedState = await querySeeds({
+			...parts, seeds, sharedState, onUpdate() {
 				members.raiseHeartbeat(isReady(parts));
 			},
 		}, signal);
-		role.begin(learnt);
-		followStore(supervisor, parts, () => role.follows());
-		await registerMember({...parts, shouldRegister: () => role.shouldBeFound()}, signal);
+		role.start(receivedState);
+		followStore(supervisor, parts, () => role.followsStore());
+		await registerMember({...parts, shouldRegister: () => role.shouldBeRegistered()}, signal);
 		await untilAborted(signal);
 		return ok();
 	});
@@ -133,18 +137,18 @@
 }
 
 async function stopGateway(parts: GatewayParts, callerServer: Server): Promise<void> {
-	const {stopping, logger, clock, members} = parts;
-	stopping.begin(clock());
+	const {shutdown, logger, clock, members} = parts;
+	shutdown.start(clock());
 	members.raiseHeartbeat(false);
-	logger.info('gateway stops', {inProgress: stopping.inProgress});
-	while (!stopping.mayEnd(clock())) {
-		if (!stopping.takes(clock()) && callerServer.listening) {
+	logger.info('gateway stops', {inProgress: shutdown.inProgress});
+	while (!shutdown.canExit(clock())) {
+		if (!shutdown.acceptsRequests(clock()) && callerServer.listening) {
 			callerServer.close();
 			callerServer.closeIdleConnections();
 		}
 
-		await pause(lookMilliseconds);
+		await pause(shutdownPollMilliseconds);
 	}
 
-	logger.info('gateway stopped', {inProgress: stopping.inProgress});
+	logger.info('gateway stopped', {inProgress: shutdown.inProgress});
 }
--- /dev/null
+++ b/source/gateway/graceful-shutdown.test.ts
@@ -0,0 +1,26 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {GracefulShutdown} from './graceful-shutdown.ts';
+
+test('new requests are accepted only during the first part of a shutdown', () => {
+	const shutdown = new GracefulShutdown({timeoutMilliseconds: 8000});
+	assert.equal(shutdown.acceptsRequests(0), true);
+	shutdown.start(1000);
+	shutdown.start(5000);
+	assert.equal(shutdown.acceptsRequests(3000), true);
+	assert.equal(shutdown.acceptsRequests(3500), false);
+});
+
+test('the process may exit once it is idle or the shutdown timeout has nearly passed', () => {
+	const shutdown = new GracefulShutdown({timeoutMilliseconds: 8000});
+	const ended = shutdown.trackRequest(900);
+	assert.equal(shutdown.canExit(950), false);
+	shutdown.start(1000);
+	assert.equal(shutdown.canExit(3000), false);
+	assert.equal(shutdown.canExit(8700), true);
+	ended();
+	ended();
+	assert.equal(shutdown.inProgress, 0);
+	assert.equal(shutdown.canExit(1500), false);
+	assert.equal(shutdown.canExit(2000), true);
+});
--- a/source/gateway/hints.ts
+++ b/source/gateway/hints.ts
@@ -1,5 +1,5 @@
 /**
- * What a gateway tells others of what it has seen of endpoints, and takes from them.
+ * The hints about endpoints that gateways exchange: unsaved crashes and incarnations that are leaving.
  *
  * @module
  */
@@ -7,11 +7,11 @@
 import {type GatewayParts} from './gateway-parts.ts';
 
 /**
- * Creates the exchange of hints.
+ * Creates the source and receiver of hints for exchanges with other gateways.
  *
- * @param parts The gateway's parts.
+ * @param parts The gateway's components.
  */
-export function createHints({endpoints, suspects, clock}: GatewayParts): HintExchange {
+export function createHintSource({endpoints, suspects, clock}: GatewayParts): HintExchange {
 	return {
 		collect: () => ({unsavedEnds: suspects.unsavedEnds(), leavingLives: endpoints.leavingIncarnations(clock())}),
 		merge(hints) {
--- a/source/gateway/mod.ts
+++ b/source/gateway/mod.ts
@@ -1,5 +1,5 @@
 /**
- * The gateway daemon, which serves callers on the users' platform.
+ * The gateway daemon, which proxies requests of callers to endpoints on the users' platform.
  *
  * @module
  */
--- a/source/gateway/readiness.ts
+++ b/source/gateway/readiness.ts
@@ -1,16 +1,16 @@
 /**
- * Decides whether a gateway takes requests.
+ * Decides whether a gateway is ready to serve requests.
  *
  * @module
  */
 import {type GatewayParts} from './gateway-parts.ts';
 
 /**
- * Whether a gateway takes requests: callers can connect, it is not stopping and may still trust its configuration.
+ * Returns whether a gateway is ready: it accepts caller connections, is not shutting down, and has a configuration recent enough to check keys.
  *
- * @param parts The gateway's parts.
+ * @param parts The gateway's components.
  */
-export function isReady({configuration, callers, stopping, trustedKeyMilliseconds, readClock}: GatewayParts): boolean {
+export function isReady({configuration, callers, shutdown, trustedKeyMilliseconds, readClock}: GatewayParts): boolean {
 	const {table, ageMilliseconds} = configuration.snapshot(readClock());
-	return callers.open && !stopping.begun && table !== undefined && (!table.asksForKeys || ageMilliseconds <= trustedKeyMilliseconds);
+	return callers.open && !shutdown.hasStarted && table !== undefined && (!table.requiresKeys || ageMilliseconds <= trustedKeyMilliseconds);
 }
--- a/source/gateway/retry-budget.test.ts
+++ b/source/gateway/retry-budget.test.ts
@@ -5,16 +5,16 @@
 import {findRetryExcess} from '../testing/retry-excess.ts';
 import {type WorkerArrival} from '../testing/stand-ins/worker-options.ts';
 
-/** Budget of all gateways together: a small one, so that few requests reach its bound. */
+/** Retry budget of all gateways together, small enough that few requests exhaust it. */
 const bounds = {retryRatio: 0.8, retrySlack: 20, retryWindowSeconds: 10};
 
-/** Endpoints of the service; each request may be refused by all of them. */
+/** Number of endpoints of the service; each request may be refused by all of them. */
 const endpoints = 8;
 
-/** Longer than the silence after which gateways take each other for gone. */
+/** Duration of the suspension, in milliseconds; longer than the timeout after which gateways consider each other gone. */
 const suspendedMilliseconds = 6000;
 
-/** Starts a fleet whose endpoints refuse each request, and record what reaches them. */
+/** Starts a fleet whose endpoints refuse each request and record its arrival. */
 async function createRefusingFleet(): Promise<{fleet: GatewayFleet; arrivals: WorkerArrival[]}> {
 	const fleet = await GatewayFleet.create();
 	const arrivals: WorkerArrival[] = [];
@@ -26,7 +26,7 @@
 	return {fleet, arrivals};
 }
 
-/** Sends idempotent calls to a gateway at once; returns when each was sent. */
+/** Sends concurrent idempotent calls to a gateway; returns the time at which each was sent. */
 async function sendCalls(fleet: GatewayFleet, gateway: GatewayProcess, count: number): Promise<number[]> {
 	return Promise.all(Array.from({length: count}, async (_unused, index) => {
 		const sentAt = performance.now();
@@ -36,13 +36,13 @@
 	}));
 }
 
-/** Checks each window against what is allowed for the requests. */
+/** Asserts that the retries in each window are within the budget for the requests sent. */
 function assertWithinBudget(arrivals: readonly WorkerArrival[], sentAt: readonly number[]): void {
 	const excess = findRetryExcess(arrivals, sentAt, {ratio: bounds.retryRatio, slack: bounds.retrySlack, windowMilliseconds: bounds.retryWindowSeconds * 1000});
-	assert.equal(excess, undefined, `${excess?.retries} repeats within a window, ${excess?.allowed} are allowed`);
+	assert.equal(excess, undefined, `${excess?.retries} retries within a window, ${excess?.allowed} are allowed`);
 }
 
-test('gateways that start together do not each take the slack of the retry budget', async () => {
+test('gateways that start together do not each spend the slack of the retry budget', async () => {
 	const {fleet, arrivals} = await createRefusingFleet();
 	await using _fleet = fleet;
 	const gateways = await Promise.all(Array.from({length: 6}, async (_unused, index) => fleet.startGateway(`gateway-${index + 1}`, bounds)));
@@ -50,7 +50,7 @@
 	assertWithinBudget(arrivals, sentAt.flat());
 });
 
-test('a gateway that is killed and started within a window does not take the slack of the retry budget again', async () => {
+test('a gateway that is killed and restarted within a window does not spend the slack of the retry budget again', async () => {
 	const {fleet, arrivals} = await createRefusingFleet();
 	await using _fleet = fleet;
 	const sentAt: number[] = [];
@@ -63,7 +63,7 @@
 	assertWithinBudget(arrivals, sentAt);
 });
 
-test('gateways that were suspended together do not each take the slack of the retry budget', async () => {
+test('gateways that were suspended together do not each spend the slack of the retry budget', async () => {
 	const {fleet, arrivals} = await createRefusingFleet();
 	await using _fleet = fleet;
 	const gateways = await Promise.all(Array.from({length: 6}, async (_unused, index) => fleet.startGateway(`gateway-${index + 1}`, bounds)));
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -10,59 +10,59 @@
 } from '../forwarding/mod.ts';
 import {decodeRequestTerms} from '../platform/mod.ts';
 import {
-	admitRequest, drawService, type Admission, type RequestKind, type Route,
+	admitRequest, selectService, type Admission, type RequestKind, type Route,
 } from '../routing/mod.ts';
 import {signalOfCaller} from '../supervision/caller-signal.ts';
 import {RequestIdentity, type RequestSuspects, type SuspectAdmission} from '../suspects/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 
-type Forward = (exchange: Exchange, parts: ForwardingParts) => Promise<ExchangeOutcome>;
+type Forwarder = (exchange: Exchange, parts: ForwardingParts) => Promise<ExchangeOutcome>;
 
-const forwards: Record<RequestKind, Forward> = {
+const forwarders: Record<RequestKind, Forwarder> = {
 	idempotent: forwardCall,
 	'at-most-once': forwardCall,
 	generation: forwardGeneration,
 };
 
-/** When a caller may come back whom another gateway can serve, in milliseconds. */
-const elsewhereMilliseconds = 100;
+/** Retry delay for requests that another gateway can probably serve, in milliseconds. */
+const retryElsewhereMilliseconds = 100;
 
 const refusals: Record<Exclude<Admission['kind'], 'allowed'>, Refusal> = {
 	'no-configuration': {
-		status: 503, code: 'no_configuration', message: 'This gateway has no configuration yet.', retryAfterMilliseconds: elsewhereMilliseconds,
+		status: 503, code: 'no_configuration', message: 'This gateway has no configuration yet.', retryAfterMilliseconds: retryElsewhereMilliseconds,
 	},
 	'stale-configuration': {
-		status: 503, code: 'stale_configuration', message: 'The configuration of this gateway is too old to tell whether the request is allowed.', retryAfterMilliseconds: elsewhereMilliseconds,
+		status: 503, code: 'stale_configuration', message: 'The configuration of this gateway is too old to tell whether the request is allowed.', retryAfterMilliseconds: retryElsewhereMilliseconds,
 	},
 	'no-route': {status: 404, code: 'no_route', message: 'No route matches the host and path.'},
 	'unknown-key': {status: 401, code: 'unknown_key', message: 'The key is unknown.'},
 };
 
 /**
- * Serves one request: admits it, reads its body, forwards it, and logs how it ended.
+ * Serves one request: admits it, reads its body, forwards it, and records its outcome in the log and the metrics.
  *
  * @param request The request.
- * @param response Its answer.
- * @param parts The gateway's parts.
+ * @param response The response to the caller.
+ * @param parts The gateway's components.
  */
 export async function serveRequest(request: IncomingMessage, response: ServerResponse, parts: GatewayParts): Promise<void> {
 	const arrivedAt = parts.clock();
-	const ended = parts.stopping.track(arrivedAt);
+	const finishTracking = parts.shutdown.trackRequest(arrivedAt);
 	const terms = decodeRequestTerms(request.headers);
 	const requestName = terms.attempt ?? 'unnamed';
-	if (parts.stopping.begun) {
+	if (parts.shutdown.hasStarted) {
 		response.setHeader('Connection', 'close');
 	}
 
 	let result: ExchangeOutcome & {service?: string; route?: string};
 	try {
-		result = await serve(request, response, {terms, requestName, arrivedAt}, parts);
+		result = await admitAndForward(request, response, {terms, requestName, arrivedAt}, parts);
 	} catch (error) {
 		parts.logger.error('request failed', {request: requestName, error: error instanceof Error ? error.stack : String(error)});
 		response.destroy();
 		result = {outcome: 'internal_error', status: 0, endpoints: []};
 	} finally {
-		ended();
+		finishTracking();
 	}
 
 	const milliseconds = parts.clock() - arrivedAt;
@@ -85,42 +85,42 @@
 	});
 }
 
-/** How a request that is not refused is sent. */
-const cares: Record<Exclude<SuspectAdmission['kind'], 'refused'>, Exchange['care']> = {free: 'none', suspected: 'suspected', trial: 'trial'};
+/** How the forwarder handles an admitted request, by the admission decision about suspects. */
+const handlingByAdmission: Record<Exclude<SuspectAdmission['kind'], 'refused'>, Exchange['care']> = {free: 'none', suspected: 'suspected', trial: 'trial'};
 
-const endsEndpoints: Refusal = {
+const crashesEndpoints: Refusal = {
 	status: 503, code: 'ends_endpoints', message: 'Endpoints ended each time they ran this request, and it is not sent to another one for now.',
 };
 
-type Arrived = Pick<Exchange, 'terms' | 'requestName' | 'arrivedAt'>;
+type RequestContext = Pick<Exchange, 'terms' | 'requestName' | 'arrivedAt'>;
 
-async function serve(request: IncomingMessage, response: ServerResponse, arrived: Arrived, parts: GatewayParts): Promise<ExchangeOutcome & {service?: string; route?: string}> {
-	const {configuration, stopping, settings, trustedKeyMilliseconds, random, readClock} = parts;
-	if (!stopping.takes(arrived.arrivedAt)) {
+async function admitAndForward(request: IncomingMessage, response: ServerResponse, context: RequestContext, parts: GatewayParts): Promise<ExchangeOutcome & {service?: string; route?: string}> {
+	const {configuration, shutdown, settings, trustedKeyMilliseconds, random, readClock} = parts;
+	if (!shutdown.acceptsRequests(context.arrivedAt)) {
 		return refuse(response, {
-			status: 503, code: 'stopping', message: 'This gateway is stopping.', retryAfterMilliseconds: elsewhereMilliseconds,
+			status: 503, code: 'stopping', message: 'This gateway is stopping.', retryAfterMilliseconds: retryElsewhereMilliseconds,
 		});
 	}
 
-	const knowledge = configuration.snapshot(readClock());
+	const snapshot = configuration.snapshot(readClock());
 	const admission = admitRequest({
-		...knowledge, host: request.headers.host ?? '', path: request.url ?? '', key: arrived.terms.key, trustedKeyMilliseconds, deniesWithinMilliseconds: settings.bounds.configurationMilliseconds,
+		...snapshot, host: request.headers.host ?? '', path: request.url ?? '', key: context.terms.key, trustedKeyMilliseconds, maximumDenialAgeMilliseconds: settings.bounds.configurationMilliseconds,
 	});
 	if (admission.kind !== 'allowed') {
 		return refuse(response, refusals[admission.kind]);
 	}
 
 	const {route, workspace} = admission;
-	const service = knowledge.table!.service(drawService(route, random()) ?? '');
+	const service = snapshot.table!.findService(selectService(route, random()) ?? '');
 	if (!service) {
 		return refuse(response, {
 			status: 503, code: 'no_service', message: 'The route leads to no service.', retryAfterMilliseconds: settings.bounds.entriesSeconds * 1000,
 		});
 	}
 
-	const callerGone = signalOfCaller(response);
-	const body = await readBody(request, knowledge.table!.configuration.limits.bodyBytes);
-	if (callerGone.aborted || body === 'broken') {
+	const callerDisconnected = signalOfCaller(response);
+	const body = await readBody(request, snapshot.table!.configuration.limits.bodyBytes);
+	if (callerDisconnected.aborted || body === 'broken') {
 		return {outcome: 'caller_left', status: 0, endpoints: []};
 	}
 
@@ -132,30 +132,40 @@
 	const identity = new RequestIdentity({
 		host: request.headers.host ?? '', method: request.method ?? '', target: request.url ?? '', workspace: workspace?.name, body,
 	});
-	const suspected = await parts.suspects.admit(identity);
-	if (suspected.kind === 'refused') {
-		return {...refuse(response, {...endsEndpoints, retryAfterMilliseconds: suspected.retryAfterMilliseconds}), service: service.name, route: route.name};
+	const suspectAdmission = await parts.suspects.admit(identity);
+	if (suspectAdmission.kind === 'refused') {
+		return {...refuse(response, {...crashesEndpoints, retryAfterMilliseconds: suspectAdmission.retryAfterMilliseconds}), service: service.name, route: route.name};
 	}
 
-	const outcome = await forwards[route.kind]({
-		...arrived, answerBy: answerBy(arrived, route), identity, care: cares[suspected.kind], request, response, body, route, service, workspace, callerGone,
+	const outcome = await forwarders[route.kind]({
+		...context,
+		answerBy: answerDeadline(context, route),
+		identity,
+		care: handlingByAdmission[suspectAdmission.kind],
+		request,
+		response,
+		body,
+		route,
+		service,
+		workspace,
+		callerGone: callerDisconnected,
 	}, parts);
-	void learnOfSuspect(parts.suspects, {identity, suspected, outcome});
+	void recordSuspectOutcome(parts.suspects, {identity, suspectAdmission, outcome});
 	return {...outcome, service: service.name, route: route.name};
 }
 
-type ServedSuspect = {identity: RequestIdentity; suspected: SuspectAdmission; outcome: ExchangeOutcome};
+type SuspectOutcome = {identity: RequestIdentity; suspectAdmission: SuspectAdmission; outcome: ExchangeOutcome};
 
-/** Clears a suspected request that was served, and takes back a trial that did not run. */
-async function learnOfSuspect(suspects: RequestSuspects, {identity, suspected, outcome: {outcome, status}}: ServedSuspect): Promise<void> {
+/** Clears the suspicion of a request that was answered, and returns the trial of one that did not run. */
+async function recordSuspectOutcome(suspects: RequestSuspects, {identity, suspectAdmission, outcome: {outcome, status}}: SuspectOutcome): Promise<void> {
 	if (outcome === 'answered') {
 		await suspects.succeeded(identity);
-	} else if (suspected.kind === 'trial' && status === 503) {
+	} else if (suspectAdmission.kind === 'trial' && status === 503) {
 		await suspects.trialNotRun(identity);
 	}
 }
 
-function answerBy({terms, arrivedAt}: Arrived, {timeoutMilliseconds}: Route): number {
+function answerDeadline({terms, arrivedAt}: RequestContext, {timeoutMilliseconds}: Route): number {
 	return arrivedAt + Math.min(terms.deadlineMilliseconds ?? timeoutMilliseconds, timeoutMilliseconds);
 }
 
@@ -164,13 +174,13 @@
 	return {outcome: refusal.code, status: refusal.status, endpoints: []};
 }
 
-async function readBody(request: IncomingMessage, largestBytes: number): Promise<Uint8Array | 'too-large' | 'broken'> {
+async function readBody(request: IncomingMessage, maximumBytes: number): Promise<Uint8Array | 'too-large' | 'broken'> {
 	const chunks: Uint8Array[] = [];
 	let length = 0;
 	try {
 		for await (const chunk of request as AsyncIterable<Uint8Array>) {
 			length += chunk.length;
-			if (length > largestBytes) {
+			if (length > maximumBytes) {
 				return 'too-large';
 			}
 
--- a/source/gateway/slow-reports.test.ts
+++ b/source/gateway/slow-reports.test.ts
@@ -2,12 +2,12 @@
 import {test} from 'node:test';
 import {eventsOf, expectedEvents, GatewayFleet} from '../testing/gateway-fleet.ts';
 
-/** An engine that is slow to report, and whose events come within the pause that the route allows. */
+/** Options of an engine that reports slowly, and whose events arrive within the maximum pause of the route. */
 const slowToReport = {
 	service: 'scribe', events: 6, eventMilliseconds: 600, reportMilliseconds: 300,
 };
 
-test('a sound generation stays at an engine that is slow to report', async () => {
+test('a generation without a stall stays at an engine that reports slowly', async () => {
 	await using fleet = await GatewayFleet.create();
 	const engines = [await fleet.startWorker({id: 'scribe-1', ...slowToReport}), await fleet.startWorker({id: 'scribe-2', ...slowToReport})];
 	const gateway = await fleet.startGateway('gateway-1');
--- a/source/gateway/store-role.ts
+++ b/source/gateway/store-role.ts
@@ -1,5 +1,5 @@
 /**
- * Whether this gateway follows the store, and since when it can tell.
+ * Decides whether a gateway follows the store itself or receives updates from another gateway.
  *
  * @module
  */
@@ -8,65 +8,65 @@
 } from '../fleet/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 
-/** Exchanges after which a new gateway has heard of nearly all others. */
+/** Exchange periods after which a new gateway knows nearly all others. */
 const settlingExchanges = 2;
 
 /**
- * The role of a gateway; each change is logged.
+ * The role of a gateway towards the store; each change is logged.
  *
- * A gateway that has learnt from another one at its start does not follow the store until it has had time to hear of all others: until
- * then it would take itself for the reader of its zone, as would each of hundreds that start at once.
+ * A gateway that received its initial state from another one does not follow the store until it has had time to discover the others.
+ * Without this delay it would consider itself the reader of its zone, and so would each of hundreds of gateways that start together.
  *
  * @example
  * ```ts
- * const role = new StoreRole(parts, knowledge);
- * role.begin(learnt);
- * if (role.follows()) { … }
+ * const role = new StoreRole(parts, sharedState);
+ * role.start(receivedState);
+ * if (role.followsStore()) { … }
  * ```
  */
 export class StoreRole {
 	readonly #parts: GatewayParts;
-	readonly #knowledge: SharedState;
-	/** Time from which the wait for others counts; absent until the role begins. */
-	#waitsSince: number | undefined;
-	#followed: boolean | undefined;
+	readonly #sharedState: SharedState;
+	/** Start of the wait for other gateways to be discovered, in milliseconds; absent until the role starts. */
+	#settlingSince: number | undefined;
+	#lastFollows: boolean | undefined;
 
-	constructor(parts: GatewayParts, knowledge: SharedState) {
+	constructor(parts: GatewayParts, sharedState: SharedState) {
 		this.#parts = parts;
-		this.#knowledge = knowledge;
+		this.#sharedState = sharedState;
 	}
 
 	/**
-	 * Begins once seeds were asked.
+	 * Starts the role after the seeds were queried.
 	 *
-	 * @param learnt Whether one of them told what it knows.
+	 * @param receivedState Whether one of them sent its state.
 	 */
-	begin(learnt: boolean): void {
-		this.#waitsSince = learnt ? this.#parts.clock() : Number.NEGATIVE_INFINITY;
+	start(receivedState: boolean): void {
+		this.#settlingSince = receivedState ? this.#parts.clock() : Number.NEGATIVE_INFINITY;
 	}
 
-	/** Whether this gateway follows the store now, as its zone's reader or for lack of news. */
-	follows(): boolean {
+	/** Whether this gateway follows the store now, as the reader of its zone or because updates from others are late. */
+	followsStore(): boolean {
 		const {members, logger, clock, readClock, newsTimes} = this.#parts;
-		if (this.#waitsSince === undefined) {
+		if (this.#settlingSince === undefined) {
 			return false;
 		}
 
-		const ageMilliseconds = this.#knowledge.age(readClock());
+		const ageMilliseconds = this.#sharedState.age(readClock());
 		const live = members.live(clock());
 		const follows = followsStore({
 			self: members.self, members: live, membershipSettled: this.#isSettled(), ageMilliseconds, storeFallbackMilliseconds: newsTimes.storeFallbackMilliseconds,
 		});
-		if (follows !== this.#followed) {
-			this.#followed = follows;
+		if (follows !== this.#lastFollows) {
+			this.#lastFollows = follows;
 			logger.info(follows ? 'gateway follows the store' : 'gateway learns from another one', {ageMilliseconds: Math.round(ageMilliseconds), live: live.length});
 		}
 
 		return follows;
 	}
 
-	/** Whether others should find this gateway in the store: it is its zone's reader, or knows no other. */
-	shouldBeFound(): boolean {
+	/** Whether this gateway should be registered in the store for others to discover: it is the reader of its zone, or knows no other gateway. */
+	shouldBeRegistered(): boolean {
 		const {members, clock} = this.#parts;
 		const live = members.live(clock());
 		return this.#isSettled() && (live.length === 1 || isReader(members.self, live));
@@ -74,6 +74,6 @@
 
 	#isSettled(): boolean {
 		const {members, clock} = this.#parts;
-		return this.#waitsSince !== undefined && clock() - this.#waitsSince >= settlingExchanges * exchangePeriod(members.size);
+		return this.#settlingSince !== undefined && clock() - this.#settlingSince >= settlingExchanges * exchangePeriod(members.size);
 	}
 }
--- a/source/routing/admit-request.ts
+++ b/source/routing/admit-request.ts
@@ -1,32 +1,32 @@
 /**
- * Decides whether a request is allowed, from the configuration and how old it may be.
+ * Admits or rejects a request by the configuration and its age.
  *
  * @module
  */
 import {type Route, type Workspace} from './model.ts';
 import {type RouteTable} from './route-table.ts';
 
-/** What is known of the configuration at the moment of a request. */
-export type ConfigurationKnowledge = {
-	/** Newest version known; absent before the first one. */
+/** The known configuration and its age at the time of a request. */
+export type ConfigurationSnapshot = {
+	/** Newest known version; absent before the first one. */
 	table: RouteTable | undefined;
-	/** Time since the store was last known to hold nothing newer, in milliseconds. */
+	/** Time since the version was last confirmed as the newest in the store, in milliseconds. */
 	ageMilliseconds: number;
 };
 
 /** Options of {@linkcode admitRequest}. */
-export type AdmitRequestOptions = ConfigurationKnowledge & {
+export type AdmitRequestOptions = ConfigurationSnapshot & {
 	host: string;
 	path: string;
-	/** The caller's key; absent where it sent none. */
+	/** The caller's key; `undefined` if it sent none. */
 	key: string | undefined;
-	/** Age up to which a key may be trusted, in milliseconds: a key that was taken away later must not be served. */
+	/** Maximum age of the configuration at which keys are accepted, in milliseconds: a key revoked since then must not be served. */
 	trustedKeyMilliseconds: number;
-	/** Age up to which a request may be denied, in milliseconds: a later change could allow it. */
-	deniesWithinMilliseconds: number;
+	/** Maximum age of the configuration at which a request may be denied, in milliseconds: a newer version could allow it. */
+	maximumDenialAgeMilliseconds: number;
 };
 
-/** Whether a request is allowed. */
+/** The admission decision on a request. */
 export type Admission
 	= | {kind: 'allowed'; route: Route; workspace: Workspace | undefined}
 		| {kind: 'no-configuration'}
@@ -37,39 +37,39 @@
 /**
  * Decides whether a request is allowed.
  *
- * A configuration that is too old proves neither that a key is valid nor that a route or key is missing; such requests are told to come
- * back.
+ * A configuration that is too old proves neither that a key is valid nor that a route or key is missing; such a request gets
+ * `stale-configuration`, so that the caller retries it.
  *
- * @param options Request and knowledge.
+ * @param options The request, the configuration snapshot and the age limits.
  * @example
  * ```ts
- * const admission = admitRequest({table, ageMilliseconds: 900, host, path, key, trustedKeyMilliseconds: 4000});
+ * const admission = admitRequest({table, ageMilliseconds: 900, host, path, key, trustedKeyMilliseconds: 4000, maximumDenialAgeMilliseconds: 2000});
  * ```
  */
 export function admitRequest(options: AdmitRequestOptions): Admission {
-	const {table, ageMilliseconds, host, path, key, trustedKeyMilliseconds, deniesWithinMilliseconds} = options;
+	const {table, ageMilliseconds, host, path, key, trustedKeyMilliseconds, maximumDenialAgeMilliseconds} = options;
 	if (!table) {
 		return {kind: 'no-configuration'};
 	}
 
-	const mayDeny = ageMilliseconds <= deniesWithinMilliseconds;
-	const route = table.routeOf(host, path);
+	const canDeny = ageMilliseconds <= maximumDenialAgeMilliseconds;
+	const route = table.findRoute(host, path);
 	if (!route) {
-		return {kind: mayDeny ? 'no-route' : 'stale-configuration'};
+		return {kind: canDeny ? 'no-route' : 'stale-configuration'};
 	}
 
-	if (!table.asksForKeys || route.anonymous) {
-		return {kind: 'allowed', route, workspace: key === undefined ? undefined : table.workspaceOf(key)};
+	if (!table.requiresKeys || route.anonymous) {
+		return {kind: 'allowed', route, workspace: key === undefined ? undefined : table.findWorkspace(key)};
 	}
 
 	if (ageMilliseconds > trustedKeyMilliseconds) {
 		return {kind: 'stale-configuration'};
 	}
 
-	const workspace = key === undefined ? undefined : table.workspaceOf(key);
+	const workspace = key === undefined ? undefined : table.findWorkspace(key);
 	if (workspace) {
 		return {kind: 'allowed', route, workspace};
 	}
 
-	return {kind: mayDeny ? 'unknown-key' : 'stale-configuration'};
+	return {kind: canDeny ? 'unknown-key' : 'stale-configuration'};
 }
--- a/source/routing/mod.ts
+++ b/source/routing/mod.ts
@@ -1,5 +1,5 @@
 /**
- * The configuration of routes, services and workspaces, and what it allows.
+ * The configuration of routes, services and workspaces, and the admission of requests by it.
  *
  * @module
  */
--- a/source/routing/model.ts
+++ b/source/routing/model.ts
@@ -1,53 +1,53 @@
 /**
- * What an operator configures: routes, services and workspaces.
+ * The schemas of the configuration: routes, services and workspaces.
  *
  * @module
  */
 import * as z from 'zod';
 
-/** What may be repeated: `idempotent` calls freely, `at-most-once` calls never, `generation` streams where they may be resumed. */
+/** Retry semantics of a request: `idempotent` calls may be retried, `at-most-once` calls must not run twice, `generation` streams may be resumed if their route allows it. */
 export const requestKindSchema = z.enum(['idempotent', 'at-most-once', 'generation']);
 
-/** One route: requests of a host whose path begins with a prefix. */
+/** A route: requests to a host whose path starts with a prefix. */
 export const routeSchema = z.object({
 	name: z.string(),
 	host: z.string(),
-	/** Begins and ends with a slash. */
+	/** Starts and ends with a slash. */
 	pathPrefix: z.string(),
 	kind: requestKindSchema,
-	/** Longest time for which a caller is kept waiting, in milliseconds. */
+	/** Timeout of a request, in milliseconds. */
 	timeoutMilliseconds: z.number(),
-	/** Time within which an answer is on time, in milliseconds; for a generation, up to its first event. */
+	/** Target latency, in milliseconds; for a generation, the latency of its first event. */
 	targetMilliseconds: z.number(),
-	/** Rank; 0 is the most urgent. */
+	/** Priority; 0 is the highest. */
 	priority: z.number(),
-	/** Services that the route leads to, and the share of its requests that each gets. */
+	/** Services that the route forwards to; requests are divided among them in proportion to the weights. */
 	services: z.array(z.object({service: z.string(), weight: z.number()})),
-	/** Endpoints to which one request may be sent at most. */
+	/** Maximum number of endpoints to which one request may be sent. */
 	maximumAttempts: z.number(),
 	/** Whether requests without a key are served. */
 	anonymous: z.boolean(),
-	/** Whether a generation may go on at another endpoint after its last event. */
+	/** Whether a generation may be resumed at another endpoint after the last event that was sent. */
 	resumable: z.boolean(),
-	/** Longest pause between events of an answer that is on time, in milliseconds. */
+	/** Maximum pause between events of a stream that meets its target, in milliseconds. */
 	eventPauseMilliseconds: z.number(),
 });
 
-/** One service. */
+/** A service. */
 export const serviceSchema = z.object({
 	name: z.string(),
 	healthPath: z.string(),
-	/** Connections that one endpoint accepts from all routers together. */
+	/** Maximum number of connections to one endpoint from all routers together. */
 	connectionsPerEndpoint: z.number(),
-	/** Present for services of model engines. */
+	/** Present if the endpoints of the service are model engines. */
 	engine: z.object({
-		/** Requests that one engine works on at once. */
+		/** Number of requests that one engine runs concurrently. */
 		slots: z.number(),
-		/** Tokens that an engine's memory holds. */
+		/** Capacity of an engine's KV cache, in tokens. */
 		memoryTokens: z.number(),
-		/** Whether an engine sends a running request's memory to another one as it grows. */
+		/** Whether an engine copies the KV cache of a running request to another engine as it grows. */
 		backups: z.boolean(),
-		/** Time for which a copy is kept after its last part, in milliseconds. */
+		/** Time for which a copy is kept after its last part arrived, in milliseconds. */
 		copyMilliseconds: z.number(),
 	}).optional(),
 });
@@ -56,7 +56,7 @@
 export const workspaceSchema = z.object({
 	name: z.string(),
 	keys: z.array(z.string()),
-	/** Rank that goes before the route's; 0 is the most urgent. */
+	/** Priority that overrides that of the route; 0 is the highest. */
 	priority: z.number().optional(),
 });
 
@@ -65,9 +65,9 @@
 	version: z.number(),
 	routes: z.array(routeSchema),
 	services: z.array(serviceSchema),
-	/** Absent where no keys are asked for. */
+	/** Absent if requests need no key. */
 	workspaces: z.array(workspaceSchema).optional(),
-	/** Bounds of callers' requests and connections. */
+	/** Limits on requests and connections of callers. */
 	limits: z.object({
 		headerBytes: z.number(),
 		bodyBytes: z.number(),
@@ -76,13 +76,13 @@
 	}),
 });
 
-/** What may be repeated. */
+/** Retry semantics of a request. */
 export type RequestKind = z.output<typeof requestKindSchema>;
 
-/** One route. */
+/** A route. */
 export type Route = z.output<typeof routeSchema>;
 
-/** One service. */
+/** A service. */
 export type Service = z.output<typeof serviceSchema>;
 
 /** A workspace and its keys. */
--- a/source/routing/route-table.ts
+++ b/source/routing/route-table.ts
@@ -1,5 +1,5 @@
 /**
- * Finds the route, service and workspace of a request in one version of the configuration.
+ * Looks up the route, service and workspace of a request in one version of the configuration.
  *
  * @module
  */
@@ -8,12 +8,12 @@
 } from './model.ts';
 
 /**
- * One version of the configuration, indexed for requests.
+ * One version of the configuration, indexed for lookups.
  *
  * @example
  * ```ts
  * const table = new RouteTable(configuration);
- * const route = table.routeOf('desk.example', '/deposits/17');
+ * const route = table.findRoute('desk.example', '/deposits/17');
  * ```
  */
 export class RouteTable {
@@ -48,46 +48,46 @@
 		return this.configuration.version;
 	}
 
-	/** Whether requests need a key unless their route is anonymous. */
-	get asksForKeys(): boolean {
+	/** Whether requests need a key, except on anonymous routes. */
+	get requiresKeys(): boolean {
 		return this.configuration.workspaces !== undefined;
 	}
 
 	/**
-	 * Returns the route with the longest prefix that begins the path.
+	 * Returns the route with the longest prefix of the path.
 	 *
 	 * @param host Value of the request's `Host` header; a port is ignored.
 	 * @param path Path of the request, with or without a query.
 	 */
-	routeOf(host: string, path: string): Route | undefined {
+	findRoute(host: string, path: string): Route | undefined {
 		const name = host.replace(/:\d+$/v, '').toLowerCase();
 		return this.#routesByHost.get(name)?.find(route => path.startsWith(route.pathPrefix));
 	}
 
-	/** Returns a service by its name. */
-	service(name: string): Service | undefined {
+	/** Returns the service with a name. */
+	findService(name: string): Service | undefined {
 		return this.#services.get(name);
 	}
 
-	/** Returns the workspace that holds a key. */
-	workspaceOf(key: string): Workspace | undefined {
+	/** Returns the workspace that a key belongs to. */
+	findWorkspace(key: string): Workspace | undefined {
 		return this.#workspacesByKey.get(key);
 	}
 }
 
 /**
- * Draws the service of a request by the weights of its route.
+ * Selects the service for a request by weighted random choice.
  *
  * @param route The route.
  * @param random Number from 0 to 1, exclusive.
- * @returns Name of the service; `undefined` where the route leads nowhere.
+ * @returns Name of the service; `undefined` if the route has no services.
  */
-export function drawService(route: Route, random: number): string | undefined {
+export function selectService(route: Route, random: number): string | undefined {
 	const total = route.services.reduce((sum, {weight}) => sum + weight, 0);
-	let left = random * total;
+	let remaining = random * total;
 	for (const {service, weight} of route.services) {
-		left -= weight;
-		if (left < 0) {
+		remaining -= weight;
+		if (remaining < 0) {
 			return service;
 		}
 	}
--- a/source/routing/routing.test.ts
+++ b/source/routing/routing.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {
-	RouteTable, admitRequest, drawService, type Route, type RoutingConfiguration,
+	RouteTable, admitRequest, selectService, type Route, type RoutingConfiguration,
 } from './mod.ts';
 
 const route = (name: string, pathPrefix: string, changes: Partial<Route> = {}): Route => ({
@@ -34,25 +34,25 @@
 
 function admit(changes: Partial<Parameters<typeof admitRequest>[0]> = {}): string {
 	const admission = admitRequest({
-		table, ageMilliseconds: 100, host: 'desk.example', path: '/deposits/1', key: 'key-1', trustedKeyMilliseconds: 4000, deniesWithinMilliseconds: 2000, ...changes,
+		table, ageMilliseconds: 100, host: 'desk.example', path: '/deposits/1', key: 'key-1', trustedKeyMilliseconds: 4000, maximumDenialAgeMilliseconds: 2000, ...changes,
 	});
 	return admission.kind === 'allowed' ? admission.route.name : admission.kind;
 }
 
-test('the longest prefix of the host decides, whatever the port and the case of the host', () => {
-	assert.equal(table.routeOf('desk.example', '/deposits/1')?.name, 'deposits');
-	assert.equal(table.routeOf('DESK.example:8080', '/deposits')?.name, 'all');
-	assert.equal(table.routeOf('other.example', '/deposits/1'), undefined);
+test('the route with the longest matching prefix is found, regardless of the port and the case of the host', () => {
+	assert.equal(table.findRoute('desk.example', '/deposits/1')?.name, 'deposits');
+	assert.equal(table.findRoute('DESK.example:8080', '/deposits')?.name, 'all');
+	assert.equal(table.findRoute('other.example', '/deposits/1'), undefined);
 });
 
-test('a key is asked for unless the route is anonymous', () => {
+test('a key is required unless the route is anonymous', () => {
 	assert.equal(admit(), 'deposits');
 	assert.equal(admit({key: 'key-3'}), 'unknown-key');
 	assert.equal(admit({key: undefined}), 'unknown-key');
 	assert.equal(admit({path: '/open/1', key: undefined}), 'open');
 });
 
-test('a configuration that may be out of date proves nothing about keys and routes', () => {
+test('a configuration that may be outdated is used neither to accept keys nor to reject keys or routes', () => {
 	assert.equal(admit({ageMilliseconds: 4001}), 'stale-configuration');
 	assert.equal(admit({ageMilliseconds: 4001, key: 'key-3'}), 'stale-configuration');
 	assert.equal(admit({ageMilliseconds: 4001, host: 'other.example'}), 'stale-configuration');
@@ -60,7 +60,7 @@
 	assert.equal(admit({table: undefined}), 'no-configuration');
 });
 
-test('nothing is denied by a configuration that a newer one may have replaced', () => {
+test('no request is denied by a configuration older than the maximum age to deny', () => {
 	assert.equal(admit({ageMilliseconds: 2000, host: 'other.example'}), 'no-route');
 	assert.equal(admit({ageMilliseconds: 2001, host: 'other.example'}), 'stale-configuration');
 	assert.equal(admit({ageMilliseconds: 2000, key: 'key-3'}), 'unknown-key');
@@ -68,10 +68,10 @@
 	assert.equal(admit({ageMilliseconds: 2001}), 'deposits');
 });
 
-test('services are drawn by their weights', () => {
+test('services are selected by their weights', () => {
 	const divided = route('divided', '/', {services: [{service: 'one', weight: 90}, {service: 'two', weight: 10}]});
-	assert.equal(drawService(divided, 0), 'one');
-	assert.equal(drawService(divided, 0.89), 'one');
-	assert.equal(drawService(divided, 0.91), 'two');
-	assert.equal(drawService(route('none', '/', {services: []}), 0.5), undefined);
+	assert.equal(selectService(divided, 0), 'one');
+	assert.equal(selectService(divided, 0.89), 'one');
+	assert.equal(selectService(divided, 0.91), 'two');
+	assert.equal(selectService(route('none', '/', {services: []}), 0.5), undefined);
 });
