--- a/source/balancing/balancing.test.ts
+++ b/source/balancing/balancing.test.ts
@@ -3,7 +3,7 @@
 import {xoroshiro128plus, type RandomGenerator} from 'pure-rand';
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {
-	EndpointHealth, EndpointLoads, EndpointBackoff, chooseCopyHolder, chooseEndpoint, engineCandidates, rankEngines, type AskedEngine, type EngineReport,
+	EndpointHealth, EndpointLoads, EndpointBackoff, chooseCopyHolder, chooseEndpoint, engineCandidates, rankEngines, type QueriedEngine, type EngineReport,
 } from './mod.ts';
 
 const endpoint = (id: string, availabilityZone = 'zone-a'): EndpointEntry => ({
@@ -14,15 +14,15 @@
 	waiting: 0, running: 0, usedTokens: 0, memoryTokens: 88_000, heldTokens: 0, nextTokens: 0, startedAt: 1, reportsLeaving: false, saysLeaving: false, runs: [], ...changes,
 });
 
-const asked = (id: string, changes: Partial<EngineReport> = {}, availabilityZone = 'zone-a'): AskedEngine => ({endpoint: endpoint(id, availabilityZone), report: report(changes)});
+const queried = (id: string, changes: Partial<EngineReport> = {}, availabilityZone = 'zone-a'): QueriedEngine => ({endpoint: endpoint(id, availabilityZone), report: report(changes)});
 
 function randomOf(generator: RandomGenerator): () => number {
 	return () => (generator.unsafeNext() >>> 0) / 0x1_00_00_00_00; // eslint-disable-line no-bitwise -- The generator gives signed integers.
 }
 
-const generating = (count: number) => Array.from({length: count}, (_unused, index) => ({attempt: `run-${index}`, tokens: 8500, events: 20}));
+const decodingRuns = (count: number) => Array.from({length: count}, (_unused, index) => ({attempt: `run-${index}`, tokens: 8500, events: 20}));
 
-test('calls spread over endpoints, and one that fails its calls gets few of them', () => {
+test('calls are spread over endpoints, and an endpoint that often fails gets few of them', () => {
 	const random = randomOf(xoroshiro128plus(7));
 	const endpoints = ['1', '2', '3', '4'].map(id => endpoint(id));
 	const loads = new EndpointLoads();
@@ -34,9 +34,9 @@
 		})!;
 		counts.set(chosen.id, (counts.get(chosen.id) ?? 0) + 1);
 		if (chosen.id === '4' && random() < 0.45) {
-			health.failed('4', 'failed', now);
+			health.recordFailure('4', 'failed', now);
 		} else {
-			health.succeeded(chosen.id, now);
+			health.recordSuccess(chosen.id, now);
 		}
 	}
 
@@ -47,9 +47,9 @@
 	assert.ok(counts.get('4')! < 200, `the failing endpoint got ${counts.get('4')} of 2,000`);
 });
 
-test('an endpoint that cannot be reached is left alone for a while, but used where there is no other', () => {
+test('an unreachable endpoint is avoided for a while, but used if there is no other', () => {
 	const health = new EndpointHealth();
-	health.failed('1', 'unreachable', 0);
+	health.recordFailure('1', 'unreachable', 0);
 	const options = {
 		tried: new Set<string>(), loads: new EndpointLoads(), health, availabilityZone: 'zone-a', random: () => 0.5,
 	};
@@ -60,7 +60,7 @@
 	}), undefined);
 });
 
-test('engines of as many zones as there are get asked, always the same ones for a prompt', () => {
+test('engine candidates come from all zones, and are always the same ones for a prompt', () => {
 	const endpoints = ['a', 'b', 'c'].flatMap(zone => Array.from({length: 8}, (_unused, index) => endpoint(`${zone}${index}`, zone)));
 	const options = {
 		endpoints, tried: new Set<string>(), health: new EndpointHealth(), preferenceKey: 'part-1', count: 4, now: 0,
@@ -72,75 +72,75 @@
 	assert.ok(!others.some(({id}) => id === candidates[0]!.id));
 });
 
-test('a prompt goes where the least reading lies before it, whatever is being generated there', () => {
-	const reading = asked('reading', {running: 2, usedTokens: 16_400});
-	const busy = asked('generating', {running: 3, usedTokens: 25_500, runs: generating(3)});
-	const queueing = asked('queueing', {
+test('engines are ranked by pending prefill, even if others decode fewer requests', () => {
+	const prefilling = queried('prefilling', {running: 2, usedTokens: 16_400});
+	const decoding = queried('decoding', {running: 3, usedTokens: 25_500, runs: decodingRuns(3)});
+	const queueing = queried('queueing', {
 		running: 1, waiting: 1, usedTokens: 8200, nextTokens: 8200,
 	});
-	const ranked = rankEngines({asked: [queueing, reading, busy], loads: new EndpointLoads(), tokens: 9000});
-	assert.deepEqual(ranked.map(engine => engine.endpoint.id), ['generating', 'reading', 'queueing']);
+	const ranked = rankEngines({queried: [queueing, prefilling, decoding], loads: new EndpointLoads(), tokens: 9000});
+	assert.deepEqual(ranked.map(engine => engine.endpoint.id), ['decoding', 'prefilling', 'queueing']);
 });
 
-test('a prompt goes to an engine that will soon have read one rather than beside several that generate', () => {
-	const reading = asked('reading', {running: 1, usedTokens: 8200});
-	const generating3 = asked('generating', {running: 3, usedTokens: 25_500, runs: generating(3)});
-	const idle = asked('idle');
-	const ranked = rankEngines({asked: [generating3, reading, idle], loads: new EndpointLoads(), tokens: 9000});
-	assert.deepEqual(ranked.map(engine => engine.endpoint.id), ['idle', 'reading', 'generating']);
+test('an engine with one prompt in prefill ranks before an engine that decodes several requests', () => {
+	const prefilling = queried('prefilling', {running: 1, usedTokens: 8200});
+	const decoding3 = queried('decoding', {running: 3, usedTokens: 25_500, runs: decodingRuns(3)});
+	const idle = queried('idle');
+	const ranked = rankEngines({queried: [decoding3, prefilling, idle], loads: new EndpointLoads(), tokens: 9000});
+	assert.deepEqual(ranked.map(engine => engine.endpoint.id), ['idle', 'prefilling', 'decoding']);
 });
 
-test('a prompt goes beside an answer rather than behind a prompt that is being read', () => {
-	const reading = asked('reading', {running: 1, usedTokens: 8200});
-	const generating1 = asked('generating', {running: 1, usedTokens: 8500, runs: generating(1)});
-	const ranked = rankEngines({asked: [reading, generating1], loads: new EndpointLoads(), tokens: 9000});
-	assert.deepEqual(ranked.map(engine => engine.endpoint.id), ['generating', 'reading']);
+test('an engine that decodes one request ranks before an engine with a prompt in prefill', () => {
+	const prefilling = queried('prefilling', {running: 1, usedTokens: 8200});
+	const decoding1 = queried('decoding', {running: 1, usedTokens: 8500, runs: decodingRuns(1)});
+	const ranked = rankEngines({queried: [prefilling, decoding1], loads: new EndpointLoads(), tokens: 9000});
+	assert.deepEqual(ranked.map(engine => engine.endpoint.id), ['decoding', 'prefilling']);
 });
 
-test('copies do not count as reading, and engines without memory come last', () => {
-	const copies = asked('copies', {
-		running: 1, usedTokens: 26_500, heldTokens: 18_000, runs: generating(1),
+test('copies do not count as prefill, and engines without enough memory rank last', () => {
+	const copies = queried('copies', {
+		running: 1, usedTokens: 26_500, heldTokens: 18_000, runs: decodingRuns(1),
 	});
-	const full = asked('full', {running: 9, usedTokens: 84_000, runs: generating(9)});
-	const reading = asked('reading', {running: 1, usedTokens: 8200});
-	const ranked = rankEngines({asked: [full, reading, copies], loads: new EndpointLoads(), tokens: 9000});
-	assert.deepEqual(ranked.map(engine => engine.endpoint.id), ['copies', 'reading', 'full']);
+	const full = queried('full', {running: 9, usedTokens: 84_000, runs: decodingRuns(9)});
+	const prefilling = queried('prefilling', {running: 1, usedTokens: 8200});
+	const ranked = rankEngines({queried: [full, prefilling, copies], loads: new EndpointLoads(), tokens: 9000});
+	assert.deepEqual(ranked.map(engine => engine.endpoint.id), ['copies', 'prefilling', 'full']);
 });
 
-test('requests that this router has just sent count although no report shows them', () => {
+test('requests that this gateway has just sent count although no report shows them yet', () => {
 	const loads = new EndpointLoads();
-	const ended = loads.started('1', 8200);
-	const ranked = () => rankEngines({asked: [asked('1'), asked('2')], loads, tokens: 9000}).map(engine => engine.endpoint.id);
+	const release = loads.trackRequest('1', 8200);
+	const ranked = () => rankEngines({queried: [queried('1'), queried('2')], loads, tokens: 9000}).map(engine => engine.endpoint.id);
 	assert.deepEqual(ranked(), ['2', '1']);
-	ended();
-	ended();
+	release();
+	release();
 	assert.deepEqual(ranked(), ['1', '2']);
 });
 
-test('engines that did not answer or are leaving get no prompt', () => {
-	const silent: AskedEngine = {endpoint: endpoint('silent'), report: undefined};
-	assert.deepEqual(rankEngines({asked: [silent, asked('leaving', {reportsLeaving: true}), asked('gone', {saysLeaving: true})], loads: new EndpointLoads(), tokens: 9000}), []);
+test('engines that did not respond or are leaving are not ranked', () => {
+	const silent: QueriedEngine = {endpoint: endpoint('silent'), report: undefined};
+	assert.deepEqual(rankEngines({queried: [silent, queried('leaving', {reportsLeaving: true}), queried('gone', {saysLeaving: true})], loads: new EndpointLoads(), tokens: 9000}), []);
 });
 
-test('a copy is kept in another zone where there is room', () => {
+test('a copy is placed in another zone if an engine there has enough memory', () => {
 	const engine = endpoint('1', 'zone-a');
-	const near = asked('2', {}, 'zone-a');
-	const full = asked('3', {usedTokens: 80_000}, 'zone-b');
-	const far = asked('4', {}, 'zone-c');
+	const near = queried('2', {}, 'zone-a');
+	const full = queried('3', {usedTokens: 80_000}, 'zone-b');
+	const far = queried('4', {}, 'zone-c');
 	assert.equal(chooseCopyHolder([near, full, far], engine, 9000)?.id, '4');
 	assert.equal(chooseCopyHolder([near, full], engine, 9000)?.id, '2');
 	assert.equal(chooseCopyHolder([full], engine, 9000), undefined);
 });
 
-test('an endpoint is sent nothing for as long as it asks, in that life of it', () => {
+test('an endpoint is not usable until its backoff ends, unless it restarts', () => {
 	const backoff = new EndpointBackoff();
 	const [one, other] = [endpoint('one'), endpoint('other')];
-	assert.deepEqual(backoff.divide([one, other], 0), {usable: [one, other], firstEnd: undefined});
+	assert.deepEqual(backoff.partition([one, other], 0), {usable: [one, other], earliestEnd: undefined});
 	backoff.start(one, 3000);
 	backoff.start(one, 1000);
-	assert.deepEqual(backoff.divide([one, other], 2999), {usable: [other], firstEnd: 3000});
+	assert.deepEqual(backoff.partition([one, other], 2999), {usable: [other], earliestEnd: 3000});
 	backoff.start(other, 5000);
-	assert.deepEqual(backoff.divide([one, other], 2999), {usable: [], firstEnd: 3000});
+	assert.deepEqual(backoff.partition([one, other], 2999), {usable: [], earliestEnd: 3000});
 	assert.equal(backoff.isBackedOff({...one, startedAt: 2}, 2999), false);
-	assert.deepEqual(backoff.divide([one, other], 3000), {usable: [one], firstEnd: 5000});
+	assert.deepEqual(backoff.partition([one, other], 3000), {usable: [one], earliestEnd: 5000});
 });
--- a/source/balancing/choose-endpoint.ts
+++ b/source/balancing/choose-endpoint.ts
@@ -1,7 +1,7 @@
 /**
- * Chooses the endpoint of a plain call.
+ * Chooses the endpoint for a plain call.
  *
- * Answers the load of many routers that each send a few short calls a second to a handful of endpoints, some of which fail.
+ * Designed for many gateways that each send a few short calls per second to a handful of endpoints, some of which fail.
  *
  * @module
  */
@@ -12,40 +12,40 @@
 /** Options of {@linkcode chooseEndpoint}. */
 export type ChooseEndpointOptions = {
 	endpoints: readonly EndpointEntry[];
-	/** Endpoints that this request has been sent to. */
+	/** IDs of the endpoints that this request was already sent to. */
 	tried: ReadonlySet<string>;
 	loads: EndpointLoads;
 	health: EndpointHealth;
-	/** Zone of this router. */
+	/** Availability zone of this gateway. */
 	availabilityZone: string;
-	/** Steady time, in milliseconds. */
+	/** Monotonic time, in milliseconds. */
 	now: number;
 	random: () => number;
 };
 
-/** Load that an endpoint in another zone counts for more, as a share of its slots. */
-const otherZoneLoad = 0.02;
+/** Load added to an endpoint in another zone, as a share of its slots. */
+const otherZonePenalty = 0.02;
 
-/** Load that a rate of failures of 1 counts for, as a share of the endpoint's slots. */
-const failureLoad = 3;
+/** Load added for a failure rate of 1, as a share of the endpoint's slots. */
+const failurePenalty = 3;
 
-/** Load that chance adds at most, as a share of the slots, so that routers do not all choose alike. */
-const randomLoad = 0.1;
+/** Maximum random load added, as a share of the slots, so that gateways do not all choose the same endpoint. */
+const maximumJitter = 0.1;
 
 /**
- * Chooses the endpoint with the least load that was not tried; those that just failed come last.
+ * Chooses the untried endpoint with the lowest effective load. Endpoints that failed recently are used only if there is no other.
  *
- * @param options Endpoints and what is known of them.
- * @returns The endpoint; `undefined` where all were tried.
+ * @param options Endpoints and their state.
+ * @returns The endpoint; `undefined` if all were tried.
  */
 export function chooseEndpoint(options: ChooseEndpointOptions): EndpointEntry | undefined {
 	const {endpoints, tried, health, now} = options;
 	const untried = endpoints.filter(({id}) => !tried.has(id));
-	const sound = untried.filter(({id}) => !health.avoids(id, now));
+	const healthy = untried.filter(({id}) => !health.shouldAvoid(id, now));
 	let best: EndpointEntry | undefined;
 	let bestLoad = Number.POSITIVE_INFINITY;
-	for (const endpoint of sound.length > 0 ? sound : untried) {
-		const load = loadOf(endpoint, options);
+	for (const endpoint of healthy.length > 0 ? healthy : untried) {
+		const load = effectiveLoad(endpoint, options);
 		if (load < bestLoad) {
 			best = endpoint;
 			bestLoad = load;
@@ -55,8 +55,8 @@
 	return best;
 }
 
-function loadOf({id, slots, availabilityZone}: EndpointEntry, options: ChooseEndpointOptions): number {
+function effectiveLoad({id, slots, availabilityZone}: EndpointEntry, options: ChooseEndpointOptions): number {
 	const {loads, health, now, random} = options;
-	const zone = availabilityZone === options.availabilityZone ? 0 : otherZoneLoad;
-	return (loads.requests(id) / slots) + zone + (health.failureRate(id, now) * failureLoad) + (random() * randomLoad);
+	const zonePenalty = availabilityZone === options.availabilityZone ? 0 : otherZonePenalty;
+	return (loads.requests(id) / slots) + zonePenalty + (health.failureRate(id, now) * failurePenalty) + (random() * maximumJitter);
 }
--- a/source/balancing/choose-engine.ts
+++ b/source/balancing/choose-engine.ts
@@ -1,8 +1,8 @@
 /**
- * Chooses the engine of a generation and the engine that keeps a copy of its memory.
+ * Chooses the engine for a generation, and the engine that holds a copy of its KV cache.
  *
- * Answers the load of long prompts: each takes a second of an engine's time to read and a tenth of its memory, so two prompts
- * on one engine delay each other while another engine is idle, and requests that generate together slow each other for seconds.
+ * Designed for long prompts: the prefill of one takes about a second of an engine's time and a tenth of its memory. So two prompts on one
+ * engine delay each other while another engine is idle, and requests that are decoded together slow each other down for seconds.
  *
  * @module
  */
@@ -11,62 +11,63 @@
 import {type EndpointHealth} from './endpoint-health.ts';
 import {type EndpointLoads} from './endpoint-loads.ts';
 
-/** What an engine says of its load, some hundred milliseconds ago. */
+/** Load that an engine reported, some hundred milliseconds ago. */
 export type EngineReport = {
-	/** Requests that wait to be read. */
+	/** Requests that wait for their prefill. */
 	waiting: number;
-	/** Requests that are being read or generated. */
+	/** Requests in prefill or decoding. */
 	running: number;
-	/** Tokens of memory in use that cannot be given up. */
+	/** KV cache in use that cannot be evicted, in tokens. */
 	usedTokens: number;
+	/** Size of the KV cache, in tokens. */
 	memoryTokens: number;
-	/** Part of these tokens that copies and reservations take. */
+	/** Part of the used tokens that is taken by copies and reservations. */
 	heldTokens: number;
-	/** Tokens of the first waiting request. */
+	/** Tokens of the next waiting request. */
 	nextTokens: number;
-	/** Unix milliseconds of the engine's start; 0 where it does not say. */
+	/** Unix time of the engine's start, in milliseconds; 0 if not reported. */
 	startedAt: number;
-	/** Whether the report calls it leaving. */
+	/** Whether the report says that the engine is draining. */
 	reportsLeaving: boolean;
-	/** Whether the answer that brought the report says, as all its answers then do, that it leaves. */
+	/** Whether the headers of the response say that the engine is leaving, as in all its responses from then on. */
 	saysLeaving: boolean;
-	/** Requests that have brought a token; the other running ones are being read. */
+	/** Running requests that have produced a token; the others are in prefill. */
 	runs: ReadonlyArray<{attempt: string; tokens: number; events: number}>;
 };
 
 /** Options of {@linkcode engineCandidates}. */
 export type EngineCandidatesOptions = {
 	endpoints: readonly EndpointEntry[];
-	/** Engines that are not to be used again for this request. */
+	/** IDs of engines that must not be used again for this request. */
 	tried: ReadonlySet<string>;
 	health: EndpointHealth;
-	/** What the order of preference is drawn from: requests with the same prompt prefer the same engines. */
+	/** Key of the rendezvous hashing, so that requests with the same prompt prefer the same engines. */
 	preferenceKey: string;
-	/** Engines to name at most. */
+	/** Maximum number of candidates. */
 	count: number;
-	/** Steady time, in milliseconds. */
+	/** Monotonic time, in milliseconds. */
 	now: number;
 };
 
 /**
- * Names the engines that are worth asking for their load: the most preferred ones, from as many
- * zones as there are, since a zone's engines tend to be lost together.
+ * Returns the engines to query for their load: the most preferred ones, spread over all zones, since the engines of a zone tend to fail
+ * together.
  *
- * @param options Engines and what is known of them.
+ * @param options Engines and their state.
  */
 export function engineCandidates(options: EngineCandidatesOptions): EndpointEntry[] {
 	const {endpoints, tried, health, preferenceKey, count, now} = options;
 	const untried = endpoints.filter(({id}) => !tried.has(id));
-	const sound = untried.filter(({id}) => !health.avoids(id, now));
+	const healthy = untried.filter(({id}) => !health.shouldAvoid(id, now));
 	const hashed = hashKey(preferenceKey);
-	const ordered = (sound.length > 0 ? sound : untried)
+	const ordered = (healthy.length > 0 ? healthy : untried)
 		.map(endpoint => ({endpoint, weight: rendezvousWeight(hashed, endpoint.address)}))
 		.toSorted((left, right) => right.weight - left.weight)
 		.map(({endpoint}) => endpoint);
 	return spreadOverZones(ordered, count);
 }
 
-/** Takes the first engine of each zone, and then those that are left, each in their order. */
+/** Returns the first engine of each zone, followed by the remaining ones, both in order of preference. */
 function spreadOverZones(ordered: readonly EndpointEntry[], count: number): EndpointEntry[] {
 	const zones = new Set<string>();
 	const firsts: EndpointEntry[] = [];
@@ -80,65 +81,65 @@
 	return [...firsts, ...rest].slice(0, count);
 }
 
-/** An engine and its report; no report means that it did not answer. */
-export type AskedEngine = {endpoint: EndpointEntry; report: EngineReport | undefined};
+/** An engine that was queried, and its report; without a report, it did not respond. */
+export type QueriedEngine = {endpoint: EndpointEntry; report: EngineReport | undefined};
 
 /** Options of {@linkcode rankEngines}. */
 export type RankEnginesOptions = {
-	asked: readonly AskedEngine[];
-	/** This router's requests in progress. */
+	queried: readonly QueriedEngine[];
+	/** Requests in progress that this gateway sent. */
 	loads: EndpointLoads;
-	/** Tokens that the request will take: its prompt and its answer. */
+	/** Tokens that the request will take: its prompt and its output. */
 	tokens: number;
 };
 
-/** Tokens that a request is taken to have, where the report does not say. */
-const usualTokens = 8000;
+/** Assumed tokens of a request if the report does not show them. */
+const defaultRequestTokens = 8000;
 
-/** Share of the prompts that are being read that is taken to be still unread. */
-const unreadShare = 0.6;
+/** Assumed share of the prompts in prefill that is not processed yet. */
+const remainingPrefillShare = 0.6;
 
-/** Tokens of reading that each other request counts for, since requests that generate together slow each other's steps. */
-const sharedStepsTokens = 3000;
+/** Work added for each other request, in tokens of prefill, since requests in one batch slow down each other's decoding steps. */
+const batchPenaltyTokens = 3000;
 
-/** Tokens of reading that a lack of memory counts for; the request would push another one out. */
-const fullTokens = 40_000;
+/** Work added if memory is insufficient, in tokens of prefill; the request would preempt another one. */
+const memoryPenaltyTokens = 40_000;
 
 /**
- * Orders engines by the work that lies before a new request; those that did not answer, or are leaving, are left out.
+ * Sorts engines by the pending work that a new request has to wait for; omits engines that did not respond or are leaving.
  *
  * @param options Engines with their reports, most preferred first.
  */
-export function rankEngines({asked, loads, tokens}: RankEnginesOptions): AskedEngine[] {
-	return asked
+export function rankEngines({queried, loads, tokens}: RankEnginesOptions): QueriedEngine[] {
+	return queried
 		.filter(({report}) => report && !report.reportsLeaving && !report.saysLeaving)
-		.map(engine => ({engine, work: workBefore(engine, loads, tokens)}))
+		.map(engine => ({engine, work: pendingWork(engine, loads, tokens)}))
 		.toSorted((left, right) => left.work - right.work)
 		.map(({engine}) => engine);
 }
 
-/** Work that an engine has before and beside a new request, in tokens of reading. */
-function workBefore({endpoint, report}: AskedEngine, loads: EndpointLoads, tokens: number): number {
+/** Estimates the work that delays a new request on an engine, in tokens of prefill. */
+function pendingWork({endpoint, report}: QueriedEngine, loads: EndpointLoads, tokens: number): number {
 	const {waiting, running, runs, usedTokens, memoryTokens, heldTokens, nextTokens} = report!;
-	const generated = runs.reduce((sum, run) => sum + run.tokens, 0);
-	const beingRead = running > runs.length ? Math.max(0, usedTokens - heldTokens - generated) * unreadShare : 0;
-	const queued = waiting === 0 ? 0 : nextTokens + ((waiting - 1) * usualTokens);
-	const unseenRequests = Math.max(0, loads.requests(endpoint.id) - waiting - running);
-	const unseen = unseenRequests * usualTokens;
-	const sharedSteps = (running + waiting + unseenRequests) * sharedStepsTokens;
-	const lacksMemory = usedTokens + queued + unseen + tokens > memoryTokens;
-	return beingRead + queued + unseen + sharedSteps + (lacksMemory ? fullTokens : 0);
+	const decoding = runs.reduce((sum, run) => sum + run.tokens, 0);
+	const prefill = running > runs.length ? Math.max(0, usedTokens - heldTokens - decoding) * remainingPrefillShare : 0;
+	const queued = waiting === 0 ? 0 : nextTokens + ((waiting - 1) * defaultRequestTokens);
+	const unreportedRequests = Math.max(0, loads.requests(endpoint.id) - waiting - running);
+	const unreported = unreportedRequests * defaultRequestTokens;
+	const batchPenalty = (running + waiting + unreportedRequests) * batchPenaltyTokens;
+	const lacksMemory = usedTokens + queued + unreported + tokens > memoryTokens;
+	return prefill + queued + unreported + batchPenalty + (lacksMemory ? memoryPenaltyTokens : 0);
 }
 
 /**
- * Chooses the engine that keeps a copy of a generation's memory: one of another zone where there is one, with room for it.
+ * Chooses the engine that holds a copy of a generation's KV cache: one with enough memory, in another zone if possible.
  *
  * @param ranked Engines in order of their load.
  * @param engine The engine that runs the generation.
- * @param tokens Tokens that the copy will take.
+ * @param tokens Size of the copy, in tokens.
  */
-export function chooseCopyHolder(ranked: readonly AskedEngine[], engine: EndpointEntry, tokens: number): EndpointEntry | undefined {
+export function chooseCopyHolder(ranked: readonly QueriedEngine[], engine: EndpointEntry, tokens: number): EndpointEntry | undefined {
 	const others = ranked.filter(({endpoint, report}) => endpoint.id !== engine.id && report && report.usedTokens + tokens <= report.memoryTokens);
-	const elsewhere = others.find(({endpoint}) => endpoint.availabilityZone !== engine.availabilityZone);
-	return (elsewhere ?? others[0])?.endpoint;
+	const inOtherZone = others.find(({endpoint}) => endpoint.availabilityZone !== engine.availabilityZone);
+	return (inOtherZone ?? others[0])?.endpoint;
 }
--- a/source/balancing/endpoint-backoff.ts
+++ b/source/balancing/endpoint-backoff.ts
@@ -1,15 +1,14 @@
 /**
- * Endpoints that ask to back off for a while.
+ * Backoff from endpoints that request it.
  *
- * Answers the load of an endpoint that turns requests away and says when it will take some again: whatever reaches it before costs it
- * time that it does not have.
+ * An overloaded endpoint rejects requests and says when it will accept them again. Requests that reach it earlier only add to its load.
  *
  * @module
  */
 import {type EndpointIncarnation} from '../beliefs/mod.ts';
 
 /**
- * Remembers until when each endpoint is sent nothing; a new life of it is not bound by what an earlier one asked.
+ * Tracks until when no requests are sent to each endpoint. A backoff ends when the endpoint restarts, since it applies to one incarnation.
  *
  * @example
  * ```ts
@@ -18,49 +17,49 @@
  * ```
  */
 export class EndpointBackoff {
-	/** Steady times at which they end, in milliseconds, by name of the life. */
-	readonly #ends = new Map<string, number>();
+	/** Monotonic times at which the backoffs end, in milliseconds, by incarnation. */
+	readonly #endTimes = new Map<string, number>();
 
-	/** Sends an endpoint nothing until a steady time, or longer where it asked for that before. */
-	start(life: EndpointIncarnation, until: number): void {
-		const name = nameOf(life);
-		this.#ends.set(name, Math.max(until, this.#ends.get(name) ?? 0));
+	/** Starts a backoff until a monotonic time; does not shorten a current one. */
+	start(incarnation: EndpointIncarnation, until: number): void {
+		const key = incarnationKey(incarnation);
+		this.#endTimes.set(key, Math.max(until, this.#endTimes.get(key) ?? 0));
 	}
 
-	/** Whether an endpoint is sent nothing now. */
-	isBackedOff(life: EndpointIncarnation, now: number): boolean {
-		return this.#ends.size > 0 && this.#endOf(life, now) > now;
+	/** Whether a backoff from the endpoint is in progress. */
+	isBackedOff(incarnation: EndpointIncarnation, now: number): boolean {
+		return this.#endTimes.size > 0 && this.#endOf(incarnation, now) > now;
 	}
 
 	/**
-	 * Divides endpoints into those that may be used and the time at which the first of the others may be.
+	 * Returns the endpoints without a backoff in progress, and the time at which the earliest backoff of the others ends.
 	 *
 	 * @param endpoints The endpoints.
-	 * @param now Steady time, in milliseconds.
+	 * @param now Monotonic time, in milliseconds.
 	 */
-	divide<Endpoint extends EndpointIncarnation>(endpoints: readonly Endpoint[], now: number): {usable: readonly Endpoint[]; firstEnd: number | undefined} {
-		if (this.#ends.size === 0) {
-			return {usable: endpoints, firstEnd: undefined};
+	partition<Endpoint extends EndpointIncarnation>(endpoints: readonly Endpoint[], now: number): {usable: readonly Endpoint[]; earliestEnd: number | undefined} {
+		if (this.#endTimes.size === 0) {
+			return {usable: endpoints, earliestEnd: undefined};
 		}
 
 		const ends = endpoints.map(endpoint => this.#endOf(endpoint, now)).filter(end => end > now);
 		return {
 			usable: ends.length === 0 ? endpoints : endpoints.filter(endpoint => !this.isBackedOff(endpoint, now)),
-			firstEnd: ends.length === 0 ? undefined : Math.min(...ends),
+			earliestEnd: ends.length === 0 ? undefined : Math.min(...ends),
 		};
 	}
 
-	#endOf(life: EndpointIncarnation, now: number): number {
-		const name = nameOf(life);
-		const end = this.#ends.get(name) ?? 0;
+	#endOf(incarnation: EndpointIncarnation, now: number): number {
+		const key = incarnationKey(incarnation);
+		const end = this.#endTimes.get(key) ?? 0;
 		if (end <= now) {
-			this.#ends.delete(name);
+			this.#endTimes.delete(key);
 		}
 
 		return end;
 	}
 }
 
-function nameOf({id, startedAt}: EndpointIncarnation): string {
+function incarnationKey({id, startedAt}: EndpointIncarnation): string {
 	return `${id}/${startedAt}`;
 }
--- a/source/balancing/endpoint-health.ts
+++ b/source/balancing/endpoint-health.ts
@@ -1,76 +1,76 @@
 /**
- * What this router has seen of each endpoint's failures.
+ * Health of endpoints, by the failures that this gateway has seen.
  *
  * @module
  */
 
 /**
- * How a request to an endpoint ended, as far as the endpoint is to blame: it did not answer at all, answered with a failure,
- * or said that it is full.
+ * Failure of a request that is attributed to the endpoint: it could not be reached, its response was incomplete or too large, it
+ * responded with an error, or it was full.
  */
 export type EndpointFailure = 'unreachable' | 'broken' | 'failed' | 'full';
 
-/** How strongly each failure counts, from 0 to 1. */
-const weights: Record<EndpointFailure, number> = {
+/** Weight of each failure in the failure rate, from 0 to 1. */
+const failureWeights: Record<EndpointFailure, number> = {
 	unreachable: 1, broken: 0.5, failed: 0.25, full: 0.25,
 };
 
-/** Time for which an endpoint is left alone after each failure while others are there, in milliseconds. */
-const avoidMilliseconds: Record<EndpointFailure, number> = {
+/** Time for which an endpoint is avoided after each failure if there are others, in milliseconds. */
+const avoidanceMilliseconds: Record<EndpointFailure, number> = {
 	unreachable: 1000, broken: 300, failed: 0, full: 200,
 };
 
-/** Time in which a failure's weight falls by half, in milliseconds. */
+/** Half-life of the failure rate, in milliseconds. */
 const halfLifeMilliseconds = 4000;
 
-/** Share that one request moves the rate of failures by. */
-const requestShare = 0.3;
+/** Smoothing factor of the failure rate, which is an exponentially weighted moving average. */
+const smoothingFactor = 0.3;
 
-type Seen = {rate: number; at: number; avoidUntil: number};
+type HealthRecord = {rate: number; at: number; avoidUntil: number};
 
 /**
- * Remembers failures of endpoints for a few seconds.
+ * Tracks the failure rates of endpoints, which decay within a few seconds.
  *
  * @example
  * ```ts
- * health.failed(endpoint.id, 'unreachable', now);
- * health.avoids(endpoint.id, now); // true
+ * health.recordFailure(endpoint.id, 'unreachable', now);
+ * health.shouldAvoid(endpoint.id, now); // true
  * ```
  */
 export class EndpointHealth {
-	readonly #seen = new Map<string, Seen>();
+	readonly #records = new Map<string, HealthRecord>();
 
-	/** Records a request that ended well. */
-	succeeded(id: string, now: number): void {
-		const seen = this.#seen.get(id);
-		if (!seen) {
+	/** Records a successful request. */
+	recordSuccess(id: string, now: number): void {
+		const record = this.#records.get(id);
+		if (!record) {
 			return;
 		}
 
-		const rate = this.failureRate(id, now) * (1 - requestShare);
+		const rate = this.failureRate(id, now) * (1 - smoothingFactor);
 		if (rate < 0.01) {
-			this.#seen.delete(id);
+			this.#records.delete(id);
 		} else {
-			this.#seen.set(id, {rate, at: now, avoidUntil: 0});
+			this.#records.set(id, {rate, at: now, avoidUntil: 0});
 		}
 	}
 
-	/** Records a request that ended badly. */
-	failed(id: string, failure: EndpointFailure, now: number): void {
+	/** Records a failed request. */
+	recordFailure(id: string, failure: EndpointFailure, now: number): void {
 		const before = this.failureRate(id, now);
-		const rate = before + ((weights[failure] - before) * (weights[failure] > before ? requestShare : 0));
-		const avoidUntil = Math.max(this.#seen.get(id)?.avoidUntil ?? 0, now + avoidMilliseconds[failure]);
-		this.#seen.set(id, {rate: Math.max(before, rate), at: now, avoidUntil});
+		const rate = before + ((failureWeights[failure] - before) * (failureWeights[failure] > before ? smoothingFactor : 0));
+		const avoidUntil = Math.max(this.#records.get(id)?.avoidUntil ?? 0, now + avoidanceMilliseconds[failure]);
+		this.#records.set(id, {rate: Math.max(before, rate), at: now, avoidUntil});
 	}
 
-	/** Share of recent requests that failed, falling with time. */
+	/** Returns the weighted failure rate of recent requests, which decays over time. */
 	failureRate(id: string, now: number): number {
-		const seen = this.#seen.get(id);
-		return seen ? seen.rate * (0.5 ** ((now - seen.at) / halfLifeMilliseconds)) : 0;
+		const record = this.#records.get(id);
+		return record ? record.rate * (0.5 ** ((now - record.at) / halfLifeMilliseconds)) : 0;
 	}
 
-	/** Whether an endpoint is left alone while others are there. */
-	avoids(id: string, now: number): boolean {
-		return (this.#seen.get(id)?.avoidUntil ?? 0) > now;
+	/** Whether an endpoint should be avoided if there are others. */
+	shouldAvoid(id: string, now: number): boolean {
+		return (this.#records.get(id)?.avoidUntil ?? 0) > now;
 	}
 }
--- a/source/balancing/endpoint-loads.ts
+++ b/source/balancing/endpoint-loads.ts
@@ -1,40 +1,40 @@
 /**
- * The requests that this router has in progress at each endpoint.
+ * Load of endpoints, by the requests that this gateway has in progress there.
  *
  * @module
  */
 
 /**
- * Counts requests in progress.
+ * Counts the requests in progress at each endpoint.
  *
  * @example
  * ```ts
- * const ended = loads.started(endpoint.id, 8200);
- * ended();
+ * const release = loads.trackRequest(endpoint.id, 8200);
+ * release();
  * ```
  */
 export class EndpointLoads {
 	readonly #loads = new Map<string, {requests: number; tokens: number}>();
 
 	/**
-	 * Counts a request.
+	 * Counts a request that starts.
 	 *
-	 * @param id The endpoint.
-	 * @param tokens Tokens of memory that it will take; 0 for plain services.
-	 * @returns The function that counts its end; later calls change nothing.
+	 * @param id ID of the endpoint.
+	 * @param tokens Tokens of memory that the request will take; 0 for plain services.
+	 * @returns Function to call when the request ends; further calls have no effect.
 	 */
-	started(id: string, tokens: number): () => void {
+	trackRequest(id: string, tokens: number): () => void {
 		const load = this.#loads.get(id) ?? {requests: 0, tokens: 0};
 		load.requests += 1;
 		load.tokens += tokens;
 		this.#loads.set(id, load);
-		let ended = false;
+		let isReleased = false;
 		return () => {
-			if (ended) {
+			if (isReleased) {
 				return;
 			}
 
-			ended = true;
+			isReleased = true;
 			load.requests -= 1;
 			load.tokens -= tokens;
 			if (load.requests === 0 && this.#loads.get(id) === load) {
@@ -43,12 +43,12 @@
 		};
 	}
 
-	/** Requests in progress at an endpoint. */
+	/** Returns the number of requests in progress at an endpoint. */
 	requests(id: string): number {
 		return this.#loads.get(id)?.requests ?? 0;
 	}
 
-	/** Tokens of memory that they will take. */
+	/** Returns the tokens of memory that the requests in progress at an endpoint will take. */
 	tokens(id: string): number {
 		return this.#loads.get(id)?.tokens ?? 0;
 	}
--- a/source/balancing/mod.ts
+++ b/source/balancing/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Decides which endpoint gets a request.
+ * Load balancing: chooses the endpoint for a request.
  *
  * @module
  */
--- a/source/forwarding/endpoint-signals.ts
+++ b/source/forwarding/endpoint-signals.ts
@@ -55,7 +55,7 @@
  */
 export function usableEndpoints(service: string, {endpoints, backoff, clock}: ForwardingParts): readonly EndpointEntry[] {
 	const now = clock();
-	return backoff.divide(endpoints.endpointsOf(service, now), now).usable;
+	return backoff.partition(endpoints.endpointsOf(service, now), now).usable;
 }
 
 /**
@@ -68,6 +68,6 @@
  */
 export function comeBackAfter(service: string, otherwiseMilliseconds: number, {endpoints, backoff, clock}: ForwardingParts): number {
 	const now = clock();
-	const {usable, firstEnd} = backoff.divide(endpoints.endpointsOf(service, now), now);
+	const {usable, earliestEnd: firstEnd} = backoff.partition(endpoints.endpointsOf(service, now), now);
 	return usable.length === 0 && firstEnd !== undefined ? Math.max(shortestMilliseconds, firstEnd - now) : otherwiseMilliseconds;
 }
--- a/source/forwarding/engine-placing.ts
+++ b/source/forwarding/engine-placing.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {
-	engineCandidates, rankEngines, type AskedEngine, type EngineReport,
+	engineCandidates, rankEngines, type QueriedEngine, type EngineReport,
 } from '../balancing/mod.ts';
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {readEngineReport} from '../platform/mod.ts';
@@ -51,27 +51,27 @@
 	isUsable(endpoint: EndpointEntry): boolean {
 		const {tried, parts: {endpoints, health, backoff, clock}} = this.#options;
 		const now = clock();
-		return !tried.has(endpoint.id) && !health.avoids(endpoint.id, now) && !backoff.isBackedOff(endpoint, now) && endpoints.stateOf(endpoint) === 'listed';
+		return !tried.has(endpoint.id) && !health.shouldAvoid(endpoint.id, now) && !backoff.isBackedOff(endpoint, now) && endpoints.stateOf(endpoint) === 'listed';
 	}
 
 	/** Asks some engines for their load; returns them in the order of the work before them. */
-	async rank(): Promise<AskedEngine[]> {
+	async rank(): Promise<QueriedEngine[]> {
 		const {exchange, parts, tried, tokens} = this.#options;
 		const {endpoints, health, loads, clock} = parts;
 		const candidates = engineCandidates({
 			endpoints: usableEndpoints(exchange.service.name, parts), tried, health, preferenceKey: exchange.terms.promptPart ?? exchange.requestName, count: askedEngines, now: clock(),
 		});
-		const asked: AskedEngine[] = await Promise.all(candidates.map(async endpoint => ({endpoint, report: await this.ask(endpoint, 'place')})));
+		const asked: QueriedEngine[] = await Promise.all(candidates.map(async endpoint => ({endpoint, report: await this.ask(endpoint, 'place')})));
 		for (const engine of asked) {
 			if (!engine.report) {
-				health.failed(engine.endpoint.id, 'unreachable', clock());
+				health.recordFailure(engine.endpoint.id, 'unreachable', clock());
 			} else if (provesRestart(engine.report, engine.endpoint.startedAt)) {
 				endpoints.excludeIncarnation(engine.endpoint.id, engine.endpoint.startedAt);
 				engine.report = undefined;
 			}
 		}
 
-		const ranked = rankEngines({asked, loads, tokens});
+		const ranked = rankEngines({queried: asked, loads, tokens});
 		return ranked.length > 0 || candidates.length === 0 || exchange.callerGone.aborted || clock() >= exchange.answerBy
 			? ranked
 			: this.#afterAvoided(candidates);
@@ -91,7 +91,7 @@
 	}
 
 	/** Asks other engines, once all that were asked have not answered. */
-	async #afterAvoided(candidates: readonly EndpointEntry[]): Promise<AskedEngine[]> {
+	async #afterAvoided(candidates: readonly EndpointEntry[]): Promise<QueriedEngine[]> {
 		const {exchange, parts} = this.#options;
 		const others = usableEndpoints(exchange.service.name, parts).some(endpoint => this.isUsable(endpoint));
 		return others ? this.rank() : candidates.map(endpoint => ({endpoint, report: undefined}));
--- a/source/forwarding/forward-call.ts
+++ b/source/forwarding/forward-call.ts
@@ -115,11 +115,11 @@
 		const {response, answerBy, callerGone, requestName} = this.#exchange;
 		const {loads, health, logger, clock} = this.#parts;
 		const signal = this.#attempts.keepOnly(endpoint, answerBy);
-		const ended = loads.started(endpoint.id, 0);
+		const ended = loads.trackRequest(endpoint.id, 0);
 		const passed = await passAnswerOn(response, answer, signal);
 		ended();
 		if (passed.isOk()) {
-			health.succeeded(endpoint.id, clock());
+			health.recordSuccess(endpoint.id, clock());
 			return this.#outcome('answered', answer.status);
 		}
 
@@ -127,7 +127,7 @@
 			return this.#outcome('caller_left', 0);
 		}
 
-		health.failed(endpoint.id, 'broken', clock());
+		health.recordFailure(endpoint.id, 'broken', clock());
 		logger.info('answer broken off', {
 			request: requestName, endpoint: endpoint.id, status: answer.status, reason: passed.error,
 		});
@@ -183,7 +183,7 @@
 		const {endpoint} = attempt;
 		if (this.#attempts.hasEnded) {
 			if (attempt.kind === 'ended' && attempt.end === 'lost' && !this.#exchange.callerGone.aborted) {
-				health.failed(endpoint.id, 'broken', clock());
+				health.recordFailure(endpoint.id, 'broken', clock());
 			}
 
 			if (this.#timedOut) {
@@ -198,7 +198,7 @@
 		}
 
 		if (attempt.kind === 'answered') {
-			health.succeeded(endpoint.id, clock());
+			health.recordSuccess(endpoint.id, clock());
 			return;
 		}
 
@@ -207,7 +207,7 @@
 		}
 
 		if (attempt.failure) {
-			health.failed(endpoint.id, attempt.failure, clock());
+			health.recordFailure(endpoint.id, attempt.failure, clock());
 		} else {
 			endpoints.excludeIncarnation(endpoint.id, endpoint.startedAt);
 		}
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {chooseCopyHolder, type AskedEngine} from '../balancing/mod.ts';
+import {chooseCopyHolder, type QueriedEngine} from '../balancing/mod.ts';
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {sendRefusal, sendWholeAnswer, type Refusal} from './answer-caller.ts';
 import {comeBackAfter, noteSignals} from './endpoint-signals.ts';
@@ -43,7 +43,7 @@
 	#copyHolder: EndpointEntry | undefined;
 	readonly #placing: EnginePlacing;
 	/** Engines of the last question, in order of their load. */
-	#ranked: readonly AskedEngine[] = [];
+	#ranked: readonly QueriedEngine[] = [];
 	#runs = 0;
 
 	constructor(exchange: Exchange, parts: ForwardingParts) {
@@ -101,7 +101,7 @@
 		this.#tried.add(target.endpoint.id);
 		this.#asked.push(target.endpoint.id);
 		this.#runs += 1;
-		const ended = this.#parts.loads.started(target.endpoint.id, this.#tokens);
+		const ended = this.#parts.loads.trackRequest(target.endpoint.id, this.#tokens);
 		try {
 			return await runGenerationAttempt({
 				exchange: this.#exchange,
@@ -154,16 +154,16 @@
 		if (end.kind === 'not-run' && end.status === 421) {
 			endpoints.excludeIncarnation(endpoint.id, endpoint.startedAt);
 		} else if (end.kind === 'failed') {
-			health.failed(endpoint.id, 'failed', clock());
+			health.recordFailure(endpoint.id, 'failed', clock());
 		} else if (end.kind === 'not-run' && !end.unreachable) {
 			if (goOnFrom) {
 				// The engine lost its copy; it may still run the generation from its prompt.
 				this.#tried.delete(endpoint.id);
 			} else {
-				health.failed(endpoint.id, 'full', clock());
+				health.recordFailure(endpoint.id, 'full', clock());
 			}
 		} else {
-			health.failed(endpoint.id, end.unreachable ? 'unreachable' : 'broken', clock());
+			health.recordFailure(endpoint.id, end.unreachable ? 'unreachable' : 'broken', clock());
 		}
 
 		logger.info('attempt failed', {
--- a/source/forwarding/forwarding-parts.ts
+++ b/source/forwarding/forwarding-parts.ts
@@ -6,7 +6,7 @@
 import {type EndpointHealth, type EndpointLoads, type EndpointBackoff} from '../balancing/mod.ts';
 import {type EndpointList} from '../beliefs/mod.ts';
 import {type SharedRetryBudget} from '../retries/mod.ts';
-import {type RequestSuspects} from '../suspects/mod.ts';
+import {type SuspectedRequests} from '../suspects/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {type EndpointConnections} from './endpoint-connections.ts';
 import {type HeldAnswers} from './held-answers.ts';
@@ -21,7 +21,7 @@
 	connections: EndpointConnections;
 	heldAnswers: HeldAnswers;
 	lostAttempts: LostAttempts;
-	suspects: RequestSuspects;
+	suspects: SuspectedRequests;
 	logger: Logger;
 	/** Zone of this router. */
 	availabilityZone: string;
--- a/source/forwarding/lost-attempts.ts
+++ b/source/forwarding/lost-attempts.ts
@@ -5,14 +5,14 @@
  */
 import {type EndpointEntry, type EndpointList, type IncarnationState} from '../beliefs/mod.ts';
 import {pause} from '../supervision/pause.ts';
-import {type RequestIdentity, type RequestSuspects} from '../suspects/mod.ts';
+import {type RequestIdentity, type SuspectedRequests} from '../suspects/mod.ts';
 import {type Logger} from '../telemetry/logger.ts';
 import {probeEndpoint, type EndpointFate} from './probe-endpoint.ts';
 
 /** Options of {@linkcode LostAttempts}. */
 export type LostAttemptsOptions = {
 	endpoints: Pick<EndpointList, 'stateOf'>;
-	suspects: Pick<RequestSuspects, 'ended'>;
+	suspects: Pick<SuspectedRequests, 'ended'>;
 	logger: Logger;
 	/** Counts an endpoint that was looked at, by what was found. */
 	count(service: string, fate: EndpointFate): void;
--- a/source/forwarding/send-call-attempt.ts
+++ b/source/forwarding/send-call-attempt.ts
@@ -26,7 +26,7 @@
  */
 export async function sendCallAttempt(endpoint: EndpointEntry, exchange: Exchange, {signal, held}: AttemptContext, parts: ForwardingParts): Promise<CallAttempt> {
 	const {request, body, terms, workspace, route, answerBy} = exchange;
-	const ended = parts.loads.started(endpoint.id, 0);
+	const ended = parts.loads.trackRequest(endpoint.id, 0);
 	try {
 		const sent = await sendRequest({
 			agent: parts.connections.agent(route.kind === 'idempotent' ? 'kept' : 'fresh'),
--- a/source/gateway/follow-store.ts
+++ b/source/gateway/follow-store.ts
@@ -10,7 +10,7 @@
 	configurationKey, decodeConfiguration, decodeEndpoint, endpointTable, operatorTable, type StoredRow,
 } from '../platform/mod.ts';
 import {type Supervisor} from '../supervision/supervisor.ts';
-import {decodeSuspicion, toldTable, type SuspectChange} from '../suspects/mod.ts';
+import {decodeSuspicion, suspectTable, type SuspectChange} from '../suspects/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 import {applyConfiguration} from './apply-configuration.ts';
 
@@ -49,7 +49,7 @@
 		...shared, table: endpointTable, listener: endpointListener(parts), batchMilliseconds: newsTimes.batchMilliseconds,
 	}, signal));
 	supervisor.start('suspects', async signal => followTable({
-		...shared, roundMilliseconds: suspectsPollMilliseconds, longestRetryMilliseconds: suspectsMaximumRetryMilliseconds, table: toldTable, listener: suspectListener(parts), batchMilliseconds: 0,
+		...shared, roundMilliseconds: suspectsPollMilliseconds, longestRetryMilliseconds: suspectsMaximumRetryMilliseconds, table: suspectTable, listener: suspectListener(parts), batchMilliseconds: 0,
 	}, signal));
 }
 
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -14,7 +14,7 @@
 import {StoreClient} from '../platform/mod.ts';
 import {SharedRetryBudget, SlackBorrower} from '../retries/mod.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
-import {RequestSuspects, SuspicionTable} from '../suspects/mod.ts';
+import {SuspectedRequests, SuspicionTable} from '../suspects/mod.ts';
 import {createGatewayMetrics, type GatewayMetrics} from '../telemetry/gateway-metrics.ts';
 import {type Logger} from '../telemetry/logger.ts';
 import {GracefulShutdown} from './graceful-shutdown.ts';
@@ -65,7 +65,7 @@
 	});
 	const endpoints = new EndpointList();
 	const clock = () => performance.now();
-	const suspects = new RequestSuspects({
+	const suspects = new SuspectedRequests({
 		table: new SuspicionTable({store, logger, random: Math.random}),
 		logger,
 		clock,
@@ -126,7 +126,7 @@
 		let budget = budgets.get(service);
 		if (!budget) {
 			const borrower = new SlackBorrower({
-				service, holder, terms, store, logger, readClock, random: Math.random,
+				service, holder, limits: terms, store, logger, readClock, random: Math.random,
 			});
 			budget = new SharedRetryBudget({
 				ratio: bounds.retryRatio, windowMilliseconds, borrower, readClock,
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -100,7 +100,7 @@
  */
 async function waitForInitialState({configuration, suspects, clock}: GatewayParts): Promise<void> {
 	const until = clock() + initialStateTimeoutMilliseconds;
-	while (!(configuration.table && suspects.known.isTold) && clock() < until) {
+	while (!(configuration.table && suspects.known.isLoaded) && clock() < until) {
 		await pause(initialStatePollMilliseconds);
 	}
 }
--- a/source/gateway/hints.ts
+++ b/source/gateway/hints.ts
@@ -13,10 +13,10 @@
  */
 export function createHintSource({endpoints, suspects, clock}: GatewayParts): HintExchange {
 	return {
-		collect: () => ({unsavedEnds: suspects.unsavedEnds(), leavingLives: endpoints.leavingIncarnations(clock())}),
+		collect: () => ({unsavedEnds: suspects.unsavedCrashes(), leavingLives: endpoints.leavingIncarnations(clock())}),
 		merge(hints) {
 			if (hints) {
-				suspects.hear(hints.unsavedEnds);
+				suspects.receiveCrashes(hints.unsavedEnds);
 				endpoints.mergeLeaving(hints.leavingLives, clock());
 			}
 		},
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -13,7 +13,7 @@
 	admitRequest, selectService, type Admission, type RequestKind, type Route,
 } from '../routing/mod.ts';
 import {signalOfCaller} from '../supervision/caller-signal.ts';
-import {RequestIdentity, type RequestSuspects, type SuspectAdmission} from '../suspects/mod.ts';
+import {RequestIdentity, type SuspectedRequests, type SuspectAdmission} from '../suspects/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 
 type Forwarder = (exchange: Exchange, parts: ForwardingParts) => Promise<ExchangeOutcome>;
@@ -157,11 +157,11 @@
 type SuspectOutcome = {identity: RequestIdentity; suspectAdmission: SuspectAdmission; outcome: ExchangeOutcome};
 
 /** Clears the suspicion of a request that was answered, and returns the trial of one that did not run. */
-async function recordSuspectOutcome(suspects: RequestSuspects, {identity, suspectAdmission, outcome: {outcome, status}}: SuspectOutcome): Promise<void> {
+async function recordSuspectOutcome(suspects: SuspectedRequests, {identity, suspectAdmission, outcome: {outcome, status}}: SuspectOutcome): Promise<void> {
 	if (outcome === 'answered') {
-		await suspects.succeeded(identity);
+		await suspects.recordSuccess(identity);
 	} else if (suspectAdmission.kind === 'trial' && status === 503) {
-		await suspects.trialNotRun(identity);
+		await suspects.revertTrial(identity);
 	}
 }
 
--- a/source/retries/mod.ts
+++ b/source/retries/mod.ts
@@ -1,9 +1,9 @@
 /**
- * How many retries all gateways together may make.
+ * Retry budget that all gateways share.
  *
  * @module
  */
 
 export * from './shared-retry-budget.ts';
 export * from './slack-borrower.ts';
-export type {SlackTerms} from './slack-ledger.ts';
+export type {SlackLimits} from './slack-ledger.ts';
--- a/source/retries/retries.test.ts
+++ b/source/retries/retries.test.ts
@@ -13,14 +13,14 @@
 	decodeLedger, encodeLedger, lend, loanMilliseconds, type Loan,
 } from './slack-ledger.ts';
 
-const terms = {slack: 300, windowMilliseconds: 10_000};
+const limits = {slack: 300, windowMilliseconds: 10_000};
 
-/** The store's table of ledgers, with the conditions of the real one. */
+/** In-memory table of ledgers with the same conditional writes as the store. */
 class LedgerTable {
 	storeMilliseconds: number | undefined = 0;
 	fault: 'none' | 'down' | 'lose-answers' = 'none';
 	reads = 0;
-	/** Drawn from by all who borrow here. */
+	/** Random source shared by all borrowers of this table. */
 	readonly random = new Random(1);
 	readonly rows = new Map<string, StoredRow>();
 	#revision = 0;
@@ -49,21 +49,21 @@
 
 function borrowerAt(store: LedgerTable, changes: Partial<SlackBorrowerOptions> = {}): SlackBorrower {
 	return new SlackBorrower({
-		service: 'desk', holder: 'host-1', terms, store, logger: createLogger('test', {level: 'silent'}), readClock, random: () => store.random.integer(0, 999) / 1000, ...changes,
+		service: 'desk', holder: 'host-1', limits, store, logger: createLogger('test', {level: 'silent'}), readClock, random: () => store.random.integer(0, 999) / 1000, ...changes,
 	});
 }
 
 function budgetAt(store: LedgerTable, clock: () => ClockReading, holder = 'host-1'): SharedRetryBudget {
 	return new SharedRetryBudget({
-		ratio: 0.8, windowMilliseconds: terms.windowMilliseconds, borrower: borrowerAt(store, {holder, readClock: clock}), readClock: clock,
+		ratio: 0.8, windowMilliseconds: limits.windowMilliseconds, borrower: borrowerAt(store, {holder, readClock: clock}), readClock: clock,
 	});
 }
 
-test('loans that can be used within one window never exceed the slack, whoever asks and whatever is settled', () => {
-	const asks = fc.array(fc.record({
+test('the retries used from all loans in one window never exceed the slack, whichever holders borrow and return loans', () => {
+	const requests = fc.array(fc.record({
 		gap: fc.nat({max: 2500}), holder: fc.constantFrom('a', 'b', 'c', 'd'), wanted: fc.integer({min: 1, max: 60}), usedShare: fc.double({min: 0, max: 1, noNaN: true}),
 	}), {maxLength: 60});
-	fc.assert(fc.property(asks, all => {
+	fc.assert(fc.property(requests, all => {
 		let now = 0;
 		let ledger: readonly Loan[] = [];
 		const made: Array<Loan & {used: number}> = [];
@@ -72,7 +72,7 @@
 			now += gap;
 			const earlier = last.get(holder);
 			const lending = lend({
-				ledger, terms, holder, wanted, used: new Map(earlier ? [[earlier.at, earlier.used]] : []), now,
+				ledger, limits, holder, wanted, used: new Map(earlier ? [[earlier.at, earlier.used]] : []), now,
 			});
 			ledger = lending.ledger;
 			if (lending.granted > 0) {
@@ -85,49 +85,49 @@
 		}
 
 		for (const {at: end} of made) {
-			const inWindow = made.filter(({at}) => at <= end && at + loanMilliseconds > end - terms.windowMilliseconds);
-			assert.ok(inWindow.reduce((sum, {used}) => sum + used, 0) <= terms.slack);
+			const inWindow = made.filter(({at}) => at <= end && at + loanMilliseconds > end - limits.windowMilliseconds);
+			assert.ok(inWindow.reduce((sum, {used}) => sum + used, 0) <= limits.slack);
 		}
 	}));
 });
 
-test('all retries are lent once, and again when the time of their loans and a window have passed', () => {
+test('lends no more than the lendable slack until the loan has expired and a window has passed', () => {
 	const first = lend({
-		ledger: [], terms, holder: 'a', wanted: 1000, used: new Map(), now: 1000,
+		ledger: [], limits, holder: 'a', wanted: 1000, used: new Map(), now: 1000,
 	});
 	assert.equal(first.granted, 270);
-	const ask = (now: number) => lend({
-		ledger: first.ledger, terms, holder: 'b', wanted: 1, used: new Map(), now,
+	const lendAt = (now: number) => lend({
+		ledger: first.ledger, limits, holder: 'b', wanted: 1, used: new Map(), now,
 	});
-	assert.equal(ask(2000).granted, 0);
-	assert.equal(ask(first.freeAt - 1).granted, 0);
-	assert.equal(ask(first.freeAt).granted, 1);
-	assert.ok(first.freeAt >= 1000 + loanMilliseconds + terms.windowMilliseconds);
+	assert.equal(lendAt(2000).granted, 0);
+	assert.equal(lendAt(first.freeAt - 1).granted, 0);
+	assert.equal(lendAt(first.freeAt).granted, 1);
+	assert.ok(first.freeAt >= 1000 + loanMilliseconds + limits.windowMilliseconds);
 });
 
-test('what a holder did not use is lent to others at once', () => {
+test('the unused part of a returned loan can be lent to other holders immediately', () => {
 	const first = lend({
-		ledger: [], terms, holder: 'a', wanted: 270, used: new Map(), now: 0,
+		ledger: [], limits, holder: 'a', wanted: 270, used: new Map(), now: 0,
 	});
 	const settled = lend({
-		ledger: first.ledger, terms, holder: 'a', wanted: 5, used: new Map([[0, 10]]), now: 3000,
+		ledger: first.ledger, limits, holder: 'a', wanted: 5, used: new Map([[0, 10]]), now: 3000,
 	});
 	assert.equal(settled.lent, 15);
 	assert.equal(lend({
-		ledger: settled.ledger, terms, holder: 'b', wanted: 300, used: new Map(), now: 3000,
+		ledger: settled.ledger, limits, holder: 'b', wanted: 300, used: new Map(), now: 3000,
 	}).granted, 255);
 });
 
-test('a ledger from before the store\'s time began anew is not kept for ever', () => {
+test('a loan from before a reset of the store\'s time gets the current time, so that it expires', () => {
 	const ledger = [{holder: 'a', at: 900_000, retries: 270}];
 	const {ledger: kept, granted} = lend({
-		ledger, terms, holder: 'b', wanted: 1, used: new Map(), now: 5,
+		ledger, limits, holder: 'b', wanted: 1, used: new Map(), now: 5,
 	});
 	assert.equal(granted, 0);
 	assert.equal(kept[0]!.at, 5);
 });
 
-test('no content of the ledger\'s row makes its decoder throw', () => {
+test('decodeLedger never throws, whatever the content of the row', () => {
 	fc.assert(fc.property(fc.oneof(fc.string(), fc.json()), text => {
 		decodeLedger(new TextEncoder().encode(text));
 	}));
@@ -136,11 +136,11 @@
 	assert.deepEqual(decodeLedger(undefined)._unsafeUnwrap(), []);
 });
 
-test('a ledger that cannot be read lends nothing until a window has passed, and then again', async () => {
+test('a ledger that cannot be decoded lends nothing until a window has passed, and then lends again', async () => {
 	const store = new LedgerTable();
 	store.rows.set('desk/0', {key: 'desk/0', content: new TextEncoder().encode('{"a":1}'), revision: 1});
 	let now = 0;
-	const borrower = borrowerAt(store, {terms: {...terms, slack: 10}, readClock: () => ({steady: now, wall: now})});
+	const borrower = borrowerAt(store, {limits: {...limits, slack: 10}, readClock: () => ({steady: now, wall: now})});
 	for (; now < 20_000; now += 500) {
 		store.storeMilliseconds = now;
 		if (borrower.mayBorrow({steady: now, wall: now})) {
@@ -148,7 +148,7 @@
 		}
 
 		const lends = borrower.take({steady: now, wall: now});
-		assert.ok(!lends || now > terms.windowMilliseconds);
+		assert.ok(!lends || now > limits.windowMilliseconds);
 		if (lends) {
 			return;
 		}
@@ -157,7 +157,7 @@
 	assert.fail('nothing was lent within 20 s');
 });
 
-/** Gateways that share one clock and one ledger. */
+/** Gateways that share one clock and one table of ledgers. */
 class SimulatedFleet {
 	readonly store = new LedgerTable();
 	now = 0;
@@ -165,13 +165,13 @@
 	retries = 0;
 	budgets: SharedRetryBudget[] = [];
 
-	/** Starts as many gateways, in place of all others. */
+	/** Replaces all gateways with a number of new ones. */
 	start(gateways: number): void {
 		const startedAt = this.now;
 		this.budgets = Array.from({length: gateways}, (_unused, index) => budgetAt(this.store, () => ({steady: this.now, wall: this.now}), `host-${index}/${startedAt}`));
 	}
 
-	/** Makes all retries that are allowed at a moment, after a number of requests at each gateway. */
+	/** Counts a number of requests at each gateway and makes all retries that are then allowed. */
 	async retryAll(now: number, requests: number): Promise<void> {
 		this.now = now;
 		this.store.storeMilliseconds = now;
@@ -188,7 +188,7 @@
 	}
 }
 
-test('gateways that start anew again and again, hundreds at once, stay within the slack together', async () => {
+test('hundreds of gateways that restart repeatedly and all at once stay within the ratio and the slack', async () => {
 	const fleet = new SimulatedFleet();
 	for (let now = 0; now < 9000; now += 500) {
 		if (now % 3000 === 0) {
@@ -198,11 +198,11 @@
 		await fleet.retryAll(now, 1);
 	}
 
-	assert.ok(fleet.retries <= (0.8 * fleet.requests) + terms.slack, `${fleet.retries} retries for ${fleet.requests} requests`);
+	assert.ok(fleet.retries <= (0.8 * fleet.requests) + limits.slack, `${fleet.retries} retries for ${fleet.requests} requests`);
 	assert.ok(fleet.retries >= 200, `${fleet.retries} retries`);
 });
 
-test('retries of all gateways stay within the ratio and the slack in every window, and most of both can be used', async () => {
+test('the retries of all gateways stay within the ratio and the slack, and can use most of them', async () => {
 	const fleet = new SimulatedFleet();
 	fleet.start(14);
 	for (let now = 0; now < 10_000; now += 100) {
@@ -213,7 +213,7 @@
 	assert.ok(fleet.retries > 0.5 * fleet.requests);
 });
 
-test('retries late in a part of the window are not forgotten before a whole window has passed', async () => {
+test('retries late in a bucket count until a whole window has passed', async () => {
 	const fleet = new SimulatedFleet();
 	fleet.start(1);
 	await fleet.retryAll(999, 0);
@@ -221,7 +221,7 @@
 	assert.ok(fleet.retries <= 300, `${fleet.retries} retries within 9 s`);
 });
 
-test('without the store only the share of the own requests is left, and callers do not wait for it each time', async () => {
+test('without the store, retries are limited to the share of the gateway\'s own requests, and not every retry queries the store', async () => {
 	const store = new LedgerTable();
 	store.fault = 'down';
 	let now = 0;
@@ -238,14 +238,14 @@
 	assert.ok(store.reads <= 4, `${store.reads} calls`);
 });
 
-test('gateways that lose endpoints at the same moment all borrow, although they write at the same time', async () => {
+test('gateways that borrow at the same time all get a loan despite write conflicts', async () => {
 	const store = new LedgerTable();
 	const budgets = Array.from({length: 14}, (_unused, index) => budgetAt(store, readClock, `host-${index}`));
 	const decisions = await Promise.all(budgets.map(async budget => budget.take()));
 	assert.ok(decisions.every(({allowed}) => allowed), JSON.stringify(decisions));
 });
 
-test('a loan whose answer was lost is not used', async () => {
+test('a loan is not used if the response to its write was lost', async () => {
 	const store = new LedgerTable();
 	store.fault = 'lose-answers';
 	const borrower = borrowerAt(store);
@@ -257,7 +257,7 @@
 	assert.equal([...store.rows.values()].flatMap(({content}) => decodeLedger(content)._unsafeUnwrap()).length, 2);
 });
 
-test('a loan is not used after its time, or after a suspension that the steady clock does not show', async () => {
+test('a loan is not used after it has expired, or after a suspension that the monotonic clock does not show', async () => {
 	const times = [[loanMilliseconds, loanMilliseconds], [10, loanMilliseconds]] as const;
 	for (const [steady, wall] of times) {
 		let now = {steady: 0, wall: 0};
@@ -269,7 +269,7 @@
 	}
 });
 
-test('retries that wait at the same time are borrowed with one call', async () => {
+test('concurrent retries share the calls to the store', async () => {
 	const store = new LedgerTable();
 	const budget = budgetAt(store, readClock);
 	const decisions = await Promise.all(Array.from({length: 12}, async () => budget.take()));
@@ -277,7 +277,7 @@
 	assert.ok(store.reads <= 4, `${store.reads} calls`);
 });
 
-test('a retry does not wait long for a store that is silent', async () => {
+test('a retry does not wait long for a store that does not respond', async () => {
 	const silent = {
 		async readPrefix(): Promise<never> {
 			return delay(60_000, undefined, {ref: false}) as Promise<never>;
@@ -285,7 +285,7 @@
 		writeRow: async () => ok({kind: 'committed' as const}),
 	};
 	const borrower = new SlackBorrower({
-		service: 'desk', holder: 'host-1', terms, store: silent, logger: createLogger('test', {level: 'silent'}), readClock, random: () => 0,
+		service: 'desk', holder: 'host-1', limits, store: silent, logger: createLogger('test', {level: 'silent'}), readClock, random: () => 0,
 	});
 	const budget = new SharedRetryBudget({
 		ratio: 0.8, windowMilliseconds: 10_000, borrower, readClock,
@@ -296,7 +296,7 @@
 	assert.ok(performance.now() - startedAt < 1000);
 });
 
-test('requests of before a suspension allow no retries after it', async () => {
+test('requests from before a suspension allow no retries after it', async () => {
 	const store = new LedgerTable();
 	store.fault = 'down';
 	let now = {steady: 0, wall: 0};
--- a/source/retries/shared-retry-budget.ts
+++ b/source/retries/shared-retry-budget.ts
@@ -1,51 +1,51 @@
 /**
- * Bounds how many requests of a service are sent once more, so that retries cannot multiply an overload.
+ * Limits the retries of a service, so that they cannot amplify an overload.
  *
  * @module
  */
 import {ageOf, type ClockReading} from '../beliefs/mod.ts';
 import {pause} from '../supervision/pause.ts';
 import {type SlackBorrower} from './slack-borrower.ts';
-import {SlidingCount} from './sliding-count.ts';
+import {SlidingWindowCounter} from './sliding-window-counter.ts';
 
 /** Options of {@linkcode SharedRetryBudget}. */
 export type SharedRetryBudgetOptions = {
-	/** Retries that all gateways together may make for each request. */
+	/** Maximum ratio of retries to requests, over all gateways. */
 	ratio: number;
 	/** Length of the window, in milliseconds. */
 	windowMilliseconds: number;
-	/** Lends retries beyond that. */
+	/** Source of retries beyond the ratio. */
 	borrower: SlackBorrower;
 	readClock: () => ClockReading;
 };
 
-/** What a decision on a retry was made from. */
+/** Decision on a retry and its inputs. */
 export type RetryDecision = {
 	allowed: boolean;
-	/** Requests that this gateway counted in the window. */
+	/** Lower bound of the requests of this gateway in the window. */
 	requests: number;
-	/** Retries for them in the window, before this one. */
+	/** Upper bound of the retries that the ratio allowed in the window, without this one. */
 	retries: number;
-	/** Retries that these requests allow. */
+	/** Retries that the ratio allows for these requests. */
 	limit: number;
-	/** Retries that were borrowed and are left. */
+	/** Borrowed retries that remain. */
 	borrowed: number;
 };
 
 /**
- * Share of the ratio that is used. The requests of a gateway's last window may lie in two windows of whoever counts them elsewhere, so
- * half of the ratio is certainly allowed there.
+ * Share of the ratio that a gateway uses. The requests of one of its windows may be spread over two windows of an outside observer, so only
+ * half of the ratio is certain to stay within the limit there.
  */
-const usedShare = 0.5;
+const usableRatioShare = 0.5;
 
-/** Longest time for which a retry waits to be lent, in milliseconds. */
-const borrowMilliseconds = 100;
+/** Maximum time for which a retry waits to be borrowed, in milliseconds. */
+const borrowTimeoutMilliseconds = 100;
 
 /**
- * A gateway's part of the retry budget of one service: a share of its own requests, and what it borrows.
+ * Retry budget of one service at one gateway: a share of its own requests, plus retries that it borrows from the slack of the service.
  *
- * Neither depends on how many other gateways there are, or on what an earlier process of the host did: without the store only the
- * share of the requests is left.
+ * Neither part depends on the number of gateways or on what an earlier process of the host did. Without the store, only the share of the
+ * gateway's own requests remains.
  *
  * @example
  * ```ts
@@ -55,54 +55,54 @@
  */
 export class SharedRetryBudget {
 	readonly #options: SharedRetryBudgetOptions;
-	#requests: SlidingCount;
-	readonly #retries: SlidingCount;
+	#requests: SlidingWindowCounter;
+	readonly #retries: SlidingWindowCounter;
 	#countedAt: ClockReading | undefined;
-	/** Retries that wait to be lent. */
+	/** Number of retries that wait to be borrowed. */
 	#waiting = 0;
 
 	constructor(options: SharedRetryBudgetOptions) {
 		this.#options = options;
-		this.#requests = new SlidingCount(options.windowMilliseconds);
-		this.#retries = new SlidingCount(options.windowMilliseconds);
+		this.#requests = new SlidingWindowCounter(options.windowMilliseconds);
+		this.#retries = new SlidingWindowCounter(options.windowMilliseconds);
 	}
 
-	/** Counts a caller's request. */
+	/** Counts a request of a caller, which adds to the budget. */
 	countRequest(): void {
 		this.#requests.add(this.#now().steady);
 	}
 
-	/** Takes one retry if there is one; waits for a moment where it has to be borrowed. */
+	/** Takes one retry from the budget if it allows one; waits briefly if the retry has to be borrowed. */
 	async take(): Promise<RetryDecision> {
 		const {borrower} = this.#options;
-		const own = this.#takeOwn();
+		const own = this.#takeFromRatio();
 		if (own.allowed || borrower.take(this.#now())) {
 			return {...own, allowed: true};
 		}
 
 		const allowed = await this.#borrow();
-		return {...own, allowed, borrowed: borrower.left(this.#now())};
+		return {...own, allowed, borrowed: borrower.remaining(this.#now())};
 	}
 
-	#takeOwn(): RetryDecision {
+	#takeFromRatio(): RetryDecision {
 		const {ratio, borrower} = this.#options;
 		const now = this.#now();
-		const requests = this.#requests.atLeast(now.steady);
-		const retries = this.#retries.atMost(now.steady);
-		const limit = ratio * usedShare * requests;
+		const requests = this.#requests.lowerBound(now.steady);
+		const retries = this.#retries.upperBound(now.steady);
+		const limit = ratio * usableRatioShare * requests;
 		const allowed = retries + 1 <= limit;
 		if (allowed) {
 			this.#retries.add(now.steady);
 		}
 
 		return {
-			allowed, requests, retries, limit, borrowed: borrower.left(now),
+			allowed, requests, retries, limit, borrowed: borrower.remaining(now),
 		};
 	}
 
 	async #borrow(): Promise<boolean> {
 		const {borrower, readClock} = this.#options;
-		const until = readClock().steady + borrowMilliseconds;
+		const until = readClock().steady + borrowTimeoutMilliseconds;
 		this.#waiting += 1;
 		try {
 			while (borrower.mayBorrow(readClock()) && readClock().steady < until) {
@@ -118,11 +118,11 @@
 		}
 	}
 
-	/** Reads the clock; after a suspension it is not known which requests still lie in the window. */
+	/** Reads the clock. Resets the request count after a suspension, since it is unknown which requests are still in the window. */
 	#now(): ClockReading {
 		const now = this.#options.readClock();
 		if (this.#countedAt && !Number.isFinite(ageOf(this.#countedAt, now))) {
-			this.#requests = new SlidingCount(this.#options.windowMilliseconds);
+			this.#requests = new SlidingWindowCounter(this.#options.windowMilliseconds);
 		}
 
 		this.#countedAt = now;
--- a/source/retries/slack-borrower.ts
+++ b/source/retries/slack-borrower.ts
@@ -1,5 +1,5 @@
 /**
- * Borrows retries from the ledgers in the store.
+ * Borrows retries of a service from the ledgers in the store.
  *
  * @module
  */
@@ -7,57 +7,57 @@
 import {type StoreClient, type StoredRow} from '../platform/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {
-	decodeLedger, divideSlack, encodeLedger, fullyLent, lend, loanMilliseconds, type Lending, type Loan, type SlackTerms,
+	decodeLedger, divideSlack, encodeLedger, fullyLentLedger, lend, loanMilliseconds, type LendResult, type Loan, type SlackLimits,
 } from './slack-ledger.ts';
 
 /** Options of {@linkcode SlackBorrower}. */
 export type SlackBorrowerOptions = {
 	service: string;
-	/** Name of this process; no other one, earlier or later, has it. */
+	/** Unique name of this process, never reused by another one. */
 	holder: string;
-	terms: SlackTerms;
+	limits: SlackLimits;
 	store: Pick<StoreClient, 'readPrefix' | 'writeRow'>;
 	logger: Logger;
 	readClock: () => ClockReading;
 	random: () => number;
 };
 
-/** Table of the ledgers, some rows a service. */
+/** Table of the ledgers, with several rows per service. */
 const ledgerTable = 'retry-slack';
 
-/** Stands between a service's name and the number of its ledger. */
+/** Separates the service name from the ledger number in a row key. */
 const keySeparator = '/';
 
-/** Tries to change ledgers that others change at the same time. */
-const mostTries = 4;
+/** Maximum number of attempts to borrow while other gateways change the ledgers concurrently. */
+const maximumAttempts = 4;
 
-/** Retries that are asked for at first. */
-const firstWish = 2;
+/** Retries to request at first. */
+const initialLoanSize = 2;
 
-/** Share of the slack that is asked for at most at once. */
-const largestWishShare = 0.06;
+/** Maximum size of a loan, as a share of the slack. */
+const maximumLoanShare = 0.06;
 
-/** First pause after nothing could be borrowed, in milliseconds. */
-const firstPauseMilliseconds = 250;
+/** Initial backoff after nothing could be borrowed, in milliseconds. */
+const initialBackoffMilliseconds = 250;
 
-/** Longest pause after nothing could be borrowed, in milliseconds. */
-const longestPauseMilliseconds = 4000;
+/** Maximum backoff after nothing could be borrowed, in milliseconds. */
+const maximumBackoffMilliseconds = 4000;
 
-/** What one ledger would lend. */
-type Offer = Lending & {key: string; revision: number; isReadable: boolean};
+/** The loan that one ledger can grant. */
+type LoanOffer = LendResult & {key: string; revision: number; isReadable: boolean};
 
-type HeldLoan = {
-	/** Ledger in which it stands. */
+type CurrentLoan = {
+	/** Row key of its ledger. */
 	key: string;
 	at: number;
-	/** Time before the store was asked; the loan is used up to a time after it. */
-	askedAt: ClockReading;
+	/** Time before the request to the store; the loan's lifetime is counted from it. */
+	requestedAt: ClockReading;
 	granted: number;
 	used: number;
 };
 
 /**
- * Keeps one loan of a service's slack at a time, and asks for another one once it is used up or too old.
+ * Holds one loan of a service's slack at a time, and borrows another one once it is used up or expired.
  *
  * @example
  * ```ts
@@ -66,33 +66,33 @@
  */
 export class SlackBorrower {
 	readonly #options: SlackBorrowerOptions;
-	#loan: HeldLoan | undefined;
-	/** What was used of earlier loans that may still stand in their ledgers, by ledger and time. */
+	#loan: CurrentLoan | undefined;
+	/** Retries used from earlier loans that may still be in their ledgers, by row key and time of the loan. */
 	readonly #used = new Map<string, Map<number, number>>();
-	readonly #ledgers: ReadonlyArray<{key: string; terms: SlackTerms}>;
-	/** Ledger that is asked first, so that what is left of a loan goes back with the next one. */
-	#home: number;
+	readonly #ledgers: ReadonlyArray<{key: string; limits: SlackLimits}>;
+	/** Index of the ledger to borrow from first, so that the unused part of a loan is returned with the next one. */
+	#preferredLedger: number;
 	#borrowing: Promise<void> | undefined;
-	#wish = firstWish;
-	#pauseMilliseconds = firstPauseMilliseconds;
-	/** Steady time before which asking is useless, in milliseconds. */
-	#pausesUntil = Number.NEGATIVE_INFINITY;
+	#nextLoanSize = initialLoanSize;
+	#backoffMilliseconds = initialBackoffMilliseconds;
+	/** Monotonic time until which not to borrow, in milliseconds. */
+	#backoffUntil = Number.NEGATIVE_INFINITY;
 
 	constructor(options: SlackBorrowerOptions) {
 		this.#options = options;
-		this.#ledgers = divideSlack(options.terms).map((terms, index) => ({key: `${options.service}${keySeparator}${index}`, terms}));
-		this.#home = Math.floor(options.random() * this.#ledgers.length);
+		this.#ledgers = divideSlack(options.limits).map((limits, index) => ({key: `${options.service}${keySeparator}${index}`, limits}));
+		this.#preferredLedger = Math.floor(options.random() * this.#ledgers.length);
 	}
 
-	/** Retries that may be made at once. */
-	left(now: ClockReading): number {
+	/** Returns the number of retries left in the current loan. */
+	remaining(now: ClockReading): number {
 		const loan = this.#loan;
-		return loan && ageOf(loan.askedAt, now) < loanMilliseconds ? loan.granted - loan.used : 0;
+		return loan && ageOf(loan.requestedAt, now) < loanMilliseconds ? loan.granted - loan.used : 0;
 	}
 
-	/** Takes one retry of the loan, if it has one left. */
+	/** Takes one retry from the current loan, if any is left. */
 	take(now: ClockReading): boolean {
-		if (this.left(now) === 0) {
+		if (this.remaining(now) === 0) {
 			return false;
 		}
 
@@ -100,71 +100,71 @@
 		return true;
 	}
 
-	/** Whether it is worth asking: nothing has just been refused or failed. */
+	/** Whether a loan may be requested: a request is in progress, or the backoff after a refusal or failure has passed. */
 	mayBorrow(now: ClockReading): boolean {
-		return this.#borrowing !== undefined || now.steady >= this.#pausesUntil;
+		return this.#borrowing !== undefined || now.steady >= this.#backoffUntil;
 	}
 
 	/**
-	 * Borrows more; one call to the store serves all who ask meanwhile.
+	 * Requests a new loan. Concurrent calls share one request to the store.
 	 *
-	 * @param waiting Retries that wait for it.
+	 * @param waiting Number of retries that wait for the loan.
 	 */
 	async borrow(waiting: number): Promise<void> {
-		this.#borrowing ??= this.#borrow(Math.max(waiting, this.#wish)).finally(() => {
+		this.#borrowing ??= this.#borrow(Math.max(waiting, this.#nextLoanSize)).finally(() => {
 			this.#borrowing = undefined;
 		});
 		return this.#borrowing;
 	}
 
 	async #borrow(wanted: number): Promise<void> {
-		this.#settle();
-		for (let tries = 1; tries <= mostTries; tries += 1) {
-			const outcome = await this.#try(wanted);
+		this.#closeLoan();
+		for (let attempt = 1; attempt <= maximumAttempts; attempt += 1) {
+			const outcome = await this.#tryBorrow(wanted);
 			if (outcome !== 'conflict') {
 				return;
 			}
 
-			this.#home = Math.floor(this.#options.random() * this.#ledgers.length);
+			this.#preferredLedger = Math.floor(this.#options.random() * this.#ledgers.length);
 		}
 
-		this.#pause('others changed the ledgers each time');
+		this.#backOff('every attempt conflicted with a concurrent write');
 	}
 
-	/** Closes the loan, so that what is left of it can be lent again. */
-	#settle(): void {
-		const {terms: {slack}} = this.#options;
+	/** Closes the current loan, so that its unused part can be lent again. */
+	#closeLoan(): void {
+		const {limits: {slack}} = this.#options;
 		if (!this.#loan) {
 			return;
 		}
 
 		const {key, at, used, granted} = this.#loan;
-		this.#wish = used === granted ? Math.min(this.#wish * 2, Math.max(firstWish, Math.floor(slack * largestWishShare))) : firstWish;
+		this.#nextLoanSize = used === granted ? Math.min(this.#nextLoanSize * 2, Math.max(initialLoanSize, Math.floor(slack * maximumLoanShare))) : initialLoanSize;
 		this.#used.set(key, (this.#used.get(key) ?? new Map<number, number>()).set(at, used));
 		this.#loan = undefined;
 	}
 
-	async #try(wanted: number): Promise<'done' | 'conflict'> {
+	async #tryBorrow(wanted: number): Promise<'done' | 'conflict'> {
 		const {store, service, logger, readClock} = this.#options;
-		const askedAt = readClock();
+		const requestedAt = readClock();
 		const read = await store.readPrefix(ledgerTable, `${service}${keySeparator}`);
 		if (read.isErr()) {
-			this.#pause(read.error.message);
+			this.#backOff(read.error.message);
 			return 'done';
 		}
 
 		const {rows, storeMilliseconds: now} = read.value;
 		if (now === undefined) {
-			this.#pause('the store does not tell its time');
+			this.#backOff('the store did not report its time');
 			return 'done';
 		}
 
-		const offers = this.#ledgers.map(({key, terms}) => this.#offer({
-			key, terms, row: rows.find(row => row.key === key), wanted, now,
+		const offers = this.#ledgers.map(({key, limits}) => this.#offer({
+			key, limits, row: rows.find(row => row.key === key), wanted, now,
 		}));
-		const offer = this.#choose(offers);
+		const offer = this.#chooseOffer(offers);
 		if (!offer) {
-			this.#pause('all retries are lent', Math.min(...offers.map(({freeAt}) => freeAt)) - now);
+			this.#backOff('all retries are lent', Math.min(...offers.map(({freeAt}) => freeAt)) - now);
 			return 'done';
 		}
 
@@ -173,7 +173,7 @@
 			table: ledgerTable, key, content: encodeLedger(ledger), expectedRevision: revision,
 		});
 		if (written.isErr()) {
-			this.#pause(written.error.message);
+			this.#backOff(written.error.message);
 			return 'done';
 		}
 
@@ -183,33 +183,33 @@
 
 		this.#used.delete(key);
 		this.#loan = {
-			key, at: now, askedAt, granted, used: 0,
+			key, at: now, requestedAt, granted, used: 0,
 		};
-		this.#pauseMilliseconds = firstPauseMilliseconds;
+		this.#backoffMilliseconds = initialBackoffMilliseconds;
 		logger.info('retries borrowed', {
 			service, granted, wanted, lent: ledger.reduce((sum, {retries}) => sum + retries, 0), ledger: this.#ledgers.findIndex(each => each.key === key), storeMilliseconds: now,
 		});
 		return 'done';
 	}
 
-	/** What a ledger would lend; one that cannot be read starts anew, fully lent. */
-	#offer({key, terms, row, wanted, now}: {key: string; terms: SlackTerms; row: StoredRow | undefined; wanted: number; now: number}): Offer {
+	/** Returns the loan that a ledger can grant; one that cannot be decoded is replaced by a fully lent one. */
+	#offer({key, limits, row, wanted, now}: {key: string; limits: SlackLimits; row: StoredRow | undefined; wanted: number; now: number}): LoanOffer {
 		const {holder} = this.#options;
 		const ledger = this.#decode(row?.content, now);
 		const lending = lend({
-			ledger: ledger ?? fullyLent(terms, now), terms, holder, wanted, used: this.#used.get(key) ?? new Map(), now,
+			ledger: ledger ?? fullyLentLedger(limits, now), limits, holder, wanted, used: this.#used.get(key) ?? new Map(), now,
 		});
 		return {
 			...lending, key, revision: row?.revision ?? 0, isReadable: ledger !== undefined,
 		};
 	}
 
-	/** A ledger that must be mended, the one asked first if it lends anything, or one of those that lend most. */
-	#choose(offers: readonly Offer[]): Offer | undefined {
-		const broken = offers.find(({isReadable}) => !isReadable);
-		const home = offers[this.#home]!;
-		if (broken ?? home.granted > 0) {
-			return broken ?? home;
+	/** Returns the offer of a ledger that must be replaced, of the preferred ledger if it lends anything, or of a random one of those that lend most. */
+	#chooseOffer(offers: readonly LoanOffer[]): LoanOffer | undefined {
+		const unreadable = offers.find(({isReadable}) => !isReadable);
+		const preferred = offers[this.#preferredLedger]!;
+		if (unreadable ?? preferred.granted > 0) {
+			return unreadable ?? preferred;
 		}
 
 		const most = Math.max(...offers.map(({granted}) => granted));
@@ -227,12 +227,12 @@
 		return ledger.unwrapOr(undefined);
 	}
 
-	/** Waits before the store is asked again: longer each time, and at least until something may be free. */
-	#pause(reason: string, leastMilliseconds = 0): void {
+	/** Backs off before the next request to the store: exponentially with jitter, and at least until a loan may be free. */
+	#backOff(reason: string, minimumMilliseconds = 0): void {
 		const {service, logger, readClock, random} = this.#options;
-		const pauseMilliseconds = Math.max(leastMilliseconds, this.#pauseMilliseconds) + (this.#pauseMilliseconds * random() / 2);
-		this.#pausesUntil = readClock().steady + pauseMilliseconds;
-		this.#pauseMilliseconds = Math.min(this.#pauseMilliseconds * 2, longestPauseMilliseconds);
+		const pauseMilliseconds = Math.max(minimumMilliseconds, this.#backoffMilliseconds) + (this.#backoffMilliseconds * random() / 2);
+		this.#backoffUntil = readClock().steady + pauseMilliseconds;
+		this.#backoffMilliseconds = Math.min(this.#backoffMilliseconds * 2, maximumBackoffMilliseconds);
 		logger.warn('no retries could be borrowed', {service, reason, pauseMilliseconds: Math.round(pauseMilliseconds)});
 	}
 }
--- a/source/retries/slack-ledger.ts
+++ b/source/retries/slack-ledger.ts
@@ -1,8 +1,8 @@
 /**
- * Decides how much of the slack of a service's retry budget a gateway may use.
+ * Divides the slack of a service's retry budget among gateways. The slack is the number of retries allowed beyond the ratio.
  *
- * Answers hundreds of gateways that share a few hundred retries, and that are started, suspended and cut off from each other at any
- * time: the slack is lent in small pieces from ledgers, so that none of them has to know how many others there are.
+ * Hundreds of gateways share a few hundred retries, and may be started, suspended or partitioned from each other at any time. So the slack
+ * is lent in small loans that are recorded in ledgers, and no gateway has to know how many others there are.
  *
  * @module
  */
@@ -11,23 +11,23 @@
 } from 'neverthrow';
 import * as z from 'zod';
 
-/** Schema of a loan as it lies in the store. */
+/** Schema of a loan as it is stored. */
 export const loanSchema = z.object({
-	/** Process that may use it. */
+	/** Process that may use the loan. */
 	holder: z.string(),
-	/** The store's time before which it was not used, in milliseconds. */
+	/** The store's time when the loan was granted, in milliseconds; it was not used before. */
 	at: z.number(),
 	retries: z.number().int().nonnegative(),
 });
 
-/** Some retries that one process may make. */
+/** A number of retries that one process may make. */
 export type Loan = z.output<typeof loanSchema>;
 
 const ledgerSchema = z.array(loanSchema);
 
-/** Retries that may be made beyond the share of each gateway. */
-export type SlackTerms = {
-	/** Retries of one window, by all gateways together. */
+/** Limits on the retries beyond the ratio. */
+export type SlackLimits = {
+	/** Maximum number of such retries in one window, over all gateways. */
 	slack: number;
 	windowMilliseconds: number;
 };
@@ -35,100 +35,100 @@
 /** Time for which a loan may be used, in milliseconds. */
 export const loanMilliseconds = 3000;
 
-/** Longest time that a retry is expected to take to its endpoint, in milliseconds. */
+/** Maximum time that a retry is expected to take to reach its endpoint, in milliseconds. */
 const transitMilliseconds = 1000;
 
-/** Share of the slack that is lent; the rest covers retries that are held up longer on their way. */
-const lentShare = 0.9;
+/** Share of the slack that is lent; the rest covers retries that take longer to reach their endpoint. */
+const lendableShare = 0.9;
 
-/** Retries of the slack for which there is a ledger of its own, so that gateways that borrow at the same moment seldom meet. */
+/** Slack per ledger. Several ledgers make write conflicts rare when gateways borrow at the same time. */
 const slackPerLedger = 15;
 
-/** Ledgers of a service at most. */
-const mostLedgers = 16;
+/** Maximum number of ledgers per service. */
+const maximumLedgers = 16;
 
-/** Loans that a ledger holds at most, so that it stays a small row. */
-const mostLoans = 200;
+/** Maximum number of loans in a ledger, so that its row stays small. */
+const maximumLoansPerLedger = 200;
 
 /**
  * Divides the slack of a service into ledgers of equal size, which are written independently of each other.
  *
- * @param terms What all ledgers may lend together.
- * @returns What each of them may lend; there are as many of them as elements.
+ * @param limits Limits of the service.
+ * @returns Limits of each ledger.
  */
-export function divideSlack({slack, windowMilliseconds}: SlackTerms): SlackTerms[] {
-	const count = Math.max(1, Math.min(mostLedgers, Math.floor(slack / slackPerLedger)));
+export function divideSlack({slack, windowMilliseconds}: SlackLimits): SlackLimits[] {
+	const count = Math.max(1, Math.min(maximumLedgers, Math.floor(slack / slackPerLedger)));
 	return Array.from({length: count}, () => ({slack: slack / count, windowMilliseconds}));
 }
 
 /** Options of {@linkcode lend}. */
 export type LendOptions = {
 	ledger: readonly Loan[];
-	terms: SlackTerms;
-	/** Process that asks. */
+	limits: SlackLimits;
+	/** Process that borrows. */
 	holder: string;
-	/** Retries that it would like to make. */
+	/** Number of retries requested. */
 	wanted: number;
-	/** What it has made of its earlier loans, by their time; they can't be used any more. */
+	/** Retries that the process made on its earlier loans, by the time of the loan. It must not use these loans any more. */
 	used: ReadonlyMap<number, number>;
 	/** The store's time, in milliseconds. */
 	now: number;
 };
 
-/** What a ledger allows. */
-export type Lending = {
-	/** Ledger to be written before the loan is used. */
+/** Result of {@linkcode lend}. */
+export type LendResult = {
+	/** Updated ledger, which must be written before the loan is used. */
 	ledger: Loan[];
-	/** Retries lent; 0 when all are lent already. */
+	/** Retries lent by this loan; 0 if none are available. */
 	granted: number;
-	/** Retries lent to all processes, this loan included. */
+	/** Retries lent to all processes, including this loan. */
 	lent: number;
-	/** The store's time at which the oldest loan ends, in milliseconds; infinite where there is none. */
+	/** The store's time at which the oldest loan is removed from the ledger, in milliseconds; infinite without loans. */
 	freeAt: number;
 };
 
 /**
  * Lends retries to a process.
  *
- * Each loan stands in the ledger for the time in which it can be used and a whole window after it. So the loans that can be used within any
- * one window stand there together, and their sum stays within the slack.
+ * A loan is kept in the ledger for as long as it can be used and for a whole window after that. So all loans that can be used within any
+ * one window are in the ledger at the same time, and their sum stays within the slack.
  *
- * @param options Ledger and wish.
+ * @param options Ledger and requested loan.
  * @example
  * ```ts
- * lend({ledger: [], terms: {slack: 300, windowMilliseconds: 10_000}, holder: 'host-1', wanted: 4, used: new Map(), now}).granted; // 4
+ * lend({ledger: [], limits: {slack: 300, windowMilliseconds: 10_000}, holder: 'host-1', wanted: 4, used: new Map(), now}).granted; // 4
  * ```
  */
-export function lend({ledger, terms, holder, wanted, used, now}: LendOptions): Lending {
-	const keptMilliseconds = loanMilliseconds + terms.windowMilliseconds + transitMilliseconds;
-	const kept = ledger
-		// A loan of the future comes from a store whose time began anew.
+export function lend({ledger, limits, holder, wanted, used, now}: LendOptions): LendResult {
+	const retentionMilliseconds = loanMilliseconds + limits.windowMilliseconds + transitMilliseconds;
+	const active = ledger
+		// A loan with a time in the future was made before the store's time was reset.
 		.map(loan => ({...loan, at: Math.min(loan.at, now)}))
-		.filter(({at}) => at + keptMilliseconds > now)
+		.filter(({at}) => at + retentionMilliseconds > now)
 		.map(loan => loan.holder === holder ? {...loan, retries: used.get(loan.at) ?? loan.retries} : loan)
 		.filter(({retries}) => retries > 0);
-	const limit = Math.floor(terms.slack * lentShare);
-	const lentBefore = kept.reduce((sum, {retries}) => sum + retries, 0);
-	const granted = kept.length < mostLoans ? Math.max(0, Math.min(wanted, limit - lentBefore)) : 0;
-	const next = granted > 0 ? [...kept, {holder, at: now, retries: granted}] : kept;
+	const lendable = Math.floor(limits.slack * lendableShare);
+	const lentBefore = active.reduce((sum, {retries}) => sum + retries, 0);
+	const granted = active.length < maximumLoansPerLedger ? Math.max(0, Math.min(wanted, lendable - lentBefore)) : 0;
+	const next = granted > 0 ? [...active, {holder, at: now, retries: granted}] : active;
 	return {
 		ledger: next,
 		granted,
 		lent: lentBefore + granted,
-		freeAt: Math.min(...next.map(({at}) => at)) + keptMilliseconds,
+		freeAt: Math.min(...next.map(({at}) => at)) + retentionMilliseconds,
 	};
 }
 
-/** The ledger that stands in place of one that cannot be read: all that there is counts as lent. */
-export function fullyLent({slack}: SlackTerms, now: number): Loan[] {
+/** Returns the replacement of a ledger that cannot be decoded: all of its slack counts as lent. */
+export function fullyLentLedger({slack}: SlackLimits, now: number): Loan[] {
 	return [{holder: '', at: now, retries: Math.ceil(slack)}];
 }
 
 /**
- * Reads a ledger.
+ * Decodes a ledger.
  *
- * @param content Content of its row; absent where there is none yet.
- * @returns The ledger, or why it cannot be read.
+ * @param content Content of its row; absent if there is none yet.
+ * @returns The ledger, or why it cannot be decoded.
  */
 export function decodeLedger(content: Uint8Array | undefined): Result<Loan[], string> {
 	if (content === undefined) {
@@ -142,7 +142,7 @@
 	}
 }
 
-/** Content of a ledger's row. */
+/** Encodes a ledger as the content of its row. */
 export function encodeLedger(ledger: readonly Loan[]): string {
 	return JSON.stringify(ledger);
 }
--- a/source/suspects/known-suspicions.ts
+++ b/source/suspects/known-suspicions.ts
@@ -1,39 +1,39 @@
 /**
- * What a gateway has been told of suspected requests.
+ * Cache of the suspected requests that the store and other gateways report.
  *
  * @module
  */
 import {isDeepStrictEqual} from 'node:util';
 import {
-	addEnd, forgottenMilliseconds, toldEnds, type Suspicion,
+	addCrash, suspicionTimeToLiveMilliseconds, publishThreshold, type Suspicion,
 } from './suspicion.ts';
-import {type UnsavedEnds} from './unsaved-ends.ts';
+import {type UnsavedCrashes} from './unsaved-crashes.ts';
 
-/** What is told of a request; no suspicion means that it was cleared or forgotten. */
+/** Update to a suspected request; without a suspicion, the request was cleared or its suspicion expired. */
 export type SuspectChange = {digest: string; suspicion?: Suspicion; revision: number};
 
-/** What is known of a request. */
+/** Cached state of a request. */
 export type KnownSuspicion = {
 	suspicion: Suspicion | undefined;
-	/** Revision of its row; 0 while the store has told nothing of it. */
+	/** Revision of its row in the store; 0 while only unsaved crashes are known. */
 	revision: number;
-	/** Steady time at which this was learnt, in milliseconds: all pauses are counted from it, since hosts do not share a clock. */
-	learntAt: number;
+	/** Monotonic time at which the current suspicion was received, in milliseconds. Delays are measured from it, since hosts do not share a clock. */
+	receivedAt: number;
 };
 
 /** Options of {@linkcode KnownSuspicions}. */
 export type KnownSuspicionsOptions = {
-	/** Ends that the store has not taken yet; they count as well. */
-	unsaved: UnsavedEnds;
-	/** Steady time, in milliseconds. */
+	/** Crashes that are not saved in the store yet; they count as well. */
+	unsaved: UnsavedCrashes;
+	/** Monotonic time, in milliseconds. */
 	clock: () => number;
 };
 
-/** Requests that were cleared or forgotten and are remembered, so that an older row cannot bring them back. */
-const rememberedRemovals = 1000;
+/** Maximum number of removed requests to keep as tombstones, so that an older row that arrives late cannot restore them. */
+const maximumTombstones = 1000;
 
 /**
- * Keeps the newest row of each request that all gateways are told of.
+ * Caches the newest known row of each suspected request.
  *
  * @example
  * ```ts
@@ -45,31 +45,31 @@
 	readonly #options: KnownSuspicionsOptions;
 	readonly #known = new Map<string, KnownSuspicion>();
 	#revision = 0;
-	#isTold = false;
+	#isLoaded = false;
 
 	constructor(options: KnownSuspicionsOptions) {
 		this.#options = options;
 	}
 
-	/** Requests that something is known of. */
+	/** Number of cached requests, tombstones included. */
 	get size(): number {
 		return this.#known.size;
 	}
 
-	/** Revision up to which the store's changes are known. */
+	/** Store revision up to which all changes are known. */
 	get revision(): number {
 		return this.#revision;
 	}
 
-	/** Whether the store or another gateway has told which requests are suspected. */
-	get isTold(): boolean {
-		return this.#isTold;
+	/** Whether the list of suspected requests was received at least once, from the store or another gateway. */
+	get isLoaded(): boolean {
+		return this.#isLoaded;
 	}
 
-	/** What is known of a request, unless it is too old to count. */
+	/** Returns the cached state of a request, unless it has expired. */
 	lookUp(digest: string): KnownSuspicion | undefined {
 		const known = this.#known.get(digest);
-		if (known && this.#options.clock() - known.learntAt >= forgottenMilliseconds) {
+		if (known && this.#options.clock() - known.receivedAt >= suspicionTimeToLiveMilliseconds) {
 			this.#known.delete(digest);
 			return undefined;
 		}
@@ -77,74 +77,74 @@
 		return known;
 	}
 
-	/** Takes rows that the store or another gateway tells, in any order. */
+	/** Applies updates from the store or another gateway; they may arrive in any order, and older ones are ignored. */
 	apply(changes: readonly SuspectChange[]): void {
 		for (const {digest, suspicion, revision} of changes) {
 			if (revision > (this.#known.get(digest)?.revision ?? 0)) {
-				this.learn(digest, {suspicion, revision});
+				this.set(digest, {suspicion, revision});
 			}
 		}
 
-		this.#forgetRemovals();
+		this.#pruneTombstones();
 	}
 
-	/** Takes all rows of the store; what they lack was cleared or forgotten. */
+	/** Applies a complete list of the rows in the store; cached requests that are missing from it were cleared or have expired. */
 	replace(changes: readonly SuspectChange[], revision: number): void {
 		const listed = new Set(changes.map(({digest}) => digest));
 		const removed = [...this.#known].filter(([digest, known]) => known.revision > 0 && !listed.has(digest)).map(([digest]) => ({digest, suspicion: undefined, revision}));
 		this.apply([...changes, ...removed]);
 	}
 
-	/** Records that all changes up to a revision are known. */
+	/** Records that all changes up to a store revision have been applied. */
 	confirm(revision: number): void {
 		this.#revision = Math.max(this.#revision, revision);
-		this.#isTold ||= revision > 0;
+		this.#isLoaded ||= revision > 0;
 	}
 
-	/** The rows that changed after a revision, for other gateways. */
+	/** Returns the rows that changed after a revision, to send to other gateways. */
 	changesSince(revision: number): SuspectChange[] {
 		return [...this.#known].filter(([, known]) => known.revision > revision).map(([digest, known]) => ({digest, suspicion: known.suspicion, revision: known.revision}));
 	}
 
-	/** Takes what the store says of a request; ends that it has not taken stay, unless the request was cleared. */
-	learn(digest: string, {suspicion, revision}: Omit<KnownSuspicion, 'learntAt'>): void {
+	/** Sets the stored state of a request. Crashes that this gateway has not saved yet are kept, unless the request was cleared. */
+	set(digest: string, {suspicion, revision}: Omit<KnownSuspicion, 'receivedAt'>): void {
 		const {unsaved, clock} = this.#options;
-		unsaved.drop(digest, {isCleared: suspicion === undefined});
+		unsaved.removeReported(digest, {isCleared: suspicion === undefined});
 		const before = this.#known.get(digest);
-		const isNews = !isDeepStrictEqual(suspicion, before?.suspicion);
+		const isChanged = !isDeepStrictEqual(suspicion, before?.suspicion);
 		this.#known.delete(digest);
-		const isTold = suspicion ? suspicion.ends.length >= toldEnds : revision > 0;
-		if (isTold) {
-			this.#known.set(digest, {suspicion, revision, learntAt: isNews ? clock() : before!.learntAt});
+		const isPublished = suspicion ? suspicion.ends.length >= publishThreshold : revision > 0;
+		if (isPublished) {
+			this.#known.set(digest, {suspicion, revision, receivedAt: isChanged ? clock() : before!.receivedAt});
 		}
 
 		this.addUnsaved(digest);
 	}
 
-	/** Adds the ends that the store has not taken yet to what it says. */
+	/** Adds the unsaved crashes of a request to its stored suspicion. */
 	addUnsaved(digest: string): void {
 		const {unsaved, clock} = this.#options;
 		const known = this.#known.get(digest);
 		let suspicion = known?.suspicion;
-		for (const {service, life} of unsaved.ofRequest(digest)) {
-			suspicion = addEnd(suspicion, service, life, suspicion?.changedAt ?? 0);
+		for (const {service, life: incarnation} of unsaved.ofRequest(digest)) {
+			suspicion = addCrash(suspicion, service, incarnation, suspicion?.changedAt ?? 0);
 		}
 
 		if (suspicion !== known?.suspicion) {
-			this.#known.set(digest, {suspicion, revision: known?.revision ?? 0, learntAt: clock()});
+			this.#known.set(digest, {suspicion, revision: known?.revision ?? 0, receivedAt: clock()});
 		}
 	}
 
-	/** Forgets what is known of a request from ends alone that the store has not taken. */
-	forgetUntold(digest: string): void {
+	/** Removes a request that is only known from unsaved crashes. */
+	removeUnsaved(digest: string): void {
 		if (this.#known.get(digest)?.revision === 0) {
 			this.#known.delete(digest);
 		}
 	}
 
-	#forgetRemovals(): void {
+	#pruneTombstones(): void {
 		const removed = [...this.#known].filter(([, {suspicion}]) => !suspicion);
-		for (const [digest] of removed.slice(0, Math.max(0, removed.length - rememberedRemovals))) {
+		for (const [digest] of removed.slice(0, Math.max(0, removed.length - maximumTombstones))) {
 			this.#known.delete(digest);
 		}
 	}
--- a/source/suspects/mod.ts
+++ b/source/suspects/mod.ts
@@ -1,12 +1,12 @@
 /**
- * Requests that end the process of each endpoint that runs them.
+ * Detects requests that crash every endpoint that runs them, and refuses them at all gateways.
  *
  * @module
  */
 
 export * from './known-suspicions.ts';
 export * from './request-identity.ts';
-export * from './request-suspects.ts';
+export * from './suspected-requests.ts';
 export * from './suspicion-table.ts';
 export {
 	decodeSuspicion, suspicionSchema, type Suspicion,
--- a/source/suspects/request-identity.ts
+++ b/source/suspects/request-identity.ts
@@ -1,5 +1,5 @@
 /**
- * What stays the same when a caller sends a request again.
+ * Identifies a request across the attempts of its callers.
  *
  * @module
  */
@@ -17,17 +17,17 @@
 	body: Uint8Array;
 };
 
-/** Characters of a digest; 22 hold 132 bits. */
+/** Length of a digest in base64url characters; 22 of them hold 132 bits. */
 const digestLength = 22;
 
 /**
- * Recognizes a request over its callers' attempts: by host, method, path, workspace and body, whatever the attempt is named and
- * whichever gateway it reaches.
+ * Identifies a request by host, method, path, workspace and body. A request that is sent again has the same identity, even with another
+ * attempt ID or through another gateway.
  *
  * @example
  * ```ts
  * const identity = new RequestIdentity({host, method: 'POST', target: '/drafts/1', workspace: 'workspace-1', body});
- * suspects.refusalOf(identity.digest, now);
+ * await suspects.admit(identity);
  * ```
  */
 export class RequestIdentity {
@@ -38,7 +38,7 @@
 		this.#options = options;
 	}
 
-	/** Digest of the request; computed when it is first asked for, since few requests need it. */
+	/** Digest of the request; computed on first use, since few requests need it. */
 	get digest(): string {
 		this.#digest ??= this.#compute();
 		return this.#digest;
--- /dev/null
+++ b/source/suspects/suspected-requests.test.ts
@@ -0,0 +1,336 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {err, ok} from 'neverthrow';
+import {type Transaction} from '../platform/mod.ts';
+import {createLogger} from '../telemetry/mod.ts';
+import {allowedLateSends, findLateSends} from '../testing/late-sends.ts';
+import {Random} from '../testing/soak/random.ts';
+import {RequestIdentity} from './request-identity.ts';
+import {type SuspectChange} from './known-suspicions.ts';
+import {SuspectedRequests, type SuspectAdmission, type SuspectDecision} from './suspected-requests.ts';
+import {SuspicionTable, suspectTable} from './suspicion-table.ts';
+import {decodeSuspicion, suspicionTimeToLiveMilliseconds, isRefused} from './suspicion.ts';
+
+/** Time within which all gateways must refuse a request after its third crash, in milliseconds. */
+const detectionMilliseconds = 3000;
+
+/** Time after which all gateways have received an update from the store, in milliseconds. */
+const propagationMilliseconds = 1200;
+
+type FakeRow = {key: string; content: Uint8Array; revision: number};
+
+/** In-memory store for the tables of suspected requests, with simulated time. */
+class FakeStore {
+	fault: 'none' | 'down' | 'lose-answers' = 'none';
+	now = 0;
+	calls = 0;
+	revision = 0;
+	readonly tables = new Map<string, Map<string, FakeRow>>();
+
+	table(name: string): Map<string, FakeRow> {
+		const table = this.tables.get(name) ?? new Map<string, FakeRow>();
+		this.tables.set(name, table);
+		return table;
+	}
+
+	async readRow(table: string, key: string) {
+		this.calls += 1;
+		const row = this.table(table).get(key);
+		return this.#read(row ? [row] : []);
+	}
+
+	async readSome(table: string, from: string, limit: number) {
+		return this.#read([...this.table(table).values()].filter(({key}) => key >= from).slice(0, limit));
+	}
+
+	async transact({expected, puts, removes}: Transaction) {
+		this.calls += 1;
+		if (this.fault === 'down') {
+			return err({kind: 'refused' as const, message: 'down'});
+		}
+
+		if (expected.some(({table, key, revision}) => (this.table(table).get(key)?.revision ?? 0) !== revision)) {
+			return ok({kind: 'conflict' as const});
+		}
+
+		this.revision += 1;
+		for (const {table, key, content} of puts) {
+			this.table(table).set(key, {key, content: new TextEncoder().encode(content), revision: this.revision});
+		}
+
+		for (const {table, key} of removes) {
+			this.table(table).delete(key);
+		}
+
+		return this.fault === 'lose-answers' ? err({kind: 'unknown' as const, message: 'no answer'}) : ok({kind: 'committed' as const});
+	}
+
+	/** Rows of the table that gateways follow. */
+	publishedRows(): SuspectChange[] {
+		return [...this.table(suspectTable).values()].map(({key, content, revision}) => ({digest: key, suspicion: decodeSuspicion(content)._unsafeUnwrap(), revision}));
+	}
+
+	async #read(rows: FakeRow[]) {
+		return this.fault === 'down'
+			? err({kind: 'refused' as const, message: 'down'})
+			: ok({rows, revision: this.revision, storeMilliseconds: this.now});
+	}
+}
+
+/** Gateways that share a store, with simulated time. */
+class SimulatedFleet {
+	readonly store = new FakeStore();
+	readonly random: Random;
+	readonly gateways: SuspectedRequests[];
+	readonly decisions = new Map<SuspectDecision, number>();
+	readonly arrivals: number[] = [];
+	readonly ends: number[] = [];
+	#incarnations = 0;
+	readonly #pendingUpdates: Array<{at: number; rows: SuspectChange[]; revision: number}> = [];
+
+	constructor(gateways: number, seed: number) {
+		this.random = new Random(seed);
+		this.gateways = Array.from({length: gateways}, () => this.createGateway());
+	}
+
+	createGateway(): SuspectedRequests {
+		const logger = createLogger('test', {level: 'silent'});
+		const gateway = new SuspectedRequests({
+			table: new SuspicionTable({store: this.store, logger, random: () => this.random.integer(0, 999) / 1000}),
+			logger,
+			clock: () => this.store.now,
+			count: decision => {
+				this.decisions.set(decision, (this.decisions.get(decision) ?? 0) + 1);
+			},
+		});
+		// A gateway accepts no callers before it has received the suspected requests.
+		gateway.known.replace(this.store.publishedRows(), this.store.revision);
+		gateway.known.confirm(this.store.revision);
+		return gateway;
+	}
+
+	/** Sends a request that crashes every endpoint to a gateway, which makes attempts until it refuses the request. */
+	async send(gateway: SuspectedRequests, identity: RequestIdentity, attempts: number): Promise<void> {
+		const admission = await gateway.admit(identity);
+		if (admission.kind === 'refused') {
+			return;
+		}
+
+		const maximumAttempts = admission.kind === 'trial' ? 1 : attempts;
+		for (let attempt = 0; attempt < maximumAttempts && (attempt === 0 || !gateway.isRefused(identity)); attempt += 1) {
+			this.#incarnations += 1;
+			this.arrivals.push(this.store.now);
+			this.ends.push(this.store.now);
+			await gateway.ended(identity, endpointOf(this.#incarnations));
+		}
+	}
+
+	/** Advances the time; all gateways receive the rows of the store after a delay. */
+	advance(milliseconds: number): void {
+		this.store.now += milliseconds;
+		const rows = this.store.publishedRows();
+		const {revision, now} = this.store;
+		this.#pendingUpdates.push({at: now + propagationMilliseconds, rows, revision});
+		while (this.#pendingUpdates[0] && this.#pendingUpdates[0].at <= now) {
+			const update = this.#pendingUpdates.shift()!;
+			for (const gateway of this.gateways) {
+				gateway.known.replace(update.rows, update.revision);
+				gateway.known.confirm(update.revision);
+			}
+		}
+	}
+
+	randomGateway(): SuspectedRequests {
+		return this.gateways[this.random.integer(0, this.gateways.length - 1)]!;
+	}
+}
+
+function endpointOf(incarnation: number) {
+	return {
+		id: `desk-${incarnation}`, service: 'desk', address: '127.0.0.1:1', availabilityZone: 'zone-a', slots: 8, leaving: false, startedAt: incarnation,
+	};
+}
+
+async function kindOf(gateway: SuspectedRequests, identity: RequestIdentity): Promise<SuspectAdmission['kind']> {
+	const {kind} = await gateway.admit(identity);
+	return kind;
+}
+
+function requestOf(body: string): RequestIdentity {
+	return new RequestIdentity({
+		host: 'desk.example', method: 'POST', target: '/status/1', workspace: 'workspace-1', body: new TextEncoder().encode(body),
+	});
+}
+
+for (const gateways of [14, 146, 390]) {
+	test(`all of ${gateways} gateways refuse a request that crashes endpoints, whichever gateways it reaches and whenever they restart`, async () => {
+		await fc.assert(fc.asyncProperty(fc.integer({min: 0, max: 1e6}), fc.integer({min: 1, max: 5}), fc.integer({min: 50, max: 3000}), async (seed, attempts, everyMilliseconds) => {
+			const fleet = new SimulatedFleet(gateways, seed);
+			for (let round = 0; round < 60; round += 1) {
+				await fleet.send(fleet.randomGateway(), requestOf('crashing'), attempts);
+				fleet.advance(everyMilliseconds);
+				if (fleet.random.integer(0, 19) === 0) {
+					fleet.gateways.splice(0, gateways, ...fleet.gateways.map(() => fleet.createGateway()));
+				}
+			}
+
+			const late = findLateSends(fleet, detectionMilliseconds);
+			assert.ok(late.length <= allowedLateSends, `${fleet.ends.length} crashes, ${late.length} late sends`);
+		}), {seed: 18, numRuns: 25});
+	});
+}
+
+test('gateways that each observe one of three crashes refuse the request', async () => {
+	const fleet = new SimulatedFleet(3, 1);
+	for (const gateway of fleet.gateways) {
+		await fleet.send(gateway, requestOf('crashing'), 1);
+	}
+
+	fleet.advance(0);
+	fleet.advance(propagationMilliseconds);
+	const answers = await Promise.all(fleet.gateways.map(async gateway => gateway.admit(requestOf('crashing'))));
+	assert.deepEqual(new Set(answers.map(({kind}) => kind)), new Set(['refused']));
+	const other = await fleet.gateways[0]!.admit(requestOf('another'));
+	assert.equal(other.kind, 'free');
+});
+
+test('one gateway tries an innocent refused request after a delay, and all gateways serve it once the trial succeeds', async () => {
+	const fleet = new SimulatedFleet(14, 2);
+	const popular = requestOf('popular');
+	await fleet.send(fleet.gateways[0]!, popular, 3);
+	fleet.advance(propagationMilliseconds);
+	fleet.advance(propagationMilliseconds);
+	fleet.advance(propagationMilliseconds);
+	fleet.advance(propagationMilliseconds);
+	const admissions = await Promise.all(fleet.gateways.map(async gateway => ({gateway, admission: await gateway.admit(popular)})));
+	const trials = admissions.filter(({admission}) => admission.kind === 'trial');
+	assert.equal(trials.length, 1);
+	await trials[0]!.gateway.recordSuccess(popular);
+	fleet.advance(propagationMilliseconds);
+	fleet.advance(propagationMilliseconds);
+	const after = await Promise.all(fleet.gateways.map(async gateway => gateway.admit(popular)));
+	assert.ok(after.every(({kind}) => kind === 'free'));
+	assert.equal(fleet.store.table('request-ends').size, 0);
+});
+
+test('a popular request that succeeds between endpoint crashes is not refused', async () => {
+	const fleet = new SimulatedFleet(14, 3);
+	const popular = requestOf('popular');
+	for (let crash = 0; crash < 10; crash += 1) {
+		await fleet.randomGateway().ended(popular, endpointOf(crash));
+		fleet.advance(propagationMilliseconds);
+		fleet.advance(propagationMilliseconds);
+		for (const gateway of fleet.gateways) {
+			assert.notEqual(await kindOf(gateway, popular), 'refused');
+			await gateway.recordSuccess(popular);
+		}
+	}
+});
+
+test('the crash of one endpoint that several gateways observe counts once', async () => {
+	const fleet = new SimulatedFleet(14, 4);
+	for (const gateway of fleet.gateways) {
+		await gateway.ended(requestOf('popular'), endpointOf(1));
+	}
+
+	fleet.advance(propagationMilliseconds);
+	fleet.advance(propagationMilliseconds);
+	assert.equal(await kindOf(fleet.gateways[0]!, requestOf('popular')), 'free');
+	assert.equal(fleet.decisions.get('counted'), 1);
+});
+
+test('while the store is unavailable, gateways refuse a request by observed and reported crashes, and save them afterwards', async () => {
+	const fleet = new SimulatedFleet(3, 5);
+	const crashing = requestOf('crashing');
+	const [first, second, third] = fleet.gateways as [SuspectedRequests, SuspectedRequests, SuspectedRequests];
+	fleet.store.fault = 'down';
+	await fleet.send(first, crashing, 1);
+	await fleet.send(second, crashing, 1);
+	await fleet.send(second, crashing, 1);
+	third.receiveCrashes(first.unsavedCrashes());
+	third.receiveCrashes(second.unsavedCrashes());
+	assert.equal(await kindOf(third, crashing), 'refused');
+	assert.equal(await kindOf(first, crashing), 'free');
+	fleet.store.fault = 'none';
+	const saving = new AbortController();
+	const saved = [first, second, third].map(async gateway => gateway.saveUnsaved(saving.signal));
+	while (!fleet.store.publishedRows().some(({suspicion}) => suspicion && isRefused(suspicion))) {
+		await new Promise(resolve => {
+			setTimeout(resolve, 50);
+		});
+	}
+
+	saving.abort();
+	await Promise.all(saved);
+	fleet.advance(propagationMilliseconds);
+	fleet.advance(propagationMilliseconds);
+	assert.equal(await kindOf(first, crashing), 'refused');
+	assert.equal(fleet.store.publishedRows()[0]?.suspicion?.ends.length, 3);
+});
+
+test('a crash is counted once if the response of the store is lost', async () => {
+	const fleet = new SimulatedFleet(1, 6);
+	fleet.store.fault = 'lose-answers';
+	await fleet.gateways[0]!.ended(requestOf('crashing'), endpointOf(1));
+	fleet.store.fault = 'none';
+	await fleet.gateways[0]!.ended(requestOf('crashing'), endpointOf(1));
+	await fleet.gateways[0]!.ended(requestOf('crashing'), endpointOf(2));
+	assert.equal(fleet.store.publishedRows()[0]?.suspicion?.ends.length, 2);
+});
+
+test('a trial that did not run is reverted', async () => {
+	const fleet = new SimulatedFleet(1, 7);
+	const crashing = requestOf('crashing');
+	const [gateway] = fleet.gateways as [SuspectedRequests];
+	await fleet.send(gateway, crashing, 3);
+	for (let trial = 0; trial < 5; trial += 1) {
+		fleet.advance(2000);
+		assert.equal(await kindOf(gateway, crashing), 'trial');
+		await gateway.revertTrial(crashing);
+	}
+
+	fleet.advance(2000);
+	assert.equal(await kindOf(gateway, crashing), 'trial');
+	fleet.advance(2000);
+	assert.equal(await kindOf(gateway, crashing), 'refused');
+});
+
+test('a suspicion expires after an hour, and its row is removed', async () => {
+	const fleet = new SimulatedFleet(1, 8);
+	const [gateway] = fleet.gateways as [SuspectedRequests];
+	await fleet.send(gateway, requestOf('crashing'), 3);
+	fleet.advance(suspicionTimeToLiveMilliseconds);
+	assert.equal(await kindOf(gateway, requestOf('crashing')), 'free');
+	for (let index = 0; index < 3000 && fleet.store.publishedRows().length > 0; index += 1) {
+		await gateway.ended(requestOf(`other ${index}`), endpointOf(index));
+	}
+
+	assert.equal(fleet.store.publishedRows().length, 0);
+});
+
+test('a row that cannot be decoded is treated as empty', async () => {
+	const fleet = new SimulatedFleet(1, 9);
+	const {digest} = requestOf('crashing');
+	fleet.store.table('request-ends').set(digest, {key: digest, content: new TextEncoder().encode('not JSON'), revision: 1});
+	await fleet.gateways[0]!.ended(requestOf('crashing'), endpointOf(1));
+	assert.equal(await kindOf(fleet.gateways[0]!, requestOf('crashing')), 'free');
+});
+
+test('a request is identified by its host, method, path, workspace and body', () => {
+	const base = {
+		host: 'desk.example', method: 'POST', target: '/status/1', workspace: 'workspace-1', body: new TextEncoder().encode('body'),
+	};
+	const {digest} = new RequestIdentity(base);
+	assert.equal(new RequestIdentity({...base, host: 'DESK.example'}).digest, digest);
+	const changes = [{host: 'other'}, {method: 'PUT'}, {target: '/status/2'}, {workspace: undefined}, {body: new Uint8Array()}];
+	for (const change of changes) {
+		assert.notEqual(new RequestIdentity({...base, ...change}).digest, digest);
+	}
+});
+
+test('concurrent attempts that lose the same endpoint save its crash with one change of the row', async () => {
+	const fleet = new SimulatedFleet(1, 10);
+	await Promise.all(Array.from({length: 20}, async () => fleet.gateways[0]!.ended(requestOf('popular'), endpointOf(1))));
+	assert.equal(fleet.store.calls, 2);
+});
--- a/source/suspects/suspicion-table.ts
+++ b/source/suspects/suspicion-table.ts
@@ -1,5 +1,5 @@
 /**
- * The rows of the store in which all gateways count the endpoints that ended under a request.
+ * Store rows in which all gateways count the endpoint crashes per request.
  *
  * @module
  */
@@ -9,25 +9,25 @@
 import {type RowPlace, type StoreClient, type StoredRow} from '../platform/mod.ts';
 import {type Logger} from '../telemetry/logger.ts';
 import {
-	decodeSuspicion, encodeSuspicion, isForgotten, toldEnds, type Suspicion,
+	decodeSuspicion, encodeSuspicion, isExpired, publishThreshold, type Suspicion,
 } from './suspicion.ts';
 
-/** Table in which ends are counted; nobody follows it, since most requests in it were merely there when one endpoint ended. */
-const countTable = 'request-ends';
+/** Table that counts crashes. Gateways do not follow it, since most requests in it merely ran on an endpoint when it crashed. */
+const crashCountTable = 'request-ends';
 
-/** Table of the requests that all gateways are told of, by copies of their rows in the other table. */
-export const toldTable = 'request-suspects';
+/** Table of the suspected requests, which all gateways follow; holds copies of rows in the other table. */
+export const suspectTable = 'request-suspects';
 
-/** Tries to change a row that others change at the same time. */
-const mostTries = 6;
+/** Maximum number of attempts to change a row that other gateways change concurrently. */
+const maximumAttempts = 6;
 
-/** Share of the changes after which some rows are looked at, and those that hold nothing any more are removed. */
-const sweepShare = 0.05;
+/** Probability that a change is followed by a sweep, which removes expired rows. */
+const sweepProbability = 0.05;
 
-/** Rows that are looked at then. */
-const sweptRows = 100;
+/** Maximum number of rows that a sweep reads. */
+const sweepBatchSize = 100;
 
-/** First characters of digests. */
+/** Characters with which a digest can start; a sweep starts at a random one. */
 const digestCharacters = 'ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_';
 
 /** Options of {@linkcode SuspicionTable}. */
@@ -37,30 +37,30 @@
 	random: () => number;
 };
 
-/** What a row says after it was read or changed. */
+/** State of a row after it was read or changed. */
 export type StoredSuspicion = {
 	suspicion: Suspicion | undefined;
-	/** Revision of the row before it was changed now; 0 where there was none. */
+	/** Revision of the row before this change; 0 if it did not exist. */
 	revision: number;
-	/** Whether the row was changed now. */
+	/** Whether the row was changed by this call. */
 	isChanged: boolean;
 };
 
 /**
- * Decides on a row.
+ * Computes the new state of a row. May run more than once for a change.
  *
- * @param before What it says.
+ * @param before Current state; absent if there is no row.
  * @param now The store's time, in milliseconds.
- * @returns What it is to say: `before` itself to leave it, `undefined` to remove it.
+ * @returns New state: `before` itself to leave the row unchanged, `undefined` to remove it.
  */
 export type SuspicionChange = (before: Suspicion | undefined, now: number) => Suspicion | undefined;
 
 /**
- * Changes rows under the condition that nobody else has changed them meanwhile.
+ * Changes rows with optimistic concurrency control.
  *
  * @example
  * ```ts
- * await table.change(digest, (before, now) => addEnd(before, service, life, now));
+ * await table.change(digest, (before, now) => addCrash(before, service, incarnation, now));
  * ```
  */
 export class SuspicionTable {
@@ -71,17 +71,17 @@
 	}
 
 	/**
-	 * Reads a row, decides on it and writes it, again where somebody else wrote in between.
+	 * Reads a row, computes its new state and writes it; retries on a write conflict.
 	 *
-	 * A change whose answer is lost may have been made; making it again must change nothing more.
+	 * A change must be idempotent: it may have been committed although the response was lost.
 	 *
 	 * @param digest Digest of the request.
-	 * @param change The decision.
-	 * @returns What the row says now, or why it could not be changed.
+	 * @param change Computes the new state.
+	 * @returns The state of the row, or why it could not be changed.
 	 */
 	async change(digest: string, change: SuspicionChange): Promise<Result<StoredSuspicion, string>> {
-		for (let tries = 1; tries <= mostTries; tries += 1) {
-			const outcome = await this.#try(digest, change);
+		for (let attempt = 1; attempt <= maximumAttempts; attempt += 1) {
+			const outcome = await this.#tryChange(digest, change);
 			if (outcome.isErr()) {
 				return err(outcome.error);
 			}
@@ -91,19 +91,19 @@
 			}
 		}
 
-		return err('others changed the row each time');
+		return err('every attempt conflicted with a concurrent write');
 	}
 
-	async #try(digest: string, change: SuspicionChange): Promise<Result<StoredSuspicion | 'conflict', string>> {
+	async #tryChange(digest: string, change: SuspicionChange): Promise<Result<StoredSuspicion | 'conflict', string>> {
 		const {store, random} = this.#options;
-		const read = await store.readRow(countTable, digest);
+		const read = await store.readRow(crashCountTable, digest);
 		if (read.isErr()) {
 			return err(read.error.message);
 		}
 
 		const {rows: [row], storeMilliseconds: now} = read.value;
 		if (now === undefined) {
-			return err('the store does not tell its time');
+			return err('the store did not report its time');
 		}
 
 		const revision = row?.revision ?? 0;
@@ -116,7 +116,7 @@
 		const written = await this.#write({
 			digest, before, after, revision,
 		});
-		if (written.isOk() && random() < sweepShare) {
+		if (written.isOk() && random() < sweepProbability) {
 			void this.#sweep(now);
 		}
 
@@ -126,9 +126,9 @@
 	async #write({digest, before, after, revision}: RowChange): Promise<Result<StoredSuspicion | 'conflict', string>> {
 		const content = after && encodeSuspicion(after);
 		const outcome = await this.#options.store.transact({
-			expected: [{table: countTable, key: digest, revision}],
-			puts: content === undefined ? [] : placesOf(digest, after).map(place => ({...place, content})),
-			removes: content === undefined ? placesOf(digest, before) : [],
+			expected: [{table: crashCountTable, key: digest, revision}],
+			puts: content === undefined ? [] : rowPlaces(digest, after).map(place => ({...place, content})),
+			removes: content === undefined ? rowPlaces(digest, before) : [],
 		});
 		return outcome
 			.map(value => value.kind === 'conflict' ? 'conflict' as const : {suspicion: after, revision, isChanged: true})
@@ -138,25 +138,25 @@
 	#decode(row: StoredRow | undefined): Suspicion | undefined {
 		const decoded = row?.content && decodeSuspicion(row.content);
 		if (decoded?.isErr()) {
-			this.#options.logger.error('row of a suspected request cannot be read and starts anew', {digest: row?.key, reason: decoded.error});
+			this.#options.logger.error('row of a suspected request cannot be decoded and is treated as empty', {digest: row?.key, reason: decoded.error});
 		}
 
 		return decoded?.unwrapOr(undefined);
 	}
 
-	/** Removes some rows that hold nothing against their requests any more. */
+	/** Removes some rows that have expired or cannot be decoded. */
 	async #sweep(now: number): Promise<void> {
 		const {store, logger, random} = this.#options;
 		const from = digestCharacters[Math.floor(random() * digestCharacters.length)]!;
-		const read = await store.readSome(countTable, from, sweptRows);
+		const read = await store.readSome(crashCountTable, from, sweepBatchSize);
 		if (read.isErr()) {
-			logger.warn('rows of suspected requests are not looked at', {reason: read.error.message});
+			logger.warn('rows of suspected requests could not be read for a sweep', {reason: read.error.message});
 			return;
 		}
 
 		for (const row of read.value.rows) {
 			const before = this.#decode(row);
-			if (!before || isForgotten(before, now)) {
+			if (!before || isExpired(before, now)) {
 				await this.#write({
 					digest: row.key, before, after: undefined, revision: row.revision,
 				});
@@ -167,8 +167,8 @@
 
 type RowChange = {digest: string; before: Suspicion | undefined; after: Suspicion | undefined; revision: number};
 
-/** Where a suspicion stands: all gateways are told of it once enough endpoints have ended. */
-function placesOf(digest: string, suspicion: Suspicion | undefined): RowPlace[] {
-	const counted = {table: countTable, key: digest};
-	return suspicion && suspicion.ends.length >= toldEnds ? [counted, {table: toldTable, key: digest}] : [counted];
+/** Returns the rows that store a suspicion: it is published to all gateways once there are enough crashes. */
+function rowPlaces(digest: string, suspicion: Suspicion | undefined): RowPlace[] {
+	const counted = {table: crashCountTable, key: digest};
+	return suspicion && suspicion.ends.length >= publishThreshold ? [counted, {table: suspectTable, key: digest}] : [counted];
 }
--- a/source/suspects/suspicion.ts
+++ b/source/suspects/suspicion.ts
@@ -1,8 +1,8 @@
 /**
- * What all gateways together hold against one request.
+ * Suspicion that a request crashes endpoints, shared by all gateways.
  *
- * Answers the load of a request that ends each endpoint that runs it and comes back at any gateway, beside requests that merely ran on
- * those endpoints. All times are the store's, in milliseconds.
+ * Handles a request that crashes every endpoint that runs it and is sent again through any gateway, along with innocent requests that
+ * merely ran on those endpoints. All times are the store's, in milliseconds.
  *
  * @module
  */
@@ -12,97 +12,98 @@
 import * as z from 'zod';
 import {endpointIncarnationSchema, type EndpointIncarnation} from '../beliefs/endpoint-list.ts';
 
-/** Lives of endpoints that ended under a request, and how often it was tried since it was refused. */
+/** Schema of a suspicion as it is stored and sent. */
 export const suspicionSchema = z.object({
 	service: z.string(),
+	/** Incarnations of endpoints that crashed while running the request. */
 	ends: z.array(endpointIncarnationSchema),
-	/** Trials that were begun, however they ended. */
+	/** Trials that were started since the request was refused, whatever their outcome. */
 	trials: z.number(),
-	/** When an end or a trial was last added. */
+	/** Time of the last crash or trial. */
 	changedAt: z.number(),
 });
 
-/** What is held against one request. */
+/** Suspicion against one request. */
 export type Suspicion = z.output<typeof suspicionSchema>;
 
-/** Ends from which all gateways are told of a request, so that one that serves it well can clear it. */
-export const toldEnds = 2;
+/** Number of crashes from which a suspicion is published to all gateways, so that any of them can clear the request when it succeeds. */
+export const publishThreshold = 2;
 
-/** Ends from which a request is refused. */
-export const refusedEnds = 3;
+/** Number of crashes from which a request is refused. */
+export const refusalThreshold = 3;
 
-/** Ends that are kept; more say nothing new. */
-const keptEnds = 8;
+/** Maximum number of crashes to record; further ones add no information. */
+const maximumRecordedCrashes = 8;
 
 /**
- * Time from the last end or trial to the next trial, in milliseconds, by the trials before. The first one is short, so that a request
- * that was merely there soon runs again; after the last one the request stays refused until it is forgotten.
+ * Delay from the last crash or trial to the next trial, in milliseconds, by the number of earlier trials. The first one is short, so that
+ * an innocent request soon runs again. After the last trial the request stays refused until the suspicion expires.
  */
-const trialPauses = [2000, 30_000];
+const trialDelays = [2000, 30_000];
 
-/** Time after the last end or trial after which nothing is held against a request, in milliseconds. */
-export const forgottenMilliseconds = 3_600_000;
+/** Time from the last crash or trial until a suspicion expires, in milliseconds. */
+export const suspicionTimeToLiveMilliseconds = 3_600_000;
 
-/** Whether a request is refused but for trials. */
+/** Whether a request is refused, except for trials. */
 export function isRefused({ends}: Suspicion): boolean {
-	return ends.length >= refusedEnds;
+	return ends.length >= refusalThreshold;
 }
 
-/** Time from the last end or trial until a trial may begin, in milliseconds. */
-export function trialPause({trials}: Suspicion): number {
-	return trialPauses[trials] ?? forgottenMilliseconds;
+/** Delay from the last crash or trial until the next trial may begin, in milliseconds. */
+export function trialDelay({trials}: Suspicion): number {
+	return trialDelays[trials] ?? suspicionTimeToLiveMilliseconds;
 }
 
-/** Whether nothing is held against a request any more. */
-export function isForgotten({changedAt}: Suspicion, now: number): boolean {
-	return now - changedAt >= forgottenMilliseconds;
+/** Whether a suspicion has expired. */
+export function isExpired({changedAt}: Suspicion, now: number): boolean {
+	return now - changedAt >= suspicionTimeToLiveMilliseconds;
 }
 
-/** Whether two lives are the same. */
-export function isSameLife(one: EndpointIncarnation, other: EndpointIncarnation): boolean {
+/** Whether two values identify the same incarnation of an endpoint. */
+export function isSameIncarnation(one: EndpointIncarnation, other: EndpointIncarnation): boolean {
 	return one.id === other.id && one.startedAt === other.startedAt;
 }
 
 /**
- * Adds the end of an endpoint to what is held against a request.
+ * Adds a crash to the suspicion against a request.
  *
- * @param before What was held; absent for nothing.
+ * @param before Previous suspicion, if any.
  * @param service Service of the endpoint.
- * @param life The life that ended.
- * @param now Present time.
- * @returns What is held now; `before` itself where this end is known already.
+ * @param incarnation The incarnation that crashed.
+ * @param now Current time.
+ * @returns The new suspicion; `before` itself if it already has this crash.
  */
-export function addEnd(before: Suspicion | undefined, service: string, life: EndpointIncarnation, now: number): Suspicion {
-	if (!before || isForgotten(before, now)) {
+export function addCrash(before: Suspicion | undefined, service: string, incarnation: EndpointIncarnation, now: number): Suspicion {
+	if (!before || isExpired(before, now)) {
 		return {
-			service, ends: [life], trials: 0, changedAt: now,
+			service, ends: [incarnation], trials: 0, changedAt: now,
 		};
 	}
 
-	return before.ends.some(end => isSameLife(end, life)) ? before : {...before, ends: [...before.ends, life].slice(-keptEnds), changedAt: now};
+	return before.ends.some(end => isSameIncarnation(end, incarnation)) ? before : {...before, ends: [...before.ends, incarnation].slice(-maximumRecordedCrashes), changedAt: now};
 }
 
 /**
- * Begins a trial of a refused request.
+ * Starts a trial of a refused request.
  *
- * @param before What is held against it.
- * @param now Present time.
- * @returns What is held now; `undefined` where no trial may begin yet.
+ * @param before Previous suspicion.
+ * @param now Current time.
+ * @returns The new suspicion; `undefined` if no trial may start yet.
  */
 export function beginTrial(before: Suspicion, now: number): Suspicion | undefined {
-	return now - before.changedAt >= trialPause(before) ? {...before, trials: before.trials + 1, changedAt: now} : undefined;
+	return now - before.changedAt >= trialDelay(before) ? {...before, trials: before.trials + 1, changedAt: now} : undefined;
 }
 
-/** Takes back a trial that did not run, so that the request is tried once more after the same pause. */
-export function takeBackTrial(before: Suspicion, now: number): Suspicion {
+/** Reverts a trial that did not run, so that the request gets another one after the same delay. */
+export function revertTrial(before: Suspicion, now: number): Suspicion {
 	return {...before, trials: Math.max(0, before.trials - 1), changedAt: now};
 }
 
 /**
- * Reads what is held against a request.
+ * Decodes a suspicion.
  *
- * @param content Content of its row.
- * @returns What is held, or why it cannot be read.
+ * @param content Content of the row.
+ * @returns The suspicion, or why it cannot be decoded.
  */
 export function decodeSuspicion(content: Uint8Array): Result<Suspicion, string> {
 	try {
@@ -112,7 +113,7 @@
 	}
 }
 
-/** Content of a row. */
+/** Encodes a suspicion as the content of a row. */
 export function encodeSuspicion(suspicion: Suspicion): string {
 	return JSON.stringify(suspicion);
 }
