--- a/source/calls/idempotency.ts
+++ b/source/calls/idempotency.ts
@@ -78,7 +78,7 @@
  * @param headers Headers of the call.
  * @example
  * ```ts
- * sendRefusal(response, refusalOfAttempt(refusal, request.headers));
+ * sendErrorResponse(response, refusalOfAttempt(refusal, request.headers));
  * ```
  */
 export function refusalOfAttempt(refusal: Refusal, headers: IncomingHttpHeaders): Refusal {
--- a/source/endpoints/service-message.ts
+++ b/source/endpoints/service-message.ts
@@ -68,7 +68,7 @@
  * @throws {Error} When the connection fails within the head.
  * @example
  * ```ts
- * const answer = await readAnswer(response, () => client.destroy());
+ * const answer = await readResponse(response, () => client.destroy());
  * ```
  */
 export async function readAnswer(response: Dispatcher.ResponseData, onEnd: () => void): Promise<ServiceAnswer> {
--- a/source/forwarding/call-attempts.ts
+++ b/source/forwarding/call-attempts.ts
@@ -1,142 +1,142 @@
 /**
- * The attempts of one plain call that are in progress.
+ * Concurrent attempts of one call.
  *
  * @module
  */
 import {type ServerResponse} from 'node:http';
 import {type EndpointEntry} from '../beliefs/mod.ts';
-import {type CallAttempt} from './call-attempt.ts';
-import {type HeldAnswer, type HeldAnswers} from './held-answers.ts';
+import {type CallAttemptResult} from './call-attempt-result.ts';
+import {type ResponseBuffer, type ResponseBuffers} from './response-buffers.ts';
 
-/** What an attempt runs with. */
+/** Context of one attempt. */
 export type AttemptContext = {
-	/** Ends the attempt. */
+	/** Aborts the attempt. */
 	signal: AbortSignal;
-	/** Bounds what is held of its answer. */
-	held: HeldAnswer;
+	/** Limits how much of its response is buffered. */
+	buffer: ResponseBuffer;
 };
 
 /** Options of {@linkcode CallAttempts}. */
 export type CallAttemptsOptions = {
-	heldAnswers: HeldAnswers;
-	/** Aborts when the caller has left. */
-	callerGone: AbortSignal;
-	/** Steady time, in milliseconds. */
+	responseBuffers: ResponseBuffers;
+	/** Aborts when the caller disconnects. */
+	callerDisconnected: AbortSignal;
+	/** Returns monotonic time, in milliseconds. */
 	clock: () => number;
 };
 
-type InProgress = {ending: AbortController; held: HeldAnswer};
+type RunningAttempt = {controller: AbortController; buffer: ResponseBuffer};
 
 /**
- * Runs attempts side by side, one at each endpoint.
+ * Runs attempts concurrently, at most one per endpoint.
  *
  * @example
  * ```ts
- * attempts.start(endpoint, async ({signal, held}) => send(endpoint, signal, held));
- * const ended = await attempts.next(until);
+ * attempts.start(endpoint, async ({signal, buffer}) => send(endpoint, signal, buffer));
+ * const result = await attempts.next(until);
  * ```
  */
 export class CallAttempts {
 	readonly #options: CallAttemptsOptions;
-	readonly #inProgress = new Map<string, InProgress>();
-	/** Attempts whose end has not been looked at yet, by endpoint. */
-	readonly #pending = new Map<string, Promise<CallAttempt>>();
+	readonly #running = new Map<string, RunningAttempt>();
+	/** Attempts whose result has not been consumed yet, by endpoint id. */
+	readonly #pending = new Map<string, Promise<CallAttemptResult>>();
 	#hasEnded = false;
 
 	constructor(options: CallAttemptsOptions) {
 		this.#options = options;
 	}
 
-	/** Attempts whose end has not been looked at yet. */
+	/** Number of attempts whose result has not been consumed yet. */
 	get pending(): number {
 		return this.#pending.size;
 	}
 
-	/** Whether what becomes of the attempts does not matter any more: the call has its answer or was given up. */
+	/** Whether the call has ended: it was answered or given up, and the results of remaining attempts are not used. */
 	get hasEnded(): boolean {
 		return this.#hasEnded;
 	}
 
-	/** Starts an attempt. */
-	start(endpoint: EndpointEntry, run: (context: AttemptContext) => Promise<CallAttempt>): void {
-		const ending = new AbortController();
-		const held = this.#options.heldAnswers.begin();
-		this.#inProgress.set(endpoint.id, {ending, held});
-		this.#pending.set(endpoint.id, run({signal: ending.signal, held}));
+	/** Starts an attempt at an endpoint. */
+	start(endpoint: EndpointEntry, run: (context: AttemptContext) => Promise<CallAttemptResult>): void {
+		const controller = new AbortController();
+		const buffer = this.#options.responseBuffers.allocate();
+		this.#running.set(endpoint.id, {controller, buffer});
+		this.#pending.set(endpoint.id, run({signal: controller.signal, buffer}));
 	}
 
-	/** Waits for the end of an attempt, or until a time; `undefined` when the time came first or the caller left. */
-	async next(until: number): Promise<CallAttempt | undefined> {
-		const {callerGone, clock} = this.#options;
-		if (callerGone.aborted) {
+	/** Waits for the next attempt result; returns `undefined` if the given time passes or the caller disconnects first. */
+	async next(until: number): Promise<CallAttemptResult | undefined> {
+		const {callerDisconnected, clock} = this.#options;
+		if (callerDisconnected.aborted) {
 			return undefined;
 		}
 
 		let timer: NodeJS.Timeout | undefined;
-		let onGone: (() => void) | undefined;
+		let onInterrupt: (() => void) | undefined;
 		const interrupted = new Promise<undefined>(resolve => {
-			onGone = () => {
+			onInterrupt = () => {
 				resolve(undefined);
 			};
 
-			timer = setTimeout(onGone, Math.max(0, until - clock()));
-			callerGone.addEventListener('abort', onGone);
+			timer = setTimeout(onInterrupt, Math.max(0, until - clock()));
+			callerDisconnected.addEventListener('abort', onInterrupt);
 		});
-		const step = await Promise.race([...this.#pending.values(), interrupted]);
+		const result = await Promise.race([...this.#pending.values(), interrupted]);
 		clearTimeout(timer);
-		callerGone.removeEventListener('abort', onGone!);
-		if (step) {
-			this.#pending.delete(step.endpoint.id);
+		callerDisconnected.removeEventListener('abort', onInterrupt!);
+		if (result) {
+			this.#pending.delete(result.endpoint.id);
 		}
 
-		return step;
+		return result;
 	}
 
 	/**
-	 * Ends all attempts but one, which goes on until a time or until the caller leaves.
+	 * Aborts all attempts except one, which continues until the given time or until the caller disconnects.
 	 *
-	 * @param endpoint Endpoint of the attempt that goes on.
-	 * @param until Steady time at which it ends, in milliseconds.
-	 * @returns Aborts when it ends.
+	 * @param endpoint Endpoint of the attempt that continues.
+	 * @param until Monotonic time at which it is aborted, in milliseconds.
+	 * @returns Signal that aborts when the attempt is aborted.
 	 */
-	keepOnly({id}: EndpointEntry, until: number): AbortSignal {
-		const {callerGone, clock} = this.#options;
-		const kept = this.#inProgress.get(id)!;
+	abortOthers({id}: EndpointEntry, until: number): AbortSignal {
+		const {callerDisconnected, clock} = this.#options;
+		const remaining = this.#running.get(id)!;
 		this.#hasEnded = true;
-		for (const [other, {ending, held}] of this.#inProgress) {
+		for (const [other, {controller, buffer}] of this.#running) {
 			if (other !== id) {
-				held.release();
-				ending.abort();
+				buffer.release();
+				controller.abort();
 			}
 		}
 
-		const end = () => {
-			kept.ending.abort();
+		const abort = () => {
+			remaining.controller.abort();
 		};
 
-		const timer = setTimeout(end, Math.max(0, until - clock()));
-		kept.ending.signal.addEventListener('abort', () => {
+		const timer = setTimeout(abort, Math.max(0, until - clock()));
+		remaining.controller.signal.addEventListener('abort', () => {
 			clearTimeout(timer);
 		});
-		if (callerGone.aborted) {
-			end();
+		if (callerDisconnected.aborted) {
+			abort();
 		} else {
-			callerGone.addEventListener('abort', end);
+			callerDisconnected.addEventListener('abort', abort);
 		}
 
-		return kept.ending.signal;
+		return remaining.controller.signal;
 	}
 
-	/** Ends all attempts; what is held of their answers is released once the caller has its own. */
-	endAll(response: ServerResponse): void {
+	/** Aborts all attempts; their buffers are released once the caller's response has closed. */
+	abortAll(response: ServerResponse): void {
 		this.#hasEnded = true;
-		for (const {ending} of this.#inProgress.values()) {
-			ending.abort();
+		for (const {controller} of this.#running.values()) {
+			controller.abort();
 		}
 
 		const release = () => {
-			for (const {held} of this.#inProgress.values()) {
-				held.release();
+			for (const {buffer} of this.#running.values()) {
+				buffer.release();
 			}
 		};
 
--- a/source/forwarding/endpoint-connections.ts
+++ b/source/forwarding/endpoint-connections.ts
@@ -1,31 +1,31 @@
 /**
- * Connections to endpoints.
+ * HTTP connections to endpoints.
  *
  * @module
  */
 import {Agent, type ClientRequest} from 'node:http';
 import {type Socket} from 'node:net';
 
-/** Time for which an unused connection is kept, in milliseconds; endpoints close theirs a little later. */
-const idleMilliseconds = 4000;
+/** Idle timeout of a pooled connection, in milliseconds; shorter than that of the endpoints, so that they do not close a connection first. */
+const idleTimeoutMilliseconds = 4000;
 
-/** Unused connections kept for each endpoint. */
-const idleConnections = 4;
+/** Maximum number of idle connections per endpoint. */
+const maximumIdleConnections = 4;
 
-/** The library's own handling, which its types do not declare in full. */
+/** Methods of Node's `Agent` that its types do not declare completely. */
 // eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Both methods are documented.
 const agentMethods = Agent.prototype as unknown as {keepSocketAlive(socket: Socket): boolean; reuseSocket(socket: Socket, request: ClientRequest): void};
 
-/** Keeps connections, and closes those on which an endpoint sends anything while no request waits there. */
-class QuietAgent extends Agent {
-	// eslint-disable-next-line @typescript-eslint/strict-void-return -- The library takes the answer, which its types leave out.
+/** Keep-alive agent that closes an idle connection on which the endpoint sends data. */
+class StrictKeepAliveAgent extends Agent {
+	// eslint-disable-next-line @typescript-eslint/strict-void-return -- Node uses the returned value, which its types leave out.
 	override keepSocketAlive(socket: Socket): boolean {
-		const kept = agentMethods.keepSocketAlive.call(this, socket);
-		if (kept) {
+		const isReusable = agentMethods.keepSocketAlive.call(this, socket);
+		if (isReusable) {
 			socket.on('data', destroyOnData);
 		}
 
-		return kept;
+		return isReusable;
 	}
 
 	override reuseSocket(socket: Socket, request: ClientRequest): void {
@@ -39,33 +39,33 @@
 }
 
 /**
- * The connections of one router to all endpoints.
+ * Connections of one gateway to all endpoints.
  *
  * @example
  * ```ts
  * const connections = new EndpointConnections();
- * const agent = connections.agent('kept');
+ * const agent = connections.agent('pooled');
  * ```
  */
 export class EndpointConnections {
-	readonly #kept = new QuietAgent({
-		keepAlive: true, timeout: idleMilliseconds, maxFreeSockets: idleConnections, scheduling: 'lifo',
+	readonly #pooled = new StrictKeepAliveAgent({
+		keepAlive: true, timeout: idleTimeoutMilliseconds, maxFreeSockets: maximumIdleConnections, scheduling: 'lifo',
 	});
 
 	readonly #fresh = new Agent({keepAlive: false});
 
 	/**
-	 * Returns the agent of a request.
+	 * Returns the HTTP agent for a request.
 	 *
-	 * @param use `kept` where the request may be sent again, since an unused connection may turn out to be dead; `fresh` otherwise.
+	 * @param use `pooled` for requests that may be sent again, since an idle connection may turn out to be dead; `fresh` otherwise.
 	 */
-	agent(use: 'kept' | 'fresh'): Agent {
-		return use === 'kept' ? this.#kept : this.#fresh;
+	agent(use: 'pooled' | 'fresh'): Agent {
+		return use === 'pooled' ? this.#pooled : this.#fresh;
 	}
 
 	/** Closes all connections. */
 	close(): void {
-		this.#kept.destroy();
+		this.#pooled.destroy();
 		this.#fresh.destroy();
 	}
 }
--- a/source/forwarding/endpoint-signals.ts
+++ b/source/forwarding/endpoint-signals.ts
@@ -1,32 +1,32 @@
 /**
- * Obeys what endpoints say of themselves in their answers.
+ * Applies the leaving and backoff signals that endpoints send in their responses.
  *
  * @module
  */
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {type AnswerTerms} from '../platform/mod.ts';
-import {type ForwardingParts} from './forwarding-parts.ts';
+import {type ForwardingDependencies} from './forwarding-dependencies.ts';
 
-/** Shortest time to come back that callers are told, in milliseconds: an answer names no shorter one. */
-const shortestMilliseconds = 1;
+/** Minimum `Retry-After` sent to callers, in milliseconds; the header's format has no smaller unit. */
+const minimumRetryAfterMilliseconds = 1;
 
-/** Status of an answer that turns a request away for now. */
-const turnedAwayStatus = 503;
+/** Status of a response that asks the gateway to retry later. */
+const unavailableStatus = 503;
 
 /**
- * Remembers that an endpoint leaves, or asks to back off.
+ * Records that an endpoint is leaving or requests backoff.
  *
- * Both hold for the life of the endpoint that said it, whatever the store's list says, since the endpoint knows better and sooner.
+ * Both apply to the endpoint's current incarnation and take precedence over the store's endpoint list, since the endpoint's own state is newer.
  *
- * @param endpoint The endpoint that answered.
- * @param answer Status and terms of its answer.
- * @param parts The router's other parts.
+ * @param endpoint The endpoint that responded.
+ * @param response Status and metadata of its response.
+ * @param dependencies Components of the gateway that all requests share.
  */
-export function noteSignals(endpoint: EndpointEntry, {status, terms: {leaving, retryAfterMilliseconds}}: {status: number; terms: AnswerTerms}, parts: ForwardingParts): void {
-	const {backoff, logger, clock, countSignal} = parts;
+export function recordSignals(endpoint: EndpointEntry, {status, terms: {leaving, retryAfterMilliseconds}}: {status: number; terms: AnswerTerms}, dependencies: ForwardingDependencies): void {
+	const {backoff, logger, clock, countSignal} = dependencies;
 	const now = clock();
-	noteLeaving(endpoint, leaving, parts);
-	if (status === turnedAwayStatus && retryAfterMilliseconds !== undefined) {
+	recordLeaving(endpoint, leaving, dependencies);
+	if (status === unavailableStatus && retryAfterMilliseconds !== undefined) {
 		backoff.start(endpoint, now + retryAfterMilliseconds);
 		countSignal(endpoint.service, 'backoff');
 		logger.info('endpoint asks to back off', {endpoint: endpoint.id, startedAt: endpoint.startedAt, milliseconds: retryAfterMilliseconds});
@@ -34,13 +34,13 @@
 }
 
 /**
- * Remembers that an endpoint leaves, where it says so.
+ * Records that an endpoint is leaving, if it announced that.
  *
- * @param endpoint The endpoint that answered.
- * @param leaving Whether it says that it leaves.
- * @param parts The router's other parts.
+ * @param endpoint The endpoint that responded.
+ * @param leaving Whether it announced that it is leaving.
+ * @param dependencies Components of the gateway that all requests share.
  */
-export function noteLeaving(endpoint: EndpointEntry, leaving: boolean, {endpoints, logger, clock, countSignal}: ForwardingParts): void {
+export function recordLeaving(endpoint: EndpointEntry, leaving: boolean, {endpoints, logger, clock, countSignal}: ForwardingDependencies): void {
 	if (leaving && endpoints.markLeaving(endpoint, clock())) {
 		countSignal(endpoint.service, 'leaving');
 		logger.info('endpoint says that it leaves', {endpoint: endpoint.id, startedAt: endpoint.startedAt});
@@ -48,26 +48,28 @@
 }
 
 /**
- * Returns the endpoints of a service that may be used now: those that do not ask to back off.
+ * Returns the endpoints of a service that are not in backoff.
  *
  * @param service Name of the service.
- * @param parts The router's other parts.
+ * @param dependencies Components of the gateway that all requests share.
  */
-export function usableEndpoints(service: string, {endpoints, backoff, clock}: ForwardingParts): readonly EndpointEntry[] {
+export function usableEndpoints(service: string, {endpoints, backoff, clock}: ForwardingDependencies): readonly EndpointEntry[] {
 	const now = clock();
 	return backoff.partition(endpoints.endpointsOf(service, now), now).usable;
 }
 
 /**
- * Returns when a caller may come back that no endpoint served: once the first one takes requests again, where all ask to back off.
+ * Returns the delay after which a caller that no endpoint served may retry.
+ *
+ * If all endpoints are in backoff, this is the time until the first backoff ends.
  *
  * @param service Name of the service.
- * @param otherwiseMilliseconds Time to come back in the other case, in milliseconds.
- * @param parts The router's other parts.
- * @returns Milliseconds.
+ * @param defaultMilliseconds Delay if not all endpoints are in backoff, in milliseconds.
+ * @param dependencies Components of the gateway that all requests share.
+ * @returns Delay in milliseconds.
  */
-export function comeBackAfter(service: string, otherwiseMilliseconds: number, {endpoints, backoff, clock}: ForwardingParts): number {
+export function computeRetryAfter(service: string, defaultMilliseconds: number, {endpoints, backoff, clock}: ForwardingDependencies): number {
 	const now = clock();
 	const {usable, earliestEnd: firstEnd} = backoff.partition(endpoints.endpointsOf(service, now), now);
-	return usable.length === 0 && firstEnd !== undefined ? Math.max(shortestMilliseconds, firstEnd - now) : otherwiseMilliseconds;
+	return usable.length === 0 && firstEnd !== undefined ? Math.max(minimumRetryAfterMilliseconds, firstEnd - now) : defaultMilliseconds;
 }
--- /dev/null
+++ b/source/forwarding/engine-selector.ts
@@ -0,0 +1,104 @@
+/**
+ * Selects the engine for a generation: queries candidates for their load and ranks them.
+ *
+ * @module
+ */
+import {
+	engineCandidates, rankEngines, type QueriedEngine, type EngineReport,
+} from '../balancing/mod.ts';
+import {type EndpointEntry} from '../beliefs/mod.ts';
+import {readEngineReport} from '../platform/mod.ts';
+import {recordLeaving, usableEndpoints} from './endpoint-signals.ts';
+import {type Exchange} from './exchange.ts';
+import {type ForwardingDependencies} from './forwarding-dependencies.ts';
+import {showsRestart} from './silence-decision.ts';
+
+/** Maximum number of engines queried for their load before a generation is placed. */
+const maximumQueriedEngines = 6;
+
+/** Parameters of load queries: over a pooled connection before placement, over a new one when an engine is silent. */
+const loadQueries = {
+	placement: {timeoutMilliseconds: 60, use: 'pooled'},
+	silence: {timeoutMilliseconds: 100, use: 'fresh'},
+} as const;
+
+/** Options of {@linkcode EngineSelector}. */
+export type EngineSelectorOptions = {
+	exchange: Exchange;
+	dependencies: ForwardingDependencies;
+	/** Ids of engines that must not be used again for this generation. */
+	tried: ReadonlySet<string>;
+	/** Estimated tokens of the generation: prompt and output. */
+	tokens: number;
+};
+
+/**
+ * Selects engines for one generation.
+ *
+ * @example
+ * ```ts
+ * const [best] = await selector.rank();
+ * ```
+ */
+export class EngineSelector {
+	readonly #options: EngineSelectorOptions;
+
+	constructor(options: EngineSelectorOptions) {
+		this.#options = options;
+	}
+
+	/** Whether an engine may still be used: not tried yet, no recent failure, still listed, and not in backoff. */
+	isUsable(endpoint: EndpointEntry): boolean {
+		const {tried, dependencies: {endpoints, health, backoff, clock}} = this.#options;
+		const now = clock();
+		return !tried.has(endpoint.id) && !health.shouldAvoid(endpoint.id, now) && !backoff.isBackedOff(endpoint, now) && endpoints.stateOf(endpoint) === 'listed';
+	}
+
+	/** Queries candidate engines for their load and returns them by increasing pending work. */
+	async rank(): Promise<QueriedEngine[]> {
+		const {exchange, dependencies, tried, tokens} = this.#options;
+		const {endpoints, health, loads, clock} = dependencies;
+		const candidates = engineCandidates({
+			endpoints: usableEndpoints(exchange.service.name, dependencies),
+			tried,
+			health,
+			preferenceKey: exchange.terms.promptPart ?? exchange.requestName,
+			count: maximumQueriedEngines,
+			now: clock(),
+		});
+		const queried: QueriedEngine[] = await Promise.all(candidates.map(async endpoint => ({endpoint, report: await this.queryLoad(endpoint, 'placement')})));
+		for (const engine of queried) {
+			if (!engine.report) {
+				health.recordFailure(engine.endpoint.id, 'unreachable', clock());
+			} else if (showsRestart(engine.report, engine.endpoint.startedAt)) {
+				endpoints.excludeIncarnation(engine.endpoint.id, engine.endpoint.startedAt);
+				engine.report = undefined;
+			}
+		}
+
+		const ranked = rankEngines({queried, loads, tokens});
+		return ranked.length > 0 || candidates.length === 0 || exchange.callerDisconnected.aborted || clock() >= exchange.deadline
+			? ranked
+			: this.#rankRemaining(candidates);
+	}
+
+	/** Queries one engine for its load; returns `undefined` if it does not respond. */
+	async queryLoad(endpoint: EndpointEntry, purpose: keyof typeof loadQueries): Promise<EngineReport | undefined> {
+		const {dependencies} = this.#options;
+		const {timeoutMilliseconds, use} = loadQueries[purpose];
+		const result = await readEngineReport({agent: dependencies.connections.agent(use), address: endpoint.address, timeoutMilliseconds});
+		const report = result.unwrapOr(undefined);
+		if (report && !showsRestart(report, endpoint.startedAt)) {
+			recordLeaving(endpoint, report.saysLeaving, dependencies);
+		}
+
+		return report;
+	}
+
+	/** Queries the remaining usable engines after no queried one qualified; if there are none, returns the candidates without reports. */
+	async #rankRemaining(candidates: readonly EndpointEntry[]): Promise<QueriedEngine[]> {
+		const {exchange, dependencies} = this.#options;
+		const others = usableEndpoints(exchange.service.name, dependencies).some(endpoint => this.isUsable(endpoint));
+		return others ? this.rank() : candidates.map(endpoint => ({endpoint, report: undefined}));
+	}
+}
--- a/source/forwarding/event-order.ts
+++ b/source/forwarding/event-order.ts
@@ -1,43 +1,43 @@
 /**
- * Decides whether an event may follow another one.
+ * Checks the order of events.
  *
- * Answers engines that repeat events, as one that was asked to go on from an earlier event than the caller has.
+ * Guards against engines that repeat events, for example one that resumes from an earlier event than the caller's last one.
  *
  * @module
  */
 
 /**
- * Whether an event comes after the newest one that the caller has. Ids that are no whole numbers are not compared.
+ * Returns whether an event comes after the last one that the caller received. Ids that are not whole numbers are not compared.
  *
- * @param lastEvent Id of the newest event, if there is one.
- * @param event Id of the event, if it has one.
+ * @param lastEventId Id of the last event, if there is one.
+ * @param eventId Id of the event, if it has one.
  * @example
  * ```ts
  * followsEvent('7', '8'); // true
  * followsEvent('7', '7'); // false
  * ```
  */
-export function followsEvent(lastEvent: string | undefined, event: string | undefined): boolean {
-	const [last, next] = [wholeNumber(lastEvent), wholeNumber(event)];
+export function followsEvent(lastEventId: string | undefined, eventId: string | undefined): boolean {
+	const [last, next] = [parseWholeNumber(lastEventId), parseWholeNumber(eventId)];
 	return last === undefined || next === undefined || next > last;
 }
 
 /**
- * The events up to the first one that does not come after the one before it.
+ * Returns the events before the first one that is out of order.
  *
- * @param lastEvent Id of the newest event that the caller has, if there is one.
- * @param events Events as they came.
+ * @param lastEventId Id of the last event that the caller received, if there is one.
+ * @param events Events in the order of arrival.
  */
-export function eventsInOrder<Event extends {id: string | undefined}>(lastEvent: string | undefined, events: readonly Event[]): Event[] {
-	let newest = lastEvent;
+export function eventsInOrder<Event extends {id: string | undefined}>(lastEventId: string | undefined, events: readonly Event[]): Event[] {
+	let previousId = lastEventId;
 	const end = events.findIndex(({id}) => {
-		const follows = followsEvent(newest, id);
-		newest = id ?? newest;
+		const follows = followsEvent(previousId, id);
+		previousId = id ?? previousId;
 		return !follows;
 	});
 	return events.slice(0, end === -1 ? events.length : end);
 }
 
-function wholeNumber(text: string | undefined): number | undefined {
+function parseWholeNumber(text: string | undefined): number | undefined {
 	return text !== undefined && /^\d{1,15}$/v.test(text) ? Number(text) : undefined;
 }
--- a/source/forwarding/event-splitter.ts
+++ b/source/forwarding/event-splitter.ts
@@ -1,17 +1,17 @@
 /**
- * Splits a stream of server-sent events into whole events.
+ * Splits a stream of server-sent events into complete events.
  *
  * @module
  */
 import {Buffer} from 'node:buffer';
 
-/** One whole event. */
+/** One complete event. */
 export type StreamEvent = {
-	/** Value of its `id` line, if it has one. */
+	/** Value of the `id` field, if present. */
 	id: string | undefined;
-	/** Whether it brings something; an empty line or a comment alone does not. */
+	/** Whether it has an `id` or `data` field; an empty line or a comment alone does not count. */
 	isMessage: boolean;
-	/** The bytes of the event, its empty line included. */
+	/** Bytes of the event, including the empty line at its end. */
 	bytes: Uint8Array;
 };
 
@@ -20,7 +20,7 @@
 const carriageReturn = 0x0D;
 
 /**
- * Collects bytes and returns the events that they complete; an event that is not whole is kept back.
+ * Buffers bytes and returns the events that they complete; an incomplete event stays in the buffer.
  *
  * @example
  * ```ts
@@ -30,36 +30,36 @@
  * ```
  */
 export class EventSplitter {
-	#kept: Uint8Array = new Uint8Array();
+	#incomplete: Uint8Array = new Uint8Array();
 
-	/** Bytes of an event that is not whole yet. */
-	get rest(): Uint8Array {
-		return this.#kept;
+	/** Bytes of the event that is not complete yet. */
+	get incompleteBytes(): Uint8Array {
+		return this.#incomplete;
 	}
 
 	/**
-	 * Takes bytes of the stream.
+	 * Adds bytes of the stream.
 	 *
 	 * @param chunk The bytes.
-	 * @returns The events that are whole now.
+	 * @returns The events that are complete now.
 	 */
 	push(chunk: Uint8Array): StreamEvent[] {
-		this.#kept = this.#kept.length === 0 ? chunk : Buffer.concat([this.#kept, chunk]);
+		this.#incomplete = this.#incomplete.length === 0 ? chunk : Buffer.concat([this.#incomplete, chunk]);
 		const events: StreamEvent[] = [];
 		let start = 0;
-		for (let end = endOfEvent(this.#kept, start); end >= 0; end = endOfEvent(this.#kept, start)) {
-			const bytes = this.#kept.subarray(start, end);
-			events.push(readEvent(bytes));
+		for (let end = findEventEnd(this.#incomplete, start); end >= 0; end = findEventEnd(this.#incomplete, start)) {
+			const bytes = this.#incomplete.subarray(start, end);
+			events.push(parseEvent(bytes));
 			start = end;
 		}
 
-		this.#kept = this.#kept.subarray(start);
+		this.#incomplete = this.#incomplete.subarray(start);
 		return events;
 	}
 }
 
-/** Returns the position after the empty line that ends an event; -1 where there is none yet. */
-function endOfEvent(bytes: Uint8Array, start: number): number {
+/** Returns the position after the empty line that ends an event, or -1 if there is none yet. */
+function findEventEnd(bytes: Uint8Array, start: number): number {
 	for (let index = bytes.indexOf(lineFeed, start); index >= 0; index = bytes.indexOf(lineFeed, index + 1)) {
 		const next = bytes[index + 1];
 		if (next === lineFeed) {
@@ -74,7 +74,7 @@
 	return -1;
 }
 
-function readEvent(bytes: Uint8Array): StreamEvent {
+function parseEvent(bytes: Uint8Array): StreamEvent {
 	const text = decoder.decode(bytes);
 	const id = /^id:[ ]?(?<id>[^\r\n]*)/mv.exec(text)?.groups?.id;
 	return {id, isMessage: id !== undefined || /^data(?::|\r?$)/mv.test(text), bytes};
--- a/source/forwarding/exchange.ts
+++ b/source/forwarding/exchange.ts
@@ -1,5 +1,5 @@
 /**
- * One request of a caller and the answer to it.
+ * A caller's request together with its response and routing data.
  *
  * @module
  */
@@ -8,7 +8,7 @@
 import {type RequestIdentity} from '../suspects/mod.ts';
 import {type RequestTerms} from './request-terms.ts';
 
-/** One request that was admitted. */
+/** An admitted request and its context. */
 export type Exchange = {
 	request: IncomingMessage;
 	response: ServerResponse;
@@ -17,27 +17,27 @@
 	route: Route;
 	service: Service;
 	workspace: Workspace | undefined;
-	/** What stays the same when the caller sends the request again. */
+	/** Identity of the request's content; it is the same when the caller sends the request again. */
 	identity: RequestIdentity;
-	/** How a request under which endpoints have ended is sent: `suspected` to one endpoint at a time, `trial` to one endpoint only. */
-	care: 'none' | 'suspected' | 'trial';
-	/** Name of the request in logs. */
+	/** Restrictions on a request during which endpoints have crashed: `suspected` is sent to one endpoint at a time, `trial` to one endpoint only. */
+	handling: 'none' | 'suspected' | 'trial';
+	/** Identifier of the request in logs. */
 	requestName: string;
-	/** Steady time at which the request arrived, in milliseconds. */
+	/** Monotonic time at which the request arrived, in milliseconds. */
 	arrivedAt: number;
-	/** Steady time by which it needs its final answer, in milliseconds. */
-	answerBy: number;
-	/** Aborts when the caller's connection has closed. */
-	callerGone: AbortSignal;
+	/** Monotonic time by which the caller needs the final response, in milliseconds. */
+	deadline: number;
+	/** Aborts when the caller's connection closes. */
+	callerDisconnected: AbortSignal;
 };
 
 /** How a request ended, for logs and metrics. */
 export type ExchangeOutcome = {
-	/** Short stable word. */
+	/** Short, stable outcome code. */
 	outcome: string;
 	status: number;
-	/** Endpoints that were asked, in order. */
+	/** Ids of the endpoints that the request was sent to, in order. */
 	endpoints: readonly string[];
-	/** What the caller of a generation saw of it. */
+	/** Events of a generation that the caller received, and their timing. */
 	generation?: {events: number; firstEventMilliseconds: number | undefined; longestPauseMilliseconds: number};
 };
--- a/source/forwarding/forward-call.ts
+++ b/source/forwarding/forward-call.ts
@@ -1,86 +1,86 @@
 /**
- * Forwards a call to a plain service.
+ * Forwards a call to a plain service, which is one that does not stream generations.
  *
  * @module
  */
 import {chooseEndpoint} from '../balancing/mod.ts';
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {
-	passAnswerOn, sendRefusal, sendWholeAnswer, type Refusal,
-} from './answer-caller.ts';
-import {comeBackAfter, usableEndpoints} from './endpoint-signals.ts';
-import {askRetryBudget} from './ask-retry-budget.ts';
-import {type CallAttempt} from './call-attempt.ts';
+	streamResponse, sendErrorResponse, sendCompleteResponse, type ErrorResponse,
+} from './caller-response.ts';
+import {computeRetryAfter, usableEndpoints} from './endpoint-signals.ts';
+import {acquireRetry} from './acquire-retry.ts';
+import {type CallAttemptResult} from './call-attempt-result.ts';
 import {CallAttempts} from './call-attempts.ts';
 import {type Exchange, type ExchangeOutcome} from './exchange.ts';
-import {type ForwardingParts} from './forwarding-parts.ts';
-import {type LostAttempt} from './lost-attempts.ts';
-import {mayRunAgain} from './retry-decision.ts';
+import {type ForwardingDependencies} from './forwarding-dependencies.ts';
+import {type LostAttempt} from './crash-detector.ts';
+import {mayRetry} from './retry-decision.ts';
 import {sendCallAttempt} from './send-call-attempt.ts';
 
-/** Share of the target after which an idempotent call is sent to a second endpoint as well. */
+/** Share of the target response time after which an idempotent call is hedged, that is, sent to a second endpoint as well. */
 const hedgeShare = 0.5;
 
-/** Shortest time after which a call is hedged, in milliseconds. */
-const shortestHedgeMilliseconds = 40;
+/** Minimum delay before a call is hedged, in milliseconds. */
+const minimumHedgeDelayMilliseconds = 40;
 
-/** When a caller may come back that found no endpoint, in milliseconds. */
-const comeBackMilliseconds = 250;
+/** Default `Retry-After` if no endpoint is available, in milliseconds. */
+const defaultRetryAfterMilliseconds = 250;
 
 /**
- * Forwards a call, to another endpoint too where that is allowed, and answers the caller.
+ * Forwards a call, retrying at other endpoints if allowed, and responds to the caller.
  *
  * @param exchange The call.
- * @param parts The router's other parts.
- * @returns How it ended.
+ * @param dependencies Components of the gateway that all requests share.
+ * @returns Outcome of the call.
  */
-export async function forwardCall(exchange: Exchange, parts: ForwardingParts): Promise<ExchangeOutcome> {
-	return new CallForwarding(exchange, parts).run();
+export async function forwardCall(exchange: Exchange, dependencies: ForwardingDependencies): Promise<ExchangeOutcome> {
+	return new CallForwarder(exchange, dependencies).run();
 }
 
-class CallForwarding {
+class CallForwarder {
 	readonly #exchange: Exchange;
-	readonly #parts: ForwardingParts;
+	readonly #dependencies: ForwardingDependencies;
 	readonly #tried = new Set<string>();
 	readonly #attempts: CallAttempts;
-	/** What becomes of endpoints that lost an answer, by their names. */
-	readonly #settling = new Map<string, Promise<void>>();
+	/** Checks for a crash of endpoints whose response was lost, by endpoint id. */
+	readonly #crashChecks = new Map<string, Promise<void>>();
 	#runs = 0;
 	#timedOut = false;
 
-	constructor(exchange: Exchange, parts: ForwardingParts) {
+	constructor(exchange: Exchange, dependencies: ForwardingDependencies) {
 		this.#exchange = exchange;
-		this.#parts = parts;
-		this.#attempts = new CallAttempts({heldAnswers: parts.heldAnswers, callerGone: exchange.callerGone, clock: parts.clock});
+		this.#dependencies = dependencies;
+		this.#attempts = new CallAttempts({responseBuffers: dependencies.responseBuffers, callerDisconnected: exchange.callerDisconnected, clock: dependencies.clock});
 	}
 
 	async run(): Promise<ExchangeOutcome> {
 		try {
 			return await this.#serve();
 		} finally {
-			this.#attempts.endAll(this.#exchange.response);
+			this.#attempts.abortAll(this.#exchange.response);
 		}
 	}
 
 	async #serve(): Promise<ExchangeOutcome> {
 		const {response, route} = this.#exchange;
-		const hedgeAt = this.#exchange.arrivedAt + Math.max(shortestHedgeMilliseconds, route.targetMilliseconds * hedgeShare);
-		let mayHedge = route.kind === 'idempotent' && route.maximumAttempts > 1 && this.#exchange.care === 'none';
-		const first = this.#choose();
+		const hedgeAt = this.#exchange.arrivedAt + Math.max(minimumHedgeDelayMilliseconds, route.targetMilliseconds * hedgeShare);
+		let mayHedge = route.kind === 'idempotent' && route.maximumAttempts > 1 && this.#exchange.handling === 'none';
+		const first = this.#chooseEndpoint();
 		if (!first) {
-			return this.#refuse({
-				status: 503, code: 'no_endpoint', message: 'No endpoint of the service can be used now.', retryAfterMilliseconds: this.#comeBackAfter(),
+			return this.#sendError({
+				status: 503, code: 'no_endpoint', message: 'No endpoint of the service can be used now.', retryAfterMilliseconds: this.#computeRetryAfter(),
 			});
 		}
 
-		this.#start(first);
+		this.#startAttempt(first);
 		for (;;) {
-			const step = await this.#attempts.next(mayHedge ? Math.min(hedgeAt, this.#exchange.answerBy) : this.#exchange.answerBy);
-			if (this.#exchange.callerGone.aborted) {
+			const result = await this.#attempts.next(mayHedge ? Math.min(hedgeAt, this.#exchange.deadline) : this.#exchange.deadline);
+			if (this.#exchange.callerDisconnected.aborted) {
 				return this.#outcome('caller_left', 0);
 			}
 
-			if (step === undefined && mayHedge && this.#parts.clock() < this.#exchange.answerBy) {
+			if (result === undefined && mayHedge && this.#dependencies.clock() < this.#exchange.deadline) {
 				mayHedge = false;
 				if (this.#runs < route.maximumAttempts) {
 					await this.#retry('hedge');
@@ -89,175 +89,175 @@
 				continue;
 			}
 
-			if (step === undefined) {
+			if (result === undefined) {
 				this.#timedOut = true;
-				return this.#refuse({status: 504, code: 'timeout', message: 'No endpoint answered in time.'});
+				return this.#sendError({status: 504, code: 'timeout', message: 'No endpoint answered in time.'});
 			}
 
-			if (step.kind === 'begun') {
-				return this.#passOn(step);
+			if (result.kind === 'streaming') {
+				return this.#stream(result);
 			}
 
-			if (step.kind === 'answered') {
-				sendWholeAnswer(response, step.answer.status, step.answer.rawHeaders, step.answer.body);
-				return this.#outcome('answered', step.answer.status);
+			if (result.kind === 'answered') {
+				sendCompleteResponse(response, result.response.status, result.response.rawHeaders, result.response.body);
+				return this.#outcome('answered', result.response.status);
 			}
 
-			const goesOn = await this.#goesOn(step);
-			if (!goesOn && this.#attempts.pending === 0) {
-				return this.#giveUp(step);
+			const retried = await this.#retryAfterFailure(result);
+			if (!retried && this.#attempts.pending === 0) {
+				return this.#giveUp(result);
 			}
 		}
 	}
 
-	/** Passes on an answer that is too large to be held, as it comes; the other attempts end. */
-	async #passOn({endpoint, answer}: CallAttempt & {kind: 'begun'}): Promise<ExchangeOutcome> {
-		const {response, answerBy, callerGone, requestName} = this.#exchange;
-		const {loads, health, logger, clock} = this.#parts;
-		const signal = this.#attempts.keepOnly(endpoint, answerBy);
-		const ended = loads.trackRequest(endpoint.id, 0);
-		const passed = await passAnswerOn(response, answer, signal);
-		ended();
-		if (passed.isOk()) {
+	/** Streams a response that is too large to buffer and aborts the other attempts. */
+	async #stream({endpoint, response: endpointResponse}: CallAttemptResult & {kind: 'streaming'}): Promise<ExchangeOutcome> {
+		const {response, deadline, callerDisconnected, requestName} = this.#exchange;
+		const {loads, health, logger, clock} = this.#dependencies;
+		const signal = this.#attempts.abortOthers(endpoint, deadline);
+		const endLoad = loads.trackRequest(endpoint.id, 0);
+		const streamed = await streamResponse(response, endpointResponse, signal);
+		endLoad();
+		if (streamed.isOk()) {
 			health.recordSuccess(endpoint.id, clock());
-			return this.#outcome('answered', answer.status);
+			return this.#outcome('answered', endpointResponse.status);
 		}
 
-		if (callerGone.aborted) {
+		if (callerDisconnected.aborted) {
 			return this.#outcome('caller_left', 0);
 		}
 
 		health.recordFailure(endpoint.id, 'broken', clock());
 		logger.info('answer broken off', {
-			request: requestName, endpoint: endpoint.id, status: answer.status, reason: passed.error,
+			request: requestName, endpoint: endpoint.id, status: endpointResponse.status, reason: streamed.error,
 		});
-		return this.#outcome('broken_off', answer.status);
+		return this.#outcome('broken_off', endpointResponse.status);
 	}
 
-	/** Starts another attempt after one that ended, where that is allowed. */
-	async #goesOn({end, endpoint}: CallAttempt & {kind: 'ended'}): Promise<boolean> {
-		const {route, answerBy, identity, care} = this.#exchange;
-		await this.#settling.get(endpoint.id);
-		if (care === 'trial' || this.#parts.suspects.isRefused(identity)) {
+	/** Starts another attempt after an unsuccessful one, if allowed. */
+	async #retryAfterFailure({end, endpoint}: CallAttemptResult & {kind: 'unsuccessful'}): Promise<boolean> {
+		const {route, deadline, identity, handling} = this.#exchange;
+		await this.#crashChecks.get(endpoint.id);
+		if (handling === 'trial' || this.#dependencies.suspects.isRefused(identity)) {
 			return false;
 		}
 
-		const allowed = mayRunAgain({
-			kind: route.kind, resumable: false, end, runs: this.#runs, maximumRuns: route.maximumAttempts, leftMilliseconds: answerBy - this.#parts.clock(),
+		const allowed = mayRetry({
+			kind: route.kind, resumable: false, end, runs: this.#runs, maximumRuns: route.maximumAttempts, remainingMilliseconds: deadline - this.#dependencies.clock(),
 		});
 		return allowed && this.#retry(end);
 	}
 
-	/** Sends the call to one more endpoint, where there is one and the budget allows it. */
+	/** Sends the call to another endpoint, if there is one and the retry budget allows it. */
 	async #retry(reason: string): Promise<boolean> {
-		const endpoint = this.#choose();
-		const allowed = endpoint !== undefined && await askRetryBudget(this.#exchange, reason, this.#parts);
-		if (!allowed || this.#exchange.callerGone.aborted) {
+		const endpoint = this.#chooseEndpoint();
+		const allowed = endpoint !== undefined && await acquireRetry(this.#exchange, reason, this.#dependencies);
+		if (!allowed || this.#exchange.callerDisconnected.aborted) {
 			return false;
 		}
 
-		this.#start(endpoint);
+		this.#startAttempt(endpoint);
 		return true;
 	}
 
-	#choose(): EndpointEntry | undefined {
-		const {loads, health, availabilityZone, clock, random} = this.#parts;
+	#chooseEndpoint(): EndpointEntry | undefined {
+		const {loads, health, availabilityZone, clock, random} = this.#dependencies;
 		return chooseEndpoint({
-			endpoints: usableEndpoints(this.#exchange.service.name, this.#parts), tried: this.#tried, loads, health, availabilityZone, now: clock(), random,
+			endpoints: usableEndpoints(this.#exchange.service.name, this.#dependencies), tried: this.#tried, loads, health, availabilityZone, now: clock(), random,
 		});
 	}
 
-	#start(endpoint: EndpointEntry): void {
+	#startAttempt(endpoint: EndpointEntry): void {
 		this.#tried.add(endpoint.id);
 		this.#runs += 1;
 		this.#attempts.start(endpoint, async context => {
-			const ended = await sendCallAttempt(endpoint, this.#exchange, context, this.#parts);
-			this.#note(ended);
-			return ended;
+			const result = await sendCallAttempt(endpoint, this.#exchange, context, this.#dependencies);
+			this.#recordResult(result);
+			return result;
 		});
 	}
 
-	/** Remembers what an attempt says of its endpoint. */
-	#note(attempt: CallAttempt): void {
-		const {endpoints, health, logger, clock} = this.#parts;
-		const {endpoint} = attempt;
+	/** Records the endpoint's health from the result of an attempt. */
+	#recordResult(result: CallAttemptResult): void {
+		const {endpoints, health, logger, clock} = this.#dependencies;
+		const {endpoint} = result;
 		if (this.#attempts.hasEnded) {
-			if (attempt.kind === 'ended' && attempt.end === 'lost' && !this.#exchange.callerGone.aborted) {
+			if (result.kind === 'unsuccessful' && result.end === 'lost' && !this.#exchange.callerDisconnected.aborted) {
 				health.recordFailure(endpoint.id, 'broken', clock());
 			}
 
 			if (this.#timedOut) {
-				this.#parts.lostAttempts.watch(this.#lostAt(endpoint));
+				this.#dependencies.crashDetector.watchList(this.#lostAttempt(endpoint));
 			}
 
 			return;
 		}
 
-		if (attempt.kind === 'begun') {
+		if (result.kind === 'streaming') {
 			return;
 		}
 
-		if (attempt.kind === 'answered') {
+		if (result.kind === 'answered') {
 			health.recordSuccess(endpoint.id, clock());
 			return;
 		}
 
-		if (attempt.end === 'not-run') {
+		if (result.end === 'not-run') {
 			this.#runs -= 1;
 		}
 
-		if (attempt.failure) {
-			health.recordFailure(endpoint.id, attempt.failure, clock());
+		if (result.failure) {
+			health.recordFailure(endpoint.id, result.failure, clock());
 		} else {
 			endpoints.excludeIncarnation(endpoint.id, endpoint.startedAt);
 		}
 
 		logger.info('attempt failed', {
-			request: this.#exchange.requestName, endpoint: endpoint.id, end: attempt.end, reason: attempt.message, runs: this.#runs,
+			request: this.#exchange.requestName, endpoint: endpoint.id, end: result.end, reason: result.message, runs: this.#runs,
 		});
-		if (attempt.end === 'lost') {
-			this.#settle(endpoint);
+		if (result.end === 'lost') {
+			this.#checkForCrash(endpoint);
 		}
 	}
 
-	/** Has it found out what became of an endpoint that lost the answer. */
-	#settle(endpoint: EndpointEntry): void {
-		this.#settling.set(endpoint.id, this.#parts.lostAttempts.settle(this.#lostAt(endpoint)));
+	/** Starts to check whether an endpoint that lost the response has crashed. */
+	#checkForCrash(endpoint: EndpointEntry): void {
+		this.#crashChecks.set(endpoint.id, this.#dependencies.crashDetector.checkForCrash(this.#lostAttempt(endpoint)));
 	}
 
-	#lostAt(endpoint: EndpointEntry): LostAttempt {
+	#lostAttempt(endpoint: EndpointEntry): LostAttempt {
 		const {identity, requestName} = this.#exchange;
 		return {
 			identity, requestName, endpoint, events: 0,
 		};
 	}
 
-	#giveUp({end, message, answer, retryAfterMilliseconds}: CallAttempt & {kind: 'ended'}): ExchangeOutcome {
-		if (this.#exchange.callerGone.aborted) {
+	#giveUp({end, message, response: endpointResponse, retryAfterMilliseconds}: CallAttemptResult & {kind: 'unsuccessful'}): ExchangeOutcome {
+		if (this.#exchange.callerDisconnected.aborted) {
 			return this.#outcome('caller_left', 0);
 		}
 
-		if (answer && end === 'failed') {
-			sendWholeAnswer(this.#exchange.response, answer.status, answer.rawHeaders, answer.body);
-			return this.#outcome('endpoint_failed', answer.status);
+		if (endpointResponse && end === 'failed') {
+			sendCompleteResponse(this.#exchange.response, endpointResponse.status, endpointResponse.rawHeaders, endpointResponse.body);
+			return this.#outcome('endpoint_failed', endpointResponse.status);
 		}
 
 		if (this.#runs === 0) {
-			return this.#refuse({
-				status: 503, code: 'not_run', message: `No endpoint took the request: ${message}`, retryAfterMilliseconds: this.#comeBackAfter(retryAfterMilliseconds),
+			return this.#sendError({
+				status: 503, code: 'not_run', message: `No endpoint took the request: ${message}`, retryAfterMilliseconds: this.#computeRetryAfter(retryAfterMilliseconds),
 			});
 		}
 
-		return this.#refuse({status: 502, code: 'answer_lost', message: `The request may have run, and its answer is lost: ${message}`});
+		return this.#sendError({status: 502, code: 'answer_lost', message: `The request may have run, and its answer is lost: ${message}`});
 	}
 
-	#comeBackAfter(askedMilliseconds = comeBackMilliseconds): number {
-		return comeBackAfter(this.#exchange.service.name, askedMilliseconds, this.#parts);
+	#computeRetryAfter(requestedMilliseconds = defaultRetryAfterMilliseconds): number {
+		return computeRetryAfter(this.#exchange.service.name, requestedMilliseconds, this.#dependencies);
 	}
 
-	#refuse(refusal: Refusal): ExchangeOutcome {
-		sendRefusal(this.#exchange.response, refusal);
-		return this.#outcome(refusal.code, refusal.status);
+	#sendError(error: ErrorResponse): ExchangeOutcome {
+		sendErrorResponse(this.#exchange.response, error);
+		return this.#outcome(error.code, error.status);
 	}
 
 	#outcome(outcome: string, status: number): ExchangeOutcome {
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -1,60 +1,60 @@
 /**
- * Forwards a generation, over several engines where one is lost, as one answer.
+ * Forwards a generation as one response, continuing on another engine if one is lost.
  *
  * @module
  */
 import {chooseCopyHolder, type QueriedEngine} from '../balancing/mod.ts';
 import {type EndpointEntry} from '../beliefs/mod.ts';
-import {sendRefusal, sendWholeAnswer, type Refusal} from './answer-caller.ts';
-import {comeBackAfter, noteSignals} from './endpoint-signals.ts';
-import {askRetryBudget} from './ask-retry-budget.ts';
-import {EnginePlacing} from './engine-placing.ts';
+import {sendErrorResponse, sendCompleteResponse, type ErrorResponse} from './caller-response.ts';
+import {computeRetryAfter, recordSignals} from './endpoint-signals.ts';
+import {acquireRetry} from './acquire-retry.ts';
+import {EngineSelector} from './engine-selector.ts';
 import {type Exchange, type ExchangeOutcome} from './exchange.ts';
-import {type ForwardingParts} from './forwarding-parts.ts';
+import {type ForwardingDependencies} from './forwarding-dependencies.ts';
 import {
 	runGenerationAttempt, type AttemptTarget, type GenerationEnd, type GenerationProgress,
 } from './generation-attempt.ts';
-import {mayRunAgain, type AttemptEnd} from './retry-decision.ts';
+import {mayRetry, type AttemptEnd} from './retry-decision.ts';
 
-/** When a caller may come back that found no engine, in milliseconds. */
-const comeBackMilliseconds = 500;
+/** Default `Retry-After` if no engine is available, in milliseconds. */
+const defaultRetryAfterMilliseconds = 500;
 
-/** Tokens of an answer that does not say how many it has. */
-const unknownOutputTokens = 800;
+/** Output tokens assumed if the request does not state a maximum. */
+const defaultOutputTokens = 800;
 
 /**
- * Forwards a generation and answers the caller.
+ * Forwards a generation and responds to the caller.
  *
  * @param exchange The generation.
- * @param parts The router's other parts.
- * @returns How it ended.
+ * @param dependencies Components of the gateway that all requests share.
+ * @returns Outcome of the generation.
  */
-export async function forwardGeneration(exchange: Exchange, parts: ForwardingParts): Promise<ExchangeOutcome> {
-	return new GenerationForwarding(exchange, parts).run();
+export async function forwardGeneration(exchange: Exchange, dependencies: ForwardingDependencies): Promise<ExchangeOutcome> {
+	return new GenerationForwarder(exchange, dependencies).run();
 }
 
-class GenerationForwarding {
+class GenerationForwarder {
 	readonly #exchange: Exchange;
-	readonly #parts: ForwardingParts;
+	readonly #dependencies: ForwardingDependencies;
 	readonly #progress: GenerationProgress;
 	readonly #tried = new Set<string>();
-	readonly #asked: string[] = [];
+	readonly #attempted: string[] = [];
 	readonly #tokens: number;
 	#copyHolder: EndpointEntry | undefined;
-	readonly #placing: EnginePlacing;
-	/** Engines of the last question, in order of their load. */
+	readonly #selector: EngineSelector;
+	/** Engines of the last load query, ordered by load. */
 	#ranked: readonly QueriedEngine[] = [];
 	#runs = 0;
 
-	constructor(exchange: Exchange, parts: ForwardingParts) {
+	constructor(exchange: Exchange, dependencies: ForwardingDependencies) {
 		this.#exchange = exchange;
-		this.#parts = parts;
+		this.#dependencies = dependencies;
 		this.#progress = {
-			lastEvent: exchange.terms.lastEvent, events: 0, eventAt: exchange.arrivedAt, firstEventMilliseconds: undefined, longestPauseMilliseconds: 0,
+			lastEventId: exchange.terms.lastEvent, events: 0, lastEventAt: exchange.arrivedAt, firstEventMilliseconds: undefined, longestPauseMilliseconds: 0,
 		};
-		this.#tokens = exchange.terms.promptTokens + (exchange.terms.outputTokens || unknownOutputTokens);
-		this.#placing = new EnginePlacing({
-			exchange, parts, tried: this.#tried, tokens: this.#tokens,
+		this.#tokens = exchange.terms.promptTokens + (exchange.terms.outputTokens || defaultOutputTokens);
+		this.#selector = new EngineSelector({
+			exchange, dependencies, tried: this.#tried, tokens: this.#tokens,
 		});
 	}
 
@@ -63,7 +63,7 @@
 		let retryAfterMilliseconds: number | undefined;
 		for (;;) {
 			const target = await this.#chooseTarget();
-			if (this.#exchange.callerGone.aborted) {
+			if (this.#exchange.callerDisconnected.aborted) {
 				return this.#outcome('caller_left', 0);
 			}
 
@@ -73,65 +73,65 @@
 
 			const eventsBefore = this.#progress.events;
 			const end = await this.#attempt(target);
-			// Only an engine that has made events can have sent a copy.
+			// Only an engine that has generated events can have sent a copy.
 			this.#copyHolder = end.kind === 'lost' && this.#progress.events > eventsBefore ? target.copyHolder : undefined;
 			if (end.kind === 'finished') {
 				return this.#outcome('answered', end.status);
 			}
 
-			if (end.kind === 'caller-left') {
+			if (end.kind === 'caller-disconnected') {
 				return this.#outcome('caller_left', 0);
 			}
 
 			message = end.kind === 'failed' ? `the engine answered ${end.status}` : end.message;
 			retryAfterMilliseconds = end.kind === 'not-run' ? end.retryAfterMilliseconds : undefined;
-			this.#note(target, end, message);
+			this.#recordEnd(target, end, message);
 			if (end.kind === 'lost') {
-				await this.#settle(target.endpoint, this.#progress.events - eventsBefore);
+				await this.#checkForCrash(target.endpoint, this.#progress.events - eventsBefore);
 			}
 
-			const goesOn = await this.#goesOn(endOfAttempt(end));
-			if (!goesOn) {
-				return end.kind === 'failed' && !this.#exchange.response.headersSent ? this.#passFailure(end) : this.#giveUp(message, retryAfterMilliseconds);
+			const willRetry = await this.#mayRetry(toAttemptEnd(end));
+			if (!willRetry) {
+				return end.kind === 'failed' && !this.#exchange.response.headersSent ? this.#forwardFailure(end) : this.#giveUp(message, retryAfterMilliseconds);
 			}
 		}
 	}
 
 	async #attempt(target: AttemptTarget): Promise<GenerationEnd> {
 		this.#tried.add(target.endpoint.id);
-		this.#asked.push(target.endpoint.id);
+		this.#attempted.push(target.endpoint.id);
 		this.#runs += 1;
-		const ended = this.#parts.loads.trackRequest(target.endpoint.id, this.#tokens);
+		const endLoad = this.#dependencies.loads.trackRequest(target.endpoint.id, this.#tokens);
 		try {
 			return await runGenerationAttempt({
 				exchange: this.#exchange,
 				target,
 				progress: this.#progress,
-				// An unused connection may be dead, and a copy can be gone on from once only.
-				agent: this.#parts.connections.agent('fresh'),
-				heldAnswers: this.#parts.heldAnswers,
-				ask: async () => this.#placing.ask(target.endpoint, 'silent'),
-				onAnswer: answer => {
-					noteSignals(target.endpoint, answer, this.#parts);
+				// An idle pooled connection may be dead, and a copy can be resumed from only once.
+				agent: this.#dependencies.connections.agent('fresh'),
+				responseBuffers: this.#dependencies.responseBuffers,
+				queryLoad: async () => this.#selector.queryLoad(target.endpoint, 'silence'),
+				onResponse: endpointResponse => {
+					recordSignals(target.endpoint, endpointResponse, this.#dependencies);
 				},
-				clock: this.#parts.clock,
+				clock: this.#dependencies.clock,
 			});
 		} finally {
-			ended();
+			endLoad();
 		}
 	}
 
-	/** Chooses the engine that holds a copy, without asking any, or else the one with the least work before it. */
+	/** Chooses the engine that holds a copy, without load queries, or else the one with the least pending work. */
 	async #chooseTarget(): Promise<AttemptTarget | undefined> {
-		const holder = this.#copyHolder;
+		const copyHolder = this.#copyHolder;
 		this.#copyHolder = undefined;
-		const goesOnFromCopy = holder !== undefined && this.#placing.isUsable(holder);
-		if (!goesOnFromCopy) {
-			this.#ranked = await this.#placing.rank();
+		const resumesFromCopy = copyHolder !== undefined && this.#selector.isUsable(copyHolder);
+		if (!resumesFromCopy) {
+			this.#ranked = await this.#selector.rank();
 		}
 
-		const endpoint = goesOnFromCopy ? holder : this.#ranked[0]?.endpoint;
-		return endpoint && {endpoint, goOnFrom: goesOnFromCopy ? holder : undefined, copyHolder: this.#chooseCopyHolder(endpoint)};
+		const endpoint = resumesFromCopy ? copyHolder : this.#ranked[0]?.endpoint;
+		return endpoint && {endpoint, resumeFrom: resumesFromCopy ? copyHolder : undefined, copyHolder: this.#chooseCopyHolder(endpoint)};
 	}
 
 	#chooseCopyHolder(engine: EndpointEntry): EndpointEntry | undefined {
@@ -140,13 +140,13 @@
 			return undefined;
 		}
 
-		const usable = this.#ranked.filter(({endpoint}) => this.#placing.isUsable(endpoint));
+		const usable = this.#ranked.filter(({endpoint}) => this.#selector.isUsable(endpoint));
 		return chooseCopyHolder(usable, engine, this.#tokens);
 	}
 
-	/** Remembers what the end of an attempt says of its engine. */
-	#note({endpoint, goOnFrom}: AttemptTarget, end: GenerationEnd & {kind: 'not-run' | 'lost' | 'failed'}, reason: string): void {
-		const {health, endpoints, clock, logger} = this.#parts;
+	/** Records the engine's health from the end of an attempt. */
+	#recordEnd({endpoint, resumeFrom}: AttemptTarget, end: GenerationEnd & {kind: 'not-run' | 'lost' | 'failed'}, reason: string): void {
+		const {health, endpoints, clock, logger} = this.#dependencies;
 		if (end.kind === 'not-run') {
 			this.#runs -= 1;
 		}
@@ -156,8 +156,8 @@
 		} else if (end.kind === 'failed') {
 			health.recordFailure(endpoint.id, 'failed', clock());
 		} else if (end.kind === 'not-run' && !end.unreachable) {
-			if (goOnFrom) {
-				// The engine lost its copy; it may still run the generation from its prompt.
+			if (resumeFrom) {
+				// The engine lost its copy; it can still run the generation from the prompt.
 				this.#tried.delete(endpoint.id);
 			} else {
 				health.recordFailure(endpoint.id, 'full', clock());
@@ -173,59 +173,62 @@
 			reason,
 			runs: this.#runs,
 			events: this.#progress.events,
-			lastEvent: this.#progress.lastEvent,
+			lastEvent: this.#progress.lastEventId,
 			copyHolder: this.#copyHolder?.id,
-			goOnFrom: goOnFrom?.id,
+			goOnFrom: resumeFrom?.id,
 		});
 	}
 
-	/** Has it found out what became of an engine that lost the answer. */
-	async #settle(endpoint: EndpointEntry, events: number): Promise<void> {
+	/** Checks whether an engine that lost the response has crashed. */
+	async #checkForCrash(endpoint: EndpointEntry, events: number): Promise<void> {
 		const {identity, requestName} = this.#exchange;
-		await this.#parts.lostAttempts.settle({
+		await this.#dependencies.crashDetector.checkForCrash({
 			identity, requestName, endpoint, events,
 		});
 	}
 
-	async #goesOn(end: AttemptEnd): Promise<boolean> {
-		const {route, answerBy, identity, care} = this.#exchange;
-		if (care === 'trial' || this.#parts.suspects.isRefused(identity)) {
+	async #mayRetry(end: AttemptEnd): Promise<boolean> {
+		const {route, deadline, identity, handling} = this.#exchange;
+		if (handling === 'trial' || this.#dependencies.suspects.isRefused(identity)) {
 			return false;
 		}
 
-		const allowed = mayRunAgain({
-			kind: route.kind, resumable: route.resumable, end, runs: this.#runs, maximumRuns: route.maximumAttempts, leftMilliseconds: answerBy - this.#parts.clock(),
+		const allowed = mayRetry({
+			kind: route.kind, resumable: route.resumable, end, runs: this.#runs, maximumRuns: route.maximumAttempts, remainingMilliseconds: deadline - this.#dependencies.clock(),
 		});
-		return allowed && askRetryBudget(this.#exchange, end, this.#parts);
+		return allowed && acquireRetry(this.#exchange, end, this.#dependencies);
 	}
 
-	#passFailure({status, rawHeaders, body}: GenerationEnd & {kind: 'failed'}): ExchangeOutcome {
-		sendWholeAnswer(this.#exchange.response, status, rawHeaders, body);
+	#forwardFailure({status, rawHeaders, body}: GenerationEnd & {kind: 'failed'}): ExchangeOutcome {
+		sendCompleteResponse(this.#exchange.response, status, rawHeaders, body);
 		return this.#outcome('endpoint_failed', status);
 	}
 
-	#giveUp(message: string, askedMilliseconds: number | undefined): ExchangeOutcome {
-		const {response, answerBy} = this.#exchange;
+	#giveUp(message: string, requestedMilliseconds: number | undefined): ExchangeOutcome {
+		const {response, deadline} = this.#exchange;
 		if (response.headersSent) {
-			// A caller sees by the cut connection that the answer is not whole.
+			// The closed connection shows the caller that the response is incomplete.
 			response.destroy();
 			return this.#outcome('broken_off', 200);
 		}
 
 		if (this.#runs === 0) {
-			return this.#refuse({
-				status: 503, code: 'not_run', message: `No engine took the request: ${message}`, retryAfterMilliseconds: comeBackAfter(this.#exchange.service.name, askedMilliseconds ?? comeBackMilliseconds, this.#parts),
+			return this.#sendError({
+				status: 503,
+				code: 'not_run',
+				message: `No engine took the request: ${message}`,
+				retryAfterMilliseconds: computeRetryAfter(this.#exchange.service.name, requestedMilliseconds ?? defaultRetryAfterMilliseconds, this.#dependencies),
 			});
 		}
 
-		return this.#parts.clock() >= answerBy
-			? this.#refuse({status: 504, code: 'timeout', message: 'No engine answered in time.'})
-			: this.#refuse({status: 502, code: 'answer_lost', message: `The request may have run, and its answer is lost: ${message}`});
+		return this.#dependencies.clock() >= deadline
+			? this.#sendError({status: 504, code: 'timeout', message: 'No engine answered in time.'})
+			: this.#sendError({status: 502, code: 'answer_lost', message: `The request may have run, and its answer is lost: ${message}`});
 	}
 
-	#refuse(refusal: Refusal): ExchangeOutcome {
-		sendRefusal(this.#exchange.response, refusal);
-		return this.#outcome(refusal.code, refusal.status);
+	#sendError(error: ErrorResponse): ExchangeOutcome {
+		sendErrorResponse(this.#exchange.response, error);
+		return this.#outcome(error.code, error.status);
 	}
 
 	#outcome(outcome: string, status: number): ExchangeOutcome {
@@ -233,7 +236,7 @@
 		return {
 			outcome,
 			status,
-			endpoints: this.#asked,
+			endpoints: this.#attempted,
 			generation: {
 				events,
 				firstEventMilliseconds: firstEventMilliseconds === undefined ? undefined : Math.round(firstEventMilliseconds),
@@ -243,6 +246,6 @@
 	}
 }
 
-function endOfAttempt({kind}: GenerationEnd & {kind: 'not-run' | 'lost' | 'failed'}): AttemptEnd {
+function toAttemptEnd({kind}: GenerationEnd & {kind: 'not-run' | 'lost' | 'failed'}): AttemptEnd {
 	return kind === 'failed' ? 'failed' : kind;
 }
--- a/source/forwarding/forwarding-parts.ts
+++ b/source/forwarding/forwarding-dependencies.ts
@@ -1,5 +1,5 @@
 /**
- * What forwarding needs from the router's other parts.
+ * Components of the gateway that forwarding uses.
  *
  * @module
  */
@@ -9,29 +9,29 @@
 import {type SuspectedRequests} from '../suspects/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {type EndpointConnections} from './endpoint-connections.ts';
-import {type HeldAnswers} from './held-answers.ts';
-import {type LostAttempts} from './lost-attempts.ts';
+import {type ResponseBuffers} from './response-buffers.ts';
+import {type CrashDetector} from './crash-detector.ts';
 
-/** Parts shared by all requests. */
-export type ForwardingParts = {
+/** Components shared by all requests. */
+export type ForwardingDependencies = {
 	endpoints: EndpointList;
 	loads: EndpointLoads;
 	health: EndpointHealth;
 	backoff: EndpointBackoff;
 	connections: EndpointConnections;
-	heldAnswers: HeldAnswers;
-	lostAttempts: LostAttempts;
+	responseBuffers: ResponseBuffers;
+	crashDetector: CrashDetector;
 	suspects: SuspectedRequests;
 	logger: Logger;
-	/** Zone of this router. */
+	/** Availability zone of this gateway. */
 	availabilityZone: string;
-	/** Steady time, in milliseconds. */
+	/** Returns monotonic time, in milliseconds. */
 	clock: () => number;
 	random: () => number;
-	/** Budget of retries of a service. */
+	/** Returns the retry budget of a service. */
 	retryBudgetOf(service: string): SharedRetryBudget;
-	/** Counts an endpoint that says that it leaves or asks to back off. */
+	/** Counts a leaving or backoff signal from an endpoint. */
 	countSignal(service: string, signal: 'leaving' | 'backoff'): void;
-	/** Counts a decision on a retry. */
+	/** Counts a decision of the retry budget. */
 	countRetry(service: string, reason: string, allowed: boolean): void;
 };
--- a/source/forwarding/forwarding.test.ts
+++ b/source/forwarding/forwarding.test.ts
@@ -5,9 +5,9 @@
 import {type EngineReport} from '../balancing/mod.ts';
 import {eventsInOrder, followsEvent} from './event-order.ts';
 import {EventSplitter} from './event-splitter.ts';
-import {mayRunAgain} from './retry-decision.ts';
+import {mayRetry} from './retry-decision.ts';
 import {
-	countsAsDead, decideOnSilence, lacksAttempt, provesRestart, withholdsEvents,
+	isPresumedDead, decideSilenceAction, lacksAttempt, showsRestart, hasUndeliveredEvents,
 } from './silence-decision.ts';
 
 const report = (changes: Partial<EngineReport> = {}): EngineReport => ({
@@ -15,10 +15,10 @@
 });
 
 const retry = {
-	kind: 'idempotent', resumable: false, end: 'lost', runs: 1, maximumRuns: 2, leftMilliseconds: 500,
+	kind: 'idempotent', resumable: false, end: 'lost', runs: 1, maximumRuns: 2, remainingMilliseconds: 500,
 } as const;
 
-test('an event that the caller already has does not follow', () => {
+test('an event that the caller already received is out of order', () => {
 	assert.equal(followsEvent(undefined, '1'), true);
 	assert.equal(followsEvent('9', '10'), true);
 	assert.equal(followsEvent('9', '12'), true);
@@ -28,7 +28,7 @@
 	assert.equal(followsEvent('a', 'a'), true);
 });
 
-test('events before one that does not follow are kept', () => {
+test('events before the first one out of order are returned', () => {
 	const idsOf = (last: string | undefined, ids: Array<string | undefined>) => eventsInOrder(last, ids.map(id => ({id}))).map(({id}) => id);
 	assert.deepEqual(idsOf(undefined, ['1', '2', '2', '3']), ['1', '2']);
 	assert.deepEqual(idsOf('4', ['5', undefined, '6']), ['5', undefined, '6']);
@@ -36,23 +36,23 @@
 	assert.deepEqual(idsOf('4', []), []);
 });
 
-test('what may not be repeated goes on only where it was surely not run', () => {
-	assert.equal(mayRunAgain({...retry, kind: 'at-most-once'}), false);
-	assert.equal(mayRunAgain({...retry, kind: 'at-most-once', end: 'failed'}), false);
-	assert.equal(mayRunAgain({
+test('a request that must not be repeated is retried only if it certainly was not run', () => {
+	assert.equal(mayRetry({...retry, kind: 'at-most-once'}), false);
+	assert.equal(mayRetry({...retry, kind: 'at-most-once', end: 'failed'}), false);
+	assert.equal(mayRetry({
 		...retry, kind: 'at-most-once', end: 'not-run', runs: 0,
 	}), true);
-	assert.equal(mayRunAgain({...retry, kind: 'generation'}), false);
-	assert.equal(mayRunAgain({...retry, kind: 'generation', resumable: true}), true);
+	assert.equal(mayRetry({...retry, kind: 'generation'}), false);
+	assert.equal(mayRetry({...retry, kind: 'generation', resumable: true}), true);
 });
 
-test('runs stay within their number and their time', () => {
-	assert.equal(mayRunAgain(retry), true);
-	assert.equal(mayRunAgain({...retry, runs: 2}), false);
-	assert.equal(mayRunAgain({...retry, leftMilliseconds: 5}), false);
+test('retries stay within the maximum number of runs and the deadline', () => {
+	assert.equal(mayRetry(retry), true);
+	assert.equal(mayRetry({...retry, runs: 2}), false);
+	assert.equal(mayRetry({...retry, remainingMilliseconds: 5}), false);
 });
 
-test('events come out whole and in order however their bytes are cut', () => {
+test('events are returned complete and in order for any chunking of the stream', () => {
 	fc.assert(fc.property(fc.array(fc.string({maxLength: 20}), {maxLength: 10}), fc.array(fc.nat({max: 12}), {maxLength: 60}), fc.constantFrom('\n', '\r\n'), (texts, cuts, lineEnd) => {
 		const stream = texts.map((text, index) => `id: ${index + 1}${lineEnd}data: ${text.replaceAll(/[\r\n]/gv, ' ')}${lineEnd}${lineEnd}`).join('');
 		const bytes = Buffer.from(stream);
@@ -71,57 +71,57 @@
 
 		assert.deepEqual(ids, texts.map((_text, index) => String(index + 1)));
 		assert.equal(joined, stream);
-		assert.equal(splitter.rest.length, 0);
+		assert.equal(splitter.incompleteBytes.length, 0);
 	}));
 });
 
-test('an event that is not whole is kept back', () => {
+test('an incomplete event stays in the buffer', () => {
 	const splitter = new EventSplitter();
 	assert.equal(splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2\nda')).length, 1);
-	assert.equal(Buffer.from(splitter.rest).toString(), 'id: 2\nda');
+	assert.equal(Buffer.from(splitter.incompleteBytes).toString(), 'id: 2\nda');
 });
 
 const silent = {
-	started: true, silentMilliseconds: 100, unprovenMilliseconds: 100, eventPauseMilliseconds: 700, targetMilliseconds: 4500, hasCopy: true,
+	started: true, silentMilliseconds: 100, sinceAliveMilliseconds: 100, eventPauseMilliseconds: 700, targetMilliseconds: 4500, hasCopy: true,
 };
 
-test('a silent engine is asked in time to go on within the pause that callers accept, and left only after several of them', () => {
-	assert.equal(decideOnSilence(silent), 'wait');
-	assert.equal(decideOnSilence({...silent, silentMilliseconds: 300, unprovenMilliseconds: 300}), 'ask');
-	assert.equal(decideOnSilence({...silent, silentMilliseconds: 900, unprovenMilliseconds: 100}), 'wait');
-	assert.equal(decideOnSilence({...silent, silentMilliseconds: 2200, unprovenMilliseconds: 100}), 'leave');
-	assert.equal(decideOnSilence({
-		...silent, hasCopy: false, silentMilliseconds: 2200, unprovenMilliseconds: 100,
+test('a silent engine is queried within the accepted event pause, and abandoned only after a multiple of it', () => {
+	assert.equal(decideSilenceAction(silent), 'wait');
+	assert.equal(decideSilenceAction({...silent, silentMilliseconds: 300, sinceAliveMilliseconds: 300}), 'query');
+	assert.equal(decideSilenceAction({...silent, silentMilliseconds: 900, sinceAliveMilliseconds: 100}), 'wait');
+	assert.equal(decideSilenceAction({...silent, silentMilliseconds: 2200, sinceAliveMilliseconds: 100}), 'abandon');
+	assert.equal(decideSilenceAction({
+		...silent, hasCopy: false, silentMilliseconds: 2200, sinceAliveMilliseconds: 100,
 	}), 'wait');
 });
 
-test('an engine that does not answer questions is left at once where there is a copy, and after the accepted pause where there is none', () => {
-	const questions = {
+test('an engine that does not respond to queries is abandoned immediately if there is a copy, and after the accepted event pause otherwise', () => {
+	const queries = {
 		unanswered: 2, silentMilliseconds: 450, eventPauseMilliseconds: 700, hasCopy: true,
 	};
-	assert.equal(countsAsDead(questions), true);
-	assert.equal(countsAsDead({...questions, unanswered: 1}), false);
-	assert.equal(countsAsDead({...questions, hasCopy: false}), false);
-	assert.equal(countsAsDead({...questions, hasCopy: false, silentMilliseconds: 700}), true);
+	assert.equal(isPresumedDead(queries), true);
+	assert.equal(isPresumedDead({...queries, unanswered: 1}), false);
+	assert.equal(isPresumedDead({...queries, hasCopy: false}), false);
+	assert.equal(isPresumedDead({...queries, hasCopy: false, silentMilliseconds: 700}), true);
 });
 
-test('an engine that reads other prompts first is not left while it is alive', () => {
-	assert.equal(decideOnSilence({
-		...silent, started: false, silentMilliseconds: 4000, unprovenMilliseconds: 100,
+test('an engine that processes other prompts first is not abandoned before the stall timeout while it is alive', () => {
+	assert.equal(decideSilenceAction({
+		...silent, started: false, silentMilliseconds: 4000, sinceAliveMilliseconds: 100,
 	}), 'wait');
-	assert.equal(decideOnSilence({
-		...silent, started: false, silentMilliseconds: 7500, unprovenMilliseconds: 100,
-	}), 'leave');
+	assert.equal(decideSilenceAction({
+		...silent, started: false, silentMilliseconds: 7500, sinceAliveMilliseconds: 100,
+	}), 'abandon');
 });
 
-test('reports show an engine that started anew, lacks the attempt, or has made events that did not arrive', () => {
-	assert.equal(provesRestart(report({startedAt: 2}), 1), true);
-	assert.equal(provesRestart(report({startedAt: 0}), 1), false);
+test('load reports reveal a restarted engine, a missing attempt, and generated events that did not arrive', () => {
+	assert.equal(showsRestart(report({startedAt: 2}), 1), true);
+	assert.equal(showsRestart(report({startedAt: 0}), 1), false);
 	assert.equal(lacksAttempt(report(), 'a'), true);
 	assert.equal(lacksAttempt(report({waiting: 1}), 'a'), false);
 	assert.equal(lacksAttempt(report({running: 1}), 'a'), false);
 	const runs = [{attempt: 'a', tokens: 8000, events: 20}];
 	assert.equal(lacksAttempt(report({running: 1, runs}), 'a'), false);
-	assert.equal(withholdsEvents(report({running: 1, runs}), 'a', 0), true);
-	assert.equal(withholdsEvents(report({running: 1, runs}), 'a', 15), false);
+	assert.equal(hasUndeliveredEvents(report({running: 1, runs}), 'a', 0), true);
+	assert.equal(hasUndeliveredEvents(report({running: 1, runs}), 'a', 15), false);
 });
--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -7,43 +7,43 @@
 import {type EngineReport} from '../balancing/mod.ts';
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {encodeSendHeaders} from '../platform/mod.ts';
-import {beginAnswer, sendWholeAnswer, writeToCaller} from './answer-caller.ts';
-import {EngineWatch, type Departure} from './engine-watch.ts';
+import {startResponse, sendCompleteResponse, writeToCaller} from './caller-response.ts';
+import {EngineMonitor, type AbandonReason} from './engine-monitor.ts';
 import {eventsInOrder} from './event-order.ts';
 import {EventSplitter, type StreamEvent} from './event-splitter.ts';
 import {type Exchange} from './exchange.ts';
-import {type HeldAnswer, type HeldAnswers} from './held-answers.ts';
-import {sendRequest, BrokenAnswerError, type EndpointAnswer} from './send-request.ts';
+import {type ResponseBuffer, type ResponseBuffers} from './response-buffers.ts';
+import {sendRequest, IncompleteResponseError, type EndpointResponse} from './send-request.ts';
 
-/** Where an attempt goes. */
+/** Target of an attempt. */
 export type AttemptTarget = {
 	endpoint: EndpointEntry;
-	/** Engine that receives copies of the generation's memory. */
+	/** Engine that receives a copy of the generation's KV cache. */
 	copyHolder: EndpointEntry | undefined;
-	/** Engine that holds a copy to go on from. */
-	goOnFrom: EndpointEntry | undefined;
+	/** Engine that holds a copy to resume from. */
+	resumeFrom: EndpointEntry | undefined;
 };
 
 /** How an attempt ended. */
 export type GenerationEnd
-	/** The caller has the whole answer, or the engine's own failure as it is. */
+	/** The caller received the whole response, or the engine's client error unchanged. */
 	= | {kind: 'finished'; status: number}
-		| {kind: 'caller-left'}
-	/** The engine did not run it; `unreachable` where it could not be connected to. */
+		| {kind: 'caller-disconnected'}
+	/** The engine did not run the generation; `unreachable` if no connection could be established. */
 		| {kind: 'not-run'; status: number; unreachable: boolean; retryAfterMilliseconds: number | undefined; message: string}
-	/** The engine answered with a failure of its own before any event. */
+	/** The engine responded with a server error instead of events. */
 		| {kind: 'failed'; status: number; rawHeaders: readonly string[]; body: Uint8Array}
-	/** The engine is gone, or its answer broke off. */
+	/** The engine was abandoned, or its response broke off. */
 		| {kind: 'lost'; unreachable: boolean; message: string};
 
-/** State of a generation over its attempts. */
+/** Progress of a generation across its attempts. */
 export type GenerationProgress = {
-	/** Newest event that the caller has. */
-	lastEvent: string | undefined;
-	/** Events forwarded. */
+	/** Id of the last event sent to the caller. */
+	lastEventId: string | undefined;
+	/** Number of events forwarded. */
 	events: number;
-	/** Steady time of the newest event, or of the request's arrival, in milliseconds. */
-	eventAt: number;
+	/** Monotonic time of the last event, or of the request's arrival, in milliseconds. */
+	lastEventAt: number;
 	/** Time from the request to its first event, in milliseconds. */
 	firstEventMilliseconds: number | undefined;
 	/** Longest pause between two events, in milliseconds. */
@@ -56,23 +56,23 @@
 	target: AttemptTarget;
 	progress: GenerationProgress;
 	agent: Parameters<typeof sendRequest>[0]['agent'];
-	/** Bounds what is held of answers. */
-	heldAnswers: HeldAnswers;
-	/** Receives each answer of the engine, once its head is there. */
-	onAnswer: (answer: EndpointAnswer) => void;
-	/** Asks the engine for its load over a new connection; `undefined` where it does not answer. */
-	ask: (address: string) => Promise<EngineReport | undefined>;
+	/** Limits how much of the responses is buffered. */
+	responseBuffers: ResponseBuffers;
+	/** Called with the engine's response once its head has arrived. */
+	onResponse: (endpointResponse: EndpointResponse) => void;
+	/** Queries the engine for its load over a new connection; returns `undefined` if it does not respond. */
+	queryLoad: (address: string) => Promise<EngineReport | undefined>;
 	clock: () => number;
 };
 
-/** Time for a connection to an engine, in milliseconds. */
-const connectMilliseconds = 150;
+/** Timeout for connecting to an engine, in milliseconds. */
+const connectTimeoutMilliseconds = 150;
 
 /**
  * Runs one attempt.
  *
- * @param options Request, engine and what the caller has.
- * @returns How it ended; whatever the caller had received by then is in `progress`.
+ * @param options Request, target engine and progress of the generation.
+ * @returns How the attempt ended; `progress` is updated with the events sent to the caller.
  */
 export async function runGenerationAttempt(options: GenerationAttemptOptions): Promise<GenerationEnd> {
 	return new GenerationAttempt(options).run();
@@ -80,46 +80,46 @@
 
 class GenerationAttempt {
 	readonly #options: GenerationAttemptOptions;
-	readonly #ending = new AbortController();
-	readonly #watch: EngineWatch;
-	readonly #held: HeldAnswer;
-	#leftBecause: Departure | undefined;
+	readonly #controller = new AbortController();
+	readonly #monitor: EngineMonitor;
+	readonly #buffer: ResponseBuffer;
+	#abandonReason: AbandonReason | undefined;
 
 	constructor(options: GenerationAttemptOptions) {
 		this.#options = options;
-		this.#held = options.heldAnswers.begin();
-		const {exchange: {route, terms, answerBy}, target: {endpoint, copyHolder}, ask, clock} = options;
-		this.#watch = new EngineWatch({
+		this.#buffer = options.responseBuffers.allocate();
+		const {exchange: {route, terms, deadline}, target: {endpoint, copyHolder}, queryLoad, clock} = options;
+		this.#monitor = new EngineMonitor({
 			startedAt: endpoint.startedAt,
-			attempt: terms.attempt ?? '',
-			answerBy,
+			attemptId: terms.attempt ?? '',
+			deadline,
 			eventPauseMilliseconds: route.eventPauseMilliseconds,
 			targetMilliseconds: route.targetMilliseconds,
 			hasCopy: copyHolder !== undefined,
-			ask: async () => ask(endpoint.address),
-			onLeave: departure => {
-				this.#leftBecause ??= departure;
-				this.#ending.abort();
+			queryLoad: async () => queryLoad(endpoint.address),
+			onAbandon: reason => {
+				this.#abandonReason ??= reason;
+				this.#controller.abort();
 			},
 			clock,
 		});
 	}
 
 	async run(): Promise<GenerationEnd> {
-		const {callerGone} = this.#options.exchange;
-		const end = () => {
-			this.#ending.abort();
+		const {callerDisconnected} = this.#options.exchange;
+		const abort = () => {
+			this.#controller.abort();
 		};
 
-		callerGone.addEventListener('abort', end);
-		this.#watch.start();
+		callerDisconnected.addEventListener('abort', abort);
+		this.#monitor.start();
 		try {
 			return await this.#run();
 		} finally {
-			this.#watch.stop();
-			this.#held.release();
-			callerGone.removeEventListener('abort', end);
-			end();
+			this.#monitor.stop();
+			this.#buffer.release();
+			callerDisconnected.removeEventListener('abort', abort);
+			abort();
 		}
 	}
 
@@ -133,141 +133,145 @@
 			rawHeaders: encodeSendHeaders(exchange.request.rawHeaders, {
 				endpointId: target.endpoint.id,
 				workspace: exchange.workspace?.name,
-				deadlineMilliseconds: exchange.answerBy - clock(),
+				deadlineMilliseconds: exchange.deadline - clock(),
 				priority: undefined,
-				lastEvent: progress.lastEvent,
+				lastEvent: progress.lastEventId,
 				copyTo: target.copyHolder?.address,
-				goOnFrom: target.goOnFrom && {address: target.goOnFrom.address, attempt: exchange.terms.attempt ?? ''},
+				goOnFrom: target.resumeFrom && {address: target.resumeFrom.address, attempt: exchange.terms.attempt ?? ''},
 			}),
 			body: exchange.body,
-			attempt: exchange.terms.attempt,
-			connectMilliseconds,
-			signal: this.#ending.signal,
+			attemptId: exchange.terms.attempt,
+			connectTimeoutMilliseconds,
+			signal: this.#controller.signal,
 		});
-		if (exchange.callerGone.aborted) {
-			return {kind: 'caller-left'};
+		if (exchange.callerDisconnected.aborted) {
+			return {kind: 'caller-disconnected'};
 		}
 
-		if (sent.kind === 'answer') {
-			this.#watch.gotOn(0);
-			this.#options.onAnswer(sent.answer);
-			return this.#takeAnswer(sent.answer);
+		if (sent.kind === 'response') {
+			this.#monitor.recordProgress(0);
+			this.#options.onResponse(sent.response);
+			return this.#handleResponse(sent.response);
 		}
 
-		return sent.kind === 'not-sent' && !this.#leftBecause
+		return sent.kind === 'not-sent' && !this.#abandonReason
 			? {
 				kind: 'not-run', status: 0, unreachable: true, retryAfterMilliseconds: undefined, message: sent.message,
 			}
-			: {kind: 'lost', ...this.#leftBecause ?? {unreachable: false, message: sent.message}};
+			: {kind: 'lost', ...this.#abandonReason ?? {unreachable: false, message: sent.message}};
 	}
 
-	async #takeAnswer(answer: EndpointAnswer): Promise<GenerationEnd> {
-		if (answer.terms.notExecuted) {
-			answer.abandon();
+	async #handleResponse(endpointResponse: EndpointResponse): Promise<GenerationEnd> {
+		if (endpointResponse.terms.notExecuted) {
+			endpointResponse.cancel();
 			return {
-				kind: 'not-run', status: answer.status, unreachable: false, retryAfterMilliseconds: answer.terms.retryAfterMilliseconds, message: `the engine refused with ${answer.status}`,
+				kind: 'not-run',
+				status: endpointResponse.status,
+				unreachable: false,
+				retryAfterMilliseconds: endpointResponse.terms.retryAfterMilliseconds,
+				message: `the engine refused with ${endpointResponse.status}`,
 			};
 		}
 
 		try {
-			return answer.status === 200 ? await this.#forward(answer) : await this.#takeFailure(answer);
+			return endpointResponse.status === 200 ? await this.#forward(endpointResponse) : await this.#handleFailure(endpointResponse);
 		} catch (error) {
-			if (!(error instanceof BrokenAnswerError)) {
+			if (!(error instanceof IncompleteResponseError)) {
 				throw error;
 			}
 
-			return this.#options.exchange.callerGone.aborted
-				? {kind: 'caller-left'}
-				: {kind: 'lost', ...this.#leftBecause ?? {unreachable: false, message: error.message}};
+			return this.#options.exchange.callerDisconnected.aborted
+				? {kind: 'caller-disconnected'}
+				: {kind: 'lost', ...this.#abandonReason ?? {unreachable: false, message: error.message}};
 		}
 	}
 
-	async #takeFailure(answer: EndpointAnswer): Promise<GenerationEnd> {
+	async #handleFailure(endpointResponse: EndpointResponse): Promise<GenerationEnd> {
 		const chunks: Uint8Array[] = [];
 		let bytes = 0;
-		for await (const chunk of answer.body()) {
+		for await (const chunk of endpointResponse.body()) {
 			chunks.push(chunk);
 			bytes += chunk.length;
-			this.#mustHold(bytes);
+			this.#requireBuffer(bytes);
 		}
 
 		const body = Buffer.concat(chunks);
-		if (answer.status < 500) {
+		if (endpointResponse.status < 500) {
 			if (!this.#options.exchange.response.headersSent) {
-				sendWholeAnswer(this.#options.exchange.response, answer.status, answer.rawHeaders, body);
+				sendCompleteResponse(this.#options.exchange.response, endpointResponse.status, endpointResponse.rawHeaders, body);
 			}
 
-			return {kind: 'finished', status: answer.status};
+			return {kind: 'finished', status: endpointResponse.status};
 		}
 
 		return {
-			kind: 'failed', status: answer.status, rawHeaders: answer.rawHeaders, body,
+			kind: 'failed', status: endpointResponse.status, rawHeaders: endpointResponse.rawHeaders, body,
 		};
 	}
 
-	/** Forwards events as they come; an event that is not whole is kept back, so that it can come from another engine. */
-	async #forward(answer: EndpointAnswer): Promise<GenerationEnd> {
+	/** Forwards complete events as they arrive; an incomplete event is held back, so that another engine can send it whole. */
+	async #forward(endpointResponse: EndpointResponse): Promise<GenerationEnd> {
 		const {response} = this.#options.exchange;
 		const splitter = new EventSplitter();
-		for await (const chunk of answer.body()) {
+		for await (const chunk of endpointResponse.body()) {
 			const events = splitter.push(chunk);
-			this.#mustHold(splitter.rest.length);
+			this.#requireBuffer(splitter.incompleteBytes.length);
 			const messages = events.filter(({isMessage}) => isMessage).length;
 			if (messages > 0) {
-				this.#watch.gotOn(messages);
+				this.#monitor.recordProgress(messages);
 			}
 
 			if (!response.headersSent) {
-				beginAnswer(response, answer.status, answer.rawHeaders);
+				startResponse(response, endpointResponse.status, endpointResponse.rawHeaders);
 			}
 
-			const inOrder = eventsInOrder(this.#options.progress.lastEvent, events);
+			const inOrder = eventsInOrder(this.#options.progress.lastEventId, events);
 			await this.#deliver(inOrder);
 			if (inOrder.length < events.length) {
-				throw new BrokenAnswerError(`event ${events[inOrder.length]!.id} came after event ${this.#options.progress.lastEvent}`);
+				throw new IncompleteResponseError(`event ${events[inOrder.length]!.id} came after event ${this.#options.progress.lastEventId}`);
 			}
 		}
 
-		if (splitter.rest.length > 0) {
-			throw new BrokenAnswerError('the answer ends within an event');
+		if (splitter.incompleteBytes.length > 0) {
+			throw new IncompleteResponseError('the response ended within an event');
 		}
 
 		if (!response.headersSent) {
-			beginAnswer(response, answer.status, answer.rawHeaders);
+			startResponse(response, endpointResponse.status, endpointResponse.rawHeaders);
 		}
 
 		response.end();
-		return {kind: 'finished', status: answer.status};
+		return {kind: 'finished', status: endpointResponse.status};
 	}
 
-	/** Counts the bytes that are held back of the answer, and leaves one that holds back too many. */
-	#mustHold(bytes: number): void {
-		if (!this.#held.hold(bytes)) {
-			throw new BrokenAnswerError(`${bytes} bytes of a failure or an event that does not end are too many to be held`);
+	/** Sets the number of buffered bytes; throws if they exceed the limit. */
+	#requireBuffer(bytes: number): void {
+		if (!this.#buffer.resize(bytes)) {
+			throw new IncompleteResponseError(`${bytes} bytes of an error body or an incomplete event exceed the buffer limit`);
 		}
 	}
 
 	async #deliver(events: readonly StreamEvent[]): Promise<void> {
-		const {exchange: {response, callerGone}, progress, clock} = this.#options;
+		const {exchange: {response, callerDisconnected}, progress, clock} = this.#options;
 		if (events.length === 0) {
 			return;
 		}
 
 		const messages = events.filter(({isMessage}) => isMessage);
 		if (messages.length > 0) {
-			progress.lastEvent = messages.findLast(({id}) => id !== undefined)?.id ?? progress.lastEvent;
+			progress.lastEventId = messages.findLast(({id}) => id !== undefined)?.id ?? progress.lastEventId;
 			progress.events += messages.length;
-			notePause(progress, clock());
+			recordPause(progress, clock());
 		}
 
 		const bytes = events.length === 1 ? events[0]!.bytes : Buffer.concat(events.map(event => event.bytes));
-		await writeToCaller(response, bytes, callerGone);
+		await writeToCaller(response, bytes, callerDisconnected);
 	}
 }
 
-function notePause(progress: GenerationProgress, now: number): void {
-	const pauseMilliseconds = now - progress.eventAt;
-	progress.eventAt = now;
+function recordPause(progress: GenerationProgress, now: number): void {
+	const pauseMilliseconds = now - progress.lastEventAt;
+	progress.lastEventAt = now;
 	if (progress.firstEventMilliseconds === undefined) {
 		progress.firstEventMilliseconds = pauseMilliseconds;
 	} else {
--- a/source/forwarding/mod.ts
+++ b/source/forwarding/mod.ts
@@ -1,15 +1,15 @@
 /**
- * Forwards callers' requests to endpoints.
+ * Forwards callers' requests to endpoints and returns the responses.
  *
  * @module
  */
 
-export * from './answer-caller.ts';
+export * from './caller-response.ts';
 export * from './endpoint-connections.ts';
 export type * from './exchange.ts';
 export * from './forward-call.ts';
 export * from './forward-generation.ts';
-export type * from './forwarding-parts.ts';
-export * from './held-answers.ts';
-export * from './lost-attempts.ts';
+export type * from './forwarding-dependencies.ts';
+export * from './response-buffers.ts';
+export * from './crash-detector.ts';
 export type * from './request-terms.ts';
--- a/source/forwarding/probe-endpoint.ts
+++ b/source/forwarding/probe-endpoint.ts
@@ -1,42 +1,42 @@
 /**
- * Finds out whether an endpoint's process listens.
+ * Probes whether an endpoint's process is listening.
  *
  * @module
  */
 import {connect} from 'node:net';
 
-/** What a connection to an endpoint shows: that no process listens, that one does, or nothing. */
-export type EndpointFate = 'ended' | 'lives' | 'unknown';
+/** Outcome of a connection attempt: no process is listening, one is, or neither is known. */
+export type ProbeOutcome = 'ended' | 'lives' | 'unknown';
 
 /**
- * Opens a connection to an endpoint and closes it at once.
+ * Opens a connection to an endpoint and closes it immediately.
  *
- * @param address IP number and port.
- * @param timeoutMilliseconds Time for the connection to come about.
- * @returns `unknown` where there is no answer: the host may be dark, or the way there cut.
+ * @param address IP address and port.
+ * @param timeoutMilliseconds Connection timeout, in milliseconds.
+ * @returns `unknown` if there is no response: the host may be unreachable, or the network path interrupted.
  * @example
  * ```ts
  * if (await probeEndpoint('10.0.0.1:80', 150) === 'ended') { … }
  * ```
  */
-export async function probeEndpoint(address: string, timeoutMilliseconds: number): Promise<EndpointFate> {
+export async function probeEndpoint(address: string, timeoutMilliseconds: number): Promise<ProbeOutcome> {
 	const [host, port] = address.split(':');
 	return new Promise(resolve => {
 		const socket = connect({host, port: Number(port)});
-		const settle = (fate: EndpointFate) => {
+		const finish = (outcome: ProbeOutcome) => {
 			clearTimeout(timer);
 			socket.destroy();
-			resolve(fate);
+			resolve(outcome);
 		};
 
 		const timer = setTimeout(() => {
-			settle('unknown');
+			finish('unknown');
 		}, timeoutMilliseconds);
 		socket.on('connect', () => {
-			settle('lives');
+			finish('lives');
 		});
 		socket.on('error', (error: NodeJS.ErrnoException) => {
-			settle(error.code === 'ECONNREFUSED' ? 'ended' : 'unknown');
+			finish(error.code === 'ECONNREFUSED' ? 'ended' : 'unknown');
 		});
 	});
 }
--- a/source/forwarding/request-terms.ts
+++ b/source/forwarding/request-terms.ts
@@ -1,23 +1,23 @@
 /**
- * What a caller says of its request.
+ * Parameters that a caller sets in the headers of its request.
  *
  * @module
  */
 
-/** Terms of one attempt of a caller. */
+/** Parameters of one request of a caller. */
 export type RequestTerms = {
-	/** Name of the attempt; endpoints echo it. */
+	/** Id of the caller's attempt; endpoints echo it in their responses. */
 	attempt: string | undefined;
-	/** Time for which the caller waits, in milliseconds. */
+	/** Time that the caller waits for the response, in milliseconds. */
 	deadlineMilliseconds: number | undefined;
-	/** The caller's key. */
+	/** API key of the caller. */
 	key: string | undefined;
-	/** Event after which a generation goes on. */
+	/** Id of the last event that the caller received; a generation resumes after it. */
 	lastEvent: string | undefined;
-	/** Tokens of the prompt; 0 where it does not say. */
+	/** Number of prompt tokens; 0 if not given. */
 	promptTokens: number;
-	/** Tokens of the answer at most; 0 where it does not say. */
+	/** Maximum number of output tokens; 0 if not given. */
 	outputTokens: number;
-	/** Last part of the prompt, which belongs to the request or its session. */
+	/** Last part of the prompt's prefix list, which is specific to the request or its session. */
 	promptPart: string | undefined;
 };
--- a/source/forwarding/retry-decision.ts
+++ b/source/forwarding/retry-decision.ts
@@ -1,48 +1,48 @@
 /**
- * Decides what follows an attempt that brought no good answer.
+ * Decides whether a request is retried after an unsuccessful attempt.
  *
  * @module
  */
 import {type RequestKind} from '../routing/mod.ts';
 
-/** How an attempt ended without a good answer. */
+/** How an unsuccessful attempt ended. */
 export type AttemptEnd
-	/** Nothing was sent, or the endpoint says that it did not run the request. */
+	/** Nothing was sent, or the endpoint reported that it did not run the request. */
 	= | 'not-run'
-	/** The endpoint may have run the request, and its answer is lost. */
+	/** The endpoint may have run the request, and its response is lost. */
 		| 'lost'
-	/** The endpoint ran the request and answered with a failure. */
+	/** The endpoint ran the request and responded with an error. */
 		| 'failed';
 
-/** Options of {@linkcode mayRunAgain}. */
-export type MayRunAgainOptions = {
+/** Options of {@linkcode mayRetry}. */
+export type MayRetryOptions = {
 	kind: RequestKind;
-	/** Whether a generation may go on elsewhere. */
+	/** Whether a generation may be resumed on another engine. */
 	resumable: boolean;
 	end: AttemptEnd;
-	/** Attempts so far that ran or may have run. */
+	/** Number of attempts so far that ran or may have run. */
 	runs: number;
 	maximumRuns: number;
-	/** Time until the final answer is due, in milliseconds. */
-	leftMilliseconds: number;
+	/** Time left until the deadline, in milliseconds. */
+	remainingMilliseconds: number;
 };
 
-/** Time below which another attempt cannot be answered, in milliseconds. */
-const shortestAttemptMilliseconds = 10;
+/** Minimum time left for another attempt, in milliseconds; no endpoint can respond in less. */
+const minimumAttemptMilliseconds = 10;
 
 /**
- * Whether a request may be sent to another endpoint.
+ * Returns whether a request may be sent to another endpoint.
  *
- * A request that may not be repeated goes on only where it was surely not run.
+ * A request that must not be repeated is retried only if it certainly was not run.
  *
- * @param options Request and attempt.
+ * @param options Request and its last attempt.
  * @example
  * ```ts
- * mayRunAgain({kind: 'at-most-once', resumable: false, end: 'lost', runs: 1, maximumRuns: 3, leftMilliseconds: 900}); // false
+ * mayRetry({kind: 'at-most-once', resumable: false, end: 'lost', runs: 1, maximumRuns: 3, remainingMilliseconds: 900}); // false
  * ```
  */
-export function mayRunAgain({kind, resumable, end, runs, maximumRuns, leftMilliseconds}: MayRunAgainOptions): boolean {
-	if (leftMilliseconds < shortestAttemptMilliseconds) {
+export function mayRetry({kind, resumable, end, runs, maximumRuns, remainingMilliseconds}: MayRetryOptions): boolean {
+	if (remainingMilliseconds < minimumAttemptMilliseconds) {
 		return false;
 	}
 
@@ -50,6 +50,6 @@
 		return true;
 	}
 
-	const repeatable = kind === 'idempotent' || (kind === 'generation' && resumable);
-	return repeatable && runs < maximumRuns;
+	const isRepeatable = kind === 'idempotent' || (kind === 'generation' && resumable);
+	return isRepeatable && runs < maximumRuns;
 }
--- a/source/forwarding/send-call-attempt.ts
+++ b/source/forwarding/send-call-attempt.ts
@@ -1,64 +1,64 @@
 /**
- * Sends a plain call to one endpoint and reads its answer.
+ * Sends a call to one endpoint and reads its response.
  *
  * @module
  */
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {encodeSendHeaders} from '../platform/mod.ts';
-import {noteSignals} from './endpoint-signals.ts';
-import {readAnswer, type CallAttempt} from './call-attempt.ts';
+import {recordSignals} from './endpoint-signals.ts';
+import {readResponse, type CallAttemptResult} from './call-attempt-result.ts';
 import {type AttemptContext} from './call-attempts.ts';
 import {type Exchange} from './exchange.ts';
-import {type ForwardingParts} from './forwarding-parts.ts';
+import {type ForwardingDependencies} from './forwarding-dependencies.ts';
 import {sendRequest} from './send-request.ts';
 
-/** Time for a connection to an endpoint, in milliseconds. */
-const connectMilliseconds = 150;
+/** Timeout for connecting to an endpoint, in milliseconds. */
+const connectTimeoutMilliseconds = 150;
 
 /**
  * Runs one attempt.
  *
- * @param endpoint Where it goes.
+ * @param endpoint Endpoint to send the call to.
  * @param exchange The call.
- * @param context What ends it, and what bounds its answer.
- * @param parts The router's other parts.
- * @returns How it ended.
+ * @param context Abort signal and response buffer of the attempt.
+ * @param dependencies Components of the gateway that all requests share.
+ * @returns Result of the attempt.
  */
-export async function sendCallAttempt(endpoint: EndpointEntry, exchange: Exchange, {signal, held}: AttemptContext, parts: ForwardingParts): Promise<CallAttempt> {
-	const {request, body, terms, workspace, route, answerBy} = exchange;
-	const ended = parts.loads.trackRequest(endpoint.id, 0);
+export async function sendCallAttempt(endpoint: EndpointEntry, exchange: Exchange, {signal, buffer}: AttemptContext, dependencies: ForwardingDependencies): Promise<CallAttemptResult> {
+	const {request, body, terms, workspace, route, deadline} = exchange;
+	const endLoad = dependencies.loads.trackRequest(endpoint.id, 0);
 	try {
 		const sent = await sendRequest({
-			agent: parts.connections.agent(route.kind === 'idempotent' ? 'kept' : 'fresh'),
+			agent: dependencies.connections.agent(route.kind === 'idempotent' ? 'pooled' : 'fresh'),
 			address: endpoint.address,
 			method: request.method!,
 			target: request.url!,
 			rawHeaders: encodeSendHeaders(request.rawHeaders, {
 				endpointId: endpoint.id,
 				workspace: workspace?.name,
-				deadlineMilliseconds: answerBy - parts.clock(),
+				deadlineMilliseconds: deadline - dependencies.clock(),
 				priority: undefined,
 				lastEvent: terms.lastEvent,
 				copyTo: undefined,
 				goOnFrom: undefined,
 			}),
 			body,
-			attempt: terms.attempt,
-			connectMilliseconds,
+			attemptId: terms.attempt,
+			connectTimeoutMilliseconds,
 			signal,
 		});
-		if (sent.kind === 'answer') {
-			noteSignals(endpoint, sent.answer, parts);
-			return await readAnswer({
-				endpoint, answer: sent.answer, kind: route.kind, held,
+		if (sent.kind === 'response') {
+			recordSignals(endpoint, sent.response, dependencies);
+			return await readResponse({
+				endpoint, response: sent.response, kind: route.kind, buffer,
 			});
 		}
 
 		const unreachable = sent.kind === 'not-sent';
 		return {
-			kind: 'ended', endpoint, end: unreachable ? 'not-run' : 'lost', failure: unreachable ? 'unreachable' : 'broken', message: sent.message,
+			kind: 'unsuccessful', endpoint, end: unreachable ? 'not-run' : 'lost', failure: unreachable ? 'unreachable' : 'broken', message: sent.message,
 		};
 	} finally {
-		ended();
+		endLoad();
 	}
 }
--- a/source/forwarding/send-request.test.ts
+++ b/source/forwarding/send-request.test.ts
@@ -5,18 +5,18 @@
 import {test, type TestContext} from 'node:test';
 import fc from 'fast-check';
 import {EndpointConnections} from './endpoint-connections.ts';
-import {BrokenAnswerError, sendRequest, type SendOutcome} from './send-request.ts';
+import {IncompleteResponseError, sendRequest, type SendOutcome} from './send-request.ts';
 
 type Endpoint = {address: string; connections: EndpointConnections};
 
-/** Starts an endpoint that answers each connection's first bytes by a function, and ends it with the test. */
-async function startEndpoint(context: TestContext, answer: (socket: Socket, request: string) => void): Promise<Endpoint> {
+/** Starts an endpoint that handles received data with the given function; it is closed at the end of the test. */
+async function startEndpoint(context: TestContext, respond: (socket: Socket, request: string) => void): Promise<Endpoint> {
 	const sockets = new Set<Socket>();
 	const server = createServer(socket => {
 		sockets.add(socket);
 		socket.on('error', () => undefined);
 		socket.on('data', data => {
-			answer(socket, data.toString());
+			respond(socket, data.toString());
 		});
 	}).listen(0, '127.0.0.1');
 	await once(server, 'listening');
@@ -33,7 +33,7 @@
 	return {address: `127.0.0.1:${(server.address() as AddressInfo).port}`, connections};
 }
 
-async function send({address, connections}: Endpoint, use: 'kept' | 'fresh' = 'kept', attempt = 'a'): Promise<SendOutcome> {
+async function send({address, connections}: Endpoint, use: 'pooled' | 'fresh' = 'pooled', attemptId = 'a'): Promise<SendOutcome> {
 	return sendRequest({
 		agent: connections.agent(use),
 		address,
@@ -41,16 +41,16 @@
 		target: '/',
 		rawHeaders: ['Host', 'desk.example'],
 		body: Buffer.alloc(0),
-		attempt,
-		connectMilliseconds: 500,
+		attemptId,
+		connectTimeoutMilliseconds: 500,
 		signal: new AbortController().signal,
 	});
 }
 
 async function readAll(outcome: SendOutcome): Promise<string> {
-	assert.equal(outcome.kind, 'answer');
+	assert.equal(outcome.kind, 'response');
 	const chunks: Uint8Array[] = [];
-	for await (const chunk of (outcome).answer.body()) {
+	for await (const chunk of (outcome).response.body()) {
 		chunks.push(chunk);
 	}
 
@@ -59,15 +59,15 @@
 
 const unframedHead = 'HTTP/1.1 200 OK\r\nX-Azuretack-Attempt-Id: a\r\n\r\n';
 
-for (const use of ['kept', 'fresh'] as const) {
-	test(`a body without a length is whole when its connection ends (${use})`, async context => {
+for (const use of ['pooled', 'fresh'] as const) {
+	test(`a body without a length is complete when its connection ends normally (${use})`, async context => {
 		const endpoint = await startEndpoint(context, socket => {
 			socket.end(`${unframedHead}whole`);
 		});
 		assert.equal(await readAll(await send(endpoint, use)), 'whole');
 	});
 
-	test(`a body without a length is not whole when its connection is reset (${use})`, async context => {
+	test(`a body without a length is incomplete when its connection is reset (${use})`, async context => {
 		const endpoint = await startEndpoint(context, socket => {
 			socket.write(`${unframedHead}half`, () => {
 				setTimeout(() => {
@@ -75,30 +75,30 @@
 				}, 20);
 			});
 		});
-		await assert.rejects(readAll(await send(endpoint, use)), BrokenAnswerError);
+		await assert.rejects(readAll(await send(endpoint, use)), IncompleteResponseError);
 	});
 
-	test(`a body without a length is not whole when its connection is reset before it is read (${use})`, async context => {
+	test(`a body without a length is incomplete when its connection is reset before it is read (${use})`, async context => {
 		const endpoint = await startEndpoint(context, socket => {
 			socket.write(`${unframedHead}half`, () => {
 				socket.resetAndDestroy();
 			});
 		});
 		const outcome = await send(endpoint, use);
-		if (outcome.kind === 'answer') {
-			await assert.rejects(readAll(outcome), BrokenAnswerError);
+		if (outcome.kind === 'response') {
+			await assert.rejects(readAll(outcome), IncompleteResponseError);
 		}
 	});
 
-	test(`a body that is shorter than its length is not whole (${use})`, async context => {
+	test(`a body that is shorter than its Content-Length is incomplete (${use})`, async context => {
 		const endpoint = await startEndpoint(context, socket => {
 			socket.end('HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf');
 		});
-		await assert.rejects(readAll(await send(endpoint, use)), BrokenAnswerError);
+		await assert.rejects(readAll(await send(endpoint, use)), IncompleteResponseError);
 	});
 }
 
-test('an answer that names another attempt belongs to no request', async context => {
+test('a response that echoes another attempt id is rejected', async context => {
 	const endpoint = await startEndpoint(context, socket => {
 		socket.write('HTTP/1.1 200 OK\r\nX-Azuretack-Attempt-Id: other\r\nContent-Length: 2\r\n\r\nhi');
 	});
@@ -106,7 +106,7 @@
 	assert.equal(outcome.kind, 'lost');
 });
 
-test('bytes after a whole answer belong to no request', async context => {
+test('bytes after a complete response are not taken for the response to a later request', async context => {
 	let requests = 0;
 	const endpoint = await startEndpoint(context, (socket, request) => {
 		requests += 1;
@@ -125,7 +125,7 @@
 	assert.equal(requests, 2);
 });
 
-test('a connection that is refused has sent nothing', async () => {
+test('a refused connection is reported as not sent', async () => {
 	const server = createServer().listen(0, '127.0.0.1');
 	await once(server, 'listening');
 	const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
@@ -137,7 +137,7 @@
 	connections.close();
 });
 
-test('a request whose connection closes without an answer may have run', async context => {
+test('a request whose connection closes without a response is reported as lost', async context => {
 	const endpoint = await startEndpoint(context, socket => {
 		socket.destroy();
 	});
@@ -151,7 +151,7 @@
 	fc.integer({min: 1, max: 40_000}).map(length => `X-Long: ${'x'.repeat(length)}`),
 );
 
-test('whatever bytes come in place of a head, the outcome is an answer with a status, or that there is none', async context => {
+test('for any bytes in place of a response head, the outcome is a response with a valid status or a lost response', async context => {
 	let bytes = '';
 	const endpoint = await startEndpoint(context, socket => {
 		socket.write(bytes);
@@ -162,9 +162,9 @@
 	await fc.assert(fc.asyncProperty(fc.array(headLine, {maxLength: 12}), async lines => {
 		bytes = `${lines.join('\r\n')}\r\n\r\n`;
 		const outcome = await send(endpoint, 'fresh');
-		if (outcome.kind === 'answer') {
-			assert.ok(outcome.answer.status >= 100 && outcome.answer.status <= 999);
-			outcome.answer.abandon();
+		if (outcome.kind === 'response') {
+			assert.ok(outcome.response.status >= 100 && outcome.response.status <= 999);
+			outcome.response.cancel();
 		} else {
 			assert.equal(outcome.kind, 'lost');
 		}
--- a/source/forwarding/send-request.ts
+++ b/source/forwarding/send-request.ts
@@ -11,42 +11,42 @@
 /** Options of {@linkcode sendRequest}. */
 export type SendRequestOptions = {
 	agent: Agent;
-	/** IP number and port of the endpoint. */
+	/** IP address and port of the endpoint. */
 	address: string;
 	method: string;
-	/** Path and query, unchanged. */
+	/** Request target: path and query, unchanged. */
 	target: string;
-	/** Names and values by turns. */
+	/** Alternating header names and values. */
 	rawHeaders: readonly string[];
 	body: Uint8Array;
-	/** The caller's attempt, which the answer must name; on a new connection it may leave the name out. */
-	attempt: string | undefined;
-	/** Time for a connection to come about, in milliseconds. */
-	connectMilliseconds: number;
-	/** Ends the request: its connection is closed. */
+	/** Id of the caller's attempt, which the response must echo; on a new connection it may be absent. */
+	attemptId: string | undefined;
+	/** Connection timeout, in milliseconds. */
+	connectTimeoutMilliseconds: number;
+	/** Aborts the request by closing its connection. */
 	signal: AbortSignal;
 };
 
-/** Answer of an endpoint, whose body is still to be read. */
-export type EndpointAnswer = {
+/** Response of an endpoint whose body has not been read yet. */
+export type EndpointResponse = {
 	status: number;
 	rawHeaders: readonly string[];
 	terms: AnswerTerms;
-	/** Reads the body; throws when it breaks off. */
+	/** Reads the body; throws an {@linkcode IncompleteResponseError} if it breaks off. */
 	body(): AsyncGenerator<Uint8Array, void>;
 	/** Closes the connection. */
-	abandon(): void;
+	cancel(): void;
 };
 
-/** How sending ended: an answer has begun, or nothing was sent, or the endpoint may have run the request without an answer. */
+/** Outcome of sending: a response has started, or nothing was sent, or the endpoint may have run the request but its response is lost. */
 export type SendOutcome
-	= | {kind: 'answer'; answer: EndpointAnswer}
+	= | {kind: 'response'; response: EndpointResponse}
 		| {kind: 'not-sent'; message: string}
 		| {kind: 'lost'; message: string};
 
-/** Thrown when an endpoint's answer ends before it is whole. */
-export class BrokenAnswerError extends Error {
-	override name = 'BrokenAnswerError';
+/** Thrown when an endpoint's response ends before it is complete. */
+export class IncompleteResponseError extends Error {
+	override name = 'IncompleteResponseError';
 }
 
 class ConnectTimeoutError extends Error {
@@ -56,15 +56,15 @@
 const methodsWithBody = new Set(['POST', 'PUT', 'PATCH']);
 
 /**
- * Sends a request and waits until its answer begins.
+ * Sends a request and waits until its response starts.
  *
  * @param options Endpoint and request.
- * @returns How it ended; never rejects.
+ * @returns Outcome of sending; never rejects.
  */
 export async function sendRequest(options: SendRequestOptions): Promise<SendOutcome> {
-	const {agent, address, method, target, rawHeaders, body, connectMilliseconds, signal, attempt} = options;
+	const {agent, address, method, target, rawHeaders, body, connectTimeoutMilliseconds, signal, attemptId} = options;
 	if (signal.aborted) {
-		return {kind: 'not-sent', message: 'ended before it was sent'};
+		return {kind: 'not-sent', message: 'aborted before it was sent'};
 	}
 
 	const [hostname, port] = address.split(':');
@@ -76,13 +76,13 @@
 			agent, hostname, port, method, path: target, headers: [...rawHeaders, ...length], signal,
 		});
 		request.on('socket', socket => {
-			const onEnd = () => {
+			const onSocketEnd = () => {
 				failure ??= wasReset(socket) ? new Error('the connection was reset') : undefined;
 			};
 
-			socket.prependListener('end', onEnd);
+			socket.prependListener('end', onSocketEnd);
 			request.once('close', () => {
-				socket.off('end', onEnd);
+				socket.off('end', onSocketEnd);
 			});
 			if (!socket.connecting) {
 				connected = true;
@@ -90,8 +90,8 @@
 			}
 
 			const timer = setTimeout(() => {
-				request.destroy(new ConnectTimeoutError(`no connection within ${connectMilliseconds} ms`));
-			}, connectMilliseconds);
+				request.destroy(new ConnectTimeoutError(`no connection within ${connectTimeoutMilliseconds} ms`));
+			}, connectTimeoutMilliseconds);
 			socket.once('connect', () => {
 				connected = true;
 				clearTimeout(timer);
@@ -106,20 +106,20 @@
 		});
 		request.on('response', response => {
 			const terms = decodeAnswerTerms(response.statusCode ?? 0, response.headers);
-			if (attempt !== undefined && !belongsTo(attempt, terms.attempt, request.reusedSocket)) {
+			if (attemptId !== undefined && !belongsToAttempt(attemptId, terms.attempt, request.reusedSocket)) {
 				request.destroy();
-				resolve({kind: 'lost', message: terms.attempt === undefined ? 'the answer does not say to which request it belongs' : 'the answer belongs to another request'});
+				resolve({kind: 'lost', message: terms.attempt === undefined ? 'the response does not state to which request it belongs' : 'the response belongs to another request'});
 				return;
 			}
 
 			resolve({
-				kind: 'answer',
-				answer: {
+				kind: 'response',
+				response: {
 					status: response.statusCode ?? 0,
 					rawHeaders: response.rawHeaders,
 					terms,
 					body: () => readBody(response, () => failure),
-					abandon() {
+					cancel() {
 						request.destroy();
 					},
 				},
@@ -129,38 +129,38 @@
 	});
 }
 
-/** Whether an answer is the one to an attempt; on a connection that was used before, only its name tells it from a late copy of another. */
-function belongsTo(attempt: string, named: string | undefined, isReused: boolean): boolean {
-	return named === attempt || (named === undefined && !isReused);
+/** Whether a response belongs to an attempt; on a reused connection, only the echoed id distinguishes it from a late copy of another response. */
+function belongsToAttempt(attemptId: string, echoedAttemptId: string | undefined, isReused: boolean): boolean {
+	return echoedAttemptId === attemptId || (echoedAttemptId === undefined && !isReused);
 }
 
 /**
- * Whether a connection whose end was read had in fact been reset.
+ * Returns whether a connection on which the end of the stream was read was in fact reset.
  *
- * The event loop reports the end of a connection for a reset that comes together with the last bytes. A connection that was ended
- * still has a peer, and one that was reset has none.
+ * For a reset that arrives together with the last bytes, the event loop reports a normal end of the stream. A connection that was ended
+ * normally still has a peer address; one that was reset has none.
  */
 function wasReset(socket: Socket): boolean {
 	return socket.remoteAddress === undefined;
 }
 
 /**
- * Reads a body to its end. A body without a length ends with its connection: where that was reset, it is not whole.
+ * Reads a body to its end. A body without a length ends with its connection and is incomplete if the connection was reset.
  *
- * @throws {BrokenAnswerError} When the body is not whole.
+ * @throws {IncompleteResponseError} If the body is incomplete.
  */
-async function * readBody(response: IncomingMessage, failureOf: () => Error | undefined): AsyncGenerator<Uint8Array, void> {
-	const framed = response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined;
+async function * readBody(response: IncomingMessage, getFailure: () => Error | undefined): AsyncGenerator<Uint8Array, void> {
+	const isFramed = response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined;
 	try {
 		for await (const chunk of response as AsyncIterable<Uint8Array>) {
 			yield chunk;
 		}
 	} catch (error) {
-		throw new BrokenAnswerError(error instanceof Error ? error.message : String(error));
+		throw new IncompleteResponseError(error instanceof Error ? error.message : String(error));
 	}
 
-	const failure = failureOf();
-	if (!response.complete || (!framed && failure)) {
-		throw new BrokenAnswerError(failure?.message ?? 'the answer is not whole');
+	const failure = getFailure();
+	if (!response.complete || (!isFramed && failure)) {
+		throw new IncompleteResponseError(failure?.message ?? 'the response is incomplete');
 	}
 }
--- a/source/forwarding/silence-decision.ts
+++ b/source/forwarding/silence-decision.ts
@@ -1,123 +1,123 @@
 /**
- * Decides what to do about an engine that says nothing.
+ * Decides what to do about an engine that sends no events.
  *
- * Answers two loads: an engine that is busy reading other prompts is silent for seconds and must be left alone, and one that has
- * died without a word must be left within the pause that callers accept.
+ * Two cases must be distinguished: an engine that is busy with the prefill of other prompts is silent for seconds and must not be
+ * abandoned, and one that has died without closing its connection must be abandoned within the pause that callers accept.
  *
  * @module
  */
 import {type EngineReport} from '../balancing/mod.ts';
 
-/** What is known of a silent generation. */
+/** Observed state of a silent generation. */
 export type SilentGeneration = {
-	/** Whether this attempt has brought an event. */
+	/** Whether this attempt has received an event. */
 	started: boolean;
-	/** Time since its answer last got on, by its head or an event, in milliseconds. */
+	/** Time since the response last made progress by its head or an event, in milliseconds. */
 	silentMilliseconds: number;
 	/** Time since the engine was last known to be alive, in milliseconds. */
-	unprovenMilliseconds: number;
-	/** Longest pause between events of an answer that is on time, in milliseconds. */
+	sinceAliveMilliseconds: number;
+	/** Maximum acceptable pause between two events, in milliseconds. */
 	eventPauseMilliseconds: number;
-	/** Time to the first event of an answer that is on time, in milliseconds. */
+	/** Target time to the first event, in milliseconds. */
 	targetMilliseconds: number;
-	/** Whether an engine holds a copy of its memory, so that going on there costs little. */
+	/** Whether another engine holds a copy of its KV cache, so that resuming there costs little. */
 	hasCopy: boolean;
 };
 
-/** What to do. */
-export type SilenceStep = 'wait' | 'ask' | 'leave';
+/** What to do about a silent engine: keep waiting, query its load, or abandon it. */
+export type SilenceAction = 'wait' | 'query' | 'abandon';
 
-/** Silence in the middle of an answer after which the engine is asked whether it lives, in milliseconds. */
-const askAfterMilliseconds = 250;
+/** Silence in the middle of a response after which the engine is queried, in milliseconds. */
+const queryAfterMilliseconds = 250;
 
-/** Silence before the first event after which the engine is asked whether it lives, in milliseconds. */
-const askBeforeFirstMilliseconds = 600;
+/** Silence before the first event after which the engine is queried, in milliseconds. */
+const queryBeforeFirstEventMilliseconds = 600;
 
-/** Pauses that a started generation with a copy elsewhere is given. */
-const pausesWithCopy = 3;
+/** Stall timeout of a started generation with a copy elsewhere, as a multiple of the maximum event pause. */
+const stallTimeoutPausesWithCopy = 3;
 
-/** Pauses that a started generation without a copy is given. */
-const pausesWithoutCopy = 6;
+/** Stall timeout of a started generation without a copy, as a multiple of the maximum event pause. */
+const stallTimeoutPausesWithoutCopy = 6;
 
-/** Share of the target that a generation is given up to its first event: the engine may read other prompts first. */
-const firstEventShare = 1.6;
+/** Stall timeout before the first event, as a multiple of the target time: the engine may process other prompts first. */
+const firstEventTargetShare = 1.6;
 
 /**
- * Decides about a silent engine that has not been found dead.
+ * Decides what to do about a silent engine that is not presumed dead.
  *
- * @param generation What is known.
+ * @param generation Observed state of the generation.
  */
-export function decideOnSilence(generation: SilentGeneration): SilenceStep {
-	const {started, silentMilliseconds, unprovenMilliseconds, eventPauseMilliseconds, targetMilliseconds, hasCopy} = generation;
-	const longest = started ? eventPauseMilliseconds * (hasCopy ? pausesWithCopy : pausesWithoutCopy) : targetMilliseconds * firstEventShare;
-	if (silentMilliseconds >= longest) {
-		return 'leave';
+export function decideSilenceAction(generation: SilentGeneration): SilenceAction {
+	const {started, silentMilliseconds, sinceAliveMilliseconds, eventPauseMilliseconds, targetMilliseconds, hasCopy} = generation;
+	const stallTimeoutMilliseconds = started ? eventPauseMilliseconds * (hasCopy ? stallTimeoutPausesWithCopy : stallTimeoutPausesWithoutCopy) : targetMilliseconds * firstEventTargetShare;
+	if (silentMilliseconds >= stallTimeoutMilliseconds) {
+		return 'abandon';
 	}
 
-	const askAfter = started ? askAfterMilliseconds : askBeforeFirstMilliseconds;
-	return unprovenMilliseconds >= askAfter ? 'ask' : 'wait';
+	const queryAfter = started ? queryAfterMilliseconds : queryBeforeFirstEventMilliseconds;
+	return sinceAliveMilliseconds >= queryAfter ? 'query' : 'wait';
 }
 
-/** What is known of an engine that does not answer questions. */
-export type UnansweredQuestions = {
-	/** Questions in a row that it has not answered. */
+/** Observed state of an engine that does not respond to load queries. */
+export type UnansweredQueries = {
+	/** Number of consecutive queries without a response. */
 	unanswered: number;
-	/** Time since its answer last got on, in milliseconds. */
+	/** Time since its response last made progress, in milliseconds. */
 	silentMilliseconds: number;
-	/** Longest pause between events of an answer that is on time, in milliseconds. */
+	/** Maximum acceptable pause between two events, in milliseconds. */
 	eventPauseMilliseconds: number;
-	/** Whether an engine holds a copy of the generation's memory, so that going on there costs little. */
+	/** Whether another engine holds a copy of the generation's KV cache, so that resuming there costs little. */
 	hasCopy: boolean;
 };
 
-/** Unanswered questions in a row after which an engine may count as dead. */
-const unansweredQuestions = 2;
+/** Number of consecutive unanswered queries after which an engine may be presumed dead. */
+const minimumUnansweredQueries = 2;
 
 /**
- * Whether an engine that does not answer questions counts as dead.
+ * Returns whether an engine that does not respond to queries is presumed dead.
  *
- * Where there is a copy, it is left in time to go on within the pause that callers accept. Without one the prompt must be read again,
- * which takes longer than that pause, so an engine that may only be slow to report is given the whole of it.
+ * With a copy, the engine is abandoned early enough to resume within the pause that callers accept. Without one, the prompt must be
+ * processed again, which takes longer than that pause, so an engine that may only be slow to report gets the whole pause.
  *
- * @param questions What is known.
+ * @param queries Observed state of the engine.
  */
-export function countsAsDead({unanswered, silentMilliseconds, eventPauseMilliseconds, hasCopy}: UnansweredQuestions): boolean {
-	return unanswered >= unansweredQuestions && (hasCopy || silentMilliseconds >= eventPauseMilliseconds);
+export function isPresumedDead({unanswered, silentMilliseconds, eventPauseMilliseconds, hasCopy}: UnansweredQueries): boolean {
+	return unanswered >= minimumUnansweredQueries && (hasCopy || silentMilliseconds >= eventPauseMilliseconds);
 }
 
 /**
- * Whether a report proves that a generation is no longer at its engine.
+ * Returns whether a report shows that the engine has restarted, so that it no longer runs the generation.
  *
  * @param report The engine's report.
- * @param startedAt Start of the engine that the generation was sent to, in Unix milliseconds; 0 where it is not known.
+ * @param startedAt Start time of the engine that the generation was sent to, in Unix milliseconds; 0 if unknown.
  */
-export function provesRestart(report: EngineReport, startedAt: number): boolean {
+export function showsRestart(report: EngineReport, startedAt: number): boolean {
 	return startedAt !== 0 && report.startedAt !== 0 && report.startedAt !== startedAt;
 }
 
 /**
- * Whether a report shows that an engine neither works on an attempt nor has any request waiting that could be it.
+ * Returns whether a report shows that an engine neither runs an attempt nor has a waiting request that could be it.
  *
- * A report is some hundred milliseconds old, so one alone proves nothing of an attempt that was just sent.
+ * A report may be some hundred milliseconds old, so a single one proves nothing about an attempt that was just sent.
  *
  * @param report The engine's report.
- * @param attempt Name of the attempt.
+ * @param attemptId Id of the attempt.
  */
-export function lacksAttempt({runs, running, waiting}: EngineReport, attempt: string): boolean {
-	return waiting === 0 && runs.length === running && !runs.some(run => run.attempt === attempt);
+export function lacksAttempt({runs, running, waiting}: EngineReport, attemptId: string): boolean {
+	return waiting === 0 && runs.length === running && !runs.some(run => run.attempt === attemptId);
 }
 
-/** Events beyond those that were received which an engine reports when its connection is not merely slow. */
-const missedEvents = 12;
+/** Number of reported but unreceived events from which on the connection counts as stalled rather than slow. */
+const missedEventsThreshold = 12;
 
 /**
- * Whether a report shows that an engine has made events that have not arrived: the connection to it has fallen silent.
+ * Returns whether a report shows that an engine has generated events that have not arrived, so that the connection has stalled.
  *
  * @param report The engine's report.
- * @param attempt Name of the attempt.
- * @param received Events of this attempt that have arrived.
+ * @param attemptId Id of the attempt.
+ * @param received Number of events of this attempt that have arrived.
  */
-export function withholdsEvents({runs}: EngineReport, attempt: string, received: number): boolean {
-	const run = runs.find(candidate => candidate.attempt === attempt);
-	return run !== undefined && run.events - received >= missedEvents;
+export function hasUndeliveredEvents({runs}: EngineReport, attemptId: string, received: number): boolean {
+	const run = runs.find(candidate => candidate.attempt === attemptId);
+	return run !== undefined && run.events - received >= missedEventsThreshold;
 }
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -9,7 +9,7 @@
 } from '../beliefs/mod.ts';
 import {MemberTable, exchangePeriod} from '../fleet/mod.ts';
 import {
-	EndpointConnections, HeldAnswers, LostAttempts, type ForwardingParts,
+	EndpointConnections, ResponseBuffers, CrashDetector, type ForwardingDependencies,
 } from '../forwarding/mod.ts';
 import {StoreClient} from '../platform/mod.ts';
 import {SharedRetryBudget, SlackBorrower} from '../retries/mod.ts';
@@ -20,7 +20,7 @@
 import {GracefulShutdown} from './graceful-shutdown.ts';
 
 /** The components that the servers and background tasks of a gateway share. */
-export type GatewayParts = ForwardingParts & {
+export type GatewayParts = ForwardingDependencies & {
 	settings: GatewaySettings;
 	metrics: GatewayMetrics;
 	store: StoreClient;
@@ -87,12 +87,12 @@
 		health: new EndpointHealth(),
 		backoff: new EndpointBackoff(),
 		connections: new EndpointConnections(),
-		heldAnswers: new HeldAnswers({answerBytes: settings.answers.heldBytes, totalBytes: settings.answers.allHeldBytes, passedOn: settings.answers.passedOnAtOnce}),
-		lostAttempts: new LostAttempts({
+		responseBuffers: new ResponseBuffers({maximumResponseBytes: settings.answers.heldBytes, maximumTotalBytes: settings.answers.allHeldBytes, maximumStreams: settings.answers.passedOnAtOnce}),
+		crashDetector: new CrashDetector({
 			endpoints,
 			suspects,
 			logger,
-			count(service, outcome) {
+			countProbe(service, outcome) {
 				metrics.lostAttempts.inc({service, fate: outcome});
 			},
 		}),
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -6,7 +6,7 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
-	forwardCall, forwardGeneration, sendRefusal, type Exchange, type ExchangeOutcome, type ForwardingParts, type Refusal,
+	forwardCall, forwardGeneration, sendErrorResponse, type Exchange, type ExchangeOutcome, type ForwardingDependencies, type ErrorResponse,
 } from '../forwarding/mod.ts';
 import {decodeRequestTerms} from '../platform/mod.ts';
 import {
@@ -16,7 +16,7 @@
 import {RequestIdentity, type SuspectedRequests, type SuspectAdmission} from '../suspects/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 
-type Forwarder = (exchange: Exchange, parts: ForwardingParts) => Promise<ExchangeOutcome>;
+type Forwarder = (exchange: Exchange, parts: ForwardingDependencies) => Promise<ExchangeOutcome>;
 
 const forwarders: Record<RequestKind, Forwarder> = {
 	idempotent: forwardCall,
@@ -27,7 +27,7 @@
 /** Retry delay for requests that another gateway can probably serve, in milliseconds. */
 const retryElsewhereMilliseconds = 100;
 
-const refusals: Record<Exclude<Admission['kind'], 'allowed'>, Refusal> = {
+const refusals: Record<Exclude<Admission['kind'], 'allowed'>, ErrorResponse> = {
 	'no-configuration': {
 		status: 503, code: 'no_configuration', message: 'This gateway has no configuration yet.', retryAfterMilliseconds: retryElsewhereMilliseconds,
 	},
@@ -86,9 +86,9 @@
 }
 
 /** How the forwarder handles an admitted request, by the admission decision about suspects. */
-const handlingByAdmission: Record<Exclude<SuspectAdmission['kind'], 'refused'>, Exchange['care']> = {free: 'none', suspected: 'suspected', trial: 'trial'};
+const handlingByAdmission: Record<Exclude<SuspectAdmission['kind'], 'refused'>, Exchange['handling']> = {free: 'none', suspected: 'suspected', trial: 'trial'};
 
-const crashesEndpoints: Refusal = {
+const crashesEndpoints: ErrorResponse = {
 	status: 503, code: 'ends_endpoints', message: 'Endpoints ended each time they ran this request, and it is not sent to another one for now.',
 };
 
@@ -139,16 +139,16 @@
 
 	const outcome = await forwarders[route.kind]({
 		...context,
-		answerBy: answerDeadline(context, route),
+		deadline: answerDeadline(context, route),
 		identity,
-		care: handlingByAdmission[suspectAdmission.kind],
+		handling: handlingByAdmission[suspectAdmission.kind],
 		request,
 		response,
 		body,
 		route,
 		service,
 		workspace,
-		callerGone: callerDisconnected,
+		callerDisconnected,
 	}, parts);
 	void recordSuspectOutcome(parts.suspects, {identity, suspectAdmission, outcome});
 	return {...outcome, service: service.name, route: route.name};
@@ -169,8 +169,8 @@
 	return arrivedAt + Math.min(terms.deadlineMilliseconds ?? timeoutMilliseconds, timeoutMilliseconds);
 }
 
-function refuse(response: ServerResponse, refusal: Refusal): ExchangeOutcome {
-	sendRefusal(response, refusal);
+function refuse(response: ServerResponse, refusal: ErrorResponse): ExchangeOutcome {
+	sendErrorResponse(response, refusal);
 	return {outcome: refusal.code, status: refusal.status, endpoints: []};
 }
 
--- a/source/platform/store-client.ts
+++ b/source/platform/store-client.ts
@@ -132,7 +132,7 @@
 	 *
 	 * @param table The table.
 	 * @param revision Changes after this revision are wanted.
-	 * @param waitMilliseconds Time after which the store answers without a change.
+	 * @param maximumWaitMilliseconds Time after which the store answers without a change.
 	 * @param signal Ends the call early.
 	 */
 	async changes(table: string, revision: number, waitMilliseconds: number, signal?: AbortSignal): Promise<Result<StoredRows, StoreFailure>> {
--- a/source/router/respond.ts
+++ b/source/router/respond.ts
@@ -30,7 +30,7 @@
  * @param refusal What went wrong.
  * @example
  * ```ts
- * sendRefusal(response, badRequest('the body is not JSON'));
+ * sendErrorResponse(response, badRequest('the body is not JSON'));
  * ```
  */
 export function sendRefusal(response: ServerResponse, refusal: Refusal): void {
