--- a/source/calls/_answer-of-claim.ts
+++ b/source/calls/_outcome-of-repeat.ts
@@ -1,18 +1,18 @@
 /**
- * What a repeat is told about the claim that stands.
+ * Answers repeats of a call from its stored claim.
  *
  * @module
  */
 import {Buffer} from 'node:buffer';
 import {type ServiceAnswer} from '../endpoints/mod.ts';
-import {type CallEnd} from './call.ts';
+import {type CallOutcome} from './call.ts';
 import {type Claim, type StoredAnswer} from './claim.ts';
 
-/** Largest answer that is kept, as stored, in characters. */
-export const largestStoredAnswer = 24_576;
+/** Maximum size of a stored answer in its serialized form, in characters. */
+export const maximumStoredCharacters = 24_576;
 
-/** Longest time after which a repeat of a running call is asked to come back, in seconds. */
-const longestComeBackSeconds = 2;
+/** Maximum retry time that is sent for a running call, in seconds. */
+const maximumRetryAfterSeconds = 2;
 
 const message = {
 	conflict: 'The idempotency key belongs to another call; this one was not run.',
@@ -22,17 +22,17 @@
 };
 
 /**
- * Returns the answer to a repeat.
+ * Returns the outcome of a repeated call.
  *
- * @param claim The claim that stands; absent when its value cannot be decoded.
+ * @param claim The stored claim; undefined when its value cannot be decoded.
  * @param callDigest Digest of the repeat.
  * @param now Wall-clock time, in milliseconds.
  * @example
  * ```ts
- * const end = answerOfClaim(claim, digestCall(request), Date.now());
+ * const outcome = outcomeOfRepeat(claim, digestCall(request), Date.now());
  * ```
  */
-export function answerOfClaim(claim: Claim | undefined, callDigest: string, now: number): CallEnd {
+export function outcomeOfRepeat(claim: Claim | undefined, callDigest: string, now: number): CallOutcome {
 	if (!claim) {
 		return unknownOutcome(409);
 	}
@@ -47,7 +47,7 @@
 	}
 
 	if (claim.state === 'ended') {
-		return endedAnswer(claim.answer);
+		return outcomeOfEndedClaim(claim.answer);
 	}
 
 	if (claim.state === 'running' && now < claim.endsBefore) {
@@ -55,7 +55,7 @@
 		return {
 			kind: 'refused',
 			refusal: {
-				status: 409, code: 'call_in_progress', message: message.running, run: 'unknown', retryAfterSeconds: Math.min(secondsLeft, longestComeBackSeconds),
+				status: 409, code: 'call_in_progress', message: message.running, run: 'unknown', retryAfterSeconds: Math.min(secondsLeft, maximumRetryAfterSeconds),
 			},
 		};
 	}
@@ -64,11 +64,11 @@
 }
 
 /**
- * Returns the end of a call whose outcome is not known.
+ * Returns the refusal of a call whose outcome is not known.
  *
  * @param status 502 or 504 for the attempt itself, 409 for its repeats.
  */
-export function unknownOutcome(status: 409 | 502 | 504): CallEnd {
+export function unknownOutcome(status: 409 | 502 | 504): CallOutcome {
 	return {
 		kind: 'refused',
 		refusal: {
@@ -78,17 +78,17 @@
 }
 
 /**
- * Returns an answer in the form that is kept; one that is too large keeps only its status.
+ * Returns the stored form of an answer; of one that is too large, only the status is stored.
  *
  * @param answer Answer of the service.
  */
-export function storedAnswer(answer: ServiceAnswer): StoredAnswer {
+export function toStoredAnswer(answer: ServiceAnswer): StoredAnswer {
 	const whole = {status: answer.status, headers: answer.headers, body: Buffer.from(answer.head).toString('base64')};
-	const tooLarge = answer.rest !== undefined || JSON.stringify(whole).length > largestStoredAnswer;
+	const tooLarge = answer.rest !== undefined || JSON.stringify(whole).length > maximumStoredCharacters;
 	return tooLarge ? {status: answer.status, headers: {}} : whole;
 }
 
-function endedAnswer(stored: StoredAnswer | undefined): CallEnd {
+function outcomeOfEndedClaim(stored: StoredAnswer | undefined): CallOutcome {
 	if (stored?.body === undefined) {
 		return {
 			kind: 'refused',
--- a/source/calls/_retry-write.ts
+++ b/source/calls/_retry-write.ts
@@ -1,5 +1,5 @@
 /**
- * Repeats a write that may be repeated until it is settled.
+ * Retries an idempotent write until its outcome is known.
  *
  * @module
  */
@@ -7,7 +7,7 @@
 
 /** Options of {@linkcode retryWrite}. */
 export type RetryWriteOptions = {
-	/** Time after which the write is given up, in milliseconds. */
+	/** Time after which the write is no longer retried, in milliseconds. */
 	giveUpMilliseconds: number;
 	/** Returns the monotonic time, in milliseconds. */
 	clock: () => number;
@@ -15,28 +15,28 @@
 	random: () => number;
 };
 
-const firstPauseMilliseconds = 50;
-const longestPauseMilliseconds = 5000;
+const initialDelayMilliseconds = 50;
+const maximumDelayMilliseconds = 5000;
 
 /**
- * Repeats a write with growing, jittered pauses.
+ * Retries a write with exponential, jittered delays.
  *
- * @param write Returns `undefined` while its outcome is open.
+ * @param write Returns `undefined` while its outcome is not known.
  * @param options Time limit, clock and randomness.
- * @returns What the write returned, or `undefined` when it was given up.
+ * @returns The result of the write, or `undefined` when the time limit was reached.
  * @example
  * ```ts
- * const settled = await retryWrite(async () => attempt(), {giveUpMilliseconds: 60_000, clock, random});
+ * const result = await retryWrite(async () => attempt(), {giveUpMilliseconds: 60_000, clock, random});
  * ```
  */
 export async function retryWrite<Value>(write: () => Promise<Value | undefined>, options: RetryWriteOptions): Promise<Value | undefined> {
 	const giveUpAt = options.clock() + options.giveUpMilliseconds;
-	for (let longest = firstPauseMilliseconds; ; longest = Math.min(longest * 2, longestPauseMilliseconds)) {
-		const settled = await write();
-		if (settled !== undefined || options.clock() >= giveUpAt) {
-			return settled;
+	for (let delay = initialDelayMilliseconds; ; delay = Math.min(delay * 2, maximumDelayMilliseconds)) {
+		const result = await write();
+		if (result !== undefined || options.clock() >= giveUpAt) {
+			return result;
 		}
 
-		await pause(longest * (0.5 + (0.5 * options.random())));
+		await pause(delay * (0.5 + (0.5 * options.random())));
 	}
 }
--- a/source/calls/at-most-once.test.ts
+++ b/source/calls/at-most-once.test.ts
@@ -8,17 +8,17 @@
 } from '../testing/call-fleet.ts';
 import {settleClaim} from './mod.ts';
 
-const settled = async (fleet: Fleet, key: string, state: string) => fleet.until(async () => {
+const untilClaimState = async (fleet: Fleet, key: string, state: string) => fleet.until(async () => {
 	const claim = await claimOf(fleet, key);
 	return claim?.state === state;
-}, `the claim of ${key} is ${state}`);
+}, `the claim of ${key} has state ${state}`);
 
 const codeOf = async (fleet: Fleet, key: string) => {
 	const {code} = await sendCall(fleet, {router: 'router-2', key});
 	return code;
 };
 
-const namesEntry = async (fleet: Fleet, router: string, callers: string) => {
+const listsEntry = async (fleet: Fleet, router: string, callers: string) => {
 	const {body} = await httpCall(fleet.hosts.get(router)!.entry!.callers, {path: '/v1/entries'});
 	return body.includes(callers);
 };
@@ -37,13 +37,13 @@
 	return status;
 };
 
-test('a repeat gets the stored answer, another body a conflict, and only a usable key is taken', async () => {
+test('a repeat gets the stored answer, another body gets a conflict, and invalid keys are refused', async () => {
 	await using fleet = await Fleet.create();
 	await startCallFleet(fleet);
 	const first = await sendCall(fleet, {key: 'refill-1'});
 	assert.deepEqual([first.status, first.run], [201, 'yes']);
 	assert.deepEqual(JSON.parse(first.text), {key: 'refill-1', run: 1, body: {litres: 20}});
-	await settled(fleet, 'refill-1', 'ended');
+	await untilClaimState(fleet, 'refill-1', 'ended');
 	for (const router of ['router-1', 'router-2'] as const) {
 		const repeat = await sendCall(fleet, {router, key: 'refill-1'});
 		assert.deepEqual([repeat.status, repeat.run, repeat.text], [201, 'yes', first.text]);
@@ -64,13 +64,13 @@
 	const large = {key: 'refill-large', body: JSON.stringify({note: 'n'.repeat(60_000)})};
 	const whole = await sendCall(fleet, large);
 	assert.deepEqual([whole.status, (JSON.parse(whole.text) as {body: {note: string}}).body.note.length], [201, 60_000]);
-	await settled(fleet, large.key, 'ended');
+	await untilClaimState(fleet, large.key, 'ended');
 	const notKept = await sendCall(fleet, {...large, router: 'router-2'});
 	assert.deepEqual([notKept.status, notKept.code, notKept.run], [409, 'answer_not_kept', 'yes']);
 	assert.equal(await runsOf(fleet, large.key), 1);
 });
 
-test('one key at the same moment through two routers runs once', async () => {
+test('concurrent calls with one key through two routers run once', async () => {
 	await using fleet = await Fleet.create();
 	await startCallFleet(fleet);
 	for (let round = 0; round < 40; round += 1) {
@@ -85,12 +85,12 @@
 	}
 });
 
-test('a router killed after its claim leaves an unknown outcome that never runs again', async () => {
+test('a router killed after its claim leaves an unknown outcome, and the call runs only after an operator withdraws the claim', async () => {
 	await using fleet = await Fleet.create();
 	await startCallFleet(fleet, {deadlineSeconds: 1});
 	await linkFault(fleet, 'store-1', 'drop_answers');
 	const lost = sendCall(fleet, {key: 'killed'});
-	await settled(fleet, 'killed', 'running');
+	await untilClaimState(fleet, 'killed', 'running');
 	fleet.signal('router-1', 'SIGKILL');
 	const {run} = await lost;
 	assert.equal(run, 'lost');
@@ -105,7 +105,7 @@
 	assert.equal(await runsOf(fleet, 'killed'), 1);
 });
 
-test('a router killed after it has sent leaves one run, which never runs again', async () => {
+test('a router killed after sending leaves an unknown outcome, and the call is not run again', async () => {
 	await using fleet = await Fleet.create();
 	await startCallFleet(fleet, {deadlineSeconds: 1, plain: {answerMilliseconds: 60_000}});
 	const lost = sendCall(fleet, {key: 'sent'});
@@ -119,12 +119,12 @@
 	assert.equal(await runsOf(fleet, 'sent'), 1);
 });
 
-test('a router paused between claim and send runs the call once, whatever repeats meanwhile', async () => {
+test('a router paused between claim and send runs the call once, despite repeats in the meantime', async () => {
 	await using fleet = await Fleet.create();
 	await startCallFleet(fleet, {deadlineSeconds: 20});
 	await linkFault(fleet, 'store-1', 'drop_answers');
 	const paused = sendCall(fleet, {key: 'paused'});
-	await settled(fleet, 'paused', 'running');
+	await untilClaimState(fleet, 'paused', 'running');
 	fleet.signal('router-1', 'SIGSTOP');
 	await linkFault(fleet, 'store-1', 'up');
 	for (let repeat = 0; repeat < 5; repeat += 1) {
@@ -141,12 +141,12 @@
 	assert.equal(await runsOf(fleet, 'paused'), 1);
 });
 
-test('a router that wakes after the deadline withdraws its claim instead of sending, and a repeat runs', async () => {
+test('a router that resumes after the deadline withdraws its claim instead of sending, and a repeat runs', async () => {
 	await using fleet = await Fleet.create();
 	await startCallFleet(fleet, {deadlineSeconds: 1});
 	await linkFault(fleet, 'store-1', 'drop_answers');
 	const paused = sendCall(fleet, {key: 'late'});
-	await settled(fleet, 'late', 'running');
+	await untilClaimState(fleet, 'late', 'running');
 	fleet.signal('router-1', 'SIGSTOP');
 	await linkFault(fleet, 'store-1', 'up');
 	await fleet.until(async () => await codeOf(fleet, 'late') === 'outcome_unknown', 'the deadline of the claim has passed');
@@ -158,20 +158,20 @@
 	assert.deepEqual([repeat.status, await runsOf(fleet, 'late')], [201, 1]);
 });
 
-test('an endpoint that cannot be reached is not run, and a repeat may run', async () => {
+test('a call to an unreachable endpoint is not run, and a repeat may run', async () => {
 	await using fleet = await Fleet.create();
 	await startCallFleet(fleet);
 	const {address} = fleet.process('plain-1');
 	fleet.signal('plain-1', 'SIGKILL');
 	await fleet.ended('plain-1');
 	fleet.addHost({...fleet.hosts.get('plain-1')!, endpoints: [{service: 'orders', address}]});
-	// An open circuit would also answer no_endpoint, so only an entry of the same list shows that the router has it.
+	// An open circuit breaker also causes no_endpoint. The marker entry in the same host list proves that the router has received the list.
 	const marker = {callers: fleet.allocate(), peers: fleet.allocate(), operators: fleet.allocate()};
 	fleet.addHost({
 		name: 'marker', availabilityZone: 'zone-a', region: 'home', state: 'live', entry: marker, endpoints: [],
 	});
 	await fleet.publishHosts();
-	await fleet.until(async () => namesEntry(fleet, 'router-2', marker.callers), 'the router has the new list');
+	await fleet.until(async () => listsEntry(fleet, 'router-2', marker.callers), 'the router has received the new list');
 	const refused = await sendCall(fleet, {router: 'router-2', key: 'refused'});
 	assert.deepEqual([refused.status, refused.code, refused.run], [503, 'no_endpoint', 'no']);
 	await fleet.startStandIn('plain', 'plain-1', {}, address);
@@ -179,7 +179,7 @@
 	assert.equal(await runsOf(fleet, 'refused'), 1);
 });
 
-test('an endpoint that dies, or whose connection goes silent, in mid-call leaves a stored unknown outcome', async () => {
+test('an endpoint that crashes, or whose connection fails or becomes silent, during a call leaves a stored unknown outcome', async () => {
 	await using fleet = await Fleet.create();
 	await startCallFleet(fleet, {deadlineSeconds: 2, plain: {answerMilliseconds: 60_000}});
 	for (const fault of ['silent_existing', 'cut', 'killed']) {
@@ -193,7 +193,7 @@
 
 		const answer = await pending;
 		assert.deepEqual([answer.code, answer.run], ['outcome_unknown', 'unknown']);
-		await settled(fleet, fault, 'unknown');
+		await untilClaimState(fleet, fault, 'unknown');
 		const repeat = await sendCall(fleet, {router: 'router-2', key: fault});
 		assert.deepEqual([repeat.status, repeat.code, repeat.run, repeat.retryAfter], [409, 'outcome_unknown', 'unknown', undefined]);
 		if (fault !== 'killed') {
--- a/source/calls/call.ts
+++ b/source/calls/call.ts
@@ -18,25 +18,25 @@
 	service: PlainService;
 	workspace: string;
 	request: ServiceRequest;
-	/** Monotonic time after which an answer is of no use, in milliseconds. */
+	/** Monotonic time after which an answer is no longer useful, in milliseconds. */
 	deadline: number;
 	/** Span of the caller's request. */
 	span: Span;
-	/** Aborts when the caller is gone. */
+	/** Aborts when the caller has disconnected. */
 	signal: AbortSignal;
 };
 
 /** A call that runs at most once. */
 export type KeyedCall = ServiceCall & {
 	idempotencyKey: string;
-	/** Whether the caller says that no earlier attempt under the key can have run. */
+	/** Whether the caller states that no earlier attempt under the key can have run. */
 	firstAttempt: boolean;
 };
 
-/** How a call ended; a stored answer is that of an earlier attempt. */
-export type CallEnd = {kind: 'answered'; answer: ServiceAnswer; stored?: boolean} | {kind: 'refused'; refusal: Refusal};
+/** How a call ended; `stored` marks the answer of an earlier attempt. */
+export type CallOutcome = {kind: 'answered'; answer: ServiceAnswer; stored?: boolean} | {kind: 'refused'; refusal: Refusal};
 
-/** What calls need of the router. */
+/** Components of the router that calls use. */
 export type CallParts = {
 	placement: Placement;
 	serviceClient: PooledServiceClient;
@@ -55,22 +55,22 @@
 	wallClock: () => number;
 	/** Returns a random number from 0 to 1. */
 	random: () => number;
-	/** Counts work that a planned stop must wait for; returns the function that counts its end. */
+	/** Registers work that a planned stop must wait for; returns a function that marks it as finished. */
 	track: () => () => void;
 };
 
-/** Seconds after which a caller may repeat a call that found no endpoint or no table. */
-export const comeBackSeconds = 1;
+/** Seconds after which a caller may retry a call that failed because no endpoint or table was available. */
+export const defaultRetryAfterSeconds = 1;
 
 /**
  * Returns the refusal of a call for which no endpoint could be reached.
  *
  * @param service Name of the service.
- * @param run Whether it may have run all the same.
+ * @param run Whether the call may have run nevertheless.
  */
 export function noEndpointRefusal(service: string, run: Refusal['run']): Refusal {
 	return {
-		status: 503, code: 'no_endpoint', message: `No endpoint of "${service}" can be reached.`, run, retryAfterSeconds: comeBackSeconds,
+		status: 503, code: 'no_endpoint', message: `No endpoint of "${service}" can be reached.`, run, retryAfterSeconds: defaultRetryAfterSeconds,
 	};
 }
 
@@ -78,8 +78,8 @@
  * Chooses an endpoint for a call.
  *
  * @param call The call.
- * @param parts The router's parts.
- * @param exclude Endpoints that have failed it.
+ * @param parts Components of the router.
+ * @param exclude Endpoints on which the call has failed.
  */
 export function chooseEndpoint(call: ServiceCall, parts: CallParts, exclude: ReadonlySet<string>): string | undefined {
 	return parts.placement.choose({
--- a/source/calls/claim-store.test.ts
+++ b/source/calls/claim-store.test.ts
@@ -5,17 +5,17 @@
 	claimOf, runsOf, sendCall, startCallFleet, storeFault,
 } from '../testing/call-fleet.ts';
 
-const settled = async (fleet: Fleet, key: string, state: string) => fleet.until(async () => {
+const untilClaimState = async (fleet: Fleet, key: string, state: string) => fleet.until(async () => {
 	const claim = await claimOf(fleet, key);
 	return claim?.state === state;
-}, `the claim of ${key} is ${state}`);
+}, `the claim of ${key} has state ${state}`);
 
 const statusOf = async (fleet: Fleet, key: string) => {
 	const {status} = await sendCall(fleet, {router: 'router-2', key});
 	return status;
 };
 
-test('with the store down a call is refused at once, as not run only where no earlier attempt can have run', async () => {
+test('while the store is down a call is refused at once, with run "no" only if no earlier attempt can have run', async () => {
 	await using fleet = await Fleet.create();
 	await startCallFleet(fleet);
 	await sendCall(fleet, {key: 'before'});
@@ -33,7 +33,7 @@
 	assert.deepEqual([await runsOf(fleet, 'fresh'), await runsOf(fleet, 'before')], [1, 1]);
 });
 
-test('the answer of the claim is lost after effect, or the store is slow: the call runs once', async () => {
+test('a call runs once when the store loses the answer to its claim or is slow', async () => {
 	await using fleet = await Fleet.create();
 	await startCallFleet(fleet);
 	await storeFault(fleet, {mode: 'lose_answers', requests: 1, paths: ['/table/transact']});
@@ -46,13 +46,13 @@
 	assert.equal(await statusOf(fleet, 'slow'), 201);
 	await storeFault(fleet, {mode: 'up'});
 	for (const key of ['lost-insert', 'late-insert', 'slow']) {
-		await settled(fleet, key, 'ended');
+		await untilClaimState(fleet, key, 'ended');
 		assert.equal(await statusOf(fleet, key), 201);
 		assert.equal(await runsOf(fleet, key), 1);
 	}
 });
 
-test('a claim whose answer is lost and cannot be read back is withdrawn when the store returns', async () => {
+test('a claim whose answer is lost and that cannot be read back is withdrawn once the store recovers', async () => {
 	await using fleet = await Fleet.create();
 	await startCallFleet(fleet);
 	await storeFault(fleet, {mode: 'lose_answers'});
@@ -60,12 +60,12 @@
 	assert.deepEqual([answer.code, answer.run], ['store_unavailable', 'unknown']);
 	assert.equal(await runsOf(fleet, 'unread'), 0);
 	await storeFault(fleet, {mode: 'up'});
-	await settled(fleet, 'unread', 'withdrawn');
+	await untilClaimState(fleet, 'unread', 'withdrawn');
 	assert.equal(await statusOf(fleet, 'unread'), 201);
 	assert.equal(await runsOf(fleet, 'unread'), 1);
 });
 
-test('the answer of the last write is lost after effect, or the store is down for it: the outcome still reaches the claim', async () => {
+test('the outcome is written to the claim even if the store loses the answer to the final write or is down for it', async () => {
 	await using fleet = await Fleet.create();
 	await startCallFleet(fleet, {plain: {answerMilliseconds: 700}});
 	for (const mode of ['lose_answers', 'down']) {
@@ -76,7 +76,7 @@
 		const answer = await pending;
 		assert.deepEqual([answer.status, answer.run], [201, 'yes']);
 		await storeFault(fleet, {mode: 'up'});
-		await settled(fleet, key, 'ended');
+		await untilClaimState(fleet, key, 'ended');
 		const repeat = await sendCall(fleet, {router: 'router-2', key});
 		assert.equal(repeat.text, answer.text);
 		assert.equal(await runsOf(fleet, key), 1);
@@ -87,7 +87,7 @@
 	await using fleet = await Fleet.create();
 	await startCallFleet(fleet);
 	assert.equal(await statusOf(fleet, 'counted'), 201);
-	await settled(fleet, 'counted', 'ended');
+	await untilClaimState(fleet, 'counted', 'ended');
 	for (let repeat = 0; repeat < 3; repeat += 1) {
 		assert.equal(await statusOf(fleet, 'counted'), 201);
 	}
--- a/source/calls/claim-store.ts
+++ b/source/calls/claim-store.ts
@@ -1,5 +1,5 @@
 /**
- * Writes claims to the table so that a lost answer never hides who holds one.
+ * Writes claims to the table, and reads them back after a lost answer to determine which claim is stored.
  *
  * @module
  */
@@ -16,16 +16,16 @@
 	clock: () => number;
 	/** Returns a random number from 0 to 1. */
 	random: () => number;
-	/** Time for which a claim's last write is tried again, in milliseconds. Default 120,000. */
+	/** Time for which the final write of a claim is retried, in milliseconds. Default 120,000. */
 	giveUpMilliseconds?: number;
 };
 
 /**
- * What became of an attempt to claim a call.
+ * Outcome of an attempt to claim a call.
  *
- * `held`: another claim stands, or one whose value this program cannot decode. `unavailable`: the table took nothing of this
- * claim. `unread`: another claim was in the way and the table did not say which. `unsettled`: the claim may stand, or may
- * still come to stand.
+ * `held`: another claim is stored, or one whose value cannot be decoded. `unavailable`: the table did not accept any write of
+ * this claim. `unread`: another claim is stored and could not be read. `unsettled`: the claim may be stored, or a delayed write
+ * may still store it.
  */
 export type ClaimOutcome
 	= | {kind: 'claimed'}
@@ -34,21 +34,21 @@
 		| {kind: 'unread'}
 		| {kind: 'unsettled'};
 
-/** Last state that a router gives to its own claim. */
-export type ClaimEnd = {state: 'ended'; answer: StoredAnswer} | {state: 'unknown'};
+/** Final state that a router writes to its own claim. */
+export type FinalClaimState = {state: 'ended'; answer: StoredAnswer} | {state: 'unknown'};
 
-/** What became of a withdrawal: `overtaken` when the row belongs to another claim. */
-export type Withdrawal = 'withdrawn' | 'overtaken';
+/** Outcome of a withdrawal: `overtaken` when the row belongs to another claim. */
+export type WithdrawalOutcome = 'withdrawn' | 'overtaken';
 
-/** Writes of one claim before its outcome is left open. */
-const claimAttempts = 3;
+/** Maximum number of writes of one claim before its outcome is left open. */
+const maximumClaimWrites = 3;
 
-/** A claim's row as read: none, a readable one or one that this program cannot read. */
-type Seen = {condition: Condition; claim: Claim | undefined};
+/** A claim's row as read; the claim is undefined when the row is absent or cannot be decoded. */
+type ReadRow = {condition: Condition; claim: Claim | undefined};
 
 /**
- * Claims calls, ends and withdraws claims. Every write carries the claim's token and a condition on the row as it was read,
- * so that a write that arrives late or twice changes nothing.
+ * Creates, finishes and withdraws claims. Every write contains the claim's token and is conditional on the row as it was read, so
+ * a delayed or duplicated write has no effect.
  *
  * @example
  * ```ts
@@ -64,24 +64,24 @@
 		this.#retry = {giveUpMilliseconds: options.giveUpMilliseconds ?? 120_000, clock: options.clock, random: options.random};
 	}
 
-	/** Claims a call whose row is absent or withdrawn. */
+	/** Claims a call whose row is absent or whose claim is withdrawn. */
 	async claim(name: ClaimName, claim: Claim): Promise<ClaimOutcome> {
 		let condition: Condition = {kind: 'absent'};
-		let mayStand = false;
-		for (let attempt = 0; attempt < claimAttempts; attempt += 1) {
+		let mayBeStored = false;
+		for (let attempt = 0; attempt < maximumClaimWrites; attempt += 1) {
 			const written = await this.#put(name, claim, condition);
 			if (written === 'committed') {
 				return {kind: 'claimed'};
 			}
 
-			if (written === 'refused' && !mayStand) {
+			if (written === 'refused' && !mayBeStored) {
 				return {kind: 'unavailable'};
 			}
 
-			mayStand ||= written === 'unknown';
+			mayBeStored ||= written === 'unknown';
 			const seen = await this.#read(name);
 			if (!seen) {
-				return {kind: mayStand ? 'unsettled' : 'unread'};
+				return {kind: mayBeStored ? 'unsettled' : 'unread'};
 			}
 
 			if (seen.claim?.token === claim.token) {
@@ -92,20 +92,20 @@
 				return {kind: 'held', claim: seen.claim};
 			}
 
-			// An earlier write under the same condition may still arrive; under another condition it no longer can.
-			mayStand &&= sameCondition(condition, seen.condition);
+			// An earlier write may still take effect while its condition holds; once the row has changed, it cannot.
+			mayBeStored &&= equalConditions(condition, seen.condition);
 			condition = seen.condition;
 		}
 
-		return {kind: mayStand ? 'unsettled' : 'unread'};
+		return {kind: mayBeStored ? 'unsettled' : 'unread'};
 	}
 
 	/**
-	 * Writes the end of a claim, again and again until it stands.
+	 * Writes the final state of a claim, retrying until it is stored.
 	 *
-	 * @returns Whether it stands; `undefined` when it was given up, `false` when the row belongs to another claim.
+	 * @returns `true` when it is stored, `false` when the row belongs to another claim, `undefined` when the time limit was reached.
 	 */
-	async end(name: ClaimName, claim: Claim, end: ClaimEnd): Promise<boolean | undefined> {
+	async finish(name: ClaimName, claim: Claim, final: FinalClaimState): Promise<boolean | undefined> {
 		return retryWrite(async () => {
 			const seen = await this.#read(name);
 			if (!seen) {
@@ -116,21 +116,21 @@
 				return false;
 			}
 
-			if (seen.claim.state === end.state && !seen.claim.settledBy) {
+			if (seen.claim.state === final.state && !seen.claim.settledBy) {
 				return true;
 			}
 
-			return await this.#put(name, {...claim, ...end}, seen.condition) === 'committed' ? true : undefined;
+			return await this.#put(name, {...claim, ...final}, seen.condition) === 'committed' ? true : undefined;
 		}, this.#retry);
 	}
 
 	/**
-	 * Withdraws a claim of which no byte has left, again and again until it can no longer stand. An absent row is written
-	 * too, so that a claim that is still on its way finds it.
+	 * Withdraws a claim of a call of which no byte has been sent, retrying until the claim can no longer be stored as running. An
+	 * absent row is written too, so that a delayed write of the claim fails its condition.
 	 *
-	 * @returns What became of it; `undefined` when it was given up.
+	 * @returns The outcome; `undefined` when the time limit was reached.
 	 */
-	async withdraw(name: ClaimName, claim: Claim): Promise<Withdrawal | undefined> {
+	async withdraw(name: ClaimName, claim: Claim): Promise<WithdrawalOutcome | undefined> {
 		return retryWrite(async () => {
 			const seen = await this.#read(name);
 			if (!seen) {
@@ -158,13 +158,13 @@
 		return written.match(({kind}) => kind, ({kind}) => kind);
 	}
 
-	async #read(name: ClaimName): Promise<Seen | undefined> {
+	async #read(name: ClaimName): Promise<ReadRow | undefined> {
 		const rows = await this.#platform.read([{table: claimTable, key: claimKey(name)}]);
-		return rows.isOk() ? seenOf(rows.value[0]) : undefined;
+		return rows.isOk() ? parseRow(rows.value[0]) : undefined;
 	}
 }
 
-function seenOf(row: Row | undefined): Seen {
+function parseRow(row: Row | undefined): ReadRow {
 	if (!row) {
 		return {condition: {kind: 'absent'}, claim: undefined};
 	}
@@ -173,6 +173,6 @@
 	return {condition: {kind: 'revision', revision: row.revision}, claim: checked.success ? checked.data : undefined};
 }
 
-function sameCondition(left: Condition, right: Condition): boolean {
+function equalConditions(left: Condition, right: Condition): boolean {
 	return left.kind === right.kind && (left.kind !== 'revision' || right.kind !== 'revision' || left.revision === right.revision);
 }
--- a/source/calls/claim.ts
+++ b/source/calls/claim.ts
@@ -1,5 +1,5 @@
 /**
- * The claim of a call that runs at most once: one row of the table for each workspace, service and idempotency key.
+ * Claims of calls that run at most once: one table row for each workspace, service and idempotency key.
  *
  * @module
  */
@@ -7,27 +7,27 @@
 import * as z from 'zod';
 import {type ServiceRequest} from '../endpoints/mod.ts';
 
-/** An answer that is kept for repeats of its call. */
+/** An answer that is stored for repeats of its call. */
 export const storedAnswerSchema = z.object({
 	status: z.number().int(),
 	headers: z.record(z.string(), z.union([z.string(), z.array(z.string())])),
-	/** Body in base64; absent when the answer was too large to keep. */
+	/** Body in base64; absent when the answer was too large to store. */
 	body: z.string().optional(),
 });
 
-/** Value of a claim's row. Rows are never deleted while their key may come again. */
+/** Value of a claim's row. A row is never deleted while its key may be used again. */
 export const claimSchema = z.object({
-	/** Writer's own token, by which a lost answer of the table is settled. */
+	/** Token of the writer, which identifies its own write when the answer of the table was lost. */
 	token: z.string(),
 	/** Digest of method, path and body. */
 	callDigest: z.string(),
 	/** Host and incarnation of the router that claimed the call. */
 	router: z.string(),
-	/** Wall-clock time by which that router has ended the call, in milliseconds. */
+	/** Wall-clock time by which that router ends the call, in milliseconds. */
 	endsBefore: z.number(),
 	/**
-	 * `running` from the claim on, `ended` with the service's answer, `unknown` when bytes left and no answer came,
-	 * `withdrawn` when no byte left. Only a withdrawn claim may be replaced by another one.
+	 * `running` once claimed, `ended` after an answer of the service, `unknown` when bytes were sent and no answer was received,
+	 * `withdrawn` when no byte was sent. Only a withdrawn claim may be replaced by another one.
 	 */
 	state: z.enum(['running', 'ended', 'unknown', 'withdrawn']),
 	answer: storedAnswerSchema.optional(),
@@ -38,22 +38,22 @@
 /** A claim as stored. */
 export type Claim = z.output<typeof claimSchema>;
 
-/** An answer that is kept. */
+/** A stored answer. */
 export type StoredAnswer = z.output<typeof storedAnswerSchema>;
 
-/** Names one call that runs at most once. */
+/** Identifies one call that runs at most once. */
 export type ClaimName = {workspace: string; service: string; idempotencyKey: string};
 
 /** Table of the claims. */
 export const claimTable = 'claim';
 
-/** Longest idempotency key, in characters. */
-export const longestKeyCharacters = 128;
+/** Maximum length of an idempotency key, in characters. */
+export const maximumKeyCharacters = 128;
 
 const keyPattern = /^[\u0021-\u007E]+$/v;
 
 /**
- * Returns whether an idempotency key may be used: 1 to 128 characters of visible ASCII.
+ * Returns whether an idempotency key is valid: 1 to 128 characters of visible ASCII.
  *
  * @param key Value of the header.
  * @example
@@ -62,11 +62,11 @@
  * ```
  */
 export function isIdempotencyKey(key: string): boolean {
-	return key.length <= longestKeyCharacters && keyPattern.test(key);
+	return key.length <= maximumKeyCharacters && keyPattern.test(key);
 }
 
 /**
- * Returns the key of a claim's row; names of workspaces and services contain no slash.
+ * Returns the key of a claim's row. It is unambiguous, since names of workspaces and services contain no slash.
  *
  * @param name Workspace, service and idempotency key.
  * @example
@@ -79,7 +79,7 @@
 }
 
 /**
- * Returns the digest by which a repeat is told from another call under the same key.
+ * Returns the digest that distinguishes a repeat from another call under the same key.
  *
  * @param request The call.
  * @example
--- a/source/calls/fault-schedules.test.ts
+++ b/source/calls/fault-schedules.test.ts
@@ -29,7 +29,7 @@
 			fleet.signal('router-1', 'SIGCONT');
 		}, 300);
 	},
-	/** Paused between claim and send until the claim's deadline is over. */
+	/** Pauses the router between claim and send until the deadline of the claim has passed. */
 	async routerPausedLong(fleet) {
 		await linkFault(fleet, 'store-1', 'drop_answers');
 		await delay(60);
@@ -41,14 +41,14 @@
 	},
 };
 
-/** A schedule that reaches every run state, whatever the seed draws. */
+/** A schedule that reaches every run state, independent of the seed. */
 const firstSchedule: Step[] = ['storeDown', 'none', 'endpointAnswersDropped'].map((fault, step) => ({
 	fault, after: 0, key: step === 2 ? 1 : 0, routers: ['router-1'],
 }));
 
 const stepArbitrary = fc.record({
 	fault: fc.constantFrom(...Object.keys(faults)),
-	/** Milliseconds into the calls at which the fault starts. */
+	/** Delay from the start of the calls to that of the fault, in milliseconds. */
 	after: fc.constantFrom(0, 0, 5, 15),
 	key: fc.integer({min: 0, max: 1}),
 	routers: fc.constantFrom(['router-1'], ['router-1'], ['router-2'], ['router-1', 'router-2'], ['router-1', 'router-1', 'router-2']),
@@ -56,7 +56,7 @@
 
 type Step = {fault: string; after: number; key: number; routers: readonly string[]};
 
-async function heal(fleet: Fleet): Promise<void> {
+async function clearFaults(fleet: Fleet): Promise<void> {
 	await storeFault(fleet, {mode: 'up'});
 	await linkFault(fleet, 'store-1', 'up');
 	await linkFault(fleet, 'endpoint-1', 'up');
@@ -77,11 +77,11 @@
 		router: router as 'router-1', key, firstAttempt: firstAttempt && step.routers.length === 1,
 	})));
 	await injected;
-	await heal(fleet);
+	await clearFaults(fleet);
 	return answers;
 }
 
-test('under random fault schedules a key runs at most once, and run "no" means no run and a repeat that may run', async context => {
+test('under random fault schedules a key runs at most once, and after run "no" the call has not run and a repeat succeeds', async context => {
 	await using fleet = await Fleet.create();
 	await startCallFleet(fleet, {deadlineSeconds: 1});
 	let schedule = 0;
@@ -96,9 +96,9 @@
 			const states = answers.map(answer => answer.run);
 			const count = await runsOf(fleet, key);
 			assert.ok(count <= 1, `${key} ran ${count} times`);
-			assert.ok(count === 1 || !states.includes('yes'), `${key} is said to have run and did not`);
+			assert.ok(count === 1 || !states.includes('yes'), `${key} was reported as run but has not run`);
 			if (states.every(state => state === 'no')) {
-				assert.equal(count, 0, `${key} is said not to have run and did`);
+				assert.equal(count, 0, `${key} was reported as not run but has run`);
 			}
 
 			lastRuns.set(key, [...lastRuns.get(key) ?? [], ...states]);
@@ -110,7 +110,7 @@
 		for (const [key, states] of lastRuns) {
 			if (states.every(state => state === 'no')) {
 				const repeat = await sendCall(fleet, {key});
-				assert.equal(repeat.status, 201, `${key} was not run, yet its repeat got ${repeat.text}`);
+				assert.equal(repeat.status, 201, `${key} was not run, but its repeat got ${repeat.text}`);
 			}
 
 			assert.ok(await runsOf(fleet, key) <= 1);
--- a/source/calls/idempotency.ts
+++ b/source/calls/idempotency.ts
@@ -1,5 +1,5 @@
 /**
- * Which calls may be repeated, and what a caller says about the others.
+ * Determines which calls are idempotent, and reads the headers of those that are not.
  *
  * @module
  */
@@ -9,16 +9,16 @@
 } from 'neverthrow';
 import {type Refusal} from '../answers/mod.ts';
 import {type PlainService} from '../configuration/mod.ts';
-import {isIdempotencyKey, longestKeyCharacters} from './claim.ts';
+import {isIdempotencyKey, maximumKeyCharacters} from './claim.ts';
 
-/** Header by which a caller says that no earlier attempt under its key can have run: `yes`, or absent. */
+/** Header that states that no earlier attempt under the key can have run: `yes`, or absent. */
 export const firstAttemptHeader = 'x-first-attempt';
 
 /** Parts of a path that services may decode into another path: encoded dots and slashes, backslashes, empty and parameter segments. */
 const ambiguousPath = /%2e|%2f|%5c|\\|\/\/|;/iv;
 
 /**
- * Returns whether the service file names a call as idempotent.
+ * Returns whether the service file declares a call as idempotent.
  *
  * @param service The service.
  * @param method Method of the call.
@@ -36,10 +36,10 @@
 }
 
 /**
- * Reads the idempotency key of a call that may not be repeated.
+ * Reads the idempotency key of a call that is not idempotent.
  *
  * @param headers Headers of the call.
- * @returns The key, or a refusal with status 400; a call without a usable key never runs.
+ * @returns The key, or a refusal with status 400; a call without a valid key is not run.
  * @example
  * ```ts
  * const key = readIdempotencyKey(request.headers);
@@ -56,12 +56,12 @@
 	return isIdempotencyKey(key)
 		? ok(key)
 		: err({
-			status: 400, code: 'bad_idempotency_key', message: `An idempotency key has 1 to ${longestKeyCharacters} characters of visible ASCII.`, run: 'no',
+			status: 400, code: 'bad_idempotency_key', message: `An idempotency key has 1 to ${maximumKeyCharacters} characters of visible ASCII.`, run: 'no',
 		});
 }
 
 /**
- * Returns whether the caller says that no earlier attempt under its key can have run: it is the first one, or all earlier
+ * Returns whether the caller states that no earlier attempt under its key can have run: it is the first one, or all earlier
  * ones were answered with run "no".
  *
  * @param headers Headers of the call.
@@ -71,8 +71,8 @@
 }
 
 /**
- * Corrects a refusal that was given before the claim was read: an earlier attempt under the same key may have run, so
- * run "no" holds only where the caller excludes that.
+ * Corrects the run state of a refusal that was created before the claim was read. An earlier attempt under the same key may have
+ * run, so run "no" remains only if the caller has excluded that.
  *
  * @param refusal The refusal of this attempt.
  * @param headers Headers of the call.
--- a/source/calls/idempotent.test.ts
+++ b/source/calls/idempotent.test.ts
@@ -15,7 +15,7 @@
 	return links[link]!;
 };
 
-test('only calls that the service file names, at a path boundary, are idempotent', () => {
+test('only calls that the service file declares are idempotent, with paths matched at segment boundaries', () => {
 	const service = plainServiceSchema.parse({
 		service: 'orders', kind: 'plain', idempotentCalls: [{method: 'GET', path: '/status'}, {method: 'PUT', path: '/stops/'}],
 	});
@@ -35,7 +35,7 @@
 	}
 });
 
-test('an idempotent call goes to another endpoint when one is cut off, also while the store is down', async () => {
+test('an idempotent call is retried on another endpoint when one is disconnected, even while the store is down', async () => {
 	await using fleet = await Fleet.create();
 	await startCallFleet(fleet, {endpoints: 2});
 	await storeFault(fleet, {mode: 'down'});
@@ -47,7 +47,7 @@
 	}
 });
 
-test('an idempotent call on a connection that goes silent is hedged on a new one, and the silent one is closed', async () => {
+test('an idempotent call on a connection that becomes silent is hedged on a new connection', async () => {
 	await using fleet = await Fleet.create();
 	await startCallFleet(fleet, {deadlineSeconds: 60});
 	await Promise.all(Array.from({length: 4}, async (_, call) => lookup(fleet, `/status/warm-${call}`)));
@@ -57,7 +57,7 @@
 	assert.equal(await runsOf(fleet, '/status/silent'), 1);
 });
 
-test('a slow idempotent call is hedged on a second endpoint, the first answer wins and the other is aborted', async () => {
+test('a slow idempotent call is hedged on a second endpoint, and the slower attempt is aborted', async () => {
 	await using fleet = await Fleet.create();
 	await startCallFleet(fleet, {endpoints: 2, deadlineSeconds: 60});
 	for (let call = 0; call < 25; call += 1) {
@@ -77,7 +77,7 @@
 	assert.deepEqual(Object.keys(await fleet.control('plain-1', '/control/runs')).filter(path => path.includes('slow')), []);
 });
 
-test('retries of idempotent calls stay within their budget when every endpoint fails', async () => {
+test('retries of idempotent calls stay within the budget when every endpoint fails', async () => {
 	await using fleet = await Fleet.create();
 	await startCallFleet(fleet, {endpoints: 2});
 	await linkFault(fleet, 'endpoint-1', 'cut');
@@ -94,7 +94,7 @@
 	assert.ok(attempts <= calls + 10 + (0.2 * calls), `${attempts} attempts for ${calls} calls`);
 });
 
-test('hedges stay within their budget when every endpoint is slow', async () => {
+test('hedges stay within the budget when every endpoint is slow', async () => {
 	await using fleet = await Fleet.create();
 	await startCallFleet(fleet, {endpoints: 2, deadlineSeconds: 60});
 	for (let call = 0; call < 25; call += 1) {
@@ -107,7 +107,7 @@
 	const calls = 50;
 	const answers = await Promise.all(Array.from({length: calls}, async () => lookup(fleet, '/status/slow')));
 	assert.ok(answers.every(({status}) => status === 200));
-	// The endpoints count an attempt that was aborted as well, once its work would have ended.
+	// The endpoints also count aborted attempts, at the time at which their work would have ended.
 	await delay(2 * workMilliseconds);
 	const attempts = await runsOf(fleet, '/status/slow');
 	assert.ok(attempts > calls, 'some calls are hedged');
--- a/source/calls/mod.ts
+++ b/source/calls/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Calls to plain services: idempotent ones are repeated and hedged, all others run at most once.
+ * Calls to plain services: idempotent ones are retried and hedged, all others run at most once.
  *
  * @module
  */
--- a/source/calls/recent-latency.ts
+++ b/source/calls/recent-latency.ts
@@ -1,5 +1,5 @@
 /**
- * Recent latency of each service, from which the time of a hedge follows.
+ * Recent latency of each service, which determines when a call is hedged.
  *
  * @module
  */
@@ -7,21 +7,22 @@
 
 /** Options of {@linkcode RecentLatency}. */
 export type RecentLatencyOptions = {
-	/** Time after which samples are forgotten, in milliseconds. Default 60,000; they last half as long at least. */
-	keptMilliseconds?: number;
-	/** Samples without which there is no percentile. Default 20. */
-	fewestSamples?: number;
+	/** Maximum age of samples, in milliseconds. Default 60,000; samples are kept for at least half of it. */
+	retentionMilliseconds?: number;
+	/** Minimum number of samples for a percentile. Default 20. */
+	minimumSamples?: number;
 };
 
-type Window = {since: number; current: Histogram; previous: Histogram | undefined};
+type Window = {startedAt: number; current: Histogram; previous: Histogram | undefined};
 
-const longestMilliseconds = 120_000;
+/** Largest recorded latency, in milliseconds; longer ones are recorded as this value. */
+const maximumMilliseconds = 120_000;
 
 /** Units of the histogram in one millisecond. */
 const unitsPerMillisecond = 100;
 
 /**
- * Records latencies in two windows that follow each other.
+ * Records latencies in two consecutive windows of time.
  *
  * @example
  * ```ts
@@ -31,33 +32,33 @@
  */
 export class RecentLatency {
 	readonly #windowMilliseconds: number;
-	readonly #fewestSamples: number;
+	readonly #minimumSamples: number;
 	readonly #windows = new Map<string, Window>();
 
 	constructor(options: RecentLatencyOptions = {}) {
-		this.#windowMilliseconds = (options.keptMilliseconds ?? 60_000) / 2;
-		this.#fewestSamples = options.fewestSamples ?? 20;
+		this.#windowMilliseconds = (options.retentionMilliseconds ?? 60_000) / 2;
+		this.#minimumSamples = options.minimumSamples ?? 20;
 	}
 
 	/** Records one latency, in milliseconds. */
 	record(service: string, milliseconds: number, now: number): void {
-		this.#window(service, now).current.recordValue(Math.min(longestMilliseconds, milliseconds) * unitsPerMillisecond);
+		this.#window(service, now).current.recordValue(Math.min(maximumMilliseconds, milliseconds) * unitsPerMillisecond);
 	}
 
 	/** Returns a percentile in milliseconds, or `undefined` with too few samples. */
 	percentile(service: string, percentile: number, now: number): number | undefined {
 		const {current, previous} = this.#window(service, now);
-		const histogram = current.totalCount >= this.#fewestSamples ? current : previous;
-		return histogram && histogram.totalCount >= this.#fewestSamples
+		const histogram = current.totalCount >= this.#minimumSamples ? current : previous;
+		return histogram && histogram.totalCount >= this.#minimumSamples
 			? histogram.getValueAtPercentile(percentile) / unitsPerMillisecond
 			: undefined;
 	}
 
 	#window(service: string, now: number): Window {
 		const window = this.#windows.get(service);
-		if (!window || now - window.since >= this.#windowMilliseconds) {
-			const recent = window && now - window.since < 2 * this.#windowMilliseconds ? window.current : undefined;
-			const next = {since: now, current: buildHistogram(), previous: recent};
+		if (!window || now - window.startedAt >= this.#windowMilliseconds) {
+			const recent = window && now - window.startedAt < 2 * this.#windowMilliseconds ? window.current : undefined;
+			const next = {startedAt: now, current: buildHistogram(), previous: recent};
 			this.#windows.set(service, next);
 			return next;
 		}
@@ -67,5 +68,5 @@
 }
 
 function buildHistogram(): Histogram {
-	return build({lowestDiscernibleValue: 1, highestTrackableValue: longestMilliseconds * unitsPerMillisecond, numberOfSignificantValueDigits: 2});
+	return build({lowestDiscernibleValue: 1, highestTrackableValue: maximumMilliseconds * unitsPerMillisecond, numberOfSignificantValueDigits: 2});
 }
--- a/source/calls/run-at-most-once.ts
+++ b/source/calls/run-at-most-once.ts
@@ -1,5 +1,5 @@
 /**
- * Runs a call that may not be repeated: claimed first, sent at most once, its end written to the claim.
+ * Runs a call that is not idempotent: claims it, sends it at most once and writes the outcome to the claim.
  *
  * @module
  */
@@ -9,51 +9,51 @@
 import {openSingleConnection, sendOnce, type ServiceAnswer} from '../endpoints/mod.ts';
 import {pause} from '../supervision/mod.ts';
 import {
-	answerOfClaim, storedAnswer, unknownOutcome,
-} from './_answer-of-claim.ts';
+	outcomeOfRepeat, toStoredAnswer, unknownOutcome,
+} from './_outcome-of-repeat.ts';
 import {
-	chooseEndpoint, comeBackSeconds, noEndpointRefusal, type CallEnd, type CallParts, type KeyedCall,
+	chooseEndpoint, defaultRetryAfterSeconds, noEndpointRefusal, type CallOutcome, type CallParts, type KeyedCall,
 } from './call.ts';
 import {digestCall, type Claim, type ClaimName} from './claim.ts';
-import {type ClaimEnd} from './claim-store.ts';
+import {type FinalClaimState} from './claim-store.ts';
 
-/** Time after a call's deadline in which its router still writes the end, in milliseconds. */
-const endMarginMilliseconds = 1000;
+/** Time after a call's deadline that its router has to write the final state of the claim, in milliseconds. */
+const finishMarginMilliseconds = 1000;
 
-/** Time for which the answer waits for the write of the claim's end, in milliseconds; the write goes on behind it. */
-const endWaitMilliseconds = 500;
+/** Time for which the answer waits for the final write of the claim, in milliseconds; the write then continues in the background. */
+const finishWaitMilliseconds = 500;
 
-/** Time for which a refusal waits for the withdrawal of the claim, in milliseconds; the withdrawal goes on behind it. */
+/** Time for which a refusal waits for the withdrawal of the claim, in milliseconds; the withdrawal then continues in the background. */
 const withdrawalWaitMilliseconds = 2000;
 
-const connectMilliseconds = 1000;
+const connectTimeoutMilliseconds = 1000;
 
-/** Endpoints to which a connection is tried before the call is given up. */
-const connectAttempts = 3;
+/** Maximum number of endpoints to which a connection is attempted. */
+const maximumConnectAttempts = 3;
 
 /** A claimed call. */
-type Claimed = {call: KeyedCall; parts: CallParts; name: ClaimName; claim: Claim};
+type ClaimedCall = {call: KeyedCall; parts: CallParts; name: ClaimName; claim: Claim};
 
 type Connection = {socket: Socket; endpoint: string};
 
 /**
- * Runs a call at most once for its idempotency key, over all routers and repeats.
+ * Runs a call at most once for its idempotency key, across all routers and repeats.
  *
  * @param call The call and its key.
- * @param parts The router's parts.
- * @returns The service's answer, now or from an earlier attempt, or a refusal whose `run` is true of the key.
+ * @param parts Components of the router.
+ * @returns The service's answer to this or an earlier attempt, or a refusal whose `run` covers all attempts under the key.
  * @example
  * ```ts
- * const end = await runAtMostOnce(call, parts);
+ * const outcome = await runAtMostOnce(call, parts);
  * ```
  */
-export async function runAtMostOnce(call: KeyedCall, parts: CallParts): Promise<CallEnd> {
+export async function runAtMostOnce(call: KeyedCall, parts: CallParts): Promise<CallOutcome> {
 	const name = {workspace: call.workspace, service: call.service.service, idempotencyKey: call.idempotencyKey};
 	const claim: Claim = {
 		token: randomUUID(),
 		callDigest: digestCall(call.request),
 		router: parts.incarnation,
-		endsBefore: parts.wallClock() + (call.deadline - parts.clock()) + endMarginMilliseconds,
+		endsBefore: parts.wallClock() + (call.deadline - parts.clock()) + finishMarginMilliseconds,
 		state: 'running',
 	};
 	const claimed = {
@@ -63,11 +63,11 @@
 	call.span.addEvent('claim', {outcome: outcome.kind});
 	switch (outcome.kind) {
 		case 'claimed': {
-			return runClaimed(claimed);
+			return runClaimedCall(claimed);
 		}
 
 		case 'held': {
-			return answerOfClaim(outcome.claim, claim.callDigest, parts.wallClock());
+			return outcomeOfRepeat(outcome.claim, claim.callDigest, parts.wallClock());
 		}
 
 		case 'unavailable': {
@@ -79,25 +79,25 @@
 		}
 
 		case 'unsettled': {
-			void inBackground(parts, parts.claims.withdraw(name, claim));
+			void trackWrite(parts, parts.claims.withdraw(name, claim));
 			return storeRefusal('unknown');
 		}
 	}
 }
 
-async function runClaimed(claimed: Claimed): Promise<CallEnd> {
+async function runClaimedCall(claimed: ClaimedCall): Promise<CallOutcome> {
 	const {call, parts} = claimed;
 	const connection = await openConnection(call, parts);
 	if (!connection) {
-		return withdrawn(claimed, noEndpointRefusal(call.service.service, 'no'));
+		return withdrawAndRefuse(claimed, noEndpointRefusal(call.service.service, 'no'));
 	}
 
 	const {socket, endpoint} = connection;
 	const remaining = call.deadline - parts.clock();
 	if (remaining <= 0) {
 		socket.destroy();
-		return withdrawn(claimed, {
-			status: 504, code: 'deadline_exceeded', message: 'The call could not be sent in time.', run: 'no', retryAfterSeconds: comeBackSeconds,
+		return withdrawAndRefuse(claimed, {
+			status: 504, code: 'deadline_exceeded', message: 'The call could not be sent in time.', run: 'no', retryAfterSeconds: defaultRetryAfterSeconds,
 		});
 	}
 
@@ -110,29 +110,29 @@
 	span.end();
 	if (answer.isOk()) {
 		parts.placement.recordSuccess(endpoint, parts.clock());
-		return ended(claimed, answer.value);
+		return finishWithAnswer(claimed, answer.value);
 	}
 
 	parts.placement.recordFailure(endpoint, parts.clock());
 	if (!answer.error.sent) {
-		return withdrawn(claimed, noEndpointRefusal(call.service.service, 'no'));
+		return withdrawAndRefuse(claimed, noEndpointRefusal(call.service.service, 'no'));
 	}
 
-	await writeEnd(claimed, {state: 'unknown'});
+	await finishClaim(claimed, {state: 'unknown'});
 	return unknownOutcome(parts.clock() >= call.deadline ? 504 : 502);
 }
 
-/** Opens a connection to one of the endpoints; nothing is sent, so another one may be tried. */
+/** Opens a connection to one of the endpoints. Nothing is sent before one is open, so another endpoint may be tried. */
 async function openConnection(call: KeyedCall, parts: CallParts): Promise<Connection | undefined> {
 	const failed = new Set<string>();
-	for (let attempt = 0; attempt < connectAttempts; attempt += 1) {
+	for (let attempt = 0; attempt < maximumConnectAttempts; attempt += 1) {
 		const endpoint = chooseEndpoint(call, parts, failed);
 		const remaining = call.deadline - parts.clock();
 		if (endpoint === undefined || remaining <= 0) {
 			return undefined;
 		}
 
-		const socket = await openSingleConnection(endpoint, Math.min(connectMilliseconds, remaining));
+		const socket = await openSingleConnection(endpoint, Math.min(connectTimeoutMilliseconds, remaining));
 		if (socket.isOk()) {
 			return {socket: socket.value, endpoint};
 		}
@@ -145,26 +145,27 @@
 	return undefined;
 }
 
-async function ended(claimed: Claimed, answer: ServiceAnswer): Promise<CallEnd> {
-	await writeEnd(claimed, {state: 'ended', answer: storedAnswer(answer)});
+/** Stores the answer in the claim and returns it. */
+async function finishWithAnswer(claimed: ClaimedCall, answer: ServiceAnswer): Promise<CallOutcome> {
+	await finishClaim(claimed, {state: 'ended', answer: toStoredAnswer(answer)});
 	return {kind: 'answered', answer};
 }
 
-/** Writes the claim's end; the caller waits for it only a moment. */
-async function writeEnd({parts, name, claim}: Claimed, end: ClaimEnd): Promise<void> {
-	const written = inBackground(parts, parts.claims.end(name, claim, end));
-	await within(endWaitMilliseconds, written);
+/** Writes the final state of the claim; waits for it only for a limited time. */
+async function finishClaim({parts, name, claim}: ClaimedCall, final: FinalClaimState): Promise<void> {
+	const written = trackWrite(parts, parts.claims.finish(name, claim, final));
+	await withTimeout(finishWaitMilliseconds, written);
 }
 
-/** Withdraws the claim; run "no" is said only once it is withdrawn. */
-async function withdrawn({parts, name, claim}: Claimed, refusal: Refusal): Promise<CallEnd> {
-	const withdrawal = inBackground(parts, parts.claims.withdraw(name, claim));
-	const settled = await within(withdrawalWaitMilliseconds, withdrawal);
+/** Withdraws the claim and returns a refusal; run "no" is sent only once the claim is withdrawn. */
+async function withdrawAndRefuse({parts, name, claim}: ClaimedCall, refusal: Refusal): Promise<CallOutcome> {
+	const withdrawal = trackWrite(parts, parts.claims.withdraw(name, claim));
+	const settled = await withTimeout(withdrawalWaitMilliseconds, withdrawal);
 	return {kind: 'refused', refusal: settled === 'withdrawn' ? refusal : {...refusal, run: 'unknown'}};
 }
 
-/** Lets a planned stop wait for a write that goes on behind the answer. */
-async function inBackground<Value>(parts: CallParts, write: Promise<Value>): Promise<Value> {
+/** Registers a write, so that a planned stop waits for it even after the answer was sent. */
+async function trackWrite<Value>(parts: CallParts, write: Promise<Value>): Promise<Value> {
 	const done = parts.track();
 	try {
 		return await write;
@@ -173,8 +174,8 @@
 	}
 }
 
-/** Waits for a promise for a time at most. */
-async function within<Value>(milliseconds: number, promise: Promise<Value>): Promise<Value | undefined> {
+/** Waits for a promise with a timeout; returns `undefined` when it is reached. */
+async function withTimeout<Value>(milliseconds: number, promise: Promise<Value>): Promise<Value | undefined> {
 	const settled = new AbortController();
 	try {
 		return await Promise.race([promise, pauseWithoutValue(milliseconds, settled.signal)]);
@@ -188,11 +189,11 @@
 	return undefined;
 }
 
-function storeRefusal(run: Refusal['run']): CallEnd {
+function storeRefusal(run: Refusal['run']): CallOutcome {
 	return {
 		kind: 'refused',
 		refusal: {
-			status: 503, code: 'store_unavailable', message: 'The table that keeps claims cannot be used, so the call was not sent by this attempt.', run, retryAfterSeconds: comeBackSeconds,
+			status: 503, code: 'store_unavailable', message: 'The table that keeps claims cannot be used, so the call was not sent by this attempt.', run, retryAfterSeconds: defaultRetryAfterSeconds,
 		},
 	};
 }
--- a/source/calls/run-idempotent.ts
+++ b/source/calls/run-idempotent.ts
@@ -1,5 +1,5 @@
 /**
- * Runs a call that may be repeated: on pooled connections, retried elsewhere and hedged, the first answer wins.
+ * Runs an idempotent call on pooled connections, with retries and hedging; the first answer is used.
  *
  * @module
  */
@@ -7,49 +7,49 @@
 import {type ServiceAnswer, type ServiceFailure} from '../endpoints/mod.ts';
 import {pause} from '../supervision/mod.ts';
 import {
-	chooseEndpoint, comeBackSeconds, noEndpointRefusal, type CallEnd, type CallParts, type ServiceCall,
+	chooseEndpoint, defaultRetryAfterSeconds, noEndpointRefusal, type CallOutcome, type CallParts, type ServiceCall,
 } from './call.ts';
 
-/** Percentile of recent latency after which a call is hedged. */
+/** Percentile of recent latency that is used as the hedge delay. */
 const hedgePercentile = 95;
 
-/** Shortest and default time after which a call is hedged, in milliseconds. */
-const shortestHedgeMilliseconds = 2;
-const defaultHedgeMilliseconds = 1000;
+/** Minimum and default hedge delay, in milliseconds. */
+const minimumHedgeDelayMilliseconds = 2;
+const defaultHedgeDelayMilliseconds = 1000;
 
-/** Attempts of one call at most, hedges included. */
-const mostAttempts = 4;
+/** Maximum number of attempts of one call, including hedges. */
+const maximumAttempts = 4;
 
-/** Longest pause before every endpoint is tried again, in milliseconds. */
-const againMilliseconds = 100;
+/** Maximum delay before all endpoints are tried again, in milliseconds. */
+const maximumRetryDelayMilliseconds = 100;
 
 type Attempt = {endpoint: string; controller: AbortController};
 
-type AttemptEnd = {kind: 'settled'; attempt: Attempt; result: Result<ServiceAnswer, ServiceFailure>};
+type SettledAttempt = {kind: 'settled'; attempt: Attempt; result: Result<ServiceAnswer, ServiceFailure>};
 
-type Event = AttemptEnd | {kind: 'hedge_due'} | {kind: 'deadline'} | {kind: 'caller_gone'};
+type RunEvent = SettledAttempt | {kind: 'hedge_due'} | {kind: 'deadline'} | {kind: 'caller_gone'};
 
 /**
- * Runs an idempotent call until an answer, its deadline or the end of its retry budget.
+ * Runs an idempotent call until an answer arrives, its deadline passes or its retry budget is exhausted.
  *
  * @param call The call.
- * @param parts The router's parts.
+ * @param parts Components of the router.
  * @returns The first answer, or a refusal.
  * @example
  * ```ts
- * const end = await runIdempotent(call, parts);
+ * const outcome = await runIdempotent(call, parts);
  * ```
  */
-export async function runIdempotent(call: ServiceCall, parts: CallParts): Promise<CallEnd> {
+export async function runIdempotent(call: ServiceCall, parts: CallParts): Promise<CallOutcome> {
 	return new IdempotentRun(call, parts).run();
 }
 
 class IdempotentRun {
 	readonly #call: ServiceCall;
 	readonly #parts: CallParts;
-	readonly #attempts = new Map<Attempt, Promise<AttemptEnd>>();
+	readonly #attempts = new Map<Attempt, Promise<SettledAttempt>>();
 	readonly #tried = new Set<string>();
-	#launched = 0;
+	#attemptsStarted = 0;
 	#hedgeAt = Number.POSITIVE_INFINITY;
 	#mayHaveRun = false;
 
@@ -58,14 +58,14 @@
 		this.#parts = parts;
 	}
 
-	async run(): Promise<CallEnd> {
+	async run(): Promise<CallOutcome> {
 		this.#parts.retryBudgetOf(this.#call.service.service).recordFirstAttempt();
-		if (!this.#launch()) {
-			return this.#refuse();
+		if (!this.#startAttempt()) {
+			return this.#failureOutcome();
 		}
 
 		for (;;) {
-			const event = await this.#next();
+			const event = await this.#nextEvent();
 			if (event.kind === 'settled' && event.result.isOk()) {
 				this.#attempts.delete(event.attempt);
 				this.#abortAll();
@@ -75,61 +75,61 @@
 			if (event.kind === 'deadline' || event.kind === 'caller_gone') {
 				this.#mayHaveRun = true;
 				this.#abortAll();
-				return this.#deadlineEnd();
+				return this.#deadlineOutcome();
 			}
 
 			if (event.kind === 'hedge_due') {
 				this.#hedgeAt = Number.POSITIVE_INFINITY;
-				this.#launchAgain();
+				this.#startFurtherAttempt();
 				continue;
 			}
 
 			this.#attempts.delete(event.attempt);
 			this.#mayHaveRun ||= event.result.isErr() && event.result.error.sent;
-			if (!await this.#retry()) {
-				return this.#refuse();
+			if (!await this.#retryAfterFailure()) {
+				return this.#failureOutcome();
 			}
 		}
 	}
 
-	/** After a failure, starts another attempt; returns whether any is still in progress. */
-	async #retry(): Promise<boolean> {
-		if (!this.#launchAgain() && this.#attempts.size === 0 && this.#launched < mostAttempts) {
+	/** Starts another attempt after a failure; returns whether any attempt is in progress. */
+	async #retryAfterFailure(): Promise<boolean> {
+		if (!this.#startFurtherAttempt() && this.#attempts.size === 0 && this.#attemptsStarted < maximumAttempts) {
 			this.#tried.clear();
-			await pause(againMilliseconds * this.#parts.random(), this.#call.signal);
-			this.#launchAgain();
+			await pause(maximumRetryDelayMilliseconds * this.#parts.random(), this.#call.signal);
+			this.#startFurtherAttempt();
 		}
 
 		return this.#attempts.size > 0;
 	}
 
-	/** Starts a further attempt if the budget allows it. */
-	#launchAgain(): boolean {
+	/** Starts a further attempt if the retry budget allows it. */
+	#startFurtherAttempt(): boolean {
 		const {service} = this.#call.service;
 		const untried = chooseEndpoint(this.#call, this.#parts, this.#tried);
-		const mayLaunch = this.#launched < mostAttempts && (untried !== undefined || this.#attempts.size > 0);
-		return mayLaunch && this.#parts.retryBudgetOf(service).take(this.#parts.clock()) && this.#launch(untried);
+		const mayStart = this.#attemptsStarted < maximumAttempts && (untried !== undefined || this.#attempts.size > 0);
+		return mayStart && this.#parts.retryBudgetOf(service).take(this.#parts.clock()) && this.#startAttempt(untried);
 	}
 
-	/** Starts an attempt on an endpoint, by default the best one; the pool opens a new connection while another is busy. */
-	#launch(endpoint = chooseEndpoint(this.#call, this.#parts, new Set())): boolean {
+	/** Starts an attempt on an endpoint, by default the best one. The pool opens a new connection if the others are busy. */
+	#startAttempt(endpoint = chooseEndpoint(this.#call, this.#parts, new Set())): boolean {
 		if (endpoint === undefined) {
 			return false;
 		}
 
-		this.#launched += 1;
+		this.#attemptsStarted += 1;
 		this.#tried.add(endpoint);
 		const attempt = {endpoint, controller: new AbortController()};
 		this.#attempts.set(attempt, this.#send(attempt));
-		this.#hedgeAt = this.#call.service.hedge ? this.#parts.clock() + this.#hedgeMilliseconds() : Number.POSITIVE_INFINITY;
+		this.#hedgeAt = this.#call.service.hedge ? this.#parts.clock() + this.#hedgeDelayMilliseconds() : Number.POSITIVE_INFINITY;
 		return true;
 	}
 
-	async #send(attempt: Attempt): Promise<AttemptEnd> {
+	async #send(attempt: Attempt): Promise<SettledAttempt> {
 		const {placement, clock, tracing, serviceClient, recentLatency} = this.#parts;
 		const {request, service, span: parent} = this.#call;
 		const {endpoint, controller} = attempt;
-		const span = tracing.start('call', parent, {endpoint, attempt: this.#launched});
+		const span = tracing.start('call', parent, {endpoint, attempt: this.#attemptsStarted});
 		const startedAt = clock();
 		placement.recordStart(endpoint, 1);
 		const signal = AbortSignal.any([controller.signal, AbortSignal.timeout(Math.max(1, Math.ceil(this.#call.deadline - startedAt)))]);
@@ -147,8 +147,8 @@
 		return {kind: 'settled', attempt, result};
 	}
 
-	/** Waits for an attempt's end, the time of the next hedge or the deadline. */
-	async #next(): Promise<Event> {
+	/** Waits for the end of an attempt, the time of the next hedge, the deadline or the disconnection of the caller. */
+	async #nextEvent(): Promise<RunEvent> {
 		const wait = new AbortController();
 		try {
 			return await Promise.race([...this.#attempts.values(), this.#timer(AbortSignal.any([wait.signal, this.#call.signal]))]);
@@ -157,7 +157,7 @@
 		}
 	}
 
-	async #timer(signal: AbortSignal): Promise<Event> {
+	async #timer(signal: AbortSignal): Promise<RunEvent> {
 		const {deadline} = this.#call;
 		const passed = await pause(Math.max(0, Math.min(this.#hedgeAt, deadline) - this.#parts.clock()), signal);
 		if (!passed) {
@@ -167,10 +167,10 @@
 		return this.#hedgeAt < deadline ? {kind: 'hedge_due'} : {kind: 'deadline'};
 	}
 
-	#hedgeMilliseconds(): number {
+	#hedgeDelayMilliseconds(): number {
 		const {recentLatency, clock} = this.#parts;
 		const high = recentLatency.percentile(this.#call.service.service, hedgePercentile, clock());
-		return high === undefined ? defaultHedgeMilliseconds : Math.max(shortestHedgeMilliseconds, high);
+		return high === undefined ? defaultHedgeDelayMilliseconds : Math.max(minimumHedgeDelayMilliseconds, high);
 	}
 
 	#abortAll(): void {
@@ -179,16 +179,16 @@
 		}
 	}
 
-	#deadlineEnd(): CallEnd {
+	#deadlineOutcome(): CallOutcome {
 		return {
 			kind: 'refused',
 			refusal: {
-				status: 504, code: 'deadline_exceeded', message: 'No endpoint answered in time.', run: 'unknown', retryAfterSeconds: comeBackSeconds,
+				status: 504, code: 'deadline_exceeded', message: 'No endpoint answered in time.', run: 'unknown', retryAfterSeconds: defaultRetryAfterSeconds,
 			},
 		};
 	}
 
-	#refuse(): CallEnd {
+	#failureOutcome(): CallOutcome {
 		const {service} = this.#call.service;
 		if (!this.#mayHaveRun) {
 			return {kind: 'refused', refusal: noEndpointRefusal(service, 'no')};
@@ -197,7 +197,7 @@
 		return {
 			kind: 'refused',
 			refusal: {
-				status: 502, code: 'endpoint_failed', message: `The endpoints of "${service}" failed before an answer.`, run: 'unknown', retryAfterSeconds: comeBackSeconds,
+				status: 502, code: 'endpoint_failed', message: `The endpoints of "${service}" failed before an answer.`, run: 'unknown', retryAfterSeconds: defaultRetryAfterSeconds,
 			},
 		};
 	}
--- a/source/calls/settle-claim.ts
+++ b/source/calls/settle-claim.ts
@@ -1,5 +1,5 @@
 /**
- * Lets an operator look at a claim, and settle one whose outcome no router can tell.
+ * Lets an operator read a claim, and settle one whose outcome no router can determine.
  *
  * @module
  */
@@ -11,7 +11,7 @@
 	claimKey, claimSchema, claimTable, type Claim, type ClaimName,
 } from './claim.ts';
 
-/** Why a claim could not be read or settled. */
+/** Reason why a claim could not be read or settled. */
 export type SettleFailure = {
 	kind: 'store_unavailable' | 'no_claim' | 'unreadable_claim' | 'still_running' | 'already_settled' | 'changed_meanwhile';
 	message: string;
@@ -21,33 +21,34 @@
 export type SettleClaimOptions = {
 	name: ClaimName;
 	/**
-	 * What the operator found at the service. `yes` ends the claim for good. `no` withdraws it, so that a repeat runs: only
-	 * after the router that the claim names has ended for certain, since a paused one could still send when it wakes.
+	 * Whether the call has run, as the operator found at the service. `yes` ends the claim permanently. `no` withdraws it, so that a
+	 * repeat runs; it is safe only once the router in the claim has certainly terminated, since a paused one may still send the call
+	 * when it resumes.
 	 */
 	run: 'yes' | 'no';
-	/** Name of the operator, kept in the claim. */
+	/** Name of the operator, stored in the claim. */
 	operator: string;
 	/** Wall-clock time, in milliseconds. */
 	now: number;
-	/** Token of this write; any name that is used once. */
+	/** Unique token of this write. */
 	token: string;
 };
 
-type StoredClaim = {claim: Claim; row: Row};
+type ClaimRow = {claim: Claim; row: Row};
 
 /**
  * Reads a claim.
  *
  * @param platform Client of the table.
  * @param name Workspace, service and idempotency key.
- * @returns The claim, or why there is none.
+ * @returns The claim, or the reason why it could not be read.
  * @example
  * ```ts
  * const claim = await readClaim(platform, {workspace: 'vans', service: 'orders', idempotencyKey: 'refill-7'});
  * ```
  */
 export async function readClaim(platform: PlatformClient, name: ClaimName): Promise<Result<Claim, SettleFailure>> {
-	const stored = await readStored(platform, name);
+	const stored = await readClaimRow(platform, name);
 	return stored.map(({claim}) => claim);
 }
 
@@ -55,8 +56,8 @@
  * Settles a claim whose outcome is unknown.
  *
  * @param platform Client of the table.
- * @param options The claim, what was found, and who found it.
- * @returns The claim as settled, or why it was left as it is.
+ * @param options The claim, whether the call has run, and the operator.
+ * @returns The settled claim, or the reason why it was not changed.
  * @example
  * ```ts
  * const settled = await settleClaim(platform, {name, run: 'yes', operator: 'ana', now: Date.now(), token: randomUUID()});
@@ -64,7 +65,7 @@
  */
 export async function settleClaim(platform: PlatformClient, options: SettleClaimOptions): Promise<Result<Claim, SettleFailure>> {
 	const {name, run, operator, now, token} = options;
-	const stored = await readStored(platform, name);
+	const stored = await readClaimRow(platform, name);
 	if (stored.isErr()) {
 		return err(stored.error);
 	}
@@ -90,13 +91,13 @@
 		return err({kind: 'store_unavailable', message: written.error.message});
 	}
 
-	const after = await readStored(platform, name);
-	return after.andThen(({claim: standing}): Result<Claim, SettleFailure> => standing.settledBy?.token === token
-		? ok(standing)
+	const after = await readClaimRow(platform, name);
+	return after.andThen(({claim: current}): Result<Claim, SettleFailure> => current.settledBy?.token === token
+		? ok(current)
 		: err({kind: 'changed_meanwhile', message: 'the claim has changed or the write was lost; read it again'}));
 }
 
-async function readStored(platform: PlatformClient, name: ClaimName): Promise<Result<StoredClaim, SettleFailure>> {
+async function readClaimRow(platform: PlatformClient, name: ClaimName): Promise<Result<ClaimRow, SettleFailure>> {
 	const rows = await platform.read([{table: claimTable, key: claimKey(name)}]);
 	if (rows.isErr()) {
 		return err({kind: 'store_unavailable', message: rows.error.message});
--- a/source/duties/wanted-state.ts
+++ b/source/duties/desired-state.ts
@@ -1,17 +1,17 @@
 /**
- * The state that each engine should be in, as the service files say it.
+ * Desired state of each engine, as the service files define it.
  *
  * @module
  */
 import {type ModelService, type Service} from '../configuration/mod.ts';
 import {type EngineLoad} from '../endpoints/mod.ts';
 
-/** An engine that one duty orders, and the models that it should serve. */
-export type WantedEngine = {address: string; models: EngineLoad['models']};
+/** An engine that belongs to a duty, and the models that it should serve. */
+export type DesiredEngine = {address: string; models: EngineLoad['models']};
 
-/** Options of {@linkcode wantedEngines}. */
-export type WantedEnginesOptions = {
-	/** Service whose duty is asked for. */
+/** Options of {@linkcode desiredEngines}. */
+export type DesiredEnginesOptions = {
+	/** Service whose duty is considered. */
 	service: ModelService;
 	/** Every service of the configuration in force. */
 	services: readonly Service[];
@@ -20,16 +20,16 @@
 };
 
 /**
- * Returns the engines of one service's duty. An engine that serves several services belongs to the duty of the first by name,
- * which orders the models of all of them, so that no two duties order one engine.
+ * Returns the engines of one service's duty. An engine that serves several services belongs to the duty of the first by name, which
+ * manages the models of all of them, so that no two duties manage the same engine.
  *
- * @param options The service, its siblings and their endpoints.
+ * @param options The service, all services and their endpoints.
  * @example
  * ```ts
- * const engines = wantedEngines({service, services, endpointsOf});
+ * const engines = desiredEngines({service, services, endpointsOf});
  * ```
  */
-export function wantedEngines(options: WantedEnginesOptions): WantedEngine[] {
+export function desiredEngines(options: DesiredEnginesOptions): DesiredEngine[] {
 	const {service, services, endpointsOf} = options;
 	const models = services.filter(candidate => candidate.kind === 'model')
 		.toSorted((left, right) => left.service < right.service ? -1 : 1);
@@ -40,17 +40,17 @@
 }
 
 /**
- * Returns whether an engine reports just the wanted models, in any order.
+ * Returns whether an engine reports exactly the desired models, in any order.
  *
  * @param reported Models as the engine reports them.
- * @param wanted Models as the service files say.
+ * @param desired Models that the engine should serve.
  * @example
  * ```ts
- * isInWantedState(load.models, engine.models);
+ * isInDesiredState(load.models, engine.models);
  * ```
  */
-export function isInWantedState(reported: EngineLoad['models'], wanted: EngineLoad['models']): boolean {
-	return normalized(reported) === normalized(wanted);
+export function isInDesiredState(reported: EngineLoad['models'], desired: EngineLoad['models']): boolean {
+	return normalize(reported) === normalize(desired);
 }
 
 function mergeModels(services: readonly ModelService[]): EngineLoad['models'] {
@@ -68,7 +68,7 @@
 	return [...merged.values()];
 }
 
-function normalized(models: EngineLoad['models']): string {
+function normalize(models: EngineLoad['models']): string {
 	return JSON.stringify(models
 		.map(({model, version, adapters}) => [model, version, ...adapters.toSorted()])
 		.toSorted((left, right) => JSON.stringify(left) < JSON.stringify(right) ? -1 : 1));
--- a/source/duties/duties.test.ts
+++ b/source/duties/duties.test.ts
@@ -52,7 +52,7 @@
 
 const untilServed = async (fleet: Fleet, version: string) => fleet.until(async () => serves(fleet, version), `both engines serve ${version}`);
 
-/** Sends what an earlier holder's order would say, arriving now. */
+/** Sends an order of an earlier holder, as if it had been delayed until now. */
 async function sendLateOrder(fleet: Fleet, fencingNumber: number): Promise<boolean> {
 	const client = new EngineClient();
 	const ordered = await client.order(fleet.process('engine-1').address, {fencing_number: fencingNumber, models: [{model: 'model', version: 'v1', adapters: []}]});
@@ -63,7 +63,7 @@
 for (const checksFencing of [true, false]) {
 	const kind = checksFencing ? 'engines that check the fencing number' : 'engines that do not check it';
 
-	test(`a paused holder is succeeded and orders nothing when it wakes, with ${kind}`, async () => {
+	test(`a paused holder is replaced and sends no orders after it resumes, with ${kind}`, async () => {
 		await using fleet = await Fleet.create();
 		await start(fleet, checksFencing);
 		await untilServed(fleet, 'v1');
@@ -79,7 +79,7 @@
 		const waited = performance.now() - pausedAt;
 		assert.ok(checksFencing || waited >= duties.longestOrderMilliseconds, `ordered ${waited} ms after the pause`);
 		const logged = fleet.process(holder).log.length;
-		// Cut off, it knows neither the new configuration nor the new holder: only its own clock tells it to stop.
+		// Without a connection it receives neither the new configuration nor the new lease, so only its own clock can stop it.
 		await fleet.control('proxy', '/control/fault', {link: holder, mode: 'cut'});
 		fleet.signal(holder, 'SIGCONT');
 		await delay(8 * duties.reconcileMilliseconds);
@@ -87,7 +87,7 @@
 		assert.doesNotMatch(fleet.process(holder).log.slice(logged).join(''), /engine ordered/v);
 	});
 
-	test(`a late order of an earlier holder is ${checksFencing ? 'refused' : 'put right'} by ${kind}`, async () => {
+	test(`a delayed order of an earlier holder is ${checksFencing ? 'refused' : 'corrected'} with ${kind}`, async () => {
 		await using fleet = await Fleet.create();
 		await start(fleet, checksFencing);
 		await untilServed(fleet, 'v1');
@@ -101,7 +101,7 @@
 	});
 }
 
-test('a holder whose renewals lose their answers stays the holder', async () => {
+test('a holder remains the holder when the answers to its renewals are lost', async () => {
 	await using fleet = await Fleet.create();
 	await start(fleet, true);
 	await untilServed(fleet, 'v1');
@@ -118,7 +118,7 @@
 	assert.deepEqual([last!.holder, last!.fencingNumber], [first!.holder, first!.fencingNumber]);
 });
 
-test('while the store is down the holder stops ordering, and orders are given again once it is back', async () => {
+test('while the store is down the holder sends no orders, and it sends them again once the store recovers', async () => {
 	await using fleet = await Fleet.create();
 	await start(fleet, false);
 	await untilServed(fleet, 'v1');
--- a/source/duties/lease.ts
+++ b/source/duties/lease.ts
@@ -1,5 +1,5 @@
 /**
- * The lease of a duty: one row of the table, held by one router at a time.
+ * Lease of a duty: one table row, held by one router at a time.
  *
  * @module
  */
@@ -9,24 +9,24 @@
 export const leaseSchema = z.object({
 	/** Host and incarnation of the router that holds the lease. */
 	holder: z.string(),
-	/** Rises by one with each new holder. */
+	/** Increases by one with each new holder. */
 	fencingNumber: z.number().int().positive(),
-	/** Wall-clock time of the holder at which the lease expires without a renewal, in milliseconds; a hint for others. */
+	/** Time at which the lease expires without a renewal, by the wall clock of the holder, in milliseconds; only a hint for other routers. */
 	expiresAt: z.number(),
-	/** Time for which others must see the row unchanged, by their own monotonic clock, before they take the lease, in milliseconds. */
+	/** Time for which other routers must observe the row unchanged, by their own monotonic clocks, before they acquire the lease, in milliseconds. */
 	termMilliseconds: z.number().positive(),
-	/** Token of the last write, by which a lost answer is settled and a renewal is seen. */
+	/** Unique token of the last write; a changed one shows a renewal. */
 	token: z.string(),
 });
 
 /** A lease as stored. */
 export type Lease = z.output<typeof leaseSchema>;
 
-/** Table of the leases; the key is the duty's name. */
+/** Table of the leases, keyed by the name of the duty. */
 export const leaseTable = 'lease';
 
 /**
- * Returns the name of the duty of ordering one service's engines.
+ * Returns the name of the duty that manages the engines of a service.
  *
  * @param service Name of the service.
  */
--- a/source/duties/mod.ts
+++ b/source/duties/mod.ts
@@ -1,11 +1,11 @@
 /**
- * Duties that one router holds at a time: leases, fencing and orders to engines.
+ * Duties, each of which one router holds at a time: leases, fencing and reconciliation of engines.
  *
  * @module
  */
 
-export * from './follow-duties.ts';
+export * from './poll-duties.ts';
 export * from './lease.ts';
-export * from './lease-keeper.ts';
-export * from './order-engines.ts';
-export * from './wanted-state.ts';
+export * from './lease-manager.ts';
+export * from './reconcile-engines.ts';
+export * from './desired-state.ts';
--- a/source/generation/cursor.test.ts
+++ b/source/generation/cursor.test.ts
@@ -15,14 +15,14 @@
 }, {noNullPrototype: true});
 const scope = {workspace: 'brushwake', requestDigest: digestText('request')};
 
-test('a cursor reads back as it was written', () => {
+test('parsing a formatted cursor returns the original', () => {
 	fastCheck.assert(fastCheck.property(cursor, value => {
 		const text = formatCursor(value, scope, 'key');
 		assert.deepEqual(parseCursor(text, scope, ['newer key', 'key'])._unsafeUnwrap(), value);
 	}), {seed: 1});
 });
 
-test('a cursor of another workspace, request or key is refused', () => {
+test('a cursor signed for another workspace or request, or with another key, is refused', () => {
 	const text = formatCursor({
 		generation: 'g', attempt: 1, index: 2, endpoint: 'e', model: {name: 'm', version: 'v'}, textChecksum: 'c',
 	}, scope, 'key');
@@ -31,11 +31,11 @@
 	assert.ok(parseCursor(text, scope, ['other']).isErr());
 });
 
-test('any text in place of a cursor is refused', () => {
+test('arbitrary text is refused as a cursor', () => {
 	fastCheck.assert(fastCheck.property(fastCheck.string(), text => parseCursor(text, scope, ['key']).isErr()), {seed: 2});
 });
 
-test('a running checksum is that of the whole text, wherever it is cut', () => {
+test('an incremental checksum equals that of the whole text, however the text is split', () => {
 	fastCheck.assert(fastCheck.property(fastCheck.array(fastCheck.string({unit: 'grapheme'})), parts => {
 		const running = new TextChecksum();
 		for (const part of parts) {
--- a/source/generation/cursor.ts
+++ b/source/generation/cursor.ts
@@ -1,5 +1,5 @@
 /**
- * The signed cursor that a caller shows to continue a generation at any entry.
+ * Signed cursors, with which a caller resumes a generation at any router.
  *
  * @module
  */
@@ -13,10 +13,10 @@
 import xxhash from 'xxhash-wasm';
 import * as z from 'zod';
 
-/** A model that generates: two engines with the same identity continue each other's text. */
+/** Identity of a model. An engine can continue the text of another engine that serves a model of the same identity. */
 export type ModelIdentity = {name: string; version: string; adapter?: string};
 
-/** Where a generation stands after one token. */
+/** Position in a generation after one token. */
 export type Cursor = {
 	/** Name of the generation. */
 	generation: string;
@@ -26,13 +26,13 @@
 	index: number;
 	/** `address:port` of the endpoint that produced it. */
 	endpoint: string;
-	/** Model that the whole generation is bound to. */
+	/** Model that produces the whole generation. */
 	model: ModelIdentity;
 	/** Checksum of the text up to and including the token. */
 	textChecksum: string;
 };
 
-/** What a cursor is bound to besides its own fields. */
+/** Context that the signature of a cursor covers besides its own fields. */
 export type CursorScope = {
 	/** Name of the workspace. */
 	workspace: string;
@@ -40,21 +40,21 @@
 	requestDigest: string;
 };
 
-/** Prepared keys by their text; settings name a few. */
-const secrets = new Map<string, KeyObject>();
+/** Cache of prepared keys by their text; the settings contain only a few. */
+const signingKeys = new Map<string, KeyObject>();
 
 const hasher = await xxhash();
 
 const cursorSchema = z.tuple([z.string(), z.number().int(), z.number().int(), z.string(), z.array(z.string()), z.string()]);
 
-/** Characters kept of each digest: 128 bits in base64url. */
-const digestLength = 22;
+/** Length of a truncated digest, in characters: 128 bits in base64url. */
+const digestCharacters = 22;
 
 /**
  * Computes a running checksum of a text.
  *
- * It detects a caller whose text does not fit its cursor. It need not resist forgery: the cursor is signed, and a caller who
- * forges its own text only harms its own answer.
+ * It detects text from a caller that does not match its cursor. It need not resist forgery: the cursor is signed, and a caller
+ * that forges its own text only corrupts its own answer.
  */
 export class TextChecksum {
 	readonly #hash = hasher.create64();
@@ -97,15 +97,15 @@
  * ```
  */
 export function digestText(text: string): string {
-	return createHash('sha256').update(text).digest('base64url').slice(0, digestLength);
+	return createHash('sha256').update(text).digest('base64url').slice(0, digestCharacters);
 }
 
 /**
- * Writes a cursor as the `id` of a server-sent event.
+ * Serializes and signs a cursor for the `id` of a server-sent event.
  *
- * @param cursor Where the generation stands.
- * @param scope Workspace and request that it is bound to.
- * @param key Key that signs.
+ * @param cursor Position in the generation.
+ * @param scope Workspace and request that the signature covers.
+ * @param key Signing key.
  * @example
  * ```ts
  * const id = formatCursor(cursor, {workspace, requestDigest}, key);
@@ -120,12 +120,12 @@
 }
 
 /**
- * Reads a cursor and checks that this system signed it for this workspace and request.
+ * Parses a cursor and verifies that it was signed for this workspace and request.
  *
- * @param text The `Last-Event-ID` header.
- * @param scope Workspace and request of the caller who shows it.
- * @param keys Keys that are accepted.
- * @returns The cursor, or why it is refused.
+ * @param text Value of the `Last-Event-ID` header.
+ * @param scope Workspace and request of the caller that sent it.
+ * @param keys Accepted signing keys.
+ * @returns The cursor, or the reason for its refusal.
  * @example
  * ```ts
  * const cursor = parseCursor(header, {workspace, requestDigest}, keys);
@@ -133,7 +133,7 @@
  */
 export function parseCursor(text: string, scope: CursorScope, keys: string[]): Result<Cursor, string> {
 	const [payload = '', signature = ''] = text.split('.');
-	if (!keys.some(key => equal(signature, sign(payload, scope, key)))) {
+	if (!keys.some(key => equalSignatures(signature, sign(payload, scope, key)))) {
 		return err('the cursor was not issued for this workspace and this request');
 	}
 
@@ -145,16 +145,16 @@
 }
 
 function sign(payload: string, scope: CursorScope, key: string): string {
-	return createHmac('sha256', secretOf(key)).update(`${scope.workspace}\n${scope.requestDigest}\n${payload}`).digest('base64url').slice(0, digestLength);
+	return createHmac('sha256', signingKey(key)).update(`${scope.workspace}\n${scope.requestDigest}\n${payload}`).digest('base64url').slice(0, digestCharacters);
 }
 
-/** Prepares a key once for all of its signatures. */
-function secretOf(key: string): KeyObject {
-	const secret = secrets.get(key) ?? createSecretKey(key, 'utf8');
-	secrets.set(key, secret);
-	return secret;
+/** Returns the prepared form of a key, created at its first use. */
+function signingKey(key: string): KeyObject {
+	const prepared = signingKeys.get(key) ?? createSecretKey(key, 'utf8');
+	signingKeys.set(key, prepared);
+	return prepared;
 }
 
-function equal(left: string, right: string): boolean {
+function equalSignatures(left: string, right: string): boolean {
 	return left.length === right.length && timingSafeEqual(Buffer.from(left), Buffer.from(right));
 }
--- a/source/generation/generation-parts.ts
+++ b/source/generation/generation-parts.ts
@@ -1,5 +1,5 @@
 /**
- * What a generation needs of the router.
+ * Components of the router that generations use.
  *
  * @module
  */
@@ -9,13 +9,13 @@
 import {type Placement} from '../placement/mod.ts';
 import {type Logger, type Metrics, type Tracing} from '../telemetry/mod.ts';
 
-/** The router's parts that serve generations. */
+/** Components that serve generations. */
 export type GenerationParts = {
 	accounts: Accounts;
 	placement: Placement;
-	/** Looks for requests that kill endpoints. */
+	/** Detects requests that crash endpoints. */
 	suspects: SuspectMonitor;
-	/** Limits how many generations start again at once. */
+	/** Limits the rate at which generations are restarted on other endpoints. */
 	retries: RetryBudget;
 	engines: EngineClient;
 	metrics: Metrics;
--- a/source/generation/read-attempt.ts
+++ b/source/generation/read-attempt.ts
@@ -7,8 +7,8 @@
 import {type Progress, type TokenSink} from './progress.ts';
 import {type RecoveryPolicy} from './recovery-policy.ts';
 
-/** How an attempt ended. */
-export type AttemptEnd
+/** How an attempt ended: `silent` without an event in time, `lost` when its stream failed, `unreachable` when it could not be opened, `broken` when the engine violated the protocol. */
+export type AttemptResult
 	= | {kind: 'finished'; totalTokens: number; finishReason: string}
 		| {kind: 'silent'}
 		| {kind: 'stalled'}
@@ -27,7 +27,7 @@
 	progress: Progress;
 	policy: RecoveryPolicy;
 	sink: TokenSink;
-	/** Called with the first event of the stream. */
+	/** Called with the `started` event of the stream. */
 	onStarted: (event: Extract<EngineEvent, {event: 'started'}>) => void;
 	/** Monotonic time at which the last token arrived on any attempt, in milliseconds. */
 	lastTokenAt: number;
@@ -35,32 +35,32 @@
 	clock: () => number;
 };
 
-type StoppedReason = Extract<EngineEvent, {event: 'stopped'}>['reason'];
+type StopReason = Extract<EngineEvent, {event: 'stopped'}>['reason'];
 
-const endsOfStoppedStreams: Record<StoppedReason, AttemptEnd> = {
+const resultByStopReason: Record<StopReason, AttemptResult> = {
 	superseded: {kind: 'superseded'},
 	cancelled: {kind: 'superseded'},
 	draining: {kind: 'refused', message: 'the engine is draining'},
 };
 
 /**
- * Forwards the tokens of a stream; only the exact next index ever reaches the caller.
+ * Forwards the tokens of a stream. A token whose index is not the next one ends the attempt, so the caller never receives gaps or duplicates.
  *
- * @param options Stream, progress and sink.
- * @returns How the attempt ended; the stream is left for the caller to close.
+ * @param options Stream, progress of the generation and sink of its tokens.
+ * @returns How the attempt ended; the stream remains open, and the calling function closes it.
  * @example
  * ```ts
- * const end = await readAttempt({stream, endpoint, progress, policy, sink, onStarted, lastTokenAt, clock});
+ * const result = await readAttempt({stream, endpoint, progress, policy, sink, onStarted, lastTokenAt, clock});
  * ```
  */
-export async function readAttempt(options: ReadAttemptOptions): Promise<AttemptEnd> {
+export async function readAttempt(options: ReadAttemptOptions): Promise<AttemptResult> {
 	const {stream, endpoint, progress, policy, sink, clock} = options;
 	let {lastTokenAt} = options;
 	let running = false;
 	for (;;) {
 		const read = await stream.read(policy.silenceMilliseconds);
 		if (read.kind === 'silent') {
-			return running && clock() - lastTokenAt >= policy.stallMilliseconds ? {kind: 'stalled'} : read;
+			return running && clock() - lastTokenAt >= policy.stallTimeoutMilliseconds ? {kind: 'stalled'} : read;
 		}
 
 		if (read.kind !== 'event') {
@@ -77,7 +77,7 @@
 
 			case 'token': {
 				if (event.index !== progress.nextIndex) {
-					return {kind: 'broken', message: `token ${event.index} came where ${progress.nextIndex} was next`};
+					return {kind: 'broken', message: `received token ${event.index}, expected token ${progress.nextIndex}`};
 				}
 
 				progress.text += event.text;
@@ -101,7 +101,7 @@
 			}
 
 			case 'stopped': {
-				return endsOfStoppedStreams[event.reason];
+				return resultByStopReason[event.reason];
 			}
 		}
 	}
--- a/source/generation/recovery-policy.ts
+++ b/source/generation/recovery-policy.ts
@@ -1,45 +1,45 @@
 /**
- * How a generation is continued after a loss: one policy for each word of the service file.
+ * Recovery policies: the timeouts with which a generation is continued after a failure.
  *
  * @module
  */
 import {type ModelService} from '../configuration/mod.ts';
 
-/** Limits and preferences of a recovery. */
+/** Timeouts of a recovery. */
 export type RecoveryPolicy = {
 	/** Time without an event after which a stream counts as silent, in milliseconds. */
 	silenceMilliseconds: number;
-	/** Deadline of the question to a silent or lost engine for its own stream, in milliseconds. */
-	resumeMilliseconds: number;
-	/** Deadline for a new engine to accept a stream, in milliseconds. */
-	startMilliseconds: number;
-	/** Time without a token, on a stream that was running, after which its engine counts as lost, in milliseconds. */
-	stallMilliseconds: number;
-	/** Time between heartbeats to the caller on a stream without a token, in milliseconds. */
+	/** Timeout for a silent or disconnected engine to resume its own stream, in milliseconds. */
+	resumeTimeoutMilliseconds: number;
+	/** Timeout for another engine to accept a stream, in milliseconds. */
+	startTimeoutMilliseconds: number;
+	/** Time without a token on a running stream after which its engine is given up, in milliseconds. */
+	stallTimeoutMilliseconds: number;
+	/** Interval of heartbeats to the caller while no token is sent, in milliseconds. */
 	heartbeatMilliseconds: number;
 };
 
 const policies: Record<ModelService['recovery']['policy'], RecoveryPolicy> = {
 	latency: {
 		silenceMilliseconds: 500,
-		resumeMilliseconds: 250,
-		startMilliseconds: 1000,
-		stallMilliseconds: 2500,
+		resumeTimeoutMilliseconds: 250,
+		startTimeoutMilliseconds: 1000,
+		stallTimeoutMilliseconds: 2500,
 		heartbeatMilliseconds: 250,
 	},
 	cost: {
 		silenceMilliseconds: 1500,
-		resumeMilliseconds: 1000,
-		startMilliseconds: 1500,
-		stallMilliseconds: 4000,
+		resumeTimeoutMilliseconds: 1000,
+		startTimeoutMilliseconds: 1500,
+		stallTimeoutMilliseconds: 4000,
 		heartbeatMilliseconds: 800,
 	},
 };
 
 /**
- * Returns the recovery policy of a service, with what its file overrides.
+ * Returns the recovery policy of a service, with the overrides of its service file.
  *
- * @param service The service of model engines.
+ * @param service A model service.
  * @example
  * ```ts
  * const {silenceMilliseconds} = recoveryPolicy(service);
@@ -52,17 +52,17 @@
 }
 
 /**
- * Returns the policy for a stream that follows silent ones: an engine that answers each time is slow, not gone, so it is
- * asked at doubled intervals.
+ * Returns the policy for a stream that follows silent ones: an engine that accepts each resume is slow rather than failed, so the
+ * silence timeout doubles each time, up to the stall timeout.
  *
  * @param policy Policy of the service.
- * @param silences Silent streams without a token just before this one.
+ * @param silences Number of consecutive silent streams without a token before this one.
  * @example
  * ```ts
- * patientPolicy(policy, 2).silenceMilliseconds; // four times as long
+ * withSilenceBackoff(policy, 2).silenceMilliseconds; // four times as long, at most the stall timeout
  * ```
  */
-export function patientPolicy(policy: RecoveryPolicy, silences: number): RecoveryPolicy {
+export function withSilenceBackoff(policy: RecoveryPolicy, silences: number): RecoveryPolicy {
 	const doubled = policy.silenceMilliseconds * (2 ** silences);
-	return {...policy, silenceMilliseconds: Math.max(policy.silenceMilliseconds, Math.min(doubled, policy.stallMilliseconds))};
+	return {...policy, silenceMilliseconds: Math.max(policy.silenceMilliseconds, Math.min(doubled, policy.stallTimeoutMilliseconds))};
 }
--- a/source/generation/run-attempt.ts
+++ b/source/generation/run-attempt.ts
@@ -1,16 +1,16 @@
 /**
- * One attempt of a generation: opens a stream, reads it to its end and closes it.
+ * Runs one attempt of a generation: opens a stream, reads it to its end and closes it.
  *
  * @module
  */
 import {openEngineStream, type OpenFailure, type StreamRequest} from '../endpoints/mod.ts';
 import {type GenerationParts} from './generation-parts.ts';
 import {type Progress, type TokenSink} from './progress.ts';
-import {readAttempt, type AttemptEnd} from './read-attempt.ts';
+import {readAttempt, type AttemptResult} from './read-attempt.ts';
 import {type RecoveryPolicy} from './recovery-policy.ts';
 import {type RunGenerationOptions} from './run-generation.ts';
 
-/** What to ask of an endpoint: its own stream of the generation, or a new one from the text so far. */
+/** What to request from an endpoint: to resume its own stream of the generation, or to start a new one from the text so far. */
 export type AttemptStep = 'resume' | 'start';
 
 /** Options of {@linkcode runAttempt}. */
@@ -27,14 +27,14 @@
 /**
  * Runs one attempt with the next attempt number.
  *
- * @param options Endpoint, step and the generation's options.
+ * @param options Endpoint, step and options of the generation.
  * @returns How the attempt ended.
  * @example
  * ```ts
- * const end = await runAttempt({...options, endpoint, step: 'start', policy, lastTokenAt});
+ * const result = await runAttempt({...options, endpoint, step: 'start', policy, lastTokenAt});
  * ```
  */
-export async function runAttempt(options: RunAttemptOptions): Promise<AttemptEnd> {
+export async function runAttempt(options: RunAttemptOptions): Promise<AttemptResult> {
 	const {progress, parts, endpoint, step} = options;
 	progress.attempt += 1;
 	const tokens = progress.maxTokens - progress.nextIndex;
@@ -43,25 +43,25 @@
 	});
 	parts.placement.recordStart(endpoint, tokens);
 	try {
-		const end = await openAndRead(options, parts.tracing.inject(span));
-		span.setAttributes({end: end.kind, nextIndex: progress.nextIndex, ...('message' in end && {message: end.message})});
-		return end;
+		const result = await openAndRead(options, parts.tracing.inject(span));
+		span.setAttributes({end: result.kind, nextIndex: progress.nextIndex, ...('message' in result && {message: result.message})});
+		return result;
 	} finally {
 		parts.placement.recordEnd(endpoint, tokens);
 		span.end();
 	}
 }
 
-async function openAndRead(options: RunAttemptOptions, traceHeaders: Record<string, string>): Promise<AttemptEnd> {
+async function openAndRead(options: RunAttemptOptions, traceHeaders: Record<string, string>): Promise<AttemptResult> {
 	const {progress, parts, endpoint, step, policy, signal} = options;
 	const opened = await openEngineStream(streamRequest(progress, step), {
 		address: endpoint,
-		openMilliseconds: step === 'resume' ? policy.resumeMilliseconds : policy.startMilliseconds,
+		openMilliseconds: step === 'resume' ? policy.resumeTimeoutMilliseconds : policy.startTimeoutMilliseconds,
 		traceHeaders,
 		signal,
 	});
 	if (opened.isErr()) {
-		return endOfOpening(opened.error, options);
+		return resultOfOpenFailure(opened.error, options);
 	}
 
 	const stream = opened.value;
@@ -84,7 +84,7 @@
 	}
 }
 
-function endOfOpening(failure: OpenFailure, {parts, endpoint, signal}: RunAttemptOptions): AttemptEnd {
+function resultOfOpenFailure(failure: OpenFailure, {parts, endpoint, signal}: RunAttemptOptions): AttemptResult {
 	if (signal.aborted) {
 		return {kind: 'aborted'};
 	}
--- a/source/generation/run-generation.ts
+++ b/source/generation/run-generation.ts
@@ -1,5 +1,5 @@
 /**
- * Serves one generation to its end, over as many attempts as it takes.
+ * Serves one generation to its end, over as many attempts as needed.
  *
  * @module
  */
@@ -9,10 +9,10 @@
 import {pause} from '../supervision/mod.ts';
 import {type GenerationParts} from './generation-parts.ts';
 import {
-	type DeliveredToken, type GenerationEnd, type Progress, type TokenSink,
+	type DeliveredToken, type GenerationOutcome, type Progress, type TokenSink,
 } from './progress.ts';
-import {type AttemptEnd} from './read-attempt.ts';
-import {patientPolicy, recoveryPolicy} from './recovery-policy.ts';
+import {type AttemptResult} from './read-attempt.ts';
+import {withSilenceBackoff, recoveryPolicy} from './recovery-policy.ts';
 import {runAttempt, type AttemptStep} from './run-attempt.ts';
 
 /** Options of {@linkcode runGeneration}. */
@@ -22,21 +22,21 @@
 	parts: GenerationParts;
 	/** Span of the caller's request. */
 	span: Span;
-	/** Aborts when the caller is gone. */
+	/** Aborts when the caller has disconnected. */
 	signal: AbortSignal;
 };
 
-/** Pause before the endpoints are asked again when none could take the generation, in milliseconds. */
-const noEndpointMilliseconds = 200;
+/** Mean delay before the next attempt to choose an endpoint when none was available, in milliseconds. */
+const noEndpointDelayMilliseconds = 200;
 
-/** Time for which a generation without a first token waits for an endpoint, in milliseconds. */
-const firstEndpointMilliseconds = 10_000;
+/** Time for which a generation that no endpoint has run yet waits for one, in milliseconds. */
+const firstEndpointTimeoutMilliseconds = 10_000;
 
-/** Seconds after which a caller may come back. */
-const comeBackSeconds = 5;
+/** Seconds after which a caller may retry. */
+const defaultRetryAfterSeconds = 5;
 
-/** The step that follows an attempt: a lost or silent connection says nothing yet about the engine behind it. */
-const stepAfterEnd: Record<Exclude<AttemptEnd['kind'], 'finished' | 'superseded' | 'aborted' | 'caller_gone'>, AttemptStep> = {
+/** Step that follows each attempt result. After a lost or silent connection the engine itself may still run, so its stream is resumed first. */
+const stepAfterResult: Record<Exclude<AttemptResult['kind'], 'finished' | 'superseded' | 'aborted' | 'caller_gone'>, AttemptStep> = {
 	silent: 'resume',
 	lost: 'resume',
 	unreachable: 'start',
@@ -46,82 +46,82 @@
 };
 
 /**
- * Serves a generation until its answer is whole, its caller is gone or no endpoint can continue it.
+ * Serves a generation until its answer is complete, its caller has disconnected or no endpoint can continue it.
  *
- * @param options Progress, sink and the router's parts.
- * @returns How it ended.
+ * @param options Progress, sink and components of the router.
+ * @returns How the generation ended.
  * @example
  * ```ts
- * const end = await runGeneration({progress, sink, parts, span, signal});
+ * const outcome = await runGeneration({progress, sink, parts, span, signal});
  * ```
  */
-export async function runGeneration(options: RunGenerationOptions): Promise<GenerationEnd> {
+export async function runGeneration(options: RunGenerationOptions): Promise<GenerationOutcome> {
 	const {progress, parts} = options;
-	const trial = parts.suspects.monitor(progress.requestDigest, progress.service.service);
+	const monitored = parts.suspects.monitor(progress.requestDigest, progress.service.service);
 	parts.retries.recordFirstAttempt();
 	try {
-		return await runAttempts(options, trial);
+		return await runAttempts(options, monitored);
 	} finally {
-		trial.close();
+		monitored.close();
 	}
 }
 
-async function runAttempts(options: RunGenerationOptions, trial: MonitoredRequest): Promise<GenerationEnd> {
+async function runAttempts(options: RunGenerationOptions, monitored: MonitoredRequest): Promise<GenerationOutcome> {
 	const {progress, parts, signal} = options;
 	const policy = recoveryPolicy(progress.service);
 	const excluded = new Set<string>();
-	const sink = new TimedSink(options, trial);
+	const sink = new MeasuringSink(options, monitored);
 	let restarts = 0;
 	let silences = 0;
-	const firstEndpointUntil = parts.wallClock() + firstEndpointMilliseconds;
+	const firstEndpointDeadline = parts.wallClock() + firstEndpointTimeoutMilliseconds;
 	let step: AttemptStep = progress.endpoint === undefined ? 'start' : 'resume';
 	while (!signal.aborted) {
-		const waitsForFirst = step === 'start' && progress.endpoint === undefined;
-		if (parts.wallClock() >= (waitsForFirst ? Math.min(progress.deadline, firstEndpointUntil) : progress.deadline)) {
-			return {kind: 'incomplete', refusal: giveUpRefusal(progress)};
+		const awaitsFirstEndpoint = step === 'start' && progress.endpoint === undefined;
+		if (parts.wallClock() >= (awaitsFirstEndpoint ? Math.min(progress.deadline, firstEndpointDeadline) : progress.deadline)) {
+			return {kind: 'incomplete', refusal: timeoutRefusal(progress)};
 		}
 
-		const refusal = await trial.waitForDecision();
+		const refusal = await monitored.waitForDecision();
 		if (refusal) {
 			return {kind: 'incomplete', refusal};
 		}
 
-		const endpoint = step === 'resume' ? progress.endpoint : chooseEndpoint(options, trial.exclusions(excluded));
+		const endpoint = step === 'resume' ? progress.endpoint : chooseEndpoint(options, monitored.exclusions(excluded));
 		if (endpoint === undefined) {
 			excluded.clear();
 			step = 'start';
-			await pause(noEndpointMilliseconds * (0.5 + parts.random()), signal);
+			await pause(noEndpointDelayMilliseconds * (0.5 + parts.random()), signal);
 			continue;
 		}
 
-		if (step === 'start' && !(await trial.claim(endpoint))) {
+		if (step === 'start' && !(await monitored.claim(endpoint))) {
 			continue;
 		}
 
-		cancelAtPrevious(options, endpoint);
-		trial.recordAttemptStart(endpoint, step);
-		sink.attempting(endpoint, step);
+		cancelAtPreviousEndpoint(options, endpoint);
+		monitored.recordAttemptStart(endpoint, step);
+		sink.recordAttemptStart(endpoint, step);
 		const indexBefore = progress.nextIndex;
-		const end = await runAttempt({
-			...options, sink, endpoint, step, policy: patientPolicy(policy, silences), lastTokenAt: sink.lastTokenAt,
+		const result = await runAttempt({
+			...options, sink, endpoint, step, policy: withSilenceBackoff(policy, silences), lastTokenAt: sink.lastTokenAt,
 		});
-		silences = end.kind === 'silent' && progress.nextIndex === indexBefore ? silences + 1 : 0;
-		parts.metrics.attempts.inc({service: progress.service.service, end: end.kind});
-		await trial.recordAttemptEnd(endpoint, {...end, step});
-		if (end.kind === 'finished') {
-			return {kind: 'complete', totalTokens: end.totalTokens, finishReason: end.finishReason};
+		silences = result.kind === 'silent' && progress.nextIndex === indexBefore ? silences + 1 : 0;
+		parts.metrics.attempts.inc({service: progress.service.service, end: result.kind});
+		await monitored.recordAttemptEnd(endpoint, {...result, step});
+		if (result.kind === 'finished') {
+			return {kind: 'complete', totalTokens: result.totalTokens, finishReason: result.finishReason};
 		}
 
-		if (end.kind === 'superseded') {
-			return end;
+		if (result.kind === 'superseded') {
+			return result;
 		}
 
-		if (end.kind === 'aborted' || end.kind === 'caller_gone') {
+		if (result.kind === 'aborted' || result.kind === 'caller_gone') {
 			break;
 		}
 
-		sink.lost();
-		step = stepAfterEnd[end.kind];
+		sink.recordLoss();
+		step = stepAfterResult[result.kind];
 		if (step === 'start') {
 			excluded.add(endpoint);
 			restarts += 1;
@@ -134,61 +134,61 @@
 	return {kind: 'caller_gone'};
 }
 
-/** Passes tokens on and measures how long each loss keeps the caller waiting. */
-class TimedSink implements TokenSink {
-	/** Monotonic time of the last token, in milliseconds; the start of the call before the first one. */
+/** Forwards tokens, and measures the time to the first token and the interruption that each lost attempt causes for the caller. */
+class MeasuringSink implements TokenSink {
+	/** Monotonic time of the last token, or of the start of the generation before the first one, in milliseconds. */
 	lastTokenAt: number;
 	readonly #options: RunGenerationOptions;
-	readonly #trial: MonitoredRequest;
-	#lossAt: number | undefined;
-	#started: {endpoint: string; at: number} | undefined;
+	readonly #monitored: MonitoredRequest;
+	#interruptedSince: number | undefined;
+	#unmeasuredStart: {endpoint: string; at: number} | undefined;
 
-	constructor(options: RunGenerationOptions, trial: MonitoredRequest) {
+	constructor(options: RunGenerationOptions, monitored: MonitoredRequest) {
 		this.#options = options;
-		this.#trial = trial;
+		this.#monitored = monitored;
 		this.lastTokenAt = options.parts.clock();
 	}
 
-	/** Records that an attempt was lost after the last token. */
-	lost(): void {
-		this.#lossAt ??= this.lastTokenAt;
+	/** Records that an attempt failed; the interruption counts from the last token. */
+	recordLoss(): void {
+		this.#interruptedSince ??= this.lastTokenAt;
 	}
 
-	/** Records that an attempt goes to an endpoint, whose time to first token counts from its start. */
-	attempting(endpoint: string, step: AttemptStep): void {
+	/** Records the start of an attempt, from which the time to the first token of a new stream is measured. */
+	recordAttemptStart(endpoint: string, step: AttemptStep): void {
 		if (step === 'start') {
-			this.#started = {endpoint, at: this.#options.parts.clock()};
+			this.#unmeasuredStart = {endpoint, at: this.#options.parts.clock()};
 		}
 	}
 
 	token(token: DeliveredToken): boolean | Promise<boolean> {
 		const {parts, progress, sink} = this.#options;
 		this.lastTokenAt = parts.clock();
-		this.#trial.recordToken(token.endpoint);
-		if (this.#started?.endpoint === token.endpoint) {
-			parts.placement.recordFirstToken(token.endpoint, this.lastTokenAt - this.#started.at, this.lastTokenAt);
-			this.#started = undefined;
+		this.#monitored.recordToken(token.endpoint);
+		if (this.#unmeasuredStart?.endpoint === token.endpoint) {
+			parts.placement.recordFirstToken(token.endpoint, this.lastTokenAt - this.#unmeasuredStart.at, this.lastTokenAt);
+			this.#unmeasuredStart = undefined;
 		}
 
-		if (this.#lossAt !== undefined) {
-			parts.metrics.resumeLatency.observe({service: progress.service.service}, (this.lastTokenAt - this.#lossAt) / 1000);
-			this.#lossAt = undefined;
+		if (this.#interruptedSince !== undefined) {
+			parts.metrics.resumeLatency.observe({service: progress.service.service}, (this.lastTokenAt - this.#interruptedSince) / 1000);
+			this.#interruptedSince = undefined;
 		}
 
 		return sink.token(token);
 	}
 }
 
-/** Cancels the generation at the endpoint that it leaves; an endpoint that cannot hear it forgets the generation by itself. */
-function cancelAtPrevious({progress, parts}: RunGenerationOptions, endpoint: string): void {
+/** Cancels the generation at its previous endpoint. An endpoint that does not receive this discards the generation by itself. */
+function cancelAtPreviousEndpoint({progress, parts}: RunGenerationOptions, endpoint: string): void {
 	if (progress.endpoint !== undefined && progress.endpoint !== endpoint) {
 		void parts.engines.cancel(progress.endpoint, progress.generation, progress.attempt);
 	}
 }
 
-/** Chooses an endpoint outside the first set of those to avoid that leaves one. */
-function chooseEndpoint({progress, parts}: RunGenerationOptions, avoidance: Array<ReadonlySet<string>>): string | undefined {
-	for (const exclude of avoidance) {
+/** Chooses an endpoint with the first exclusion set that leaves one available. */
+function chooseEndpoint({progress, parts}: RunGenerationOptions, exclusionSets: Array<ReadonlySet<string>>): string | undefined {
+	for (const exclude of exclusionSets) {
 		const endpoint = parts.placement.choose({
 			service: progress.service.service,
 			prompt: progress.prompt,
@@ -206,7 +206,7 @@
 	return undefined;
 }
 
-function giveUpRefusal(progress: Progress): Refusal {
+function timeoutRefusal(progress: Progress): Refusal {
 	const started = progress.nextIndex > 0;
 	return {
 		status: 503,
@@ -215,6 +215,6 @@
 			? `The answer is incomplete: no endpoint with version ${progress.model.version} could continue it in time; come back with the cursor.`
 			: 'No endpoint could start the generation in time.',
 		run: started ? 'yes' : (progress.endpoint === undefined ? 'no' : 'unknown'),
-		retryAfterSeconds: comeBackSeconds,
+		retryAfterSeconds: defaultRetryAfterSeconds,
 	};
 }
--- a/source/router/run-duties.ts
+++ b/source/router/run-duties.ts
@@ -5,7 +5,7 @@
  */
 import {randomUUID} from 'node:crypto';
 import {type Result} from 'neverthrow';
-import {EngineOrders, LeaseKeeper, followDuties} from '../duties/mod.ts';
+import {EngineReconciler, LeaseManager, pollDuties} from '../duties/mod.ts';
 import {type TaskFailure} from '../supervision/mod.ts';
 import {type CallerParts} from './caller-context.ts';
 
@@ -25,7 +25,7 @@
 export async function runDuties(parts: CallerParts, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
 	const {platform, logger, engines, directory, configuration, leaving, clock, wallClock, random} = parts;
 	const {duties} = parts.settings;
-	const keeper = new LeaseKeeper({
+	const keeper = new LeaseManager({
 		platform,
 		logger,
 		clock,
@@ -33,11 +33,11 @@
 		random,
 		holder: parts.identity.incarnation,
 		termMilliseconds: duties.leaseMilliseconds,
-		lookMilliseconds: () => Math.max(duties.lookMilliseconds, (directory.entryHosts(wallClock()).length / duties.leaseReadsPerSecond) * 1000),
+		pollMilliseconds: () => Math.max(duties.lookMilliseconds, (directory.entryHosts(wallClock()).length / duties.leaseReadsPerSecond) * 1000),
 		mayHold: () => duties.takePart && !leaving.begun,
 		createToken: () => randomUUID(),
 	});
-	const orders = new EngineOrders({
+	const orders = new EngineReconciler({
 		engines,
 		logger,
 		clock,
@@ -45,9 +45,9 @@
 		settleMilliseconds: duties.settleMilliseconds,
 		ordersAtOnce: duties.ordersAtOnce,
 	});
-	return followDuties({
-		keeper,
-		orders,
+	return pollDuties({
+		leases: keeper,
+		reconciler: orders,
 		configuration,
 		clock,
 		random,
--- a/source/router/serve-call.ts
+++ b/source/router/serve-call.ts
@@ -7,7 +7,7 @@
 import {type ServerResponse} from 'node:http';
 import {type Refusal} from '../answers/mod.ts';
 import {
-	digestCall, isFirstAttempt, isIdempotent, readIdempotencyKey, refusalOfAttempt, runAtMostOnce, runIdempotent, type CallEnd, type ServiceCall,
+	digestCall, isFirstAttempt, isIdempotent, readIdempotencyKey, refusalOfAttempt, runAtMostOnce, runIdempotent, type CallOutcome, type ServiceCall,
 } from '../calls/mod.ts';
 import {type PlainService} from '../configuration/mod.ts';
 import {endToEndHeaders, type ServiceAnswer, type ServiceRequest} from '../endpoints/mod.ts';
@@ -111,7 +111,7 @@
 	};
 }
 
-async function run(call: ServiceCall, {request}: CallerExchange, {calls}: CallerParts): Promise<CallEnd> {
+async function run(call: ServiceCall, {request}: CallerExchange, {calls}: CallerParts): Promise<CallOutcome> {
 	const [path = ''] = call.request.path.split('?');
 	if (isIdempotent(call.service, call.request.method, path)) {
 		return runIdempotent(call, calls);
@@ -123,7 +123,7 @@
 		: {kind: 'refused', refusal: idempotencyKey.error};
 }
 
-async function sendEnd(end: CallEnd, {response, request}: CallerExchange): Promise<string> {
+async function sendEnd(end: CallOutcome, {response, request}: CallerExchange): Promise<string> {
 	if (end.kind === 'refused') {
 		sendRefusal(response, end.refusal);
 		return end.refusal.code;
--- a/source/router/serve-completion.ts
+++ b/source/router/serve-completion.ts
@@ -10,7 +10,7 @@
 import {type Refusal} from '../answers/mod.ts';
 import {type ModelService} from '../configuration/mod.ts';
 import {
-	checksumText, digestText, parseCursor, recoveryPolicy, runGeneration, type Cursor, type CursorScope, type GenerationEnd, type Progress,
+	checksumText, digestText, parseCursor, recoveryPolicy, runGeneration, type Cursor, type CursorScope, type GenerationOutcome, type Progress,
 } from '../generation/mod.ts';
 import {pause} from '../supervision/mod.ts';
 import {
@@ -95,7 +95,7 @@
 
 type Serving = {progress: Progress; exchange: CallerExchange; parts: CallerParts; answer: CompletionAnswer};
 
-function handleEnd(end: GenerationEnd, {progress, exchange, parts, answer}: Serving): string {
+function handleEnd(end: GenerationOutcome, {progress, exchange, parts, answer}: Serving): string {
 	switch (end.kind) {
 		case 'complete': {
 			answer.finish(end.totalTokens, end.finishReason);
