--- a/source/calls/_outcome-of-repeat.ts
+++ b/source/calls/_outcome-of-repeat.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
-import {type ServiceAnswer} from '../endpoints/mod.ts';
+import {type ServiceResponse} from '../endpoints/mod.ts';
 import {type CallOutcome} from './call.ts';
 import {type Claim, type StoredAnswer} from './claim.ts';
 
@@ -82,7 +82,7 @@
  *
  * @param answer Answer of the service.
  */
-export function toStoredAnswer(answer: ServiceAnswer): StoredAnswer {
+export function toStoredAnswer(answer: ServiceResponse): StoredAnswer {
 	const whole = {status: answer.status, headers: answer.headers, body: Buffer.from(answer.head).toString('base64')};
 	const tooLarge = answer.rest !== undefined || JSON.stringify(whole).length > maximumStoredCharacters;
 	return tooLarge ? {status: answer.status, headers: {}} : whole;
--- a/source/calls/call.ts
+++ b/source/calls/call.ts
@@ -7,7 +7,7 @@
 import {type RetryBudget} from '../admission/mod.ts';
 import {type Refusal} from '../answers/mod.ts';
 import {type PlainService} from '../configuration/mod.ts';
-import {type PooledServiceClient, type ServiceAnswer, type ServiceRequest} from '../endpoints/mod.ts';
+import {type PooledServiceClient, type ServiceResponse, type ServiceRequest} from '../endpoints/mod.ts';
 import {type Placement} from '../placement/mod.ts';
 import {type Logger, type Tracing} from '../telemetry/mod.ts';
 import {type ClaimStore} from './claim-store.ts';
@@ -34,7 +34,7 @@
 };
 
 /** How a call ended; `stored` marks the answer of an earlier attempt. */
-export type CallOutcome = {kind: 'answered'; answer: ServiceAnswer; stored?: boolean} | {kind: 'refused'; refusal: Refusal};
+export type CallOutcome = {kind: 'answered'; answer: ServiceResponse; stored?: boolean} | {kind: 'refused'; refusal: Refusal};
 
 /** Components of the router that calls use. */
 export type CallParts = {
--- a/source/calls/run-at-most-once.ts
+++ b/source/calls/run-at-most-once.ts
@@ -6,7 +6,7 @@
 import {randomUUID} from 'node:crypto';
 import {type Socket} from 'node:net';
 import {type Refusal} from '../answers/mod.ts';
-import {openSingleConnection, sendOnce, type ServiceAnswer} from '../endpoints/mod.ts';
+import {openSingleUseConnection, sendOnce, type ServiceResponse} from '../endpoints/mod.ts';
 import {pause} from '../supervision/mod.ts';
 import {
 	outcomeOfRepeat, toStoredAnswer, unknownOutcome,
@@ -132,7 +132,7 @@
 			return undefined;
 		}
 
-		const socket = await openSingleConnection(endpoint, Math.min(connectTimeoutMilliseconds, remaining));
+		const socket = await openSingleUseConnection(endpoint, Math.min(connectTimeoutMilliseconds, remaining));
 		if (socket.isOk()) {
 			return {socket: socket.value, endpoint};
 		}
@@ -146,7 +146,7 @@
 }
 
 /** Stores the answer in the claim and returns it. */
-async function finishWithAnswer(claimed: ClaimedCall, answer: ServiceAnswer): Promise<CallOutcome> {
+async function finishWithAnswer(claimed: ClaimedCall, answer: ServiceResponse): Promise<CallOutcome> {
 	await finishClaim(claimed, {state: 'ended', answer: toStoredAnswer(answer)});
 	return {kind: 'answered', answer};
 }
--- a/source/calls/run-idempotent.ts
+++ b/source/calls/run-idempotent.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {type Result} from 'neverthrow';
-import {type ServiceAnswer, type ServiceFailure} from '../endpoints/mod.ts';
+import {type ServiceResponse, type ServiceFailure} from '../endpoints/mod.ts';
 import {pause} from '../supervision/mod.ts';
 import {
 	chooseEndpoint, defaultRetryAfterSeconds, noEndpointRefusal, type CallOutcome, type CallParts, type ServiceCall,
@@ -25,7 +25,7 @@
 
 type Attempt = {endpoint: string; controller: AbortController};
 
-type SettledAttempt = {kind: 'settled'; attempt: Attempt; result: Result<ServiceAnswer, ServiceFailure>};
+type SettledAttempt = {kind: 'settled'; attempt: Attempt; result: Result<ServiceResponse, ServiceFailure>};
 
 type RunEvent = SettledAttempt | {kind: 'hedge_due'} | {kind: 'deadline'} | {kind: 'caller_gone'};
 
--- a/source/endpoints/connection-refused.ts
+++ b/source/endpoints/connection-refused.ts
@@ -1,16 +1,16 @@
 /**
- * What a failed connection says about the process at its other end.
+ * Detects refused connections.
  *
  * @module
  */
 
 /**
- * Whether a connection was refused because no process listens; a silent or reset connection proves no such thing.
+ * Whether a connection was refused, which means that no process listens; a timeout or a reset does not prove that.
  *
  * @param error Error of the connection.
  * @example
  * ```ts
- * const gone = isConnectionRefused(error);
+ * const refused = isConnectionRefused(error);
  * ```
  */
 export function isConnectionRefused(error: unknown): boolean {
--- a/source/endpoints/engine-client.ts
+++ b/source/endpoints/engine-client.ts
@@ -13,22 +13,22 @@
 	cacheEventsSchema, engineErrorSchema, loadSchema, type CacheEvents, type EngineLoad, type EngineOrder,
 } from './engine-protocol.ts';
 
-/** Why a short request failed: `refused` with the engine's code, or no usable answer. */
+/** Reason why a short request failed: refused with the engine's code, or no usable response. */
 export type EngineFailure = {kind: 'refused'; code: string; message: string} | {kind: 'unreachable'; message: string; connectionRefused: boolean};
 
 /** Options of {@linkcode EngineClient}. */
 export type EngineClientOptions = {
-	/** Deadline of each request, in milliseconds. Default 1,000. */
+	/** Timeout of each request, in milliseconds. Default 1,000. */
 	timeoutMilliseconds?: number;
-	/** Called with the bytes of both bodies of each answered request. Default does nothing. */
+	/** Called with the total length of the request and response bodies of each request that gets a response. Default does nothing. */
 	countBytes?: (bytes: number) => void;
 };
 
-/** Content of a request, and its deadline if it is not the client's. */
+/** Content of a request, and a timeout that overrides the client's. */
 type SendOptions = {content?: unknown; timeoutMilliseconds?: number};
 
 /**
- * Sends short requests to any engine, each with a deadline.
+ * Sends short requests to any engine, each with a timeout.
  *
  * @example
  * ```ts
@@ -46,21 +46,21 @@
 		this.#agent = new Agent({connections: 2, keepAliveTimeout: 4000, connectTimeout: this.#timeoutMilliseconds});
 	}
 
-	/** Cancels a generation unless a newer attempt has taken it over. */
+	/** Cancels a generation unless a newer attempt has superseded it. */
 	async cancel(address: string, generation: string, attempt: number): Promise<Result<void, EngineFailure>> {
-		const answer = await this.#send(address, 'POST', `/v1/generations/${generation}/cancel`, {content: {attempt}});
-		return answer.map(() => undefined);
+		const response = await this.#send(address, 'POST', `/v1/generations/${generation}/cancel`, {content: {attempt}});
+		return response.map(() => undefined);
 	}
 
-	/** Reads the load that an engine reports, with a lag. */
+	/** Reads the load that an engine reports; the figures lag behind. */
 	async load(address: string): Promise<Result<EngineLoad, EngineFailure>> {
 		return decode(loadSchema, await this.#send(address, 'GET', '/v1/load'));
 	}
 
-	/** Orders an engine into a state within a time in milliseconds; an engine that checks refuses an old fencing number. */
+	/** Orders an engine into a state, with a timeout in milliseconds; an engine that checks fencing numbers refuses an old one. */
 	async order(address: string, order: EngineOrder, timeoutMilliseconds = this.#timeoutMilliseconds): Promise<Result<void, EngineFailure>> {
-		const answer = await this.#send(address, 'POST', '/v1/orders', {content: order, timeoutMilliseconds});
-		return answer.map(() => undefined);
+		const response = await this.#send(address, 'POST', '/v1/orders', {content: order, timeoutMilliseconds});
+		return response.map(() => undefined);
 	}
 
 	/** Reads the cache events after a sequence number. */
@@ -86,24 +86,24 @@
 			});
 			const text = await response.body.text();
 			this.#countBytes(text.length + (body?.length ?? 0));
-			const answer: unknown = JSON.parse(text);
+			const decoded: unknown = JSON.parse(text);
 			if (response.statusCode < 300) {
-				return ok(answer);
+				return ok(decoded);
 			}
 
-			const refusal = engineErrorSchema.safeParse(answer);
+			const refusal = engineErrorSchema.safeParse(decoded);
 			return err(refusal.success
 				? {kind: 'refused', ...refusal.data.error}
-				: {kind: 'unreachable', message: `the engine answered ${response.statusCode}`, connectionRefused: false});
+				: {kind: 'unreachable', message: `the engine responded with status ${response.statusCode}`, connectionRefused: false});
 		} catch (error) {
 			return err({kind: 'unreachable', message: String(error), connectionRefused: isConnectionRefused(error)});
 		}
 	}
 }
 
-function decode<Schema extends z.ZodType>(schema: Schema, answer: Result<unknown, EngineFailure>): Result<z.output<Schema>, EngineFailure> {
-	return answer.andThen((body): Result<z.output<Schema>, EngineFailure> => {
-		const checked = schema.safeParse(body);
-		return checked.success ? ok(checked.data) : err({kind: 'unreachable', message: `unexpected answer: ${checked.error.message}`, connectionRefused: false});
+function decode<Schema extends z.ZodType>(schema: Schema, response: Result<unknown, EngineFailure>): Result<z.output<Schema>, EngineFailure> {
+	return response.andThen((body): Result<z.output<Schema>, EngineFailure> => {
+		const parsed = schema.safeParse(body);
+		return parsed.success ? ok(parsed.data) : err({kind: 'unreachable', message: `unexpected response: ${parsed.error.message}`, connectionRefused: false});
 	});
 }
--- a/source/endpoints/engine-protocol.ts
+++ b/source/endpoints/engine-protocol.ts
@@ -1,5 +1,5 @@
 /**
- * Messages of the model engines, as the client sends and reads them.
+ * Schemas of the messages that model engines receive and send.
  *
  * @module
  */
@@ -13,16 +13,16 @@
 	version: z.string(),
 	adapter: z.string().optional(),
 	prompt: z.string(),
-	/** Text of the tokens before `start_index`, which the engine takes as already generated. */
+	/** Text of the tokens before `start_index`, which the engine treats as already generated. */
 	text_so_far: z.string().default(''),
 	start_index: z.number().int().nonnegative().default(0),
-	/** Tokens of the whole answer at most, counted from index 0. */
+	/** Maximum number of tokens of the whole completion, counted from index 0. */
 	max_tokens: z.number().int().positive(),
 	seed: z.number().int(),
 	priority: z.number().int().default(0),
 });
 
-/** First event of a stream: what the engine had to compute before it could go on. */
+/** First event of a stream: the tokens that the engine has to prefill before it can generate. */
 export const startedEventSchema = z.object({
 	event: z.literal('started'),
 	state: z.enum(['queued', 'running']),
@@ -37,14 +37,14 @@
 	text: z.string(),
 });
 
-/** Last event of a whole answer. */
+/** Last event of a complete stream. */
 export const finishedEventSchema = z.object({
 	event: z.literal('finished'),
 	finish_reason: z.string(),
 	total_tokens: z.number().int(),
 });
 
-/** Last event of a stream that ends without the answer's end. */
+/** Last event of a stream that ends before the completion does. */
 export const stoppedEventSchema = z.object({
 	event: z.literal('stopped'),
 	reason: z.enum(['superseded', 'cancelled', 'draining']),
@@ -55,7 +55,7 @@
 	startedEventSchema, tokenEventSchema, finishedEventSchema, stoppedEventSchema,
 ]);
 
-/** Answer of an engine that takes no stream: 404 unknown generation, 409 other version or newer attempt, 503 no capacity. */
+/** Response of an engine that refuses a stream: 404 unknown generation, 409 other version or newer attempt, 503 no capacity. */
 export const engineErrorSchema = z.object({
 	error: z.object({
 		code: z.enum(['unknown_generation', 'version_mismatch', 'superseded', 'overloaded', 'draining', 'old_fencing_number', 'bad_request']),
@@ -66,7 +66,7 @@
 /** Body of `POST /v1/generations/GENERATION/cancel`; refused when a newer attempt runs. */
 export const cancelSchema = z.object({attempt: z.number().int().positive()});
 
-/** Answer of `GET /v1/load`, late by up to some seconds. */
+/** Response to `GET /v1/load`; may be several seconds old. */
 export const loadSchema = z.object({
 	running: z.number().int(),
 	waiting: z.number().int(),
@@ -77,14 +77,14 @@
 	models: z.array(z.object({model: z.string(), version: z.string(), adapters: z.array(z.string())})),
 });
 
-/** Body of `POST /v1/orders`: the state wanted of one engine, whole. */
+/** Body of `POST /v1/orders`: the complete desired state of one engine. */
 export const orderSchema = z.object({
 	fencing_number: z.number().int().nonnegative(),
 	role: z.string().optional(),
 	models: z.array(z.object({model: z.string(), version: z.string(), adapters: z.array(z.string())})),
 });
 
-/** Answer of `GET /v1/cache_events?after=SEQUENCE`; sequences may have gaps and come late. */
+/** Response to `GET /v1/cache_events?after=SEQUENCE`; sequences may have gaps and arrive late. */
 export const cacheEventsSchema = z.object({
 	events: z.array(z.object({
 		sequence: z.number().int(),
--- a/source/endpoints/engine-stream.test.ts
+++ b/source/endpoints/engine-stream.test.ts
@@ -8,13 +8,13 @@
 /** Time without an event after which the stream counts as silent, in milliseconds. */
 const silenceMilliseconds = 200;
 
-for (const [name, piece] of [['comments', ': still here\n\n'], ['parts of an event', 'x'], ['empty lines', '\n']] as const) {
-	test(`a stream that brings ${name} and no event counts as silent`, async () => {
+for (const [name, chunk] of [['comments', ': still here\n\n'], ['parts of an event', 'x'], ['empty lines', '\n']] as const) {
+	test(`a stream that carries ${name} and no event counts as silent`, async () => {
 		const server = createServer((_request, response) => {
 			response.writeHead(200, {'content-type': 'text/event-stream'});
 			response.write(name === 'parts of an event' ? 'data: ' : '\n');
 			const timer = setInterval(() => {
-				response.write(piece);
+				response.write(chunk);
 			}, 20);
 			response.on('close', () => {
 				clearInterval(timer);
@@ -22,13 +22,13 @@
 		});
 		server.listen(0, '127.0.0.1');
 		await once(server, 'listening');
-		const ending = new AbortController();
+		const controller = new AbortController();
 		const opened = await openEngineStream({
 			kind: 'resume', generation: 'generation-1', attempt: 1, afterIndex: 0,
-		}, {address: `127.0.0.1:${(server.address() as AddressInfo).port}`, openMilliseconds: 1000, signal: ending.signal});
+		}, {address: `127.0.0.1:${(server.address() as AddressInfo).port}`, openTimeoutMilliseconds: 1000, signal: controller.signal});
 		const stream = opened._unsafeUnwrap();
 		const timer = setTimeout(() => {
-			ending.abort();
+			controller.abort();
 		}, silenceMilliseconds * 10);
 		const read = await stream.read(silenceMilliseconds);
 		clearTimeout(timer);
--- a/source/endpoints/engine-stream.ts
+++ b/source/endpoints/engine-stream.ts
@@ -1,5 +1,5 @@
 /**
- * One stream of events from an engine, on a connection of its own.
+ * Event stream from an engine, on a dedicated connection.
  *
  * @module
  */
@@ -13,12 +13,12 @@
 	engineErrorSchema, engineEventSchema, type EngineErrorCode, type EngineEvent, type EngineRequest,
 } from './engine-protocol.ts';
 
-/** Why a stream could not be opened. */
+/** Reason why a stream could not be opened. */
 export type OpenFailure
 	= | {kind: 'unreachable'; message: string; crashed: boolean; connectionRefused: boolean}
 		| {kind: 'refused'; code: EngineErrorCode; message: string};
 
-/** What the next read of a stream gave. */
+/** Result of a read of a stream. */
 export type StreamRead
 	= | {kind: 'event'; event: EngineEvent}
 		| {kind: 'silent'}
@@ -29,15 +29,15 @@
 export type OpenEngineStreamOptions = {
 	/** `address:port` of the engine. */
 	address: string;
-	/** Time until the engine's answer headers, in milliseconds. */
-	openMilliseconds: number;
-	/** Headers of the trace. Default none. */
+	/** Time within which the engine must send its response headers, in milliseconds. */
+	openTimeoutMilliseconds: number;
+	/** Trace context headers. Default none. */
 	traceHeaders?: Record<string, string>;
 	/** Closes the connection. */
 	signal: AbortSignal;
 };
 
-/** What to ask of the engine: a new stream, or its own stream after an index. */
+/** Stream to request from the engine: a new one, or the rest of an earlier one after an index. */
 export type StreamRequest
 	= | {kind: 'start'; request: EngineRequest}
 		| {kind: 'resume'; generation: string; attempt: number; afterIndex: number};
@@ -46,48 +46,48 @@
  * Opens a stream on a new connection.
  *
  * @param request A new stream, or one to resume.
- * @param options Address and deadline.
- * @returns The open stream, or why there is none.
+ * @param options Address, timeout and abort signal.
+ * @returns The open stream, or the reason for the failure.
  * @example
  * ```ts
- * const stream = await openEngineStream({kind: 'start', request}, {address, openMilliseconds: 1000, signal});
+ * const stream = await openEngineStream({kind: 'start', request}, {address, openTimeoutMilliseconds: 1000, signal});
  * ```
  */
 export async function openEngineStream(request: StreamRequest, options: OpenEngineStreamOptions): Promise<Result<EngineStream, OpenFailure>> {
 	const client = new Client(`http://${options.address}`, {
 		connectTimeout: 0, headersTimeout: 0, bodyTimeout: 0, pipelining: 1,
 	});
-	const opening = new AbortController();
-	const giveUp = () => {
-		opening.abort(new Error('no answer in time'));
+	const openController = new AbortController();
+	const abortOpening = () => {
+		openController.abort(new Error('no response in time'));
 	};
 
-	const timer = setTimeout(giveUp, options.openMilliseconds);
-	options.signal.addEventListener('abort', giveUp, {once: true});
+	const timer = setTimeout(abortOpening, options.openTimeoutMilliseconds);
+	options.signal.addEventListener('abort', abortOpening, {once: true});
 	try {
-		const response = await client.request({...requestLine(request), headers: {'content-type': 'application/json', ...options.traceHeaders}, signal: opening.signal});
+		const response = await client.request({...requestParameters(request), headers: {'content-type': 'application/json', ...options.traceHeaders}, signal: openController.signal});
 		if (response.statusCode !== 200) {
 			const text = await response.body.text();
 			void client.destroy();
-			return err(refusalOf(response.statusCode, text));
+			return err(toOpenFailure(response.statusCode, text));
 		}
 
 		return ok(new EngineStream(client, response.body, options.signal));
 	} catch (error) {
 		void client.destroy();
 		return err({
-			kind: 'unreachable', message: String(error), crashed: isReset(error), connectionRefused: isConnectionRefused(error),
+			kind: 'unreachable', message: String(error), crashed: isConnectionReset(error), connectionRefused: isConnectionRefused(error),
 		});
 	} finally {
 		clearTimeout(timer);
-		options.signal.removeEventListener('abort', giveUp);
+		options.signal.removeEventListener('abort', abortOpening);
 	}
 }
 
-/** Events held before the engine is asked to wait. */
-const mostPendingEvents = 256;
+/** Buffered events above which reading from the connection pauses. */
+const maximumPendingEvents = 256;
 
-/** An open stream of one engine; read it until its end, then close it. */
+/** An open stream from an engine; the user reads it to its end and then closes it. */
 export class EngineStream {
 	readonly #client: Client;
 	readonly #body: Dispatcher.ResponseData['body'];
@@ -96,50 +96,50 @@
 	readonly #events: EngineEvent[] = [];
 	readonly #parser = createParser({
 		onEvent: message => {
-			this.#take(message.data);
+			this.#addEvent(message.data);
 		},
 	});
 
 	readonly #onAbort: () => void;
-	#lost: string | undefined;
-	#silent = false;
-	#timer: NodeJS.Timeout | undefined;
-	#waiter: (() => void) | undefined;
+	#failure: string | undefined;
+	#timedOut = false;
+	#stallTimer: NodeJS.Timeout | undefined;
+	#resolveWait: (() => void) | undefined;
 
 	constructor(client: Client, body: Dispatcher.ResponseData['body'], signal: AbortSignal) {
 		this.#client = client;
 		this.#body = body;
 		this.#signal = signal;
 		this.#onAbort = () => {
-			this.#wake();
+			this.#wakeReader();
 		};
 
 		signal.addEventListener('abort', this.#onAbort);
 		body.on('data', (chunk: Uint8Array) => {
 			this.#parser.feed(this.#decoder.decode(chunk, {stream: true}));
-			if (this.#events.length > mostPendingEvents) {
+			if (this.#events.length > maximumPendingEvents) {
 				body.pause();
 			}
 
-			this.#wake();
+			this.#wakeReader();
 		});
 		body.on('end', () => {
-			this.#end('the engine closed the stream before its end');
+			this.#endStream('the engine closed the stream before its end');
 		});
 		body.on('error', error => {
-			this.#end(String(error));
+			this.#endStream(String(error));
 		});
 	}
 
 	/**
 	 * Waits for the next event.
 	 *
-	 * @param silenceMilliseconds Time without an event after which the stream counts as silent, whatever else it brings; reading may go on.
+	 * @param stallTimeoutMilliseconds Time without an event after which the stream counts as silent, even if other bytes arrive; it can be read again afterwards.
 	 */
-	async read(silenceMilliseconds: number): Promise<StreamRead> {
-		this.#silent = false;
+	async read(stallTimeoutMilliseconds: number): Promise<StreamRead> {
+		this.#timedOut = false;
 		if (this.#events.length === 0) {
-			this.#startTimer(silenceMilliseconds);
+			this.#startStallTimer(stallTimeoutMilliseconds);
 		}
 
 		while (this.#events.length === 0) {
@@ -147,17 +147,17 @@
 				return {kind: 'aborted'};
 			}
 
-			if (this.#lost !== undefined) {
-				return {kind: 'lost', message: this.#lost};
+			if (this.#failure !== undefined) {
+				return {kind: 'lost', message: this.#failure};
 			}
 
-			if (this.#silent) {
+			if (this.#timedOut) {
 				return {kind: 'silent'};
 			}
 
 			this.#body.resume();
 			await new Promise<void>(resolve => {
-				this.#waiter = resolve;
+				this.#resolveWait = resolve;
 			});
 		}
 
@@ -166,46 +166,46 @@
 
 	/** Closes the connection; the engine keeps the generation for a while so that it can be resumed. */
 	close(): void {
-		clearTimeout(this.#timer);
+		clearTimeout(this.#stallTimer);
 		this.#signal.removeEventListener('abort', this.#onAbort);
 		void this.#client.destroy();
 	}
 
-	/** Starts the silence limit anew; one timer serves the whole stream. */
-	#startTimer(milliseconds: number): void {
-		if (this.#timer) {
-			this.#timer.refresh();
+	/** Starts or restarts the stall timer; one timer is used for the whole stream. */
+	#startStallTimer(milliseconds: number): void {
+		if (this.#stallTimer) {
+			this.#stallTimer.refresh();
 			return;
 		}
 
-		this.#timer = setTimeout(() => {
-			this.#silent = true;
-			this.#wake();
+		this.#stallTimer = setTimeout(() => {
+			this.#timedOut = true;
+			this.#wakeReader();
 		}, milliseconds);
 	}
 
-	#take(data: string): void {
-		const checked = engineEventSchema.safeParse(parseJson(data));
-		if (checked.success) {
-			this.#events.push(checked.data);
+	#addEvent(data: string): void {
+		const parsed = engineEventSchema.safeParse(parseJson(data));
+		if (parsed.success) {
+			this.#events.push(parsed.data);
 		} else if (data !== '[DONE]') {
-			this.#lost = `unexpected event: ${checked.error.message}`;
+			this.#failure = `unexpected event: ${parsed.error.message}`;
 		}
 	}
 
-	#end(message: string): void {
-		this.#lost ??= message;
-		this.#wake();
+	#endStream(message: string): void {
+		this.#failure ??= message;
+		this.#wakeReader();
 	}
 
-	#wake(): void {
-		const waiter = this.#waiter;
-		this.#waiter = undefined;
+	#wakeReader(): void {
+		const waiter = this.#resolveWait;
+		this.#resolveWait = undefined;
 		waiter?.();
 	}
 }
 
-function requestLine(request: StreamRequest): {method: 'GET' | 'POST'; path: string; body?: string} {
+function requestParameters(request: StreamRequest): {method: 'GET' | 'POST'; path: string; body?: string} {
 	if (request.kind === 'start') {
 		return {method: 'POST', path: '/v1/completions', body: JSON.stringify(request.request)};
 	}
@@ -214,14 +214,14 @@
 	return {method: 'GET', path: `/v1/generations/${request.generation}/stream?${query.toString()}`};
 }
 
-function refusalOf(status: number, text: string): OpenFailure {
-	const checked = engineErrorSchema.safeParse(parseJson(text));
-	if (checked.success) {
-		return {kind: 'refused', ...checked.data.error};
+function toOpenFailure(status: number, text: string): OpenFailure {
+	const parsed = engineErrorSchema.safeParse(parseJson(text));
+	if (parsed.success) {
+		return {kind: 'refused', ...parsed.data.error};
 	}
 
 	return {
-		kind: 'unreachable', message: `the engine answered ${status}`, crashed: false, connectionRefused: false,
+		kind: 'unreachable', message: `the engine responded with status ${status}`, crashed: false, connectionRefused: false,
 	};
 }
 
@@ -233,6 +233,6 @@
 	}
 }
 
-function isReset(error: unknown): boolean {
+function isConnectionReset(error: unknown): boolean {
 	return error instanceof Error && 'code' in error && (error.code === 'ECONNRESET' || error.code === 'UND_ERR_SOCKET');
 }
--- a/source/endpoints/mod.ts
+++ b/source/endpoints/mod.ts
@@ -10,4 +10,4 @@
 export * from './engine-stream.ts';
 export * from './pooled-service-client.ts';
 export * from './service-message.ts';
-export * from './single-send.ts';
+export * from './send-once.ts';
--- a/source/endpoints/pooled-service-client.ts
+++ b/source/endpoints/pooled-service-client.ts
@@ -9,23 +9,23 @@
 import {Agent} from 'undici';
 import {neverConnected} from '../supervision/mod.ts';
 import {
-	readAnswer, type ServiceAnswer, type ServiceFailure, type ServiceRequest,
+	readResponse, type ServiceResponse, type ServiceFailure, type ServiceRequest,
 } from './service-message.ts';
 
 /** Options of {@linkcode PooledServiceClient}. */
 export type PooledServiceClientOptions = {
-	/** Time for opening a connection, in milliseconds. Default 1,000. */
+	/** Timeout for opening a connection, in milliseconds. Default 1,000. */
 	connectMilliseconds?: number;
-	/** Connections to one endpoint at most. Default 64. */
+	/** Maximum number of connections to one endpoint. Default 64. */
 	connections?: number;
 };
 
 /**
- * Sends calls that may be repeated; it repeats none by itself.
+ * Sends calls that may be retried; it retries none itself.
  *
  * @example
  * ```ts
- * const answer = await new PooledServiceClient().send('127.0.0.1:9000', request, signal);
+ * const response = await new PooledServiceClient().send('127.0.0.1:9000', request, signal);
  * ```
  */
 export class PooledServiceClient {
@@ -42,8 +42,8 @@
 		});
 	}
 
-	/** Sends one call; the signal ends it and closes its connection. */
-	async send(address: string, request: ServiceRequest, signal: AbortSignal): Promise<Result<ServiceAnswer, ServiceFailure>> {
+	/** Sends one call; the signal aborts it and closes its connection. */
+	async send(address: string, request: ServiceRequest, signal: AbortSignal): Promise<Result<ServiceResponse, ServiceFailure>> {
 		try {
 			const response = await this.#agent.request({
 				origin: `http://${address}`,
@@ -53,7 +53,7 @@
 				body: request.body.length > 0 ? request.body : undefined,
 				signal,
 			});
-			return ok(await readAnswer(response, () => undefined));
+			return ok(await readResponse(response, () => undefined));
 		} catch (error) {
 			return err({sent: !neverConnected(error), message: String(error)});
 		}
--- a/source/endpoints/single-send.ts
+++ b/source/endpoints/send-once.ts
@@ -1,5 +1,5 @@
 /**
- * Sends one request once, on a connection of its own, and tells whether a byte of it may have left.
+ * Sends a request exactly once, on a dedicated connection, and reports whether any byte of it may have been sent.
  *
  * @module
  */
@@ -10,28 +10,28 @@
 } from 'neverthrow';
 import {Client} from 'undici';
 import {
-	readAnswer, type ServiceAnswer, type ServiceFailure, type ServiceRequest,
+	readResponse, type ServiceResponse, type ServiceFailure, type ServiceRequest,
 } from './service-message.ts';
 
 /**
- * Opens a connection on which nothing is sent yet.
+ * Opens a connection without sending anything on it.
  *
  * @param address `address:port` of the endpoint.
- * @param milliseconds Time for opening it.
- * @returns The open connection, or why there is none.
+ * @param timeoutMilliseconds Timeout for opening the connection, in milliseconds.
+ * @returns The open connection, or the reason for the failure.
  * @example
  * ```ts
- * const socket = await openSingleConnection('127.0.0.1:9000', 1000);
+ * const socket = await openSingleUseConnection('127.0.0.1:9000', 1000);
  * ```
  */
-export async function openSingleConnection(address: string, milliseconds: number): Promise<Result<Socket, string>> {
+export async function openSingleUseConnection(address: string, timeoutMilliseconds: number): Promise<Result<Socket, string>> {
 	const {hostname, port} = new URL(`http://${address}`);
 	const socket = connect({host: hostname.replaceAll(/[\[\]]/gv, ''), port: port === '' ? 80 : Number(port), noDelay: true});
 	socket.on('error', () => {
 		socket.destroy();
 	});
 	try {
-		await once(socket, 'connect', {signal: AbortSignal.timeout(Math.max(1, Math.ceil(milliseconds)))});
+		await once(socket, 'connect', {signal: AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMilliseconds)))});
 		return ok(socket);
 	} catch (error) {
 		socket.destroy();
@@ -40,24 +40,24 @@
 }
 
 /**
- * Sends a request on an open connection; whatever happens, it is never sent a second time.
+ * Sends a request on an open connection; it is never sent a second time, even after a failure.
  *
- * @param socket Connection of {@linkcode openSingleConnection}; it is closed at the end of the answer.
+ * @param socket Connection of {@linkcode openSingleUseConnection}; it is closed at the end of the response.
  * @param request The request.
- * @param signal Ends the wait for the answer.
- * @returns The answer, or a failure that tells whether a byte may have left.
+ * @param signal Aborts the wait for the response.
+ * @returns The response, or a failure that reports whether any byte may have been sent.
  * @example
  * ```ts
- * const answer = await sendOnce(socket, request, AbortSignal.timeout(10_000));
+ * const response = await sendOnce(socket, request, AbortSignal.timeout(10_000));
  * ```
  */
-export async function sendOnce(socket: Socket, request: ServiceRequest, signal: AbortSignal): Promise<Result<ServiceAnswer, ServiceFailure>> {
+export async function sendOnce(socket: Socket, request: ServiceRequest, signal: AbortSignal): Promise<Result<ServiceResponse, ServiceFailure>> {
 	if (socket.destroyed || !socket.writable || signal.aborted) {
 		socket.destroy();
 		return err({sent: false, message: 'the connection closed before anything was sent'});
 	}
 
-	const client = clientOf(socket);
+	const client = createSingleUseClient(socket);
 	const destroy = () => {
 		void client.destroy();
 		socket.destroy();
@@ -72,28 +72,28 @@
 			reset: true,
 			signal,
 		});
-		return ok(await readAnswer(response, destroy));
+		return ok(await readResponse(response, destroy));
 	} catch (error) {
 		destroy();
 		return err({sent: true, message: String(error)});
 	}
 }
 
-/** Creates a client whose only connection is the one given: a second one is refused, so nothing can be sent again. */
-function clientOf(socket: Socket): Client {
-	let given = false;
+/** Creates a client that uses only the given connection: opening a second one fails, so that the client cannot resend a request. */
+function createSingleUseClient(socket: Socket): Client {
+	let connected = false;
 	return new Client(`http://${socket.remoteAddress?.includes(':') ? `[${socket.remoteAddress}]` : socket.remoteAddress}:${socket.remotePort}`, {
 		pipelining: 1,
 		headersTimeout: 0,
 		bodyTimeout: 0,
 		connect(_options, callback) {
-			if (given) {
+			if (connected) {
 				callback(new Error('the single connection is closed'), null);
 				return;
 			}
 
-			given = true;
-			// The client only goes on when it is called back later.
+			connected = true;
+			// The client only proceeds if the callback is called asynchronously.
 			queueMicrotask(() => {
 				callback(null, socket);
 			});
--- a/source/endpoints/service-message.ts
+++ b/source/endpoints/service-message.ts
@@ -1,5 +1,5 @@
 /**
- * Requests to plain services and their answers, as both clients send and read them.
+ * Requests to plain services and their responses, as both clients use them.
  *
  * @module
  */
@@ -19,64 +19,64 @@
 	body: Uint8Array;
 };
 
-/** Answer of a plain service: its first bytes, and the rest of a body that is larger. */
-export type ServiceAnswer = {
+/** Response of a plain service: the start of its body, and the rest if the body is larger. */
+export type ServiceResponse = {
 	status: number;
 	headers: ServiceHeaders;
 	/** The whole body, unless there is a rest. */
 	head: Uint8Array;
-	/** Bytes after the head; must be read to the end or returned. */
+	/** Chunks after the head; must be read to the end, or closed with `return()`. */
 	rest?: AsyncGenerator<Uint8Array>;
 };
 
-/** Why a request got no answer; `sent` tells whether a byte of it may have left. */
+/** Reason why a request got no response; `sent` is true if any byte of it may have been sent. */
 export type ServiceFailure = {sent: boolean; message: string};
 
-/** Bytes of a body that are read before the answer counts as received. */
-export const answerHeadBytes = 16_384;
+/** Bytes of a body that are read before the response counts as received. */
+export const responseHeadBytes = 16_384;
 
 const connectionHeaders = ['connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade'];
 
 /**
- * Returns the headers that concern the whole way and not one connection.
+ * Returns the end-to-end headers, without hop-by-hop ones.
  *
  * @param headers Headers as received.
- * @param dropped Further names to leave out. Default none.
+ * @param excludedNames Further names to exclude. Default none.
  * @example
  * ```ts
  * const headers = endToEndHeaders(request.headers, ['host', 'authorization']);
  * ```
  */
-export function endToEndHeaders(headers: IncomingHttpHeaders, dropped: readonly string[] = []): ServiceHeaders {
-	const named = [headers.connection ?? []].flat().join(',').split(',').map(name => name.trim().toLowerCase());
-	const left = new Set([...connectionHeaders, ...named, ...dropped]);
-	const kept: ServiceHeaders = {};
+export function endToEndHeaders(headers: IncomingHttpHeaders, excludedNames: readonly string[] = []): ServiceHeaders {
+	const connectionOptions = [headers.connection ?? []].flat().join(',').split(',').map(name => name.trim().toLowerCase());
+	const excluded = new Set([...connectionHeaders, ...connectionOptions, ...excludedNames]);
+	const endToEnd: ServiceHeaders = {};
 	for (const [name, value] of Object.entries(headers)) {
-		if (value !== undefined && !left.has(name)) {
-			kept[name] = value;
+		if (value !== undefined && !excluded.has(name)) {
+			endToEnd[name] = value;
 		}
 	}
 
-	return kept;
+	return endToEnd;
 }
 
 /**
- * Reads an answer up to the end of its head.
+ * Reads a response up to the end of its head.
  *
  * @param response Response whose body has not been read.
- * @param onEnd Called once the body has ended, failed or been given up.
- * @throws {Error} When the connection fails within the head.
+ * @param onEnd Called once the body has ended, failed or been abandoned.
+ * @throws {Error} If the connection fails before the head is read.
  * @example
  * ```ts
- * const answer = await readResponse(response, () => client.destroy());
+ * const read = await readResponse(response, () => client.destroy());
  * ```
  */
-export async function readAnswer(response: Dispatcher.ResponseData, onEnd: () => void): Promise<ServiceAnswer> {
+export async function readResponse(response: Dispatcher.ResponseData, onEnd: () => void): Promise<ServiceResponse> {
 	const chunks = bodyChunks(response.body as AsyncIterable<Uint8Array>, onEnd);
 	const head: Uint8Array[] = [];
 	let length = 0;
 	let ended = false;
-	while (!ended && length <= answerHeadBytes) {
+	while (!ended && length <= responseHeadBytes) {
 		const chunk = await chunks.next();
 		ended = chunk.done === true;
 		if (!chunk.done) {
--- a/source/forwarding/caller-response.ts
+++ b/source/forwarding/caller-response.ts
@@ -8,7 +8,7 @@
 import {
 	err, ok, type Result,
 } from 'neverthrow';
-import {encodeAnswerHeaders} from '../platform/mod.ts';
+import {encodeResponseHeaders} from '../platform/mod.ts';
 import {type PartialResponse} from './call-attempt-result.ts';
 import {IncompleteResponseError} from './send-request.ts';
 
@@ -55,7 +55,7 @@
  */
 export function sendCompleteResponse(response: ServerResponse, status: number, rawHeaders: readonly string[], body: Uint8Array): void {
 	response.sendDate = false;
-	response.writeHead(status, [...encodeAnswerHeaders(rawHeaders), 'Content-Length', String(body.length)]);
+	response.writeHead(status, [...encodeResponseHeaders(rawHeaders), 'Content-Length', String(body.length)]);
 	response.end(body);
 }
 
@@ -120,6 +120,6 @@
  */
 export function startResponse(response: ServerResponse, status: number, rawHeaders: readonly string[]): void {
 	response.sendDate = false;
-	response.writeHead(status, [...encodeAnswerHeaders(rawHeaders), 'Transfer-Encoding', 'chunked']);
+	response.writeHead(status, [...encodeResponseHeaders(rawHeaders), 'Transfer-Encoding', 'chunked']);
 	response.flushHeaders();
 }
--- a/source/forwarding/endpoint-signals.ts
+++ b/source/forwarding/endpoint-signals.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {type EndpointEntry} from '../beliefs/mod.ts';
-import {type AnswerTerms} from '../platform/mod.ts';
+import {type ResponseTerms} from '../platform/mod.ts';
 import {type ForwardingDependencies} from './forwarding-dependencies.ts';
 
 /** Minimum `Retry-After` sent to callers, in milliseconds; the header's format has no smaller unit. */
@@ -22,7 +22,7 @@
  * @param response Status and metadata of its response.
  * @param dependencies Components of the gateway that all requests share.
  */
-export function recordSignals(endpoint: EndpointEntry, {status, terms: {leaving, retryAfterMilliseconds}}: {status: number; terms: AnswerTerms}, dependencies: ForwardingDependencies): void {
+export function recordSignals(endpoint: EndpointEntry, {status, terms: {leaving, retryAfterMilliseconds}}: {status: number; terms: ResponseTerms}, dependencies: ForwardingDependencies): void {
 	const {backoff, logger, clock, countSignal} = dependencies;
 	const now = clock();
 	recordLeaving(endpoint, leaving, dependencies);
--- a/source/forwarding/engine-selector.ts
+++ b/source/forwarding/engine-selector.ts
@@ -7,7 +7,7 @@
 	engineCandidates, rankEngines, type QueriedEngine, type EngineReport,
 } from '../balancing/mod.ts';
 import {type EndpointEntry} from '../beliefs/mod.ts';
-import {readEngineReport} from '../platform/mod.ts';
+import {queryEngineReport} from '../platform/mod.ts';
 import {recordLeaving, usableEndpoints} from './endpoint-signals.ts';
 import {type Exchange} from './exchange.ts';
 import {type ForwardingDependencies} from './forwarding-dependencies.ts';
@@ -86,7 +86,7 @@
 	async queryLoad(endpoint: EndpointEntry, purpose: keyof typeof loadQueries): Promise<EngineReport | undefined> {
 		const {dependencies} = this.#options;
 		const {timeoutMilliseconds, use} = loadQueries[purpose];
-		const result = await readEngineReport({agent: dependencies.connections.agent(use), address: endpoint.address, timeoutMilliseconds});
+		const result = await queryEngineReport({agent: dependencies.connections.agent(use), address: endpoint.address, timeoutMilliseconds});
 		const report = result.unwrapOr(undefined);
 		if (report && !showsRestart(report, endpoint.startedAt)) {
 			recordLeaving(endpoint, report.saysLeaving, dependencies);
--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -6,7 +6,7 @@
 import {Buffer} from 'node:buffer';
 import {type EngineReport} from '../balancing/mod.ts';
 import {type EndpointEntry} from '../beliefs/mod.ts';
-import {encodeSendHeaders} from '../platform/mod.ts';
+import {encodeRequestHeaders} from '../platform/mod.ts';
 import {startResponse, sendCompleteResponse, writeToCaller} from './caller-response.ts';
 import {EngineMonitor, type AbandonReason} from './engine-monitor.ts';
 import {eventsInOrder} from './event-order.ts';
@@ -130,14 +130,14 @@
 			address: target.endpoint.address,
 			method: exchange.request.method!,
 			target: exchange.request.url!,
-			rawHeaders: encodeSendHeaders(exchange.request.rawHeaders, {
+			rawHeaders: encodeRequestHeaders(exchange.request.rawHeaders, {
 				endpointId: target.endpoint.id,
 				workspace: exchange.workspace?.name,
 				deadlineMilliseconds: exchange.deadline - clock(),
 				priority: undefined,
 				lastEvent: progress.lastEventId,
 				copyTo: target.copyHolder?.address,
-				goOnFrom: target.resumeFrom && {address: target.resumeFrom.address, attempt: exchange.terms.attempt ?? ''},
+				resumeFrom: target.resumeFrom && {address: target.resumeFrom.address, attempt: exchange.terms.attempt ?? ''},
 			}),
 			body: exchange.body,
 			attemptId: exchange.terms.attempt,
--- a/source/forwarding/send-call-attempt.ts
+++ b/source/forwarding/send-call-attempt.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {type EndpointEntry} from '../beliefs/mod.ts';
-import {encodeSendHeaders} from '../platform/mod.ts';
+import {encodeRequestHeaders} from '../platform/mod.ts';
 import {recordSignals} from './endpoint-signals.ts';
 import {readResponse, type CallAttemptResult} from './call-attempt-result.ts';
 import {type AttemptContext} from './call-attempts.ts';
@@ -33,14 +33,14 @@
 			address: endpoint.address,
 			method: request.method!,
 			target: request.url!,
-			rawHeaders: encodeSendHeaders(request.rawHeaders, {
+			rawHeaders: encodeRequestHeaders(request.rawHeaders, {
 				endpointId: endpoint.id,
 				workspace: workspace?.name,
 				deadlineMilliseconds: deadline - dependencies.clock(),
 				priority: undefined,
 				lastEvent: terms.lastEvent,
 				copyTo: undefined,
-				goOnFrom: undefined,
+				resumeFrom: undefined,
 			}),
 			body,
 			attemptId: terms.attempt,
--- a/source/forwarding/send-request.ts
+++ b/source/forwarding/send-request.ts
@@ -5,7 +5,7 @@
  */
 import {request as startRequest, type Agent, type IncomingMessage} from 'node:http';
 import {type Socket} from 'node:net';
-import {decodeAnswerTerms, type AnswerTerms} from '../platform/mod.ts';
+import {decodeResponseHeaders, type ResponseTerms} from '../platform/mod.ts';
 import {neverConnected} from '../supervision/connect-errors.ts';
 
 /** Options of {@linkcode sendRequest}. */
@@ -31,7 +31,7 @@
 export type EndpointResponse = {
 	status: number;
 	rawHeaders: readonly string[];
-	terms: AnswerTerms;
+	terms: ResponseTerms;
 	/** Reads the body; throws an {@linkcode IncompleteResponseError} if it breaks off. */
 	body(): AsyncGenerator<Uint8Array, void>;
 	/** Closes the connection. */
@@ -105,7 +105,7 @@
 			resolve({kind: connected && !neverConnected(error) ? 'lost' : 'not-sent', message: error.message});
 		});
 		request.on('response', response => {
-			const terms = decodeAnswerTerms(response.statusCode ?? 0, response.headers);
+			const terms = decodeResponseHeaders(response.statusCode ?? 0, response.headers);
 			if (attemptId !== undefined && !belongsToAttempt(attemptId, terms.attempt, request.reusedSocket)) {
 				request.destroy();
 				resolve({kind: 'lost', message: terms.attempt === undefined ? 'the response does not state to which request it belongs' : 'the response belongs to another request'});
--- a/source/gateway/caller-server.ts
+++ b/source/gateway/caller-server.ts
@@ -7,7 +7,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {listGateways} from '../fleet/mod.ts';
-import {decodeEntryCall, encodeEntries, type EntryCall} from '../platform/mod.ts';
+import {decodeManagementCall, encodeEntries, type ManagementCall} from '../platform/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 import {isReady} from './readiness.ts';
 import {serveRequest} from './serve-request.ts';
@@ -25,9 +25,9 @@
 const maximumEntries = 64;
 
 /** Handles one kind of call for entries or readiness. */
-type EntryHandler<Kind extends EntryCall['kind']> = (call: Extract<EntryCall, {kind: Kind}>, response: ServerResponse, parts: GatewayParts) => void;
+type EntryHandler<Kind extends ManagementCall['kind']> = (call: Extract<ManagementCall, {kind: Kind}>, response: ServerResponse, parts: GatewayParts) => void;
 
-const entryHandlers: {[Kind in EntryCall['kind']]: EntryHandler<Kind>} = {
+const entryHandlers: {[Kind in ManagementCall['kind']]: EntryHandler<Kind>} = {
 	entries({availabilityZone, region}, response, {members, clock, random, settings}) {
 		const addresses = listGateways({
 			members: members.live(clock()), availabilityZone, region, count: maximumEntries, random,
@@ -64,7 +64,7 @@
  */
 export function createEntryServer(parts: GatewayParts): Server {
 	return createServer((request, response) => {
-		const call = decodeEntryCall(request.method, request.url ?? '');
+		const call = decodeManagementCall(request.method, request.url ?? '');
 		if (call?.kind === 'entries') {
 			entryHandlers.entries(call, response, parts);
 		} else if (call?.kind === 'readiness') {
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -8,7 +8,7 @@
 import {
 	forwardCall, forwardGeneration, sendErrorResponse, type Exchange, type ExchangeOutcome, type ForwardingDependencies, type ErrorResponse,
 } from '../forwarding/mod.ts';
-import {decodeRequestTerms} from '../platform/mod.ts';
+import {decodeRequestHeaders} from '../platform/mod.ts';
 import {
 	admitRequest, selectService, type Admission, type RequestKind, type Route,
 } from '../routing/mod.ts';
@@ -48,7 +48,7 @@
 export async function serveRequest(request: IncomingMessage, response: ServerResponse, parts: GatewayParts): Promise<void> {
 	const arrivedAt = parts.clock();
 	const finishTracking = parts.shutdown.trackRequest(arrivedAt);
-	const terms = decodeRequestTerms(request.headers);
+	const terms = decodeRequestHeaders(request.headers);
 	const requestName = terms.attempt ?? 'unnamed';
 	if (parts.shutdown.hasStarted) {
 		response.setHeader('Connection', 'close');
--- a/source/generation/run-attempt.ts
+++ b/source/generation/run-attempt.ts
@@ -56,7 +56,7 @@
 	const {progress, parts, endpoint, step, policy, signal} = options;
 	const opened = await openEngineStream(streamRequest(progress, step), {
 		address: endpoint,
-		openMilliseconds: step === 'resume' ? policy.resumeTimeoutMilliseconds : policy.startTimeoutMilliseconds,
+		openTimeoutMilliseconds: step === 'resume' ? policy.resumeTimeoutMilliseconds : policy.startTimeoutMilliseconds,
 		traceHeaders,
 		signal,
 	});
--- a/source/platform/configuration-row.ts
+++ b/source/platform/configuration-row.ts
@@ -1,5 +1,5 @@
 /**
- * Decodes the operator's configuration as it lies in the store.
+ * Decodes the operator's configuration from its row in the store.
  *
  * @module
  */
@@ -12,13 +12,13 @@
 } from '../routing/mod.ts';
 import {parseJson} from './http-call.ts';
 
-/** Table of what the operator writes. */
+/** Table that the operator writes. */
 export const operatorTable = 'op';
 
-/** Key of the configuration within {@linkcode operatorTable}. */
+/** Key of the configuration row in {@linkcode operatorTable}. */
 export const configurationKey = 'config';
 
-const kinds: Record<string, RequestKind> = {idempotent: 'idempotent', non_idempotent: 'at-most-once', stream: 'generation'};
+const requestKinds: Record<string, RequestKind> = {idempotent: 'idempotent', non_idempotent: 'at-most-once', stream: 'generation'};
 
 const routeSchema = z.object({
 	name: z.string(),
@@ -28,7 +28,7 @@
 	timeoutMs: z.number().positive(),
 	targetLatencyMs: z.number().nonnegative().nullish(),
 	priority: z.number().nullish(),
-	/** The one service of a route that is not divided. */
+	/** The only service of a route without weighted back ends. */
 	service: z.string().nullish(),
 	backends: z.array(z.object({service: z.string(), weight: z.number().nonnegative()})).nullish(),
 	maxAttempts: z.number().int().positive().nullish(),
@@ -41,7 +41,7 @@
 	slots: z.number().positive(),
 	kvCapacity: z.number().positive(),
 	backups: z.boolean().nullish(),
-	/** In seconds. */
+	/** Time for which a copy is kept after its last part arrived, in seconds. */
 	handleS: z.number().nonnegative().nullish(),
 });
 
@@ -67,34 +67,34 @@
 	}).nullish(),
 });
 
-/** Limits where the operator names none. */
+/** Limits that apply unless the operator sets them. */
 const defaultLimits = {
 	headerBytes: 16_384, bodyBytes: 4_194_304, headerMilliseconds: 3000, idleMilliseconds: 15_000,
 };
 
-/** Rank of a route that names none. */
+/** Priority of a route without one. */
 const defaultPriority = 5;
 
 /**
  * Decodes one version of the configuration.
  *
  * @param content Content of the row.
- * @returns The configuration, or what is wrong with it.
+ * @returns The configuration, or a description of its faults.
  * @example
  * ```ts
  * const configuration = decodeConfiguration(row.content);
  * ```
  */
 export function decodeConfiguration(content: Uint8Array): Result<RoutingConfiguration, string> {
-	const checked = configurationSchema.safeParse(parseJson(content));
-	if (!checked.success) {
-		return err(checked.error.issues.map(({path, message}) => `${path.join('.')}: ${message}`).join('; '));
+	const parsed = configurationSchema.safeParse(parseJson(content));
+	if (!parsed.success) {
+		return err(parsed.error.issues.map(({path, message}) => `${path.join('.')}: ${message}`).join('; '));
 	}
 
-	const {version, routes, services, tenants, limits} = checked.data;
-	const unknownKind = routes.find(route => kinds[route.kind] === undefined);
+	const {version, routes, services, tenants, limits} = parsed.data;
+	const unknownKind = routes.find(route => requestKinds[route.kind] === undefined);
 	if (unknownKind) {
-		return err(`route ${unknownKind.name}: the kind "${unknownKind.kind}" is not known`);
+		return err(`route ${unknownKind.name}: unknown kind "${unknownKind.kind}"`);
 	}
 
 	return ok({
@@ -112,16 +112,16 @@
 }
 
 function toRoute(route: z.output<typeof routeSchema>): Route {
-	const single = typeof route.service === 'string' ? [{service: route.service, weight: 1}] : [];
+	const singleService = typeof route.service === 'string' ? [{service: route.service, weight: 1}] : [];
 	return {
 		name: route.name,
 		host: route.host,
 		pathPrefix: route.prefix,
-		kind: kinds[route.kind]!,
+		kind: requestKinds[route.kind]!,
 		timeoutMilliseconds: route.timeoutMs,
 		targetMilliseconds: route.targetLatencyMs ?? route.timeoutMs,
 		priority: route.priority ?? defaultPriority,
-		services: route.backends ?? single,
+		services: route.backends ?? singleService,
 		maximumAttempts: route.maxAttempts ?? 1,
 		anonymous: route.allowAnonymous === true,
 		resumable: route.resumable === true,
--- a/source/platform/endpoint-row.ts
+++ b/source/platform/endpoint-row.ts
@@ -1,5 +1,5 @@
 /**
- * Decodes the entries of endpoints as they lie in the store.
+ * Decodes the entries of endpoints from their rows in the store.
  *
  * @module
  */
@@ -19,7 +19,7 @@
 	zone: z.string(),
 	slots: z.number().positive(),
 	state: z.enum(['ready', 'draining']),
-	/** Unix milliseconds of the start; tells two lives under one id apart. */
+	/** Start of the process, in Unix milliseconds; distinguishes incarnations with the same id. */
 	born: z.number().nullish(),
 });
 
@@ -28,15 +28,15 @@
  *
  * @param id Key of the row.
  * @param content Content of the row.
- * @returns The entry, or what is wrong with it; a wrong entry names no endpoint.
+ * @returns The entry, or a description of its faults; an invalid entry stands for no endpoint.
  */
 export function decodeEndpoint(id: string, content: Uint8Array): Result<EndpointEntry, string> {
-	const checked = entrySchema.safeParse(parseJson(content));
-	if (!checked.success) {
-		return err(checked.error.issues.map(({path, message}) => `${path.join('.')}: ${message}`).join('; '));
+	const parsed = entrySchema.safeParse(parseJson(content));
+	if (!parsed.success) {
+		return err(parsed.error.issues.map(({path, message}) => `${path.join('.')}: ${message}`).join('; '));
 	}
 
-	const {service, address, zone, slots, state, born} = checked.data;
+	const {service, address, zone, slots, state, born} = parsed.data;
 	return ok({
 		id, service, address, availabilityZone: zone, slots, leaving: state === 'draining', startedAt: born ?? 0,
 	});
--- a/source/platform/engine-report.ts
+++ b/source/platform/engine-report.ts
@@ -1,5 +1,5 @@
 /**
- * Reads what an engine says of its load.
+ * Queries an engine for its load report.
  *
  * @module
  */
@@ -10,17 +10,17 @@
 import * as z from 'zod';
 import {type EngineReport} from '../balancing/mod.ts';
 import {httpCall, parseJson} from './http-call.ts';
-import {saysLeaving} from './request-terms.ts';
+import {announcesLeaving} from './request-headers.ts';
 
 const runSchema = z.tuple([z.string(), z.number(), z.number(), z.number()]);
 
 const reportSchema = z.object({
 	waiting: z.number(),
 	running: z.number(),
-	/** Tokens of memory that cannot be given up for another request. */
+	/** Tokens of memory that cannot be evicted for another request. */
 	kvUsed: z.number(),
 	kvTotal: z.number(),
-	/** Tokens of memory that copies and reservations take. */
+	/** Tokens of memory that copies and reservations occupy. */
 	held: z.number().nullish(),
 	/** Tokens of the first waiting request. */
 	next: z.number().nullish(),
@@ -29,38 +29,38 @@
 	runs: z.array(z.unknown()).nullish(),
 });
 
-/** Longest report that is read, in bytes: a line for each of some thousand runs. */
-const reportBytes = 262_144;
+/** Largest report that is accepted, in bytes; holds one entry for each of several thousand runs. */
+const maximumReportBytes = 262_144;
 
-/** Options of {@linkcode readEngineReport}. */
-export type ReadEngineReportOptions = {
+/** Options of {@linkcode queryEngineReport}. */
+export type QueryEngineReportOptions = {
 	agent: Agent;
-	/** IP number and port of the engine. */
+	/** IP address and port of the engine. */
 	address: string;
 	/** Deadline, in milliseconds. */
 	timeoutMilliseconds: number;
 };
 
 /**
- * Asks an engine for its load.
+ * Queries an engine for its load.
  *
- * @param options Where and by when.
- * @returns The report, or why there is none.
+ * @param options Address of the engine and deadline.
+ * @returns The report, or the reason for the failure.
  */
-export async function readEngineReport({agent, address, timeoutMilliseconds}: ReadEngineReportOptions): Promise<Result<EngineReport, string>> {
-	const answer = await httpCall({
-		agent, address, path: '/api/report', timeoutMilliseconds, largestBytes: reportBytes,
+export async function queryEngineReport({agent, address, timeoutMilliseconds}: QueryEngineReportOptions): Promise<Result<EngineReport, string>> {
+	const response = await httpCall({
+		agent, address, path: '/api/report', timeoutMilliseconds, maximumBytes: maximumReportBytes,
 	});
-	if (answer.isErr()) {
-		return err(answer.error.message);
+	if (response.isErr()) {
+		return err(response.error.message);
 	}
 
-	const checked = reportSchema.safeParse(parseJson(answer.value.body));
-	if (answer.value.status !== 200 || !checked.success) {
-		return err(`the report cannot be read (status ${answer.value.status})`);
+	const parsed = reportSchema.safeParse(parseJson(response.value.body));
+	if (response.value.status !== 200 || !parsed.success) {
+		return err(`invalid report (status ${response.value.status})`);
 	}
 
-	const {waiting, running, kvUsed, kvTotal, held, next, born, state, runs} = checked.data;
+	const {waiting, running, kvUsed, kvTotal, held, next, born, state, runs} = parsed.data;
 	return ok({
 		waiting,
 		running,
@@ -70,12 +70,12 @@
 		nextTokens: next ?? 0,
 		startedAt: born ?? 0,
 		reportsLeaving: state === 'draining',
-		saysLeaving: saysLeaving(answer.value.headers),
+		saysLeaving: announcesLeaving(response.value.headers),
 		runs: (runs ?? []).flatMap(run => decodeRun(run)),
 	});
 }
 
 function decodeRun(content: unknown): EngineReport['runs'] {
-	const checked = runSchema.safeParse(content);
-	return checked.success ? [{attempt: checked.data[0], tokens: checked.data[1], events: checked.data[2]}] : [];
+	const parsed = runSchema.safeParse(content);
+	return parsed.success ? [{attempt: parsed.data[0], tokens: parsed.data[1], events: parsed.data[2]}] : [];
 }
--- a/source/platform/http-call.test.ts
+++ b/source/platform/http-call.test.ts
@@ -24,21 +24,21 @@
 	});
 }
 
-test('a large answer over a slow link may take longer than the time without a byte', async context => {
-	const answer = await call(context, async response => {
+test('a response that keeps arriving may take longer than the timeout', async context => {
+	const response = await call(context, async serverResponse => {
 		for (let part = 0; part < 8; part += 1) {
-			response.write('part');
+			serverResponse.write('part');
 			await delay(50);
 		}
 
-		response.end();
+		serverResponse.end();
 	});
-	assert.equal(answer._unsafeUnwrap().body.length, 32);
+	assert.equal(response._unsafeUnwrap().body.length, 32);
 });
 
-test('an answer that stops coming is given up', async context => {
-	const answer = await call(context, async response => {
-		response.write('part');
+test('a response that stalls is aborted after the timeout', async context => {
+	const response = await call(context, async serverResponse => {
+		serverResponse.write('part');
 	});
-	assert.equal(answer.isErr(), true);
+	assert.equal(response.isErr(), true);
 });
--- a/source/platform/http-call.ts
+++ b/source/platform/http-call.ts
@@ -1,5 +1,5 @@
 /**
- * Short HTTP calls with a deadline over kept connections: to the store and to endpoints' reports.
+ * Short HTTP calls with a timeout over keep-alive connections: to the store and for endpoints' reports.
  *
  * @module
  */
@@ -10,42 +10,42 @@
 } from 'neverthrow';
 import {neverConnected} from '../supervision/connect-errors.ts';
 
-/** Answer of a call. */
-export type HttpAnswer = {status: number; headers: IncomingHttpHeaders; body: Uint8Array};
+/** Response to a call. */
+export type HttpResponse = {status: number; headers: IncomingHttpHeaders; body: Uint8Array};
 
-/** Why a call has no answer; `sent` tells whether the other side may have acted on it. */
+/** Reason why a call got no response; `sent` is true if the server may have acted on it. */
 export type HttpFailure = {sent: boolean; message: string};
 
 /** Options of {@linkcode httpCall}. */
 export type HttpCallOptions = {
-	/** Keeps the connections. */
+	/** Agent that pools the connections. */
 	agent: Agent;
-	/** IP number and port. */
+	/** IP address and port. */
 	address: string;
 	method?: 'GET' | 'POST' | 'PUT' | 'DELETE';
 	/** Path and query. */
 	path: string;
-	/** Content of the request, sent as JSON. Default none. */
+	/** Request body, sent as JSON. Default none. */
 	json?: unknown;
-	/** Time without a byte of the answer after which the call is given up, in milliseconds; a large answer over a slow link may take longer. */
+	/** Time without a received byte after which the call is aborted, in milliseconds; a large response over a slow link may take longer in total. */
 	timeoutMilliseconds: number;
-	/** Bytes of an answer after which the call is given up. Default 16,777,216. */
-	largestBytes?: number;
-	/** Ends the call early. */
+	/** Largest accepted response body, in bytes; a larger one aborts the call. Default 16,777,216. */
+	maximumBytes?: number;
+	/** Aborts the call. */
 	signal?: AbortSignal;
 };
 
 /**
- * Makes one call and reads its whole answer.
+ * Makes one call and reads the whole response.
  *
- * @param options Where to, what, and by when.
+ * @param options Address, request and timeout.
  * @example
  * ```ts
- * const answer = await httpCall({agent, address: '10.0.0.1:80', path: '/health', timeoutMilliseconds: 500});
+ * const response = await httpCall({agent, address: '10.0.0.1:80', path: '/health', timeoutMilliseconds: 500});
  * ```
  */
-export async function httpCall(options: HttpCallOptions): Promise<Result<HttpAnswer, HttpFailure>> {
-	const {agent, address, method = 'GET', path, json, timeoutMilliseconds, largestBytes = 16_777_216, signal} = options;
+export async function httpCall(options: HttpCallOptions): Promise<Result<HttpResponse, HttpFailure>> {
+	const {agent, address, method = 'GET', path, json, timeoutMilliseconds, maximumBytes = 16_777_216, signal} = options;
 	const [hostname, port] = address.split(':');
 	const body = json === undefined ? undefined : Buffer.from(JSON.stringify(json));
 	const headers = body ? {'content-type': 'application/json', 'content-length': String(body.length)} : {};
@@ -54,9 +54,9 @@
 			agent, hostname, port, method, path, headers, signal,
 		});
 		const timer = setTimeout(() => {
-			request.destroy(new Error(`no answer within ${timeoutMilliseconds} ms`));
+			request.destroy(new Error(`no response within ${timeoutMilliseconds} ms`));
 		}, timeoutMilliseconds);
-		const settle = (result: Result<HttpAnswer, HttpFailure>) => {
+		const settle = (result: Result<HttpResponse, HttpFailure>) => {
 			clearTimeout(timer);
 			resolve(result);
 		};
@@ -71,14 +71,14 @@
 				timer.refresh();
 				chunks.push(chunk);
 				bytes += chunk.length;
-				if (bytes > largestBytes) {
-					request.destroy(new Error(`the answer is longer than ${largestBytes} bytes`));
+				if (bytes > maximumBytes) {
+					request.destroy(new Error(`the response is longer than ${maximumBytes} bytes`));
 				}
 			});
 			response.on('end', () => {
 				settle(response.complete
 					? ok({status: response.statusCode ?? 0, headers: response.headers, body: Buffer.concat(chunks)})
-					: err({sent: true, message: 'the answer was cut off'}));
+					: err({sent: true, message: 'the response is incomplete'}));
 			});
 			response.on('error', error => {
 				settle(err({sent: true, message: error.message}));
@@ -91,8 +91,8 @@
 /**
  * Parses a JSON body.
  *
- * @param body The bytes.
- * @returns The content, or `undefined` where it is not JSON.
+ * @param body Body as bytes or text.
+ * @returns The parsed value, or `undefined` if the body is not valid JSON.
  */
 export function parseJson(body: Uint8Array | string): unknown {
 	try {
--- a/source/platform/mod.ts
+++ b/source/platform/mod.ts
@@ -1,5 +1,5 @@
 /**
- * The adapter to the users' platform: the only place that knows its names, formats and calls. It decides nothing.
+ * Adapter for the users' platform: the only place that knows the platform's names, formats and calls. It contains no decisions.
  *
  * @module
  */
@@ -7,6 +7,6 @@
 export * from './configuration-row.ts';
 export * from './endpoint-row.ts';
 export * from './engine-report.ts';
-export * from './entry-calls.ts';
-export * from './request-terms.ts';
+export * from './management-calls.ts';
+export * from './request-headers.ts';
 export * from './store-client.ts';
--- a/source/platform/platform.test.ts
+++ b/source/platform/platform.test.ts
@@ -5,16 +5,16 @@
 import {test} from 'node:test';
 import fc from 'fast-check';
 import {
-	decodeAnswerTerms, decodeConfiguration, decodeEndpoint, decodeEntryCall, decodeRequestTerms, encodeAnswerHeaders, encodeSendHeaders,
+	decodeResponseHeaders, decodeConfiguration, decodeEndpoint, decodeManagementCall, decodeRequestHeaders, encodeResponseHeaders, encodeRequestHeaders,
 } from './mod.ts';
 
 const row = (content: unknown) => Buffer.from(JSON.stringify(content));
 
 const terms = {
-	endpointId: 'i-1', workspace: 'workspace-1', deadlineMilliseconds: 750.9, priority: undefined, lastEvent: undefined, copyTo: undefined, goOnFrom: undefined,
+	endpointId: 'i-1', workspace: 'workspace-1', deadlineMilliseconds: 750.9, priority: undefined, lastEvent: undefined, copyTo: undefined, resumeFrom: undefined,
 };
 
-test('a configuration is decoded into the project\'s own model', () => {
+test('a configuration row is decoded into the routing model', () => {
 	const decoded = decodeConfiguration(row({
 		version: 7,
 		routes: [{
@@ -32,7 +32,7 @@
 	assert.equal(configuration.limits.bodyBytes, 1000);
 });
 
-test('what cannot be read names the field', () => {
+test('a decoding error names the invalid field', () => {
 	const configuration = decodeConfiguration(row({version: 7, routes: [{name: 'r'}], services: []}));
 	assert.match(configuration._unsafeUnwrapErr(), /routes\.0\.host/v);
 	const endpoint = decodeEndpoint('i-1', row({
@@ -44,15 +44,15 @@
 	})).isErr());
 });
 
-test('no content of a row makes a decoder throw', () => {
+test('decoders never throw, whatever the content of a row', () => {
 	fc.assert(fc.property(fc.oneof(fc.json(), fc.string()), content => {
 		decodeConfiguration(Buffer.from(content));
 		decodeEndpoint('i-1', Buffer.from(content));
 	}));
 });
 
-test('a request reaches the endpoint with the caller\'s headers, less those of its connection and those that only the system sets', () => {
-	const sent = encodeSendHeaders([
+test('a request to an endpoint carries the caller\'s headers without hop-by-hop headers and those that only the system sets', () => {
+	const sent = encodeRequestHeaders([
 		'Host',
 		'h',
 		'Connection',
@@ -83,9 +83,9 @@
 	]);
 });
 
-test('a generation that goes on names its event, its copy and where the next copy goes', () => {
-	const sent = encodeSendHeaders(['Last-Event-Id', '3'], {
-		...terms, lastEvent: '12', copyTo: '10.0.0.2:1', goOnFrom: {address: '10.0.0.1:1', attempt: 'a'},
+test('a resumed generation carries its last event, the copy to resume from and the target of the next copy', () => {
+	const sent = encodeRequestHeaders(['Last-Event-Id', '3'], {
+		...terms, lastEvent: '12', copyTo: '10.0.0.2:1', resumeFrom: {address: '10.0.0.1:1', attempt: 'a'},
 	});
 	const pairs = Object.fromEntries(sent.flatMap((name, index) => index % 2 === 0 ? [[name, sent[index + 1]]] : []));
 	assert.equal(pairs['Last-Event-Id'], '12');
@@ -93,38 +93,38 @@
 	assert.equal(pairs['X-Azuretack-Kv-Backup'], '10.0.0.2:1');
 });
 
-test('the terms of requests and answers are read, and what is malformed counts as absent', () => {
-	const read = decodeRequestTerms({
+test('headers of requests and responses are decoded, and malformed values count as absent', () => {
+	const read = decodeRequestHeaders({
 		'x-azuretack-attempt-id': 'a', 'x-azuretack-deadline-ms': '1500', authorization: 'token  k ', 'x-azuretack-prompt-prefix': '5c:200, 91:8000', 'x-azuretack-token-counts': '8200,120',
 	});
 	assert.deepEqual(read, {
 		attempt: 'a', deadlineMilliseconds: 1500, key: 'k', lastEvent: undefined, promptTokens: 8200, outputTokens: 120, promptPart: '91',
 	});
-	const malformed = decodeRequestTerms({'x-azuretack-deadline-ms': 'soon', authorization: 'Basic x', 'x-azuretack-token-counts': 'x'});
+	const malformed = decodeRequestHeaders({'x-azuretack-deadline-ms': 'soon', authorization: 'Basic x', 'x-azuretack-token-counts': 'x'});
 	assert.deepEqual([malformed.deadlineMilliseconds, malformed.key, malformed.promptTokens, malformed.outputTokens], [undefined, undefined, 0, 0]);
-	assert.equal(decodeAnswerTerms(421, {}).notExecuted, true);
-	assert.equal(decodeAnswerTerms(503, {}).notExecuted, false);
-	assert.equal(decodeAnswerTerms(503, {'x-azuretack-not-executed': '1'}).notExecuted, true);
-	assert.deepEqual(decodeAnswerTerms(503, {'retry-after': '1.5', 'server-leaving': '1'}), {
+	assert.equal(decodeResponseHeaders(421, {}).notExecuted, true);
+	assert.equal(decodeResponseHeaders(503, {}).notExecuted, false);
+	assert.equal(decodeResponseHeaders(503, {'x-azuretack-not-executed': '1'}).notExecuted, true);
+	assert.deepEqual(decodeResponseHeaders(503, {'retry-after': '1.5', 'server-leaving': '1'}), {
 		attempt: undefined, notExecuted: false, retryAfterMilliseconds: 1500, leaving: true,
 	});
-	assert.deepEqual([decodeAnswerTerms(200, {'server-leaving': '0'}).leaving, decodeAnswerTerms(503, {'retry-after': 'soon'}).retryAfterMilliseconds], [false, undefined]);
-	assert.deepEqual(encodeAnswerHeaders(['Content-Length', '5', 'Keep-Alive', 'timeout=5', 'X-Azuretack-Server-Stamp', 's']), ['X-Azuretack-Server-Stamp', 's']);
+	assert.deepEqual([decodeResponseHeaders(200, {'server-leaving': '0'}).leaving, decodeResponseHeaders(503, {'retry-after': 'soon'}).retryAfterMilliseconds], [false, undefined]);
+	assert.deepEqual(encodeResponseHeaders(['Content-Length', '5', 'Keep-Alive', 'timeout=5', 'X-Azuretack-Server-Stamp', 's']), ['X-Azuretack-Server-Stamp', 's']);
 });
 
-test('calls for entries and readiness are told from others', () => {
-	assert.deepEqual(decodeEntryCall('GET', '/api/resolve?name=h&region=r&zone=z'), {kind: 'entries', availabilityZone: 'z', region: 'r'});
-	assert.deepEqual(decodeEntryCall('GET', '/api/ready'), {kind: 'readiness'});
-	assert.equal(decodeEntryCall('POST', '/api/ready'), undefined);
-	assert.equal(decodeEntryCall('GET', '/other'), undefined);
+test('discovery and readiness calls are distinguished from other requests', () => {
+	assert.deepEqual(decodeManagementCall('GET', '/api/resolve?name=h&region=r&zone=z'), {kind: 'entries', availabilityZone: 'z', region: 'r'});
+	assert.deepEqual(decodeManagementCall('GET', '/api/ready'), {kind: 'readiness'});
+	assert.equal(decodeManagementCall('POST', '/api/ready'), undefined);
+	assert.equal(decodeManagementCall('GET', '/other'), undefined);
 });
 
-/** Names of the source files, less tests and the given folders, whose text a pattern matches. */
-async function filesWith(pattern: RegExp, leftOut: RegExp): Promise<string[]> {
+/** Returns the names of source files whose text matches a pattern, without tests and excluded folders. */
+async function filesWith(pattern: RegExp, excluded: RegExp): Promise<string[]> {
 	const source = path.join(import.meta.dirname, '..', '..', 'source');
 	const names = await readdir(source, {recursive: true});
 	const matching: string[] = [];
-	for (const name of names.filter(each => each.endsWith('.ts') && !each.endsWith('.test.ts') && !leftOut.test(each))) {
+	for (const name of names.filter(each => each.endsWith('.ts') && !each.endsWith('.test.ts') && !excluded.test(each))) {
 		const text = await readFile(path.join(source, name), 'utf8');
 		matching.push(...pattern.test(text) ? [name] : []);
 	}
@@ -132,12 +132,12 @@
 	return matching;
 }
 
-test('no name of the platform stands outside its adapter', async () => {
+test('no name of the platform appears outside its adapter', async () => {
 	const wire = /x-azuretack-|rows-(?:tx|get|feed)|\/api\/(?:report|resolve|ready|kv-|hold|blob)|kv-(?:from|fetch|move|backup)/iv;
 	assert.deepEqual(await filesWith(wire, /^(?:platform|testing)\//v), []);
 });
 
-test('no name or figure of a deployment stands in the sources', async () => {
+test('no name or figure of a deployment appears in the sources', async () => {
 	const names = /brushwake|quillota|togas|corales|helader[ií]a|dublin|valparaiso|xela|toto-norte|solola|limache|la-calera|villa-alemana|la-cruz|coral-llm|alquiler|batido|pedidos/iv;
 	const figures = /\b(?:25_?001|1_?501|88_?000|2_?069)\b/v;
 	assert.deepEqual(await filesWith(names, /^testing\//v), []);
--- a/source/platform/store-client.test.ts
+++ b/source/platform/store-client.test.ts
@@ -4,7 +4,7 @@
 import {StoreStandIn} from '../testing/stand-ins/store-stand-in.ts';
 import {StoreClient} from './store-client.ts';
 
-test('only the rows whose keys begin with a prefix are read, as of one moment of the store', async () => {
+test('readPrefix returns only rows whose keys start with the prefix, and the time of the store', async () => {
 	const address = `${takeLoopbackAddress()}:7000`;
 	const standIn = await StoreStandIn.start(address);
 	const store = new StoreClient({address});
--- a/source/platform/store-client.ts
+++ b/source/platform/store-client.ts
@@ -1,5 +1,5 @@
 /**
- * Client of the platform's store: rows in tables, with a feed of their changes.
+ * Client of the platform's store: rows in tables, with a change feed.
  *
  * @module
  */
@@ -10,29 +10,29 @@
 } from 'neverthrow';
 import * as z from 'zod';
 import {
-	httpCall, parseJson, type HttpAnswer, type HttpCallOptions,
+	httpCall, parseJson, type HttpResponse, type HttpCallOptions,
 } from './http-call.ts';
 
-/** One row, or the fact that it was removed. */
+/** A row, or a tombstone of a removed row. */
 export type StoredRow = {
 	key: string;
-	/** Content; absent when the row was removed. */
+	/** Content; `undefined` if the row was removed. */
 	content: Uint8Array | undefined;
-	/** Rises with each write of the store. */
+	/** Revision of the row's last write; increases with each write to the store. */
 	revision: number;
 };
 
-/** Rows of a table as of one moment. */
+/** Rows of a table at one point in time. */
 export type StoredRows = {
 	rows: StoredRow[];
-	/** Newest revision of the whole store at that moment. */
+	/** Newest revision of the whole store at that time. */
 	revision: number;
-	/** The store's steady time at that moment, in milliseconds; absent where it does not say. */
+	/** The store's monotonic time then, in milliseconds; `undefined` if it does not report it. */
 	storeMilliseconds: number | undefined;
 };
 
 /**
- * Why the store gave no usable answer: `history-lost` asks for reading the whole table; `refused` means that nothing took effect;
+ * Reason why the store gave no usable response: `history-lost` requires reading the whole table again; `refused` means that nothing took effect;
  * `unknown` means that a write may have taken effect or may still do so.
  */
 export type StoreFailure = {kind: 'history-lost' | 'refused' | 'unknown'; message: string};
@@ -40,26 +40,26 @@
 /** Outcome of a conditional write. */
 export type WriteOutcome = {kind: 'committed'} | {kind: 'conflict'};
 
-/** A row to write, and the revision that it must have; 0 means that it must not exist, absent means any. */
+/** A row to write, and the revision that it must have: 0 if it must not exist, absent if any revision is accepted. */
 export type RowWrite = {table: string; key: string; content: string; expectedRevision?: number};
 
-/** Where a row stands. */
-export type RowPlace = {table: string; key: string};
+/** Table and key of a row. */
+export type RowLocation = {table: string; key: string};
 
-/** Rows to write and to remove together, if the rows in `expected` have the revisions named there; 0 means that a row must not exist. */
+/** Rows to write and to remove atomically, on condition that the rows in `expected` have the given revisions; 0 means that a row must not exist. */
 export type Transaction = {
-	expected: ReadonlyArray<RowPlace & {revision: number}>;
-	puts: ReadonlyArray<RowPlace & {content: string}>;
-	removes: readonly RowPlace[];
+	expected: ReadonlyArray<RowLocation & {revision: number}>;
+	puts: ReadonlyArray<RowLocation & {content: string}>;
+	removes: readonly RowLocation[];
 };
 
 /** Options of {@linkcode StoreClient}. */
 export type StoreClientOptions = {
-	/** IP number and port. */
+	/** IP address and port. */
 	address: string;
-	/** Deadline of a call beyond the time that the store is asked to wait, in milliseconds. Default 900. */
+	/** Timeout of a call, in addition to the wait that the call requests from the store, in milliseconds. Default 900. */
 	timeoutMilliseconds?: number;
-	/** Called after each call. Default does nothing. */
+	/** Called after each call with its operation, its status or `failed`, and the bytes of the response body. Default does nothing. */
 	observe?: (operation: string, outcome: string, bytes: number) => void;
 };
 
@@ -74,20 +74,20 @@
 	rows: z.array(rowSchema), hasMore: z.boolean().nullish(), resourceVersion: z.number(), serverTimeMs: z.number().nullish(),
 });
 
-/** Rows asked for in one call. */
-const rowsPerCall = 500;
+/** Rows requested in one call. */
+const pageSize = 500;
 
-/** Statuses that say that nothing took effect. */
+/** Statuses that mean that nothing took effect. */
 const refusedStatuses = new Set([400, 403, 429, 503, 507]);
 
-/** Sorts behind each character of keys that share a prefix. */
-const lastCharacter = '\u{10FFFF}';
+/** Highest code point; as a suffix of a prefix it is the upper bound of the keys with that prefix. */
+const highestCharacter = '\u{10FFFF}';
 
-/** Name under which the store keeps the part of a table that is not divided. */
-const undividedPart = '';
+/** Name of the part that holds the rows of an unpartitioned table. */
+const unpartitionedPart = '';
 
 /**
- * Speaks to the store; every call has a deadline and none is repeated by itself.
+ * Reads and writes rows of the store; every call has a timeout, and no call is retried.
  *
  * @example
  * ```ts
@@ -112,28 +112,28 @@
 		return this.#readAll(table, {from: ''}, signal);
 	}
 
-	/** Reads one row; there is none in the answer where it does not exist. */
+	/** Reads one row; the result contains no rows if it does not exist. */
 	async readRow(table: string, key: string): Promise<Result<StoredRows, StoreFailure>> {
 		return this.#readAll(table, {from: key, to: `${key}\u0000`});
 	}
 
-	/** Reads some rows of a table, from a key on, in the order of their keys. */
+	/** Reads up to `limit` rows of a table in key order, starting at a key. */
 	async readSome(table: string, from: string, limit: number): Promise<Result<StoredRows, StoreFailure>> {
 		return this.#readPage(table, {from}, limit);
 	}
 
-	/** Reads the rows of a table whose keys begin with a text. */
+	/** Reads the rows of a table whose keys start with a prefix. */
 	async readPrefix(table: string, prefix: string, signal?: AbortSignal): Promise<Result<StoredRows, StoreFailure>> {
-		return this.#readAll(table, {from: prefix, to: `${prefix}${lastCharacter}`}, signal);
+		return this.#readAll(table, {from: prefix, to: `${prefix}${highestCharacter}`}, signal);
 	}
 
 	/**
-	 * Waits until rows of a table change.
+	 * Waits for changes to the rows of a table.
 	 *
 	 * @param table The table.
-	 * @param revision Changes after this revision are wanted.
-	 * @param maximumWaitMilliseconds Time after which the store answers without a change.
-	 * @param signal Ends the call early.
+	 * @param revision Revision after which changes are returned.
+	 * @param maximumWaitMilliseconds Time after which the store responds without a change.
+	 * @param signal Aborts the call.
 	 */
 	async changes(table: string, revision: number, waitMilliseconds: number, signal?: AbortSignal): Promise<Result<StoredRows, StoreFailure>> {
 		const query = new URLSearchParams({table, afterRevision: String(revision), waitMs: String(waitMilliseconds)});
@@ -147,9 +147,9 @@
 		});
 	}
 
-	/** Writes and removes rows, all of them or none. */
+	/** Writes and removes rows atomically. */
 	async transact({expected, puts, removes}: Transaction): Promise<Result<WriteOutcome, StoreFailure>> {
-		const part = undividedPart;
+		const part = unpartitionedPart;
 		const json = {
 			expectedRevision: expected.map(({table, key, revision}) => ({
 				table, part, key, resourceVersion: revision,
@@ -159,15 +159,15 @@
 			})),
 			remove: removes.map(({table, key}) => ({table, part, key})),
 		};
-		const answer = await this.#call('write', {
+		const response = await this.#call('write', {
 			method: 'POST', path: '/api/rows-tx', json, timeoutMilliseconds: this.#timeoutMilliseconds,
 		});
-		return answer.andThen(({status}): Result<WriteOutcome, StoreFailure> => {
+		return response.andThen(({status}): Result<WriteOutcome, StoreFailure> => {
 			if (status === 200) {
 				return ok({kind: 'committed'});
 			}
 
-			return status === 412 ? ok({kind: 'conflict'}) : err(failureOf(status));
+			return status === 412 ? ok({kind: 'conflict'}) : err(toStoreFailure(status));
 		});
 	}
 
@@ -180,15 +180,15 @@
 		const rows: StoredRow[] = [];
 		let {from} = range;
 		for (;;) {
-			const answer = await this.#readPage(table, {...range, from}, rowsPerCall, signal);
-			if (answer.isErr()) {
-				return err(answer.error);
+			const response = await this.#readPage(table, {...range, from}, pageSize, signal);
+			if (response.isErr()) {
+				return err(response.error);
 			}
 
-			rows.push(...answer.value.rows);
-			const last = answer.value.rows.at(-1);
-			if (!answer.value.hasMore || !last) {
-				return ok({...answer.value, rows});
+			rows.push(...response.value.rows);
+			const last = response.value.rows.at(-1);
+			if (!response.value.hasMore || !last) {
+				return ok({...response.value, rows});
 			}
 
 			from = `${last.key}\u0000`;
@@ -197,34 +197,34 @@
 
 	async #readPage(table: string, range: {from: string; to?: string}, limit: number, signal?: AbortSignal): Promise<Result<StoredRows & {hasMore: boolean}, StoreFailure>> {
 		const query = new URLSearchParams({
-			table, part: undividedPart, ...range, limit: String(limit),
+			table, part: unpartitionedPart, ...range, limit: String(limit),
 		});
 		return this.#readRows('read', `/api/rows-get?${query.toString()}`, this.#timeoutMilliseconds, signal);
 	}
 
 	async #readRows(operation: string, path: string, timeoutMilliseconds: number, signal?: AbortSignal): Promise<Result<StoredRows & {hasMore: boolean}, StoreFailure>> {
-		const answer = await this.#call(operation, {path, timeoutMilliseconds, signal});
-		return answer.andThen(({status, body}): Result<StoredRows & {hasMore: boolean}, StoreFailure> => {
+		const response = await this.#call(operation, {path, timeoutMilliseconds, signal});
+		return response.andThen(({status, body}): Result<StoredRows & {hasMore: boolean}, StoreFailure> => {
 			if (status !== 200) {
-				return err(failureOf(status));
+				return err(toStoreFailure(status));
 			}
 
-			const checked = rowsSchema.safeParse(parseJson(body));
-			if (!checked.success) {
-				return err({kind: 'unknown', message: 'the answer of the store cannot be read'});
+			const parsed = rowsSchema.safeParse(parseJson(body));
+			if (!parsed.success) {
+				return err({kind: 'unknown', message: 'the response of the store is invalid'});
 			}
 
-			const {rows, hasMore, resourceVersion, serverTimeMs} = checked.data;
+			const {rows, hasMore, resourceVersion, serverTimeMs} = parsed.data;
 			return ok({
 				rows: rows.map(row => decodeRow(row)), hasMore: hasMore === true, revision: resourceVersion, storeMilliseconds: serverTimeMs ?? undefined,
 			});
 		});
 	}
 
-	async #call(operation: string, options: Omit<HttpCallOptions, 'agent' | 'address'>): Promise<Result<HttpAnswer, StoreFailure>> {
-		const answer = await httpCall({...options, agent: this.#agent, address: this.#address});
-		this.#observe(operation, answer.isOk() ? String(answer.value.status) : 'failed', answer.isOk() ? answer.value.body.length : 0);
-		return answer.mapErr(({sent, message}) => ({kind: sent ? 'unknown' : 'refused', message: `the store did not answer: ${message}`}));
+	async #call(operation: string, options: Omit<HttpCallOptions, 'agent' | 'address'>): Promise<Result<HttpResponse, StoreFailure>> {
+		const response = await httpCall({...options, agent: this.#agent, address: this.#address});
+		this.#observe(operation, response.isOk() ? String(response.value.status) : 'failed', response.isOk() ? response.value.body.length : 0);
+		return response.mapErr(({sent, message}) => ({kind: sent ? 'unknown' : 'refused', message: `the store did not respond: ${message}`}));
 	}
 }
 
@@ -233,10 +233,10 @@
 	return {key, content, revision: resourceVersion};
 }
 
-function failureOf(status: number): StoreFailure {
+function toStoreFailure(status: number): StoreFailure {
 	if (status === 410) {
-		return {kind: 'history-lost', message: 'the store has dropped the history that was asked for'};
+		return {kind: 'history-lost', message: 'the store no longer has the requested history'};
 	}
 
-	return {kind: refusedStatuses.has(status) ? 'refused' : 'unknown', message: `the store answered ${status}`};
+	return {kind: refusedStatuses.has(status) ? 'refused' : 'unknown', message: `the store responded with status ${status}`};
 }
--- a/source/router/serve-call.ts
+++ b/source/router/serve-call.ts
@@ -10,7 +10,7 @@
 	digestCall, isFirstAttempt, isIdempotent, readIdempotencyKey, refusalOfAttempt, runAtMostOnce, runIdempotent, type CallOutcome, type ServiceCall,
 } from '../calls/mod.ts';
 import {type PlainService} from '../configuration/mod.ts';
-import {endToEndHeaders, type ServiceAnswer, type ServiceRequest} from '../endpoints/mod.ts';
+import {endToEndHeaders, type ServiceResponse, type ServiceRequest} from '../endpoints/mod.ts';
 import {readBytes} from './bodies.ts';
 import {type CallerExchange, type CallerParts} from './caller-context.ts';
 import {sendRefusal} from './respond.ts';
@@ -134,7 +134,7 @@
 }
 
 /** Writes the body; one that breaks off takes the caller's connection with it, so that it never looks whole. */
-async function sendBody({head, rest}: ServiceAnswer, response: ServerResponse, bodiless: boolean): Promise<string> {
+async function sendBody({head, rest}: ServiceResponse, response: ServerResponse, bodiless: boolean): Promise<string> {
 	if (bodiless) {
 		response.end();
 		return 'answered';
--- a/source/suspects/suspicion-table.ts
+++ b/source/suspects/suspicion-table.ts
@@ -6,7 +6,7 @@
 import {
 	err, ok, type Result,
 } from 'neverthrow';
-import {type RowPlace, type StoreClient, type StoredRow} from '../platform/mod.ts';
+import {type RowLocation, type StoreClient, type StoredRow} from '../platform/mod.ts';
 import {type Logger} from '../telemetry/logger.ts';
 import {
 	decodeSuspicion, encodeSuspicion, isExpired, publishThreshold, type Suspicion,
@@ -168,7 +168,7 @@
 type RowChange = {digest: string; before: Suspicion | undefined; after: Suspicion | undefined; revision: number};
 
 /** Returns the rows that store a suspicion: it is published to all gateways once there are enough crashes. */
-function rowPlaces(digest: string, suspicion: Suspicion | undefined): RowPlace[] {
+function rowPlaces(digest: string, suspicion: Suspicion | undefined): RowLocation[] {
 	const counted = {table: crashCountTable, key: digest};
 	return suspicion && suspicion.ends.length >= publishThreshold ? [counted, {table: suspectTable, key: digest}] : [counted];
 }
