--- a/source/accounts/mod.ts
+++ b/source/accounts/mod.ts
@@ -4,8 +4,8 @@
  * @module
  */
 
-export * from './accounts.ts';
-export * from './heard-usage.ts';
+export * from './workspace-usage.ts';
+export * from './peer-usage.ts';
 export * from './usage-row.ts';
 export * from './usage-store.ts';
-export * from './write-usage.ts';
+export * from './usage-writer.ts';
--- a/source/accounts/heard-usage.test.ts
+++ b/source/accounts/peer-usage.test.ts
@@ -7,7 +7,7 @@
 	createUsageFleet, generate, hintMilliseconds, peers, rowsOf, totalOf, untilTotal, watchTotals,
 } from '../testing/usage-fleet.ts';
 
-test('the totals of a killed router are written by a peer, but for the tokens of the last hint period', async () => {
+test('a peer writes the totals of a killed router, except for the tokens of the last hint period', async () => {
 	await using fleet = await createUsageFleet(['router-1', 'router-2', 'router-3'], 600_000);
 	const before = await generate(fleet, 'router-1', 50);
 	let receivedTokens = 0;
@@ -30,7 +30,7 @@
 	await fleet.until(async () => await totalOf(fleet) > 0, 'a peer writes the totals');
 	await lost;
 	const total = await totalOf(fleet);
-	// Hint period, the heartbeat that carries it, and as much again for a busy machine.
+	// Hint period plus the heartbeat that carries the hint, doubled to allow for a busy machine.
 	const mayBeLost = times.filter(time => time > killedAt - (2 * (hintMilliseconds + peers.heartbeatMilliseconds))).length;
 	assert.ok(total <= before + receivedTokens, `${total} of ${before + receivedTokens}`);
 	assert.ok(total >= before + receivedTokens - mayBeLost, `${total} of ${before + receivedTokens}, ${mayBeLost} may be lost`);
@@ -38,7 +38,7 @@
 	assert.deepEqual(rows.map(({host}) => host), ['router-1']);
 });
 
-test('a router that was paused until a peer wrote for it goes on with its own totals', async () => {
+test('a router that was paused until a peer wrote its totals continues with its own totals', async () => {
 	await using fleet = await createUsageFleet(['router-1', 'router-2'], 1500);
 	let received = await generate(fleet, 'router-1', 50);
 	const stop = watchTotals(fleet, () => received + 50);
@@ -54,7 +54,7 @@
 	assert.equal(rows.length, 1);
 });
 
-test('a peer that heard less than a killed router had written does not lower its totals', async () => {
+test('a peer that received lower totals than a killed router had written does not lower the stored totals', async () => {
 	await using fleet = await createUsageFleet(['router-1', 'router-2'], 100, 60_000);
 	let received = await generate(fleet, 'router-1', 20);
 	const stop = watchTotals(fleet, () => received + 50);
--- a/source/accounts/usage-row.ts
+++ b/source/accounts/usage-row.ts
@@ -6,13 +6,13 @@
 import * as z from 'zod';
 import {type UsageTotals} from '../membership/mod.ts';
 
-/** Table of usage totals; a key is `WORKSPACE/INCARNATION`, and a workspace's account is the sum over its rows. */
+/** Table of usage totals, with keys `WORKSPACE/INCARNATION`. The usage of a workspace is the sum over its rows. */
 export const usageTable = 'usage';
 
 /** Value of a row. */
 export const usageRowSchema = z.object({
 	workspace: z.string(),
-	/** Host of the router that counted. */
+	/** Host of the router that counted the usage. */
 	host: z.string(),
 	delivered_tokens: z.number().int().nonnegative(),
 	extra_tokens: z.number().int().nonnegative(),
@@ -37,8 +37,8 @@
 	};
 }
 
-/** Returns the totals of which each is the higher one. */
-export function higherTotals(left: UsageTotals, right: UsageTotals): UsageTotals {
+/** Returns the maximum of each total. */
+export function maximumTotals(left: UsageTotals, right: UsageTotals): UsageTotals {
 	return {
 		deliveredTokens: Math.max(left.deliveredTokens, right.deliveredTokens),
 		extraTokens: Math.max(left.extraTokens, right.extraTokens),
@@ -46,7 +46,7 @@
 	};
 }
 
-/** Whether two totals are the same. */
-export function sameTotals(left: UsageTotals, right: UsageTotals): boolean {
+/** Returns whether all totals are equal. */
+export function equalTotals(left: UsageTotals, right: UsageTotals): boolean {
 	return left.deliveredTokens === right.deliveredTokens && left.extraTokens === right.extraTokens && left.calls === right.calls;
 }
--- a/source/accounts/usage-store.ts
+++ b/source/accounts/usage-store.ts
@@ -1,5 +1,5 @@
 /**
- * Writes usage totals so that repeated, late and lost writes add nothing and take nothing away.
+ * Writes usage totals idempotently: repeated, late and lost writes neither add to nor lower a total.
  *
  * @module
  */
@@ -10,20 +10,20 @@
 	type Operation, type PlatformClient, type PlatformFailure, type Row,
 } from '../table-service/mod.ts';
 import {
-	higherTotals, sameTotals, usageKey, usageRow, usageRowSchema, usageTable, type UsageRecord,
+	maximumTotals, equalTotals, usageKey, usageRow, usageRowSchema, usageTable, type UsageRecord,
 } from './usage-row.ts';
 
 /** Why a batch was not written. */
 export type UsageWriteFailure = PlatformFailure | {kind: 'conflict'; message: string};
 
-type Stored = {revision: number | undefined; row: UsageRecord['totals'] | undefined};
+type CachedRow = {revision: number | undefined; storedTotals: UsageRecord['totals'] | undefined};
 
-/** Rows in one transaction at most. */
+/** Maximum number of rows in one transaction. */
 export const rowsPerTransaction = 100;
 
 /**
- * Writes by compare-and-set on each row's revision: a write that took effect although its answer was lost, or that takes
- * effect long after it was given up, can only meet the revision that it was made for.
+ * Writes by compare-and-set on each row's revision: a write whose response was lost, or that arrives long after its
+ * timeout, takes effect only if the row still has the revision that it was based on.
  *
  * @example
  * ```ts
@@ -32,20 +32,20 @@
  */
 export class UsageStore {
 	readonly #platform: PlatformClient;
-	readonly #known = new Map<string, Stored>();
+	readonly #cachedRows = new Map<string, CachedRow>();
 
 	constructor(platform: PlatformClient) {
 		this.#platform = platform;
 	}
 
 	/**
-	 * Writes the records of one batch in one transaction; of each total the higher one stays.
+	 * Writes the records of one batch in one transaction. A stored total is never lowered.
 	 *
 	 * @param records At most {@linkcode rowsPerTransaction} records.
-	 * @returns Nothing once every row holds at least the given totals; otherwise the batch must be written again.
+	 * @returns Nothing once every row contains at least the given totals; a failure if the batch must be written again.
 	 */
 	async write(records: readonly UsageRecord[]): Promise<Result<void, UsageWriteFailure>> {
-		const read = await this.#readUnknown(records);
+		const read = await this.#readUncached(records);
 		if (read.isErr()) {
 			return err(read.error);
 		}
@@ -58,26 +58,26 @@
 		const outcome = await this.#platform.transact(writes.map(({operation}) => operation));
 		if (outcome.isOk() && outcome.value.kind === 'committed') {
 			for (const {key, stored} of writes) {
-				this.#known.set(key, stored);
+				this.#cachedRows.set(key, stored);
 			}
 
 			return ok();
 		}
 
-		// What the rows hold now is not known; the next attempt reads them.
-		this.forget(records);
+		// The stored values are unknown now; the next attempt reads them.
+		this.invalidate(records);
 		return err(outcome.isErr() ? outcome.error : {kind: 'conflict', message: 'a row was written by another router'});
 	}
 
-	/** Forgets what is known of the rows of some records. */
-	forget(records: readonly UsageRecord[]): void {
+	/** Removes the rows of some records from the cache. */
+	invalidate(records: readonly UsageRecord[]): void {
 		for (const record of records) {
-			this.#known.delete(usageKey(record));
+			this.#cachedRows.delete(usageKey(record));
 		}
 	}
 
-	async #readUnknown(records: readonly UsageRecord[]): Promise<Result<void, PlatformFailure>> {
-		const keys = records.map(record => usageKey(record)).filter(key => !this.#known.has(key));
+	async #readUncached(records: readonly UsageRecord[]): Promise<Result<void, PlatformFailure>> {
+		const keys = records.map(record => usageKey(record)).filter(key => !this.#cachedRows.has(key));
 		if (keys.length === 0) {
 			return ok();
 		}
@@ -89,24 +89,24 @@
 
 		const byKey = new Map(rows.value.map(row => [row.key, row]));
 		for (const key of keys) {
-			this.#known.set(key, storedOf(byKey.get(key)));
+			this.#cachedRows.set(key, cachedRowOf(byKey.get(key)));
 		}
 
 		return ok();
 	}
 
-	#operation(record: UsageRecord): {key: string; operation: Operation; stored: Stored} | undefined {
+	#operation(record: UsageRecord): {key: string; operation: Operation; stored: CachedRow} | undefined {
 		const key = usageKey(record);
-		const known = this.#known.get(key);
-		const totals = known?.row ? higherTotals(known.row, record.totals) : record.totals;
-		if (known?.row && sameTotals(known.row, totals)) {
+		const cached = this.#cachedRows.get(key);
+		const totals = cached?.storedTotals ? maximumTotals(cached.storedTotals, record.totals) : record.totals;
+		if (cached?.storedTotals && equalTotals(cached.storedTotals, totals)) {
 			return undefined;
 		}
 
-		const revision = known?.revision;
+		const revision = cached?.revision;
 		return {
 			key,
-			stored: {revision: (revision ?? 0) + 1, row: totals},
+			stored: {revision: (revision ?? 0) + 1, storedTotals: totals},
 			operation: {
 				kind: 'put', table: usageTable, key, value: usageRow({...record, totals}), condition: revision === undefined ? {kind: 'absent'} : {kind: 'revision', revision},
 			},
@@ -114,15 +114,15 @@
 	}
 }
 
-function storedOf(row: Row | undefined): Stored {
+function cachedRowOf(row: Row | undefined): CachedRow {
 	if (!row) {
-		return {revision: undefined, row: undefined};
+		return {revision: undefined, storedTotals: undefined};
 	}
 
 	const checked = usageRowSchema.safeParse(row.value);
 	return {
 		revision: row.revision,
-		row: checked.success
+		storedTotals: checked.success
 			? {deliveredTokens: checked.data.delivered_tokens, extraTokens: checked.data.extra_tokens, calls: checked.data.calls}
 			: undefined,
 	};
--- a/source/accounts/write-usage.test.ts
+++ b/source/accounts/usage-writer.test.ts
@@ -4,9 +4,9 @@
 import {
 	createUsageFleet, generate, rowsOf, totalOf, untilTotal, watchTotals,
 } from '../testing/usage-fleet.ts';
-import {adaptedPeriod, fleetTransactionsPerSecond} from './write-usage.ts';
+import {adaptedPeriod, fleetTransactionsPerSecond} from './usage-writer.ts';
 
-test('lost answers, writes that take effect late and a long outage neither double nor lower a total', async () => {
+test('lost responses, delayed writes and a long outage neither double nor lower a total', async () => {
 	await using fleet = await createUsageFleet(['router-1'], 100);
 	let received = 0;
 	const stop = watchTotals(fleet, () => received + 200);
@@ -33,7 +33,7 @@
 	assert.equal(rows.length, 1);
 });
 
-test('390 routers together stay within their share of the platform\'s writes', () => {
+test('390 routers together stay within the limit of usage transactions', () => {
 	for (const transactions of [0, 1, 3, 27]) {
 		const period = adaptedPeriod(5000, 390, transactions);
 		assert.ok((390 * Math.max(1, transactions) * 1000) / period <= fleetTransactionsPerSecond + 0.001);
@@ -42,7 +42,7 @@
 	assert.equal(adaptedPeriod(5000, 14, 1), 5000);
 });
 
-test('a planned stop writes the last totals before it ends', async () => {
+test('a router writes its last totals before a graceful shutdown ends', async () => {
 	await using fleet = await createUsageFleet(['router-1', 'router-2'], 600_000);
 	const received = await generate(fleet, 'router-1', 50);
 	fleet.signal('router-1', 'SIGTERM');
@@ -50,7 +50,7 @@
 	assert.equal(await totalOf(fleet), received);
 });
 
-test('a planned stop while the store is down leaves the last totals to a peer', async () => {
+test('a peer writes the last totals of a router that shut down gracefully while the store was down', async () => {
 	await using fleet = await createUsageFleet(['router-1', 'router-2'], 600_000);
 	await fleet.control('platform', '/control/fault', {mode: 'down', paths: ['/table']});
 	const received = await generate(fleet, 'router-1', 50);
--- a/source/accounts/write-usage.ts
+++ b/source/accounts/usage-writer.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps the usage table up with the totals of this router, and of peers that died.
+ * Writes the usage totals of this router, and of peers that stopped, to the usage table.
  *
  * @module
  */
@@ -9,19 +9,19 @@
 import {type RouterIdentity, type UsageTotals} from '../membership/mod.ts';
 import {pause, poll, type TaskFailure} from '../supervision/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
-import {type HeardUsage} from './heard-usage.ts';
+import {type PeerUsage} from './peer-usage.ts';
 import {rowsPerTransaction, type UsageStore} from './usage-store.ts';
-import {sameTotals, type UsageRecord} from './usage-row.ts';
+import {equalTotals, type UsageRecord} from './usage-row.ts';
 
 /** Options of {@linkcode UsageWriter}. */
 export type UsageWriterOptions = {
 	identity: RouterIdentity;
 	store: UsageStore;
-	heard: HeardUsage;
+	peerUsage: PeerUsage;
 	logger: Logger;
-	/** Shortest time between two rounds of writes, in milliseconds. */
+	/** Minimum time between two rounds of writes, in milliseconds. */
 	periodMilliseconds: number;
-	/** Returns the number of live routers, which share the platform's writes. */
+	/** Returns the number of live routers, which share the platform's write capacity. */
 	liveRouters: () => number;
 	/** Returns a random number from 0 to 1. */
 	random: () => number;
@@ -29,21 +29,21 @@
 	wallClock: () => number;
 };
 
-/** Transactions that all routers together spend on usage in a second. */
+/** Limit of usage transactions per second for all routers together. */
 export const fleetTransactionsPerSecond = 60;
 
-/** Time between two transactions that write for dead peers, in milliseconds; the fall of a zone must not flood the platform. */
+/** Delay between two transactions for stopped peers, in milliseconds, so that the failure of a zone does not overload the platform. */
 const takeoverPauseMilliseconds = 1000;
 
-/** Time between two looks at whether a round is due, in milliseconds. */
-const lookMilliseconds = 500;
+/** Time between two checks whether a round of writes is due, in milliseconds. */
+const pollMilliseconds = 500;
 
 /**
- * Returns the time between two rounds of writes that keeps all routers together within their share of the platform's writes.
+ * Returns the time between two rounds of writes at which all routers together stay within {@linkcode fleetTransactionsPerSecond}.
  *
- * @param periodMilliseconds Shortest time, in milliseconds.
+ * @param periodMilliseconds Minimum time, in milliseconds.
  * @param liveRouters Number of live routers.
- * @param transactions Transactions of the last round.
+ * @param transactions Number of transactions in the last round.
  * @example
  * ```ts
  * adaptedPeriod(5000, 390, 3); // 19500
@@ -54,66 +54,66 @@
 }
 
 /**
- * Writes changed totals in transactions of bounded size; what cannot be written is kept and written later.
+ * Writes changed totals in transactions of limited size. Totals that could not be written are retried in a later round.
  *
  * @example
  * ```ts
- * supervisor.start('usage', signal => writer.follow(signal));
+ * supervisor.start('usage', signal => writer.run(signal));
  * await writer.flush();
  * ```
  */
 export class UsageWriter {
 	readonly #options: UsageWriterOptions;
-	readonly #written = new Map<string, UsageTotals>();
+	readonly #writtenTotals = new Map<string, UsageTotals>();
 	#transactions = 1;
-	#dueAt = 0;
+	#nextWriteAt = 0;
 
 	constructor(options: UsageWriterOptions) {
 		this.#options = options;
 	}
 
-	/** Writes again and again until the signal aborts. */
-	async follow(signal: AbortSignal): Promise<Result<void, TaskFailure>> {
+	/** Writes periodically until the signal aborts. */
+	async run(signal: AbortSignal): Promise<Result<void, TaskFailure>> {
 		const {random, wallClock, periodMilliseconds, liveRouters} = this.#options;
-		this.#dueAt = wallClock() + (periodMilliseconds * random());
+		this.#nextWriteAt = wallClock() + (periodMilliseconds * random());
 		await poll(async () => {
-			if (wallClock() >= this.#dueAt) {
+			if (wallClock() >= this.#nextWriteAt) {
 				await this.flush();
-				this.#dueAt = wallClock() + adaptedPeriod(periodMilliseconds, liveRouters(), this.#transactions);
+				this.#nextWriteAt = wallClock() + adaptedPeriod(periodMilliseconds, liveRouters(), this.#transactions);
 			}
 
-			await this.#takeOver(signal);
-		}, {periodMilliseconds: Math.min(lookMilliseconds, periodMilliseconds), random, signal}).drain();
+			await this.#writePeerUsage(signal);
+		}, {periodMilliseconds: Math.min(pollMilliseconds, periodMilliseconds), random, signal}).drain();
 		return ok();
 	}
 
 	/**
 	 * Writes all totals of this router that have changed.
 	 *
-	 * @returns Whether all of them are written.
+	 * @returns Whether all of them were written.
 	 */
 	async flush(): Promise<boolean> {
-		const batches = batchesOf(this.#changed());
+		const batches = splitIntoBatches(this.#changedRecords());
 		this.#transactions = batches.length;
 		for (const batch of batches) {
-			if (!await this.#write(batch)) {
+			if (!await this.#writeBatch(batch)) {
 				return false;
 			}
 
 			for (const {workspace, totals} of batch) {
-				this.#written.set(workspace, totals);
+				this.#writtenTotals.set(workspace, totals);
 			}
 		}
 
 		return true;
 	}
 
-	#changed(): UsageRecord[] {
-		const {identity, heard} = this.#options;
+	#changedRecords(): UsageRecord[] {
+		const {identity, peerUsage} = this.#options;
 		const records: UsageRecord[] = [];
-		for (const [workspace, totals] of heard.totals()) {
-			const written = this.#written.get(workspace);
-			if (!written || !sameTotals(written, totals)) {
+		for (const [workspace, totals] of peerUsage.totals()) {
+			const written = this.#writtenTotals.get(workspace);
+			if (!written || !equalTotals(written, totals)) {
 				records.push({
 					workspace, totals, host: identity.hostName, incarnation: identity.incarnation,
 				});
@@ -123,16 +123,16 @@
 		return records;
 	}
 
-	async #takeOver(signal: AbortSignal): Promise<void> {
-		const {heard, store, logger, wallClock} = this.#options;
-		for (const batch of batchesOf(heard.due(wallClock()))) {
-			if (!await this.#write(batch) || signal.aborted) {
+	async #writePeerUsage(signal: AbortSignal): Promise<void> {
+		const {peerUsage, store, logger, wallClock} = this.#options;
+		for (const batch of splitIntoBatches(peerUsage.dueRecords(wallClock()))) {
+			if (!await this.#writeBatch(batch) || signal.aborted) {
 				return;
 			}
 
-			store.forget(batch);
+			store.invalidate(batch);
 			for (const record of batch) {
-				heard.written(record);
+				peerUsage.removeWritten(record);
 			}
 
 			logger.info('usage of a lost router written', {host: batch[0]?.host, rows: batch.length});
@@ -140,7 +140,7 @@
 		}
 	}
 
-	async #write(batch: UsageRecord[]): Promise<boolean> {
+	async #writeBatch(batch: UsageRecord[]): Promise<boolean> {
 		const written = await this.#options.store.write(batch);
 		if (written.isErr()) {
 			this.#options.logger.warn('usage not written', {rows: batch.length, ...written.error});
@@ -150,7 +150,7 @@
 	}
 }
 
-function batchesOf(records: UsageRecord[]): UsageRecord[][] {
+function splitIntoBatches(records: UsageRecord[]): UsageRecord[][] {
 	const batches: UsageRecord[][] = [];
 	for (let start = 0; start < records.length; start += rowsPerTransaction) {
 		batches.push(records.slice(start, start + rowsPerTransaction));
--- a/source/binaries/azuretack-publish.ts
+++ b/source/binaries/azuretack-publish.ts
@@ -88,9 +88,9 @@
 			files: files.value,
 			remove: flags.remove.map(name => name.includes('/') ? name : `service/${name}`),
 			base: flags.base,
-			newName: () => randomUUID(),
+			createPublicationId: () => randomUUID(),
 			clock,
-			patienceMilliseconds: flags.patience * 1000,
+			storeTimeoutMilliseconds: flags.patience * 1000,
 		});
 		if (published.isErr()) {
 			const {text, exitCode} = describeFailure(published.error, flags.platform!);
--- a/source/configuration/configuration-in-force.ts
+++ b/source/configuration/active-configuration.ts
@@ -1,5 +1,5 @@
 /**
- * The configuration that a router acts on; it never moves to a lower version.
+ * The active configuration of a router. Its version never decreases.
  *
  * @module
  */
@@ -7,16 +7,16 @@
 import {type Service, type Workspace} from './service-file.ts';
 
 /**
- * Holds the newest version seen, from whichever source offered it.
+ * Holds the highest version received from any source: the platform's table or another router.
  *
  * @example
  * ```ts
- * const inForce = new ConfigurationInForce();
- * inForce.offer(configuration);
- * inForce.service('briefs');
+ * const active = new ActiveConfiguration();
+ * active.applyIfNewer(configuration);
+ * active.service('briefs');
  * ```
  */
-export class ConfigurationInForce {
+export class ActiveConfiguration {
 	#current: Configuration | undefined;
 	#unreadableVersion: number | undefined;
 	#services = new Map<string, Service>();
@@ -24,33 +24,33 @@
 	#workspacesByKeyDigest = new Map<string, Workspace>();
 	readonly #listeners = new Set<(configuration: Configuration) => void>();
 
-	/** The version in force; 0 before the first one. */
+	/** Number of the active version; 0 before the first one. */
 	get version(): number {
 		return this.#current?.version ?? 0;
 	}
 
-	/** The whole configuration in force. */
+	/** The active configuration; `undefined` before the first version. */
 	get current(): Configuration | undefined {
 		return this.#current;
 	}
 
-	/** Whether callers may be served: a version is in force and no newer one is known that cannot be read. */
+	/** Whether requests may be served: a version is active, and no newer version is known that this program cannot read. */
 	get ready(): boolean {
 		return this.#current !== undefined && this.#unreadableVersion === undefined;
 	}
 
-	/** A newer version in force elsewhere that this program cannot read. */
+	/** Number of a published newer version that this program cannot read. */
 	get unreadableVersion(): number | undefined {
 		return this.#unreadableVersion;
 	}
 
 	/**
-	 * Takes a version if it is higher than the one in force.
+	 * Activates a version if it is higher than the active one, and notifies the listeners.
 	 *
-	 * @param configuration The version offered.
-	 * @returns Whether it was taken.
+	 * @param configuration The received version.
+	 * @returns Whether it was activated.
 	 */
-	offer(configuration: Configuration): boolean {
+	applyIfNewer(configuration: Configuration): boolean {
 		if (configuration.version <= this.version) {
 			return false;
 		}
@@ -70,7 +70,7 @@
 		return true;
 	}
 
-	/** Records that a higher version is in force which this program cannot read. */
+	/** Records that a higher version is published which this program cannot read. */
 	markUnreadable(version: number): void {
 		if (version > this.version) {
 			this.#unreadableVersion = Math.max(version, this.#unreadableVersion ?? 0);
@@ -78,9 +78,9 @@
 	}
 
 	/**
-	 * Records that the table can be read and names no version above the one in force.
+	 * Records that the head row was read. Clears the unreadable version if the head is not above the active version.
 	 *
-	 * @param version Version that the table names.
+	 * @param version Version in the head row.
 	 */
 	markReadable(version: number): void {
 		if (version <= this.version) {
@@ -88,22 +88,22 @@
 		}
 	}
 
-	/** Finds a service by name. */
+	/** Returns a service by name. */
 	service(name: string): Service | undefined {
 		return this.#services.get(name);
 	}
 
-	/** Finds a workspace by name. */
+	/** Returns a workspace by name. */
 	workspace(name: string): Workspace | undefined {
 		return this.#workspaces.get(name);
 	}
 
-	/** Finds the workspace that a key admits to, by the key's SHA-256 digest in hexadecimal. */
+	/** Returns the workspace that a key belongs to, by the key's SHA-256 digest in hexadecimal. */
 	workspaceOfKey(digest: string): Workspace | undefined {
 		return this.#workspacesByKeyDigest.get(digest);
 	}
 
-	/** Calls back with each version taken from now on; returns a function that stops it. */
+	/** Adds a listener for each version activated from now on; returns a function that removes it. */
 	onChange(listener: (configuration: Configuration) => void): () => void {
 		this.#listeners.add(listener);
 		return () => {
--- a/source/configuration/check-workspaces.ts
+++ b/source/configuration/check-workspaces.ts
@@ -1,25 +1,25 @@
 /**
- * Checks workspaces against each other, also across files.
+ * Checks that workspaces and their keys are unique across files.
  *
  * @module
  */
 import {type DocumentFault, type FieldPath} from '../settings/mod.ts';
 import {type Workspace} from './service-file.ts';
 
-/** Workspaces of one file, and where their fields stand in it. */
+/** Workspaces of one file, and the line numbers of their fields. */
 export type WorkspacesSource = {
-	/** Name of the file for messages. */
+	/** Name of the file in error messages. */
 	file: string;
 	workspaces: Workspace[];
-	/** Returns the line of a field. */
+	/** Returns the line number of a field. */
 	lineOf: (path: FieldPath) => number;
 };
 
 /**
- * Finds workspaces that are described twice and keys that admit to more than one workspace.
+ * Finds workspaces that are defined more than once and keys that belong to more than one workspace.
  *
- * @param sources Files in the order in which the first use counts as right.
- * @returns One fault for each later use.
+ * @param sources Files in order of precedence; the first definition of a workspace or key is the valid one.
+ * @returns One fault for each duplicate.
  * @example
  * ```ts
  * const faults = checkWorkspaces([{file: 'all.workspaces.jsonc', workspaces, lineOf: () => 1}]);
@@ -46,7 +46,7 @@
 			for (const [digestPosition, digest] of keyDigests.entries()) {
 				const earlierOwner = ownerOfDigest.get(digest);
 				if (earlierOwner !== undefined) {
-					report(['workspaces', position, 'keyDigests', digestPosition], `this key already admits to workspace "${earlierOwner}"`);
+					report(['workspaces', position, 'keyDigests', digestPosition], `this key already belongs to workspace "${earlierOwner}"`);
 				}
 
 				ownerOfDigest.set(digest, earlierOwner ?? workspace);
--- a/source/configuration/collect-files.ts
+++ b/source/configuration/collect-files.ts
@@ -1,5 +1,5 @@
 /**
- * Collects the files that describe services and workspaces below given folders.
+ * Finds, reads and checks the service files and workspaces files in given folders.
  *
  * @module
  */
@@ -14,7 +14,7 @@
 	serviceFileSchema, workspacesFileSchema, type Service, type Workspace,
 } from './service-file.ts';
 
-/** A checked file, under the name that it has in the configuration. */
+/** A checked file and its name in the configuration. */
 export type CollectedFile
 	= | {
 		kind: 'service';
@@ -31,7 +31,7 @@
 		/** Path that it was read from. */
 		file: string;
 		workspaces: Workspace[];
-		/** The document as read. */
+		/** Text of the file. */
 		text: string;
 	};
 
@@ -46,14 +46,14 @@
 	})),
 };
 
-/** Folders that never hold files of operators. */
+/** Folders that are not searched. */
 const skippedFolders = new Set(['node_modules', '.git']);
 
 /**
- * Reads and checks every file of the configuration below some folders.
+ * Reads and checks every configuration file in some folders and their subfolders.
  *
  * @param folders Folders to search.
- * @returns The files in order of names, or every fault of all of them.
+ * @returns The files sorted by name, or all faults of all files.
  * @example
  * ```ts
  * const files = await collectFiles(['services']);
@@ -76,7 +76,7 @@
 }
 
 /**
- * Returns the workspaces of collected files, with the lines of their fields.
+ * Returns the workspaces of collected files, with the line numbers of their fields.
  *
  * @param files Collected files.
  */
@@ -95,7 +95,7 @@
 	}
 }
 
-/** Finds services and workspaces files that stand twice below the folders. */
+/** Finds services and workspaces files that occur more than once in the folders. */
 function checkNames(collected: CollectedFile[]): DocumentFault[] {
 	const fileOfName = new Map<string, string>();
 	const faults: DocumentFault[] = [];
@@ -118,7 +118,7 @@
 			const names = await readdir(folder, {recursive: true});
 			const found = names.filter(name => isCollected(name)).map(name => path.join(folder, name));
 			if (found.length === 0) {
-				faults.push(wholeFileFault(folder, 'holds no *.service.jsonc or *.workspaces.jsonc file'));
+				faults.push(wholeFileFault(folder, 'contains no *.service.jsonc or *.workspaces.jsonc file'));
 			}
 
 			for (const file of found) {
--- a/source/configuration/commit-version.ts
+++ b/source/configuration/commit-version.ts
@@ -1,5 +1,5 @@
 /**
- * Writes a version by compare-and-set, and settles answers that were lost.
+ * Commits a version by compare-and-set, and determines the outcome when a response of the store was lost.
  *
  * @module
  */
@@ -9,49 +9,52 @@
 import {type Operation, type PlatformClient} from '../table-service/mod.ts';
 import {pause} from '../supervision/mod.ts';
 import {
-	configurationTable, headKey, headSchema, keptVersions, versionKey, versionRowSchema, type StoredHead,
+	configurationTable, headKey, headSchema, retainedVersions, versionKey, versionRowSchema, type StoredHead,
 } from './stored-configuration.ts';
 
-/** Time between two tries while the store gives no answer, in milliseconds. */
+/** Delay between two attempts while the store does not respond, in milliseconds. */
 const retryMilliseconds = 250;
 
-/** What became of a token: accepted, surely not and never will be, or too long ago to tell. */
+/**
+ * Outcome of the publication that a token identifies: `accepted`; `not_published`, now and in future; or `forgotten`, when
+ * its version row has already been removed.
+ */
 export type Settlement = {kind: 'accepted'; version: number} | {kind: 'not_published'} | {kind: 'forgotten'};
 
-/** Why a token could not be settled yet. */
-export type Unsettled = {
+/** Why a version was not committed, or why the outcome of its publication is not known yet. */
+export type CommitFailure = {
 	message: string;
-	/** Whether the version may be in force although nobody could tell so. */
+	/** Whether the version may have been committed although no response confirmed it. */
 	mayHaveTakenEffect: boolean;
 };
 
-/** How long to try. */
-export type Patience = {
-	/** Returns a time that only rises, in milliseconds. */
+/** Time limit for retries. */
+export type RetryDeadline = {
+	/** Returns monotonic time, in milliseconds. */
 	clock: () => number;
-	/** Time at which to give up, on that clock. */
+	/** Time of that clock after which there are no further attempts. */
 	until: number;
 };
 
 /** Options of {@linkcode commitVersion}. */
-export type CommitVersionOptions = Patience & {
+export type CommitVersionOptions = RetryDeadline & {
 	platform: PlatformClient;
-	/** The head as read before; the version goes on top of exactly this one. */
+	/** The head row as read before. The commit succeeds only if the row still has this revision. */
 	stored: StoredHead;
 	/** Digest of the new version's index. */
 	index: string;
-	/** Token of this version, from {@linkcode versionToken}. */
+	/** Token of this publication, from {@linkcode versionToken}. */
 	token: string;
 };
 
 /**
- * Returns a token that names a version and whoever publishes it.
+ * Returns the token that identifies one publication of a version.
  *
  * @param version Number of the version.
- * @param name Name that no other publication has.
+ * @param publicationId Unique identifier of the publication.
  */
-export function versionToken(version: number, name: string): string {
-	return `${version}-${name}`;
+export function versionToken(version: number, publicationId: string): string {
+	return `${version}-${publicationId}`;
 }
 
 /**
@@ -64,14 +67,14 @@
 }
 
 /**
- * Writes head and version row in one transaction; after a lost answer the version row tells whether it took effect.
+ * Writes head row and version row in one transaction; after a lost response, the version row shows whether it took effect.
  *
- * The same transaction may be sent again, because its conditions let it take effect once at most.
+ * The transaction can be retried safely, because its conditions let it take effect at most once.
  *
- * @param options Head before, and what to write.
- * @returns `accepted`, `superseded` when somebody else was first, or a failure when the time is over.
+ * @param options The expected head, and the version to write.
+ * @returns `accepted`, `superseded` when another publication was committed first, or a failure after the deadline.
  */
-export async function commitVersion(options: CommitVersionOptions): Promise<Result<'accepted' | 'superseded', Unsettled>> {
+export async function commitVersion(options: CommitVersionOptions): Promise<Result<'accepted' | 'superseded', CommitFailure>> {
 	const {platform, stored, token} = options;
 	let mayHaveTakenEffect = false;
 	for (;;) {
@@ -81,7 +84,7 @@
 		}
 
 		mayHaveTakenEffect ||= written.isErr() && written.error.kind === 'unknown';
-		const found = await readAttempt(platform, stored.head.version + 1);
+		const found = await readVersionState(platform, stored.head.version + 1);
 		if (found.isOk() && found.value.token !== undefined) {
 			return ok(found.value.token === token ? 'accepted' : 'superseded');
 		}
@@ -91,7 +94,7 @@
 		}
 
 		if (options.clock() >= options.until) {
-			const message = written.isErr() ? written.error.message : 'the store gave no answer';
+			const message = written.isErr() ? written.error.message : 'the store did not respond';
 			return err({message, mayHaveTakenEffect});
 		}
 
@@ -100,30 +103,30 @@
 }
 
 /**
- * Finds out what became of a publication whose outcome is unknown.
+ * Determines the outcome of a publication when it is unknown.
  *
- * When its transaction has not taken effect, the head row is written again as it is: its revision rises, so that the
- * transaction can never take effect later.
+ * If its transaction has not taken effect, this rewrites the head row with the same value. That increments the row's
+ * revision, so that the transaction, if it is still in flight, can no longer take effect.
  *
  * @param platform Client of the platform.
- * @param token Token that the publisher named.
- * @param patience How long to try.
+ * @param token Token that the publisher reported.
+ * @param deadline Time limit for retries.
  * @example
  * ```ts
  * const settled = await settlePublication(platform, '42-6f…', {clock, until: clock() + 20_000});
  * ```
  */
-export async function settlePublication(platform: PlatformClient, token: string, patience: Patience): Promise<Result<Settlement, Unsettled>> {
+export async function settlePublication(platform: PlatformClient, token: string, deadline: RetryDeadline): Promise<Result<Settlement, CommitFailure>> {
 	const version = Number(token.split('-')[0]);
 	for (;;) {
-		const found = await readAttempt(platform, version);
-		const settled = found.isOk() ? await settleFrom(platform, found.value, token, version) : undefined;
+		const found = await readVersionState(platform, version);
+		const settled = found.isOk() ? await settleFromState(platform, found.value, token, version) : undefined;
 		if (settled) {
 			return ok(settled);
 		}
 
-		if (patience.clock() >= patience.until) {
-			return err({message: found.isErr() ? found.error : 'the store gave no answer', mayHaveTakenEffect: true});
+		if (deadline.clock() >= deadline.until) {
+			return err({message: found.isErr() ? found.error : 'the store did not respond', mayHaveTakenEffect: true});
 		}
 
 		await pause(retryMilliseconds);
@@ -144,19 +147,19 @@
 			kind: 'put', table: configurationTable, key: versionKey(version), value: {token, index}, condition: {kind: 'absent'},
 		},
 	];
-	if (version > keptVersions) {
+	if (version > retainedVersions) {
 		operations.push({
-			kind: 'delete', table: configurationTable, key: versionKey(version - keptVersions), condition: {kind: 'always'},
+			kind: 'delete', table: configurationTable, key: versionKey(version - retainedVersions), condition: {kind: 'always'},
 		});
 	}
 
 	return operations;
 }
 
-/** What the store tells about one version. */
-type Attempt = {token: string | undefined; headVersion: number; headValue: unknown; revision: number};
+/** Stored state of the head row and of one version row. */
+type VersionState = {token: string | undefined; headVersion: number; headValue: unknown; revision: number};
 
-async function readAttempt(platform: PlatformClient, version: number): Promise<Result<Attempt, string>> {
+async function readVersionState(platform: PlatformClient, version: number): Promise<Result<VersionState, string>> {
 	const rows = await platform.read([headKey, versionKey(version)].map(key => ({table: configurationTable, key})));
 	if (rows.isErr()) {
 		return err(rows.error.message);
@@ -174,7 +177,7 @@
 	});
 }
 
-async function settleFrom(platform: PlatformClient, found: Attempt, token: string, version: number): Promise<Settlement | undefined> {
+async function settleFromState(platform: PlatformClient, found: VersionState, token: string, version: number): Promise<Settlement | undefined> {
 	if (found.token !== undefined) {
 		return found.token === token ? {kind: 'accepted', version} : {kind: 'not_published'};
 	}
--- a/source/configuration/configuration.ts
+++ b/source/configuration/configuration.ts
@@ -1,5 +1,5 @@
 /**
- * One version of the configuration, whole.
+ * Schema of a complete version of the configuration.
  *
  * @module
  */
@@ -8,11 +8,11 @@
 
 /** Schema shared by the publisher and the routers. */
 export const configurationSchema = z.object({
-	/** Rises by one with each accepted publication. */
+	/** Incremented by one with each accepted publication. */
 	version: z.number().int().positive(),
 	services: z.array(serviceFileSchema),
 	workspaces: z.array(workspaceSchema),
 });
 
-/** One version of the configuration. */
+/** A complete version of the configuration. */
 export type Configuration = z.output<typeof configurationSchema>;
--- a/source/configuration/follow-configuration.ts
+++ b/source/configuration/follow-configuration.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps a router's configuration up with the platform's table.
+ * Polls the platform's table for new versions of a router's configuration.
  *
  * @module
  */
@@ -9,7 +9,7 @@
 import {type PlatformClient} from '../table-service/mod.ts';
 import {poll, type TaskFailure} from '../supervision/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
-import {type ConfigurationInForce} from './configuration-in-force.ts';
+import {type ActiveConfiguration} from './active-configuration.ts';
 import {type Configuration} from './configuration.ts';
 import {readHead, type LoadFailure} from './stored-configuration.ts';
 import {VersionLoader} from './version-loader.ts';
@@ -17,7 +17,7 @@
 /** Options of {@linkcode followConfiguration}. */
 export type FollowConfigurationOptions = {
 	platform: PlatformClient;
-	inForce: ConfigurationInForce;
+	active: ActiveConfiguration;
 	logger: Logger;
 	/** Mean time between two reads of the head row, in milliseconds. */
 	periodMilliseconds: number;
@@ -25,13 +25,13 @@
 	random: () => number;
 };
 
-/** What one look at the table found: a newer version, or that none is newer than this one. */
-type Look = {kind: 'newer'; configuration: Configuration} | {kind: 'none'; version: number};
+/** Result of one poll: a newer version, or the head's version when it is not newer than the active one. */
+type PollResult = {kind: 'newer'; configuration: Configuration} | {kind: 'none'; version: number};
 
 /**
- * Reads the head row again and again, and offers each higher version.
+ * Polls the head row, and loads and activates each higher version.
  *
- * @param options Platform, holder and period.
+ * @param options Platform, active configuration and polling period.
  * @param signal Ends the task.
  * @example
  * ```ts
@@ -39,22 +39,22 @@
  * ```
  */
 export async function followConfiguration(options: FollowConfigurationOptions, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
-	const {platform, inForce, periodMilliseconds, random} = options;
+	const {platform, active, periodMilliseconds, random} = options;
 	const loader = new VersionLoader(platform);
-	await poll(async () => look(platform, inForce, loader), {periodMilliseconds, random, signal}).observe(found => {
-		act(found, options);
+	await poll(async () => pollTable(platform, active, loader), {periodMilliseconds, random, signal}).observe(found => {
+		applyResult(found, options);
 	});
 	return ok();
 }
 
-async function look(platform: PlatformClient, inForce: ConfigurationInForce, loader: VersionLoader): Promise<Result<Look, LoadFailure>> {
+async function pollTable(platform: PlatformClient, active: ActiveConfiguration, loader: VersionLoader): Promise<Result<PollResult, LoadFailure>> {
 	const stored = await readHead(platform);
 	if (stored.isErr()) {
 		return stored.map(() => ({kind: 'none', version: 0}));
 	}
 
 	const {head} = stored.value;
-	if (head.version <= inForce.version) {
+	if (head.version <= active.version) {
 		return ok({kind: 'none', version: head.version});
 	}
 
@@ -62,10 +62,10 @@
 	return loaded.map(configuration => ({kind: 'newer', configuration}));
 }
 
-function act(found: Result<Look, LoadFailure>, {inForce, logger}: FollowConfigurationOptions): void {
+function applyResult(found: Result<PollResult, LoadFailure>, {active, logger}: FollowConfigurationOptions): void {
 	if (found.isErr()) {
 		if (found.error.kind === 'unreadable') {
-			inForce.markUnreadable(found.error.version ?? inForce.version + 1);
+			active.markUnreadable(found.error.version ?? active.version + 1);
 		}
 
 		logger.warn('configuration not read', found.error);
@@ -73,12 +73,12 @@
 	}
 
 	if (found.value.kind === 'none') {
-		inForce.markReadable(found.value.version);
+		active.markReadable(found.value.version);
 		return;
 	}
 
 	const {configuration} = found.value;
-	if (inForce.offer(configuration)) {
+	if (active.applyIfNewer(configuration)) {
 		logger.info('configuration in force', {version: configuration.version, source: 'table'});
 	}
 }
--- a/source/configuration/lost-answer.test.ts
+++ b/source/configuration/lost-response.test.ts
@@ -5,12 +5,12 @@
 import {commitVersion} from './commit-version.ts';
 import {readHead} from './stored-configuration.ts';
 
-/** Delay of the publisher's link in each direction, which gives the test time to inject its fault before the transaction. */
+/** Delay of the publisher's link in each direction; it leaves the test time to inject a fault before the transaction. */
 const linkDelayMilliseconds = 400;
 
 type LinkMode = 'delay' | 'drop_answers' | 'drop_requests' | 'up';
 
-test('a publisher whose answer is lost after the effect finds its version', async () => {
+test('a publisher finds its committed version after the response to the transaction is lost', async () => {
 	await using fleet = await Fleet.create();
 	await fleet.control('platform', '/control/fault', {mode: 'lose_answers', requests: 1, paths: ['/table/transact']});
 	const published = await fleet.publish({'desk.service.jsonc': deskFile(10)});
@@ -19,25 +19,25 @@
 	assert.equal(await versionInTable(fleet), 1);
 });
 
-test('a lost answer is settled although others have published on top meanwhile', async () => {
-	await using fleet = await createCutOff();
+test('a publisher finds its committed version after a lost response although newer versions were published meanwhile', async () => {
+	await using fleet = await createFleetWithLink();
 	const publishing = publishOverLink(fleet, 20);
-	await cutBeforeTransaction(fleet, 'drop_answers');
+	await setLinkModeBeforeTransaction(fleet, 'drop_answers');
 	await fleet.until(async () => await versionInTable(fleet) === 2, 'the transaction takes effect');
 	await fleet.publish({'menu.service.jsonc': deskFile(10, 'menu')});
 	await fleet.publish({'desk.service.jsonc': deskFile(30)});
 	assert.equal(await versionInTable(fleet), 4);
-	await setLink(fleet, 'up');
+	await setLinkMode(fleet, 'up');
 	const published = await publishing;
 	assert.match(published.output, /^accepted as 2;/v, published.errors);
 	assert.equal(published.code, 0);
 	assert.equal(await versionInTable(fleet), 4);
 });
 
-test('an outcome that cannot be read is called unknown and settled later: accepted', async () => {
-	await using fleet = await createCutOff();
+test('an outcome that cannot be read is reported as unknown and later settled as accepted', async () => {
+	await using fleet = await createFleetWithLink();
 	const publishing = publishOverLink(fleet, 20, ['--patience', '3']);
-	await cutBeforeTransaction(fleet, 'drop_answers');
+	await setLinkModeBeforeTransaction(fleet, 'drop_answers');
 	const published = await publishing;
 	assert.equal(published.code, 4, published.errors);
 	await fleet.publish({'desk.service.jsonc': deskFile(30)});
@@ -47,12 +47,12 @@
 	assert.equal(await versionInTable(fleet), 3);
 });
 
-test('an outcome that cannot be read is settled later: not published, and a transaction still under way has no effect', async () => {
-	await using fleet = await createCutOff();
+test('an outcome that cannot be read is later settled as not published, and a transaction that is still in flight has no effect', async () => {
+	await using fleet = await createFleetWithLink();
 	const platform = platformOf(fleet);
 	const stored = await readHead(platform);
 	const publishing = publishOverLink(fleet, 20, ['--patience', '3']);
-	await cutBeforeTransaction(fleet, 'drop_requests');
+	await setLinkModeBeforeTransaction(fleet, 'drop_requests');
 	const published = await publishing;
 	assert.equal(published.code, 4, published.errors);
 	const settled = await settle(fleet, published);
@@ -68,18 +68,18 @@
 	await platform.close();
 });
 
-/** A fleet with version 1 in force, and a link to the platform for one publisher. */
-async function createCutOff(): Promise<Fleet> {
+/** Creates a fleet with version 1 published, and a link to the platform for one publisher through a fault proxy. */
+async function createFleetWithLink(): Promise<Fleet> {
 	const fleet = await Fleet.create();
 	await fleet.publish({'desk.service.jsonc': deskFile(10)});
 	const listen = fleet.allocate();
 	await fleet.startStandIn('proxy', 'proxy', {links: [{name: 'publisher', listen, target: fleet.process('platform').address}]});
 	fleet.platformAddress = listen;
-	await setLink(fleet, 'delay');
+	await setLinkMode(fleet, 'delay');
 	return fleet;
 }
 
-async function setLink(fleet: Fleet, mode: LinkMode): Promise<void> {
+async function setLinkMode(fleet: Fleet, mode: LinkMode): Promise<void> {
 	await fleet.control('proxy', '/control/fault', {link: 'publisher', mode, delayMilliseconds: linkDelayMilliseconds});
 }
 
@@ -87,22 +87,22 @@
 	return fleet.publish({'desk.service.jsonc': deskFile(deadlineSeconds)}, options, fleet.platformAddress);
 }
 
-/** Waits until the publisher has read its object back, the last step before the transaction, and injects the fault. */
-async function cutBeforeTransaction(fleet: Fleet, mode: LinkMode): Promise<void> {
+/** Waits until the publisher has read its object back, which is the last step before the transaction, then changes the mode of the link. */
+async function setLinkModeBeforeTransaction(fleet: Fleet, mode: LinkMode): Promise<void> {
 	const before = await fleet.control<Record<string, number>>('platform', '/control/counts');
 	await fleet.until(async () => {
 		const counts = await fleet.control<Record<string, number>>('platform', '/control/counts');
 		return Object.entries(counts).some(([pathname, count]) => pathname.startsWith('/objects/') && before[pathname] === undefined && count === 2);
 	}, 'the publisher reads its object back');
-	await setLink(fleet, mode);
+	await setLinkMode(fleet, mode);
 }
 
 function tokenOf(published: ProgramEnd): string {
 	return /--settle (?<token>\S+)/v.exec(published.errors)!.groups!.token!;
 }
 
-/** Runs the command that the publisher named, with a link that works again. */
+/** Restores the link, then runs the `--settle` command that the publisher reported. */
 async function settle(fleet: Fleet, published: ProgramEnd): Promise<ProgramEnd> {
-	await setLink(fleet, 'up');
+	await setLinkMode(fleet, 'up');
 	return fleet.runProgram('azuretack-publish', ['--platform', `http://${fleet.platformAddress}`, '--settle', tokenOf(published)]);
 }
--- a/source/configuration/merge-changes.ts
+++ b/source/configuration/merge-changes.ts
@@ -1,5 +1,5 @@
 /**
- * Decides what an operator changes, and whether it can go on top of what others have published.
+ * Merges the changes of one operator with what others have published since.
  *
  * @module
  */
@@ -8,53 +8,53 @@
 } from 'neverthrow';
 import {type ConfigurationIndex, type IndexedFile} from './stored-configuration.ts';
 
-/** Wanted parts by name of file; `undefined` removes the file. */
-export type WantedFiles = ReadonlyMap<string, string[] | undefined>;
+/** Desired parts by file name; `undefined` removes the file. */
+export type DesiredFiles = ReadonlyMap<string, string[] | undefined>;
 
-/** A file that somebody else changed since the operator's base. */
+/** A file that another operator changed since the base version. */
 export type FileConflict = {
 	name: string;
-	/** Version that last changed it; `undefined` when it was removed. */
+	/** Version that last changed the file; `undefined` when it was removed. */
 	version: number | undefined;
 };
 
 /** Options of {@linkcode mergeChanges}. */
 export type MergeChangesOptions = {
-	wanted: WantedFiles;
-	/** Index that the operator started from. */
+	desired: DesiredFiles;
+	/** Index of the version that the operator started from. */
 	base: ConfigurationIndex;
-	/** Index in force. */
+	/** Index of the active version. */
 	current: ConfigurationIndex;
-	/** Version that the merged index will be. */
+	/** Version number of the merged index. */
 	version: number;
 };
 
 /**
- * Puts the operator's changes on top of the index in force.
+ * Applies the operator's changes to the active index (a three-way merge by file).
  *
- * A file counts as changed by the operator when it differs from the base; the others stay as they are in force. A file
- * that both the operator and somebody else changed since the base, each in another way, is a conflict.
+ * A file counts as changed by the operator when it differs from the base; other files keep their active content. A file
+ * that the operator and somebody else changed differently since the base is a conflict.
  *
- * @param options Wanted files, base and index in force.
- * @returns The merged index, `undefined` when nothing would change, or every conflict.
+ * @param options Desired files, base index and active index.
+ * @returns The merged index, `undefined` when nothing would change, or all conflicts.
  * @example
  * ```ts
- * const merged = mergeChanges({wanted, base, current, version: 42});
+ * const merged = mergeChanges({desired, base, current, version: 42});
  * ```
  */
 export function mergeChanges(options: MergeChangesOptions): Result<ConfigurationIndex | undefined, FileConflict[]> {
-	const {wanted, base, current, version} = options;
+	const {desired, base, current, version} = options;
 	const files: Record<string, IndexedFile> = {...current.files};
 	const conflicts: FileConflict[] = [];
 	let changed = false;
-	for (const [name, parts] of wanted) {
-		const inForce = current.files[name];
-		if (sameParts(parts, base.files[name]?.parts) || sameParts(parts, inForce?.parts)) {
+	for (const [name, parts] of desired) {
+		const active = current.files[name];
+		if (sameParts(parts, base.files[name]?.parts) || sameParts(parts, active?.parts)) {
 			continue;
 		}
 
-		if (!sameParts(inForce?.parts, base.files[name]?.parts)) {
-			conflicts.push({name, version: inForce?.version});
+		if (!sameParts(active?.parts, base.files[name]?.parts)) {
+			conflicts.push({name, version: active?.version});
 			continue;
 		}
 
--- a/source/configuration/mod.ts
+++ b/source/configuration/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Service files, versions of the configuration, and the version in force.
+ * Service files, publication of configuration versions, and the active configuration.
  *
  * @module
  */
@@ -8,7 +8,7 @@
 export * from './collect-files.ts';
 export * from './commit-version.ts';
 export * from './configuration.ts';
-export * from './configuration-in-force.ts';
+export * from './active-configuration.ts';
 export * from './follow-configuration.ts';
 export * from './merge-changes.ts';
 export * from './publish.ts';
--- a/source/configuration/publish.test.ts
+++ b/source/configuration/publish.test.ts
@@ -5,12 +5,12 @@
 } from '../testing/configuration-fleet.ts';
 import {Fleet, testKey, workspacesFile} from '../testing/fleet.ts';
 import {
-	configurationTable, headKey, keptVersions, readHead, versionKey,
+	configurationTable, headKey, retainedVersions, readHead, versionKey,
 } from './stored-configuration.ts';
 
 const routers = ['router-1', 'router-2', 'router-3'];
 
-test('a version is accepted, in force on every router, and an unchanged publication makes no new one', async () => {
+test('a published version becomes active on every router, and an unchanged publication creates no new version', async () => {
 	await using fleet = await createRouters(3);
 	const files = {'desk.service.jsonc': deskFile(10), 'all.workspaces.jsonc': workspacesFile()};
 	const first = await fleet.publish(files, asking);
@@ -26,7 +26,7 @@
 	assert.equal(changed.output, 'accepted as 2, in force on 3 of 3\n', changed.errors);
 });
 
-test('a host where the version is not in force is named, and the exit code says so', async () => {
+test('a host where the version is not active is reported, with exit code 3', async () => {
 	await using fleet = await createRouters(3);
 	fleet.signal('router-2', 'SIGSTOP');
 	const published = await fleet.publish({'desk.service.jsonc': deskFile(10)}, [...asking, '--wait', '3']);
@@ -38,7 +38,7 @@
 	assert.equal(later.output, 'no change, 1 stays, in force on 3 of 3\n');
 });
 
-test('three faults give three messages with file, line and field, and nothing is published', async () => {
+test('three faults are reported with file, line and field, and nothing is published', async () => {
 	await using fleet = await Fleet.create();
 	const faulty = `{
 	// The desk.
@@ -59,7 +59,7 @@
 	assert.equal(checked.errors.trim().split('\n').length, 3);
 });
 
-test('a service, a workspace or a key described twice is a fault, also against what others have in force', async () => {
+test('a service, workspace or key that is defined twice is a fault, also when one definition is already published by others', async () => {
 	await using fleet = await Fleet.create();
 	const twice = await fleet.publish({
 		'a/desk.service.jsonc': deskFile(10),
@@ -69,17 +69,17 @@
 	});
 	assert.equal(twice.code, 1);
 	assert.match(twice.errors, /desk\.service\.jsonc:1: service\/desk is already described/v);
-	assert.match(twice.errors, /two\.workspaces\.jsonc:3: workspaces\.0\.keyDigests\.0: this key already admits to workspace "test"/v);
+	assert.match(twice.errors, /two\.workspaces\.jsonc:3: workspaces\.0\.keyDigests\.0: this key already belongs to workspace "test"/v);
 	assert.equal(await versionInTable(fleet), 0);
 
 	await fleet.publish({'one.workspaces.jsonc': workspacesFile()});
 	const against = await fleet.publish({'two.workspaces.jsonc': {workspaces: [workspaceOf(testKey, 'other')]}});
 	assert.equal(against.code, 1);
-	assert.match(against.errors, /this key already admits to workspace "test"/v);
+	assert.match(against.errors, /this key already belongs to workspace "test"/v);
 	assert.equal(await versionInTable(fleet), 1);
 });
 
-test('a service is removed by name and never by leaving its file out', async () => {
+test('a service is removed only by name, not by omitting its file', async () => {
 	await using fleet = await createRouters(1);
 	await fleet.publish({'desk.service.jsonc': deskFile(10), 'menu.service.jsonc': deskFile(10, 'menu')}, asking);
 	await fleet.publish({'desk.service.jsonc': deskFile(11)}, asking);
@@ -93,7 +93,7 @@
 	assert.deepEqual(await servicesOn(fleet), ['desk']);
 });
 
-test('with the version that its files started from, a publisher neither reverts nor overwrites what others changed since', async () => {
+test('a publisher with a base version neither reverts nor overwrites what others changed since that version', async () => {
 	await using fleet = await createRouters(1);
 	const started = {'desk.service.jsonc': deskFile(10), 'menu.service.jsonc': deskFile(10, 'menu')};
 	await fleet.publish(started);
@@ -116,16 +116,16 @@
 	assert.match(removed.errors, /service\/desk was removed by somebody else/v);
 });
 
-test('version rows far behind the head are removed, and their publications can no longer be settled or be a base', async () => {
+test('version rows far behind the head are removed, and can no longer be settled or used as a base', async () => {
 	await using fleet = await Fleet.create();
 	const platform = platformOf(fleet);
 	await fleet.publish({'desk.service.jsonc': deskFile(10)});
 	const stored = await readHead(platform);
 	await platform.transact([{
-		kind: 'put', table: configurationTable, key: headKey, value: {...stored._unsafeUnwrap().head, version: keptVersions}, condition: {kind: 'always'},
+		kind: 'put', table: configurationTable, key: headKey, value: {...stored._unsafeUnwrap().head, version: retainedVersions}, condition: {kind: 'always'},
 	}]);
 	const published = await fleet.publish({'desk.service.jsonc': deskFile(11)});
-	assert.match(published.output, new RegExp(`^accepted as ${keptVersions + 1};`, 'v'));
+	assert.match(published.output, new RegExp(`^accepted as ${retainedVersions + 1};`, 'v'));
 	const rows = await platform.read([{table: configurationTable, key: versionKey(1)}]);
 	assert.deepEqual(rows._unsafeUnwrap(), []);
 	const settled = await fleet.runProgram('azuretack-publish', ['--platform', `http://${fleet.process('platform').address}`, '--settle', '1-any']);
@@ -137,7 +137,7 @@
 	await platform.close();
 });
 
-test('a store that is down accepts nothing, and says so within the patience asked for', async () => {
+test('nothing is published while the store is down, and the publisher reports it after the timeout of --patience', async () => {
 	await using fleet = await Fleet.create();
 	await fleet.control('platform', '/control/fault', {mode: 'down'});
 	const published = await fleet.publish({'desk.service.jsonc': deskFile(10)}, ['--patience', '1']);
--- a/source/configuration/publish.ts
+++ b/source/configuration/publish.ts
@@ -1,5 +1,5 @@
 /**
- * Publishes collected files as one new version.
+ * Publishes collected files as a new version of the configuration.
  *
  * @module
  */
@@ -13,59 +13,59 @@
 import {workspacesSources, type CollectedFile} from './collect-files.ts';
 import {commitVersion, versionToken} from './commit-version.ts';
 import {type Configuration} from './configuration.ts';
-import {mergeChanges, type FileConflict, type WantedFiles} from './merge-changes.ts';
+import {mergeChanges, type FileConflict, type DesiredFiles} from './merge-changes.ts';
 import {splitFile, type SplitFile, type SplitFileOptions} from './split-file.ts';
 import {
 	configurationTable, contentDigest, objectName, readHead, versionKey, versionRowSchema, type ConfigurationIndex, type StoredHead,
 } from './stored-configuration.ts';
 import {VersionLoader} from './version-loader.ts';
 
-/** Time between two tries of a read or an object's write, in milliseconds. */
+/** Delay between two attempts of a read or an object write, in milliseconds. */
 const retryMilliseconds = 250;
 
-/** What became of a publication. */
+/** Outcome of a successful publication: the active version, and whether this publication created it. */
 export type Publication = {version: number; changed: boolean};
 
-/** Why nothing was published, or why that is not known. */
+/** Why nothing was published, or why the outcome is unknown. */
 export type PublishFailure
 	= | {kind: 'unavailable' | 'unreadable' | 'bad_base' | 'bad_removal'; message: string}
-		/** The files contradict what others have in force. */
+		/** The files conflict with active files of others: a workspace or key is defined twice. */
 		| {kind: 'faults'; faults: DocumentFault[]}
-		/** Somebody else changed the same files. */
+		/** Another operator changed the same files. */
 		| {kind: 'conflict'; version: number; conflicts: FileConflict[]}
-		/** The version may have taken effect; the token settles it later. */
+		/** The version may have been committed; its outcome can be determined later by the token. */
 		| {kind: 'unknown'; message: string; token: string};
 
 /** Options of {@linkcode publish}. */
 export type PublishOptions = {
 	platform: PlatformClient;
 	files: CollectedFile[];
-	/** Names of files to remove, `service/NAME` or `workspaces/FILE`. Default none. */
+	/** Names of files to remove, `service/NAME` or `workspaces/FILE`. Default is none. */
 	remove?: string[];
-	/** Version that the operator started from. Default the version in force at the start. */
+	/** Version that the operator started from. Default is the version that is active when the publication starts. */
 	base?: number;
-	/** Returns a name that no other publication has. */
-	newName: () => string;
-	/** Returns a time that only rises, in milliseconds. */
+	/** Returns a unique identifier for a publication. */
+	createPublicationId: () => string;
+	/** Returns monotonic time, in milliseconds. */
 	clock: () => number;
-	/** Time to wait for a store that gives no answer, in milliseconds, once before and once after the write. Default 20,000. */
-	patienceMilliseconds?: number;
-	/** How workspaces files are split. Default as {@linkcode splitFile} does. */
+	/** Time to retry while the store does not respond, in milliseconds, for each read, object write and commit. Default is 20,000. */
+	storeTimeoutMilliseconds?: number;
+	/** How workspaces files are split. Default is that of {@linkcode splitFile}. */
 	split?: SplitFileOptions;
 };
 
-type InForce = {stored: StoredHead; index: ConfigurationIndex};
+type ActiveVersion = {stored: StoredHead; index: ConfigurationIndex};
 
 /**
- * Stores the changed files as objects, then writes head and version row by compare-and-set.
+ * Stores the changed files as objects, then commits head row and version row by compare-and-set.
  *
- * When somebody else was first, the changes are merged on top of theirs and tried again, unless both changed the same file.
+ * When another publication was committed first, merges the changes into it and retries, unless both changed the same file.
  *
  * @param options Platform, files and base.
- * @returns The version in force afterwards, or a failure.
+ * @returns The active version afterwards, or a failure.
  * @example
  * ```ts
- * const publication = await publish({platform, files, newName: randomUUID, clock: () => performance.now()});
+ * const publication = await publish({platform, files, createPublicationId: randomUUID, clock: () => performance.now()});
  * ```
  */
 export async function publish(options: PublishOptions): Promise<Result<Publication, PublishFailure>> {
@@ -75,17 +75,17 @@
 class Publisher {
 	readonly #options: PublishOptions;
 	readonly #loader: VersionLoader;
-	readonly #split: SplitFile[];
-	readonly #stored = new Set<string>();
+	readonly #splitFiles: SplitFile[];
+	readonly #storedDigests = new Set<string>();
 
 	constructor(options: PublishOptions) {
 		this.#options = options;
 		this.#loader = new VersionLoader(options.platform);
-		this.#split = options.files.map(file => splitFile(file, options.split));
+		this.#splitFiles = options.files.map(file => splitFile(file, options.split));
 	}
 
 	async run(): Promise<Result<Publication, PublishFailure>> {
-		const start = await this.#readInForce();
+		const start = await this.#readActive();
 		if (start.isErr()) {
 			return err(start.error);
 		}
@@ -100,9 +100,9 @@
 			return err(removal.error);
 		}
 
-		let inForce: Result<InForce, PublishFailure> = start;
-		while (inForce.isOk()) {
-			const outcome = await this.#publishOn(inForce.value, base.value);
+		let active: Result<ActiveVersion, PublishFailure> = start;
+		while (active.isOk()) {
+			const outcome = await this.#publishOnTopOf(active.value, base.value);
 			if (outcome.isErr()) {
 				return err(outcome.error);
 			}
@@ -111,17 +111,17 @@
 				return ok(outcome.value);
 			}
 
-			inForce = await this.#readInForce();
+			active = await this.#readActive();
 		}
 
-		return err(inForce.error);
+		return err(active.error);
 	}
 
-	/** Publishes on top of one version; `superseded` when somebody else was first. */
-	async #publishOn({stored, index}: InForce, base: ConfigurationIndex): Promise<Result<Publication | 'superseded', PublishFailure>> {
+	/** Publishes on top of the given version; returns `superseded` when another publication was committed first. */
+	async #publishOnTopOf({stored, index}: ActiveVersion, base: ConfigurationIndex): Promise<Result<Publication | 'superseded', PublishFailure>> {
 		const version = stored.head.version + 1;
 		const merged = mergeChanges({
-			wanted: this.#wanted(), base, current: index, version,
+			desired: this.#desiredFiles(), base, current: index, version,
 		});
 		if (merged.isErr()) {
 			return err({kind: 'conflict', version: stored.head.version, conflicts: merged.error});
@@ -138,9 +138,9 @@
 	}
 
 	async #commit(stored: StoredHead, index: string): Promise<Result<Publication | 'superseded', PublishFailure>> {
-		const {platform, clock, newName} = this.#options;
+		const {platform, clock, createPublicationId} = this.#options;
 		const version = stored.head.version + 1;
-		const token = versionToken(version, newName());
+		const token = versionToken(version, createPublicationId());
 		const committed = await commitVersion({
 			platform, stored, index, token, clock, until: this.#deadline(),
 		});
@@ -154,8 +154,8 @@
 
 	#checkRemovals(...indexes: ConfigurationIndex[]): Result<void, PublishFailure> {
 		for (const name of this.#options.remove ?? []) {
-			if (this.#split.some(file => file.name === name)) {
-				return err({kind: 'bad_removal', message: `${name} is to be removed, but the folders describe it`});
+			if (this.#splitFiles.some(file => file.name === name)) {
+				return err({kind: 'bad_removal', message: `${name} is to be removed, but the folders contain it`});
 			}
 
 			if (!indexes.some(({files}) => Object.hasOwn(files, name))) {
@@ -166,84 +166,84 @@
 		return ok();
 	}
 
-	#wanted(): WantedFiles {
-		const wanted = new Map<string, string[] | undefined>(this.#split.map(({name, parts}) => [name, [...parts.keys()]]));
+	#desiredFiles(): DesiredFiles {
+		const desired = new Map<string, string[] | undefined>(this.#splitFiles.map(({name, parts}) => [name, [...parts.keys()]]));
 		for (const name of this.#options.remove ?? []) {
-			wanted.set(name, undefined);
+			desired.set(name, undefined);
 		}
 
-		return wanted;
+		return desired;
 	}
 
-	/** Stores the objects of the operator's files that the merged version names, and its index. */
+	/** Stores the merged index and the objects of the operator's files that it references. */
 	async #putObjects(merged: ConfigurationIndex, indexText: string): Promise<Result<void, PublishFailure>> {
-		const named = new Set(Object.values(merged.files).flatMap(({parts}) => parts));
-		const contents = this.#split.flatMap(({parts}) => [...parts]).filter(([digest]) => named.has(digest));
+		const referenced = new Set(Object.values(merged.files).flatMap(({parts}) => parts));
+		const contents = this.#splitFiles.flatMap(({parts}) => [...parts]).filter(([digest]) => referenced.has(digest));
 		for (const [digest, content] of [...contents, [contentDigest(indexText), indexText] as const]) {
-			if (this.#stored.has(digest)) {
+			if (this.#storedDigests.has(digest)) {
 				continue;
 			}
 
-			const put = await this.#untilAnswered(async () => this.#options.platform.putObject(objectName(digest), content));
+			const put = await this.#retryUntilAnswered(async () => this.#options.platform.putObject(objectName(digest), content));
 			if (put.isErr()) {
 				return err({kind: 'unavailable', message: put.error.message});
 			}
 
-			this.#stored.add(digest);
+			this.#storedDigests.add(digest);
 		}
 
 		return ok();
 	}
 
-	/** Loads the merged version as a router would, and checks the workspaces of all files against each other. */
+	/** Loads the merged version like a router does, and checks that workspaces and keys are unique across all files. */
 	async #checkMerged(version: number, merged: ConfigurationIndex): Promise<Result<Configuration, PublishFailure>> {
-		const loaded = await this.#untilAnswered(async () => this.#loader.assemble(version, merged));
+		const loaded = await this.#retryUntilAnswered(async () => this.#loader.assemble(version, merged));
 		if (loaded.isErr()) {
 			return err({...loaded.error, message: `version ${version} could not be read back: ${loaded.error.message}`});
 		}
 
 		const sources = workspacesSources(this.#options.files);
-		const own = new Set(sources.flatMap(({workspaces}) => workspaces.map(({workspace}) => workspace)));
-		const kept = await this.#keptWorkspaces(version, merged);
-		if (kept.isErr()) {
-			return err(kept.error);
+		const ownWorkspaces = new Set(sources.flatMap(({workspaces}) => workspaces.map(({workspace}) => workspace)));
+		const others = await this.#otherWorkspaces(version, merged);
+		if (others.isErr()) {
+			return err(others.error);
 		}
 
-		const faults = own.size === 0
+		const faults = ownWorkspaces.size === 0
 			? []
 			: checkWorkspaces([
-				{file: 'the version in force', workspaces: kept.value, lineOf: () => 1},
+				{file: 'the version in force', workspaces: others.value, lineOf: () => 1},
 				...sources,
 			]);
 		return faults.length > 0 ? err({kind: 'faults', faults}) : ok(loaded.value);
 	}
 
-	/** Returns the workspaces of files that this publication does not bring. */
-	async #keptWorkspaces(version: number, merged: ConfigurationIndex): Promise<Result<Configuration['workspaces'], PublishFailure>> {
-		const own = new Set(this.#split.map(({name}) => name));
-		const files = Object.fromEntries(Object.entries(merged.files).filter(([name]) => !own.has(name)));
-		const kept = await this.#untilAnswered(async () => this.#loader.assemble(version, {files}));
-		return kept.map(({workspaces}) => workspaces).mapErr(({kind, message}) => ({kind, message}));
+	/** Returns the workspaces of the files that are not part of this publication. */
+	async #otherWorkspaces(version: number, merged: ConfigurationIndex): Promise<Result<Configuration['workspaces'], PublishFailure>> {
+		const ownNames = new Set(this.#splitFiles.map(({name}) => name));
+		const files = Object.fromEntries(Object.entries(merged.files).filter(([name]) => !ownNames.has(name)));
+		const others = await this.#retryUntilAnswered(async () => this.#loader.assemble(version, {files}));
+		return others.map(({workspaces}) => workspaces).mapErr(({kind, message}) => ({kind, message}));
 	}
 
-	async #readInForce(): Promise<Result<InForce, PublishFailure>> {
-		const stored = await this.#untilAnswered(async () => readHead(this.#options.platform));
+	async #readActive(): Promise<Result<ActiveVersion, PublishFailure>> {
+		const stored = await this.#retryUntilAnswered(async () => readHead(this.#options.platform));
 		if (stored.isErr()) {
 			return err({kind: stored.error.kind, message: stored.error.message});
 		}
 
-		const index = await this.#untilAnswered(async () => this.#loader.readIndex(stored.value.head.index));
+		const index = await this.#retryUntilAnswered(async () => this.#loader.readIndex(stored.value.head.index));
 		return index.map(value => ({stored: stored.value, index: value}));
 	}
 
-	/** Reads the index that the operator started from. */
-	async #readBase(start: InForce): Promise<Result<ConfigurationIndex, PublishFailure>> {
+	/** Reads the index of the version that the operator started from. */
+	async #readBase(start: ActiveVersion): Promise<Result<ConfigurationIndex, PublishFailure>> {
 		const {base, platform} = this.#options;
 		if (base === undefined || base === start.stored.head.version) {
 			return ok(start.index);
 		}
 
-		const rows = await this.#untilAnswered(async () => platform.read([{table: configurationTable, key: versionKey(base)}]));
+		const rows = await this.#retryUntilAnswered(async () => platform.read([{table: configurationTable, key: versionKey(base)}]));
 		if (rows.isErr()) {
 			return err({kind: 'unavailable', message: rows.error.message});
 		}
@@ -253,11 +253,11 @@
 			return err({kind: 'bad_base', message: `there is no version ${base}; version ${start.stored.head.version} is in force`});
 		}
 
-		return this.#untilAnswered(async () => this.#loader.readIndex(row.data?.index ?? ''));
+		return this.#retryUntilAnswered(async () => this.#loader.readIndex(row.data?.index ?? ''));
 	}
 
-	/** Repeats a step that changes nothing when repeated, until the store answers or patience is over. */
-	async #untilAnswered<Value, Failure extends {kind: string}>(step: () => Promise<Result<Value, Failure>>): Promise<Result<Value, Failure>> {
+	/** Retries an idempotent step until the store responds or the timeout has passed. */
+	async #retryUntilAnswered<Value, Failure extends {kind: string}>(step: () => Promise<Result<Value, Failure>>): Promise<Result<Value, Failure>> {
 		const until = this.#deadline();
 		for (;;) {
 			const outcome = await step();
@@ -270,6 +270,6 @@
 	}
 
 	#deadline(): number {
-		return this.#options.clock() + (this.#options.patienceMilliseconds ?? 20_000);
+		return this.#options.clock() + (this.#options.storeTimeoutMilliseconds ?? 20_000);
 	}
 }
--- a/source/configuration/racing-operators.test.ts
+++ b/source/configuration/racing-operators.test.ts
@@ -13,7 +13,7 @@
 
 const operators = 4;
 
-test('operators who change different services at once are all accepted, whatever answers are lost', async () => {
+test('concurrent publications of different services are all accepted, whichever responses are lost', async () => {
 	await using fleet = await Fleet.create();
 	const platform = platformOf(fleet);
 	let deadlineSeconds = 1;
@@ -26,23 +26,23 @@
 		const versions = outcomes.map(outcome => outcome._unsafeUnwrap().version);
 		assert.deepEqual(versions.toSorted((left, right) => left - right), services.map((_, number) => before + 1 + number));
 		assert.equal(await versionInTable(fleet), before + operators);
-		for (const {deadlineSeconds: inForce} of await servicesInForce(platform)) {
-			assert.equal(inForce, deadlineSeconds);
+		for (const {deadlineSeconds: activeSeconds} of await activeServices(platform)) {
+			assert.equal(activeSeconds, deadlineSeconds);
 		}
 	}), {seed: 20_261, numRuns: 25});
 	await platform.close();
 });
 
-test('of operators who change the same service at once one is accepted, and the others learn its version', async () => {
+test('of concurrent publications of one service exactly one is accepted, and the others get a conflict with its version', async () => {
 	await using fleet = await Fleet.create();
 	const platform = platformOf(fleet);
 	let deadlineSeconds = 1;
 	await fc.assert(fc.asyncProperty(fc.integer({min: 0, max: 4}), async lostAnswers => {
 		const before = await versionInTable(fleet);
 		await loseAnswers(fleet, lostAnswers);
-		const wanted = Array.from({length: operators}, (_, number) => deadlineSeconds + 1 + number);
+		const desired = Array.from({length: operators}, (_, number) => deadlineSeconds + 1 + number);
 		deadlineSeconds += operators;
-		const outcomes = await Promise.all(wanted.map(async deadline => publishOne(platform, 'desk', deadline, before)));
+		const outcomes = await Promise.all(desired.map(async deadline => publishOne(platform, 'desk', deadline, before)));
 		const winner = outcomes.findIndex(outcome => outcome.isOk());
 		const losers = outcomes.filter((_, number) => number !== winner);
 		assert.equal(outcomes[winner]!._unsafeUnwrap().version, before + 1);
@@ -52,13 +52,13 @@
 			assert.deepEqual(failure.kind === 'conflict' && failure.conflicts, [{name: 'service/desk', version: before + 1}]);
 		}
 
-		const [inForce] = await servicesInForce(platform);
-		assert.equal(inForce!.deadlineSeconds, wanted[winner]);
+		const [active] = await activeServices(platform);
+		assert.equal(active!.deadlineSeconds, desired[winner]);
 	}), {seed: 20_262, numRuns: 25});
 	await platform.close();
 });
 
-test('racing publisher programs on one service: each version has one winner, and the loser is told to look', async () => {
+test('of two concurrent publisher programs on one service one is accepted, and the other reports the conflict and the active version', async () => {
 	await using fleet = await Fleet.create();
 	for (let round = 0; round < 5; round++) {
 		const ends = await Promise.all([10, 20].map(async seconds => fleet.publish({'desk.service.jsonc': deskFile(seconds + round)}, ['--base', String(round)])));
@@ -75,7 +75,7 @@
 		kind: 'service', name: `service/${service}`, file: `${service}.service.jsonc`, service: plainServiceSchema.parse(deskFile(deadlineSeconds, service)),
 	};
 	return publish({
-		platform, files: [file], base, newName: () => randomUUID(), clock: () => performance.now(),
+		platform, files: [file], base, createPublicationId: () => randomUUID(), clock: () => performance.now(),
 	});
 }
 
@@ -83,7 +83,7 @@
 	await fleet.control('platform', '/control/fault', requests === 0 ? {mode: 'up'} : {mode: 'lose_answers', requests, paths: ['/table/transact']});
 }
 
-async function servicesInForce(platform: PlatformClient) {
+async function activeServices(platform: PlatformClient) {
 	const stored = await readHead(platform);
 	const configuration = await new VersionLoader(platform).load(stored._unsafeUnwrap().head);
 	return configuration._unsafeUnwrap().services;
--- a/source/configuration/split-file.ts
+++ b/source/configuration/split-file.ts
@@ -1,5 +1,5 @@
 /**
- * Turns collected files into the objects that hold them.
+ * Splits collected files into the objects in which they are stored.
  *
  * @module
  */
@@ -9,21 +9,21 @@
 
 /** Options of {@linkcode splitFile}. */
 export type SplitFileOptions = {
-	/** Workspaces of one object at most on average; a change of one workspace makes routers read this many. Default 64. */
+	/** Maximum average number of workspaces per object. A change of one workspace makes routers read about this many. Default is 64. */
 	workspacesPerPart?: number;
 };
 
-/** A file as it will be stored. */
+/** A file in its stored form. */
 export type SplitFile = {
 	/** `service/NAME` or `workspaces/FILE`. */
 	name: string;
-	/** Contents as JSON by their digests, in order. */
+	/** JSON contents by digest, in order. */
 	parts: Map<string, string>;
 };
 
 /**
- * Splits a file into its objects: a service is one object, workspaces are spread by the digests of their names,
- * so that a change of one leaves the other objects as they are.
+ * Splits a file into its objects: a service is one object; workspaces are distributed by the digests of their names,
+ * so that a change of one workspace changes only one object.
  *
  * @param collected The file.
  * @param options Size of the objects.
--- a/source/configuration/stored-configuration.ts
+++ b/source/configuration/stored-configuration.ts
@@ -1,13 +1,14 @@
 /**
- * How versions of the configuration are kept in the platform's table and object store.
+ * Stored form of the configuration's versions in the platform's table and object store.
  *
- * Objects are named by the digest of their content: one for each service, one for each part of a workspaces file, and
- * the index of a version, which names all of them. The head row names the version in force and its index, so that a
- * router that has the version reads one small row; a router that has not reads the index and the objects that changed.
- * The version row holds the token of the publication that wrote it, by which a lost answer is settled.
+ * Objects are content-addressed: one for each service, one for each part of a workspaces file, and the index of a
+ * version, which references all of them. The head row references the active version and its index, so that a router
+ * that already has the version reads only one small row; other routers read the index and the changed objects. The
+ * version row contains the token of the publication that wrote it, which shows its outcome after a lost response.
  *
- * An object is garbage when neither the index in force nor the index of a kept version row names it, and it was not
- * put within a day. Nothing here removes objects: their store's own expiry does, where it has one.
+ * An object is garbage when neither the active index nor the index of a retained version row references it, and it was
+ * not written within the last day. This module never removes objects; that is left to the object store's own expiry,
+ * where it has one.
  *
  * @module
  */
@@ -18,14 +19,14 @@
 import * as z from 'zod';
 import {type PlatformClient} from '../table-service/mod.ts';
 
-/** Table of the configuration's rows. */
+/** Table of the head row and the version rows. */
 export const configurationTable = 'configuration';
 
-/** Key of the row that names the version in force. */
+/** Key of the row that references the active version. */
 export const headKey = 'head';
 
-/** Number of version rows kept behind the head, ten days at 9,000 changes a day. */
-export const keptVersions = 90_000;
+/** Number of version rows retained up to the head: ten days at 9,000 changes a day. */
+export const retainedVersions = 90_000;
 
 /** Value of the head row; version 0 has no files. */
 export const headSchema = z.object({
@@ -44,7 +45,7 @@
 
 /** One file of a version. */
 export const indexedFileSchema = z.object({
-	/** Digests of the objects that hold the content, one after another. */
+	/** Digests of the objects that make up the content, in order. */
 	parts: z.array(z.string()).min(1),
 	/** Version that last changed the file. */
 	version: z.number().int().positive(),
@@ -69,11 +70,11 @@
 	revision: number;
 };
 
-/** Why a version could not be loaded; `version` is left out when not even the head row can be read by its schema. */
+/** Why a version could not be loaded; `version` is missing when the head row itself does not match its schema. */
 export type LoadFailure = {kind: 'unavailable'; message: string} | {kind: 'unreadable'; version?: number; message: string};
 
 /**
- * Returns the key of the row that records who published a version.
+ * Returns the key of a version row.
  *
  * @param version Number of the version.
  */
@@ -82,7 +83,7 @@
 }
 
 /**
- * Returns the name of the object that holds a content.
+ * Returns the name of the object with a given content.
  *
  * @param digest Digest of the content.
  */
@@ -91,9 +92,9 @@
 }
 
 /**
- * Returns the digest that names a content.
+ * Returns the SHA-256 digest of a content, in hexadecimal.
  *
- * @param content Checked content as JSON.
+ * @param content Content of an object as JSON.
  */
 export function contentDigest(content: string): string {
 	return createHash('sha256').update(content).digest('hex');
@@ -119,5 +120,5 @@
 	const checked = headSchema.safeParse(row.value);
 	return checked.success
 		? ok({head: checked.data, revision: row.revision})
-		: err({kind: 'unreadable', message: `the head row does not fit its schema: ${checked.error.message}`});
+		: err({kind: 'unreadable', message: `the head row does not match its schema: ${checked.error.message}`});
 }
--- a/source/configuration/version-loader.ts
+++ b/source/configuration/version-loader.ts
@@ -16,22 +16,22 @@
 	configurationIndexSchema, contentDigest, objectName, type ConfigurationHead, type ConfigurationIndex, type LoadFailure,
 } from './stored-configuration.ts';
 
-/** Objects read from the platform at once. */
+/** Maximum number of concurrent object reads. */
 const concurrentReads = 4;
 
-/** Checked content of an object, by what it describes. */
+/** Checked content of an object. */
 type Content = {services: Service[]; workspaces: Workspace[]};
 
 type Failure = {kind: 'unavailable' | 'unreadable'; message: string};
 
-/** Schemas of objects by the first part of their file's name. */
+/** Schemas of objects by the prefix of their file's name. */
 const contentSchemas: Record<string, z.ZodType<Content>> = {
 	service: serviceFileSchema.transform(service => ({services: [service], workspaces: []})),
 	workspaces: workspacesFileSchema.transform(({workspaces}) => ({services: [], workspaces})),
 };
 
 /**
- * Loads versions and keeps the checked objects of the last one, so that a change reads only what it changed.
+ * Loads versions and caches the checked objects of the last one, so that a new version reads only changed objects.
  *
  * @example
  * ```ts
@@ -48,7 +48,7 @@
 	}
 
 	/**
-	 * Loads the version that a head names.
+	 * Loads the version that a head row references.
 	 *
 	 * @param head The head row's value; its version is at least 1.
 	 */
@@ -56,7 +56,7 @@
 		const index = await this.readIndex(head.index);
 		const loaded = index.isErr() ? err(index.error) : await this.assemble(head.version, index.value);
 		if (index.isOk() && loaded.isOk()) {
-			this.#keepOnly(index.value);
+			this.#retainOnly(index.value);
 		}
 
 		return loaded.mapErr(({kind, message}): LoadFailure => kind === 'unreadable' ? {kind, version: head.version, message} : {kind, message});
@@ -65,14 +65,14 @@
 	/**
 	 * Reads an index.
 	 *
-	 * @param digest Digest of the index; empty for that of version 0.
+	 * @param digest Digest of the index; empty for version 0.
 	 */
 	async readIndex(digest: string): Promise<Result<ConfigurationIndex, Failure>> {
 		return digest === '' ? ok({files: {}}) : this.#readObject(digest, configurationIndexSchema);
 	}
 
 	/**
-	 * Reads every object that an index names and is not kept, and puts the version together.
+	 * Assembles a version from its index; reads the objects that are not cached.
 	 *
 	 * @param version Number of the version.
 	 * @param index The index.
@@ -82,7 +82,7 @@
 		const missing = parts.filter(({digest}) => !this.#contents.has(digest));
 		for (let first = 0; first < missing.length; first += concurrentReads) {
 			const group = missing.slice(first, first + concurrentReads);
-			const read = await Promise.all(group.map(async ({name, digest}) => this.#keep(name, digest)));
+			const read = await Promise.all(group.map(async ({name, digest}) => this.#loadContent(name, digest)));
 			const failed = read.find(outcome => outcome.isErr());
 			if (failed) {
 				return err(failed._unsafeUnwrapErr());
@@ -97,12 +97,12 @@
 		});
 	}
 
-	#keepOnly(index: ConfigurationIndex): void {
-		const named = new Set(Object.values(index.files).flatMap(({parts}) => parts));
-		this.#contents = new Map([...this.#contents].filter(([digest]) => named.has(digest)));
+	#retainOnly(index: ConfigurationIndex): void {
+		const referenced = new Set(Object.values(index.files).flatMap(({parts}) => parts));
+		this.#contents = new Map([...this.#contents].filter(([digest]) => referenced.has(digest)));
 	}
 
-	async #keep(name: string, digest: string): Promise<Result<void, Failure>> {
+	async #loadContent(name: string, digest: string): Promise<Result<void, Failure>> {
 		const schema = contentSchemas[name.split('/')[0]!];
 		if (!schema) {
 			return err({kind: 'unreadable', message: `no schema for ${name}`});
@@ -124,7 +124,7 @@
 		}
 
 		if (content.value === undefined || contentDigest(content.value) !== digest) {
-			return err({kind: 'unreadable', message: `object ${digest} is ${content.value === undefined ? 'missing' : 'damaged'}`});
+			return err({kind: 'unreadable', message: `object ${digest} is ${content.value === undefined ? 'missing' : 'corrupt'}`});
 		}
 
 		return parseContent(content.value, schema);
@@ -140,5 +140,5 @@
 	}
 
 	const checked = schema.safeParse(value);
-	return checked.success ? ok(checked.data) : err({kind: 'unreadable', message: `does not fit the schema of this program: ${checked.error.message}`});
+	return checked.success ? ok(checked.data) : err({kind: 'unreadable', message: `does not match the schema of this program: ${checked.error.message}`});
 }
--- a/source/duties/poll-duties.ts
+++ b/source/duties/poll-duties.ts
@@ -6,7 +6,7 @@
 import {
 	ok, type Result,
 } from 'neverthrow';
-import {type ConfigurationInForce, type ModelService} from '../configuration/mod.ts';
+import {type ActiveConfiguration, type ModelService} from '../configuration/mod.ts';
 import {poll, type TaskFailure} from '../supervision/mod.ts';
 import {engineDuty} from './lease.ts';
 import {type LeaseManager} from './lease-manager.ts';
@@ -17,7 +17,7 @@
 export type PollDutiesOptions = {
 	leases: LeaseManager;
 	reconciler: EngineReconciler;
-	configuration: ConfigurationInForce;
+	configuration: ActiveConfiguration;
 	/** Returns the addresses of a service's engines that are not leaving. */
 	endpointsOf: (service: string) => readonly string[];
 	/** Interval at which due work is started, in milliseconds. */
@@ -64,7 +64,7 @@
 	return ok();
 }
 
-function modelServices(configuration: ConfigurationInForce): ModelService[] {
+function modelServices(configuration: ActiveConfiguration): ModelService[] {
 	return configuration.ready ? (configuration.current?.services ?? []).filter(service => service.kind === 'model') : [];
 }
 
--- a/source/generation/generation-parts.ts
+++ b/source/generation/generation-parts.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type Accounts} from '../accounts/mod.ts';
+import {type WorkspaceUsage} from '../accounts/mod.ts';
 import {type RetryBudget, type SuspectMonitor} from '../admission/mod.ts';
 import {type EngineClient} from '../endpoints/mod.ts';
 import {type Placement} from '../placement/mod.ts';
@@ -11,7 +11,7 @@
 
 /** Components that serve generations. */
 export type GenerationParts = {
-	accounts: Accounts;
+	accounts: WorkspaceUsage;
 	placement: Placement;
 	/** Detects requests that crash endpoints. */
 	suspects: SuspectMonitor;
--- a/source/generation/run-attempt.ts
+++ b/source/generation/run-attempt.ts
@@ -75,7 +75,7 @@
 			onStarted(event) {
 				if (step === 'start' && progress.nextIndex > 0) {
 					parts.metrics.extraTokens.inc({service: progress.service.service, work: 'prefill'}, event.prefill_tokens);
-					parts.accounts.extra(progress.workspace, progress.service.service, event.prefill_tokens);
+					parts.accounts.recordExtraTokens(progress.workspace, progress.service.service, event.prefill_tokens);
 				}
 			},
 		});
--- a/source/measurements/configuration-reload.ts
+++ b/source/measurements/configuration-reload.ts
@@ -8,7 +8,7 @@
 import {createServer, connect} from 'node:net';
 import process from 'node:process';
 import {
-	ConfigurationInForce, VersionLoader, publish, readHead, serviceFileSchema, workspacesFileSchema, type CollectedFile, type Workspace,
+	ActiveConfiguration, VersionLoader, publish, readHead, serviceFileSchema, workspacesFileSchema, type CollectedFile, type Workspace,
 } from '../configuration/mod.ts';
 import {PlatformClient} from '../table-service/mod.ts';
 import {Fleet} from '../testing/fleet.ts';
@@ -42,7 +42,7 @@
 	const workspaces = createWorkspaces();
 	const services = createServices();
 	const loader = new VersionLoader(platform);
-	const inForce = new ConfigurationInForce();
+	const inForce = new ActiveConfiguration();
 
 	/** Runs a step and returns what it cost. */
 	const cost = async (step: () => Promise<void>): Promise<Cost> => {
@@ -64,12 +64,12 @@
 		const {head} = stored._unsafeUnwrap();
 		if (head.version > inForce.version) {
 			const loaded = await loader.load(head);
-			inForce.offer(loaded._unsafeUnwrap());
+			inForce.applyIfNewer(loaded._unsafeUnwrap());
 		}
 	};
 
 	const publishAll = async () => publish({
-		platform: publisher, files: [...services, workspacesFile(workspaces)], newName: () => randomUUID(), clock: () => performance.now(), split: {workspacesPerPart},
+		platform: publisher, files: [...services, workspacesFile(workspaces)], createPublicationId: () => randomUUID(), clock: () => performance.now(), split: {workspacesPerPart},
 	});
 
 	await publishAll();
--- a/source/membership/_peer-inbox.ts
+++ b/source/membership/_peer-inbox.ts
@@ -118,7 +118,7 @@
 
 		const applied = exchange.apply(difference);
 		if (applied.isOk()) {
-			if (configuration.offer(applied.value)) {
+			if (configuration.applyIfNewer(applied.value)) {
 				logger.info('configuration in force', {version: difference.version, source: peer.hostName});
 			}
 
--- a/source/membership/configuration-exchange.ts
+++ b/source/membership/configuration-exchange.ts
@@ -8,7 +8,7 @@
 	err, ok, type Result,
 } from 'neverthrow';
 import {
-	configurationSchema, type Configuration, type ConfigurationInForce, type Service, type Workspace,
+	configurationSchema, type Configuration, type ActiveConfiguration, type Service, type Workspace,
 } from '../configuration/mod.ts';
 import {type ConfigurationDifference} from './peer-protocol.ts';
 
@@ -30,10 +30,10 @@
  * ```
  */
 export class ConfigurationExchange {
-	readonly #inForce: ConfigurationInForce;
+	readonly #inForce: ActiveConfiguration;
 	readonly #versions = new Map<number, Configuration>();
 
-	constructor(inForce: ConfigurationInForce) {
+	constructor(inForce: ActiveConfiguration) {
 		this.#inForce = inForce;
 		inForce.onChange(configuration => {
 			this.#versions.set(configuration.version, configuration);
--- a/source/membership/peer-context.ts
+++ b/source/membership/peer-context.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type ConfigurationInForce} from '../configuration/mod.ts';
+import {type ActiveConfiguration} from '../configuration/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {type ConfigurationExchange} from './configuration-exchange.ts';
 import {type HintBoard} from './hint-board.ts';
@@ -35,7 +35,7 @@
 	availabilityZone: string;
 	settings: PeerSettings;
 	directory: HostDirectory;
-	configuration: ConfigurationInForce;
+	configuration: ActiveConfiguration;
 	exchange: ConfigurationExchange;
 	hints: HintBoard;
 	loads: LoadBoard;
--- a/source/operations/describe-publication.ts
+++ b/source/operations/describe-publication.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {type Result} from 'neverthrow';
-import {type PublishFailure, type Settlement, type Unsettled} from '../configuration/mod.ts';
+import {type PublishFailure, type Settlement, type CommitFailure} from '../configuration/mod.ts';
 import {formatFault} from '../settings/mod.ts';
 
 /** Exit codes of azuretack-publish. */
@@ -56,7 +56,7 @@
  * @param token Token of the publication.
  * @param platform Address of the platform, for the command that tries again.
  */
-export function describeSettlement(settled: Result<Settlement, Unsettled>, token: string, platform: string): Description {
+export function describeSettlement(settled: Result<Settlement, CommitFailure>, token: string, platform: string): Description {
 	if (settled.isErr()) {
 		return {text: unknownText(token, platform, settled.error.message), exitCode: publishExitCodes.outcomeUnknown};
 	}
--- a/source/placement/endpoint-shares.ts
+++ b/source/placement/endpoint-shares.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type ConfigurationInForce, type Service} from '../configuration/mod.ts';
+import {type ActiveConfiguration, type Service} from '../configuration/mod.ts';
 import {type HostDirectory} from '../membership/mod.ts';
 
 /**
@@ -46,7 +46,7 @@
 }
 
 /** Returns the names of the model services in the current configuration. */
-export function modelServices(configuration: ConfigurationInForce): string[] {
+export function modelServices(configuration: ActiveConfiguration): string[] {
 	return (configuration.current?.services ?? []).filter(({kind}) => kind === 'model').map(({service}) => service);
 }
 
--- a/source/router/caller-context.ts
+++ b/source/router/caller-context.ts
@@ -7,7 +7,7 @@
 import {type Span} from '@opentelemetry/api';
 import {type Admission, type BlockedRequests} from '../admission/mod.ts';
 import {type CallParts} from '../calls/mod.ts';
-import {type ConfigurationInForce, type Workspace} from '../configuration/mod.ts';
+import {type ActiveConfiguration, type Workspace} from '../configuration/mod.ts';
 import {type GenerationParts} from '../generation/mod.ts';
 import {
 	type HintBoard, type HostDirectory, type HostHints, type LoadBoard, type PeerRegistry, type RouterIdentity,
@@ -19,7 +19,7 @@
 /** The router's parts that serve callers. */
 export type CallerParts = GenerationParts & {
 	settings: RouterSettings;
-	configuration: ConfigurationInForce;
+	configuration: ActiveConfiguration;
 	directory: HostDirectory;
 	admission: Admission;
 	identity: RouterIdentity;
--- a/source/router/router.ts
+++ b/source/router/router.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {ConfigurationInForce} from '../configuration/mod.ts';
+import {ActiveConfiguration} from '../configuration/mod.ts';
 import {EngineClient} from '../endpoints/mod.ts';
 import {PlatformClient} from '../table-service/mod.ts';
 import {type RouterSettings} from '../settings/mod.ts';
@@ -76,7 +76,7 @@
 		metrics,
 		logger,
 		tracing: createTracing({hostName: settings.hostName}),
-		configuration: new ConfigurationInForce(),
+		configuration: new ActiveConfiguration(),
 		engines: new EngineClient({
 			countBytes(bytes) {
 				metrics.endpointBytes.inc(bytes);
--- a/source/router/serve-call.ts
+++ b/source/router/serve-call.ts
@@ -80,7 +80,7 @@
 	try {
 		const end = await run(call, exchange, parts);
 		if (end.kind === 'answered' && !end.stored) {
-			parts.accounts.called(call.workspace, service.service);
+			parts.accounts.recordCall(call.workspace, service.service);
 		}
 
 		return await sendEnd(end, exchange);
--- a/source/router/serve-completion.ts
+++ b/source/router/serve-completion.ts
@@ -77,7 +77,7 @@
 			sink: {
 				async token(token) {
 					tokensDelivered.inc();
-					parts.accounts.delivered(progress.workspace, progress.service.service, 1);
+					parts.accounts.recordDeliveredTokens(progress.workspace, progress.service.service, 1);
 					return answer.token(token);
 				},
 			},
--- a/source/router/start-control.ts
+++ b/source/router/start-control.ts
@@ -5,9 +5,9 @@
  */
 import {randomBytes} from 'node:crypto';
 import {
-	Accounts, HeardUsage, UsageStore, UsageWriter,
+	WorkspaceUsage, PeerUsage, UsageStore, UsageWriter,
 } from '../accounts/mod.ts';
-import {followConfiguration, type ConfigurationInForce} from '../configuration/mod.ts';
+import {followConfiguration, type ActiveConfiguration} from '../configuration/mod.ts';
 import {
 	ConfigurationExchange, HintBoard, HostDirectory, HostHints, LoadBoard, PeerRegistry, followHosts, followPeers, type PeerContext, type RouterIdentity,
 } from '../membership/mod.ts';
@@ -25,7 +25,7 @@
 	hostHints: HostHints;
 	loads: LoadBoard;
 	peers: PeerRegistry;
-	accounts: Accounts;
+	accounts: WorkspaceUsage;
 };
 
 /** Options of {@linkcode createControlParts}. */
@@ -55,7 +55,7 @@
 		identity: {hostName, incarnation: `${hostName}.${started}.${randomBytes(3).toString('hex')}`},
 		loads: new LoadBoard(),
 		peers: new PeerRegistry(),
-		accounts: new Accounts(),
+		accounts: new WorkspaceUsage(),
 	};
 }
 
@@ -68,10 +68,10 @@
  */
 export function startControl(supervisor: Supervisor, parts: CallerParts): UsageWriter {
 	const {platform, directory, logger, settings, random, wallClock, configuration, identity, hostHints} = parts;
-	const heard = new HeardUsage({accounts: parts.accounts});
+	const heard = new PeerUsage({localUsage: parts.accounts});
 	const writer = new UsageWriter({
 		identity,
-		heard,
+		peerUsage: heard,
 		logger,
 		random,
 		wallClock,
@@ -92,18 +92,18 @@
 		},
 	}, signal));
 	supervisor.start('configuration', async signal => followConfiguration({
-		platform, logger, random, inForce: configuration, periodMilliseconds: settings.platform.configurationMilliseconds,
+		platform, logger, random, active: configuration, periodMilliseconds: settings.platform.configurationMilliseconds,
 	}, signal));
 	supervisor.start('peers', async signal => followPeers(context, signal));
 	supervisor.start('refused', async signal => parts.refused.follow(signal));
 	supervisor.start('endpoints', async signal => pollEndpoints({
 		placement: parts.placement, engines: parts.engines, clock: parts.clock, random, services: () => modelServices(configuration),
 	}, signal));
-	supervisor.start('usage', async signal => writer.follow(signal));
+	supervisor.start('usage', async signal => writer.run(signal));
 	return writer;
 }
 
-function peerContext(parts: CallerParts, configuration: ConfigurationInForce, usage: HeardUsage): PeerContext {
+function peerContext(parts: CallerParts, configuration: ActiveConfiguration, usage: PeerUsage): PeerContext {
 	const {settings, metrics} = parts;
 	return {
 		...parts,
