--- a/source/accounts/peer-usage.ts
+++ b/source/accounts/peer-usage.ts
@@ -40,14 +40,14 @@
 	}
 
 	/** Records totals that a peer reported. */
-	heard(identity: RouterIdentity, workspace: string, totals: UsageTotals): void {
+	recordTotals(identity: RouterIdentity, workspace: string, totals: UsageTotals): void {
 		const peer = this.#peers.get(identity.incarnation) ?? {identity, totals: new Map<string, UsageTotals>(), disconnectedAt: undefined};
 		this.#peers.set(identity.incarnation, peer);
 		peer.totals.set(workspace, maximumTotals(peer.totals.get(workspace) ?? totals, totals));
 	}
 
 	/** Starts the delay after which this router writes a peer's totals. */
-	disconnected(identity: RouterIdentity, now: number): void {
+	recordDisconnect(identity: RouterIdentity, now: number): void {
 		const peer = this.#peers.get(identity.incarnation);
 		if (peer) {
 			peer.disconnectedAt = now;
@@ -55,7 +55,7 @@
 	}
 
 	/** Cancels the delay: the peer writes its totals itself again. */
-	connected(identity: RouterIdentity): void {
+	recordConnect(identity: RouterIdentity): void {
 		const peer = this.#peers.get(identity.incarnation);
 		if (peer) {
 			peer.disconnectedAt = undefined;
--- a/source/membership/_peer-inbox.ts
+++ b/source/membership/_peer-inbox.ts
@@ -1,5 +1,5 @@
 /**
- * What a peer has told, and what it is answered.
+ * Processes messages from one peer and computes the replies.
  *
  * @module
  */
@@ -9,22 +9,22 @@
 import {type OpenPeer} from './peer-registry.ts';
 import {UsageReader} from './usage-exchange.ts';
 
-/** Time after which an unanswered question for the configuration is asked again, in milliseconds. */
-const configurationAgainMilliseconds = 2000;
+/** Time after which an unanswered configuration request is repeated, in milliseconds. */
+const configurationRequestTimeoutMilliseconds = 2000;
 
-/** Age from which a router asks peers for a newer host list, in milliseconds. */
-const oldListMilliseconds = 15_000;
+/** Age from which a router requests a newer host list from its peers, in milliseconds. */
+const staleListMilliseconds = 15_000;
 
-/** Time after which an unanswered question for the host list is asked again, in milliseconds. */
-const hostsAgainMilliseconds = 5000;
+/** Time after which an unanswered host list request is repeated, in milliseconds. */
+const hostsRequestTimeoutMilliseconds = 5000;
 
-/** Time by which a host list must be newer to be sent to a peer, in milliseconds. */
-const newerListMilliseconds = 10_000;
+/** Minimum difference in age for a host list to be sent to a peer that has an older one, in milliseconds. */
+const newerListMarginMilliseconds = 10_000;
 
-/** Age that stands for no list at all, in milliseconds. */
-const noListMilliseconds = 1_000_000_000;
+/** Age reported while there is no host list, in milliseconds. */
+const missingListAgeMilliseconds = 1_000_000_000;
 
-/** Takes the messages of one peer. */
+/** Applies the messages of one peer. */
 export class PeerInbox {
 	readonly #context: PeerContext;
 	readonly #usage = new UsageReader();
@@ -34,84 +34,84 @@
 	}
 
 	/**
-	 * Takes one message.
+	 * Applies one message.
 	 *
 	 * @param message The message.
 	 * @param peer The peer that sent it.
-	 * @returns Parts of the next message to the peer.
+	 * @returns Parts to include in the next message to the peer.
 	 */
-	take(message: PeerMessage, peer: OpenPeer): PeerMessageParts {
+	handle(message: PeerMessage, peer: OpenPeer): PeerMessageParts {
 		const {hints, loads, usage, wallClock} = this.#context;
 		for (const hint of message.hints) {
 			hints.receive(hint, peer.hostName, wallClock());
 		}
 
-		loads.heard(peer.hostName, message.loads);
+		loads.recordPeerLoads(peer.hostName, message.loads);
 		if (message.usage) {
 			for (const [workspace, totals] of this.#usage.read(message.usage)) {
-				usage.heard(peer, workspace, totals);
+				usage.recordTotals(peer, workspace, totals);
 			}
 		}
 
 		if (message.hosts) {
-			this.#takeHosts(message.hosts.json, message.hosts.ageMilliseconds);
+			this.#applyHosts(message.hosts.json, message.hosts.ageMilliseconds);
 		}
 
-		const again = message.difference && this.#takeDifference(message.difference, peer);
-		return {...this.#ask(message), ...again, ...this.#answer(message)};
+		const fullRequest = message.difference && this.#applyDifference(message.difference, peer);
+		return {...this.#requestUpdates(message), ...fullRequest, ...this.#replyTo(message)};
 	}
 
-	#answer({pullConfiguration, pullHosts}: PeerMessage): PeerMessageParts {
+	#replyTo({pullConfiguration, pullHosts}: PeerMessage): PeerMessageParts {
 		const {exchange, directory} = this.#context;
-		const answers: PeerMessageParts = {};
+		const reply: PeerMessageParts = {};
 		const difference = pullConfiguration && exchange.differenceFrom(pullConfiguration.baseVersion);
 		if (difference) {
-			answers.difference = difference;
+			reply.difference = difference;
 		}
 
 		const ageMilliseconds = this.#listAge();
-		if (pullHosts && ageMilliseconds + newerListMilliseconds < pullHosts.ageMilliseconds) {
-			answers.hosts = {json: JSON.stringify({hosts: directory.hosts}), ageMilliseconds};
+		if (pullHosts && ageMilliseconds + newerListMarginMilliseconds < pullHosts.ageMilliseconds) {
+			reply.hosts = {json: JSON.stringify({hosts: directory.hosts}), ageMilliseconds};
 		}
 
-		return answers;
+		return reply;
 	}
 
-	#ask({configurationVersion}: PeerMessage): PeerMessageParts {
+	#requestUpdates({configurationVersion}: PeerMessage): PeerMessageParts {
 		const {configuration, registry, clock} = this.#context;
-		const questions: PeerMessageParts = {};
+		const requests: PeerMessageParts = {};
 		const known = Math.max(configuration.version, configuration.unreadableVersion ?? 0);
-		if (configurationVersion > known && registry.mayAskConfiguration(clock(), configurationAgainMilliseconds)) {
-			questions.pullConfiguration = {baseVersion: configuration.version};
+		if (configurationVersion > known && registry.tryRequestConfiguration(clock(), configurationRequestTimeoutMilliseconds)) {
+			requests.pullConfiguration = {baseVersion: configuration.version};
 		}
 
 		const ageMilliseconds = this.#listAge();
-		if (ageMilliseconds > oldListMilliseconds && registry.mayAskHosts(clock(), hostsAgainMilliseconds)) {
-			questions.pullHosts = {ageMilliseconds};
+		if (ageMilliseconds > staleListMilliseconds && registry.tryRequestHosts(clock(), hostsRequestTimeoutMilliseconds)) {
+			requests.pullHosts = {ageMilliseconds};
 		}
 
-		return questions;
+		return requests;
 	}
 
 	#listAge(): number {
 		const {directory, wallClock} = this.#context;
-		return directory.listedAt === undefined ? noListMilliseconds : Math.max(0, Math.round(wallClock() - directory.listedAt));
+		return directory.listedAt === undefined ? missingListAgeMilliseconds : Math.max(0, Math.round(wallClock() - directory.listedAt));
 	}
 
-	#takeHosts(json: string, ageMilliseconds: number): void {
+	#applyHosts(json: string, ageMilliseconds: number): void {
 		const {directory, wallClock, logger} = this.#context;
 		const checked = hostListSchema.safeParse(parseJson(json));
 		if (checked.success && ageMilliseconds < this.#listAge()) {
 			const now = wallClock();
 			directory.update(checked.data.hosts, now, now - ageMilliseconds);
-			logger.info('host list taken from a peer', {hosts: checked.data.hosts.length, ageMilliseconds});
+			logger.info('host list received from a peer', {hosts: checked.data.hosts.length, ageMilliseconds});
 		}
 	}
 
-	/** Offers the version that a difference leads to; returns the question for the whole one where that failed. */
-	#takeDifference(difference: ConfigurationDifference, peer: OpenPeer): PeerMessageParts | undefined {
+	/** Applies a configuration difference and offers the result; returns a request for the whole configuration if the base or the digest does not match. */
+	#applyDifference(difference: ConfigurationDifference, peer: OpenPeer): PeerMessageParts | undefined {
 		const {configuration, exchange, registry, logger} = this.#context;
-		registry.configurationAnswered();
+		registry.recordConfigurationResponse();
 		if (difference.version <= configuration.version) {
 			return undefined;
 		}
@@ -125,7 +125,7 @@
 			return undefined;
 		}
 
-		logger.warn('configuration of a peer not taken', {peer: peer.hostName, version: difference.version, ...applied.error});
+		logger.warn('configuration from a peer rejected', {peer: peer.hostName, version: difference.version, ...applied.error});
 		if (applied.error.kind === 'unreadable') {
 			configuration.markUnreadable(difference.version);
 			return undefined;
--- a/source/membership/choose-entries.ts
+++ b/source/membership/choose-entries.ts
@@ -1,5 +1,5 @@
 /**
- * Which entries a caller is told to use.
+ * Selects the entry hosts that are returned to a caller.
  *
  * @module
  */
@@ -9,23 +9,24 @@
 export type ChooseEntriesOptions = {
 	/** Entry hosts that are not leaving. */
 	hosts: readonly Host[];
-	/** Zone whose entries come first. */
+	/** Zone whose entries are listed first. */
 	availabilityZone: string;
-	/** Region whose entries come before those of other regions. */
+	/** Region whose entries are listed before those of other regions. */
 	region: string;
-	/** Returns a random number from 0 to 1; it spreads the callers over the entries. */
+	/** Returns a random number from 0 to 1, used to spread callers over the entries. */
 	random: () => number;
-	/** Number of entries in an answer. Default 8. */
+	/** Maximum number of entries to return. Default 8. */
 	limit?: number;
 };
 
-/** Share of an answer that is kept for other zones, so that a caller outlives the loss of its zone. */
+/** Share of the entries reserved for other zones, so that a caller still has entries if its own zone fails. */
 const otherZonesShare = 1 / 4;
 
 /**
- * Chooses a bounded number of entries in random order: own zone first, then others of the region, then other regions.
+ * Chooses a bounded number of entries in random order: first those of the own zone, then the rest of the region, then other regions.
  *
- * @param options Hosts, own place and random source.
+ * @param options Hosts, own zone and region, and random source.
+ * @returns The chosen hosts, in order of preference.
  * @example
  * ```ts
  * const entries = chooseEntries({hosts, availabilityZone: 'zone-a', region: 'home', random: Math.random});
--- a/source/membership/choose-peers.ts
+++ b/source/membership/choose-peers.ts
@@ -1,5 +1,5 @@
 /**
- * Which routers a router connects to.
+ * Selects the routers that a router connects to.
  *
  * @module
  */
@@ -8,24 +8,24 @@
 
 /** Options of {@linkcode choosePeers}. */
 export type ChoosePeersOptions = {
-	/** Name of the host that chooses. */
+	/** Name of the host that connects. */
 	hostName: string;
 	/** Its availability zone. */
 	availabilityZone: string;
 	/** Hosts to choose from. */
 	hosts: readonly Host[];
-	/** Number of peers in the same zone. */
+	/** Maximum number of peers in the same zone. */
 	sameZone: number;
-	/** Number of peers in other zones. */
+	/** Maximum number of peers in other zones. */
 	otherZones: number;
 };
 
 /**
- * Chooses a bounded set of peers by rendezvous hashing, so that a change of the list moves few links. The next host in order
- * of names is always among them: these links form a ring, which keeps the whole graph connected.
+ * Chooses a bounded set of peers by rendezvous hashing, so that a change of the host list changes few connections. The next
+ * host by name is always included: these connections form a ring, which keeps the whole graph connected.
  *
- * @param options The host, the list and the bounds.
- * @returns The chosen hosts, in order of names.
+ * @param options The connecting host, the candidate hosts and the limits.
+ * @returns The chosen hosts, sorted by name.
  * @example
  * ```ts
  * const peers = choosePeers({hostName: 'entry-1', availabilityZone: 'zone-a', hosts, sameZone: 4, otherZones: 4});
--- a/source/membership/configuration-exchange.ts
+++ b/source/membership/configuration-exchange.ts
@@ -1,5 +1,5 @@
 /**
- * Differences between versions of the configuration, by which a router moves a peer forward without the platform.
+ * Differences between configuration versions, with which a router updates its peers without the platform.
  *
  * @module
  */
@@ -12,16 +12,16 @@
 } from '../configuration/mod.ts';
 import {type ConfigurationDifference} from './peer-protocol.ts';
 
-/** Why a difference was not taken. */
+/** Why a difference was rejected. */
 export type DifferenceFailure = {kind: 'wrong_base' | 'unreadable'; message: string};
 
 type Item = Service | Workspace;
 
-/** Versions that differences can start from; a peer further behind gets the whole configuration. */
-const keptVersions = 8;
+/** Number of recent versions kept as base versions; a peer with an older version receives the whole configuration. */
+const maxRetainedVersions = 8;
 
 /**
- * Remembers the last versions in force and computes what a peer with one of them lacks.
+ * Keeps the most recent versions in force and computes the difference from each of them to the current one.
  *
  * @example
  * ```ts
@@ -37,13 +37,13 @@
 		this.#inForce = inForce;
 		inForce.onChange(configuration => {
 			this.#versions.set(configuration.version, configuration);
-			if (this.#versions.size > keptVersions) {
+			if (this.#versions.size > maxRetainedVersions) {
 				this.#versions.delete(this.#versions.keys().next().value!);
 			}
 		});
 	}
 
-	/** Returns what a peer lacks that has a version; `undefined` when this router has none that is newer. */
+	/** Returns the difference from a base version to the current one; `undefined` when this router has no newer version. */
 	differenceFrom(baseVersion: number): ConfigurationDifference | undefined {
 		const {current} = this.#inForce;
 		if (!current || current.version <= baseVersion) {
@@ -62,11 +62,11 @@
 		};
 	}
 
-	/** Applies a difference to the version that it starts from, and checks the outcome by schema and digest. */
+	/** Applies a difference to its base version, and validates the result against the schema and the digest. */
 	apply(difference: ConfigurationDifference): Result<Configuration, DifferenceFailure> {
 		const base = this.#versions.get(difference.baseVersion);
 		if (!base && difference.baseVersion !== 0) {
-			return err({kind: 'wrong_base', message: `version ${difference.baseVersion} is not known`});
+			return err({kind: 'wrong_base', message: `base version ${difference.baseVersion} is not available`});
 		}
 
 		const checked = configurationSchema.safeParse({
@@ -79,7 +79,7 @@
 		}
 
 		return base && digestOf(checked.data) !== difference.digest
-			? err({kind: 'wrong_base', message: 'the digest of the outcome differs'})
+			? err({kind: 'wrong_base', message: 'the digest of the resulting configuration differs'})
 			: ok(checked.data);
 	}
 }
@@ -112,7 +112,7 @@
 	return [...items.values()];
 }
 
-/** Reads an item; the schema of the whole configuration checks it later. */
+/** Parses an item; the schema of the whole configuration validates it afterwards. */
 function parseItem(text: string): {name: string; value: unknown} {
 	try {
 		const value: unknown = JSON.parse(text);
@@ -124,7 +124,7 @@
 	}
 }
 
-/** Digest that does not depend on the order of the items. */
+/** Returns a digest that does not depend on the order of the items. */
 function digestOf({services, workspaces}: Configuration): string {
 	const lines = [...services, ...workspaces].map(item => JSON.stringify(item)).toSorted();
 	return createHash('sha256').update(lines.join('\n')).digest('hex').slice(0, 32);
--- a/source/membership/follow-hosts.ts
+++ b/source/membership/follow-hosts.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps the host directory up with the platform's list.
+ * Keeps the host directory up to date with the platform's host list.
  *
  * @module
  */
@@ -16,9 +16,9 @@
 	platform: PlatformClient;
 	directory: HostDirectory;
 	logger: Logger;
-	/** Mean time between two reads of the list, in milliseconds. */
+	/** Mean polling interval, in milliseconds. */
 	periodMilliseconds: number;
-	/** Called with the known hosts whose state changed on the list; empty when none did. */
+	/** Called after each read with the known hosts whose listed state changed; empty when none did. */
 	onChanges: (changes: HostChange[]) => void;
 	/** Returns a random number from 0 to 1. */
 	random: () => number;
@@ -27,10 +27,10 @@
 };
 
 /**
- * Reads the host list again and again; while it cannot be read, the last list stays in use.
+ * Polls the host list; when a read fails, the last list stays in use.
  *
- * @param options Platform, directory and period.
- * @param signal Ends the task.
+ * @param options Platform, directory and polling interval.
+ * @param signal Stops the task.
  * @example
  * ```ts
  * supervisor.start('hosts', signal => followHosts(options, signal));
@@ -40,7 +40,7 @@
 	const {platform, directory, logger, periodMilliseconds, random, wallClock, onChanges} = options;
 	await poll(async () => platform.hosts(), {periodMilliseconds, random, signal}).observe(hosts => {
 		if (hosts.isErr()) {
-			logger.warn('host list not read', hosts.error);
+			logger.warn('failed to read the host list', hosts.error);
 			return;
 		}
 
--- a/source/membership/follow-peers.ts
+++ b/source/membership/follow-peers.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps one task for each chosen peer.
+ * Runs one connection task for each chosen peer.
  *
  * @module
  */
@@ -11,20 +11,20 @@
 import {type PeerContext} from './peer-context.ts';
 import {connectToPeer, startPeerServer} from './peer-server.ts';
 
-/** First delay before a peer is tried again that did not answer, in milliseconds. */
-const firstRetryMilliseconds = 200;
+/** Initial delay before reconnecting to a peer that did not respond, in milliseconds. */
+const initialRetryMilliseconds = 200;
 
-/** Longest delay before it is tried again, in milliseconds. */
-const longestRetryMilliseconds = 5000;
+/** Maximum reconnection delay, in milliseconds. */
+const maxRetryMilliseconds = 5000;
 
-/** Time between two looks at whether a connection is needed, in milliseconds. */
-const lookMilliseconds = 500;
+/** Interval between checks whether a connection is needed, in milliseconds. */
+const checkIntervalMilliseconds = 500;
 
 /**
- * Serves peers, and connects to those chosen from each new host list and to the seeds while there is no list.
+ * Accepts connections from peers, and connects to the peers chosen from each new host list, and to the seeds while there is no list.
  *
- * @param context Parts that all connections share.
- * @param signal Ends the task and all connections.
+ * @param context State shared by all connections.
+ * @param signal Stops the task and all connections.
  * @example
  * ```ts
  * supervisor.start('peers', signal => followPeers(context, signal));
@@ -34,14 +34,14 @@
 	const server = await startPeerServer(context, signal);
 	const supervisor = new Supervisor({logger: context.logger});
 	let running = new Map<string, string>();
-	let chosenFrom = '';
-	const adjust = () => {
-		const from = context.directory.hosts.map(({name, entry}) => `${name} ${entry?.peers}`).join('\n');
-		if (from === chosenFrom) {
+	let appliedHostsKey = '';
+	const reconcile = () => {
+		const hostsKey = context.directory.hosts.map(({name, entry}) => `${name} ${entry?.peers}`).join('\n');
+		if (hostsKey === appliedHostsKey) {
 			return;
 		}
 
-		chosenFrom = from;
+		appliedHostsKey = hostsKey;
 		const chosen = chosenAddresses(context);
 		for (const [hostName, address] of running) {
 			if (chosen.get(hostName) !== address) {
@@ -50,16 +50,16 @@
 		}
 
 		for (const [hostName, address] of chosen) {
-			supervisor.start(taskName(hostName, address), async taskSignal => keepPeer(hostName, address, context, taskSignal));
+			supervisor.start(taskName(hostName, address), async taskSignal => maintainPeer(hostName, address, context, taskSignal));
 		}
 
 		running = chosen;
 	};
 
-	const unsubscribe = context.directory.onUpdate(adjust);
-	adjust();
+	const unsubscribe = context.directory.onUpdate(reconcile);
+	reconcile();
 	for (const seed of context.settings.seeds) {
-		supervisor.start(`seed ${seed}`, async taskSignal => keepSeed(seed, context, taskSignal));
+		supervisor.start(`seed ${seed}`, async taskSignal => maintainSeed(seed, context, taskSignal));
 	}
 
 	await new Promise<void>(resolve => {
@@ -85,40 +85,40 @@
 	return new Map(chosen.map(host => [host.name, host.entry!.peers]));
 }
 
-/** Keeps a connection to one peer. Where both sides chose each other, the connection of the lower name stays. */
-async function keepPeer(hostName: string, address: string, context: PeerContext, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
+/** Maintains a connection to one peer. If both sides chose each other, only the connection opened by the host with the lower name is kept. */
+async function maintainPeer(hostName: string, address: string, context: PeerContext, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
 	const wanted = () => hostName > context.identity.hostName || !context.registry.isConnected(hostName, 'inbound');
-	await keepConnected({
+	await maintainConnection({
 		address, context, signal, wanted,
 	});
 	return ok();
 }
 
-/** Keeps a connection to a seed while there is no host list or no other connection. */
-async function keepSeed(address: string, context: PeerContext, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
+/** Maintains a connection to a seed while there is no host list or no other connection. */
+async function maintainSeed(address: string, context: PeerContext, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
 	const {directory, registry} = context;
-	await keepConnected({
+	await maintainConnection({
 		address, context, signal, wanted: () => directory.listedAt === undefined || registry.open.length <= 1,
 	});
 	return ok();
 }
 
-type KeepConnectedOptions = {address: string; context: PeerContext; signal: AbortSignal; wanted: () => boolean};
+type MaintainConnectionOptions = {address: string; context: PeerContext; signal: AbortSignal; wanted: () => boolean};
 
-async function keepConnected({address, context, signal, wanted}: KeepConnectedOptions): Promise<void> {
+async function maintainConnection({address, context, signal, wanted}: MaintainConnectionOptions): Promise<void> {
 	const {logger, random} = context;
-	let retryMilliseconds = firstRetryMilliseconds;
+	let retryMilliseconds = initialRetryMilliseconds;
 	while (!signal.aborted) {
 		if (!wanted()) {
-			await pause(lookMilliseconds, signal);
+			await pause(checkIntervalMilliseconds, signal);
 			continue;
 		}
 
 		const end = await connectToPeer(address, context, {signal, wanted});
 		logger.debug('peer connection ended', {address, peer: end.peer?.hostName, reason: end.reason});
-		// A peer that had answered gets a new connection at once, since only the old one may be broken.
+		// Reconnects at once to a peer that had responded, since possibly only the old connection is broken.
 		const delayMilliseconds = end.peer ? 0 : retryMilliseconds;
-		retryMilliseconds = end.peer ? firstRetryMilliseconds : Math.min(retryMilliseconds * 2, longestRetryMilliseconds);
+		retryMilliseconds = end.peer ? initialRetryMilliseconds : Math.min(retryMilliseconds * 2, maxRetryMilliseconds);
 		await pause(delayMilliseconds * (0.5 + random()), signal);
 	}
 }
--- a/source/membership/host-directory.test.ts
+++ b/source/membership/host-directory.test.ts
@@ -3,7 +3,7 @@
 import {type Host} from '../table-service/mod.ts';
 import {chooseEntries} from './choose-entries.ts';
 import {choosePeers} from './choose-peers.ts';
-import {HintBoard} from './hint-board.ts';
+import {HintCache} from './hint-cache.ts';
 import {HostDirectory} from './host-directory.ts';
 
 function hostList(count: number, state: Host['state'] = 'live'): Host[] {
@@ -21,7 +21,7 @@
 	return hosts.map(({name}) => name).toSorted();
 }
 
-test('a hint of leaving outlives a lagging list until the list has shown departure and return', () => {
+test('a leaving hint takes precedence over a lagging list until the list has shown departure and return', () => {
 	const directory = new HostDirectory();
 	directory.update(hostList(2), 0);
 	directory.markLeaving('entry-0', 1000);
@@ -32,7 +32,7 @@
 	assert.deepEqual(namesOf(directory.entryHosts(4000)), ['entry-0', 'entry-1']);
 });
 
-test('a host that says that it is back is used before a list catches up that still calls it leaving', () => {
+test('a host that announces that it is live again is used while a lagging list still shows it as leaving', () => {
 	const directory = new HostDirectory();
 	directory.update(hostList(1, 'leaving'), 0);
 	assert.deepEqual(namesOf(directory.entryHosts(1000)), []);
@@ -41,8 +41,8 @@
 	assert.deepEqual(namesOf(directory.entryHosts(2000)), ['entry-0']);
 });
 
-test('a suddenly shorter list takes hosts away only after a time, a list that lacks a few at once', () => {
-	const directory = new HostDirectory({missingMilliseconds: 60_000});
+test('hosts missing from a suddenly shrunk list are removed after a grace period, a few missing hosts at once', () => {
+	const directory = new HostDirectory({missingGraceMilliseconds: 60_000});
 	directory.update(hostList(10), 0);
 	directory.update(hostList(9), 1000);
 	assert.equal(directory.entryHosts(1000).length, 9);
@@ -53,8 +53,8 @@
 	assert.equal(directory.entryHosts(62_001).length, 2);
 });
 
-test('a host that the list lacks is kept for a time while its peer connection lives', () => {
-	const directory = new HostDirectory({missingMilliseconds: 60_000});
+test('a host missing from the list is kept for a grace period while its peer connection is open', () => {
+	const directory = new HostDirectory({missingGraceMilliseconds: 60_000});
 	directory.update(hostList(10), 0);
 	directory.markConnected('entry-9', true);
 	directory.update(hostList(9), 1000);
@@ -64,7 +64,7 @@
 	assert.equal(directory.entryHosts(2000).length, 9);
 });
 
-test('an answer of entries is bounded, starts in the own zone and spreads callers over it', () => {
+test('chosen entries are bounded, start in the own zone and spread callers over it', () => {
 	let state = 1;
 	const random = () => {
 		state = (state * 48_271) % 2_147_483_647;
@@ -87,7 +87,7 @@
 	assert.ok(Math.max(...firsts.values()) < 33);
 });
 
-test('390 routers choose a bounded and connected graph whose links are stable', () => {
+test('390 routers choose a bounded and connected graph whose connections are stable', () => {
 	const hosts = hostList(390);
 	const linksOf = (list: Host[]) => new Map(list.map(host => [host.name, namesOf(choosePeers({
 		hostName: host.name, availabilityZone: host.availabilityZone, hosts: list, sameZone: 4, otherZones: 4,
@@ -108,7 +108,7 @@
 	assert.ok(kept.length > total * 0.98);
 });
 
-test('a hint reaches all of 390 routers in few hops, and each passes it on at most once a link', () => {
+test('a hint reaches all of 390 routers in few hops, and each router forwards it at most once per connection', () => {
 	const hosts = hostList(390);
 	const neighbours = new Map(hosts.map(host => [host.name, new Set<string>()]));
 	for (const host of hosts) {
@@ -121,8 +121,8 @@
 		}
 	}
 
-	const boards = new Map(hosts.map(({name}) => [name, new HintBoard()]));
-	boards.get('entry-0')!.publish({kind: 'host', key: 'entry-0', value: 'leaving'}, 0);
+	const caches = new Map(hosts.map(({name}) => [name, new HintCache()]));
+	caches.get('entry-0')!.publish({kind: 'host', key: 'entry-0', value: 'leaving'}, 0);
 	let reached = ['entry-0'];
 	let hops = 1;
 	let sent = 0;
@@ -131,9 +131,9 @@
 		const next: string[] = [];
 		for (const from of reached) {
 			for (const to of neighbours.get(from)!) {
-				const hints = boards.get(from)!.since(0, to, 0);
+				const hints = caches.get(from)!.since(0, to, 0);
 				sent += hints.length;
-				if (hints.some(hint => boards.get(to)!.receive(hint, from, 0))) {
+				if (hints.some(hint => caches.get(to)!.receive(hint, from, 0))) {
 					next.push(to);
 					known.add(to);
 				}
@@ -151,9 +151,9 @@
 	assert.ok(sent <= links, `${sent} messages over ${links} directed links`);
 });
 
-test('a hint crosses each link once, repeats are not spread again, and it ends with its lifetime', () => {
-	const boards = [new HintBoard({lifetimeMilliseconds: 1000}), new HintBoard({lifetimeMilliseconds: 1000}), new HintBoard({lifetimeMilliseconds: 1000})];
-	const [first, second, third] = boards as [HintBoard, HintBoard, HintBoard];
+test('a hint crosses each connection once, repeats are not forwarded, and it expires after its lifetime', () => {
+	const caches = [new HintCache({lifetimeMilliseconds: 1000}), new HintCache({lifetimeMilliseconds: 1000}), new HintCache({lifetimeMilliseconds: 1000})];
+	const [first, second, third] = caches as [HintCache, HintCache, HintCache];
 	first.publish({kind: 'suspect', key: 'digest', value: 'endpoint-1'}, 0);
 	first.publish({kind: 'suspect', key: 'digest', value: 'endpoint-1'}, 10);
 	const [hint] = first.since(0, 'second', 100);
@@ -161,9 +161,9 @@
 	assert.equal(second.receive(hint!, 'first', 100), true);
 	assert.equal(second.receive(hint!, 'third', 100), false);
 	assert.equal(second.since(0, 'first', 100).length, 0);
-	const [passedOn] = second.since(0, 'third', 900);
-	assert.equal(passedOn?.ageMilliseconds, 900);
-	assert.equal(third.receive(passedOn, 'second', 900), true);
+	const [forwarded] = second.since(0, 'third', 900);
+	assert.equal(forwarded?.ageMilliseconds, 900);
+	assert.equal(third.receive(forwarded, 'second', 900), true);
 	assert.equal(third.value('suspect', 'digest', 1001), undefined);
 	assert.equal(third.since(0, 'fourth', 1001).length, 0);
 	const published = Array.from({length: 20}, (_, index) => first.publish({kind: 'suspect', key: String(index), value: ''}, 2000));
--- a/source/membership/host-directory.ts
+++ b/source/membership/host-directory.ts
@@ -1,5 +1,5 @@
 /**
- * The hosts that this router knows, live and leaving.
+ * The hosts known to this router, live and leaving.
  *
  * @module
  */
@@ -7,37 +7,37 @@
 
 /** Options of {@linkcode HostDirectory}. */
 export type HostDirectoryOptions = {
-	/** Time for which a hint about a host outlives a host list that says otherwise, in milliseconds. Default 600,000. */
-	hintMilliseconds?: number;
-	/** Time for which hosts are kept that a suddenly shorter list lacks, or whose peer connection lives, in milliseconds. Default 60,000. */
-	missingMilliseconds?: number;
-	/** Share of the known hosts below which a list counts as suddenly shorter. Default 0.7. */
-	shorterShare?: number;
+	/** Time for which a hint about a host takes precedence over a host list that contradicts it, in milliseconds. Default 600,000. */
+	hintLifetimeMilliseconds?: number;
+	/** Time for which a host missing from the list is kept if the list shrank suddenly or a peer connection to the host is open, in milliseconds. Default 60,000. */
+	missingGraceMilliseconds?: number;
+	/** A list with fewer than this share of the known hosts counts as suddenly shrunk. Default 0.7. */
+	shrunkListShare?: number;
 };
 
 /** An endpoint and the host that it runs on. */
 export type EndpointRecord = {address: string; service: string; host: string; availabilityZone: string; region: string};
 
-/** Whether a host takes new work. */
+/** Whether a host accepts new work. */
 export type HostState = 'live' | 'leaving';
 
-/** A host whose state on the list changed. */
+/** A host whose listed state changed. */
 export type HostChange = {name: string; state: HostState};
 
 type HostRecord = {
 	host: Host;
-	/** Time from which the list has called it leaving. */
+	/** Time since which the list has shown it as leaving. */
 	leavingSince: number | undefined;
-	/** Time from which the list has lacked it. */
+	/** Time since which it has been missing from the list. */
 	missingSince: number | undefined;
-	/** Whether it went missing together with many others. */
-	missingWithMany: boolean;
+	/** Whether it was first missing from a suddenly shrunk list. */
+	missingFromShrunkList: boolean;
 };
 
 type HostHint = {state: HostState; at: number};
 
 /**
- * Merges the platform's list, which lags, with hints that arrive sooner.
+ * Merges the platform's host list, which lags, with hints that arrive sooner.
  *
  * @example
  * ```ts
@@ -57,11 +57,11 @@
 
 	constructor(options: HostDirectoryOptions = {}) {
 		this.#options = {
-			hintMilliseconds: 600_000, missingMilliseconds: 60_000, shorterShare: 0.7, ...options,
+			hintLifetimeMilliseconds: 600_000, missingGraceMilliseconds: 60_000, shrunkListShare: 0.7, ...options,
 		};
 	}
 
-	/** Hosts of the last list, and those kept although it lacks them. */
+	/** Hosts of the last list, and retained hosts that are missing from it. */
 	get hosts(): readonly Host[] {
 		return this.#hosts;
 	}
@@ -72,22 +72,22 @@
 	}
 
 	/**
-	 * Takes a new list of the platform.
+	 * Applies a new host list.
 	 *
 	 * @param hosts The list.
 	 * @param now Wall-clock time, in milliseconds.
 	 * @param listedAt Time at which the list was read, in milliseconds. Default now.
-	 * @returns Known hosts whose state changed on the list.
+	 * @returns Known hosts whose listed state changed.
 	 */
 	update(hosts: Host[], now: number, listedAt = now): HostChange[] {
 		const previous = this.#records;
 		const listed = new Set(hosts.map(({name}) => name));
 		const known = [...previous.values()].filter(({missingSince}) => missingSince === undefined).length;
 		const missing = [...previous.values()].filter(({host}) => !listed.has(host.name));
-		const shorter = hosts.length < known * this.#options.shorterShare;
+		const shrunk = hosts.length < known * this.#options.shrunkListShare;
 		this.#records = new Map(hosts.map(host => [host.name, this.#recordOf(host, previous.get(host.name), now)]));
 		for (const record of missing) {
-			this.#keepMissing(record, shorter, now);
+			this.#retainMissing(record, shrunk, now);
 		}
 
 		this.#listedAt = listedAt;
@@ -98,19 +98,19 @@
 		});
 	}
 
-	/** Records a hint that a host is leaving, before the list says so. */
+	/** Records a hint that a host is leaving, before the list shows it. */
 	markLeaving(host: string, now: number): void {
 		this.#hints.set(host, {state: 'leaving', at: now});
 		this.#rebuild(now);
 	}
 
-	/** Records a hint that a host is live again, before the list says so. */
+	/** Records a hint that a host is live again, before the list shows it. */
 	markLive(host: string, now: number): void {
 		this.#hints.set(host, {state: 'live', at: now});
 		this.#rebuild(now);
 	}
 
-	/** Records whether a peer connection to a host lives. */
+	/** Records whether a peer connection to a host is open. */
 	markConnected(host: string, connected: boolean): void {
 		if (connected) {
 			this.#connected.add(host);
@@ -135,12 +135,12 @@
 		return this.hosts.filter(host => host.entry && !this.isLeaving(host, now));
 	}
 
-	/** Endpoints of a service that take new work. */
+	/** Endpoints of a service that accept new work. */
 	endpointsOf(service: string): readonly EndpointRecord[] {
 		return this.#endpoints.get(service) ?? [];
 	}
 
-	/** Calls back with the hosts after each list; returns a function that stops it. */
+	/** Calls the listener with the hosts after each list or hint; returns a function that unsubscribes it. */
 	onUpdate(listener: (hosts: readonly Host[]) => void): () => void {
 		this.#listeners.add(listener);
 		return () => {
@@ -151,28 +151,28 @@
 	#recordOf(host: Host, previous: HostRecord | undefined, now: number): HostRecord {
 		const leavingSince = host.state === 'leaving' ? previous?.leavingSince ?? now : undefined;
 		const hint = this.#hints.get(host.name);
-		// The list has caught up with the departure that the hint told of, and with the return.
+		// The list has shown both the departure that the hint announced and the return, so the hint is obsolete.
 		if (host.state === 'live' && previous?.leavingSince !== undefined && hint?.state === 'leaving' && hint.at <= previous.leavingSince) {
 			this.#hints.delete(host.name);
 		}
 
 		return {
-			host, leavingSince, missingSince: undefined, missingWithMany: false,
+			host, leavingSince, missingSince: undefined, missingFromShrunkList: false,
 		};
 	}
 
-	#keepMissing(record: HostRecord, shorter: boolean, now: number): void {
+	#retainMissing(record: HostRecord, shrunk: boolean, now: number): void {
 		const missingSince = record.missingSince ?? now;
-		const missingWithMany = record.missingWithMany || (record.missingSince === undefined && shorter);
+		const missingFromShrunkList = record.missingFromShrunkList || (record.missingSince === undefined && shrunk);
 		const {name} = record.host;
-		if (now - missingSince < this.#options.missingMilliseconds && (missingWithMany || this.#connected.has(name))) {
-			this.#records.set(name, {...record, missingSince, missingWithMany});
+		if (now - missingSince < this.#options.missingGraceMilliseconds && (missingFromShrunkList || this.#connected.has(name))) {
+			this.#records.set(name, {...record, missingSince, missingFromShrunkList});
 		}
 	}
 
 	#hintOf(name: string, now: number): HostHint | undefined {
 		const hint = this.#hints.get(name);
-		return hint && now - hint.at < this.#options.hintMilliseconds ? hint : undefined;
+		return hint && now - hint.at < this.#options.hintLifetimeMilliseconds ? hint : undefined;
 	}
 
 	#rebuild(now: number): void {
--- a/source/membership/host-hints.ts
+++ b/source/membership/host-hints.ts
@@ -1,15 +1,15 @@
 /**
- * Hints about hosts that are live again or leaving, in both directions.
+ * Publishes and receives hints about hosts that are live again or leaving.
  *
  * @module
  */
 import {type Logger} from '../telemetry/mod.ts';
-import {hostHintKind, type HintBoard} from './hint-board.ts';
+import {hostHintKind, type HintCache} from './hint-cache.ts';
 import {type HostChange, type HostDirectory, type HostState} from './host-directory.ts';
 
 /** Options of {@linkcode HostHints}. */
 export type HostHintsOptions = {
-	hints: HintBoard;
+	hints: HintCache;
 	directory: HostDirectory;
 	logger: Logger;
 	/** Name of this host. */
@@ -19,10 +19,10 @@
 };
 
 /**
- * Announces this host's own state and passes on what is heard of others.
+ * Announces this host's own state and records the states that other hosts announce.
  *
- * A host that is leaving says so; after a restart it says that it is live, with a higher stamp, and so it does when an old hint
- * about its earlier life comes back to it.
+ * A host announces when it is leaving. After a restart it announces that it is live, with a higher stamp, and does so again
+ * whenever it receives an old hint about its previous incarnation.
  *
  * @example
  * ```ts
@@ -38,7 +38,7 @@
 		this.#options = options;
 		options.hints.onHint(({kind, key, value, ageMilliseconds}, now) => {
 			if (kind === hostHintKind && (value === 'live' || value === 'leaving')) {
-				this.#heard(key, value, now - ageMilliseconds);
+				this.#receive(key, value, now - ageMilliseconds);
 			}
 		});
 		this.announce('live');
@@ -50,25 +50,25 @@
 		this.#publish(this.#options.hostName, state);
 	}
 
-	/** Publishes that a host is leaving, as an operator said of it. */
-	leaving(host: string): void {
+	/** Publishes that a host is leaving, on behalf of an operator. */
+	publishLeaving(host: string): void {
 		this.#publish(host, 'leaving');
 	}
 
-	/** Passes on what changed on the host list, unless a hint has told it already; repeats this host's own state in time. */
-	listChanged(changes: readonly HostChange[]): void {
+	/** Publishes changes of the host list that no hint has announced yet; also renews this host's own state before it expires. */
+	publishListChanges(changes: readonly HostChange[]): void {
 		const {hints, hostName, wallClock} = this.#options;
 		this.#publish(hostName, this.#ownState);
 		for (const {name, state} of changes) {
 			const hinted = hints.value(hostHintKind, name, wallClock());
-			// A hint of a return is newer than a lagging list that only now tells of the departure.
+			// A hint that a host is live again is newer than a lagging list that only now shows its departure.
 			if (name !== hostName && !(state === 'leaving' && hinted === 'live')) {
 				this.#publish(name, state);
 			}
 		}
 	}
 
-	#heard(host: string, state: HostState, at: number): void {
+	#receive(host: string, state: HostState, at: number): void {
 		const {logger, hostName} = this.#options;
 		if (host === hostName) {
 			if (state !== this.#ownState) {
@@ -78,7 +78,7 @@
 			return;
 		}
 
-		logger.info('host hint heard', {host, state});
+		logger.info('host hint received', {host, state});
 		this.#mark(host, state, at);
 	}
 
--- a/source/membership/peer-context.ts
+++ b/source/membership/peer-context.ts
@@ -1,35 +1,35 @@
 /**
- * What all connections to peers share.
+ * Settings and state shared by all connections to peers.
  *
  * @module
  */
 import {type ActiveConfiguration} from '../configuration/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {type ConfigurationExchange} from './configuration-exchange.ts';
-import {type HintBoard} from './hint-board.ts';
+import {type HintCache} from './hint-cache.ts';
 import {type HostDirectory} from './host-directory.ts';
-import {type LoadBoard} from './load-board.ts';
+import {type LoadTracker} from './load-tracker.ts';
 import {type PeerRegistry} from './peer-registry.ts';
 import {type RouterIdentity, type UsageExchange} from './usage-exchange.ts';
 
 /** Settings of the connections between routers. */
 export type PeerSettings = {
-	/** Address that peers connect to. */
+	/** Address to listen on for connections from peers. */
 	listen: string;
-	/** Key that all peers share. */
+	/** Secret key shared by all peers. */
 	key: string;
 	sameZone: number;
 	otherZones: number;
-	/** Addresses of peers to ask while no host list is known. */
+	/** Addresses of peers to connect to while there is no host list or no other connection. */
 	seeds: string[];
 	heartbeatMilliseconds: number;
-	/** Time between two reports of usage to a keeper, in milliseconds. */
+	/** Minimum interval between usage reports to a peer that holds this router's totals, in milliseconds. */
 	usageHintMilliseconds: number;
-	/** Change in tokens from which a peer is told a load again; 0 tells it with each heartbeat. */
+	/** Change in tokens from which a load is sent to a peer again; 0 sends it with each heartbeat. */
 	loadRadiusTokens: number;
 };
 
-/** What all connections to peers share. */
+/** Settings and state shared by all connections to peers. */
 export type PeerContext = {
 	identity: RouterIdentity;
 	availabilityZone: string;
@@ -37,12 +37,12 @@
 	directory: HostDirectory;
 	configuration: ActiveConfiguration;
 	exchange: ConfigurationExchange;
-	hints: HintBoard;
-	loads: LoadBoard;
+	hints: HintCache;
+	loads: LoadTracker;
 	usage: UsageExchange;
 	registry: PeerRegistry;
 	logger: Logger;
-	/** Called with the bytes of each message sent. */
+	/** Called with the size of each sent message, in bytes. */
 	countBytes: (bytes: number) => void;
 	/** Returns the monotonic time, in milliseconds. */
 	clock: () => number;
--- a/source/membership/peer-protocol.ts
+++ b/source/membership/peer-protocol.ts
@@ -1,8 +1,8 @@
 /**
  * Messages between routers, and the gRPC service that carries them.
  *
- * The service is described by a JSON descriptor, so that no file has to be found at run time; its codec is protobuf.
- * Every message is a hint: losing one costs efficiency and breaks no promise.
+ * The service is defined by a JSON descriptor, so that no .proto file is needed at run time; messages are encoded as protobuf.
+ * Every message is advisory: losing one costs efficiency but violates no guarantee.
  *
  * @module
  */
@@ -10,13 +10,13 @@
 import {fromJSON} from '@grpc/proto-loader';
 import * as z from 'zod';
 
-/** A hint that spreads over all routers. */
+/** A hint that is propagated to all routers. */
 export const hintSchema = z.object({
-	/** What the hint is about, such as `host`. */
+	/** Category of the hint, such as `host`. */
 	kind: z.string().max(64),
-	/** The thing that it is about, such as a host's name. */
+	/** Identifier of the subject, such as a host's name. */
 	key: z.string().max(256),
-	/** Rises with each new value of the same kind and key. */
+	/** Increases with each new value of the same kind and key. */
 	stamp: z.number().int().nonnegative(),
 	value: z.string().max(1024).default(''),
 	/** Time since it was published, in milliseconds. */
@@ -26,9 +26,9 @@
 /** Work in progress of one service at one router. */
 export const loadSchema = z.object({service: z.string(), requests: z.number().default(0), tokens: z.number().default(0)});
 
-/** Running totals of some workspaces, one array a column. */
+/** Running totals of some workspaces, one array per column. */
 export const usageReportSchema = z.object({
-	/** Names that later reports of the same connection refer to by their position. */
+	/** Names that this and later reports of the same connection refer to by position. */
 	names: z.array(z.string()),
 	positions: z.array(z.number()),
 	deliveredTokens: z.array(z.number()),
@@ -50,7 +50,7 @@
 	removedWorkspaces: z.array(z.string()),
 });
 
-/** One message of a connection between two routers; each field is absent when there is nothing to say. */
+/** One message of a connection between two routers; a field that has nothing to send is absent or empty. */
 export const peerMessageSchema = z.object({
 	/** First message of each side. */
 	hello: z.object({hostName: z.string().min(1), incarnation: z.string().min(1), availabilityZone: z.string()}).optional(),
@@ -59,10 +59,10 @@
 	hints: z.array(hintSchema).default([]),
 	loads: z.array(loadSchema).default([]),
 	usage: usageReportSchema.optional(),
-	/** Asks for the configuration; the number is the version that the asker has. */
+	/** Requests the configuration; the number is the version that the sender has. */
 	pullConfiguration: z.object({baseVersion: z.number().default(0)}).optional(),
 	difference: differenceSchema.optional(),
-	/** Asks for the host list when the asked router's is clearly newer. */
+	/** Requests the host list, which is sent only if the receiver's list is clearly newer. */
 	pullHosts: z.object({ageMilliseconds: z.number()}).optional(),
 	/** The host list as JSON. */
 	hosts: z.object({json: z.string(), ageMilliseconds: z.number().default(0)}).optional(),
@@ -77,7 +77,7 @@
 /** The difference between two versions of the configuration. */
 export type ConfigurationDifference = z.output<typeof differenceSchema>;
 
-/** A hint as it travels. */
+/** A hint as it is sent. */
 export type Hint = z.output<typeof hintSchema>;
 
 /** Running totals of some workspaces. */
@@ -85,50 +85,50 @@
 
 type Field = {type: string; id: number; rule?: 'repeated'; options?: {packed: boolean}};
 
-const one = (id: number, type: string): Field => ({id, type});
-const many = (id: number, type: string): Field => ({id, type, rule: 'repeated'});
-const packed = (id: number): Field => ({
+const singleField = (id: number, type: string): Field => ({id, type});
+const repeatedField = (id: number, type: string): Field => ({id, type, rule: 'repeated'});
+const packedField = (id: number): Field => ({
 	id, type: 'uint64', rule: 'repeated', options: {packed: true},
 });
 
 const messages = {
-	Hello: {fields: {hostName: one(1, 'string'), incarnation: one(2, 'string'), availabilityZone: one(3, 'string')}},
+	Hello: {fields: {hostName: singleField(1, 'string'), incarnation: singleField(2, 'string'), availabilityZone: singleField(3, 'string')}},
 	Hint: {
 		fields: {
-			kind: one(1, 'string'), key: one(2, 'string'), stamp: one(3, 'uint64'), value: one(4, 'string'), ageMilliseconds: one(5, 'uint64'),
+			kind: singleField(1, 'string'), key: singleField(2, 'string'), stamp: singleField(3, 'uint64'), value: singleField(4, 'string'), ageMilliseconds: singleField(5, 'uint64'),
 		},
 	},
-	Load: {fields: {service: one(1, 'string'), requests: one(2, 'uint64'), tokens: one(3, 'uint64')}},
+	Load: {fields: {service: singleField(1, 'string'), requests: singleField(2, 'uint64'), tokens: singleField(3, 'uint64')}},
 	Usage: {
 		fields: {
-			names: many(1, 'string'), positions: packed(2), deliveredTokens: packed(3), extraTokens: packed(4), calls: packed(5),
+			names: repeatedField(1, 'string'), positions: packedField(2), deliveredTokens: packedField(3), extraTokens: packedField(4), calls: packedField(5),
 		},
 	},
-	PullConfiguration: {fields: {baseVersion: one(1, 'uint64')}},
+	PullConfiguration: {fields: {baseVersion: singleField(1, 'uint64')}},
 	Difference: {
 		fields: {
-			baseVersion: one(1, 'uint64'),
-			version: one(2, 'uint64'),
-			digest: one(3, 'string'),
-			services: many(4, 'string'),
-			workspaces: many(5, 'string'),
-			removedServices: many(6, 'string'),
-			removedWorkspaces: many(7, 'string'),
+			baseVersion: singleField(1, 'uint64'),
+			version: singleField(2, 'uint64'),
+			digest: singleField(3, 'string'),
+			services: repeatedField(4, 'string'),
+			workspaces: repeatedField(5, 'string'),
+			removedServices: repeatedField(6, 'string'),
+			removedWorkspaces: repeatedField(7, 'string'),
 		},
 	},
-	PullHosts: {fields: {ageMilliseconds: one(1, 'uint64')}},
-	Hosts: {fields: {json: one(1, 'string'), ageMilliseconds: one(2, 'uint64')}},
+	PullHosts: {fields: {ageMilliseconds: singleField(1, 'uint64')}},
+	Hosts: {fields: {json: singleField(1, 'string'), ageMilliseconds: singleField(2, 'uint64')}},
 	Message: {
 		fields: {
-			hello: one(1, 'Hello'),
-			configurationVersion: one(2, 'uint64'),
-			hints: many(3, 'Hint'),
-			loads: many(4, 'Load'),
-			usage: one(5, 'Usage'),
-			pullConfiguration: one(6, 'PullConfiguration'),
-			difference: one(7, 'Difference'),
-			pullHosts: one(8, 'PullHosts'),
-			hosts: one(9, 'Hosts'),
+			hello: singleField(1, 'Hello'),
+			configurationVersion: singleField(2, 'uint64'),
+			hints: repeatedField(3, 'Hint'),
+			loads: repeatedField(4, 'Load'),
+			usage: singleField(5, 'Usage'),
+			pullConfiguration: singleField(6, 'PullConfiguration'),
+			difference: singleField(7, 'Difference'),
+			pullHosts: singleField(8, 'PullHosts'),
+			hosts: singleField(9, 'Hosts'),
 		},
 	},
 };
@@ -150,9 +150,9 @@
 	},
 }, {longs: Number, arrays: true});
 
-/** Metadata field of the key that peers share. */
+/** Metadata field that contains the shared peer key. */
 export const peerKeyField = 'azuretack-peer-key';
 
-/** The one method between routers: a stream of messages each way. */
+/** The only RPC method between routers: a bidirectional stream of messages. */
 // eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- The loader types messages as plain objects; the schema checks each one.
 export const exchangeMethod = (definitions['azuretack.Peers'] as unknown as {Exchange: MethodDefinition<PeerMessageParts, Record<string, unknown>>}).Exchange;
--- a/source/membership/peer-registry.ts
+++ b/source/membership/peer-registry.ts
@@ -8,11 +8,11 @@
 /** Which side opened a connection. */
 export type PeerDirection = 'inbound' | 'outbound';
 
-/** An open connection that has said hello. */
+/** An open connection whose peer has sent its hello. */
 export type OpenPeer = RouterIdentity & {direction: PeerDirection; availabilityZone: string; openedAt: number};
 
 /**
- * Knows which peers are connected, and what has been asked of them.
+ * Tracks which peers are connected, and when data was last requested from them.
  *
  * @example
  * ```ts
@@ -21,8 +21,8 @@
  */
 export class PeerRegistry {
 	readonly #open = new Set<OpenPeer>();
-	#configurationAskedAt = Number.NEGATIVE_INFINITY;
-	#hostsAskedAt = Number.NEGATIVE_INFINITY;
+	#configurationRequestedAt = Number.NEGATIVE_INFINITY;
+	#hostsRequestedAt = Number.NEGATIVE_INFINITY;
 
 	/** The open connections. */
 	get open(): readonly OpenPeer[] {
@@ -39,39 +39,39 @@
 		this.#open.delete(peer);
 	}
 
-	/** Whether a peer is connected, in either direction unless one is named. */
+	/** Whether a peer is connected, in either direction unless one is given. */
 	isConnected(hostName: string, direction?: PeerDirection): boolean {
 		return this.open.some(peer => peer.hostName === hostName && (direction === undefined || peer.direction === direction));
 	}
 
 	/**
-	 * Returns the names of the peers that keep this router's usage totals: the longest connected ones, other zones first.
+	 * Returns the names of the peers that hold this router's usage totals: other zones first, then the longest connected.
 	 *
 	 * @param availabilityZone This router's zone.
-	 * @param count Number of keepers.
+	 * @param count Maximum number of peers.
 	 */
-	keepers(availabilityZone: string, count: number): Set<string> {
+	usageReplicas(availabilityZone: string, count: number): Set<string> {
 		const ordered = this.open.toSorted((left, right) =>
 			Number(left.availabilityZone === availabilityZone) - Number(right.availabilityZone === availabilityZone) || left.openedAt - right.openedAt);
 		return new Set([...new Set(ordered.map(({hostName}) => hostName))].slice(0, count));
 	}
 
-	/** Whether the configuration may be asked for; true at most once in a time over all connections. */
-	mayAskConfiguration(now: number, milliseconds: number): boolean {
-		const may = now - this.#configurationAskedAt >= milliseconds;
-		this.#configurationAskedAt = may ? now : this.#configurationAskedAt;
-		return may;
+	/** Whether the configuration may be requested; true at most once per interval over all connections. */
+	tryRequestConfiguration(now: number, milliseconds: number): boolean {
+		const isDue = now - this.#configurationRequestedAt >= milliseconds;
+		this.#configurationRequestedAt = isDue ? now : this.#configurationRequestedAt;
+		return isDue;
 	}
 
-	/** Forgets that the configuration was asked for, since the answer has come. */
-	configurationAnswered(): void {
-		this.#configurationAskedAt = Number.NEGATIVE_INFINITY;
+	/** Allows the next configuration request at once, since the last one has been answered. */
+	recordConfigurationResponse(): void {
+		this.#configurationRequestedAt = Number.NEGATIVE_INFINITY;
 	}
 
-	/** Whether the host list may be asked for; true at most once in a time over all connections. */
-	mayAskHosts(now: number, milliseconds: number): boolean {
-		const may = now - this.#hostsAskedAt >= milliseconds;
-		this.#hostsAskedAt = may ? now : this.#hostsAskedAt;
-		return may;
+	/** Whether the host list may be requested; true at most once per interval over all connections. */
+	tryRequestHosts(now: number, milliseconds: number): boolean {
+		const isDue = now - this.#hostsRequestedAt >= milliseconds;
+		this.#hostsRequestedAt = isDue ? now : this.#hostsRequestedAt;
+		return isDue;
 	}
 }
--- a/source/membership/peer-server.ts
+++ b/source/membership/peer-server.ts
@@ -1,7 +1,7 @@
 /**
  * The gRPC server that peers connect to, and the client that connects to them.
  *
- * Connections are not encrypted; the shared key only tells peers from strangers, so the network between the hosts must be trusted.
+ * Connections are not encrypted; the shared key only authenticates peers, so the network between the hosts must be trusted.
  *
  * @module
  */
@@ -13,32 +13,32 @@
 import {exchangeMethod, peerKeyField, type PeerMessageParts} from './peer-protocol.ts';
 import {runSession, type RunSessionOptions, type SessionEnd} from './peer-session.ts';
 
-/** Bytes that frame each message: 9 of HTTP/2 and 5 of gRPC. */
+/** Framing overhead of each message, in bytes: 9 of HTTP/2 and 5 of gRPC. */
 const framingBytes = 14;
 
-/** Largest message, in bytes: a whole configuration and a host list at the largest size. */
-const largestMessageBytes = 16_777_216;
+/** Maximum message size, in bytes: a whole configuration and a host list of the largest size. */
+const maxMessageBytes = 16_777_216;
 
-/** Time after which the server probes a connection that carries nothing, in milliseconds. */
+/** Idle time after which the server sends a keepalive ping, in milliseconds. */
 const keepAliveMilliseconds = 20_000;
 
 const channelOptions = {
-	'grpc.max_receive_message_length': largestMessageBytes,
-	'grpc.max_send_message_length': largestMessageBytes,
+	'grpc.max_receive_message_length': maxMessageBytes,
+	'grpc.max_send_message_length': maxMessageBytes,
 };
 
 /** A running peer server. */
 export type PeerServer = {
-	/** Stops it and ends its connections. */
+	/** Stops the server and closes its connections. */
 	close(): void;
 };
 
 /**
  * Starts the server that peers connect to.
  *
- * @param context Parts that all connections share.
+ * @param context State shared by all connections.
  * @param signal Ends the connections.
- * @throws {Error} When the address cannot be listened on.
+ * @throws {Error} When the server cannot listen on the address.
  * @example
  * ```ts
  * const server = await startPeerServer(context, signal);
@@ -46,7 +46,7 @@
  */
 export async function startPeerServer(context: PeerContext, signal: AbortSignal): Promise<PeerServer> {
 	const server = new Server({...channelOptions, 'grpc.keepalive_time_ms': keepAliveMilliseconds});
-	const method = countSent(context);
+	const method = countSentBytes(context);
 	const service: ServiceDefinition = {exchange: method};
 	server.addService(service, {
 		exchange(stream: ServerDuplexStream<Record<string, unknown>, PeerMessageParts>) {
@@ -78,18 +78,18 @@
 }
 
 /**
- * Connects to a peer over a new connection and exchanges hints until it ends.
+ * Opens a new connection to a peer and exchanges messages until it ends.
  *
  * @param address Address of the peer.
- * @param context Parts that all connections share.
- * @param options When to end it.
+ * @param context State shared by all connections.
+ * @param options Conditions that end the connection.
  * @returns The peer and why the connection ended.
  */
 export async function connectToPeer(address: string, context: PeerContext, options: Pick<RunSessionOptions, 'signal' | 'wanted'>): Promise<SessionEnd> {
 	const client = new Client(address, credentials.createInsecure(), {...channelOptions, 'grpc.use_local_subchannel_pool': 1, 'grpc.enable_retries': 0});
 	const metadata = new Metadata();
 	metadata.set(peerKeyField, context.settings.key);
-	const method = countSent(context);
+	const method = countSentBytes(context);
 	const stream = client.makeBidiStreamRequest(method.path, method.requestSerialize, method.responseDeserialize, metadata);
 	try {
 		return await runSession({
@@ -101,7 +101,7 @@
 	}
 }
 
-function countSent(context: PeerContext): MethodDefinition<PeerMessageParts, Record<string, unknown>> {
+function countSentBytes(context: PeerContext): MethodDefinition<PeerMessageParts, Record<string, unknown>> {
 	const serialize = (message: PeerMessageParts) => {
 		const bytes = exchangeMethod.requestSerialize(message);
 		context.countBytes(bytes.length + framingBytes);
--- a/source/membership/peer-session.ts
+++ b/source/membership/peer-session.ts
@@ -1,5 +1,5 @@
 /**
- * One connection to a peer, the same for the side that opened it and the one that accepted it.
+ * One connection to a peer; the same code runs on the side that opened it and the side that accepted it.
  *
  * @module
  */
@@ -12,13 +12,13 @@
 
 /** How a connection ended. */
 export type SessionEnd = {
-	/** The peer, when it said hello. */
+	/** The peer; `undefined` if it sent no hello. */
 	peer: OpenPeer | undefined;
 	/** Why it ended. */
 	reason: string;
 };
 
-/** Stream of message objects, of either side. */
+/** Stream of message objects, on the client or the server side. */
 export type PeerStream = {
 	readonly destroyed: boolean;
 	readonly writableEnded: boolean;
@@ -34,17 +34,17 @@
 	context: PeerContext;
 	/** Ends the connection. */
 	signal: AbortSignal;
-	/** Whether the connection is still wanted once the peer is known. Default always. */
+	/** Whether the connection is still needed, checked once the peer is known. Default always. */
 	wanted?: (peer: OpenPeer) => boolean;
 };
 
-/** Heartbeats without a message after which a connection is given up. */
-const missedHeartbeats = 2.5;
+/** Number of heartbeat intervals without a message after which a connection is closed. */
+const maxMissedHeartbeats = 2.5;
 
 /**
- * Exchanges hints with one peer until the connection ends, falls silent or is no longer wanted.
+ * Exchanges messages with one peer until the connection ends, times out or is no longer needed.
  *
- * @param options Stream, shared parts and end.
+ * @param options Stream, shared state and conditions that end the connection.
  * @returns The peer and why the connection ended.
  * @example
  * ```ts
@@ -54,7 +54,7 @@
 export async function runSession(options: RunSessionOptions): Promise<SessionEnd> {
 	const {context, stream} = options;
 	const session = new Session(options);
-	const unsubscribe = context.hints.onNews(() => {
+	const unsubscribe = context.hints.onUpdate(() => {
 		session.wake();
 	});
 	const unsubscribeConfiguration = context.configuration.onChange(() => {
@@ -65,7 +65,7 @@
 	} finally {
 		unsubscribe();
 		unsubscribeConfiguration();
-		session.leave();
+		session.recordEnd();
 		stream.on('error', () => undefined);
 		stream.end();
 	}
@@ -78,7 +78,7 @@
 	#peer: OpenPeer | undefined;
 	#endReason: string | undefined;
 	#receivedAt: number;
-	#woken = new AbortController();
+	#wakeController = new AbortController();
 
 	constructor(options: RunSessionOptions) {
 		this.#options = options;
@@ -87,22 +87,22 @@
 		this.#receivedAt = options.context.clock();
 	}
 
-	/** Sends what there is to say without waiting for the next heartbeat. */
+	/** Sends pending messages without waiting for the next heartbeat. */
 	wake(): void {
-		this.#woken.abort();
+		this.#wakeController.abort();
 	}
 
-	/** Speaks and listens until the connection ends. */
+	/** Sends and receives messages until the connection ends. */
 	async run(): Promise<SessionEnd> {
 		const {context, signal} = this.#options;
 		const {heartbeatMilliseconds} = context.settings;
-		this.#listen();
+		this.#subscribe();
 		this.#send({hello: {...context.identity, availabilityZone: context.availabilityZone}});
 		let nextHeartbeat = context.clock() + heartbeatMilliseconds;
 		for (;;) {
-			this.#woken = new AbortController();
-			await pause(Math.max(0, nextHeartbeat - context.clock()), AbortSignal.any([signal, this.#woken.signal]));
-			const reason = this.#reasonToEnd();
+			this.#wakeController = new AbortController();
+			await pause(Math.max(0, nextHeartbeat - context.clock()), AbortSignal.any([signal, this.#wakeController.signal]));
+			const reason = this.#findEndReason();
 			if (reason !== undefined) {
 				return {peer: this.#peer, reason};
 			}
@@ -112,12 +112,12 @@
 				nextHeartbeat = context.clock() + heartbeatMilliseconds;
 			}
 
-			this.#speak(due);
+			this.#sendPending(due);
 		}
 	}
 
 	/** Records that the connection has ended. */
-	leave(): void {
+	recordEnd(): void {
 		const peer = this.#peer;
 		if (!peer) {
 			return;
@@ -126,16 +126,16 @@
 		const {registry, directory, loads, usage, wallClock} = this.#options.context;
 		registry.remove(peer);
 		if (!registry.open.some(({incarnation}) => incarnation === peer.incarnation)) {
-			usage.disconnected(peer, wallClock());
+			usage.recordDisconnect(peer, wallClock());
 		}
 
 		if (!registry.isConnected(peer.hostName)) {
 			directory.markConnected(peer.hostName, false);
-			loads.forget(peer.hostName);
+			loads.removePeer(peer.hostName);
 		}
 	}
 
-	#listen(): void {
+	#subscribe(): void {
 		const {stream} = this.#options;
 		stream.on('data', (message?: unknown) => {
 			this.#receive(message);
@@ -151,28 +151,28 @@
 	#receive(content: unknown): void {
 		const checked = peerMessageSchema.safeParse(content);
 		if (!checked.success) {
-			this.#endReason ??= `message refused: ${checked.error.message}`;
+			this.#endReason ??= `invalid message: ${checked.error.message}`;
 			this.wake();
 			return;
 		}
 
 		this.#receivedAt = this.#options.context.clock();
 		if (this.#peer === undefined) {
-			this.#greet(checked.data);
+			this.#handleHello(checked.data);
 		}
 
 		if (this.#peer) {
-			this.#outbox.answer(this.#inbox.take(checked.data, this.#peer));
-			if (this.#outbox.hasAnswers) {
+			this.#outbox.addReply(this.#inbox.handle(checked.data, this.#peer));
+			if (this.#outbox.hasReply) {
 				this.wake();
 			}
 		}
 	}
 
-	#greet({hello}: PeerMessage): void {
+	#handleHello({hello}: PeerMessage): void {
 		const {context, direction} = this.#options;
 		if (!hello || hello.incarnation === context.identity.incarnation) {
-			this.#endReason ??= hello ? 'connected to itself' : 'no hello';
+			this.#endReason ??= hello ? 'connected to itself' : 'the first message has no hello';
 			this.wake();
 			return;
 		}
@@ -180,12 +180,12 @@
 		this.#peer = {...hello, direction, openedAt: context.clock()};
 		context.registry.add(this.#peer);
 		context.directory.markConnected(hello.hostName, true);
-		context.usage.connected(this.#peer);
+		context.usage.recordConnect(this.#peer);
 		context.logger.debug('peer connected', {peer: hello.hostName, direction});
 		this.wake();
 	}
 
-	#reasonToEnd(): string | undefined {
+	#findEndReason(): string | undefined {
 		const {context, signal, wanted} = this.#options;
 		if (signal.aborted) {
 			return 'stopped';
@@ -195,14 +195,14 @@
 			return this.#endReason;
 		}
 
-		if (context.clock() - this.#receivedAt > missedHeartbeats * context.settings.heartbeatMilliseconds) {
+		if (context.clock() - this.#receivedAt > maxMissedHeartbeats * context.settings.heartbeatMilliseconds) {
 			return 'silent';
 		}
 
 		return this.#peer && wanted && !wanted(this.#peer) ? 'not needed' : undefined;
 	}
 
-	#speak(heartbeat: boolean): void {
+	#sendPending(heartbeat: boolean): void {
 		const parts = this.#peer && this.#outbox.compose(this.#peer, heartbeat);
 		if (parts ?? heartbeat) {
 			this.#send(parts ?? {});
--- a/source/membership/peers.test.ts
+++ b/source/membership/peers.test.ts
@@ -12,10 +12,10 @@
 
 type Status = {configurationVersion: number; ready: boolean; peers: Array<{hostName: string}>; leaving: boolean};
 
-type RouterPlace = {zone?: string; peers?: Record<string, unknown>; behindProxy?: boolean};
+type RouterOptions = {zone?: string; peers?: Record<string, unknown>; behindProxy?: boolean};
 
-/** Starts engines and routers; those behind the proxy reach the platform by the link `platform`, and are reached by `peers NAME`. */
-async function createFleet(routers: Record<string, RouterPlace>, platformOptions = {}): Promise<Fleet> {
+/** Starts engines and routers; routers behind the proxy connect to the platform through the link `platform`, and peers connect to them through `peers NAME`. */
+async function createFleet(routers: Record<string, RouterOptions>, platformOptions = {}): Promise<Fleet> {
 	const fleet = await Fleet.create(platformOptions);
 	await fleet.startEngine('engine-1', 'briefs');
 	await fleet.startEngine('engine-2', 'briefs');
@@ -65,8 +65,8 @@
 	return body.entries.map(({address}) => address);
 }
 
-async function untilListed(fleet: Fleet, asked: string[], host: string, listed: boolean): Promise<void> {
-	for (const name of asked) {
+async function untilListed(fleet: Fleet, queried: string[], host: string, listed: boolean): Promise<void> {
+	for (const name of queried) {
 		await fleet.until(async () => {
 			const entries = await entriesOf(fleet, name);
 			return entries.includes(fleet.hosts.get(host)!.entry!.callers) === listed;
@@ -82,8 +82,8 @@
 	await fleet.control('proxy', '/control/fault', {link, mode});
 }
 
-/** Speaks to router-1 as a peer would; returns the status code that ended the connection. */
-async function speakAsPeer(fleet: Fleet, {key, messages, until}: {key: string; messages: PeerMessageParts[]; until: (hasEnded: () => boolean) => Promise<void>}): Promise<number> {
+/** Connects to router-1 as a peer and sends messages; returns the status code that ended the connection. */
+async function connectAsPeer(fleet: Fleet, {key, messages, until}: {key: string; messages: PeerMessageParts[]; until: (hasEnded: () => boolean) => Promise<void>}): Promise<number> {
 	const client = new Client(fleet.hosts.get('router-1')!.entry!.peers, credentials.createInsecure());
 	const metadata = new Metadata();
 	metadata.set(peerKeyField, key);
@@ -107,7 +107,7 @@
 	return endCode;
 }
 
-test('a router cut off from the table takes a new version from its peers', async () => {
+test('a router cut off from the table receives a new configuration version from its peers', async () => {
 	await using fleet = await createFleet({'router-1': {}, 'router-2': {behindProxy: true}, 'router-3': {zone: 'zone-b', behindProxy: true}});
 	await linkFault(fleet, 'platform', 'cut');
 	await publish(fleet, 'v2');
@@ -116,7 +116,7 @@
 	}
 });
 
-test('a fresh router starts from a seed while the platform is down, and serves', async () => {
+test('a new router starts from a seed and serves requests while the platform is down', async () => {
 	await using fleet = await createFleet({'router-1': {}, 'router-2': {}});
 	await fleet.control('platform', '/control/fault', {mode: 'down'});
 	await fleet.startRouter('router-3', {peers: {...peers, seeds: [fleet.hosts.get('router-1')!.entry!.peers]}});
@@ -127,7 +127,7 @@
 	assert.equal(answer._unsafeUnwrap().tokens, 5);
 });
 
-test('a peer that was paused over two versions neither keeps its old one nor sets others back', async () => {
+test('a peer that was paused during two publications updates to the newest version and does not revert others', async () => {
 	await using fleet = await createFleet({'router-1': {}, 'router-2': {behindProxy: true}});
 	fleet.signal('router-2', 'SIGSTOP');
 	await publish(fleet, 'v2');
@@ -141,7 +141,7 @@
 	}, 'router-2 has version 3');
 });
 
-test('a stale peer that offers a lower version is not followed, and one without the key is refused', async () => {
+test('a lower version from a stale peer is ignored, and a peer without the key is refused', async () => {
 	await using fleet = await createFleet({'router-1': {}, 'router-2': {}});
 	await publish(fleet, 'v2');
 	await fleet.until(async () => await versionOf(fleet, 'router-1') === 2, 'router-1 has version 2');
@@ -158,11 +158,11 @@
 			},
 		},
 	];
-	const refused = await speakAsPeer(fleet, {
+	const refused = await connectAsPeer(fleet, {
 		key: 'not-the-key-of-the-peers',
 		messages,
 		async until(hasEnded) {
-			// The router must end the connection itself; the log may come before its answer.
+			// The router must end the connection itself; it may write the log line before it sends its response.
 			await untilLogged(fleet, 'router-1', 'peer refused');
 			await fleet.until(hasEnded, 'the router ends the connection');
 		},
@@ -171,7 +171,7 @@
 	const {peers: open} = await statusOf(fleet, 'router-1');
 	assert.equal(open.some(peer => peer.hostName === 'router-9'), false);
 	await untilListed(fleet, ['router-1'], 'router-2', true);
-	await speakAsPeer(fleet, {
+	await connectAsPeer(fleet, {
 		key: 'peer-key-of-the-tests', messages, until: async () => untilLogged(fleet, 'router-1', '"host":"router-2","state":"leaving"'),
 	});
 	const {configurationVersion, ready} = await statusOf(fleet, 'router-1');
@@ -179,7 +179,7 @@
 	await untilListed(fleet, ['router-1', 'router-2'], 'router-2', true);
 });
 
-test('leaving spreads over several hops before the host list says so, and a restart is heard too', async () => {
+test('a leaving hint propagates over several hops before the host list shows it, and so does a restart', async () => {
 	const near = {peers: {sameZone: 0, otherZones: 1}};
 	const names = ['router-1', 'router-2', 'router-3', 'router-4', 'router-5', 'router-6'];
 	await using fleet = await createFleet(Object.fromEntries(names.map((name, index) => [name, {...near, zone: `zone-${index % 3}`}])), {hostListLagMilliseconds: 0});
@@ -192,7 +192,7 @@
 	await untilListed(fleet, names, 'router-1', true);
 });
 
-test('endpoints of a leaving host get no new work from a router whose host list lags', async () => {
+test('endpoints of a leaving host receive no new work from a router whose host list lags', async () => {
 	await using fleet = await createFleet({'router-1': {}, 'router-2': {behindProxy: true}});
 	await linkFault(fleet, 'platform', 'silent');
 	const generationsOf = async () => {
@@ -218,10 +218,10 @@
 	await fleet.until(async () => {
 		await Promise.all([callAtRouter2(), callAtRouter2()]);
 		return await generationsOf() > before;
-	}, 'engine-1 gets work again once it is live');
+	}, 'engine-1 receives work again once it is live');
 });
 
-test('a peer connection that went silent for good is replaced by a new one', async () => {
+test('a peer connection that stays silent is replaced by a new one', async () => {
 	await using fleet = await createFleet({'router-1': {}, 'router-2': {behindProxy: true}});
 	const accepted = async () => {
 		const connections = await fleet.control<Record<string, {accepted: number}>>('proxy', '/control/connections');
@@ -236,7 +236,7 @@
 	assert.ok(await accepted() > before);
 });
 
-test('an empty host list does not empty the fleet', async () => {
+test('an empty host list does not remove the known hosts', async () => {
 	await using fleet = await createFleet({'router-1': {}, 'router-2': {}});
 	const reads = async () => {
 		const counts = await fleet.control<Record<string, number>>('platform', '/control/counts');
--- a/source/membership/usage-exchange.ts
+++ b/source/membership/usage-exchange.ts
@@ -1,54 +1,54 @@
 /**
- * How usage totals travel from a router to the few peers that would write them for it.
+ * Encodes the usage totals that a router sends to the few peers that write them if it fails.
  *
  * @module
  */
 import {type UsageReport} from './peer-protocol.ts';
 
-/** Running totals of one workspace at one router incarnation; each only rises. */
+/** Running totals of one workspace at one router incarnation; they never decrease. */
 export type UsageTotals = {
 	/** Tokens delivered to callers. */
 	deliveredTokens: number;
-	/** Tokens of prefill and decode beyond an undisturbed run. */
+	/** Prefill and decode tokens beyond those of an uninterrupted run. */
 	extraTokens: number;
 	calls: number;
 };
 
-/** One router from its start to its end. */
+/** One incarnation of a router, from its start to its end. */
 export type RouterIdentity = {hostName: string; incarnation: string};
 
-/** What membership needs of the accounts. */
+/** Interface to the usage accounts. */
 export type UsageExchange = {
 	/** This router's totals by workspace. */
 	totals(): ReadonlyMap<string, UsageTotals>;
-	/** Takes totals that a peer told. */
-	heard(router: RouterIdentity, workspace: string, totals: UsageTotals): void;
+	/** Records totals that a peer reported. */
+	recordTotals(router: RouterIdentity, workspace: string, totals: UsageTotals): void;
 	/** Called when the connection to a peer has ended, with the wall-clock time. */
-	disconnected(router: RouterIdentity, now: number): void;
+	recordDisconnect(router: RouterIdentity, now: number): void;
 	/** Called when a peer has connected. */
-	connected(router: RouterIdentity): void;
+	recordConnect(router: RouterIdentity): void;
 };
 
-/** Workspaces told in one message at most. */
-const reportedWorkspaces = 3000;
+/** Maximum number of workspaces in one message. */
+const maxReportedWorkspaces = 3000;
 
-/** Writes the reports of one connection: changed totals only, each workspace's name only once. */
+/** Encodes the reports of one connection: only changed totals, and each workspace's name only once. */
 export class UsageReporter {
 	readonly #positions = new Map<string, number>();
-	readonly #told = new Map<string, string>();
+	readonly #sent = new Map<string, string>();
 
-	/** Returns the totals that changed since they were last told, or nothing. */
+	/** Returns the totals that changed since they were last sent, or `undefined` if none did. */
 	report(totals: ReadonlyMap<string, UsageTotals>): UsageReport | undefined {
 		const report: UsageReport = {
 			names: [], positions: [], deliveredTokens: [], extraTokens: [], calls: [],
 		};
 		for (const [workspace, {deliveredTokens, extraTokens, calls}] of totals) {
 			const text = `${deliveredTokens} ${extraTokens} ${calls}`;
-			if (this.#told.get(workspace) === text || report.positions.length >= reportedWorkspaces) {
+			if (this.#sent.get(workspace) === text || report.positions.length >= maxReportedWorkspaces) {
 				continue;
 			}
 
-			this.#told.set(workspace, text);
+			this.#sent.set(workspace, text);
 			report.positions.push(this.#positionOf(workspace, report));
 			report.deliveredTokens.push(deliveredTokens);
 			report.extraTokens.push(extraTokens);
@@ -71,7 +71,7 @@
 	}
 }
 
-/** Reads the reports of one connection. */
+/** Decodes the reports of one connection. */
 export class UsageReader {
 	readonly #names: string[] = [];
 
--- a/source/router/caller-context.ts
+++ b/source/router/caller-context.ts
@@ -10,7 +10,7 @@
 import {type ActiveConfiguration, type Workspace} from '../configuration/mod.ts';
 import {type GenerationParts} from '../generation/mod.ts';
 import {
-	type HintBoard, type HostDirectory, type HostHints, type LoadBoard, type PeerRegistry, type RouterIdentity,
+	type HintCache, type HostDirectory, type HostHints, type LoadTracker, type PeerRegistry, type RouterIdentity,
 } from '../membership/mod.ts';
 import {type PlatformClient} from '../table-service/mod.ts';
 import {type RouterSettings} from '../settings/mod.ts';
@@ -23,9 +23,9 @@
 	directory: HostDirectory;
 	admission: Admission;
 	identity: RouterIdentity;
-	hints: HintBoard;
+	hints: HintCache;
 	hostHints: HostHints;
-	loads: LoadBoard;
+	loads: LoadTracker;
 	peers: PeerRegistry;
 	platform: PlatformClient;
 	/** Requests that are refused everywhere. */
--- a/source/router/serve-call.ts
+++ b/source/router/serve-call.ts
@@ -76,7 +76,7 @@
 		return refuse(permit.error);
 	}
 
-	const loadEnded = parts.loads.start(service.service, 1);
+	const loadEnded = parts.loads.recordStart(service.service, 1);
 	try {
 		const end = await run(call, exchange, parts);
 		if (end.kind === 'answered' && !end.stored) {
--- a/source/router/serve-completion.ts
+++ b/source/router/serve-completion.ts
@@ -58,7 +58,7 @@
 
 	const tokensDelivered = parts.metrics.tokensDelivered.labels(progress.service.service);
 	parts.metrics.liveGenerations.inc();
-	const loadEnded = parts.loads.start(progress.service.service, progress.maxTokens - progress.nextIndex);
+	const loadEnded = parts.loads.recordStart(progress.service.service, progress.maxTokens - progress.nextIndex);
 	const answer = createCompletionAnswer({
 		response: exchange.response,
 		progress,
--- a/source/router/start-control.ts
+++ b/source/router/start-control.ts
@@ -9,7 +9,7 @@
 } from '../accounts/mod.ts';
 import {followConfiguration, type ActiveConfiguration} from '../configuration/mod.ts';
 import {
-	ConfigurationExchange, HintBoard, HostDirectory, HostHints, LoadBoard, PeerRegistry, followHosts, followPeers, type PeerContext, type RouterIdentity,
+	ConfigurationExchange, HintCache, HostDirectory, HostHints, LoadTracker, PeerRegistry, followHosts, followPeers, type PeerContext, type RouterIdentity,
 } from '../membership/mod.ts';
 import {pollEndpoints, modelServices} from '../placement/mod.ts';
 import {type RouterSettings} from '../settings/mod.ts';
@@ -21,9 +21,9 @@
 export type ControlParts = {
 	identity: RouterIdentity;
 	directory: HostDirectory;
-	hints: HintBoard;
+	hints: HintCache;
 	hostHints: HostHints;
-	loads: LoadBoard;
+	loads: LoadTracker;
 	peers: PeerRegistry;
 	accounts: WorkspaceUsage;
 };
@@ -44,7 +44,7 @@
 export function createControlParts({settings, logger, wallClock}: ControlPartsOptions): ControlParts {
 	const {hostName} = settings;
 	const directory = new HostDirectory();
-	const hints = new HintBoard();
+	const hints = new HintCache();
 	const started = wallClock().toString(36);
 	return {
 		directory,
@@ -53,7 +53,7 @@
 			hints, directory, logger, hostName, wallClock,
 		}),
 		identity: {hostName, incarnation: `${hostName}.${started}.${randomBytes(3).toString('hex')}`},
-		loads: new LoadBoard(),
+		loads: new LoadTracker(),
 		peers: new PeerRegistry(),
 		accounts: new WorkspaceUsage(),
 	};
@@ -88,7 +88,7 @@
 		wallClock,
 		periodMilliseconds: settings.platform.hostListMilliseconds,
 		onChanges(changes) {
-			hostHints.listChanged(changes);
+			hostHints.publishListChanges(changes);
 		},
 	}, signal));
 	supervisor.start('configuration', async signal => followConfiguration({
