Reword the router folder

Cause: figurative names (leaving, refuses, kept, spread) and comments that told stories.

Changed: comments, names, file names and test titles; the planned stop is GracefulShutdown, as in the gateway. The status field and the hint that say "leaving" stay, and so do texts to callers. Tests: titles, names and one local label; no check changed.

--- a/source/binaries/azuretack-router.ts
+++ b/source/binaries/azuretack-router.ts
@@ -33,10 +33,10 @@
 
 const router = await startRouter(settings);
 const onSignal = () => {
-	void router.leave();
+	void router.stop();
 };
 
 process.on('SIGTERM', onSignal);
 process.on('SIGINT', onSignal);
-await router.left;
+await router.stopped;
 process.exit(0);
--- a/source/router/admission-parts.ts
+++ b/source/router/admission-parts.ts
@@ -1,5 +1,5 @@
 /**
- * Builds the router's parts that decide whether, when and where work starts.
+ * Creates the router's components for admission control, placement and retries.
  *
  * @module
  */
@@ -11,19 +11,19 @@
 import {Placement, createEndpointShares, startTokensOf} from '../placement/mod.ts';
 import {type CallerParts} from './caller-context.ts';
 
-/** Kind of the hints that name convicted requests; the value is the time until which they are refused. */
-const convictedHintKind = 'convicted';
+/** Kind of the hints that announce blocked requests. The key is the request digest, the value the wall-clock time at which the block expires, in milliseconds. */
+const blockedRequestHintKind = 'convicted';
 
-/** The parts that are built here. */
-export type AdmissionParts = Pick<CallerParts, 'admission' | 'placement' | 'refused' | 'retries' | 'suspects'>;
+/** Components that {@linkcode createAdmissionParts} creates. */
+export type AdmissionParts = Pick<CallerParts, 'admission' | 'placement' | 'blockedRequests' | 'retries' | 'suspects'>;
 
-/** What they are built from. */
+/** Components that {@linkcode createAdmissionParts} depends on. */
 export type AdmissionPartsOptions = Pick<CallerParts, 'clock' | 'configuration' | 'directory' | 'engines' | 'hints' | 'logger' | 'platform' | 'random' | 'settings' | 'wallClock'>;
 
 /**
- * Creates placement, admission, the retry budget and the watch for requests that kill endpoints.
+ * Creates placement, admission, the retry budget and the detection of requests that crash endpoints.
  *
- * @param options The router's other parts.
+ * @param options The router components that these depend on.
  * @example
  * ```ts
  * const parts = {...base, ...createAdmissionParts(base)};
@@ -39,41 +39,41 @@
 		limits: {shareOf: createEndpointShares(directory, settings.placement.endpointsPerService)},
 	});
 	const suspects: Suspects = new Suspects({
-		locationOf: createPlaces(directory, wallClock),
+		locationOf: createLocationOf(directory, wallClock),
 		onBlocked(digest, expiresAt) {
-			logger.warn('request convicted', {digest});
-			hints.publish({kind: convictedHintKind, key: digest, value: String(expiresAt)}, wallClock());
-			void refused.save(digest, expiresAt);
+			logger.warn('request blocked', {digest});
+			hints.publish({kind: blockedRequestHintKind, key: digest, value: String(expiresAt)}, wallClock());
+			void blockedRequests.save(digest, expiresAt);
 		},
 	});
 	hints.onHint(({kind, key, value}) => {
-		if (kind === convictedHintKind && Number.isFinite(Number(value))) {
+		if (kind === blockedRequestHintKind && Number.isFinite(Number(value))) {
 			suspects.receiveBlock(key, Number(value));
 		}
 	});
-	const refused = new BlockedRequests({
+	const blockedRequests = new BlockedRequests({
 		platform, suspects, logger, wallClock, random,
 	});
-	const watch = new SuspectMonitor({
-		suspects, blockedRequests: refused, claims: new EndpointClaims({platform, wallClock}), engines, logger, wallClock, endpointsOf: service => directory.endpointsOf(service).map(({address}) => address),
+	const suspectMonitor = new SuspectMonitor({
+		suspects, blockedRequests, claims: new EndpointClaims({platform, wallClock}), engines, logger, wallClock, endpointsOf: service => directory.endpointsOf(service).map(({address}) => address),
 	});
 	return {
 		placement,
-		refused,
-		suspects: watch,
+		blockedRequests,
+		suspects: suspectMonitor,
 		retries: new RetryBudget({ratio: settings.admission.retryShare}),
 		admission: new Admission({
 			...settings.admission,
 			wallClock,
 			random,
 			capacityOf: service => placement.capacityOf(service, clock()),
-			refusalOf: (digest, now) => watch.refusalOf(digest, now),
+			refusalOf: (digest, now) => suspectMonitor.refusalOf(digest, now),
 		}),
 	};
 }
 
-/** Finds the host and zone of an endpoint that is listed and not leaving. */
-function createPlaces(directory: HostDirectory, wallClock: () => number): (address: string) => EndpointLocation | undefined {
+/** Returns a function that looks up the host and zone of an endpoint; it returns `undefined` for an endpoint that is not listed or whose host is leaving. */
+function createLocationOf(directory: HostDirectory, wallClock: () => number): (address: string) => EndpointLocation | undefined {
 	let hosts: HostDirectory['hosts'] | undefined;
 	let hostOf = new Map<string, Host>();
 	return address => {
--- a/source/router/bad-requests.test.ts
+++ b/source/router/bad-requests.test.ts
@@ -7,7 +7,7 @@
 	Fleet, operatorKey, testKey, workspacesFile,
 } from '../testing/fleet.ts';
 
-/** Sends raw bytes and returns the whole answer. */
+/** Sends a raw HTTP request and returns the whole response. */
 async function sendRaw(address: string, request: string): Promise<string> {
 	const {hostname, port} = new URL(`http://${address}`);
 	const socket = connect(Number(port), hostname);
@@ -16,7 +16,7 @@
 	return text(socket);
 }
 
-test('malformed requests get a 4xx answer and never stop the router', async () => {
+test('malformed requests get a 4xx response and do not stop the router', async () => {
 	await using fleet = await Fleet.create();
 	await fleet.startRouter('router-1');
 	await fleet.publishHosts();
--- a/source/router/bodies.ts
+++ b/source/router/bodies.ts
@@ -1,5 +1,5 @@
 /**
- * Schemas and readers of callers' request bodies.
+ * Reads and validates request bodies.
  *
  * @module
  */
@@ -11,7 +11,7 @@
 import * as z from 'zod';
 import {type Refusal} from '../answers/mod.ts';
 
-/** Body of `POST /v1/completions`, in the shape of the OpenAI completions call. */
+/** Schema of the body of `POST /v1/completions`, compatible with the OpenAI completions API. */
 export const completionBodySchema = z.object({
 	/** Name of the service. */
 	model: z.string(),
@@ -19,17 +19,17 @@
 	max_tokens: z.number().int().positive().default(256),
 	stream: z.boolean().default(false),
 	seed: z.number().int().optional(),
-	/** Text received so far; goes with the `Last-Event-ID` header. */
+	/** Text that the caller has received so far; used together with the `Last-Event-ID` header. */
 	received_text: z.string().optional(),
 });
 
-/** Body of a completions request. */
+/** Validated body of a completions request. */
 export type CompletionBody = z.output<typeof completionBodySchema>;
 
 /**
- * Returns the refusal of a malformed request.
+ * Returns a 400 refusal for a malformed request.
  *
- * @param message What is wrong with it.
+ * @param message Describes the error.
  */
 export function badRequest(message: string): Refusal {
 	return {
@@ -38,11 +38,11 @@
 }
 
 /**
- * Reads a request's body up to a limit.
+ * Reads and decodes a request body of limited size.
  *
  * @param request The request.
- * @param largestBytes Limit in bytes.
- * @returns The body, or a refusal with status 413.
+ * @param maximumBytes Maximum size, in bytes.
+ * @returns The body, or a refusal with status 413 if it is too large.
  * @example
  * ```ts
  * const body = await readBody(request, 4_194_304);
@@ -54,11 +54,11 @@
 }
 
 /**
- * Reads a request's body as {@linkcode readBody} does, without decoding it.
+ * Reads a request body of limited size without decoding it; see {@linkcode readBody}.
  *
  * @param request The request.
- * @param largestBytes Limit in bytes.
- * @returns The body, or a refusal with status 413.
+ * @param maximumBytes Maximum size, in bytes.
+ * @returns The body, or a refusal with status 413 if it is too large.
  * @example
  * ```ts
  * const body = await readBytes(request, 4_194_304);
@@ -80,10 +80,10 @@
 }
 
 /**
- * Reads and checks a completions body.
+ * Parses and validates the body of a completions request.
  *
- * @param text The body.
- * @returns The body, or a refusal that names every faulty field.
+ * @param text The body as JSON text.
+ * @returns The body, or a refusal that lists every invalid field.
  */
 export function parseCompletionBody(text: string): Result<CompletionBody, Refusal> {
 	let content: unknown;
--- a/source/router/call-parts.ts
+++ b/source/router/call-parts.ts
@@ -1,5 +1,5 @@
 /**
- * Builds what calls to plain services need from the router's other parts.
+ * Creates the components for calls to plain services.
  *
  * @module
  */
@@ -8,20 +8,20 @@
 import {PooledServiceClient} from '../endpoints/mod.ts';
 import {type CallerParts} from './caller-context.ts';
 
-/** Retries and hedges that a service may save up. */
-const savedRetries = 10;
+/** Maximum number of unused retries and hedges that a service's retry budget accumulates. */
+const retryBudgetCapacity = 10;
 
 /**
- * Creates the parts of calls.
+ * Creates the components for calls to plain services.
  *
- * @param parts The router's other parts.
+ * @param parts The router's other components.
  * @example
  * ```ts
  * const calls = createCallParts(parts);
  * ```
  */
 export function createCallParts(parts: Omit<CallerParts, 'calls'>): CallParts {
-	const {placement, tracing, logger, clock, wallClock, random, platform, settings, leaving, identity} = parts;
+	const {placement, tracing, logger, clock, wallClock, random, platform, settings, shutdown, identity} = parts;
 	const budgets = new Map<string, RetryBudget>();
 	return {
 		placement,
@@ -33,12 +33,12 @@
 		serviceClient: new PooledServiceClient(),
 		claims: new ClaimStore({platform, clock, random}),
 		retryBudgetOf(service) {
-			const budget = budgets.get(service) ?? new RetryBudget({ratio: settings.admission.retryShare, capacity: savedRetries, perSecond: 0});
+			const budget = budgets.get(service) ?? new RetryBudget({ratio: settings.admission.retryShare, capacity: retryBudgetCapacity, perSecond: 0});
 			budgets.set(service, budget);
 			return budget;
 		},
 		recentLatency: new RecentLatency(),
 		incarnation: identity.incarnation,
-		track: () => leaving.track(),
+		track: () => shutdown.trackRequest(),
 	};
 }
--- a/source/router/caller-context.ts
+++ b/source/router/caller-context.ts
@@ -1,5 +1,5 @@
 /**
- * What the handlers of callers' requests share.
+ * Types that the handlers of caller requests share.
  *
  * @module
  */
@@ -14,9 +14,9 @@
 } from '../membership/mod.ts';
 import {type PlatformClient} from '../table-service/mod.ts';
 import {type RouterSettings} from '../settings/mod.ts';
-import {type Leaving} from './leaving.ts';
+import {type GracefulShutdown} from './graceful-shutdown.ts';
 
-/** The router's parts that serve callers. */
+/** The router's components that serve callers. */
 export type CallerParts = GenerationParts & {
 	settings: RouterSettings;
 	configuration: ActiveConfiguration;
@@ -28,23 +28,23 @@
 	loads: LoadTracker;
 	peers: PeerRegistry;
 	platform: PlatformClient;
-	/** Requests that are refused everywhere. */
-	refused: BlockedRequests;
-	leaving: Leaving;
+	/** Requests that every router refuses because they crash endpoints. */
+	blockedRequests: BlockedRequests;
+	shutdown: GracefulShutdown;
 	calls: CallParts;
 };
 
-/** One request of a caller. */
+/** An authenticated caller request and its response. */
 export type CallerExchange = {
 	request: IncomingMessage;
 	response: ServerResponse;
 	/** Path and query of the request. */
 	url: URL;
-	/** Workspace that the caller's key admits to. */
+	/** Workspace that the caller's key belongs to. */
 	workspace: Workspace;
-	/** Name of the request in logs, traces and answers. */
+	/** Identifies the request in logs, traces and responses. */
 	requestName: string;
 	span: Span;
-	/** Aborts when the caller's connection has closed. */
+	/** Aborts when the caller's connection closes. */
 	signal: AbortSignal;
 };
--- a/source/router/caller-server.ts
+++ b/source/router/caller-server.ts
@@ -1,5 +1,5 @@
 /**
- * The HTTP server that callers speak to.
+ * HTTP server for callers.
  *
  * @module
  */
@@ -20,27 +20,27 @@
 import {serveCall, serviceOfCall} from './serve-call.ts';
 import {serveCompletion} from './serve-completion.ts';
 
-/** Serves one authenticated request and returns its outcome code. */
+/** Serves one authenticated request and returns its outcome code, for metrics. */
 type Handler = (exchange: CallerExchange, parts: CallerParts) => Promise<string>;
 
-type Route = {method: string | undefined; path: RegExp; service: (url: URL) => string; handler: Handler};
+type Route = {method: string | undefined; path: RegExp; serviceOf: (url: URL) => string; handler: Handler};
 
 const routes: Route[] = [
 	{
-		method: 'POST', path: /^\/v1\/completions$/v, service: () => 'completions', handler: serveCompletion,
+		method: 'POST', path: /^\/v1\/completions$/v, serviceOf: () => 'completions', handler: serveCompletion,
 	},
 	{
-		method: undefined, path: /^\/v1\/services\/[^\/]+(?:\/|$)/v, service: serviceOfCall, handler: serveCall,
+		method: undefined, path: /^\/v1\/services\/[^\/]+(?:\/|$)/v, serviceOf: serviceOfCall, handler: serveCall,
 	},
 ];
 
-/** Seconds after which a caller may ask a router again that is not ready. */
-const notReadySeconds = 2;
+/** Delay after which a caller may retry at a router that is not ready, in seconds. */
+const notReadyRetryAfterSeconds = 2;
 
 /**
- * Creates the callers' server; it does not listen yet.
+ * Creates the HTTP server for callers, which is not listening yet.
  *
- * @param parts The router's parts.
+ * @param parts The router's components.
  * @example
  * ```ts
  * createCallerServer(parts).listen(8080, '10.0.0.1');
@@ -67,7 +67,7 @@
 		return;
 	}
 
-	const ended = parts.leaving.track();
+	const finishTracking = parts.shutdown.trackRequest();
 	const requestName = randomUUID();
 	const span = parts.tracing.start('caller', parts.tracing.extract(request.headers), {
 		request: requestName, method: request.method, path: url.pathname,
@@ -82,7 +82,7 @@
 		parts.logger.error('request failed', {request: requestName, error: String(error)});
 		response.destroy();
 	} finally {
-		endTracking(response, ended);
+		finishWhenClosed(response, finishTracking);
 		span.setAttribute('outcome', outcome);
 		span.end();
 		parts.logger.info('request ended', {request: requestName, path: url.pathname, outcome});
@@ -91,23 +91,23 @@
 
 async function route(exchange: Omit<CallerExchange, 'workspace'>, parts: CallerParts): Promise<string> {
 	const {request, response, url} = exchange;
-	const found = routes.find(candidate => candidate.path.test(url.pathname) && (candidate.method ?? request.method) === request.method);
+	const matchedRoute = routes.find(candidate => candidate.path.test(url.pathname) && (candidate.method ?? request.method) === request.method);
 	const workspace = workspaceOf(request, parts);
-	const refusal = refusalBefore(parts, found, workspace);
+	const refusal = checkRequest(parts, matchedRoute, workspace);
 	if (refusal) {
-		sendRefusal(response, found?.handler === serveCall ? refusalOfAttempt(refusal, request.headers) : refusal);
+		sendRefusal(response, matchedRoute?.handler === serveCall ? refusalOfAttempt(refusal, request.headers) : refusal);
 		return refusal.code;
 	}
 
-	const outcome = await found!.handler({...exchange, workspace: workspace!}, parts);
-	parts.metrics.requests.inc({service: outcome === 'not_found' ? 'unknown' : found!.service(url), outcome});
+	const outcome = await matchedRoute!.handler({...exchange, workspace: workspace!}, parts);
+	parts.metrics.requests.inc({service: outcome === 'not_found' ? 'unknown' : matchedRoute!.serviceOf(url), outcome});
 	return outcome;
 }
 
-/** Decides whether a request is refused before its handler sees it. */
-function refusalBefore(parts: CallerParts, found: Route | undefined, workspace: Workspace | undefined): Refusal | undefined {
+/** Returns the refusal if the request must not reach a handler. */
+function checkRequest(parts: CallerParts, matchedRoute: Route | undefined, workspace: Workspace | undefined): Refusal | undefined {
 	const now = parts.wallClock();
-	if (parts.leaving.refuses(now)) {
+	if (parts.shutdown.rejectsRequests(now)) {
 		return {
 			status: 503, code: 'host_leaving', message: 'This host is leaving; use another entry.', run: 'no', retryAfterSeconds: 0, entries: entryAddresses(parts),
 		};
@@ -115,7 +115,7 @@
 
 	if (!parts.configuration.ready) {
 		return {
-			status: 503, code: 'not_ready', message: 'This host has no configuration that it can act on.', run: 'no', retryAfterSeconds: notReadySeconds, entries: entryAddresses(parts),
+			status: 503, code: 'not_ready', message: 'This host has no configuration that it can act on.', run: 'no', retryAfterSeconds: notReadyRetryAfterSeconds, entries: entryAddresses(parts),
 		};
 	}
 
@@ -125,7 +125,7 @@
 		};
 	}
 
-	return found
+	return matchedRoute
 		? undefined
 		: {
 			status: 404, code: 'not_found', message: 'There is nothing at this method and path.', run: 'no',
@@ -141,7 +141,7 @@
 	return parts.configuration.workspaceOfKey(createHash('sha256').update(key).digest('hex'));
 }
 
-/** Entries other than this host, in the order in which a caller should try them. */
+/** Returns the addresses of entries other than this host, in the order in which a caller should try them. */
 function entryAddresses(parts: CallerParts): string[] {
 	return entriesOf(parts).filter(host => host.name !== parts.settings.hostName).map(host => host.entry!.callers);
 }
@@ -159,11 +159,11 @@
 	});
 }
 
-/** Counts the end of a request once its handler has ended and its answer has left, so that a stop cuts off neither. */
-function endTracking(response: ServerResponse, ended: () => void): void {
+/** Ends the tracking of a request whose handler has finished once its response is closed too, so that a graceful shutdown waits for both. */
+function finishWhenClosed(response: ServerResponse, finishTracking: () => void): void {
 	if (response.closed) {
-		ended();
+		finishTracking();
 	} else {
-		response.once('close', ended);
+		response.once('close', finishTracking);
 	}
 }
--- a/source/router/completion-answer.ts
+++ b/source/router/completion-answer.ts
@@ -1,5 +1,5 @@
 /**
- * Writes a generation to its caller, as server-sent events or as one JSON answer.
+ * Writes a generation to its caller, as server-sent events or as a single JSON response.
  *
  * @module
  */
@@ -10,8 +10,8 @@
 } from '../generation/mod.ts';
 import {sendJson} from './respond.ts';
 
-/** Time without room in the caller's connection after which the caller counts as gone, in milliseconds. */
-const callerStallMilliseconds = 10_000;
+/** Time for which a write to a caller may be blocked by backpressure before the caller counts as disconnected, in milliseconds. */
+const callerStallTimeoutMilliseconds = 10_000;
 
 /** Options of {@linkcode createCompletionAnswer}. */
 export type CompletionAnswerOptions = {
@@ -20,59 +20,59 @@
 	scope: CursorScope;
 	/** Key that signs cursors. */
 	cursorKey: string;
-	/** Time between heartbeats on an idle stream, in milliseconds. */
+	/** Interval between heartbeats on an idle stream, in milliseconds. */
 	heartbeatMilliseconds: number;
-	/** Whether the caller asked for a stream. */
+	/** Whether the caller requested a stream. */
 	stream: boolean;
-	/** Aborts when the caller is gone. */
+	/** Aborts when the caller has disconnected. */
 	signal: AbortSignal;
 };
 
-/** Answer of one generation. */
+/** Response to one generation request. */
 export type CompletionAnswer = {
-	/** Forwards one token; returns false when the caller is gone. */
+	/** Forwards one token; returns `false` if the caller has disconnected. */
 	token(token: DeliveredToken): boolean | Promise<boolean>;
-	/** Writes the end of a whole answer. */
+	/** Completes the response of a finished generation. */
 	finish(totalTokens: number, finishReason: string): void;
-	/** Stops the heartbeat. */
+	/** Stops the heartbeat timer. */
 	close(): void;
 };
 
 /**
- * Creates the answer that fits the request.
+ * Creates a streamed or a JSON response, as the caller requested.
  *
- * @param options Response, generation and signing key.
+ * @param options The HTTP response, the progress of the generation and the key that signs cursors.
  * @example
  * ```ts
  * const answer = createCompletionAnswer({response, progress, scope, cursorKey, heartbeatMilliseconds, stream: true, signal});
  * ```
  */
 export function createCompletionAnswer(options: CompletionAnswerOptions): CompletionAnswer {
-	return options.stream ? streamAnswer(options) : wholeAnswer(options);
+	return options.stream ? createStreamAnswer(options) : createJsonAnswer(options);
 }
 
-function streamAnswer(options: CompletionAnswerOptions): CompletionAnswer {
+function createStreamAnswer(options: CompletionAnswerOptions): CompletionAnswer {
 	const {response, progress, scope, cursorKey, signal, heartbeatMilliseconds} = options;
 	const checksum = new TextChecksum();
 	checksum.add(progress.text);
-	// Without chunked encoding each token is one plain write; `[DONE]` marks the end of the answer.
+	// Without chunked encoding each token is a single plain write. `[DONE]` marks the end of the stream.
 	response.useChunkedEncodingByDefault = false;
 	response.writeHead(200, {
 		connection: 'close',
 		'content-type': 'text/event-stream', 'cache-control': 'no-store', 'x-generation': progress.generation, 'x-heartbeat-milliseconds': String(heartbeatMilliseconds),
 	});
 	response.write(': open\n\n');
-	let wrote = false;
+	let hasWritten = false;
 	const heartbeat = setInterval(() => {
-		if (!wrote && !response.writableNeedDrain) {
+		if (!hasWritten && !response.writableNeedDrain) {
 			response.write(': heartbeat\n\n');
 		}
 
-		wrote = false;
+		hasWritten = false;
 	}, heartbeatMilliseconds);
 	return {
 		async token(token) {
-			wrote = true;
+			hasWritten = true;
 			checksum.add(token.text);
 			const id = formatCursor({
 				generation: progress.generation,
@@ -83,11 +83,11 @@
 				textChecksum: checksum.value(),
 			}, scope, cursorKey);
 			const choice = {index: 0, text: token.text};
-			return write(response, `id: ${id}\ndata: ${JSON.stringify({...head(progress), token_index: token.index, choices: [choice]})}\n\n`, signal);
+			return write(response, `id: ${id}\ndata: ${JSON.stringify({...commonFields(progress), token_index: token.index, choices: [choice]})}\n\n`, signal);
 		},
 		finish(totalTokens, finishReason) {
 			const choice = {index: 0, text: '', finish_reason: finishReason};
-			response.write(`data: ${JSON.stringify({...head(progress), total_tokens: totalTokens, choices: [choice]})}\n\n`);
+			response.write(`data: ${JSON.stringify({...commonFields(progress), total_tokens: totalTokens, choices: [choice]})}\n\n`);
 			response.end('data: [DONE]\n\n');
 		},
 		close() {
@@ -96,7 +96,7 @@
 	};
 }
 
-function wholeAnswer(options: CompletionAnswerOptions): CompletionAnswer {
+function createJsonAnswer(options: CompletionAnswerOptions): CompletionAnswer {
 	const {response, progress, signal} = options;
 	return {
 		token() {
@@ -104,30 +104,30 @@
 		},
 		finish(totalTokens, finishReason) {
 			const choice = {index: 0, text: progress.text, finish_reason: finishReason};
-			sendJson(response, 200, {...head(progress), total_tokens: totalTokens, choices: [choice]});
+			sendJson(response, 200, {...commonFields(progress), total_tokens: totalTokens, choices: [choice]});
 		},
 		close() {
-			// There is nothing to stop.
+			// A JSON response has no heartbeat.
 		},
 	};
 }
 
-function head(progress: Progress) {
+function commonFields(progress: Progress) {
 	return {id: progress.generation, object: 'text_completion', model: progress.service.service};
 }
 
-/** Writes to the caller; waits only while the connection has no room. */
+/** Writes to the caller and waits only while the connection applies backpressure; returns `false` if the caller has disconnected. */
 function write(response: ServerResponse, text: string, signal: AbortSignal): boolean | Promise<boolean> {
 	if (signal.aborted) {
 		return false;
 	}
 
-	return response.write(text) || waitForRoom(response, signal);
+	return response.write(text) || waitForDrain(response, signal);
 }
 
-async function waitForRoom(response: ServerResponse, signal: AbortSignal): Promise<boolean> {
+async function waitForDrain(response: ServerResponse, signal: AbortSignal): Promise<boolean> {
 	try {
-		await once(response, 'drain', {signal: AbortSignal.any([signal, AbortSignal.timeout(callerStallMilliseconds)])});
+		await once(response, 'drain', {signal: AbortSignal.any([signal, AbortSignal.timeout(callerStallTimeoutMilliseconds)])});
 		return true;
 	} catch {
 		return false;
--- a/source/router/operator-server.ts
+++ b/source/router/operator-server.ts
@@ -1,5 +1,5 @@
 /**
- * The HTTP server that operators speak to: health, metrics, status, explain and drain.
+ * HTTP server for operators: health, metrics, status, request traces and drain.
  *
  * @module
  */
@@ -30,8 +30,8 @@
 			configurationVersion: parts.configuration.version,
 			unreadableVersion: parts.configuration.unreadableVersion,
 			services: parts.configuration.current?.services ?? [],
-			leaving: parts.leaving.begun,
-			requestsInProgress: parts.leaving.inProgress,
+			leaving: parts.shutdown.hasStarted,
+			requestsInProgress: parts.shutdown.inProgress,
 			incarnation: parts.identity.incarnation,
 			peers: parts.peers.open.map(({hostName, direction}) => ({hostName, direction})),
 			knownHosts: parts.directory.hosts.length,
@@ -42,15 +42,15 @@
 		sendJson(response, 200, {spans: parts.tracing.explain(url.searchParams.get('request') ?? '')});
 	},
 	'POST /drain'(_url, response, parts) {
-		parts.leaving.begin(parts.wallClock());
+		parts.shutdown.start(parts.wallClock());
 		sendJson(response, 202, {leaving: true});
 	},
 };
 
 /**
- * Creates the operators' server; it does not listen yet.
+ * Creates the HTTP server for operators, which is not listening yet.
  *
- * @param parts The router's parts.
+ * @param parts The router's components.
  * @example
  * ```ts
  * createOperatorServer(parts).listen(9090, '10.0.0.1');
--- a/source/router/request-url.ts
+++ b/source/router/request-url.ts
@@ -1,5 +1,5 @@
 /**
- * Reads the path and query of a request.
+ * Parses the path and query of a request.
  *
  * @module
  */
@@ -9,7 +9,7 @@
  * Parses a request's target.
  *
  * @param request The request.
- * @returns The URL, or `undefined` when the target is malformed.
+ * @returns The URL, or `undefined` if the target is malformed.
  * @example
  * ```ts
  * requestUrl(request)?.pathname;
--- a/source/router/respond.ts
+++ b/source/router/respond.ts
@@ -1,5 +1,5 @@
 /**
- * Writes answers to callers.
+ * Writes JSON responses and refusals.
  *
  * @module
  */
@@ -7,12 +7,12 @@
 import {refusalBody, type Refusal} from '../answers/mod.ts';
 
 /**
- * Answers with JSON.
+ * Sends a JSON response.
  *
- * @param response The response; nothing may have been written.
+ * @param response The response; its headers must not have been sent.
  * @param status HTTP status.
- * @param body Any value that JSON can hold.
- * @param headers Further headers. Default none.
+ * @param body Any value that can be serialized as JSON.
+ * @param headers Additional headers. Default none.
  * @example
  * ```ts
  * sendJson(response, 200, {entries});
@@ -24,10 +24,10 @@
 }
 
 /**
- * Answers with a refusal, as an error event where a stream has begun.
+ * Sends a refusal; if the headers of a stream have been sent, as its final error event.
  *
  * @param response The response.
- * @param refusal What went wrong.
+ * @param refusal Status, code and message of the refusal.
  * @example
  * ```ts
  * sendErrorResponse(response, badRequest('the body is not JSON'));
--- a/source/router/router.ts
+++ b/source/router/router.ts
@@ -1,5 +1,5 @@
 /**
- * The router daemon: builds its parts and the supervisor tree that runs them.
+ * The router daemon: creates its components and the supervisor tree that runs them.
  *
  * @module
  */
@@ -14,26 +14,26 @@
 import {type CallerParts} from './caller-context.ts';
 import {createCallParts} from './call-parts.ts';
 import {createCallerServer} from './caller-server.ts';
-import {leaveGracefully} from './leave.ts';
-import {Leaving} from './leaving.ts';
+import {shutDownGracefully} from './shut-down.ts';
+import {GracefulShutdown} from './graceful-shutdown.ts';
 import {createOperatorServer} from './operator-server.ts';
 import {runDuties} from './run-duties.ts';
 import {createControlParts, startControl} from './start-control.ts';
 
 /** A running router. */
 export type Router = {
-	/** Settles once the router has left, whoever asked it to. */
-	left: Promise<void>;
-	/** Begins to leave gracefully: refuses nothing before callers can know, cuts off nothing in progress, then ends. */
-	leave(): Promise<void>;
+	/** Resolves once the router has shut down, whether by {@linkcode Router.stop} or by an operator's drain request. */
+	stopped: Promise<void>;
+	/** Shuts down gracefully: rejects no request until callers can know of the shutdown and completes those in progress; resolves once the router has stopped. */
+	stop(): Promise<void>;
 };
 
 /**
  * Starts a router.
  *
- * @param settings Checked settings.
- * @returns The running router, once it listens.
- * @throws {Error} When an address cannot be listened on.
+ * @param settings Validated settings.
+ * @returns The running router, once it is listening.
+ * @throws {Error} If it cannot listen on an address.
  * @example
  * ```ts
  * const router = await startRouter(settings);
@@ -50,19 +50,19 @@
 	await listen(callerServer, settings.callers.listen);
 	await listen(operatorServer, settings.operators.listen);
 	parts.logger.info('router listening', {callers: settings.callers.listen, incarnation: parts.identity.incarnation});
-	const left = new Promise<void>(resolve => {
-		parts.leaving.onBegin(() => {
+	const stopped = new Promise<void>(resolve => {
+		parts.shutdown.onStart(() => {
 			parts.hostHints.announce('leaving');
-			resolve(leaveGracefully({
+			resolve(shutDownGracefully({
 				parts, supervisor, usageWriter, callerServer, operatorServer,
 			}));
 		});
 	});
 	return {
-		left,
-		async leave() {
-			parts.leaving.begin(parts.wallClock());
-			await left;
+		stopped,
+		async stop() {
+			parts.shutdown.start(parts.wallClock());
+			await stopped;
 		},
 	};
 }
@@ -82,7 +82,7 @@
 				metrics.endpointBytes.inc(bytes);
 			},
 		}),
-		leaving: new Leaving({entryTimeToLiveMilliseconds: settings.callers.entryTimeToLiveSeconds * 1000}),
+		shutdown: new GracefulShutdown({entryTimeToLiveMilliseconds: settings.callers.entryTimeToLiveSeconds * 1000}),
 		platform: new PlatformClient({
 			url: settings.platform.url,
 			timeoutMilliseconds: settings.platform.timeoutMilliseconds,
@@ -95,6 +95,6 @@
 		wallClock: () => Date.now(),
 		random: () => Math.random(),
 	};
-	const placed = {...parts, ...createAdmissionParts(parts)};
-	return {...placed, calls: createCallParts(placed)};
+	const withAdmission = {...parts, ...createAdmissionParts(parts)};
+	return {...withAdmission, calls: createCallParts(withAdmission)};
 }
--- a/source/router/run-duties.ts
+++ b/source/router/run-duties.ts
@@ -1,5 +1,5 @@
 /**
- * Plugs the duties into the router's other parts.
+ * Connects the duties to the router's other components.
  *
  * @module
  */
@@ -9,21 +9,21 @@
 import {type TaskFailure} from '../supervision/mod.ts';
 import {type CallerParts} from './caller-context.ts';
 
-/** Ticks in one term of a lease. */
+/** Ticks per lease term. */
 const ticksPerTerm = 6;
 
 /**
- * Takes part in the duties until the signal ends it; leases held are left to expire.
+ * Takes part in the duties until the signal aborts. Leases that it holds then are not released but expire.
  *
- * @param parts The router's parts.
- * @param signal Ends the task.
+ * @param parts The router's components.
+ * @param signal Stops the task.
  * @example
  * ```ts
  * supervisor.start('duties', signal => runDuties(parts, signal));
  * ```
  */
 export async function runDuties(parts: CallerParts, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
-	const {platform, logger, engines, directory, configuration, leaving, clock, wallClock, random} = parts;
+	const {platform, logger, engines, directory, configuration, shutdown, clock, wallClock, random} = parts;
 	const {duties} = parts.settings;
 	const keeper = new LeaseManager({
 		platform,
@@ -34,7 +34,7 @@
 		holder: parts.identity.incarnation,
 		termMilliseconds: duties.leaseMilliseconds,
 		pollMilliseconds: () => Math.max(duties.lookMilliseconds, (directory.entryHosts(wallClock()).length / duties.leaseReadsPerSecond) * 1000),
-		mayHold: () => duties.takePart && !leaving.begun,
+		mayHold: () => duties.takePart && !shutdown.hasStarted,
 		createToken: () => randomUUID(),
 	});
 	const orders = new EngineReconciler({
--- a/source/router/serve-call.ts
+++ b/source/router/serve-call.ts
@@ -1,5 +1,5 @@
 /**
- * Serves any method on `/v1/services/SERVICE/PATH`.
+ * Serves calls to plain services: any method on `/v1/services/SERVICE/PATH`.
  *
  * @module
  */
@@ -15,17 +15,17 @@
 import {type CallerExchange, type CallerParts} from './caller-context.ts';
 import {sendRefusal} from './respond.ts';
 
-/** Header by which every answer tells whether the call was run. */
+/** Response header that states whether the call was run. */
 const runHeader = 'x-run';
 
-/** Headers of the caller that concern only the router. */
-const routerHeaders = ['host', 'authorization', 'content-length', 'expect', 'traceparent', 'tracestate', 'x-first-attempt', 'x-workspace'];
+/** Headers of a caller that are not forwarded to the service: they concern only the router, or it sets them itself. */
+const unforwardedHeaders = ['host', 'authorization', 'content-length', 'expect', 'traceparent', 'tracestate', 'x-first-attempt', 'x-workspace'];
 
-/** Segments of a call's path before the service's own path: the empty one, `v1`, `services` and the name. */
+/** Number of path segments before the service's own path: the empty one, `v1`, `services` and the service name. */
 const prefixSegments = 4;
 
 /**
- * Returns the service that a call's path names.
+ * Returns the service name in a call's path, or an empty string if there is none.
  *
  * @param url Path and query of the call.
  */
@@ -34,10 +34,10 @@
 }
 
 /**
- * Serves one call from its body to the end of its answer.
+ * Serves one call: reads its body, runs it and writes the response.
  *
- * @param exchange The caller's request.
- * @param parts The router's parts.
+ * @param exchange The caller's request and its response.
+ * @param parts The router's components.
  * @returns The outcome code for metrics.
  * @example
  * ```ts
@@ -76,7 +76,7 @@
 		return refuse(permit.error);
 	}
 
-	const loadEnded = parts.loads.recordStart(service.service, 1);
+	const finishLoad = parts.loads.recordStart(service.service, 1);
 	try {
 		const end = await run(call, exchange, parts);
 		if (end.kind === 'answered' && !end.stored) {
@@ -85,7 +85,7 @@
 
 		return await sendEnd(end, exchange);
 	} finally {
-		loadEnded();
+		finishLoad();
 		permit.value.release();
 	}
 }
@@ -102,11 +102,11 @@
 }
 
 function createRequest({request, url, workspace}: CallerExchange, body: Uint8Array): ServiceRequest {
-	const ownPath = `/${url.pathname.split('/').slice(prefixSegments).join('/')}`;
+	const servicePath = `/${url.pathname.split('/').slice(prefixSegments).join('/')}`;
 	return {
 		method: request.method ?? 'GET',
-		path: ownPath + url.search,
-		headers: {...endToEndHeaders(request.headers, routerHeaders), 'x-workspace': workspace.workspace},
+		path: servicePath + url.search,
+		headers: {...endToEndHeaders(request.headers, unforwardedHeaders), 'x-workspace': workspace.workspace},
 		body,
 	};
 }
@@ -133,9 +133,9 @@
 	return sendBody(end.answer, response, request.method === 'HEAD');
 }
 
-/** Writes the body; one that breaks off takes the caller's connection with it, so that it never looks whole. */
-async function sendBody({head, rest}: ServiceResponse, response: ServerResponse, bodiless: boolean): Promise<string> {
-	if (bodiless) {
+/** Writes the response body. If the endpoint's body breaks off, destroys the caller's connection so that the truncated response does not look complete. */
+async function sendBody({head, rest}: ServiceResponse, response: ServerResponse, omitBody: boolean): Promise<string> {
+	if (omitBody) {
 		response.end();
 		return 'answered';
 	}
--- a/source/router/serve-completion.ts
+++ b/source/router/serve-completion.ts
@@ -20,14 +20,14 @@
 import {createCompletionAnswer, type CompletionAnswer} from './completion-answer.ts';
 import {sendRefusal} from './respond.ts';
 
-/** Characters of a prompt that count as one token in estimates. */
+/** Prompt characters per token, for estimates of the prompt's token count. */
 const charactersPerToken = 4;
 
 /**
- * Serves one completions request from its body to the end of its answer.
+ * Serves one completions request: reads its body, runs the generation and writes the response.
  *
- * @param exchange The caller's request.
- * @param parts The router's parts.
+ * @param exchange The caller's request and its response.
+ * @param parts The router's components.
  * @returns The outcome code for metrics.
  * @example
  * ```ts
@@ -35,7 +35,7 @@
  * ```
  */
 export async function serveCompletion(exchange: CallerExchange, parts: CallerParts): Promise<string> {
-	const prepared = await prepare(exchange, parts);
+	const prepared = await prepareGeneration(exchange, parts);
 	if (prepared.isErr()) {
 		sendRefusal(exchange.response, prepared.error);
 		return prepared.error.code;
@@ -58,7 +58,7 @@
 
 	const tokensDelivered = parts.metrics.tokensDelivered.labels(progress.service.service);
 	parts.metrics.liveGenerations.inc();
-	const loadEnded = parts.loads.recordStart(progress.service.service, progress.maxTokens - progress.nextIndex);
+	const finishLoad = parts.loads.recordStart(progress.service.service, progress.maxTokens - progress.nextIndex);
 	const answer = createCompletionAnswer({
 		response: exchange.response,
 		progress,
@@ -88,14 +88,14 @@
 	} finally {
 		answer.close();
 		permit.value.release();
-		loadEnded();
+		finishLoad();
 		parts.metrics.liveGenerations.dec();
 	}
 }
 
-type Serving = {progress: Progress; exchange: CallerExchange; parts: CallerParts; answer: CompletionAnswer};
+type ServedGeneration = {progress: Progress; exchange: CallerExchange; parts: CallerParts; answer: CompletionAnswer};
 
-function handleEnd(end: GenerationOutcome, {progress, exchange, parts, answer}: Serving): string {
+function handleEnd(end: GenerationOutcome, {progress, exchange, parts, answer}: ServedGeneration): string {
 	switch (end.kind) {
 		case 'complete': {
 			answer.finish(end.totalTokens, end.finishReason);
@@ -119,7 +119,7 @@
 	}
 }
 
-/** Cancels a generation whose caller has not come back; the engine refuses when a newer attempt has taken it over. */
+/** Cancels a generation whose caller has disconnected, after a grace period for a reconnection. The engine refuses the cancellation if a newer attempt has taken over the generation. */
 async function cancelAfterGrace(progress: Progress, parts: CallerParts): Promise<void> {
 	if (progress.endpoint === undefined) {
 		return;
@@ -131,16 +131,16 @@
 	parts.logger.debug('generation cancelled', {generation, attempt, cancelled: cancelled.isOk()});
 }
 
-type Prepared = {progress: Progress; body: CompletionBody; scope: CursorScope};
+type PreparedGeneration = {progress: Progress; body: CompletionBody; scope: CursorScope};
 
-async function prepare(exchange: CallerExchange, parts: CallerParts): Promise<Result<Prepared, Refusal>> {
-	const text = await readBody(exchange.request, parts.settings.callers.largestBodyBytes);
-	const parsed = text.andThen(content => parseCompletionBody(content));
-	if (parsed.isErr()) {
-		return err(parsed.error);
+async function prepareGeneration(exchange: CallerExchange, parts: CallerParts): Promise<Result<PreparedGeneration, Refusal>> {
+	const content = await readBody(exchange.request, parts.settings.callers.largestBodyBytes);
+	const parsedBody = content.andThen(text => parseCompletionBody(text));
+	if (parsedBody.isErr()) {
+		return err(parsedBody.error);
 	}
 
-	const body = parsed.value;
+	const body = parsedBody.value;
 	const service = parts.configuration.service(body.model);
 	if (service?.kind !== 'model') {
 		return err({
@@ -154,14 +154,14 @@
 
 	const scope = {workspace: exchange.workspace.workspace, requestDigest: requestDigest(exchange.workspace.workspace, body)};
 	const cursor = readCursor(exchange, parts, body, scope);
-	return cursor.map(shown => ({
+	return cursor.map(validCursor => ({
 		progress: createProgress({
-			exchange, parts, service, body, scope, cursor: shown,
+			exchange, parts, service, body, scope, cursor: validCursor,
 		}), body, scope,
 	}));
 }
 
-/** Reads the caller's cursor, if it shows one, and checks that it is the caller's own and fits the received text. */
+/** Parses the caller's cursor, if there is one, and verifies its signature, its scope and that the received text matches it. */
 function readCursor(exchange: CallerExchange, parts: CallerParts, body: CompletionBody, scope: CursorScope): Result<Cursor | undefined, Refusal> {
 	const header = exchange.request.headers['last-event-id'];
 	if (typeof header !== 'string' || header === '') {
@@ -188,10 +188,10 @@
 };
 
 /**
- * Creates the progress of a new generation, or of the one that a cursor continues.
+ * Creates the progress of a new generation, or of one that is resumed from a cursor.
  *
- * A router that continues from a cursor numbers its attempts from the wall clock, so that they are higher than
- * those of the router that the caller left, even where that one has started attempts which the cursor does not show.
+ * When a generation is resumed from a cursor, its attempts are numbered from the wall-clock time. The numbers are thus higher than
+ * those of the router that served the caller before, even if that router has started attempts that the cursor does not include.
  */
 function createProgress({exchange, parts, service, body, scope, cursor}: ProgressOptions): Progress {
 	const generation = cursor?.generation ?? randomUUID();
@@ -203,7 +203,7 @@
 		prompt: body.prompt,
 		requestDigest: scope.requestDigest,
 		maxTokens: body.max_tokens,
-		seed: body.seed ?? seedOf(generation),
+		seed: body.seed ?? deriveSeed(generation),
 		deadline: parts.wallClock() + (service.deadlineSeconds * 1000),
 		text: cursor ? body.received_text ?? '' : '',
 		nextIndex: cursor ? cursor.index + 1 : 0,
@@ -216,7 +216,7 @@
 	return digestText(JSON.stringify([workspace, body.model, body.prompt, body.max_tokens, body.seed ?? '']));
 }
 
-/** Derives the seed of a generation from its name, so that any router continues with the same one. */
-function seedOf(generation: string): number {
+/** Derives the default seed of a generation from its id, so that every router resumes the generation with the same seed. */
+function deriveSeed(generation: string): number {
 	return createHash('sha256').update(generation).digest().readUInt32BE(0);
 }
--- a/source/router/leave.test.ts
+++ b/source/router/shut-down.test.ts
@@ -13,9 +13,9 @@
 };
 const wholeText = expectedText({prompt, seed: 7, version: 'v1'}, tokens);
 
-type RawAnswer = {status: number | 'gone'; text: string; startedAt: number};
+type RawAnswer = {status: number | 'disconnected'; text: string; startedAt: number};
 
-/** Sends one call straight to an address over a new connection, as a caller that kept an old answer would. */
+/** Sends one call directly to an address over a new connection, as a caller with a cached entry list does. */
 async function callRaw(address: string): Promise<RawAnswer> {
 	const startedAt = performance.now();
 	try {
@@ -27,7 +27,7 @@
 		});
 		return {status: response.statusCode, text: await response.body.text(), startedAt};
 	} catch (error) {
-		return {status: 'gone', text: String(error), startedAt};
+		return {status: 'disconnected', text: String(error), startedAt};
 	}
 }
 
@@ -47,16 +47,16 @@
 	return fleet;
 }
 
-/** Calls one address until it takes no more connections. */
-async function callUntilGone(address: string): Promise<RawAnswer[]> {
+/** Repeatedly calls an address until it accepts no more connections. */
+async function callUntilDisconnected(address: string): Promise<RawAnswer[]> {
 	const calls: Array<Promise<RawAnswer>> = [];
-	const gone = new AbortController();
-	while (!gone.signal.aborted) {
+	const disconnected = new AbortController();
+	while (!disconnected.signal.aborted) {
 		const call = callRaw(address);
 		calls.push(call);
 		void call.then(({status}) => {
-			if (status === 'gone') {
-				gone.abort();
+			if (status === 'disconnected') {
+				disconnected.abort();
 			}
 		});
 		await delay(100);
@@ -66,7 +66,7 @@
 }
 
 for (const stop of ['SIGTERM', 'POST /drain'] as const) {
-	test(`${stop} under load cuts off no request in progress and no caller with an old entry answer`, async () => {
+	test(`${stop} under load interrupts no request in progress and serves callers with a cached entry list`, async () => {
 		await using fleet = await createFleet();
 		const {address} = fleet.process('router-1');
 		let started = 0;
@@ -80,7 +80,7 @@
 			},
 		}));
 		await fleet.until(() => started === 20, 'all streams have started');
-		const raw = callUntilGone(address);
+		const raw = callUntilDisconnected(address);
 		const stoppedAt = performance.now();
 		if (stop === 'SIGTERM') {
 			fleet.signal('router-1', 'SIGTERM');
@@ -99,11 +99,11 @@
 		assert.equal(await fleet.ended('router-1'), 0);
 		const answers = await raw;
 		const timeToLiveMilliseconds = 1000;
-		const keptOldAnswer = answers.filter(({startedAt}) => startedAt <= stoppedAt + timeToLiveMilliseconds);
-		assert.ok(keptOldAnswer.length > 3);
-		assert.deepEqual([...new Set(keptOldAnswer.map(({status}) => status))], [200]);
+		const withCachedEntries = answers.filter(({startedAt}) => startedAt <= stoppedAt + timeToLiveMilliseconds);
+		assert.ok(withCachedEntries.length > 3);
+		assert.deepEqual([...new Set(withCachedEntries.map(({status}) => status))], [200]);
 		for (const {status, text} of answers) {
-			if (status === 'gone') {
+			if (status === 'disconnected') {
 				continue;
 			}
 
@@ -118,6 +118,6 @@
 		}
 
 		assert.ok(answers.some(({status}) => status === 503));
-		assert.ok(answers.filter(({status}) => status === 'gone').length < 3);
+		assert.ok(answers.filter(({status}) => status === 'disconnected').length < 3);
 	});
 }
--- a/source/router/start-control.ts
+++ b/source/router/start-control.ts
@@ -1,5 +1,5 @@
 /**
- * The parts by which routers act together: host list, hints, peers, configuration and accounts.
+ * The components through which routers coordinate: host list, hints, peers, configuration and accounts.
  *
  * @module
  */
@@ -17,7 +17,7 @@
 import {type Logger} from '../telemetry/mod.ts';
 import {type CallerParts} from './caller-context.ts';
 
-/** Parts that other parts read. */
+/** Components that {@linkcode createControlParts} creates. */
 export type ControlParts = {
 	identity: RouterIdentity;
 	directory: HostDirectory;
@@ -37,22 +37,22 @@
 };
 
 /**
- * Creates the parts of one router incarnation.
+ * Creates the coordination components of one router incarnation.
  *
- * @param options Settings, logger and time.
+ * @param options Settings, logger and wall clock.
  */
 export function createControlParts({settings, logger, wallClock}: ControlPartsOptions): ControlParts {
 	const {hostName} = settings;
 	const directory = new HostDirectory();
 	const hints = new HintCache();
-	const started = wallClock().toString(36);
+	const startedAt = wallClock().toString(36);
 	return {
 		directory,
 		hints,
 		hostHints: new HostHints({
 			hints, directory, logger, hostName, wallClock,
 		}),
-		identity: {hostName, incarnation: `${hostName}.${started}.${randomBytes(3).toString('hex')}`},
+		identity: {hostName, incarnation: `${hostName}.${startedAt}.${randomBytes(3).toString('hex')}`},
 		loads: new LoadTracker(),
 		peers: new PeerRegistry(),
 		accounts: new WorkspaceUsage(),
@@ -60,18 +60,18 @@
 }
 
 /**
- * Starts the tasks that keep the parts up.
+ * Starts the tasks that keep the components up to date.
  *
  * @param supervisor Runs the tasks.
- * @param parts The router's parts.
- * @returns The writer of usage totals, for a last write before the router ends.
+ * @param parts The router's components.
+ * @returns The writer of usage totals, for the final write during a shutdown.
  */
 export function startControl(supervisor: Supervisor, parts: CallerParts): UsageWriter {
 	const {platform, directory, logger, settings, random, wallClock, configuration, identity, hostHints} = parts;
-	const heard = new PeerUsage({localUsage: parts.accounts});
-	const writer = new UsageWriter({
+	const receivedUsage = new PeerUsage({localUsage: parts.accounts});
+	const usageWriter = new UsageWriter({
 		identity,
-		peerUsage: heard,
+		peerUsage: receivedUsage,
 		logger,
 		random,
 		wallClock,
@@ -79,7 +79,7 @@
 		periodMilliseconds: settings.platform.usageMilliseconds,
 		liveRouters: () => directory.entryHosts(wallClock()).length,
 	});
-	const context = peerContext(parts, configuration, heard);
+	const peerContext = createPeerContext(parts, configuration, receivedUsage);
 	supervisor.start('hosts', async signal => followHosts({
 		platform,
 		directory,
@@ -94,16 +94,16 @@
 	supervisor.start('configuration', async signal => followConfiguration({
 		platform, logger, random, active: configuration, periodMilliseconds: settings.platform.configurationMilliseconds,
 	}, signal));
-	supervisor.start('peers', async signal => followPeers(context, signal));
-	supervisor.start('refused', async signal => parts.refused.follow(signal));
+	supervisor.start('peers', async signal => followPeers(peerContext, signal));
+	supervisor.start('refused', async signal => parts.blockedRequests.follow(signal));
 	supervisor.start('endpoints', async signal => pollEndpoints({
 		placement: parts.placement, engines: parts.engines, clock: parts.clock, random, services: () => modelServices(configuration),
 	}, signal));
-	supervisor.start('usage', async signal => writer.run(signal));
-	return writer;
+	supervisor.start('usage', async signal => usageWriter.run(signal));
+	return usageWriter;
 }
 
-function peerContext(parts: CallerParts, configuration: ActiveConfiguration, usage: PeerUsage): PeerContext {
+function createPeerContext(parts: CallerParts, configuration: ActiveConfiguration, usage: PeerUsage): PeerContext {
 	const {settings, metrics} = parts;
 	return {
 		...parts,
