Mend what a second reader stumbled over in six deciding folders

Cause: a reader who had not seen the old text read beliefs, fleet, admission, placement, routing and gateway once and listed each stumble.

Changed: comments that were wrong against the code (hold time, registration of members, hints), vague or figurative ones, and the names newsTimes (updateTimes), roundMilliseconds (pollMilliseconds), wanted (shouldFollow; set in one place, checked), Admission of routing (AdmissionDecision). Tests: four titles and one message.

--- a/source/admission/fair-queue.ts
+++ b/source/admission/fair-queue.ts
@@ -120,7 +120,7 @@
 	}
 
 	/**
-	 * Estimates the tokens that start before the last item of a flow, or before a new item when `ownTokens` is its whole backlog.
+	 * Estimates the tokens that start before the last item of a flow, or before a new item if `ownTokens` is the whole backlog of the flow.
 	 *
 	 * @param name Name of the flow.
 	 * @param weight Weight of the flow.
--- a/source/admission/hold-time.ts
+++ b/source/admission/hold-time.ts
@@ -8,12 +8,12 @@
 const smoothingFactor = 0.1;
 
 /**
- * Estimates the tokens that a service releases in a second: by Little's law, the tokens in progress divided by their hold time.
+ * Estimates the tokens that a service releases in a second: by Little's law, the tokens in progress of a full service divided by their hold time.
  *
  * @example
  * ```ts
  * holdTime.record(heldMilliseconds);
- * const perSecond = holdTime.drainRate(tokensInProgress);
+ * const perSecond = holdTime.drainRate(capacity, meanAge);
  * ```
  */
 export class HoldTime {
--- a/source/admission/mod.ts
+++ b/source/admission/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Admission of requests.
+ * Admission of requests at a router: fair queueing, the retry budget, and blocking of requests that crash endpoints.
  *
  * @module
  */
--- a/source/admission/retry-budget.ts
+++ b/source/admission/retry-budget.ts
@@ -14,7 +14,7 @@
 	perSecond?: number;
 };
 
-/** Base of the exponential back-off of retries, in milliseconds; doubles with each retry. */
+/** Base of the exponential backoff of retries, in milliseconds; doubles with each retry. */
 const initialDelayMilliseconds = 100;
 
 /** Maximum delay of a retry, in milliseconds. */
@@ -71,7 +71,7 @@
 }
 
 /**
- * Returns the delay of a retry: exponential back-off with jitter.
+ * Returns the delay of a retry: exponential backoff with jitter.
  *
  * @param retryNumber Number of the retry, from 1.
  * @param random Random number from 0 to 1.
--- a/source/admission/service-admission.ts
+++ b/source/admission/service-admission.ts
@@ -136,7 +136,7 @@
 		this.admitQueued(now);
 	}
 
-	/** Returns the last requests of each workspace that will not start in time; the requests before them still may. */
+	/** Returns the last queued request of each workspace if it is predicted not to start in time; the requests before it still may. */
 	#lateTails(now: number): QueuedRequest[] {
 		return this.#queue.tails().filter(request => this.#predictedWaitOfTail(request, now) > queuedWaitTolerance * (request.waitDeadline - now));
 	}
--- a/source/admission/suspects/_suspect.ts
+++ b/source/admission/suspects/_suspect.ts
@@ -1,5 +1,5 @@
 /**
- * Crashes counted against one request, and the rules of evidence.
+ * Crashes counted against one request, and the criteria for blocking it.
  *
  * @module
  */
--- a/source/admission/suspects/crashes.ts
+++ b/source/admission/suspects/crashes.ts
@@ -7,7 +7,7 @@
 /** Where an endpoint runs. */
 export type EndpointLocation = {host: string; availabilityZone: string};
 
-/** The end of an endpoint's process under a request, as observed by this router. */
+/** The exit of an endpoint's process while it ran requests, as observed by this router. */
 export type Crash = {
 	readonly endpoint: string;
 	readonly location: EndpointLocation;
--- a/source/admission/suspects/suspect-monitor.ts
+++ b/source/admission/suspects/suspect-monitor.ts
@@ -30,6 +30,7 @@
 /** How an attempt ended, as far as it indicates the state of the endpoint's process. */
 export type AttemptOutcome = {
 	step: 'start' | 'resume';
+	/** Kind of the end of the attempt, such as `lost` (the stream broke off) or `silent` (the endpoint sent nothing in time). */
 	kind: string;
 	/** Whether the connection was refused, because no process was listening. */
 	connectionRefused?: boolean;
--- a/source/admission/suspects/suspects.test.ts
+++ b/source/admission/suspects/suspects.test.ts
@@ -160,7 +160,7 @@
 	assert.equal(suspects.exclusions('other', () => endpoints, 2000)[0]!.size, 0);
 });
 
-test('the loss of a whole zone, or the end of an endpoint that is leaving, makes no request suspect', () => {
+test('the loss of a whole zone, or the exit of an endpoint that is leaving, makes no request suspect', () => {
 	const suspects = new Suspects({locationOf: address => address === 'leaving' ? undefined : locationOf(address)});
 	const crash = suspects.recordCrash(suspects.startRun('harmless', 'endpoint-0'), 10)!;
 	assert.deepEqual(suspects.neighbors(crash, endpoints).zone, ['endpoint-4', 'endpoint-8', 'endpoint-12', 'endpoint-16', 'endpoint-20']);
--- a/source/admission/suspects/suspects.ts
+++ b/source/admission/suspects/suspects.ts
@@ -15,7 +15,7 @@
 
 /** Options of {@linkcode Suspects}. */
 export type SuspectsOptions = {
-	/** Returns the location of a listed endpoint; nothing for an endpoint that is leaving or no longer listed, whose end counts against no request. */
+	/** Returns the location of a listed endpoint; nothing for an endpoint that is leaving or no longer listed, whose exit counts against no request. */
 	locationOf: (address: string) => EndpointLocation | undefined;
 	/** Called with each request that this router blocks. Default does nothing. */
 	onBlocked?: (digest: string, expiresAt: number) => void;
--- a/source/beliefs/endpoint-list.ts
+++ b/source/beliefs/endpoint-list.ts
@@ -61,7 +61,7 @@
 /** Time after a store outage within which endpoints whose entries expired during it register again, in milliseconds. */
 const reregistrationMilliseconds = 2000;
 
-/** Time for which gateways send each other the announcement that an endpoint is leaving, in milliseconds; its entry shows it much sooner. */
+/** Time for which gateways pass on the announcement that an endpoint is leaving, in milliseconds; its entry in the store shows it much sooner. */
 const leavingAnnouncementMilliseconds = 30_000;
 
 /** Number of removed entries that are retained, so that an older change that arrives late cannot restore them. */
@@ -117,7 +117,7 @@
 		}
 	}
 
-	/** Returns the entries and removals that changed after a revision, to send to another gateway. */
+	/** Returns the entries and removals that changed after a revision, to send to another gateway; an entry that is about to expire is sent as a removal. */
 	changesSince(revision: number): EndpointChange[] {
 		return [...this.#known]
 			.filter(([, known]) => known.changedAt > revision)
--- a/source/beliefs/follow-table.ts
+++ b/source/beliefs/follow-table.ts
@@ -71,8 +71,8 @@
 	table: string;
 	listener: TableListener;
 	logger: Logger;
-	/** Interval between two polls, during which the store is asked to wait for a change, in milliseconds. */
-	roundMilliseconds: number;
+	/** Interval between two polls, during which the store may wait for a change, in milliseconds. */
+	pollMilliseconds: number;
 	/** Part of that interval to pause after a response with changes, so that the next response carries several of them, in milliseconds. */
 	batchMilliseconds: number;
 	/** Longest backoff after a failed call, in milliseconds. Default 800. */
@@ -80,7 +80,7 @@
 	/** Shared by all followers of one store. */
 	renewal: PollRenewal;
 	/** Returns whether to follow the table now; it is not polled while this returns false. Default: always. */
-	wanted?: () => boolean;
+	shouldFollow?: () => boolean;
 	readClock: () => ClockReading;
 	storeClock: StoreClock;
 	random: () => number;
@@ -103,18 +103,18 @@
  * ```
  */
 export async function followTable(options: FollowTableOptions, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
-	const {table, logger, listener, roundMilliseconds, batchMilliseconds, random, renewal, wanted = () => true, longestRetryMilliseconds = 800} = options;
+	const {table, logger, listener, pollMilliseconds, batchMilliseconds, random, renewal, shouldFollow = () => true, longestRetryMilliseconds = 800} = options;
 	let revision: number | undefined;
 	let failures = 0;
 	let batchPauseMilliseconds = 0;
 	while (!signal.aborted) {
-		if (!wanted()) {
+		if (!shouldFollow()) {
 			await pause(recheckMilliseconds, signal);
 			continue;
 		}
 
 		const since = revision;
-		const waitMilliseconds = roundMilliseconds - batchPauseMilliseconds;
+		const waitMilliseconds = pollMilliseconds - batchPauseMilliseconds;
 		const polled = await renewal.run(async abortSignal => pollOnce(options, since, waitMilliseconds, abortSignal), signal);
 		if (polled === 'renewed') {
 			continue;
--- a/source/fleet/exchange-client.ts
+++ b/source/fleet/exchange-client.ts
@@ -19,7 +19,7 @@
  *
  * @example
  * ```ts
- * const answer = await client.exchange('10.1.0.40:7340', message, 400);
+ * const response = await client.exchange('10.1.0.40:7340', message, 400);
  * ```
  */
 export class ExchangeClient {
@@ -45,7 +45,7 @@
 					return;
 				}
 
-				resolve(response ? ok(response) : err('the answer is empty'));
+				resolve(response ? ok(response) : err('the response is empty'));
 			});
 		});
 	}
--- a/source/fleet/exchange-protocol.ts
+++ b/source/fleet/exchange-protocol.ts
@@ -59,7 +59,7 @@
 	members: z.array(memberSchema).min(1),
 	/** State of all gateways that the sender considers alive; absent if only an update of the store content is requested. */
 	heartbeats: z.array(heartbeatSchema).optional(),
-	/** The sender's observations of endpoints; sent with heartbeats. */
+	/** Observations of endpoints that the sender made or received; sent with heartbeats. */
 	hints: hintsSchema.optional(),
 	/** In a request: the revisions that the sender has. */
 	known: knownRevisionsSchema.optional(),
--- a/source/fleet/follow-source.ts
+++ b/source/fleet/follow-source.ts
@@ -29,7 +29,7 @@
 export type FollowSourceOptions = {
 	members: MemberTable;
 	sharedState: SharedState;
-	newsTimes: UpdateTimes;
+	updateTimes: UpdateTimes;
 	/** Returns whether this gateway follows the store now. */
 	followsStore: () => boolean;
 	readClock: () => ClockReading;
@@ -46,17 +46,17 @@
  * @param signal Aborts the task.
  */
 export async function followSource(options: FollowSourceOptions, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
-	const {members, sharedState, newsTimes, followsStore, readClock, random} = options;
+	const {members, sharedState, updateTimes, followsStore, readClock, random} = options;
 	const client = new ExchangeClient();
-	while (await pause(newsTimes.sourcePollMilliseconds * (0.9 + (random() / 5)), signal)) {
-		if (followsStore() && sharedState.age(readClock()) <= newsTimes.sourceFallbackMilliseconds) {
+	while (await pause(updateTimes.sourcePollMilliseconds * (0.9 + (random() / 5)), signal)) {
+		if (followsStore() && sharedState.age(readClock()) <= updateTimes.sourceFallbackMilliseconds) {
 			continue;
 		}
 
 		const sources = chooseSources({self: members.self, members: members.live(readClock().steady), random});
 		for (const source of sources) {
 			await querySource(options, client, source);
-			if (sharedState.age(readClock()) <= newsTimes.sourceBehindMilliseconds) {
+			if (sharedState.age(readClock()) <= updateTimes.sourceBehindMilliseconds) {
 				break;
 			}
 		}
--- a/source/fleet/member-table.ts
+++ b/source/fleet/member-table.ts
@@ -58,7 +58,7 @@
 		this.#self = {...this.#self, heartbeat: this.#self.heartbeat + 1, ready};
 	}
 
-	/** Adds gateways that are registered in the store; a registration does not show that a gateway is alive. */
+	/** Adds gateways that are registered in the store; a registration shows that a gateway is alive only if it is a later incarnation of a known one. */
 	register(registered: readonly RegisteredMember[], now: number): void {
 		for (const member of registered) {
 			const known = this.#known.get(member.name);
--- a/source/gateway/broken-answers.test.ts
+++ b/source/gateway/broken-answers.test.ts
@@ -46,7 +46,7 @@
 			for (let call = 0; call < 4; call += 1) {
 				const {status, whole} = await fleet.call(gateway, request);
 				assert.ok(!(status === 200 && whole), `${request.path}: ${status}`);
-				assert.ok(![408, 421, 429, 503].includes(status) || call > 0, `${request.path}: ${status} says that it has not run`);
+				assert.ok(![408, 421, 429, 503].includes(status) || call > 0, `${request.path}: ${status} would mean that it has not run`);
 			}
 		}
 	});
--- a/source/gateway/caller-server.ts
+++ b/source/gateway/caller-server.ts
@@ -18,10 +18,10 @@
 /** Idle timeout of caller connections until a configuration is known, in milliseconds. */
 const defaultIdleMilliseconds = 15_000;
 
-/** Maximum time for which callers should cache a list of entries, in seconds. */
+/** Maximum time for which callers should cache the list of entries (addresses of live gateways), in seconds. */
 const maximumEntriesSeconds = 2;
 
-/** Maximum number of entries in a list. */
+/** Maximum number of entries in the list. */
 const maximumEntries = 64;
 
 /** Handles one kind of call for entries or readiness. */
@@ -58,7 +58,7 @@
 }
 
 /**
- * Creates the server for the list of entries (addresses of live gateways) and the readiness of this gateway; it does not listen yet.
+ * Creates the server for the list of entries and the readiness of this gateway; it does not listen yet.
  *
  * @param parts The gateway's components.
  */
--- a/source/gateway/follow-store.ts
+++ b/source/gateway/follow-store.ts
@@ -28,28 +28,28 @@
  *
  * @param supervisor Runs the tasks.
  * @param parts The gateway's components.
- * @param shouldFollow Whether this gateway follows the store now.
+ * @param followsStore Returns whether this gateway follows the store now.
  */
-export function followStore(supervisor: Supervisor, parts: GatewayParts, shouldFollow: () => boolean): void {
-	const {store, logger, readClock, random, newsTimes} = parts;
+export function followStore(supervisor: Supervisor, parts: GatewayParts, followsStore: () => boolean): void {
+	const {store, logger, readClock, random, updateTimes} = parts;
 	const shared = {
 		store,
 		logger,
 		readClock,
 		random,
-		roundMilliseconds: newsTimes.storePollMilliseconds,
+		pollMilliseconds: updateTimes.storePollMilliseconds,
 		storeClock: new StoreClock(),
 		renewal: new PollRenewal(),
-		wanted: shouldFollow,
+		shouldFollow: followsStore,
 	};
 	supervisor.start('configuration', async signal => followTable({
 		...shared, table: operatorTable, listener: configurationListener(parts), batchMilliseconds: 0,
 	}, signal));
 	supervisor.start('endpoints', async signal => followTable({
-		...shared, table: endpointTable, listener: endpointListener(parts), batchMilliseconds: newsTimes.batchMilliseconds,
+		...shared, table: endpointTable, listener: endpointListener(parts), batchMilliseconds: updateTimes.batchMilliseconds,
 	}, signal));
 	supervisor.start('suspects', async signal => followTable({
-		...shared, roundMilliseconds: suspectsPollMilliseconds, longestRetryMilliseconds: suspectsMaximumRetryMilliseconds, table: suspectTable, listener: suspectListener(parts), batchMilliseconds: 0,
+		...shared, pollMilliseconds: suspectsPollMilliseconds, longestRetryMilliseconds: suspectsMaximumRetryMilliseconds, table: suspectTable, listener: suspectListener(parts), batchMilliseconds: 0,
 	}, signal));
 }
 
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -30,7 +30,7 @@
 	/** Whether the gateway accepts connections from callers. */
 	callers: {open: boolean};
 	readClock: () => ClockReading;
-	newsTimes: UpdateTimes;
+	updateTimes: UpdateTimes;
 	/** Maximum age of the configuration at which its keys are still accepted, in milliseconds. */
 	trustedKeyMilliseconds: number;
 };
@@ -107,7 +107,7 @@
 		countRetry(service, reason, allowed) {
 			metrics.retries.inc({service, reason, decision: allowed ? 'allowed' : 'refused'});
 		},
-		newsTimes: divideUpdateTime(Math.min(bounds.configurationMilliseconds, bounds.leavingMilliseconds)),
+		updateTimes: divideUpdateTime(Math.min(bounds.configurationMilliseconds, bounds.leavingMilliseconds)),
 		trustedKeyMilliseconds: bounds.revokedKeyMilliseconds * trustedKeyShare,
 		clock,
 		random: () => Math.random(),
--- a/source/gateway/gateway.test.ts
+++ b/source/gateway/gateway.test.ts
@@ -143,7 +143,7 @@
 	}
 });
 
-test('a generation leaves an engine that repeats events, and the caller gets each event once', async () => {
+test('a generation moves to another engine when its engine repeats events, and the caller gets each event once', async () => {
 	await using fleet = await GatewayFleet.create();
 	const repeating = await fleet.startWorker({id: 'scribe-1', service: 'scribe'});
 	const gateway = await fleet.startGateway('gateway-1');
@@ -216,7 +216,7 @@
 	}
 });
 
-test('an endpoint that is draining, or that was removed in a lost part of the history, gets no more requests', async () => {
+test('an endpoint that is draining, or that was removed in a part of the history that the store dropped, gets no more requests', async () => {
 	await using fleet = await GatewayFleet.create();
 	const leaving = await fleet.startWorker({id: 'desk-1', service: 'desk'});
 	const removed = await fleet.startWorker({id: 'desk-2', service: 'desk'});
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -18,7 +18,7 @@
 import {followStore} from './follow-store.ts';
 import {createGatewayParts, type GatewayParts} from './gateway-parts.ts';
 import {isReady} from './readiness.ts';
-import {createHintSource} from './hints.ts';
+import {createHintExchange} from './hints.ts';
 import {createSharedState} from './shared-state.ts';
 import {StoreRole} from './store-role.ts';
 
@@ -49,7 +49,7 @@
 	const parts = createGatewayParts(settings, logger);
 	const supervisor = new Supervisor({logger});
 	const sharedState = createSharedState(parts);
-	const hints = createHintSource(parts);
+	const hints = createHintExchange(parts);
 	const callerServer = createCallerServer(parts);
 	const entryServer = createEntryServer(parts);
 	await listen(entryServer, settings.listen.entries);
--- a/source/gateway/hints.ts
+++ b/source/gateway/hints.ts
@@ -7,11 +7,11 @@
 import {type GatewayParts} from './gateway-parts.ts';
 
 /**
- * Creates the source and receiver of hints for exchanges with other gateways.
+ * Creates the functions that collect and merge the hints exchanged with other gateways.
  *
  * @param parts The gateway's components.
  */
-export function createHintSource({endpoints, suspects, clock}: GatewayParts): HintExchange {
+export function createHintExchange({endpoints, suspects, clock}: GatewayParts): HintExchange {
 	return {
 		collect: () => ({unsavedEnds: suspects.unsavedCrashes(), leavingLives: endpoints.leavingIncarnations(clock())}),
 		merge(hints) {
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -10,7 +10,7 @@
 } from '../forwarding/mod.ts';
 import {decodeRequestHeaders} from '../platform/mod.ts';
 import {
-	admitRequest, selectService, type Admission, type RequestKind, type Route,
+	admitRequest, selectService, type AdmissionDecision, type RequestKind, type Route,
 } from '../routing/mod.ts';
 import {signalOfCaller} from '../supervision/caller-signal.ts';
 import {RequestIdentity, type SuspectedRequests, type SuspectAdmission} from '../suspects/mod.ts';
@@ -27,7 +27,7 @@
 /** Retry delay for requests that another gateway can probably serve, in milliseconds. */
 const retryElsewhereMilliseconds = 100;
 
-const refusals: Record<Exclude<Admission['kind'], 'allowed'>, ErrorResponse> = {
+const refusals: Record<Exclude<AdmissionDecision['kind'], 'allowed'>, ErrorResponse> = {
 	'no-configuration': {
 		status: 503, code: 'no_configuration', message: 'This gateway has no configuration yet.', retryAfterMilliseconds: retryElsewhereMilliseconds,
 	},
@@ -156,7 +156,7 @@
 
 type SuspectOutcome = {identity: RequestIdentity; suspectAdmission: SuspectAdmission; outcome: ExchangeOutcome};
 
-/** Clears the suspicion of a request that was answered, and returns the trial of one that did not run. */
+/** Clears the suspicion of a request that was answered, and releases the trial of one that did not run. */
 async function recordSuspectOutcome(suspects: SuspectedRequests, {identity, suspectAdmission, outcome: {outcome, status}}: SuspectOutcome): Promise<void> {
 	if (outcome === 'answered') {
 		await suspects.recordSuccess(identity);
--- a/source/gateway/store-role.ts
+++ b/source/gateway/store-role.ts
@@ -47,7 +47,7 @@
 
 	/** Whether this gateway follows the store now, as the reader of its zone or because updates from others are late. */
 	followsStore(): boolean {
-		const {members, logger, clock, readClock, newsTimes} = this.#parts;
+		const {members, logger, clock, readClock, updateTimes} = this.#parts;
 		if (this.#settlingSince === undefined) {
 			return false;
 		}
@@ -55,11 +55,11 @@
 		const ageMilliseconds = this.#sharedState.age(readClock());
 		const live = members.live(clock());
 		const follows = followsStore({
-			self: members.self, members: live, membershipSettled: this.#isSettled(), ageMilliseconds, storeFallbackMilliseconds: newsTimes.storeFallbackMilliseconds,
+			self: members.self, members: live, membershipSettled: this.#isSettled(), ageMilliseconds, storeFallbackMilliseconds: updateTimes.storeFallbackMilliseconds,
 		});
 		if (follows !== this.#lastFollows) {
 			this.#lastFollows = follows;
-			logger.info(follows ? 'gateway follows the store' : 'gateway learns from another one', {ageMilliseconds: Math.round(ageMilliseconds), live: live.length});
+			logger.info(follows ? 'gateway follows the store' : 'gateway receives updates from another gateway', {ageMilliseconds: Math.round(ageMilliseconds), live: live.length});
 		}
 
 		return follows;
--- a/source/measurements/overload-placement.ts
+++ b/source/measurements/overload-placement.ts
@@ -41,7 +41,7 @@
 
 function measure(count: number, endpointsPerService: number, prompt: boolean): PlacementRow {
 	const endpoints = Array.from({length: count}, (_, index) => ({address: `10.${Math.floor(index / 250)}.0.${index % 250}:9000`}));
-	const placement = new Placement({endpointsOf: () => endpoints, endpointsPerService, startTokensOf: () => 65_536});
+	const placement = new Placement({endpointsOf: () => endpoints, endpointsPerService, initialLimitOf: () => 65_536});
 	const histogram = build({lowestDiscernibleValue: 1, highestTrackableValue: 1_000_000_000, numberOfSignificantValueDigits: 3});
 	for (let choice = 0; choice < choices; choice += 1) {
 		const startedAt = process.hrtime.bigint();
--- a/source/placement/circuit-breakers.ts
+++ b/source/placement/circuit-breakers.ts
@@ -8,10 +8,10 @@
 export type CircuitBreakersOptions = {
 	/** Consecutive failures that open a circuit. Default 3. */
 	failuresToOpen?: number;
-	/** Back-off before the first probe, in milliseconds; doubles with each failed probe. Default 1,000. */
-	initialBackOffMilliseconds?: number;
-	/** Maximum back-off between two probes, in milliseconds. Default 15,000. */
-	maximumBackOffMilliseconds?: number;
+	/** Backoff before the first probe, in milliseconds; doubles with each failed probe. Default 1,000. */
+	initialBackoffMilliseconds?: number;
+	/** Maximum backoff between two probes, in milliseconds. Default 15,000. */
+	maximumBackoffMilliseconds?: number;
 };
 
 type Circuit = {failures: number; probeAt: number; lastTriedAt: number; probedEarly: boolean};
@@ -33,7 +33,7 @@
 
 	constructor(options: CircuitBreakersOptions = {}) {
 		this.#options = {
-			failuresToOpen: 3, initialBackOffMilliseconds: 1000, maximumBackOffMilliseconds: 15_000, ...options,
+			failuresToOpen: 3, initialBackoffMilliseconds: 1000, maximumBackoffMilliseconds: 15_000, ...options,
 		};
 	}
 
@@ -52,12 +52,12 @@
 		return this.#circuits.get(address)?.lastTriedAt ?? Number.NEGATIVE_INFINITY;
 	}
 
-	/** Records that an endpoint was chosen; an open circuit then allows no other request until the back-off has passed. */
+	/** Records that an endpoint was chosen; an open circuit then allows no other request until the backoff has passed. */
 	recordChoice(address: string, now: number): void {
 		const circuit = this.#circuits.get(address);
 		if (circuit) {
 			circuit.lastTriedAt = now;
-			circuit.probeAt = now + this.#backOff(circuit.failures);
+			circuit.probeAt = now + this.#backoff(circuit.failures);
 		}
 	}
 
@@ -71,7 +71,7 @@
 		const circuit = this.#circuits.get(address);
 		const failures = (circuit?.failures ?? 0) + 1;
 		this.#circuits.set(address, {
-			failures, lastTriedAt: now, probeAt: now + this.#backOff(failures), probedEarly: circuit?.probedEarly ?? false,
+			failures, lastTriedAt: now, probeAt: now + this.#backoff(failures), probedEarly: circuit?.probedEarly ?? false,
 		});
 	}
 
@@ -93,9 +93,9 @@
 		}
 	}
 
-	#backOff(failures: number): number {
-		const {failuresToOpen, initialBackOffMilliseconds, maximumBackOffMilliseconds} = this.#options;
+	#backoff(failures: number): number {
+		const {failuresToOpen, initialBackoffMilliseconds, maximumBackoffMilliseconds} = this.#options;
 		const probes = Math.min(Math.max(0, failures - failuresToOpen), 16);
-		return Math.min(initialBackOffMilliseconds * (2 ** probes), maximumBackOffMilliseconds);
+		return Math.min(initialBackoffMilliseconds * (2 ** probes), maximumBackoffMilliseconds);
 	}
 }
--- a/source/placement/endpoint-limits.ts
+++ b/source/placement/endpoint-limits.ts
@@ -24,7 +24,7 @@
 /** Minimum of a limit, as a fraction of the initial limit. */
 const minimumFactor = 1 / 64;
 
-/** Maximum of a limit, as a multiple of the initial tokens of a whole endpoint. */
+/** Maximum of a limit, as a multiple of the initial limit of a whole endpoint. */
 const maximumMultiple = 4;
 
 type Limit = {factor: number; decreasedAt: number};
@@ -34,8 +34,8 @@
  *
  * @example
  * ```ts
- * limits.recordFirstToken({address, milliseconds: 900, outstanding, startTokens, now});
- * limits.limitOf(address, startTokens);
+ * limits.recordFirstToken({address, milliseconds: 900, outstanding, initialLimit, now});
+ * limits.limitOf(address, initialLimit);
  * ```
  */
 export class EndpointLimits {
@@ -48,10 +48,10 @@
 		this.#shareOf = options.shareOf ?? (() => 1);
 	}
 
-	/** Returns the maximum number of tokens that this router may have in progress at an endpoint. */
-	limitOf(address: string, startTokens: number): number {
-		const limit = startTokens * this.#shareOf(address) * (this.#limits.get(address)?.factor ?? 1);
-		return Math.min(limit, startTokens * maximumMultiple);
+	/** Returns the maximum number of tokens that this router may have in progress at an endpoint, given the initial limit of the whole endpoint. */
+	limitOf(address: string, initialLimit: number): number {
+		const limit = initialLimit * this.#shareOf(address) * (this.#limits.get(address)?.factor ?? 1);
+		return Math.min(limit, initialLimit * maximumMultiple);
 	}
 
 	/**
@@ -59,21 +59,21 @@
 	 *
 	 * @param measurement Time to first token, and tokens in progress at the endpoint when it was measured.
 	 */
-	recordFirstToken(measurement: {address: string; milliseconds: number; outstanding: number; startTokens: number; now: number}): void {
-		const {address, milliseconds, outstanding, startTokens, now} = measurement;
+	recordFirstToken(measurement: {address: string; milliseconds: number; outstanding: number; initialLimit: number; now: number}): void {
+		const {address, milliseconds, outstanding, initialLimit, now} = measurement;
 		const limit = this.#limits.get(address) ?? {factor: 1, decreasedAt: Number.NEGATIVE_INFINITY};
 		this.#limits.set(address, limit);
 		if (milliseconds > this.#targetMilliseconds) {
 			if (now - limit.decreasedAt >= decreaseIntervalMilliseconds) {
 				limit.decreasedAt = now;
-				const inUse = outstanding / (startTokens * this.#shareOf(address));
+				const inUse = outstanding / (initialLimit * this.#shareOf(address));
 				limit.factor = Math.max(minimumFactor, Math.min(limit.factor, Math.max(inUse, minimumFactor)) * decreaseFactor);
 			}
 
 			return;
 		}
 
-		if (outstanding >= this.limitOf(address, startTokens) / 2) {
+		if (outstanding >= this.limitOf(address, initialLimit) / 2) {
 			limit.factor = Math.min(limit.factor + increaseStep, maximumMultiple / this.#shareOf(address));
 		}
 	}
--- a/source/placement/endpoint-shares.ts
+++ b/source/placement/endpoint-shares.ts
@@ -37,7 +37,7 @@
  *
  * @param service The service; an unknown service has no limit.
  */
-export function startTokensOf(service: Service | undefined): number {
+export function initialLimitOf(service: Service | undefined): number {
 	if (!service) {
 		return Number.MAX_SAFE_INTEGER;
 	}
--- a/source/placement/placement.test.ts
+++ b/source/placement/placement.test.ts
@@ -88,7 +88,7 @@
 	assert.equal(placement.choose(request({prompt: 'lore', now: 600_000})), owner);
 });
 
-test('after consecutive failures an endpoint gets only single probes after a back-off', () => {
+test('after consecutive failures an endpoint gets only single probes after a backoff', () => {
 	const {placement, endpoints} = createPlacement(2);
 	const failing = endpoints[0]!.address;
 	for (let failure = 0; failure < 3; failure += 1) {
@@ -128,7 +128,7 @@
 });
 
 test('no endpoint is chosen for admitted work while all are at twice their limits', () => {
-	const {placement, endpoints} = createPlacement(2, {startTokensOf: () => 1000});
+	const {placement, endpoints} = createPlacement(2, {initialLimitOf: () => 1000});
 	for (const {address} of endpoints) {
 		placement.recordStart(address, 1950);
 	}
@@ -139,7 +139,7 @@
 });
 
 test('a limit decreases while the time to first token is above the target and increases again below it', () => {
-	const {placement, endpoints} = createPlacement(1, {startTokensOf: () => 1000});
+	const {placement, endpoints} = createPlacement(1, {initialLimitOf: () => 1000});
 	const {address} = endpoints[0]!;
 	placement.choose(request());
 	placement.recordStart(address, 900);
@@ -157,7 +157,7 @@
 });
 
 test('a failing endpoint counts for one probe only, which is due at once when it answers a load query', () => {
-	const {placement, endpoints} = createPlacement(1, {startTokensOf: () => 1000});
+	const {placement, endpoints} = createPlacement(1, {initialLimitOf: () => 1000});
 	const {address} = endpoints[0]!;
 	for (let failure = 0; failure < 10; failure += 1) {
 		placement.recordFailure(address, 0);
--- a/source/placement/placement.ts
+++ b/source/placement/placement.ts
@@ -40,7 +40,7 @@
 	/** Number of endpoints of each service that this router uses. Default 48. */
 	endpointsPerService?: number;
 	/** Returns the initial token limit of one endpoint of a service. Default unlimited. */
-	startTokensOf?: (service: string) => number;
+	initialLimitOf?: (service: string) => number;
 	/** Options of the adaptive limits. */
 	limits?: EndpointLimitsOptions;
 	/** Options of the circuit breakers. */
@@ -80,13 +80,13 @@
 
 	constructor(options: PlacementOptions) {
 		this.#options = {
-			subsetKey: '', endpointsPerService: 48, startTokensOf: () => Number.MAX_SAFE_INTEGER, ...options,
+			subsetKey: '', endpointsPerService: 48, initialLimitOf: () => Number.MAX_SAFE_INTEGER, ...options,
 		};
 		this.#circuitBreakers = new CircuitBreakers(options.circuits);
 		this.#limits = new EndpointLimits(options.limits);
 	}
 
-	/** Chooses an endpoint; returns nothing if all are excluded, failing, full or lack the version. */
+	/** Chooses an endpoint; returns `undefined` if all are excluded, failing, full or lack the version. */
 	choose(request: PlacementRequest): string | undefined {
 		const {selected, all} = this.#subset(request.service);
 		const address = this.#chooseAmong(selected, request)
@@ -120,7 +120,7 @@
 
 	/** Returns the maximum number of tokens that this router may have in progress at an endpoint. */
 	limitOf(address: string, service: string): number {
-		return this.#limits.limitOf(address, this.#options.startTokensOf(service));
+		return this.#limits.limitOf(address, this.#options.initialLimitOf(service));
 	}
 
 	/** Returns the number of tokens that this router has in progress at an endpoint. */
@@ -157,7 +157,7 @@
 		const service = this.#serviceOf.get(address);
 		if (service !== undefined) {
 			this.#limits.recordFirstToken({
-				address, milliseconds, now, outstanding: this.outstanding(address), startTokens: this.#options.startTokensOf(service),
+				address, milliseconds, now, outstanding: this.outstanding(address), initialLimit: this.#options.initialLimitOf(service),
 			});
 		}
 	}
--- a/source/router/admission-parts.ts
+++ b/source/router/admission-parts.ts
@@ -8,7 +8,7 @@
 } from '../admission/mod.ts';
 import {type HostDirectory} from '../membership/mod.ts';
 import {type Host} from '../table-service/mod.ts';
-import {Placement, createEndpointShares, startTokensOf} from '../placement/mod.ts';
+import {Placement, createEndpointShares, initialLimitOf} from '../placement/mod.ts';
 import {type CallerParts} from './caller-context.ts';
 
 /** Kind of the hints that announce blocked requests. The key is the request digest, the value the wall-clock time at which the block expires, in milliseconds. */
@@ -35,7 +35,7 @@
 		subsetKey: settings.hostName,
 		endpointsPerService: settings.placement.endpointsPerService,
 		endpointsOf: service => directory.endpointsOf(service),
-		startTokensOf: service => startTokensOf(configuration.service(service)),
+		initialLimitOf: service => initialLimitOf(configuration.service(service)),
 		limits: {shareOf: createEndpointShares(directory, settings.placement.endpointsPerService)},
 	});
 	const suspects: Suspects = new Suspects({
--- a/source/routing/admit-request.ts
+++ b/source/routing/admit-request.ts
@@ -27,7 +27,7 @@
 };
 
 /** The admission decision on a request. */
-export type Admission
+export type AdmissionDecision
 	= | {kind: 'allowed'; route: Route; workspace: Workspace | undefined}
 		| {kind: 'no-configuration'}
 		| {kind: 'stale-configuration'}
@@ -46,7 +46,7 @@
  * const admission = admitRequest({table, ageMilliseconds: 900, host, path, key, trustedKeyMilliseconds: 4000, maximumDenialAgeMilliseconds: 2000});
  * ```
  */
-export function admitRequest(options: AdmitRequestOptions): Admission {
+export function admitRequest(options: AdmitRequestOptions): AdmissionDecision {
 	const {table, ageMilliseconds, host, path, key, trustedKeyMilliseconds, maximumDenialAgeMilliseconds} = options;
 	if (!table) {
 		return {kind: 'no-configuration'};
