--- a/source/answers/mod.ts
+++ b/source/answers/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Error answers shared by every part that can refuse a request.
+ * Error responses shared by all components that can refuse a request.
  *
  * @module
  */
--- a/source/answers/refusal.ts
+++ b/source/answers/refusal.ts
@@ -1,13 +1,13 @@
 /**
- * The error answer that a caller receives.
+ * The error response that a caller receives.
  *
  * @module
  */
 
-/** Whether the work of a refused request was run: `no` only where that is certain. */
+/** Whether the work of a refused request was run; `no` only if that is certain. */
 export type RunState = 'no' | 'yes' | 'unknown';
 
-/** Stable codes of error answers; callers may branch on them. */
+/** Stable codes of error responses; callers may branch on them. */
 export type RefusalCode
 	= | 'answer_not_kept'
 		| 'bad_request'
@@ -29,26 +29,26 @@
 		| 'store_unavailable'
 		| 'unauthorized';
 
-/** A final answer that says why a request was not completed. */
+/** An error response: why a request was not completed. */
 export type Refusal = {
-	/** HTTP status of the answer. */
+	/** HTTP status of the response. */
 	status: number;
 	/** Stable code. */
 	code: RefusalCode;
-	/** One sentence for people. */
+	/** Human-readable message of one sentence. */
 	message: string;
 	/** Whether the work was run. */
 	run: RunState;
-	/** Seconds after which the caller may come back; absent where a repeat cannot help. */
+	/** Seconds after which the caller may retry; absent if a retry cannot succeed. */
 	retryAfterSeconds?: number;
-	/** Addresses of other entries that the caller may use at once. */
+	/** Addresses of other entries that the caller may use immediately. */
 	entries?: string[];
 };
 
 /**
- * Returns the JSON body of an error answer.
+ * Returns the JSON body of an error response.
  *
- * @param refusal What went wrong.
+ * @param refusal The refusal.
  * @returns An object with one field, `error`.
  * @example
  * ```ts
--- a/source/binaries/_gateway-arguments.ts
+++ b/source/binaries/_gateway-arguments.ts
@@ -1,15 +1,15 @@
 /**
- * Arguments of the gateway's program.
+ * Command-line arguments of the gateway daemon.
  *
  * @module
  */
 import process from 'node:process';
 
-/** What the program is told when it is started. */
+/** Parsed command-line arguments. */
 export type GatewayArguments = {
-	/** File with the settings. */
+	/** Path of the settings file. */
 	settings: string;
-	/** Whether only to check them. */
+	/** Whether to only check the settings. */
 	check: boolean;
 };
 
@@ -26,16 +26,16 @@
 	  SIGHUP           Read the settings again and log their faults; they hold from the next start
 `;
 
-/** Reads the arguments. Without any, as hosts start the program, their library is not loaded. */
+/** Reads the command-line arguments. The parser library is loaded only if there are any; hosts start the daemon without arguments. */
 export async function readGatewayArguments(): Promise<GatewayArguments> {
-	const usual = {settings: process.env.AZURETACK_SETTINGS ?? '', check: false};
+	const defaults = {settings: process.env.AZURETACK_SETTINGS ?? '', check: false};
 	if (process.argv.length <= 2) {
-		return usual;
+		return defaults;
 	}
 
 	const {default: meow} = await import('meow');
 	return meow(help, {
 		importMeta: import.meta,
-		flags: {settings: {type: 'string', default: usual.settings}, check: {type: 'boolean', default: usual.check}},
+		flags: {settings: {type: 'string', default: defaults.settings}, check: {type: 'boolean', default: defaults.check}},
 	}).flags;
 }
--- a/source/binaries/_settings-signal.ts
+++ b/source/binaries/_settings-signal.ts
@@ -1,26 +1,26 @@
 /**
- * The signal that settings have changed, held before the program does anything: without a handler it would end the process.
+ * Handles SIGHUP, which announces changed settings, from the start of the process: without a handler the signal would end it.
  *
  * @module
  */
 import process from 'node:process';
 
 let handler: (() => void) | undefined;
-let cameEarly = false;
+let receivedBeforeHandler = false;
 
 process.on('SIGHUP', () => {
-	cameEarly ||= handler === undefined;
+	receivedBeforeHandler ||= handler === undefined;
 	handler?.();
 });
 
 /**
- * Calls a function at each signal, and once for those that came before.
+ * Calls a function on each SIGHUP, and once if any arrived earlier.
  *
- * @param next The function.
+ * @param next Function to call.
  */
 export function onSettingsSignal(next: () => void): void {
 	handler = next;
-	if (cameEarly) {
+	if (receivedBeforeHandler) {
 		next();
 	}
 }
--- a/source/binaries/azuretack-call.ts
+++ b/source/binaries/azuretack-call.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 /**
- * The reference caller: prints a generation as its tokens arrive, whatever entry or engine is lost meanwhile.
+ * The reference client: prints the tokens of a generation as they arrive and continues when an entry or engine is lost.
  *
  * @module
  */
--- a/source/binaries/azuretack-gateway.ts
+++ b/source/binaries/azuretack-gateway.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 /**
- * The gateway daemon's program: reads its settings and runs the gateway until a signal asks it to stop.
+ * The gateway daemon: reads its settings and runs the gateway until it receives a stop signal.
  *
  * @module
  */
@@ -45,7 +45,7 @@
 		return;
 	}
 
-	// Addresses and bounds hold until the next start; nothing else is in the file.
+	// The file contains only addresses and bounds, which are applied at the next start; a reload only checks them.
 	logger.info('settings read again', {changed: !isDeepStrictEqual(changed.value, settings)});
 };
 
--- a/source/binaries/azuretack-operate.ts
+++ b/source/binaries/azuretack-operate.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 /**
- * Shows operators what the routers do, and asks one to leave.
+ * The operator command line: shows the state of routers, requests and usage, settles claims and drains hosts.
  *
  * @module
  */
@@ -9,7 +9,7 @@
 import meow from 'meow';
 import {ok} from 'neverthrow';
 import {
-	OperatorClient, operateCommands, readEntryHosts, type CommandContext,
+	OperatorClient, operateCommands, listEntryHosts, type CommandContext,
 } from '../operations/mod.ts';
 import {PlatformClient} from '../table-service/mod.ts';
 
@@ -48,7 +48,7 @@
 	},
 });
 
-/** Commands that need nothing of the platform but its host list. */
+/** Commands that need only the host list from the platform. */
 const hostCommands = new Set(['status', 'explain', 'drain']);
 
 const exitCodes = {done: 0, failed: 1, partial: 3};
@@ -74,7 +74,7 @@
 			return ok(addresses.map(address => ({name: address, address})));
 		}
 
-		return readEntryHosts(platform);
+		return listEntryHosts(platform);
 	};
 
 	const report = await found.run({
--- a/source/binaries/azuretack-publish.ts
+++ b/source/binaries/azuretack-publish.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 /**
- * Collects service and workspaces files, checks all of them, publishes one version and waits until it is in force.
+ * Collects and checks service and workspaces files, publishes them as one version and waits until it is in force.
  *
  * @module
  */
@@ -11,7 +11,7 @@
 	collectFiles, isVersionToken, publish, settlePublication,
 } from '../configuration/mod.ts';
 import {
-	OperatorClient, describeFailure, describeSettlement, publishExitCodes, readEntryHosts, waitUntilInForce,
+	OperatorClient, describeFailure, describeSettlement, publishExitCodes, listEntryHosts, waitUntilInForce,
 } from '../operations/mod.ts';
 import {PlatformClient} from '../table-service/mod.ts';
 import {formatFault} from '../settings/mod.ts';
@@ -119,7 +119,7 @@
 	return exitCode;
 }
 
-/** Waits until every router has the version, and says so. */
+/** Waits until every router has the version in force, and prints the result. */
 async function reportInForce(platform: PlatformClient, version: number, accepted: string): Promise<number> {
 	const key = flags.operatorKey ?? process.env.AZURETACK_OPERATOR_KEY;
 	if (key === undefined) {
@@ -130,7 +130,7 @@
 	const until = clock() + (flags.wait * 1000);
 	const client = new OperatorClient({key});
 	const waited = await waitUntilInForce({
-		client, version, clock, until, hosts: async () => readEntryHosts(platform),
+		client, version, clock, until, hosts: async () => listEntryHosts(platform),
 	});
 	await client.close();
 	if (waited.isErr()) {
--- a/source/binaries/azuretack-router.ts
+++ b/source/binaries/azuretack-router.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env -S node --max-semi-space-size=8
 /**
- * The router daemon's program: reads its settings and runs the router until a signal asks it to leave.
+ * The router daemon: reads its settings and runs the router until it receives a stop signal.
  *
  * @module
  */
--- a/source/client/_idle-timeout.ts
+++ b/source/client/_idle-timeout.ts
@@ -1,48 +1,48 @@
 /**
- * Gives up a connection on which nothing has come for a time.
+ * Aborts a connection on which no data has arrived for some time.
  *
  * @module
  */
 
-/** Aborts its signal when it has not been touched for a time, or when another signal aborts. */
+/** Aborts its signal when no activity has been recorded within the timeout, or when another signal aborts. */
 export class IdleTimeout {
 	readonly #controller = new AbortController();
 	readonly #timer: NodeJS.Timeout;
-	readonly #stop = new AbortController();
+	readonly #stopController = new AbortController();
 	#milliseconds: number;
-	#touchedAt = performance.now();
+	#lastActivityAt = performance.now();
 
 	constructor(milliseconds: number, signal: AbortSignal) {
 		this.#milliseconds = milliseconds;
 		this.#timer = setInterval(() => {
-			if (performance.now() - this.#touchedAt >= this.#milliseconds) {
-				this.#abort('the connection went silent');
+			if (performance.now() - this.#lastActivityAt >= this.#milliseconds) {
+				this.#abort('no data arrived within the idle timeout');
 			}
 		}, checkMilliseconds);
 		signal.addEventListener('abort', () => {
-			this.#abort('the call took too long');
-		}, {signal: this.#stop.signal});
+			this.#abort('the call exceeded its deadline');
+		}, {signal: this.#stopController.signal});
 	}
 
-	/** Aborts when the time is over. */
+	/** Aborts on the idle timeout or when the outer signal aborts. */
 	get signal(): AbortSignal {
 		return this.#controller.signal;
 	}
 
-	/** Changes the time without a byte after which the connection is given up, in milliseconds. */
-	limit(milliseconds: number): void {
+	/** Changes the idle timeout, in milliseconds. */
+	setLimit(milliseconds: number): void {
 		this.#milliseconds = milliseconds;
 	}
 
-	/** Records that something came. */
-	touch(): void {
-		this.#touchedAt = performance.now();
+	/** Records that data arrived. */
+	recordActivity(): void {
+		this.#lastActivityAt = performance.now();
 	}
 
-	/** Ends the timeout. */
+	/** Stops the timer and no longer follows the outer signal. */
 	stop(): void {
 		clearInterval(this.#timer);
-		this.#stop.abort();
+		this.#stopController.abort();
 	}
 
 	#abort(message: string): void {
@@ -51,5 +51,5 @@
 	}
 }
 
-/** Time between two looks at the connection, in milliseconds. */
+/** Time between two checks for activity, in milliseconds. */
 const checkMilliseconds = 50;
--- a/source/client/complete.ts
+++ b/source/client/complete.ts
@@ -1,5 +1,5 @@
 /**
- * The caller's side of a generation: it survives the loss of any entry.
+ * Client of a generation that continues when any entry is lost.
  *
  * @module
  */
@@ -26,15 +26,15 @@
 	}),
 });
 
-/** What a caller asks for. */
+/** Request for a generation. */
 export type CompletionRequest = {model: string; prompt: string; max_tokens: number; seed?: number};
 
-/** A whole answer. */
+/** A complete answer. */
 export type Completion = {
 	text: string;
 	tokens: number;
 	generation: string;
-	/** Connections that were lost on the way. */
+	/** Number of connections that were lost and replaced. */
 	reconnections: number;
 	/** Longest time between two tokens, in milliseconds. */
 	longestGapMilliseconds: number;
@@ -42,7 +42,7 @@
 	firstTokenMilliseconds: number;
 };
 
-/** Why there is no whole answer. */
+/** Reason why there is no complete answer. */
 export type CompletionFailure = {code: string; message: string; run: 'no' | 'yes' | 'unknown'; text: string};
 
 /** Options of {@linkcode complete}. */
@@ -52,14 +52,14 @@
 	request: CompletionRequest;
 	/** Called with each token's text. Default does nothing. */
 	onToken?: (text: string, index: number, address: string) => void;
-	/** Time without a byte after which the connection is given up, in milliseconds. Default 2,500, then three heartbeats of the entry. */
+	/** Idle timeout of a connection, in milliseconds. Default 2,500 until the response headers arrive, then three heartbeat intervals of the entry. */
 	silenceMilliseconds?: number;
-	/** Time for the whole answer, in milliseconds. Default 600,000. */
+	/** Deadline of the complete answer, in milliseconds. Default 600,000. */
 	deadlineMilliseconds?: number;
 };
 
-/** State of one call over all of its connections. */
-type CallState = {
+/** State of a generation over all of its connections. */
+type CompletionState = {
 	text: string;
 	nextIndex: number;
 	cursor: string | undefined;
@@ -73,23 +73,23 @@
 
 type StreamEnd = {kind: 'done'} | {kind: 'lost'; message: string} | {kind: 'refused'; failure: CompletionFailure; retryAfterSeconds?: number};
 
-/** Header by which an entry tells how often it writes on an idle stream, in milliseconds. */
+/** Header in which an entry announces its heartbeat interval on an idle stream, in milliseconds. */
 const heartbeatHeader = 'x-heartbeat-milliseconds';
 
-/** Time without a byte after which an entry that has not told its interval counts as silent, in milliseconds. */
-const firstByteMilliseconds = 2500;
+/** Idle timeout for an entry that has not announced its heartbeat interval, in milliseconds. */
+const defaultIdleMilliseconds = 2500;
 
-/** Heartbeats that may be missing before the connection counts as silent. */
-const missedHeartbeats = 3;
+/** Heartbeat intervals without data after which the connection is abandoned. */
+const toleratedMissedHeartbeats = 3;
 
-/** Pause between two entries that failed, in milliseconds. */
+/** Delay before the next attempt after an entry failed, in milliseconds. */
 const retryMilliseconds = 100;
 
 /**
- * Requests a generation and continues it by its cursor, at another entry if need be, until the answer is whole.
+ * Requests a generation and resumes it by its cursor, at another entry if necessary, until the answer is complete.
  *
  * @param options Entries, key and request.
- * @returns The whole answer, or why there is none.
+ * @returns The complete answer, or the reason why there is none.
  * @example
  * ```ts
  * const answer = await complete({entries, key, request: {model: 'briefs', prompt, max_tokens: 200}});
@@ -98,13 +98,13 @@
 export async function complete(options: CompleteOptions): Promise<Result<Completion, CompletionFailure>> {
 	const startedAt = performance.now();
 	const deadline = startedAt + (options.deadlineMilliseconds ?? 600_000);
-	const state: CallState = {
+	const state: CompletionState = {
 		text: '', nextIndex: 0, cursor: undefined, generation: '', totalTokens: undefined, startedAt, lastTokenAt: startedAt, longestGapMilliseconds: 0, firstTokenMilliseconds: 0,
 	};
 	for (let connection = 0; performance.now() < deadline; connection += 1) {
-		const [address] = await options.entries.ordered(Date.now());
+		const [address] = await options.entries.listInOrder(Date.now());
 		const signal = AbortSignal.timeout(Math.max(1, Math.ceil(deadline - performance.now())));
-		const end: StreamEnd = address === undefined ? {kind: 'lost', message: 'no entry is known'} : await stream(address, options, state, signal);
+		const end: StreamEnd = address === undefined ? {kind: 'lost', message: 'no entry is known'} : await streamFromEntry(address, options, state, signal);
 		if (end.kind === 'done') {
 			return ok({
 				text: state.text,
@@ -121,19 +121,19 @@
 		}
 
 		if (address !== undefined) {
-			options.entries.failed(address, Date.now());
+			options.entries.recordFailure(address, Date.now());
 		}
 
 		await pause(end.kind === 'refused' ? Math.min(end.retryAfterSeconds! * 1000, deadline - performance.now()) : retryMilliseconds);
 	}
 
 	return err({
-		code: 'deadline_exceeded', message: 'the answer was not whole in time', run: state.nextIndex > 0 ? 'yes' : 'unknown', text: state.text,
+		code: 'deadline_exceeded', message: 'the answer was not complete before the deadline', run: state.nextIndex > 0 ? 'yes' : 'unknown', text: state.text,
 	});
 }
 
-async function stream(address: string, options: CompleteOptions, state: CallState, signal: AbortSignal): Promise<StreamEnd> {
-	const idle = new IdleTimeout(options.silenceMilliseconds ?? firstByteMilliseconds, signal);
+async function streamFromEntry(address: string, options: CompleteOptions, state: CompletionState, signal: AbortSignal): Promise<StreamEnd> {
+	const idle = new IdleTimeout(options.silenceMilliseconds ?? defaultIdleMilliseconds, signal);
 	const client = new Client(`http://${address}`, {connectTimeout: 1000, headersTimeout: 0, bodyTimeout: 0});
 	try {
 		const response = await client.request({
@@ -148,11 +148,11 @@
 			body: JSON.stringify({...options.request, stream: true, ...(state.cursor !== undefined && {received_text: state.text})}),
 		});
 		if (response.statusCode !== 200) {
-			return refusalOf(await response.body.text(), state);
+			return parseRefusal(await response.body.text(), state);
 		}
 
-		idle.limit(options.silenceMilliseconds ?? silenceOf(response.headers[heartbeatHeader]));
-		idle.touch();
+		idle.setLimit(options.silenceMilliseconds ?? idleTimeoutFromHeader(response.headers[heartbeatHeader]));
+		idle.recordActivity();
 		return await readEvents(response.body, {address, idle}, options, state);
 	} catch (error) {
 		return {kind: 'lost', message: String(error)};
@@ -162,10 +162,10 @@
 	}
 }
 
-/** One connection to an entry. */
-type Connection = {address: string; idle: IdleTimeout};
+/** A connection to an entry. */
+type EntryConnection = {address: string; idle: IdleTimeout};
 
-async function readEvents(body: Dispatcher.ResponseData['body'], {address, idle}: Connection, options: CompleteOptions, state: CallState): Promise<StreamEnd> {
+async function readEvents(body: Dispatcher.ResponseData['body'], {address, idle}: EntryConnection, options: CompleteOptions, state: CompletionState): Promise<StreamEnd> {
 	const messages: EventSourceMessage[] = [];
 	const parser = createParser({
 		onEvent(message) {
@@ -174,10 +174,10 @@
 	});
 	const decoder = new TextDecoder();
 	for await (const chunk of body as AsyncIterable<Uint8Array>) {
-		idle.touch();
+		idle.recordActivity();
 		parser.feed(decoder.decode(chunk, {stream: true}));
 		for (const message of messages.splice(0)) {
-			const end = take(message, address, options, state);
+			const end = applyEvent(message, address, options, state);
 			if (end) {
 				return end;
 			}
@@ -187,10 +187,10 @@
 	return {kind: 'lost', message: 'the entry closed the stream before its end'};
 }
 
-/** Takes one event; returns the stream's end if it is the last one. */
-function take(message: EventSourceMessage, address: string, options: CompleteOptions, state: CallState): StreamEnd | undefined {
+/** Applies an event to the state; returns the end of the stream if the event is the last one. */
+function applyEvent(message: EventSourceMessage, address: string, options: CompleteOptions, state: CompletionState): StreamEnd | undefined {
 	if (message.event === 'error') {
-		return refusalOf(message.data, state);
+		return parseRefusal(message.data, state);
 	}
 
 	if (message.data === '[DONE]') {
@@ -204,7 +204,7 @@
 	}
 
 	if (event.token_index !== state.nextIndex || (state.generation !== '' && event.id !== state.generation)) {
-		return {kind: 'lost', message: `token ${event.token_index} of ${event.id} came where ${state.nextIndex} was next`};
+		return {kind: 'lost', message: `token ${event.token_index} of ${event.id} arrived instead of token ${state.nextIndex}`};
 	}
 
 	const now = performance.now();
@@ -224,13 +224,13 @@
 	return undefined;
 }
 
-/** Returns the time without a byte after which a stream counts as silent, in milliseconds. */
-function silenceOf(header: string | string[] | undefined): number {
+/** Returns the idle timeout that follows from the heartbeat header, in milliseconds. */
+function idleTimeoutFromHeader(header: string | string[] | undefined): number {
 	const heartbeatMilliseconds = Number(header);
-	return heartbeatMilliseconds > 0 ? heartbeatMilliseconds * missedHeartbeats : firstByteMilliseconds;
+	return heartbeatMilliseconds > 0 ? heartbeatMilliseconds * toleratedMissedHeartbeats : defaultIdleMilliseconds;
 }
 
-function refusalOf(text: string, state: CallState): StreamEnd {
+function parseRefusal(text: string, state: CompletionState): StreamEnd {
 	const {error} = errorSchema.parse(JSON.parse(text));
 	return {kind: 'refused', failure: {...error, text: state.text}, retryAfterSeconds: error.retry_after_seconds};
 }
--- a/source/client/entry-list.ts
+++ b/source/client/entry-list.ts
@@ -1,5 +1,5 @@
 /**
- * The entries that a caller keeps for their time to live.
+ * List of entries that a caller caches for its time to live.
  *
  * @module
  */
@@ -16,22 +16,22 @@
 
 /** Options of {@linkcode EntryList}. */
 export type EntryListOptions = {
-	/** Addresses of some entry hosts that are asked first. */
+	/** Addresses of entry hosts that are queried first. */
 	seeds: string[];
 	/** Deadline of one request for entries, in milliseconds. Default 1,000. */
 	timeoutMilliseconds?: number;
 };
 
-/** Time for which an entry that failed is tried last, in milliseconds. */
-const failedMilliseconds = 5000;
+/** Time for which a failed entry is tried last, in milliseconds. */
+const failurePenaltyMilliseconds = 5000;
 
 /**
- * Asks entry hosts which entries to use, and keeps the answer for its time to live.
+ * Queries entry hosts for the entries to use, and caches the list for its time to live.
  *
  * @example
  * ```ts
  * const entries = new EntryList({seeds: ['10.0.0.1:8080']});
- * const order = await entries.ordered(Date.now());
+ * const order = await entries.listInOrder(Date.now());
  * ```
  */
 export class EntryList {
@@ -46,29 +46,29 @@
 		this.#timeoutMilliseconds = options.timeoutMilliseconds ?? 1000;
 	}
 
-	/** Returns the entries in the order in which to try them: those that failed lately come last. */
-	async ordered(now: number): Promise<string[]> {
+	/** Returns the entries in the order in which to try them; recently failed ones come last. */
+	async listInOrder(now: number): Promise<string[]> {
 		if (now >= this.#expiresAt) {
 			await this.#refresh(now);
 		}
 
 		const addresses = this.#addresses.length > 0 ? this.#addresses : this.#seeds;
-		return this.#failedLast(addresses, now);
+		return this.#sortFailedLast(addresses, now);
 	}
 
-	/** Records that an entry did not answer. */
-	failed(address: string, now: number): void {
-		this.#failedUntil.set(address, now + failedMilliseconds);
+	/** Records that an entry failed. */
+	recordFailure(address: string, now: number): void {
+		this.#failedUntil.set(address, now + failurePenaltyMilliseconds);
 	}
 
-	#failedLast(addresses: Iterable<string>, now: number): string[] {
+	#sortFailedLast(addresses: Iterable<string>, now: number): string[] {
 		const hasFailed = (address: string) => Number((this.#failedUntil.get(address) ?? 0) > now);
 		return [...addresses].toSorted((left, right) => hasFailed(left) - hasFailed(right));
 	}
 
 	async #refresh(now: number): Promise<void> {
-		for (const address of this.#failedLast(new Set([...this.#addresses, ...this.#seeds]), now)) {
-			const answer = await this.#ask(address);
+		for (const address of this.#sortFailedLast(new Set([...this.#addresses, ...this.#seeds]), now)) {
+			const answer = await this.#fetchEntries(address);
 			if (answer.isOk() && answer.value.entries.length > 0) {
 				this.#addresses = answer.value.entries.map(entry => entry.address);
 				this.#expiresAt = now + (answer.value.timeToLiveSeconds * 1000);
@@ -77,7 +77,7 @@
 		}
 	}
 
-	async #ask(address: string): Promise<Result<z.output<typeof entriesSchema>, string>> {
+	async #fetchEntries(address: string): Promise<Result<z.output<typeof entriesSchema>, string>> {
 		try {
 			const response = await request(`http://${address}/v1/entries`, {signal: AbortSignal.timeout(this.#timeoutMilliseconds)});
 			return ok(entriesSchema.parse(await response.body.json()));
--- a/source/client/mod.ts
+++ b/source/client/mod.ts
@@ -1,5 +1,5 @@
 /**
- * The caller's module behind `azuretack-call`.
+ * Client library behind `azuretack-call`.
  *
  * @module
  */
--- a/source/endpoints/pooled-service-client.ts
+++ b/source/endpoints/pooled-service-client.ts
@@ -7,7 +7,7 @@
 	err, ok, type Result,
 } from 'neverthrow';
 import {Agent} from 'undici';
-import {neverConnected} from '../supervision/mod.ts';
+import {isConnectError} from '../supervision/mod.ts';
 import {
 	readResponse, type ServiceResponse, type ServiceFailure, type ServiceRequest,
 } from './service-message.ts';
@@ -55,7 +55,7 @@
 			});
 			return ok(await readResponse(response, () => undefined));
 		} catch (error) {
-			return err({sent: !neverConnected(error), message: String(error)});
+			return err({sent: !isConnectError(error), message: String(error)});
 		}
 	}
 
--- a/source/forwarding/send-request.ts
+++ b/source/forwarding/send-request.ts
@@ -6,7 +6,7 @@
 import {request as startRequest, type Agent, type IncomingMessage} from 'node:http';
 import {type Socket} from 'node:net';
 import {decodeResponseHeaders, type ResponseTerms} from '../platform/mod.ts';
-import {neverConnected} from '../supervision/connect-errors.ts';
+import {isConnectError} from '../supervision/connect-errors.ts';
 
 /** Options of {@linkcode sendRequest}. */
 export type SendRequestOptions = {
@@ -102,7 +102,7 @@
 		});
 		request.on('error', error => {
 			failure ??= error;
-			resolve({kind: connected && !neverConnected(error) ? 'lost' : 'not-sent', message: error.message});
+			resolve({kind: connected && !isConnectError(error) ? 'lost' : 'not-sent', message: error.message});
 		});
 		request.on('response', response => {
 			const terms = decodeResponseHeaders(response.statusCode ?? 0, response.headers);
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -12,7 +12,7 @@
 import {
 	admitRequest, selectService, type AdmissionDecision, type RequestKind, type Route,
 } from '../routing/mod.ts';
-import {signalOfCaller} from '../supervision/caller-signal.ts';
+import {callerDisconnectSignal} from '../supervision/caller-signal.ts';
 import {RequestIdentity, type SuspectedRequests, type SuspectAdmission} from '../suspects/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 
@@ -118,7 +118,7 @@
 		});
 	}
 
-	const callerDisconnected = signalOfCaller(response);
+	const callerDisconnected = callerDisconnectSignal(response);
 	const body = await readBody(request, snapshot.table!.configuration.limits.bodyBytes);
 	if (callerDisconnected.aborted || body === 'broken') {
 		return {outcome: 'caller_left', status: 0, endpoints: []};
--- a/source/operations/claim-commands.test.ts
+++ b/source/operations/claim-commands.test.ts
@@ -7,7 +7,7 @@
 	return fleet.runProgram('azuretack-operate', ['--platform', `http://${fleet.process('platform').address}`, ...parameters], {AZURETACK_OPERATOR_KEY: operatorKey});
 }
 
-test('an operator sees an unknown outcome and settles it as run, and a repeat does not run', async () => {
+test('an operator settles a claim of unknown outcome as run, and a repeated call is not run again', async () => {
 	await using fleet = await Fleet.create();
 	await startCallFleet(fleet, {deadlineSeconds: 1, plain: {answerMilliseconds: 5000}});
 	const call = await sendCall(fleet, {key: 'refill-1'});
@@ -15,7 +15,7 @@
 	await fleet.until(async () => {
 		const claim = await operate(fleet, 'claim', 'test', 'orders', 'refill-1');
 		return /^state +unknown$/mv.test(claim.output);
-	}, 'the claim says unknown');
+	}, 'the claim has state unknown');
 	const anonymous = await operate(fleet, 'settle', 'test', 'orders', 'refill-1', 'yes');
 	assert.equal(anonymous.code, 1);
 	const settled = await operate(fleet, '--as', 'ana', 'settle', 'test', 'orders', 'refill-1', 'yes');
@@ -27,7 +27,7 @@
 	assert.match(unknown.errors, /there is no claim test\/orders\/refill-2/v);
 });
 
-test('a claim that its router may still run is withdrawn only once that router has ended and its time is over', async () => {
+test('a claim in state running is withdrawn only after its router has ended and its deadline has passed', async () => {
 	await using fleet = await Fleet.create();
 	await startCallFleet(fleet, {deadlineSeconds: 10, plain: {workMilliseconds: 60_000}});
 	const calling = sendCall(fleet, {key: 'refill-1', timeoutMilliseconds: 30_000});
@@ -35,7 +35,7 @@
 	await fleet.until(async () => {
 		const claim = await operate(fleet, 'claim', 'test', 'orders', 'refill-1');
 		return /^state +running$/mv.test(claim.output);
-	}, 'the claim says running');
+	}, 'the claim has state running');
 	const early = await operate(fleet, ...withdraw);
 	assert.equal(early.code, 1);
 	assert.match(early.errors, /make sure that this process has ended, then add --router-ended/v);
--- a/source/operations/claim-commands.ts
+++ b/source/operations/claim-commands.ts
@@ -1,5 +1,5 @@
 /**
- * The commands that look at and settle the claim of a call that runs at most once.
+ * Commands that show and settle the claim of an at-most-once call.
  *
  * @module
  */
@@ -10,8 +10,8 @@
 import {
 	readClaim, settleClaim, type Claim, type ClaimName,
 } from '../calls/mod.ts';
-import {type CommandContext, type OperateCommand, type Report} from './command.ts';
-import {textTable} from './text-table.ts';
+import {type CommandContext, type OperateCommand, type CommandReport} from './command.ts';
+import {formatTextTable} from './text-table.ts';
 
 const incarnationSchema = z.object({incarnation: z.string()});
 
@@ -21,28 +21,28 @@
 export const claimCommand: OperateCommand = {
 	parameters: ['WORKSPACE', 'SERVICE', 'KEY'],
 	async run({platform}, parameters) {
-		const claim = await readClaim(platform, claimName(parameters));
-		return claim.map(found => report(found)).mapErr(({message}) => message);
+		const claim = await readClaim(platform, claimNameFromParameters(parameters));
+		return claim.map(found => createClaimReport(found)).mapErr(({message}) => message);
 	},
 };
 
 /**
- * Settles a claim whose outcome no router can tell.
+ * Settles a claim whose outcome no router can determine.
  *
- * A claim that still says `running` is withdrawn only when the operator vouches that its router has ended and no router
- * that answers is the one: a paused router could still send the call when it wakes.
+ * A claim in state `running` is withdrawn only if the operator confirms that its router has ended and no router that
+ * responds has the incarnation of the claim: a paused router could still send the call after it resumes.
  */
 export const settleCommand: OperateCommand = {
 	parameters: ['WORKSPACE', 'SERVICE', 'KEY', 'yes|no'],
 	async run(context, parameters) {
-		const name = claimName(parameters);
+		const name = claimNameFromParameters(parameters);
 		const run = runSchema.safeParse(parameters[3]);
 		if (!run.success) {
-			return err('say whether the call has run: yes or no');
+			return err('specify whether the call has run: yes or no');
 		}
 
 		if (context.operator === undefined) {
-			return err('say with --as NAME who settles the claim; the name is kept in it');
+			return err('specify with --as NAME who settles the claim; the name is stored in it');
 		}
 
 		const claim = await readClaim(context.platform, name);
@@ -58,13 +58,13 @@
 		const settled = await settleClaim(context.platform, {
 			name, run: run.data, operator: context.operator, now: context.wallClock(), token: context.newName(),
 		});
-		return settled.map(found => report(found)).mapErr(({message}) => message);
+		return settled.map(found => createClaimReport(found)).mapErr(({message}) => message);
 	},
 };
 
 async function checkRouterEnded(context: CommandContext, claim: Claim): Promise<Result<void, string>> {
 	if (!context.routerEnded) {
-		return err(`the claim says that router ${claim.router} runs the call; make sure that this process has ended, then add --router-ended`);
+		return err(`according to the claim, router ${claim.router} runs the call; make sure that this process has ended, then add --router-ended`);
 	}
 
 	const hosts = await context.hosts();
@@ -72,16 +72,16 @@
 		return err(hosts.error);
 	}
 
-	const {answers} = await context.client.askAll(hosts.value, {path: '/status', schema: incarnationSchema});
+	const {answers} = await context.client.requestAll(hosts.value, {path: '/status', schema: incarnationSchema});
 	const alive = answers.find(({answer}) => answer.incarnation === claim.router);
 	return alive ? err(`router ${claim.router} is alive on host ${alive.host}`) : ok();
 }
 
-function claimName([workspace = '', service = '', idempotencyKey = '']: string[]): ClaimName {
+function claimNameFromParameters([workspace = '', service = '', idempotencyKey = '']: string[]): ClaimName {
 	return {workspace, service, idempotencyKey};
 }
 
-function report(claim: Claim): Report {
+function createClaimReport(claim: Claim): CommandReport {
 	const {state, router, endsBefore, answer, settledBy} = claim;
 	const rows = [
 		['state', state],
@@ -90,5 +90,5 @@
 		['answer status', answer ? String(answer.status) : 'none'],
 		['settled by', settledBy?.operator ?? 'nobody'],
 	];
-	return {value: claim, text: textTable(['field', 'value'], rows), failures: []};
+	return {value: claim, text: formatTextTable(['field', 'value'], rows), failures: []};
 }
--- a/source/operations/command.ts
+++ b/source/operations/command.ts
@@ -1,40 +1,40 @@
 /**
- * What the commands of azuretack-operate have in common.
+ * Types shared by the commands of azuretack-operate.
  *
  * @module
  */
 import {type Result} from 'neverthrow';
 import {type PlatformClient} from '../table-service/mod.ts';
-import {type HostFailure, type OperatedHost, type OperatorClient} from './operator-client.ts';
+import {type HostFailure, type OperatorHost, type OperatorClient} from './operator-client.ts';
 
-/** What a command works with. */
+/** Dependencies and options of a command. */
 export type CommandContext = {
 	platform: PlatformClient;
 	client: OperatorClient;
-	/** Returns the routers to ask. */
-	hosts: () => Promise<Result<OperatedHost[], string>>;
-	/** Name of the operator, for commands that keep it. */
+	/** Returns the routers to query. */
+	hosts: () => Promise<Result<OperatorHost[], string>>;
+	/** Name of the operator, for commands that store it. */
 	operator: string | undefined;
-	/** Whether the operator vouches that the router of a claim has ended. */
+	/** Whether the operator confirms that the router of a claim has ended. */
 	routerEnded: boolean;
 	/** Returns the wall-clock time, in milliseconds. */
 	wallClock: () => number;
-	/** Returns a name that is used once. */
+	/** Returns a unique name. */
 	newName: () => string;
 };
 
-/** What a command found. */
-export type Report = {
-	/** For programs. */
+/** Result of a command. */
+export type CommandReport = {
+	/** Machine-readable result, printed with `--json`. */
 	value: unknown;
-	/** For people. */
+	/** Human-readable result. */
 	text: string;
-	/** Hosts that gave no answer, so that the report may not be whole. */
+	/** Hosts that did not respond; the report may be incomplete without them. */
 	failures: HostFailure[];
 };
 
-/** One command: names of its parameters, and what it does with them. */
+/** A command: the names of its parameters, and its implementation. */
 export type OperateCommand = {
 	parameters: string[];
-	run: (context: CommandContext, parameters: string[]) => Promise<Result<Report, string>>;
+	run: (context: CommandContext, parameters: string[]) => Promise<Result<CommandReport, string>>;
 };
--- a/source/operations/commands.test.ts
+++ b/source/operations/commands.test.ts
@@ -28,7 +28,7 @@
 	return fleet;
 }
 
-test('status lists every router, for people and for programs, and names the one that does not answer', async () => {
+test('status lists every router as a table and as JSON, and reports a router that does not respond', async () => {
 	await using fleet = await createFleet();
 	const table = await operate(fleet, 'status');
 	assert.equal(table.code, 0, table.errors);
@@ -42,7 +42,7 @@
 	assert.deepEqual(value.failures.map(({host}) => host), ['router-2']);
 });
 
-test('explain shows hop by hop how a generation went on after its router was paused', async () => {
+test('explain shows each hop of a generation that resumed on another router after its router was paused', async () => {
 	await using fleet = await createFleet();
 	let paused = '';
 	const answer = await complete({
@@ -85,7 +85,7 @@
 	return spans;
 }
 
-test('usage adds up all incarnations of all routers, past one page of rows', async () => {
+test('usage sums the rows of all router incarnations across several pages', async () => {
 	await using fleet = await Fleet.create();
 	const platform = platformOf(fleet);
 	const rows = Array.from({length: 1300}, (_, number) => ({
@@ -118,7 +118,7 @@
 	await platform.close();
 });
 
-test('drain makes one host leave, and an unknown host is refused with the known ones', async () => {
+test('drain makes a host leave, and an unknown host is rejected with a list of the known hosts', async () => {
 	await using fleet = await createFleet();
 	const unknown = await operate(fleet, 'drain', 'router-9');
 	assert.equal(unknown.code, 1);
@@ -129,7 +129,7 @@
 	assert.match(status.output, /router-2 +zone-b +leaving/v);
 });
 
-test('a wrong key, an unreachable platform and a wrong command are told plainly, without the key', async () => {
+test('a wrong key, an unreachable platform and an unknown command are reported without printing the key', async () => {
 	await using fleet = await createFleet();
 	const key = 'wrong-key-that-is-not-printed';
 	const platform = `http://${fleet.process('platform').address}`;
--- a/source/operations/commands.ts
+++ b/source/operations/commands.ts
@@ -67,7 +67,7 @@
 				return err(`there is no entry host "${name}"; known: ${hosts.value.map(known => known.name).join(', ')}`);
 			}
 
-			const drained = await context.client.ask(host, {method: 'POST', path: '/drain', schema: drainAnswerSchema});
+			const drained = await context.client.request(host, {method: 'POST', path: '/drain', schema: drainAnswerSchema});
 			return drained
 				.map(() => ({value: {host: name, leaving: true}, text: `${name} is leaving`, failures: []}))
 				.mapErr(failure => `${failure.host} ${failure.message}`);
--- a/source/operations/describe-publication.ts
+++ b/source/operations/describe-publication.ts
@@ -1,5 +1,5 @@
 /**
- * What azuretack-publish says about failures, and its exit codes.
+ * Messages and exit codes of azuretack-publish.
  *
  * @module
  */
@@ -12,16 +12,16 @@
 	accepted: 0, nothingPublished: 1, notInForceEverywhere: 3, outcomeUnknown: 4,
 };
 
-/** Text for people, and the exit code that goes with it. */
-export type Description = {text: string; exitCode: number};
+/** A human-readable message and its exit code. */
+export type OutcomeDescription = {text: string; exitCode: number};
 
 /**
- * Describes why nothing was published, or that it is not known.
+ * Describes why nothing was published, or that the outcome is unknown.
  *
  * @param failure The failure.
  * @param platform Address of the platform, for the command that settles the outcome.
  */
-export function describeFailure(failure: PublishFailure, platform: string): Description {
+export function describeFailure(failure: PublishFailure, platform: string): OutcomeDescription {
 	const {nothingPublished, outcomeUnknown} = publishExitCodes;
 	switch (failure.kind) {
 		case 'faults': {
@@ -37,7 +37,7 @@
 		}
 
 		case 'unknown': {
-			return {text: unknownText(failure.token, platform, failure.message), exitCode: outcomeUnknown};
+			return {text: unknownOutcomeText(failure.token, platform, failure.message), exitCode: outcomeUnknown};
 		}
 
 		case 'bad_base':
@@ -50,18 +50,18 @@
 }
 
 /**
- * Describes what became of a publication.
+ * Describes the outcome of a publication.
  *
  * @param settled Outcome of the settlement.
  * @param token Token of the publication.
- * @param platform Address of the platform, for the command that tries again.
+ * @param platform Address of the platform, for the command that retries the settlement.
  */
-export function describeSettlement(settled: Result<Settlement, CommitFailure>, token: string, platform: string): Description {
+export function describeSettlement(settled: Result<Settlement, CommitFailure>, token: string, platform: string): OutcomeDescription {
 	if (settled.isErr()) {
-		return {text: unknownText(token, platform, settled.error.message), exitCode: publishExitCodes.outcomeUnknown};
+		return {text: unknownOutcomeText(token, platform, settled.error.message), exitCode: publishExitCodes.outcomeUnknown};
 	}
 
-	const descriptions: Record<Settlement['kind'], Description> = {
+	const descriptions: Record<Settlement['kind'], OutcomeDescription> = {
 		accepted: {text: `accepted as ${token.split('-')[0]}`, exitCode: publishExitCodes.accepted},
 		not_published: {text: 'it was not published and never will be', exitCode: publishExitCodes.nothingPublished},
 		forgotten: {text: 'it is too long ago to tell', exitCode: publishExitCodes.outcomeUnknown},
@@ -69,6 +69,6 @@
 	return descriptions[settled.value.kind];
 }
 
-function unknownText(token: string, platform: string, message: string): string {
+function unknownOutcomeText(token: string, platform: string, message: string): string {
 	return `outcome unknown: ${message}\nit is settled later by: azuretack-publish --platform ${platform} --settle ${token}`;
 }
--- a/source/operations/mod.ts
+++ b/source/operations/mod.ts
@@ -1,5 +1,5 @@
 /**
- * What operators' programs ask of the routers and the platform.
+ * Operator commands and the client of routers' operator ports.
  *
  * @module
  */
--- a/source/operations/operator-client.ts
+++ b/source/operations/operator-client.ts
@@ -1,5 +1,5 @@
 /**
- * Client of routers' operator ports.
+ * Client of the routers' operator ports.
  *
  * @module
  */
@@ -10,45 +10,45 @@
 import {type z} from 'zod';
 import {type PlatformClient} from '../table-service/mod.ts';
 
-/** A router as operators reach it. */
-export type OperatedHost = {
+/** A router and the address of its operator port. */
+export type OperatorHost = {
 	name: string;
 	/** `address:port` of its operator port. */
 	address: string;
 };
 
-/** Why a host gave no usable answer. */
+/** Reason why a host returned no usable response. */
 export type HostFailure = {host: string; message: string};
 
-/** Answers of the hosts that gave one, and the failures of the others. */
-export type HostAnswers<Answer> = {answers: Array<{host: string; answer: Answer}>; failures: HostFailure[]};
+/** Responses of the hosts that responded, and the failures of the others. */
+export type HostResponses<Answer> = {answers: Array<{host: string; answer: Answer}>; failures: HostFailure[]};
 
 /** Options of {@linkcode OperatorClient}. */
 export type OperatorClientOptions = {
-	/** Key of the operators; it is never written anywhere. */
+	/** Operator key; it is never logged or printed. */
 	key: string;
 	/** Deadline of each request, in milliseconds. Default 2,000. */
 	timeoutMilliseconds?: number;
 };
 
-/** One question to an operator port. */
-export type Question<Schema extends z.ZodType> = {
+/** A request to an operator port. */
+export type OperatorRequest<Schema extends z.ZodType> = {
 	/** Default `GET`. */
 	method?: 'GET' | 'POST';
 	path: string;
-	/** Schema of the answer. */
+	/** Schema of the response. */
 	schema: Schema;
 };
 
-/** Hosts asked at once. */
-const concurrentHosts = 32;
+/** Maximum number of hosts queried at once. */
+const maximumConcurrentHosts = 32;
 
 /**
- * Reads the routers of the platform's host list, in order of names; leaving hosts count, because they still serve callers.
+ * Lists the routers on the platform's host list, sorted by name; leaving hosts are included because they still serve callers.
  *
  * @param platform Client of the platform.
  */
-export async function readEntryHosts(platform: PlatformClient): Promise<Result<OperatedHost[], string>> {
+export async function listEntryHosts(platform: PlatformClient): Promise<Result<OperatorHost[], string>> {
 	const hosts = await platform.hosts();
 	if (hosts.isErr()) {
 		return err(`the host list cannot be read: ${hosts.error.message}`);
@@ -60,12 +60,12 @@
 }
 
 /**
- * Asks routers over their operator ports; each request has a deadline.
+ * Sends requests to routers' operator ports; each request has a deadline.
  *
  * @example
  * ```ts
  * const client = new OperatorClient({key});
- * const {answers, failures} = await client.askAll(hosts, {path: '/status', schema: hostStatusSchema});
+ * const {answers, failures} = await client.requestAll(hosts, {path: '/status', schema: hostStatusSchema});
  * ```
  */
 export class OperatorClient {
@@ -79,8 +79,8 @@
 		this.#agent = new Agent({connections: 1, connectTimeout: this.#timeoutMilliseconds});
 	}
 
-	/** Asks one host. */
-	async ask<Schema extends z.ZodType>(host: OperatedHost, question: Question<Schema>): Promise<Result<z.output<Schema>, HostFailure>> {
+	/** Sends a request to one host. */
+	async request<Schema extends z.ZodType>(host: OperatorHost, question: OperatorRequest<Schema>): Promise<Result<z.output<Schema>, HostFailure>> {
 		try {
 			const response = await request(`http://${host.address}${question.path}`, {
 				method: question.method ?? 'GET',
@@ -94,18 +94,18 @@
 			}
 
 			const checked = question.schema.safeParse(JSON.parse(body));
-			return checked.success ? ok(checked.data) : err({host: host.name, message: `gave an unexpected answer with status ${response.statusCode}`});
+			return checked.success ? ok(checked.data) : err({host: host.name, message: `returned an unexpected response with status ${response.statusCode}`});
 		} catch (error) {
 			return err({host: host.name, message: `cannot be reached: ${error instanceof Error ? error.message : String(error)}`});
 		}
 	}
 
-	/** Asks every host the same question. */
-	async askAll<Schema extends z.ZodType>(hosts: OperatedHost[], question: Question<Schema>): Promise<HostAnswers<z.output<Schema>>> {
-		const all: HostAnswers<z.output<Schema>> = {answers: [], failures: []};
-		for (let first = 0; first < hosts.length; first += concurrentHosts) {
-			await Promise.all(hosts.slice(first, first + concurrentHosts).map(async host => {
-				const answer = await this.ask(host, question);
+	/** Sends the same request to every host. */
+	async requestAll<Schema extends z.ZodType>(hosts: OperatorHost[], question: OperatorRequest<Schema>): Promise<HostResponses<z.output<Schema>>> {
+		const all: HostResponses<z.output<Schema>> = {answers: [], failures: []};
+		for (let first = 0; first < hosts.length; first += maximumConcurrentHosts) {
+			await Promise.all(hosts.slice(first, first + maximumConcurrentHosts).map(async host => {
+				const answer = await this.request(host, question);
 				if (answer.isOk()) {
 					all.answers.push({host: host.name, answer: answer.value});
 				} else {
--- a/source/operations/read-status.ts
+++ b/source/operations/read-status.ts
@@ -1,15 +1,15 @@
 /**
- * The state of every router.
+ * Reads and formats the status of every router.
  *
  * @module
  */
 import * as z from 'zod';
 import {
-	type HostAnswers, type OperatedHost, type OperatorClient,
+	type HostResponses, type OperatorHost, type OperatorClient,
 } from './operator-client.ts';
-import {textTable} from './text-table.ts';
+import {formatTextTable} from './text-table.ts';
 
-/** Answer of `GET /status` on an operator port; fields that are not listed here are kept for programs. */
+/** Response of `GET /status` on an operator port; unlisted fields are kept for the JSON output. */
 export const hostStatusSchema = z.looseObject({
 	host: z.string(),
 	availabilityZone: z.string(),
@@ -21,30 +21,30 @@
 	knownHosts: z.number(),
 });
 
-/** State of one router. */
+/** Status of one router. */
 export type HostStatus = z.output<typeof hostStatusSchema>;
 
 /**
- * Asks every host for its state.
+ * Queries the status of every host.
  *
  * @param client Client of the operator ports.
- * @param hosts Hosts to ask.
+ * @param hosts Hosts to query.
  */
-export async function readStatus(client: OperatorClient, hosts: OperatedHost[]): Promise<HostAnswers<HostStatus>> {
-	return client.askAll(hosts, {path: '/status', schema: hostStatusSchema});
+export async function readStatus(client: OperatorClient, hosts: OperatorHost[]): Promise<HostResponses<HostStatus>> {
+	return client.requestAll(hosts, {path: '/status', schema: hostStatusSchema});
 }
 
 /**
- * Writes the states as a table.
+ * Formats the statuses as a table.
  *
- * @param status Answers of {@linkcode readStatus}.
+ * @param status Responses of {@linkcode readStatus}.
  */
-export function formatStatus({answers, failures}: HostAnswers<HostStatus>): string {
+export function formatStatus({answers, failures}: HostResponses<HostStatus>): string {
 	const rows = answers.map(({host, answer}) => [
 		host, answer.availabilityZone, stateOf(answer), answer.configurationVersion, answer.requestsInProgress, answer.knownHosts,
 	]);
 	const unanswered = failures.map(({host, message}) => [host, '', message, '', '', '']);
-	return textTable(['host', 'zone', 'state', 'configuration', 'requests', 'known hosts'], [...rows, ...unanswered]);
+	return formatTextTable(['host', 'zone', 'state', 'configuration', 'requests', 'known hosts'], [...rows, ...unanswered]);
 }
 
 function stateOf(status: HostStatus): string {
--- a/source/operations/sum-usage.ts
+++ b/source/operations/sum-usage.ts
@@ -1,5 +1,5 @@
 /**
- * The account of each workspace.
+ * Sums the token usage of each workspace.
  *
  * @module
  */
@@ -8,19 +8,19 @@
 } from 'neverthrow';
 import {usageRowSchema, usageTable} from '../accounts/mod.ts';
 import {type PlatformClient, type Row} from '../table-service/mod.ts';
-import {textTable} from './text-table.ts';
+import {formatTextTable} from './text-table.ts';
 
-/** Rows read at once. */
+/** Rows read per page. */
 const pageRows = 1000;
 
-/** Running totals of one workspace over all routers, past and present. */
+/** Usage totals of one workspace over all current and former routers. */
 export type WorkspaceUsage = {workspace: string; deliveredTokens: number; extraTokens: number; calls: number};
 
-/** Accounts in order of names, and the keys of rows that could not be read. */
+/** Usage sorted by workspace name, and the keys of rows that could not be read. */
 export type Usage = {workspaces: WorkspaceUsage[]; unreadableRows: string[]};
 
 /**
- * Adds up the totals of every router incarnation.
+ * Sums the usage totals of every router incarnation.
  *
  * @param platform Client of the platform.
  * @example
@@ -54,14 +54,14 @@
 }
 
 /**
- * Writes the accounts as a table.
+ * Formats the usage as a table.
  *
- * @param usage Sums of {@linkcode sumUsage}.
+ * @param usage Result of {@linkcode sumUsage}.
  */
 export function formatUsage({workspaces, unreadableRows}: Usage): string {
 	const rows = workspaces.map(({workspace, deliveredTokens, extraTokens, calls}) => [workspace, deliveredTokens, extraTokens, calls]);
 	const unreadable = unreadableRows.map(key => `row ${key} cannot be read and is not counted`);
-	return [textTable(['workspace', 'delivered tokens', 'extra tokens', 'calls'], rows), ...unreadable].join('\n');
+	return [formatTextTable(['workspace', 'delivered tokens', 'extra tokens', 'calls'], rows), ...unreadable].join('\n');
 }
 
 function addRow(sums: Map<string, WorkspaceUsage>, row: Row): boolean {
--- a/source/operations/text-table.ts
+++ b/source/operations/text-table.ts
@@ -1,21 +1,21 @@
 /**
- * Tables of text for people.
+ * Formats plain-text tables.
  *
  * @module
  */
 
 /**
- * Writes rows as columns that line up; numbers stand to the right.
+ * Formats rows as aligned columns; numbers are right-aligned.
  *
  * @param headings Heading of each column.
- * @param rows Cells of each row, as many as there are headings.
- * @returns Lines of text without a trailing line break.
+ * @param rows Cells of each row, one per heading.
+ * @returns The table without a trailing line break.
  * @example
  * ```ts
- * textTable(['host', 'version'], [['entry-1', 42]]);
+ * formatTextTable(['host', 'version'], [['entry-1', 42]]);
  * ```
  */
-export function textTable(headings: string[], rows: Array<Array<string | number>>): string {
+export function formatTextTable(headings: string[], rows: Array<Array<string | number>>): string {
 	const widths = headings.map((heading, column) => Math.max(heading.length, ...rows.map(row => String(row[column]).length)));
 	const line = (cells: Array<string | number>) => cells
 		.map((cell, column) => typeof cell === 'number' ? String(cell).padStart(widths[column]!) : cell.padEnd(widths[column]!))
--- a/source/platform/http-call.ts
+++ b/source/platform/http-call.ts
@@ -8,7 +8,7 @@
 import {
 	err, ok, type Result,
 } from 'neverthrow';
-import {neverConnected} from '../supervision/connect-errors.ts';
+import {isConnectError} from '../supervision/connect-errors.ts';
 
 /** Response to a call. */
 export type HttpResponse = {status: number; headers: IncomingHttpHeaders; body: Uint8Array};
@@ -62,7 +62,7 @@
 		};
 
 		request.on('error', error => {
-			settle(err({sent: !neverConnected(error), message: error.message}));
+			settle(err({sent: !isConnectError(error), message: error.message}));
 		});
 		request.on('response', response => {
 			const chunks: Uint8Array[] = [];
--- a/source/router/caller-server.ts
+++ b/source/router/caller-server.ts
@@ -12,7 +12,7 @@
 import {type Workspace} from '../configuration/mod.ts';
 import {chooseEntries} from '../membership/mod.ts';
 import {type Host} from '../table-service/mod.ts';
-import {signalOfCaller} from '../supervision/mod.ts';
+import {callerDisconnectSignal} from '../supervision/mod.ts';
 import {badRequest} from './bodies.ts';
 import {type CallerExchange, type CallerParts} from './caller-context.ts';
 import {requestUrl} from './request-url.ts';
@@ -76,7 +76,7 @@
 	let outcome = 'failed';
 	try {
 		outcome = await route({
-			request, response, url, requestName, span, signal: signalOfCaller(response),
+			request, response, url, requestName, span, signal: callerDisconnectSignal(response),
 		}, parts);
 	} catch (error) {
 		parts.logger.error('request failed', {request: requestName, error: String(error)});
--- a/source/settings/gateway-settings.ts
+++ b/source/settings/gateway-settings.ts
@@ -11,7 +11,7 @@
 	hostName: z.string().min(1),
 	availabilityZone: z.string().min(1),
 	region: z.string().min(1),
-	/** Where the daemon listens. */
+	/** Addresses that the daemon listens on. */
 	listen: z.object({
 		callers: addressSchema,
 		readiness: addressSchema,
@@ -26,31 +26,31 @@
 	}).prefault({}),
 	/** Address of the platform's store. */
 	store: addressSchema,
-	/** Gateways that are asked first after a start; they may be gone. */
+	/** Gateways that are queried first after a start; they may no longer exist. */
 	seeds: z.array(addressSchema).default([]),
 	bounds: z.object({
 		/** Time within which a new configuration is in force, in milliseconds. */
 		configurationMilliseconds: z.number().positive().default(2000),
-		/** Time within which an endpoint that leaves gets no more requests, in milliseconds. */
+		/** Time after which a leaving endpoint receives no more requests, in milliseconds. */
 		leavingMilliseconds: z.number().positive().default(2000),
-		/** Time after which a key that was taken away is served nowhere, in milliseconds. */
+		/** Time after which no gateway accepts a revoked key, in milliseconds. */
 		revokedKeyMilliseconds: z.number().positive().default(5000),
-		/** Time from a request to stop until the process is killed, in seconds. */
+		/** Time between the stop signal and the forced kill of the process, in seconds. */
 		stopSeconds: z.number().positive().default(8),
 		/** Retries allowed for each request to a service. */
 		retryRatio: z.number().nonnegative().default(0.8),
-		/** Retries allowed beyond that in a window, by all gateways together. */
+		/** Additional retries allowed in a window, over all gateways together. */
 		retrySlack: z.number().nonnegative().default(300),
 		retryWindowSeconds: z.number().positive().default(10),
-		/** Time for which callers keep an answer that names entries, in seconds. */
+		/** Time for which callers cache the list of entries, in seconds. */
 		entriesSeconds: z.number().positive().default(5),
 	}).prefault({}),
 	answers: z.object({
-		/** Bytes of one endpoint's answer that are held; a larger one is passed on as it comes. */
+		/** Largest response of an endpoint that is buffered, in bytes; a larger one is streamed. */
 		heldBytes: z.number().int().positive().default(262_144),
-		/** Bytes of all such answers that are held together. */
+		/** Bytes buffered for all such responses together. */
 		allHeldBytes: z.number().int().positive().default(8_388_608),
-		/** Larger answers that are passed on as they come at a time; further ones are left. */
+		/** Maximum number of larger responses streamed at the same time; further ones are abandoned. */
 		passedOnAtOnce: z.number().int().positive().default(96),
 	}).prefault({}),
 	log: z.object({
@@ -58,5 +58,5 @@
 	}).prefault({}),
 });
 
-/** Checked settings of one gateway. */
+/** Validated settings of one gateway. */
 export type GatewaySettings = z.output<typeof gatewaySettingsSchema>;
--- a/source/settings/load-settings.ts
+++ b/source/settings/load-settings.ts
@@ -9,20 +9,20 @@
 import {type z} from 'zod';
 import {formatFault, readDocument} from './read-document.ts';
 
-/** What the command line says of the settings. */
+/** Command-line flags that concern the settings. */
 export type SettingsFlags = {
 	/** Path of the file. */
 	settings: string;
-	/** Whether the settings are only to be checked. */
+	/** Whether to only check the settings. */
 	check: boolean;
 };
 
 /**
- * Reads the settings and names their faults, or says that there are none where only the check is asked for.
+ * Reads the settings and prints their faults; with `check`, prints that there are none and does not continue.
  *
- * @param flags What the command line says.
+ * @param flags Command-line flags.
  * @param schema Schema of the settings.
- * @returns The checked settings, or the code with which the program is to exit.
+ * @returns The validated settings, or the exit code of the program.
  * @example
  * ```ts
  * const settings = await loadSettings(command.flags, routerSettingsSchema);
--- a/source/settings/mod.ts
+++ b/source/settings/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Settings documents: JSON with comments, checked by schema.
+ * Settings documents: JSON with comments, validated against a schema.
  *
  * @module
  */
--- a/source/settings/read-document.ts
+++ b/source/settings/read-document.ts
@@ -1,5 +1,5 @@
 /**
- * Reads JSON with comments against a schema and names every fault by file, line and field.
+ * Reads JSON with comments, validates it against a schema and reports every fault with its file, line and field.
  *
  * @module
  */
@@ -12,7 +12,7 @@
 } from 'neverthrow';
 import {type z} from 'zod';
 
-/** Names of fields and positions in lists that lead to a field. */
+/** Path to a field: field names and list indexes. */
 export type FieldPath = Array<string | number>;
 
 /** One fault of a document. */
@@ -23,12 +23,12 @@
 	line: number;
 	/** Path of the field, such as `callers.port`; empty for the whole document. */
 	field: string;
-	/** What is wrong. */
+	/** Description of the fault. */
 	message: string;
 };
 
 /**
- * Writes a fault the way compilers do.
+ * Formats a fault in the style of compiler messages.
  *
  * @param fault The fault.
  * @returns One line of text.
@@ -44,12 +44,12 @@
 }
 
 /**
- * Parses and checks a document; reports all of its faults at once.
+ * Parses and validates a document; reports all of its faults at once.
  *
  * @param text The document.
  * @param file Name of the file for messages.
  * @param schema Schema of the content.
- * @returns The content with its defaults, or every fault.
+ * @returns The content with defaults applied, or every fault.
  * @example
  * ```ts
  * const settings = parseDocument(text, 'router.jsonc', routerSettingsSchema);
@@ -69,17 +69,17 @@
 		return ok(checked.data);
 	}
 
-	const faults = checked.error.issues.flatMap(issue => faultsOfIssue(issue));
+	const faults = checked.error.issues.flatMap(issue => issueToFaults(issue));
 	return err(faults.map(({path, message}) => ({
 		file, line: lineOfField(text, path), field: path.join('.'), message,
 	})));
 }
 
 /**
- * Finds the line of a field, or of its nearest enclosing one that exists.
+ * Returns the line of a field, or of its nearest existing ancestor.
  *
  * @param text The document, valid JSON with comments.
- * @param path Names and positions that lead to the field.
+ * @param path Path to the field.
  * @returns The line, from 1.
  * @example
  * ```ts
@@ -91,11 +91,11 @@
 }
 
 /**
- * Reads a file and checks it as {@linkcode parseDocument} does.
+ * Reads a file and validates it with {@linkcode parseDocument}.
  *
  * @param file Path of the file.
  * @param schema Schema of the content.
- * @returns The content with its defaults, or every fault; an unreadable file is one fault.
+ * @returns The content with defaults applied, or every fault; an unreadable file is one fault.
  * @example
  * ```ts
  * const settings = await readDocument('router.jsonc', routerSettingsSchema);
@@ -111,8 +111,8 @@
 	}
 }
 
-/** Turns an issue of a schema into faults; each unknown field is one of its own. */
-function faultsOfIssue(issue: z.core.$ZodIssue): Array<{path: FieldPath; message: string}> {
+/** Converts a schema issue into faults; each unknown field becomes a separate fault. */
+function issueToFaults(issue: z.core.$ZodIssue): Array<{path: FieldPath; message: string}> {
 	const path = issue.path.map(part => typeof part === 'symbol' ? String(part) : part);
 	return issue.code === 'unrecognized_keys'
 		? issue.keys.map(key => ({path: [...path, key], message: 'unknown field'}))
@@ -123,7 +123,7 @@
 	return text.slice(0, offset).split('\n').length;
 }
 
-/** Finds the offset of a field, or of its nearest enclosing one that exists. */
+/** Returns the offset of a field, or of its nearest existing ancestor. */
 function offsetOf(root: Node | undefined, path: FieldPath): number {
 	if (!root) {
 		return 0;
--- a/source/settings/router-settings.ts
+++ b/source/settings/router-settings.ts
@@ -5,7 +5,7 @@
  */
 import * as z from 'zod';
 
-/** An `address:port` by IP number. */
+/** An IP address and port, `address:port`. */
 export const addressSchema = z.string().regex(/^(?:\d{1,3}(?:\.\d{1,3}){3}|\[[\da-f:]+\]):\d{1,5}$/v, 'expected an IP number and a port, such as "10.0.0.1:8080"');
 
 const keySchema = z.string().min(16, 'expected at least 16 characters');
@@ -27,7 +27,7 @@
 		key: keySchema,
 		sameZone: z.number().int().nonnegative().default(4),
 		otherZones: z.number().int().nonnegative().default(4),
-		/** Peers asked while no host list is known, for a start while the platform is down. */
+		/** Peers queried while no host list is known, so that a router can start while the platform is down. */
 		seeds: z.array(addressSchema).default([]),
 		heartbeatMilliseconds: z.number().int().positive().default(1000),
 		usageHintMilliseconds: z.number().int().positive().default(5000),
@@ -69,5 +69,5 @@
 	}).prefault({}),
 });
 
-/** Checked settings of one router. */
+/** Validated settings of one router. */
 export type RouterSettings = z.output<typeof routerSettingsSchema>;
--- a/source/supervision/caller-signal.ts
+++ b/source/supervision/caller-signal.ts
@@ -1,20 +1,20 @@
 /**
- * Tells when a caller has left.
+ * Detects when a caller disconnects.
  *
  * @module
  */
 import {type ServerResponse} from 'node:http';
 
 /**
- * Returns a signal that aborts when the caller's connection closes before its answer is complete.
+ * Returns a signal that aborts when the caller's connection closes before the response is complete.
  *
- * @param response The caller's answer.
+ * @param response Response to the caller.
  * @example
  * ```ts
- * const callerDisconnected = signalOfCaller(response);
+ * const callerDisconnected = callerDisconnectSignal(response);
  * ```
  */
-export function signalOfCaller(response: ServerResponse): AbortSignal {
+export function callerDisconnectSignal(response: ServerResponse): AbortSignal {
 	const controller = new AbortController();
 	response.once('close', () => {
 		if (!response.writableFinished) {
--- a/source/supervision/connect-errors.ts
+++ b/source/supervision/connect-errors.ts
@@ -1,24 +1,24 @@
 /**
- * Errors that prove that a request never left, because no connection came about.
+ * Errors that prove that a request was not sent because no connection was established.
  *
  * @module
  */
 
-const connectCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT']);
+const connectErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT']);
 
 /**
  * Returns whether an error of a request proves that no byte of it was sent.
  *
- * @param error What the HTTP client threw.
+ * @param error Error thrown by the HTTP client.
  * @example
  * ```ts
- * const run = neverConnected(error) ? 'no' : 'unknown';
+ * const run = isConnectError(error) ? 'no' : 'unknown';
  * ```
  */
-export function neverConnected(error: unknown): boolean {
+export function isConnectError(error: unknown): boolean {
 	if (error instanceof AggregateError) {
-		return error.errors.length > 0 && error.errors.every(inner => neverConnected(inner));
+		return error.errors.length > 0 && error.errors.every(inner => isConnectError(inner));
 	}
 
-	return error instanceof Error && 'code' in error && connectCodes.has(String(error.code));
+	return error instanceof Error && 'code' in error && connectErrorCodes.has(String(error.code));
 }
--- a/source/supervision/invariant.ts
+++ b/source/supervision/invariant.ts
@@ -1,5 +1,5 @@
 /**
- * Broken invariants: the only errors that stop the process.
+ * Invariant violations: the only errors that stop the process.
  *
  * @module
  */
@@ -10,10 +10,10 @@
 }
 
 /**
- * Stops the process when a condition that must always hold does not.
+ * Throws if a condition that must always hold is false; the error stops the process.
  *
- * @param condition What must hold.
- * @param message What is broken.
+ * @param condition Condition that must hold.
+ * @param message Description of the violation.
  * @throws {InvariantError} When the condition is false.
  * @example
  * ```ts
--- a/source/supervision/listen.ts
+++ b/source/supervision/listen.ts
@@ -7,10 +7,10 @@
 import {type Server} from 'node:http';
 
 /**
- * Starts to listen on an `address:port`.
+ * Starts listening on an `address:port`.
  *
  * @param server The server.
- * @param address IP number and port.
+ * @param address IP address and port.
  * @throws {Error} When the address cannot be listened on.
  * @example
  * ```ts
@@ -24,7 +24,7 @@
 }
 
 /**
- * Stops a server and closes its idle connections.
+ * Stops a server and closes all of its connections.
  *
  * @param server The server.
  * @example
--- a/source/supervision/mod.ts
+++ b/source/supervision/mod.ts
@@ -1,5 +1,5 @@
 /**
- * The supervisor tree and what its tasks share.
+ * The task supervisor and utilities shared by its tasks.
  *
  * @module
  */
--- a/source/supervision/pause.ts
+++ b/source/supervision/pause.ts
@@ -1,5 +1,5 @@
 /**
- * Waiting that ends early without an error.
+ * A delay that an abort ends early without an error.
  *
  * @module
  */
@@ -9,7 +9,7 @@
  * Waits for a time, or until the signal aborts, whichever comes first.
  *
  * @param milliseconds Time to wait.
- * @param signal Ends the wait early.
+ * @param signal Ends the delay early.
  * @returns Whether the whole time passed.
  * @example
  * ```ts
--- a/source/supervision/poll.ts
+++ b/source/supervision/poll.ts
@@ -1,5 +1,5 @@
 /**
- * Polling as a stream of control events.
+ * Polling as a stream of values.
  *
  * @module
  */
@@ -10,23 +10,23 @@
 export type PollOptions = {
 	/** Mean time between the end of one read and the start of the next, in milliseconds. */
 	periodMilliseconds: number;
-	/** Returns a random number from 0 to 1, which spreads the reads of many hosts. */
+	/** Returns a random number from 0 to 1, which spreads the reads of many hosts over time. */
 	random: () => number;
 	/** Ends the stream. */
 	signal: AbortSignal;
 };
 
-/** Share of the period by which the time between two reads varies. */
+/** Fraction of the period by which the time between two reads varies in each direction. */
 const jitterShare = 0.2;
 
 type Read<Value> = {ended: true} | {ended: false; value: Value};
 
 /**
- * Reads a value again and again; a slow read delays the next one and never overlaps it.
+ * Reads a value periodically; a slow read delays the next one and never overlaps it.
  *
  * @param read Reads the value.
- * @param options Period and end.
- * @returns A stream of the values read, the first one at once.
+ * @param options Period, jitter source and abort signal.
+ * @returns A stream of the values read; the first read starts immediately.
  * @example
  * ```ts
  * await poll(async () => platform.hosts(), {periodMilliseconds: 1000, random, signal}).observe(use);
--- a/source/supervision/supervisor.ts
+++ b/source/supervision/supervisor.ts
@@ -1,5 +1,5 @@
 /**
- * A supervisor that keeps long-running tasks alive.
+ * A supervisor that restarts long-running tasks when they fail.
  *
  * @module
  */
@@ -8,7 +8,7 @@
 import {InvariantError} from './invariant.ts';
 import {pause} from './pause.ts';
 
-/** Why a task ended although nobody had stopped it. */
+/** Reason why a task ended without being stopped. */
 export type TaskFailure = {message: string};
 
 /** A long-running task: it ends when its signal aborts, or returns a failure to be restarted. */
@@ -16,13 +16,13 @@
 
 /** Options of {@linkcode Supervisor}. */
 export type SupervisorOptions = {
-	/** Receives one line for each restart. */
+	/** Logs each restart. */
 	logger: Logger;
 	/** Delay before the first restart, in milliseconds. Default 50. */
 	firstDelayMilliseconds?: number;
 	/** Longest delay between restarts, in milliseconds. Default 2,000. */
 	longestDelayMilliseconds?: number;
-	/** Time that a task must run before its restart delay starts over, in milliseconds. Default 10,000. */
+	/** Time that a task must run before its restart delay is reset, in milliseconds. Default 10,000. */
 	steadyMilliseconds?: number;
 };
 
@@ -55,7 +55,7 @@
 	}
 
 	/**
-	 * Starts a task; a running task of the same name is left as it is.
+	 * Starts a task; does nothing if a task of the same name is running.
 	 *
 	 * @param name Name in logs.
 	 * @param task The task to keep running.
@@ -73,7 +73,7 @@
 	/**
 	 * Stops one task and waits until it has ended.
 	 *
-	 * @param name Name given at the start; an unknown name is ignored.
+	 * @param name Name of the task; an unknown name is ignored.
 	 */
 	async stopTask(name: string): Promise<void> {
 		const child = this.#children.get(name);
@@ -86,7 +86,7 @@
 		await child.done;
 	}
 
-	/** Stops all tasks, the last started first. */
+	/** Stops all tasks in reverse order of their start. */
 	async stop(): Promise<void> {
 		for (const name of this.names.toReversed()) {
 			await this.stopTask(name);
--- a/source/table-service/mod.ts
+++ b/source/table-service/mod.ts
@@ -1,5 +1,5 @@
 /**
- * The platform's services: table, objects, weights and host list.
+ * Client and messages of the platform's table service, object store and host list.
  *
  * @module
  */
--- a/source/table-service/platform-client.test.ts
+++ b/source/table-service/platform-client.test.ts
@@ -9,7 +9,7 @@
 	kind: 'put', table: 'claim', key: 'a', value: {}, condition: {kind: 'absent'},
 } as const;
 
-test('only a success commits; a refusal says that nothing took effect, a gateway\'s failure says nothing', async () => {
+test('a write is committed on 2xx, refused on 4xx, 503 or a failed connection, and unknown on any other failure', async () => {
 	let status = 200;
 	const server = createServer((_request, response) => {
 		response.writeHead(status).end('{}');
--- a/source/table-service/platform-client.ts
+++ b/source/table-service/platform-client.ts
@@ -1,5 +1,5 @@
 /**
- * Client of the platform: table service, object store, weight store and host list.
+ * Client of the platform: table service, object store and host list.
  *
  * @module
  */
@@ -8,21 +8,21 @@
 } from 'neverthrow';
 import {Pool} from 'undici';
 import {type z} from 'zod';
-import {neverConnected} from '../supervision/mod.ts';
+import {isConnectError} from '../supervision/mod.ts';
 import {hostListSchema, type Host} from './host-list-protocol.ts';
 import {
 	conflictSchema, rowsSchema, type ListRequest, type Operation, type Row, type RowKey,
 } from './table-protocol.ts';
 
 /**
- * Why the platform gave no usable answer.
+ * Reason why the platform returned no usable response.
  *
- * `refused` means that nothing took effect: the platform said so (429, 503, any 4xx), or the request never left for want of a
- * connection. `unknown` means that a write may have taken effect although its answer was lost.
+ * `refused` means that nothing took effect: the platform rejected the request (503 or any 4xx, such as 429), or no connection was
+ * established to send it. `unknown` means that a write may have taken effect although its response was lost.
  */
 export type PlatformFailure = {kind: 'refused' | 'unknown'; message: string};
 
-/** Outcome of a transaction: all of it took effect, or none because one condition did not hold. */
+/** Outcome of a transaction: all operations took effect, or none because a condition did not hold. */
 export type TransactOutcome = {kind: 'committed'} | {kind: 'conflict'; operation: number};
 
 /** Options of {@linkcode PlatformClient}. */
@@ -31,12 +31,12 @@
 	url: string;
 	/** Deadline of each request, in milliseconds. Default 2,000. */
 	timeoutMilliseconds?: number;
-	/** Called after each request with the bytes of both bodies. Default does nothing. */
+	/** Called after each request with the total size of both bodies, in bytes. Default does nothing. */
 	observe?: (operation: string, outcome: string, bytes: number) => void;
 };
 
 /**
- * Speaks to the platform's service; every request has a deadline and none is repeated by itself.
+ * Sends requests to the platform; every request has a deadline and none is retried automatically.
  *
  * @example
  * ```ts
@@ -48,7 +48,7 @@
 	readonly #pool: Pool;
 	readonly #timeoutMilliseconds: number;
 	readonly #observe: NonNullable<PlatformClientOptions['observe']>;
-	#lastHosts: {tag: string; hosts: Host[]} | undefined;
+	#cachedHosts: {tag: string; hosts: Host[]} | undefined;
 
 	constructor(options: PlatformClientOptions) {
 		this.#timeoutMilliseconds = options.timeoutMilliseconds ?? 2000;
@@ -56,7 +56,7 @@
 		this.#pool = new Pool(options.url, {connections: 8, pipelining: 1, connectTimeout: this.#timeoutMilliseconds});
 	}
 
-	/** Writes several rows at once, or none. */
+	/** Writes several rows atomically. */
 	async transact(operations: Operation[]): Promise<Result<TransactOutcome, PlatformFailure>> {
 		const answer = await this.#request('transact', 'POST', '/table/transact', {body: JSON.stringify({operations}), expected: 409});
 		return answer.andThen(({status, body}): Result<TransactOutcome, PlatformFailure> => {
@@ -68,19 +68,19 @@
 		});
 	}
 
-	/** Reads rows by key; rows that do not exist are left out. */
+	/** Reads rows by key; rows that do not exist are omitted. */
 	async read(keys: RowKey[]): Promise<Result<Row[], PlatformFailure>> {
 		const answer = await this.#request('read', 'POST', '/table/read', {body: JSON.stringify({keys})});
 		return answer.andThen(({body}) => decode(rowsSchema, body)).map(({rows}) => rows);
 	}
 
-	/** Lists rows of a table by prefix, in order of keys. */
+	/** Lists rows of a table by key prefix, sorted by key. */
 	async list(request: ListRequest): Promise<Result<Row[], PlatformFailure>> {
 		const answer = await this.#request('list', 'POST', '/table/list', {body: JSON.stringify(request)});
 		return answer.andThen(({body}) => decode(rowsSchema, body)).map(({rows}) => rows);
 	}
 
-	/** Stores an object under a name; the same name and content may be stored again. */
+	/** Stores an object under a name; storing the same name and content again is allowed. */
 	async putObject(name: string, content: string): Promise<Result<void, PlatformFailure>> {
 		const answer = await this.#request('put_object', 'PUT', `/objects/${encodeURIComponent(name)}`, {body: content});
 		return answer.map(() => undefined);
@@ -92,9 +92,9 @@
 		return answer.map(({status, body}) => status === 404 ? undefined : body);
 	}
 
-	/** Reads the list of live and leaving hosts; a list that has not changed since the last read is not sent again. */
+	/** Reads the list of live and leaving hosts; an unchanged list is not transferred again (`ETag`). */
 	async hosts(): Promise<Result<Host[], PlatformFailure>> {
-		const last = this.#lastHosts;
+		const last = this.#cachedHosts;
 		const answer = await this.#request('hosts', 'GET', '/hosts', {headers: last ? {'if-none-match': last.tag} : {}, expected: 304});
 		return answer.andThen(({status, body, tag}): Result<Host[], PlatformFailure> => {
 			if (status === 304 && last) {
@@ -102,7 +102,7 @@
 			}
 
 			return decode(hostListSchema, body).map(({hosts}) => {
-				this.#lastHosts = tag === undefined ? undefined : {tag, hosts};
+				this.#cachedHosts = tag === undefined ? undefined : {tag, hosts};
 				return hosts;
 			});
 		});
@@ -113,17 +113,17 @@
 		await this.#pool.destroy();
 	}
 
-	async #request(operation: string, method: 'GET' | 'POST' | 'PUT', path: string, content: RequestContent = {}): Promise<Result<PlatformAnswer, PlatformFailure>> {
+	async #request(operation: string, method: 'GET' | 'POST' | 'PUT', path: string, content: RequestOptions = {}): Promise<Result<PlatformResponse, PlatformFailure>> {
 		const answer = await this.#send(operation, method, path, content);
-		const outcome = answer.andThen((got): Result<PlatformAnswer, PlatformFailure> => got.status < 300 || got.status === content.expected
-			? ok(got)
-			: err({kind: refusesByStatus(got.status) ? 'refused' : 'unknown', message: `platform answered ${got.status} to ${operation}`}));
+		const outcome = answer.andThen((response): Result<PlatformResponse, PlatformFailure> => response.status < 300 || response.status === content.expected
+			? ok(response)
+			: err({kind: isRefusalStatus(response.status) ? 'refused' : 'unknown', message: `platform returned status ${response.status} for ${operation}`}));
 		const bytes = answer.isOk() ? answer.value.body.length + (content.body?.length ?? 0) : 0;
 		this.#observe(operation, outcome.isOk() ? 'answered' : outcome.error.kind, bytes);
 		return outcome;
 	}
 
-	async #send(operation: string, method: 'GET' | 'POST' | 'PUT', path: string, content: RequestContent): Promise<Result<PlatformAnswer, PlatformFailure>> {
+	async #send(operation: string, method: 'GET' | 'POST' | 'PUT', path: string, content: RequestOptions): Promise<Result<PlatformResponse, PlatformFailure>> {
 		try {
 			const response = await this.#pool.request({
 				method,
@@ -135,26 +135,26 @@
 			const {etag} = response.headers;
 			return ok({status: response.statusCode, body: await response.body.text(), tag: typeof etag === 'string' ? etag : undefined});
 		} catch (error) {
-			return err({kind: neverConnected(error) ? 'refused' : 'unknown', message: `platform did not answer ${operation}: ${String(error)}`});
+			return err({kind: isConnectError(error) ? 'refused' : 'unknown', message: `platform did not answer ${operation}: ${String(error)}`});
 		}
 	}
 }
 
-/** What a request carries, and the status beside 2xx that is an answer to it. */
-type RequestContent = {body?: string; headers?: Record<string, string>; expected?: number};
+/** Body and headers of a request, and the non-2xx status that is also a valid response. */
+type RequestOptions = {body?: string; headers?: Record<string, string>; expected?: number};
 
-type PlatformAnswer = {status: number; body: string; tag: string | undefined};
+type PlatformResponse = {status: number; body: string; tag: string | undefined};
 
-/** Whether a status says that nothing took effect; a gateway's 502 or 504 does not. */
-function refusesByStatus(status: number): boolean {
+/** Returns whether a status implies that nothing took effect; a gateway's 502 or 504 does not. */
+function isRefusalStatus(status: number): boolean {
 	return (status >= 400 && status < 500) || status === 503;
 }
 
 function decode<Schema extends z.ZodType>(schema: Schema, body: string): Result<z.output<Schema>, PlatformFailure> {
 	try {
 		const checked = schema.safeParse(JSON.parse(body));
-		return checked.success ? ok(checked.data) : err({kind: 'unknown', message: `unexpected answer of the platform: ${checked.error.message}`});
+		return checked.success ? ok(checked.data) : err({kind: 'unknown', message: `unexpected response from the platform: ${checked.error.message}`});
 	} catch {
-		return err({kind: 'unknown', message: 'the platform\'s answer is not JSON'});
+		return err({kind: 'unknown', message: 'the platform\'s response is not JSON'});
 	}
 }
--- a/source/table-service/table-protocol.ts
+++ b/source/table-service/table-protocol.ts
@@ -8,7 +8,7 @@
 /** A row's key within its table. */
 export const rowKeySchema = z.object({table: z.string(), key: z.string()});
 
-/** What must hold for a write to take effect. */
+/** Condition under which a write takes effect. */
 export const conditionSchema = z.discriminatedUnion('kind', [
 	z.object({kind: z.literal('always')}),
 	z.object({kind: z.literal('absent')}),
@@ -22,30 +22,30 @@
 	rowKeySchema.extend({kind: z.literal('check'), condition: conditionSchema}),
 ]);
 
-/** A row as read; `revision` rises with each write of the row. */
+/** A row as read; `revision` increases with each write of the row. */
 export const rowSchema = rowKeySchema.extend({value: z.unknown(), revision: z.number().int()});
 
-/** Body of `POST /table/transact`; the answer is 200, or 409 with {@linkcode conflictSchema}. */
+/** Body of `POST /table/transact`; the response is 200, or 409 with {@linkcode conflictSchema}. */
 export const transactSchema = z.object({operations: z.array(operationSchema).min(1).max(100)});
 
-/** Answer 409: the operation whose condition did not hold. */
+/** Body of a 409 response: index of the operation whose condition did not hold. */
 export const conflictSchema = z.object({conflict: z.number().int()});
 
-/** Body of `POST /table/read`; the answer lists the rows that exist. */
+/** Body of `POST /table/read`; the response lists the rows that exist. */
 export const readSchema = z.object({keys: z.array(rowKeySchema).max(100)});
 
-/** Body of `POST /table/list`: the rows of a table whose key starts with a prefix, in order of keys, after a key. */
+/** Body of `POST /table/list`: the rows of a table whose key has a prefix and sorts after a given key, sorted by key. */
 export const listSchema = z.object({
 	table: z.string(), prefix: z.string(), after: z.string().optional(), limit: z.number().int().positive().max(1000),
 });
 
-/** Answer of both reads. */
+/** Response of `POST /table/read` and `POST /table/list`. */
 export const rowsSchema = z.object({rows: z.array(rowSchema)});
 
 /** A row's key within its table. */
 export type RowKey = z.infer<typeof rowKeySchema>;
 
-/** What must hold for a write to take effect. */
+/** Condition under which a write takes effect. */
 export type Condition = z.infer<typeof conditionSchema>;
 
 /** One write of a transaction. */
--- a/source/telemetry/gateway-metrics.ts
+++ b/source/telemetry/gateway-metrics.ts
@@ -7,11 +7,11 @@
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 
-/** Bucket bounds of times, in seconds. */
+/** Bucket bounds of durations, in seconds. */
 const secondsBuckets = [0.01, 0.03, 0.1, 0.3, 1, 3, 10, 30];
 
 /**
- * Creates the metrics of one gateway, in a registry of their own.
+ * Creates the metrics of one gateway, in a separate registry.
  *
  * @example
  * ```ts
@@ -34,13 +34,13 @@
 			name: 'azuretack_gateway_retries_total', help: 'Decisions of the retry budget by service, reason of the retry and decision.', labelNames: ['service', 'reason', 'decision'], registers,
 		}),
 		lostAttempts: new Counter({
-			name: 'azuretack_gateway_lost_attempts_total', help: 'Attempts whose answer was lost, by service and what became of the endpoint: ended, lives or unknown.', labelNames: ['service', 'fate'], registers,
+			name: 'azuretack_gateway_lost_attempts_total', help: 'Lost attempts by service and state of the endpoint: ended, lives or unknown.', labelNames: ['service', 'fate'], registers,
 		}),
 		suspects: new Counter({
-			name: 'azuretack_gateway_suspected_requests_total', help: 'Decisions on requests under which endpoints end: counted, refused, trial or cleared.', labelNames: ['decision'], registers,
+			name: 'azuretack_gateway_suspected_requests_total', help: 'Decisions on requests under which endpoints crash: counted, refused, trial or cleared.', labelNames: ['decision'], registers,
 		}),
 		endpointSignals: new Counter({
-			name: 'azuretack_gateway_endpoint_signals_total', help: 'Answers in which an endpoint says for the first time that it leaves, or that it asks to back off, by service.', labelNames: ['service', 'signal'], registers,
+			name: 'azuretack_gateway_endpoint_signals_total', help: 'First announcements of an endpoint that it leaves or requests backoff, by service.', labelNames: ['service', 'signal'], registers,
 		}),
 		answerSeconds: new Histogram({
 			name: 'azuretack_gateway_answer_seconds', help: 'Time from a request to the end of its answer.', labelNames: ['service'], buckets: secondsBuckets, registers,
@@ -49,13 +49,13 @@
 			name: 'azuretack_gateway_store_calls_total', help: 'Calls to the store by operation and outcome.', labelNames: ['operation', 'outcome'], registers,
 		}),
 		storeBytes: new Counter({
-			name: 'azuretack_gateway_store_bytes_total', help: 'Bytes of answers of the store.', registers,
+			name: 'azuretack_gateway_store_bytes_total', help: 'Bytes of responses received from the store.', registers,
 		}),
 		configurationVersion: new Gauge({
 			name: 'azuretack_gateway_configuration_version', help: 'Version of the configuration in force.', registers,
 		}),
 		liveGateways: new Gauge({
-			name: 'azuretack_gateway_live_gateways', help: 'Gateways that were heard of lately, this one included.', registers,
+			name: 'azuretack_gateway_live_gateways', help: 'Gateways with a recent update, including this one.', registers,
 		}),
 	};
 }
--- a/source/telemetry/line-writer.test.ts
+++ b/source/telemetry/line-writer.test.ts
@@ -8,12 +8,12 @@
 import {test} from 'node:test';
 import {LineWriter} from './line-writer.ts';
 
-test('lines beyond the rate and the memory are dropped and counted, and the count is written', () => {
+test('lines beyond the rate limit or the buffer limit are dropped, and their number is logged', () => {
 	const file = path.join(tmpdir(), `azuretack-lines-${process.pid}`);
 	const descriptor = openSync(file, 'w');
 	let now = 0;
 	const writer = new LineWriter({
-		descriptor, linesPerSecond: 3, waitingCharacters: 100, clock: () => now,
+		descriptor, linesPerSecond: 3, maximumBufferedCharacters: 100, clock: () => now,
 	});
 	for (let index = 0; index < 10; index += 1) {
 		writer.write(`line ${index}`);
--- a/source/telemetry/line-writer.ts
+++ b/source/telemetry/line-writer.ts
@@ -1,5 +1,5 @@
 /**
- * Writes log lines without ever waiting for whoever reads them.
+ * Writes log lines without blocking on a slow reader.
  *
  * @module
  */
@@ -10,19 +10,19 @@
 export type LineWriterOptions = {
 	/** Descriptor to write to. Default 1, standard output. */
 	descriptor?: number;
-	/** Lines that may be written in one second; more are dropped and counted. Default 200. */
+	/** Maximum number of lines per second; further lines are dropped and counted. Default 200. */
 	linesPerSecond?: number;
-	/** Characters that may wait to be written; more are dropped and counted. Default 262,144. */
-	waitingCharacters?: number;
-	/** Steady time, in milliseconds. */
+	/** Maximum number of buffered characters; further lines are dropped and counted. Default 262,144. */
+	maximumBufferedCharacters?: number;
+	/** Returns monotonic time, in milliseconds. */
 	clock?: () => number;
 };
 
-/** Time for which lines are gathered before they are written, in milliseconds. */
-const gatherMilliseconds = 100;
+/** Time for which lines are buffered before they are written, in milliseconds. */
+const flushMilliseconds = 100;
 
 /**
- * Gathers lines and writes them in the background, within bounds of rate and memory.
+ * Buffers lines and writes them in the background, with limits on rate and memory.
  *
  * @example
  * ```ts
@@ -33,10 +33,10 @@
 export class LineWriter {
 	readonly #descriptor: number;
 	readonly #linesPerSecond: number;
-	readonly #waitingCharacters: number;
+	readonly #maximumBufferedCharacters: number;
 	readonly #clock: () => number;
-	#waiting: string[] = [];
-	#waitingLength = 0;
+	#buffer: string[] = [];
+	#bufferedCharacters = 0;
 	#writing = false;
 	#scheduled = false;
 	#second = 0;
@@ -46,16 +46,16 @@
 	constructor(options: LineWriterOptions = {}) {
 		this.#descriptor = options.descriptor ?? 1;
 		this.#linesPerSecond = options.linesPerSecond ?? 200;
-		this.#waitingCharacters = options.waitingCharacters ?? 262_144;
+		this.#maximumBufferedCharacters = options.maximumBufferedCharacters ?? 262_144;
 		this.#clock = options.clock ?? (() => performance.now());
 	}
 
-	/** Lines dropped so far and not yet told of. */
+	/** Number of dropped lines that have not been logged yet. */
 	get dropped(): number {
 		return this.#dropped;
 	}
 
-	/** Takes one line, or drops it where there are too many. */
+	/** Buffers a line, or drops it if a limit is exceeded. */
 	write(line: string): void {
 		if (!this.#allows(line)) {
 			this.#dropped += 1;
@@ -63,25 +63,25 @@
 		}
 
 		if (this.#dropped > 0) {
-			this.#add(JSON.stringify({level: 'warn', message: 'log lines dropped', lines: this.#dropped}));
+			this.#append(JSON.stringify({level: 'warn', message: 'log lines dropped', lines: this.#dropped}));
 			this.#dropped = 0;
 		}
 
-		this.#add(line);
+		this.#append(line);
 		if (!this.#scheduled) {
 			this.#scheduled = true;
 			setTimeout(() => {
 				this.#flush();
-			}, gatherMilliseconds).unref();
+			}, flushMilliseconds).unref();
 		}
 	}
 
-	/** Writes what is waiting before the process ends. */
+	/** Writes the buffered lines synchronously before the process exits. */
 	end(): void {
 		try {
-			writeSync(this.#descriptor, this.#take());
+			writeSync(this.#descriptor, this.#drain());
 		} catch {
-			// Nobody reads the log; the process ends all the same.
+			// The log has no reader; the process exits anyway.
 		}
 	}
 
@@ -93,29 +93,29 @@
 		}
 
 		this.#linesInSecond += 1;
-		return this.#linesInSecond <= this.#linesPerSecond && this.#waitingLength + line.length <= this.#waitingCharacters;
+		return this.#linesInSecond <= this.#linesPerSecond && this.#bufferedCharacters + line.length <= this.#maximumBufferedCharacters;
 	}
 
-	#add(line: string): void {
-		this.#waiting.push(line);
-		this.#waitingLength += line.length + 1;
+	#append(line: string): void {
+		this.#buffer.push(line);
+		this.#bufferedCharacters += line.length + 1;
 	}
 
-	#take(): Uint8Array {
-		const text = this.#waiting.map(line => `${line}\n`).join('');
-		this.#waiting = [];
-		this.#waitingLength = 0;
+	#drain(): Uint8Array {
+		const text = this.#buffer.map(line => `${line}\n`).join('');
+		this.#buffer = [];
+		this.#bufferedCharacters = 0;
 		return Buffer.from(text);
 	}
 
 	#flush(): void {
 		this.#scheduled = false;
-		if (this.#writing || this.#waiting.length === 0) {
+		if (this.#writing || this.#buffer.length === 0) {
 			return;
 		}
 
 		this.#writing = true;
-		this.#writeAll(this.#take());
+		this.#writeAll(this.#drain());
 	}
 
 	#writeAll(bytes: Uint8Array): void {
--- a/source/telemetry/logger.ts
+++ b/source/telemetry/logger.ts
@@ -1,5 +1,5 @@
 /**
- * Logs as JSON lines.
+ * Writes logs as JSON lines.
  *
  * @module
  */
@@ -9,10 +9,10 @@
 /** Level below which lines are dropped. */
 export type LogLevel = 'trace' | 'debug' | 'info' | 'warn' | 'error' | 'silent';
 
-/** Named values of one line; never a key or a prompt. */
+/** Fields of a log line; they must never contain a key or a prompt. */
 export type LogFields = Record<string, unknown>;
 
-/** Writes lines of one part of the program. */
+/** Logger of one component. */
 export type Logger = {
 	debug(message: string, fields?: LogFields): void;
 	info(message: string, fields?: LogFields): void;
@@ -26,14 +26,14 @@
 	level?: LogLevel;
 	/** Fields of every line, for example the host's name. Default none. */
 	fields?: LogFields;
-	/** Receives each line. Default standard error. */
+	/** Writes a line. Default writes to standard error. */
 	write?: (line: string) => void;
 };
 
 /**
- * Creates a logger that writes one JSON object a line.
+ * Creates a logger that writes one JSON object per line.
  *
- * @param name Name of the part, the field `part` of each line.
+ * @param name Name of the component, written as the field `part` of each line.
  * @param options Level, common fields and destination.
  * @example
  * ```ts
--- a/source/telemetry/metrics.ts
+++ b/source/telemetry/metrics.ts
@@ -7,13 +7,13 @@
 	Counter, Gauge, Histogram, Registry, collectDefaultMetrics,
 } from 'prom-client';
 
-/** Bucket bounds for times up to the recovery target, in seconds. */
+/** Bucket bounds of durations up to the recovery target, in seconds. */
 const secondsBuckets = [0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30];
 
 /**
- * Creates the metrics of one router, in a registry of their own.
+ * Creates the metrics of one router, in a separate registry.
  *
- * @returns The registry and every metric that the parts update.
+ * @returns The registry and all metrics.
  * @example
  * ```ts
  * const metrics = createMetrics();
--- a/source/telemetry/mod.ts
+++ b/source/telemetry/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Logs, metrics and traces.
+ * Logging, metrics and tracing.
  *
  * @module
  */
--- a/source/telemetry/tracing.ts
+++ b/source/telemetry/tracing.ts
@@ -1,5 +1,5 @@
 /**
- * Trace spans, one for each hop, kept in memory for the operators' `explain`.
+ * Trace spans, one per hop, kept in memory for the operator command `explain`.
  *
  * @module
  */
@@ -13,13 +13,13 @@
 
 /** Options of {@linkcode createTracing}. */
 export type CreateTracingOptions = {
-	/** Name of the host, an attribute of each span. */
+	/** Name of the host, set as an attribute of each span. */
 	hostName: string;
-	/** Number of finished spans kept in memory. Default 2,000. */
-	keptSpans?: number;
+	/** Maximum number of finished spans kept in memory. Default 2,000. */
+	maximumSpans?: number;
 };
 
-/** A finished span as operators see it. */
+/** A finished span, as returned to operators. */
 export type SpanRecord = {
 	traceId: string;
 	spanId: string;
@@ -35,13 +35,13 @@
 /** Starts spans and finds finished ones. */
 export type Tracing = {
 	tracer: Tracer;
-	/** Reads the parent of a span from HTTP headers. */
+	/** Extracts the parent context from HTTP headers. */
 	extract(headers: Record<string, string | string[] | undefined>): Context;
-	/** Writes a span into HTTP headers as `traceparent`. */
+	/** Returns HTTP headers that carry a span as `traceparent`. */
 	inject(span: Span): Record<string, string>;
-	/** Starts a span below a parent. */
+	/** Starts a span with an optional parent. */
 	start(name: string, parent: Span | Context | undefined, attributes?: Attributes): Span;
-	/** Finds the finished spans whose trace, request or generation has this name. */
+	/** Returns the finished spans of every trace that has this id or contains a span with this request or generation. */
 	explain(name: string): SpanRecord[];
 };
 
@@ -50,7 +50,7 @@
 /**
  * Creates the tracing of one process.
  *
- * @param options Host name and memory bound.
+ * @param options Host name and maximum number of spans.
  * @example
  * ```ts
  * const tracing = createTracing({hostName: 'entry-1'});
@@ -59,16 +59,16 @@
  * ```
  */
 export function createTracing(options: CreateTracingOptions): Tracing {
-	const kept: ReadableSpan[] = [];
-	const limit = options.keptSpans ?? 2000;
+	const finishedSpans: ReadableSpan[] = [];
+	const limit = options.maximumSpans ?? 2000;
 	const exporter: SpanExporter = {
 		export(spans, callback) {
-			kept.push(...spans);
-			kept.splice(0, kept.length - limit);
+			finishedSpans.push(...spans);
+			finishedSpans.splice(0, finishedSpans.length - limit);
 			callback({code: 0});
 		},
 		async shutdown() {
-			kept.length = 0;
+			finishedSpans.length = 0;
 		},
 	};
 	const provider = new BasicTracerProvider({spanProcessors: [new SimpleSpanProcessor(exporter)]});
@@ -86,17 +86,17 @@
 			return tracer.startSpan(name, {attributes: {host: options.hostName, ...attributes}}, context);
 		},
 		explain(name) {
-			const traceIds = new Set(kept.filter(span => matches(span, name)).map(span => span.spanContext().traceId));
-			return kept.filter(span => traceIds.has(span.spanContext().traceId)).map(span => toRecord(span));
+			const traceIds = new Set(finishedSpans.filter(span => hasName(span, name)).map(span => span.spanContext().traceId));
+			return finishedSpans.filter(span => traceIds.has(span.spanContext().traceId)).map(span => toSpanRecord(span));
 		},
 	};
 }
 
-function matches(span: ReadableSpan, name: string): boolean {
+function hasName(span: ReadableSpan, name: string): boolean {
 	return span.spanContext().traceId === name || span.attributes.request === name || span.attributes.generation === name;
 }
 
-function toRecord(span: ReadableSpan): SpanRecord {
+function toSpanRecord(span: ReadableSpan): SpanRecord {
 	return {
 		traceId: span.spanContext().traceId,
 		spanId: span.spanContext().spanId,
--- a/source/testing/_pinned-entry.ts
+++ b/source/testing/_pinned-entry.ts
@@ -14,7 +14,7 @@
 		this.#address = address;
 	}
 
-	override async ordered(): Promise<string[]> {
+	override async listInOrder(): Promise<string[]> {
 		return [this.#address];
 	}
 }
--- a/source/testing/demo.ts
+++ b/source/testing/demo.ts
@@ -93,7 +93,7 @@
 /** Books one refill twice with one key and counts its runs. */
 async function bookTwice(): Promise<void> {
 	for (const attempt of ['first', 'second']) {
-		const [address] = await fleet.entries(...liveRouters()).ordered(Date.now());
+		const [address] = await fleet.entries(...liveRouters()).listInOrder(Date.now());
 		const response = await request(`http://${address}/v1/services/orders/refills`, {
 			method: 'POST',
 			headers: {authorization: `Bearer ${testKey}`, 'content-type': 'application/json', 'idempotency-key': 'refill-2026-001'},
