Mend what a second reader stumbled over from forwarding to duties

Cause: a reader who had not seen the old text read forwarding, suspects, retries, balancing, calls, generation and duties once and listed each stumble.

Changed: comments that were wrong (trials of a suspicion, the wait of the crash detector), missing or ambiguous, and three names; SuspectedRequests.recordCrash with the literal in the Pick of the crash detector. No text of a log, error or answer changed.

--- a/source/balancing/choose-engine.ts
+++ b/source/balancing/choose-engine.ts
@@ -27,9 +27,9 @@
 	nextTokens: number;
 	/** Unix time of the engine's start, in milliseconds; 0 if not reported. */
 	startedAt: number;
-	/** Whether the report says that the engine is draining. */
+	/** Whether the engine reports the state `draining`. */
 	reportsLeaving: boolean;
-	/** Whether the headers of the response say that the engine is leaving, as in all its responses from then on. */
+	/** Whether the response headers announce that the engine is leaving; all its later responses do so as well. */
 	saysLeaving: boolean;
 	/** Running requests that have produced a token; the others are in prefill. */
 	runs: ReadonlyArray<{attempt: string; tokens: number; events: number}>;
--- a/source/calls/run-at-most-once.ts
+++ b/source/calls/run-at-most-once.ts
@@ -17,7 +17,7 @@
 import {digestCall, type Claim, type ClaimName} from './claim.ts';
 import {type FinalClaimState} from './claim-store.ts';
 
-/** Time after a call's deadline that its router has to write the final state of the claim, in milliseconds. */
+/** Time after a call's deadline within which its router should write the final state of the claim, in milliseconds. */
 const finishMarginMilliseconds = 1000;
 
 /** Time for which the answer waits for the final write of the claim, in milliseconds; the write then continues in the background. */
--- a/source/duties/poll-duties.ts
+++ b/source/duties/poll-duties.ts
@@ -22,7 +22,7 @@
 	endpointsOf: (service: string) => readonly string[];
 	/** Interval at which due work is started, in milliseconds. */
 	tickMilliseconds: number;
-	/** Minimum time between two rounds over the engines of a held duty, in milliseconds. */
+	/** Minimum time between two reconciliation rounds over the engines of a held duty, in milliseconds. */
 	reconcileMilliseconds: number;
 	/** Average number of engines of a duty that are read each second. */
 	engineReadsPerSecond: number;
@@ -34,7 +34,7 @@
 
 const millisecondsPerSecond = 1000;
 
-/** Rounds over the engines of one duty: whether one is in progress, when the next is due, and the desired state of the last. */
+/** Reconciliation rounds of one duty: whether one is in progress, the monotonic time at which the next is due, and the desired state of the last. */
 type Round = {busy: boolean; dueAt: number; desiredState: string};
 
 /**
--- a/source/forwarding/crash-detector.ts
+++ b/source/forwarding/crash-detector.ts
@@ -12,7 +12,7 @@
 /** Options of {@linkcode CrashDetector}. */
 export type CrashDetectorOptions = {
 	endpoints: Pick<EndpointList, 'stateOf'>;
-	suspects: Pick<SuspectedRequests, 'ended'>;
+	suspects: Pick<SuspectedRequests, 'recordCrash'>;
 	logger: Logger;
 	/** Counts a probe of an endpoint by its outcome. */
 	countProbe(service: string, outcome: ProbeOutcome): void;
@@ -118,7 +118,7 @@
 		}
 	}
 
-	/** Waits until the endpoint list shows that an endpoint which did not respond has restarted: its host was unreachable, or the network path was interrupted. */
+	/** Checks for a limited time whether the endpoint list shows that an endpoint which did not respond has restarted: its host may have been unreachable, or the network path interrupted. */
 	async #pollList(attempt: LostAttempt): Promise<void> {
 		for (let waited = 0; waited < listWatchMilliseconds; waited += listCheckIntervalMilliseconds) {
 			await pause(listCheckIntervalMilliseconds);
@@ -135,7 +135,7 @@
 
 	async #recordCrash({identity, endpoint, events}: LostAttempt, listed: IncarnationState): Promise<void> {
 		if (countsAsCrash[listed] && events < crashCauseEventLimit) {
-			await this.#options.suspects.ended(identity, endpoint);
+			await this.#options.suspects.recordCrash(identity, endpoint);
 		}
 	}
 }
--- a/source/forwarding/forward-call.ts
+++ b/source/forwarding/forward-call.ts
@@ -45,7 +45,9 @@
 	readonly #attempts: CallAttempts;
 	/** Checks for a crash of endpoints whose response was lost, by endpoint id. */
 	readonly #crashChecks = new Map<string, Promise<void>>();
+	/** Number of attempts in progress, or that ran or may have run. */
 	#runs = 0;
+	/** Whether the deadline passed before an endpoint responded. */
 	#timedOut = false;
 
 	constructor(exchange: Exchange, dependencies: ForwardingDependencies) {
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -37,13 +37,18 @@
 	readonly #exchange: Exchange;
 	readonly #dependencies: ForwardingDependencies;
 	readonly #progress: GenerationProgress;
+	/** Ids of engines that must not be used again for this generation. */
 	readonly #tried = new Set<string>();
+	/** Ids of the engines of all attempts, in order. */
 	readonly #attempted: string[] = [];
+	/** Estimated tokens of the generation: prompt and output. */
 	readonly #tokens: number;
+	/** Engine that may hold a copy of the KV cache from which the next attempt can resume. */
 	#copyHolder: EndpointEntry | undefined;
 	readonly #selector: EngineSelector;
 	/** Engines of the last load query, ordered by load. */
 	#ranked: readonly QueriedEngine[] = [];
+	/** Number of attempts in progress, or that ran or may have run. */
 	#runs = 0;
 
 	constructor(exchange: Exchange, dependencies: ForwardingDependencies) {
--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -192,7 +192,7 @@
 		for await (const chunk of endpointResponse.body()) {
 			chunks.push(chunk);
 			bytes += chunk.length;
-			this.#requireBuffer(bytes);
+			this.#resizeBuffer(bytes);
 		}
 
 		const body = Buffer.concat(chunks);
@@ -215,7 +215,7 @@
 		const splitter = new EventSplitter();
 		for await (const chunk of endpointResponse.body()) {
 			const events = splitter.push(chunk);
-			this.#requireBuffer(splitter.incompleteBytes.length);
+			this.#resizeBuffer(splitter.incompleteBytes.length);
 			const messages = events.filter(({isMessage}) => isMessage).length;
 			if (messages > 0) {
 				this.#monitor.recordProgress(messages);
@@ -245,7 +245,7 @@
 	}
 
 	/** Sets the number of buffered bytes; throws if they exceed the limit. */
-	#requireBuffer(bytes: number): void {
+	#resizeBuffer(bytes: number): void {
 		if (!this.#buffer.resize(bytes)) {
 			throw new IncompleteResponseError(`${bytes} bytes of an error body or an incomplete event exceed the buffer limit`);
 		}
--- a/source/forwarding/response-buffers.ts
+++ b/source/forwarding/response-buffers.ts
@@ -2,7 +2,7 @@
  * Limits the memory that a gateway uses to buffer endpoints' responses.
  *
  * A response is buffered so that the request can still be retried elsewhere if it breaks off. Endpoints may send responses that never
- * end, on as many connections as there are at once, so the memory for this is limited.
+ * end, on many connections at the same time, so the memory for this is limited.
  *
  * @module
  */
@@ -21,7 +21,7 @@
 export type ResponseBuffer = {
 	/** Sets the number of buffered bytes; returns whether it is within the limits. */
 	resize(bytes: number): boolean;
-	/** Switches from buffering to streaming, so that no bytes are buffered; returns whether another response may be streamed. */
+	/** Switches from buffering to streaming, so that no bytes are buffered; returns whether the limit on streamed responses allows it. */
 	startStreaming(): boolean;
 	/** Releases the buffered bytes and the stream. */
 	release(): void;
--- a/source/forwarding/send-request.ts
+++ b/source/forwarding/send-request.ts
@@ -19,7 +19,7 @@
 	/** Alternating header names and values. */
 	rawHeaders: readonly string[];
 	body: Uint8Array;
-	/** Id of the caller's attempt, which the response must echo; on a new connection it may be absent. */
+	/** Id of the caller's attempt. The response must echo it; on a new connection, the echo may be missing. */
 	attemptId: string | undefined;
 	/** Connection timeout, in milliseconds. */
 	connectTimeoutMilliseconds: number;
--- a/source/forwarding/silence-decision.ts
+++ b/source/forwarding/silence-decision.ts
@@ -40,7 +40,7 @@
 const stallTimeoutPausesWithoutCopy = 6;
 
 /** Stall timeout before the first event, as a multiple of the target time: the engine may process other prompts first. */
-const firstEventTargetShare = 1.6;
+const firstEventTargetMultiple = 1.6;
 
 /**
  * Decides what to do about a silent engine that is not presumed dead.
@@ -49,7 +49,7 @@
  */
 export function decideSilenceAction(generation: SilentGeneration): SilenceAction {
 	const {started, silentMilliseconds, sinceAliveMilliseconds, eventPauseMilliseconds, targetMilliseconds, hasCopy} = generation;
-	const stallTimeoutMilliseconds = started ? eventPauseMilliseconds * (hasCopy ? stallTimeoutPausesWithCopy : stallTimeoutPausesWithoutCopy) : targetMilliseconds * firstEventTargetShare;
+	const stallTimeoutMilliseconds = started ? eventPauseMilliseconds * (hasCopy ? stallTimeoutPausesWithCopy : stallTimeoutPausesWithoutCopy) : targetMilliseconds * firstEventTargetMultiple;
 	if (silentMilliseconds >= stallTimeoutMilliseconds) {
 		return 'abandon';
 	}
--- a/source/generation/progress.ts
+++ b/source/generation/progress.ts
@@ -9,6 +9,7 @@
 
 /** A generation in progress; only the task that serves it changes this object. */
 export type Progress = {
+	/** Name of the generation. */
 	readonly generation: string;
 	readonly workspace: string;
 	readonly service: ModelService;
--- a/source/generation/read-attempt.ts
+++ b/source/generation/read-attempt.ts
@@ -7,7 +7,7 @@
 import {type Progress, type TokenSink} from './progress.ts';
 import {type RecoveryPolicy} from './recovery-policy.ts';
 
-/** How an attempt ended: `silent` without an event in time, `lost` when its stream failed, `unreachable` when it could not be opened, `broken` when the engine violated the protocol. */
+/** How an attempt ended: `silent` without an event in time, `stalled` when a running stream has also sent no token within the stall timeout, `lost` when its stream failed, `unreachable` when it could not be opened, `broken` when the engine violated the protocol. */
 export type AttemptResult
 	= | {kind: 'finished'; totalTokens: number; finishReason: string}
 		| {kind: 'silent'}
@@ -20,7 +20,7 @@
 		| {kind: 'aborted'}
 		| {kind: 'caller_gone'};
 
-/** Options of {@linkcode readAttempt}. */
+/** Options of {@linkcode readVersionState}. */
 export type ReadAttemptOptions = {
 	stream: EngineStream;
 	endpoint: string;
@@ -50,7 +50,7 @@
  * @returns How the attempt ended; the stream remains open, and the calling function closes it.
  * @example
  * ```ts
- * const result = await readAttempt({stream, endpoint, progress, policy, sink, onStarted, lastTokenAt, clock});
+ * const result = await readVersionState({stream, endpoint, progress, policy, sink, onStarted, lastTokenAt, clock});
  * ```
  */
 export async function readAttempt(options: ReadAttemptOptions): Promise<AttemptResult> {
--- a/source/generation/recovery-policy.ts
+++ b/source/generation/recovery-policy.ts
@@ -42,7 +42,7 @@
  * @param service A model service.
  * @example
  * ```ts
- * const {silenceMilliseconds} = recoveryPolicy(service);
+ * const {stallTimeoutMilliseconds} = recoveryPolicy(service);
  * ```
  */
 export function recoveryPolicy(service: ModelService): RecoveryPolicy {
@@ -59,7 +59,7 @@
  * @param silences Number of consecutive silent streams without a token before this one.
  * @example
  * ```ts
- * withSilenceBackoff(policy, 2).silenceMilliseconds; // four times as long, at most the stall timeout
+ * withSilenceBackoff(policy, 2).stallTimeoutMilliseconds; // four times as long, at most the stall timeout
  * ```
  */
 export function withSilenceBackoff(policy: RecoveryPolicy, silences: number): RecoveryPolicy {
--- a/source/generation/run-generation.ts
+++ b/source/generation/run-generation.ts
@@ -140,7 +140,9 @@
 	lastTokenAt: number;
 	readonly #options: RunGenerationOptions;
 	readonly #monitored: MonitoredRequest;
+	/** Monotonic time of the last token before a lost attempt, until the next token is forwarded. */
 	#interruptedSince: number | undefined;
+	/** Start of the newest stream, until its time to the first token is measured. */
 	#unmeasuredStart: {endpoint: string; at: number} | undefined;
 
 	constructor(options: RunGenerationOptions, monitored: MonitoredRequest) {
--- a/source/retries/slack-borrower.ts
+++ b/source/retries/slack-borrower.ts
@@ -49,8 +49,9 @@
 type CurrentLoan = {
 	/** Row key of its ledger. */
 	key: string;
+	/** The store's time of the loan, in milliseconds; identifies it in its ledger. */
 	at: number;
-	/** Time before the request to the store; the loan's lifetime is counted from it. */
+	/** Clock reading taken before the request to the store; the loan's lifetime is counted from it. */
 	requestedAt: ClockReading;
 	granted: number;
 	used: number;
--- a/source/suspects/suspected-requests.test.ts
+++ b/source/suspects/suspected-requests.test.ts
@@ -122,7 +122,7 @@
 			this.#incarnations += 1;
 			this.arrivals.push(this.store.now);
 			this.ends.push(this.store.now);
-			await gateway.ended(identity, endpointOf(this.#incarnations));
+			await gateway.recordCrash(identity, endpointOf(this.#incarnations));
 		}
 	}
 
@@ -218,7 +218,7 @@
 	const fleet = new SimulatedFleet(14, 3);
 	const popular = requestOf('popular');
 	for (let crash = 0; crash < 10; crash += 1) {
-		await fleet.randomGateway().ended(popular, endpointOf(crash));
+		await fleet.randomGateway().recordCrash(popular, endpointOf(crash));
 		fleet.advance(propagationMilliseconds);
 		fleet.advance(propagationMilliseconds);
 		for (const gateway of fleet.gateways) {
@@ -231,7 +231,7 @@
 test('the crash of one endpoint that several gateways observe counts once', async () => {
 	const fleet = new SimulatedFleet(14, 4);
 	for (const gateway of fleet.gateways) {
-		await gateway.ended(requestOf('popular'), endpointOf(1));
+		await gateway.recordCrash(requestOf('popular'), endpointOf(1));
 	}
 
 	fleet.advance(propagationMilliseconds);
@@ -272,10 +272,10 @@
 test('a crash is counted once if the response of the store is lost', async () => {
 	const fleet = new SimulatedFleet(1, 6);
 	fleet.store.fault = 'lose-answers';
-	await fleet.gateways[0]!.ended(requestOf('crashing'), endpointOf(1));
+	await fleet.gateways[0]!.recordCrash(requestOf('crashing'), endpointOf(1));
 	fleet.store.fault = 'none';
-	await fleet.gateways[0]!.ended(requestOf('crashing'), endpointOf(1));
-	await fleet.gateways[0]!.ended(requestOf('crashing'), endpointOf(2));
+	await fleet.gateways[0]!.recordCrash(requestOf('crashing'), endpointOf(1));
+	await fleet.gateways[0]!.recordCrash(requestOf('crashing'), endpointOf(2));
 	assert.equal(fleet.store.publishedRows()[0]?.suspicion?.ends.length, 2);
 });
 
@@ -303,7 +303,7 @@
 	fleet.advance(suspicionTimeToLiveMilliseconds);
 	assert.equal(await kindOf(gateway, requestOf('crashing')), 'free');
 	for (let index = 0; index < 3000 && fleet.store.publishedRows().length > 0; index += 1) {
-		await gateway.ended(requestOf(`other ${index}`), endpointOf(index));
+		await gateway.recordCrash(requestOf(`other ${index}`), endpointOf(index));
 	}
 
 	assert.equal(fleet.store.publishedRows().length, 0);
@@ -313,7 +313,7 @@
 	const fleet = new SimulatedFleet(1, 9);
 	const {digest} = requestOf('crashing');
 	fleet.store.table('request-ends').set(digest, {key: digest, content: new TextEncoder().encode('not JSON'), revision: 1});
-	await fleet.gateways[0]!.ended(requestOf('crashing'), endpointOf(1));
+	await fleet.gateways[0]!.recordCrash(requestOf('crashing'), endpointOf(1));
 	assert.equal(await kindOf(fleet.gateways[0]!, requestOf('crashing')), 'free');
 });
 
@@ -331,6 +331,6 @@
 
 test('concurrent attempts that lose the same endpoint save its crash with one change of the row', async () => {
 	const fleet = new SimulatedFleet(1, 10);
-	await Promise.all(Array.from({length: 20}, async () => fleet.gateways[0]!.ended(requestOf('popular'), endpointOf(1))));
+	await Promise.all(Array.from({length: 20}, async () => fleet.gateways[0]!.recordCrash(requestOf('popular'), endpointOf(1))));
 	assert.equal(fleet.store.calls, 2);
 });
--- a/source/suspects/suspected-requests.ts
+++ b/source/suspects/suspected-requests.ts
@@ -106,7 +106,7 @@
 	 * @param identity The request.
 	 * @param endpoint The endpoint, in the incarnation that crashed.
 	 */
-	async ended({digest}: RequestIdentity, {id, startedAt, service}: EndpointEntry): Promise<void> {
+	async recordCrash({digest}: RequestIdentity, {id, startedAt, service}: EndpointEntry): Promise<void> {
 		const crash = {digest, service, life: {id, startedAt}};
 		this.#addLocally(crash, true);
 		await this.#save(crash);
--- a/source/suspects/suspicion.ts
+++ b/source/suspects/suspicion.ts
@@ -17,7 +17,7 @@
 	service: z.string(),
 	/** Incarnations of endpoints that crashed while running the request. */
 	ends: z.array(endpointIncarnationSchema),
-	/** Trials that were started since the request was refused, whatever their outcome. */
+	/** Number of trials started since the request was refused; one that did not run is subtracted again. */
 	trials: z.number(),
 	/** Time of the last crash or trial. */
 	changedAt: z.number(),
