--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -8,6 +8,11 @@
 
 const heartbeatMilliseconds = 1200;
 
+/** Memory of a model worker, in tokens; tokens of a prompt that it reads in a millisecond; tokens of an event. */
+const kvCapacity = 88_000;
+const promptTokensPerMillisecond = 8;
+const tokensPerEvent = 6;
+
 export class Worker {
 	runs = [];
 	arrivals = [];
@@ -20,13 +25,20 @@
 	#server;
 	#beat;
 	#running = new Map();
+	#waiting = new Set();
+	/** Requests that are in memory, the newest last. */
+	#memory = new Set();
 
-	/**
-	 * @param {{id: string, service: string, zone: string, address: string, store: import('./store.mjs').Store, slots?: number, workMilliseconds?: number, isEngine?: boolean, promptMilliseconds?: number, events?: number, eventMilliseconds?: number, onRun?: (run: object, response: import('node:http').ServerResponse, worker: Worker) => Promise<boolean> | boolean, log: (line: string) => void}} options
-	 */
+	/** Options are the id, service, zone and address, the store, what takes lines of the record, and those with a default below. */
 	constructor(options) {
 		this.options = {
-			slots: 6, workMilliseconds: 20, isEngine: false, promptMilliseconds: 300, events: 40, eventMilliseconds: 40, onRun: () => false, ...options,
+			slots: 6,
+			workMilliseconds: 20,
+			isEngine: false,
+			events: 40,
+			eventMilliseconds: 40,
+			onRun: () => false,
+			...options,
 		};
 	}
 
@@ -134,32 +146,93 @@
 	}
 
 	async #stream(run, response) {
-		const {promptMilliseconds, events, eventMilliseconds} = this.options;
-		await delay(promptMilliseconds);
+		const {events, eventMilliseconds} = this.options;
+		run.tokens = Number(String(run.headers['x-azuretack-token-counts'] ?? '8000').split(',')[0]);
+		await this.#read(run);
 		if (response.destroyed) {
+			this.#memory.delete(run);
 			return;
 		}
 
 		response.writeHead(200, {'content-type': 'text/event-stream'});
-		for (let event = run.lastEvent + 1; event <= events; event += 1) {
-			if (response.destroyed) {
-				return;
+		for (let event = run.lastEvent + 1; event <= events && !response.destroyed; event += 1) {
+			if (!this.#memory.has(run)) {
+				await this.#read(run);
 			}
 
 			this.#running.set(run.attempt, event);
 			response.write(`id: ${event}\ndata: token ${event} of ${run.attempt}\n\n`);
 			await delay(eventMilliseconds);
+			this.#grow(run);
 		}
 
 		this.#running.delete(run.attempt);
+		this.#memory.delete(run);
 		response.end();
 	}
 
+	/** Runs requests that other machines have sent: so many, with prompts of so many tokens, and so many events each. */
+	async runOthers(count, tokens, events) {
+		const runs = Array.from({length: count}, (_unused, index) => ({attempt: `other-${index}`, tokens}));
+		await Promise.all(runs.map(async run => {
+			await this.#read(run);
+			for (let event = 1; event <= events; event += 1) {
+				this.#running.set(run.attempt, event);
+				await delay(this.options.eventMilliseconds);
+				this.#grow(run);
+			}
+
+			this.#running.delete(run.attempt);
+			this.#memory.delete(run);
+		}));
+	}
+
+	/** Waits until there is memory for a request, and reads its prompt and what it has generated. */
+	async #read(run) {
+		this.#waiting.add(run);
+		while (this.#usedTokens + run.tokens > kvCapacity) {
+			await delay(20);
+		}
+
+		this.#waiting.delete(run);
+		this.#memory.add(run);
+		await delay(run.tokens / promptTokensPerMillisecond);
+	}
+
+	/** Adds the tokens of an event; where memory runs out, the newest request is preempted, as all are equally urgent. */
+	#grow(run) {
+		run.tokens += tokensPerEvent;
+		if (this.#usedTokens > kvCapacity) {
+			const newest = [...this.#memory].at(-1);
+			this.#memory.delete(newest);
+			this.#running.delete(newest.attempt);
+			this.options.log(`worker ${this.id} has no memory left and preempts ${newest.attempt}`);
+		}
+	}
+
+	get #usedTokens() {
+		return [...this.#memory].reduce((sum, {tokens}) => sum + tokens, 0);
+	}
+
 	#report(response) {
 		const runs = [...this.#running].map(([attempt, event]) => [attempt, 8000 + event, event, 5]);
+		const report = {
+			stage: 'prefill_decode',
+			models: [{name: 'm', version: 1, adapters: []}],
+			busySlots: false,
+			sequence: 0,
+			waiting: this.#waiting.size,
+			running: this.#memory.size,
+			kvUsed: this.#usedTokens,
+			kvTotal: kvCapacity,
+			handles: 0,
+			pinned: 0,
+			held: 0,
+			state: this.state,
+			runs,
+			born: this.born,
+		};
 		response.writeHead(200, {'content-type': 'application/json'});
-		response.end(JSON.stringify({
-			stage: 'prefill_decode', models: [{name: 'm', version: 1, adapters: []}], busySlots: false, sequence: 0, waiting: 0, running: runs.length, kvUsed: runs.length * 8000, kvTotal: 88_000, handles: 0, pinned: 0, held: 0, state: this.state, runs, born: this.born,
-		}));
+		response.end(JSON.stringify(report));
 	}
 }
