--- a/review/lib/configuration.mjs
+++ b/review/lib/configuration.mjs
@@ -55,12 +55,7 @@
 				name: 'scribe',
 				healthPath: '/health',
 				maxConnections: 720,
-				engine: {
-					slots: 64,
-					kvCapacity: 88_000,
-					backups: true,
-					handleS: 4,
-				},
+				engine: {slots: 64, kvCapacity: 88_000},
 			},
 			{name: 'desk', healthPath: '/health', maxConnections: 200},
 		],
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -37,6 +37,7 @@
 			isEngine: false,
 			events: 40,
 			eventMilliseconds: 40,
+			dropsOnClose: true,
 			onRun: () => false,
 			...options,
 		};
@@ -146,22 +147,25 @@
 	}
 
 	async #stream(run, response) {
-		const {events, eventMilliseconds} = this.options;
+		const {events, eventMilliseconds, dropsOnClose} = this.options;
+		const isDropped = () => dropsOnClose && response.destroyed;
 		run.tokens = Number(String(run.headers['x-azuretack-token-counts'] ?? '8000').split(',')[0]);
 		await this.#read(run);
-		if (response.destroyed) {
+		if (isDropped()) {
 			this.#memory.delete(run);
 			return;
 		}
 
 		response.writeHead(200, {'content-type': 'text/event-stream'});
-		for (let event = run.lastEvent + 1; event <= events && !response.destroyed; event += 1) {
+		for (let event = run.lastEvent + 1; event <= events && !isDropped(); event += 1) {
 			if (!this.#memory.has(run)) {
 				await this.#read(run);
 			}
 
 			this.#running.set(run.attempt, event);
 			response.write(`id: ${event}\ndata: token ${event} of ${run.attempt}\n\n`);
+			run.workedUntil = performance.now();
+			run.lastMade = event;
 			await delay(eventMilliseconds);
 			this.#grow(run);
 		}
