--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -81,6 +81,18 @@
 		this.beat();
 	}
 
+	/** Ends the process and starts another one under the same id and address after a time; it knows nothing of before. */
+	async restart(milliseconds) {
+		this.end();
+		this.options.store.remove('servers', this.id);
+		await delay(milliseconds);
+		this.saysLeaving = false;
+		this.state = 'ready';
+		this.born = Date.now();
+		this.sequence = 0;
+		await this.start();
+	}
+
 	/** Ends the process: nothing is answered any more, and all connections are closed. */
 	end() {
 		clearInterval(this.#beat);
@@ -111,7 +123,7 @@
 		}
 
 		const run = {
-			attempt, worker: this.id, at: performance.now(), headers: request.headers, body, lastEvent: Number(request.headers['last-event-id'] ?? '0'),
+			attempt, worker: this.id, born: this.born, at: performance.now(), headers: request.headers, body, lastEvent: Number(request.headers['last-event-id'] ?? '0'),
 		};
 		this.runs.push(run);
 		this.options.log(`worker ${this.id} runs ${attempt} ${request.url}${run.lastEvent > 0 ? ` from event ${run.lastEvent}` : ''}`);
