--- a/review/lib/world.mjs
+++ b/review/lib/world.mjs
@@ -117,6 +117,13 @@
 		world.note('the case took too long');
 		exit(2).catch(() => undefined);
 	}, timeLimitMilliseconds);
+	for (const signal of ['SIGINT', 'SIGTERM']) {
+		process.once(signal, () => {
+			world.note(`the case was ended by ${signal}`);
+			exit(2).catch(() => undefined);
+		});
+	}
+
 	let code = 2;
 	try {
 		const breaches = await play(world);
