--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -29,7 +29,7 @@
 	maxAttempts: 1,
 };
 
-await runCase(import.meta.dirname, async world => {
+await runCase(async world => {
 	const {store} = world;
 	await world.open({gateways: 4});
 	store.put('op', 'config', configuration({version: 1, keys: [key], routes: [letter]}));
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -30,7 +30,7 @@
 /** Time between two drafts, in milliseconds. */
 const draftMilliseconds = 90;
 
-await runCase(import.meta.dirname, async world => {
+await runCase(async world => {
 	const {store} = world;
 	await world.open({gateways: 4});
 	store.put('op', 'config', configuration({version: 1, keys: [key], routes: [{...routes.draft, timeoutMs: timeoutMilliseconds}]}));
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -31,7 +31,7 @@
 const clientCount = 4;
 const depositMilliseconds = 150;
 
-await runCase(import.meta.dirname, async world => {
+await runCase(async world => {
 	const {store} = world;
 	await world.open({gateways: 22});
 	store.put('op', 'config', configuration({version: 1, keys: [key], routes: [anonymousDeposit]}));
--- a/review/lib/world.mjs
+++ b/review/lib/world.mjs
@@ -84,7 +84,7 @@
 	}
 
 	/** Ends all processes and stand-ins, and writes the record. */
-	async close(folder) {
+	async close() {
 		await Promise.all(this.gateways.map(async gateway => gateway.kill()));
 		for (const worker of this.workers) {
 			worker.end();
@@ -99,17 +99,17 @@
 			await writeFile(process.env.REVIEW_LOGS, this.#logs);
 		}
 
-		await writeFile(path.join(folder, 'record.txt'), `${this.#lines.join('\n')}\n`);
+		await writeFile(process.env.RECORD ?? 'record.txt', `${this.#lines.join('\n')}\n`);
 	}
 }
 
 /**
  * Runs a case and exits: with 1 if the rule was broken, 0 if it held, 2 if the case could not run. `play` returns what broke the rule.
  */
-export async function runCase(folder, play) {
+export async function runCase(play) {
 	const world = new World();
 	const exit = async code => {
-		await world.close(folder);
+		await world.close();
 		process.exit(code); // eslint-disable-line unicorn/no-process-exit
 	};
 
