Leave an engine for its silence only when the generation can go on elsewhere

Cause: the silence decision went by time alone, and the connection was closed before anyone asked whether the generation may be sent again, whether another engine responds and whether the retry budget allows it.

Why it works: without a sure sign (reset, restart, a report that lacks the run, deadline, the caller's leaving) an attempt ends only once another target and a retry were acquired. Queries tell a suspended engine, which accepts connections, from one that is out of reach; the latter is left as soon as before, the former after 1.6 s without a response.

--- a/source/forwarding/engine-monitor.ts
+++ b/source/forwarding/engine-monitor.ts
@@ -5,7 +5,7 @@
  */
 import {type EngineReport} from '../balancing/mod.ts';
 import {
-	isPresumedDead, decideSilenceAction, lacksAttempt, showsRestart, hasUndeliveredEvents,
+	conditionOf, decideSilenceAction, lacksAttempt, showsRestart, showsWork, hasUndeliveredEvents, type EngineCondition, type EngineQuery,
 } from './silence-decision.ts';
 
 /** Why an engine was abandoned. */
@@ -29,9 +29,11 @@
 	targetMilliseconds: number;
 	/** Whether another engine holds a copy of the generation's KV cache. */
 	hasCopy: boolean;
-	/** Queries the engine for its load over a new connection; returns `undefined` if it does not respond. */
-	queryLoad: () => Promise<EngineReport | undefined>;
-	/** Called with the reason when the engine must be abandoned. */
+	/** Queries the engine for its load over a new connection. */
+	queryLoad: () => Promise<EngineQuery>;
+	/** Acquires another engine for the generation; returns false if it must stay, as there is none or it may not be sent again. */
+	acquireAlternative: () => Promise<boolean>;
+	/** Called with the reason when the engine is abandoned. */
 	onAbandon: (reason: AbandonReason) => void;
 	clock: () => number;
 };
@@ -39,6 +41,15 @@
 /** Interval between two checks of an engine, in milliseconds. */
 const checkIntervalMilliseconds = 50;
 
+/** Number of outcomes of unanswered queries that are kept. */
+const rememberedQueries = 2;
+
+/** Minimum interval between two queries of an engine whose condition is known, in milliseconds. */
+const queryIntervalMilliseconds = 250;
+
+/** Interval between two attempts to acquire another engine, in milliseconds. */
+const alternativeIntervalMilliseconds = 1000;
+
 /** Number of consecutive reports without the attempt after which the attempt counts as ended. */
 const maximumReportsWithoutAttempt = 2;
 
@@ -59,8 +70,16 @@
 	/** Time at which the response last made progress: its head or a complete event arrived. */
 	#progressAt: number;
 	#lastAliveAt: number;
+	/** Time at which the engine last reported work on the generation. */
+	#workedAt = Number.NEGATIVE_INFINITY;
 	#receivedEvents = 0;
-	#unansweredQueries = 0;
+	/** Outcomes of the consecutive queries without a report. */
+	#unansweredQueries: Array<Exclude<EngineCondition, 'alive'>> = [];
+	/** Time of the first of these queries. */
+	#unansweredSince = 0;
+	#nextQueryAt = Number.NEGATIVE_INFINITY;
+	#nextAlternativeAt = Number.NEGATIVE_INFINITY;
+	#isLeaving = false;
 	#reportsWithoutAttempt = 0;
 	#isQuerying = false;
 	#lastReport: EngineReport | undefined;
@@ -94,7 +113,7 @@
 		this.#progressAt = this.#options.clock();
 		this.#lastAliveAt = this.#progressAt;
 		this.#receivedEvents += events;
-		this.#unansweredQueries = 0;
+		this.#unansweredQueries = [];
 		this.#reportsWithoutAttempt = 0;
 	}
 
@@ -107,39 +126,57 @@
 		}
 
 		const silentMilliseconds = now - this.#progressAt;
+		const condition = conditionOf(this.#unansweredQueries);
 		const action = decideSilenceAction({
-			started: this.#receivedEvents > 0, silentMilliseconds, sinceAliveMilliseconds: now - this.#lastAliveAt, eventPauseMilliseconds, targetMilliseconds, hasCopy,
+			started: this.#receivedEvents > 0,
+			silentMilliseconds,
+			idleMilliseconds: now - Math.max(this.#progressAt, this.#workedAt),
+			sinceAliveMilliseconds: now - this.#lastAliveAt,
+			condition,
+			unansweredMilliseconds: this.#unansweredQueries.length > 0 ? now - this.#unansweredSince : 0,
+			eventPauseMilliseconds,
+			targetMilliseconds,
+			hasCopy,
 		});
-		if (action === 'abandon') {
-			this.#abandon(false, `no event was received for ${Math.round(silentMilliseconds)} ms; ${describeReport(this.#lastReport)}`);
-		} else if (action === 'query' && !this.#isQuerying) {
+		if (action === 'leave') {
+			void this.#leave(condition !== 'alive', `no event was received for ${Math.round(silentMilliseconds)} ms; ${describeEngine(condition, this.#lastReport)}`);
+		}
+
+		if (action !== 'wait' && !this.#isQuerying && now >= this.#nextQueryAt) {
 			void this.#query();
 		}
 	}
 
 	async #query(): Promise<void> {
+		const queriedAt = this.#options.clock();
 		this.#isQuerying = true;
-		const report = await this.#options.queryLoad();
+		const query = await this.#options.queryLoad();
 		this.#isQuerying = false;
-		if (report) {
-			this.#handleReport(report);
+		const nextQueryAt = this.#options.clock() + queryIntervalMilliseconds;
+		if (query.kind === 'report') {
+			this.#nextQueryAt = nextQueryAt;
+			this.#handleReport(query.report);
 			return;
 		}
 
-		this.#unansweredQueries += 1;
-		const {eventPauseMilliseconds, hasCopy, clock} = this.#options;
-		const isDead = isPresumedDead({
-			unanswered: this.#unansweredQueries, silentMilliseconds: clock() - this.#progressAt, eventPauseMilliseconds, hasCopy,
-		});
-		if (isDead) {
-			this.#abandon(true, 'the engine does not respond');
+		if (this.#unansweredQueries.length === 0) {
+			this.#unansweredSince = queriedAt;
+		}
+
+		this.#unansweredQueries = [...this.#unansweredQueries, query.kind].slice(-rememberedQueries);
+		if (conditionOf(this.#unansweredQueries) !== 'alive') {
+			this.#nextQueryAt = nextQueryAt;
 		}
 	}
 
 	#handleReport(report: EngineReport): void {
 		const {startedAt, attemptId, clock} = this.#options;
-		this.#unansweredQueries = 0;
+		this.#unansweredQueries = [];
 		this.#lastAliveAt = clock();
+		if (this.#receivedEvents > 0 && showsWork(report, this.#lastReport, attemptId)) {
+			this.#workedAt = this.#lastAliveAt;
+		}
+
 		this.#lastReport = report;
 		if (showsRestart(report, startedAt)) {
 			this.#abandon(true, 'the engine has restarted');
@@ -147,7 +184,7 @@
 		}
 
 		if (hasUndeliveredEvents(report, attemptId, this.#receivedEvents)) {
-			this.#abandon(false, 'the engine has generated events that do not arrive');
+			void this.#leave(false, 'the engine has generated events that do not arrive');
 			return;
 		}
 
@@ -157,13 +194,39 @@
 		}
 	}
 
+	/** Abandons an engine that may still run the generation, if another engine can be acquired and the response makes no progress until then. */
+	async #leave(unreachable: boolean, message: string): Promise<void> {
+		const {acquireAlternative, clock} = this.#options;
+		if (this.#isLeaving || clock() < this.#nextAlternativeAt) {
+			return;
+		}
+
+		const progressAt = this.#progressAt;
+		this.#isLeaving = true;
+		const isAcquired = await acquireAlternative();
+		this.#isLeaving = false;
+		this.#nextAlternativeAt = clock() + alternativeIntervalMilliseconds;
+		if (isAcquired && this.#progressAt === progressAt) {
+			this.#abandon(unreachable, message);
+		}
+	}
+
 	#abandon(unreachable: boolean, message: string): void {
 		this.stop();
 		this.#options.onAbandon({unreachable, message});
 	}
 }
 
-function describeReport(report: EngineReport | undefined): string {
+const conditionDescriptions: Record<Exclude<EngineCondition, 'alive'>, string> = {
+	unresponsive: 'the engine accepts connections and does not respond',
+	unreachable: 'the engine accepts no connection',
+};
+
+function describeEngine(condition: EngineCondition, report: EngineReport | undefined): string {
+	if (condition !== 'alive') {
+		return conditionDescriptions[condition];
+	}
+
 	return report
 		? `the engine reports ${report.running} running, ${report.waiting} waiting, ${report.usedTokens} of ${report.memoryTokens} tokens in use`
 		: 'the engine was not queried';
--- a/source/forwarding/engine-selector.ts
+++ b/source/forwarding/engine-selector.ts
@@ -4,14 +4,14 @@
  * @module
  */
 import {
-	engineCandidates, rankEngines, type QueriedEngine, type EngineReport,
+	engineCandidates, rankEngines, type QueriedEngine,
 } from '../balancing/mod.ts';
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {queryEngineReport} from '../platform/mod.ts';
 import {recordReport, usableEndpoints, type RequestClass} from './endpoint-signals.ts';
 import {type Exchange} from './exchange.ts';
 import {type ForwardingDependencies} from './forwarding-dependencies.ts';
-import {showsRestart} from './silence-decision.ts';
+import {showsRestart, type EngineQuery} from './silence-decision.ts';
 
 /** Maximum number of engines queried for their load before a generation is placed. */
 const maximumQueriedEngines = 6;
@@ -66,7 +66,7 @@
 			count: maximumQueriedEngines,
 			now: clock(),
 		});
-		const queried: QueriedEngine[] = await Promise.all(candidates.map(async endpoint => ({endpoint, report: await this.queryLoad(endpoint, 'placement')})));
+		const queried: QueriedEngine[] = await Promise.all(candidates.map(async endpoint => this.#queryCandidate(endpoint)));
 		for (const engine of queried) {
 			if (!engine.report) {
 				health.recordFailure(engine.endpoint.id, 'unreachable', clock());
@@ -82,17 +82,26 @@
 			: this.#rankRemaining(candidates);
 	}
 
-	/** Queries one engine for its load; returns `undefined` if it does not respond. */
-	async queryLoad(endpoint: EndpointEntry, purpose: keyof typeof loadQueries): Promise<EngineReport | undefined> {
+	/** Queries one engine for its load. */
+	async queryLoad(endpoint: EndpointEntry, purpose: keyof typeof loadQueries): Promise<EngineQuery> {
 		const {dependencies} = this.#options;
 		const {timeoutMilliseconds, use} = loadQueries[purpose];
 		const result = await queryEngineReport({agent: dependencies.connections.agent(use), address: endpoint.address, timeoutMilliseconds});
-		const report = result.unwrapOr(undefined);
-		if (report && !showsRestart(report, endpoint.startedAt)) {
+		if (result.isErr()) {
+			return {kind: result.error.connected ? 'unresponsive' : 'unreachable'};
+		}
+
+		const report = result.value;
+		if (!showsRestart(report, endpoint.startedAt)) {
 			recordReport(endpoint, report, dependencies);
 		}
 
-		return report;
+		return {kind: 'report', report};
+	}
+
+	async #queryCandidate(endpoint: EndpointEntry): Promise<QueriedEngine> {
+		const query = await this.queryLoad(endpoint, 'placement');
+		return {endpoint, report: query.kind === 'report' ? query.report : undefined};
 	}
 
 	get #requestClass(): RequestClass {
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -3,30 +3,25 @@
  *
  * @module
  */
-import {chooseCopyHolder, type QueriedEngine} from '../balancing/mod.ts';
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {sendErrorResponse, sendCompleteResponse, type ErrorResponse} from './caller-response.ts';
 import {
 	computeRetryAfter, isRejectedByLimit, recordSignals, type RequestClass,
 } from './endpoint-signals.ts';
-import {acquireEndpoint} from './acquire-endpoint.ts';
 import {acquireRetry} from './acquire-retry.ts';
 import {admitAgain} from './admit-again.ts';
 import {crashCauseEventLimit} from './crash-detector.ts';
-import {EngineSelector} from './engine-selector.ts';
 import {crashesEndpoints, type Exchange, type ExchangeOutcome} from './exchange.ts';
 import {type ForwardingDependencies} from './forwarding-dependencies.ts';
 import {
 	runGenerationAttempt, type AttemptTarget, type GenerationEnd, type GenerationProgress,
 } from './generation-attempt.ts';
+import {GenerationTargets} from './generation-targets.ts';
 import {mayRetry, type AttemptEnd} from './retry-decision.ts';
 
 /** Default `Retry-After` if no engine is available, in milliseconds. */
 const defaultRetryAfterMilliseconds = 500;
 
-/** Maximum number of times that engines are ranked before one is sent the request, since those ranked before lack permits. */
-const maximumRankings = 3;
-
 /** Output tokens assumed if the request does not state a maximum. */
 const defaultOutputTokens = 800;
 
@@ -53,9 +48,9 @@
 	readonly #tokens: number;
 	/** Engine that may hold a copy of the KV cache from which the next attempt can resume. */
 	#copyHolder: EndpointEntry | undefined;
-	readonly #selector: EngineSelector;
-	/** Engines of the last load query, ordered by load. */
-	#ranked: readonly QueriedEngine[] = [];
+	readonly #targets: GenerationTargets;
+	/** Number of events forwarded before the present attempt. */
+	#eventsBefore = 0;
 	/** Number of attempts in progress, or that ran or may have run. */
 	#runs = 0;
 	/** Whether an engine has written enough of the answer to show that the parts of the prompt are sound. */
@@ -68,7 +63,7 @@
 			lastEventId: exchange.terms.lastEvent, events: 0, lastEventAt: exchange.arrivedAt, firstEventMilliseconds: undefined, longestPauseMilliseconds: 0,
 		};
 		this.#tokens = exchange.terms.promptTokens + (exchange.terms.outputTokens || defaultOutputTokens);
-		this.#selector = new EngineSelector({
+		this.#targets = new GenerationTargets({
 			exchange, dependencies, tried: this.#tried, tokens: this.#tokens,
 		});
 	}
@@ -77,7 +72,7 @@
 		let message = 'no engine of the service is known';
 		let retryAfterMilliseconds: number | undefined;
 		for (;;) {
-			const target = await this.#chooseTarget();
+			const target = await this.#targets.choose(this.#copyHolder);
 			if (this.#exchange.callerDisconnected.aborted) {
 				return this.#outcome('caller_left', 0);
 			}
@@ -91,10 +86,9 @@
 				return this.#giveUpRefused(refusal.retryAfterMilliseconds);
 			}
 
-			const eventsBefore = this.#progress.events;
+			this.#eventsBefore = this.#progress.events;
 			const end = await this.#attempt(target);
-			// Only an engine that has generated events can have sent a copy.
-			this.#copyHolder = end.kind === 'lost' && this.#progress.events > eventsBefore ? target.copyHolder : undefined;
+			this.#copyHolder = end.kind === 'lost' ? this.#usableCopyHolder(target) : undefined;
 			if (end.kind === 'finished') {
 				return this.#outcome('answered', end.status);
 			}
@@ -107,7 +101,7 @@
 			retryAfterMilliseconds = end.kind === 'not-run' ? end.retryAfterMilliseconds : undefined;
 			this.#recordEnd(target, end, message);
 			if (end.kind === 'lost') {
-				await this.#checkForCrash(target.endpoint, this.#progress.events - eventsBefore);
+				await this.#checkForCrash(target.endpoint, this.#progress.events - this.#eventsBefore);
 			}
 
 			if (!await this.#mayRetry(end.kind)) {
@@ -130,7 +124,8 @@
 				// An idle pooled connection may be dead, and a copy can be resumed from only once.
 				agent: this.#dependencies.connections.agent('fresh'),
 				responseBuffers: this.#dependencies.responseBuffers,
-				queryLoad: async () => this.#selector.queryLoad(target.endpoint, 'silence'),
+				queryLoad: async () => this.#targets.queryLoad(target.endpoint),
+				acquireAlternative: async () => this.#acquireAlternative(target),
 				onEvents: events => {
 					if (events >= crashCauseEventLimit && !this.#hasServedParts) {
 						this.#hasServedParts = true;
@@ -147,36 +142,14 @@
 		}
 	}
 
-	/** Chooses the engine that holds a copy, without load queries, or else the one with the least pending work. */
-	async #chooseTarget(): Promise<AttemptTarget | undefined> {
-		const copyHolder = this.#copyHolder;
-		this.#copyHolder = undefined;
-		const resumeFrom = copyHolder && await acquireEndpoint(this.#exchange, lacking => lacking.has(copyHolder.id) || !this.#selector.isUsable(copyHolder) ? undefined : copyHolder, this.#dependencies);
-		const endpoint = resumeFrom ?? await this.#acquireRankedEngine();
-		return endpoint && {endpoint, resumeFrom, copyHolder: this.#chooseCopyHolder(endpoint)};
-	}
-
-	/** Ranks engines and acquires the best one; ranks others if all of these lack permits. */
-	async #acquireRankedEngine(): Promise<EndpointEntry | undefined> {
-		for (let round = 1; round <= maximumRankings; round += 1) {
-			this.#ranked = await this.#selector.rank();
-			const endpoint = await acquireEndpoint(this.#exchange, lacking => this.#ranked.find(engine => !lacking.has(engine.endpoint.id))?.endpoint, this.#dependencies);
-			if (endpoint !== undefined || this.#ranked.length === 0) {
-				return endpoint;
-			}
-		}
-
-		return undefined;
+	/** Acquires another target for a generation whose engine is silent; false if it may not be sent again, or no other engine responds. */
+	async #acquireAlternative(target: AttemptTarget): Promise<boolean> {
+		return this.#mayRepeat('lost') && this.#targets.acquireAlternative(this.#usableCopyHolder(target));
 	}
 
-	#chooseCopyHolder(engine: EndpointEntry): EndpointEntry | undefined {
-		const {service, route} = this.#exchange;
-		if (service.engine?.backups !== true || !route.resumable) {
-			return undefined;
-		}
-
-		const usable = this.#ranked.filter(({endpoint}) => this.#selector.isUsable(endpoint));
-		return chooseCopyHolder(usable, engine, this.#tokens);
+	/** Returns the engine that may hold a copy of the present attempt: only an engine that has generated events can have sent one. */
+	#usableCopyHolder({copyHolder}: AttemptTarget): EndpointEntry | undefined {
+		return this.#progress.events > this.#eventsBefore ? copyHolder : undefined;
 	}
 
 	/** Records the engine's health from the end of an attempt. */
@@ -223,15 +196,15 @@
 	}
 
 	async #mayRetry(end: AttemptEnd): Promise<boolean> {
-		const {route, deadline, handling} = this.#exchange;
-		if (handling === 'trial') {
-			return false;
-		}
+		return this.#mayRepeat(end) && (this.#targets.hasAlternative || acquireRetry(this.#exchange, end, this.#dependencies));
+	}
 
-		const allowed = mayRetry({
+	/** Whether the generation may be sent to another engine after an attempt, the retry budget aside. */
+	#mayRepeat(end: AttemptEnd): boolean {
+		const {route, deadline, handling} = this.#exchange;
+		return handling !== 'trial' && mayRetry({
 			kind: route.kind, resumable: route.resumable, end, runs: this.#runs, maximumRuns: route.maximumAttempts, remainingMilliseconds: deadline - this.#dependencies.clock(),
 		});
-		return allowed && acquireRetry(this.#exchange, end, this.#dependencies);
 	}
 
 	#forwardFailure({status, rawHeaders, body}: GenerationEnd & {kind: 'failed'}): ExchangeOutcome {
--- a/source/forwarding/forwarding.test.ts
+++ b/source/forwarding/forwarding.test.ts
@@ -7,7 +7,7 @@
 import {EventSplitter} from './event-splitter.ts';
 import {mayRetry} from './retry-decision.ts';
 import {
-	isPresumedDead, decideSilenceAction, lacksAttempt, showsRestart, hasUndeliveredEvents,
+	conditionOf, decideSilenceAction, lacksAttempt, showsRestart, showsWork, hasUndeliveredEvents, type SilentGeneration,
 } from './silence-decision.ts';
 
 const report = (changes: Partial<EngineReport> = {}): EngineReport => ({
@@ -81,37 +81,63 @@
 	assert.equal(Buffer.from(splitter.incompleteBytes).toString(), 'id: 2\nda');
 });
 
-const silent = {
-	started: true, silentMilliseconds: 100, sinceAliveMilliseconds: 100, eventPauseMilliseconds: 700, targetMilliseconds: 4500, hasCopy: true,
+const silentFor = (milliseconds: number) => ({silentMilliseconds: milliseconds, idleMilliseconds: milliseconds});
+
+const silent: SilentGeneration = {
+	...silentFor(100), started: true, sinceAliveMilliseconds: 100, condition: 'alive', unansweredMilliseconds: 0, eventPauseMilliseconds: 700, targetMilliseconds: 4500, hasCopy: true,
 };
 
-test('a silent engine is queried within the accepted event pause, and abandoned only after a multiple of it', () => {
+test('a silent engine is queried within the accepted event pause, and left only after a multiple of it', () => {
 	assert.equal(decideSilenceAction(silent), 'wait');
-	assert.equal(decideSilenceAction({...silent, silentMilliseconds: 300, sinceAliveMilliseconds: 300}), 'query');
-	assert.equal(decideSilenceAction({...silent, silentMilliseconds: 900, sinceAliveMilliseconds: 100}), 'wait');
-	assert.equal(decideSilenceAction({...silent, silentMilliseconds: 2200, sinceAliveMilliseconds: 100}), 'abandon');
-	assert.equal(decideSilenceAction({
-		...silent, hasCopy: false, silentMilliseconds: 2200, sinceAliveMilliseconds: 100,
-	}), 'wait');
+	assert.equal(decideSilenceAction({...silent, ...silentFor(300), sinceAliveMilliseconds: 300}), 'query');
+	assert.equal(decideSilenceAction({...silent, ...silentFor(900)}), 'wait');
+	assert.equal(decideSilenceAction({...silent, ...silentFor(2200)}), 'leave');
+	assert.equal(decideSilenceAction({...silent, ...silentFor(2200), hasCopy: false}), 'wait');
+	assert.equal(decideSilenceAction({...silent, ...silentFor(4200), hasCopy: false}), 'leave');
+});
+
+test('an engine that accepts no connection is left immediately if there is a copy, and after the accepted event pause otherwise', () => {
+	assert.equal(conditionOf(['unreachable']), 'alive');
+	assert.equal(conditionOf(['unreachable', 'unreachable']), 'unreachable');
+	const unreachable = {...silent, condition: 'unreachable', sinceAliveMilliseconds: 450} as const;
+	assert.equal(decideSilenceAction({...unreachable, ...silentFor(450)}), 'leave');
+	assert.equal(decideSilenceAction({...unreachable, ...silentFor(450), hasCopy: false}), 'query');
+	assert.equal(decideSilenceAction({...unreachable, ...silentFor(700), hasCopy: false}), 'leave');
 });
 
-test('an engine that does not respond to queries is abandoned immediately if there is a copy, and after the accepted event pause otherwise', () => {
-	const queries = {
-		unanswered: 2, silentMilliseconds: 450, eventPauseMilliseconds: 700, hasCopy: true,
-	};
-	assert.equal(isPresumedDead(queries), true);
-	assert.equal(isPresumedDead({...queries, unanswered: 1}), false);
-	assert.equal(isPresumedDead({...queries, hasCopy: false}), false);
-	assert.equal(isPresumedDead({...queries, hasCopy: false, silentMilliseconds: 700}), true);
+// A sound engine may be suspended for a second or so, accept connections meanwhile, and go on with all that it holds.
+test('an engine that accepts connections and does not respond is not left within 1.5 s, with a copy or without, and left before callers give up', () => {
+	assert.equal(conditionOf(['unresponsive', 'unreachable']), 'unresponsive');
+	const routes = fc.record({
+		started: fc.boolean(), hasCopy: fc.boolean(), eventPauseMilliseconds: fc.integer({min: 50, max: 2000}), targetMilliseconds: fc.integer({min: 100, max: 5000}),
+	});
+	fc.assert(fc.property(routes, fc.integer({min: 0, max: 9000}), (terms, before) => {
+		const route = {...silent, ...terms};
+		const {eventPauseMilliseconds, targetMilliseconds} = terms;
+		const suspended = {...route, condition: 'unresponsive', unansweredMilliseconds: 1500} as const;
+		assert.notEqual(decideSilenceAction({...suspended, ...silentFor(before + 1500)}), 'leave');
+		const patience = Math.max(2000, eventPauseMilliseconds * 8, targetMilliseconds * 4);
+		const queriedAt = Array.from({length: patience}, (_unused, at) => at).find(at => decideSilenceAction({...route, ...silentFor(at), sinceAliveMilliseconds: at}) !== 'wait')!;
+		assert.equal(decideSilenceAction({...suspended, ...silentFor(patience), unansweredMilliseconds: patience - queriedAt}), 'leave');
+	}));
+});
+
+test('an engine that processes other prompts first is not left before the stall timeout while it is alive', () => {
+	assert.equal(decideSilenceAction({...silent, ...silentFor(4000), started: false}), 'wait');
+	assert.equal(decideSilenceAction({...silent, ...silentFor(7500), started: false}), 'leave');
 });
 
-test('an engine that processes other prompts first is not abandoned before the stall timeout while it is alive', () => {
+test('an engine that reports work on a silent generation is not left, one that waits with it or does not go on is', () => {
+	const runs = [{attempt: 'a', tokens: 8000, events: 20}];
+	assert.equal(showsWork(report({running: 1}), undefined, 'a'), true, 'reads its prompt again');
+	assert.equal(showsWork(report({waiting: 1}), undefined, 'a'), false, 'waits');
+	assert.equal(showsWork(report({running: 1, runs}), undefined, 'a'), false, 'not known yet');
+	assert.equal(showsWork(report({running: 1, runs}), report({running: 1, runs}), 'a'), false, 'has stalled');
+	const later = [{attempt: 'a', tokens: 8006, events: 20}];
+	assert.equal(showsWork(report({running: 1, runs: later}), report({running: 1, runs}), 'a'), true);
 	assert.equal(decideSilenceAction({
-		...silent, started: false, silentMilliseconds: 4000, sinceAliveMilliseconds: 100,
+		...silent, ...silentFor(4300), hasCopy: false, idleMilliseconds: 250,
 	}), 'wait');
-	assert.equal(decideSilenceAction({
-		...silent, started: false, silentMilliseconds: 7500, sinceAliveMilliseconds: 100,
-	}), 'abandon');
 });
 
 test('load reports reveal a restarted engine, a missing attempt, and generated events that did not arrive', () => {
--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
-import {type EngineReport} from '../balancing/mod.ts';
 import {type EndpointEntry} from '../beliefs/mod.ts';
 import {encodeRequestHeaders} from '../platform/mod.ts';
 import {startResponse, sendCompleteResponse, writeToCaller} from './caller-response.ts';
@@ -14,6 +13,7 @@
 import {type Exchange} from './exchange.ts';
 import {type ResponseBuffer, type ResponseBuffers} from './response-buffers.ts';
 import {sendRequest, IncompleteResponseError, type EndpointResponse} from './send-request.ts';
+import {type EngineQuery} from './silence-decision.ts';
 
 /** Target of an attempt. */
 export type AttemptTarget = {
@@ -62,8 +62,10 @@
 	onEvents: (events: number) => void;
 	/** Called with the engine's response once its head has arrived. */
 	onResponse: (endpointResponse: EndpointResponse) => void;
-	/** Queries the engine for its load over a new connection; returns `undefined` if it does not respond. */
-	queryLoad: (address: string) => Promise<EngineReport | undefined>;
+	/** Queries the engine for its load over a new connection. */
+	queryLoad: () => Promise<EngineQuery>;
+	/** Acquires another engine for the generation; returns false if it must stay, as there is none or it may not be sent again. */
+	acquireAlternative: () => Promise<boolean>;
 	clock: () => number;
 };
 
@@ -90,7 +92,7 @@
 	constructor(options: GenerationAttemptOptions) {
 		this.#options = options;
 		this.#buffer = options.responseBuffers.allocate();
-		const {exchange: {route, terms, deadline}, target: {endpoint, copyHolder}, queryLoad, clock} = options;
+		const {exchange: {route, terms, deadline}, target: {endpoint, copyHolder}, queryLoad, acquireAlternative, clock} = options;
 		this.#monitor = new EngineMonitor({
 			startedAt: endpoint.startedAt,
 			attemptId: terms.attempt ?? '',
@@ -98,7 +100,8 @@
 			eventPauseMilliseconds: route.eventPauseMilliseconds,
 			targetMilliseconds: route.targetMilliseconds,
 			hasCopy: copyHolder !== undefined,
-			queryLoad: async () => queryLoad(endpoint.address),
+			queryLoad,
+			acquireAlternative,
 			onAbandon: reason => {
 				this.#abandonReason ??= reason;
 				this.#controller.abort();
--- a/source/forwarding/silence-decision.ts
+++ b/source/forwarding/silence-decision.ts
@@ -1,21 +1,33 @@
 /**
  * Decides what to do about an engine that sends no events.
  *
- * Two cases must be distinguished: an engine that is busy with the prefill of other prompts is silent for seconds and must not be
- * abandoned, and one that has died without closing its connection must be abandoned within the pause that callers accept.
+ * A silent engine may be busy with the prefill of other prompts, may be suspended for a moment and go on with all that it holds, or may
+ * have died without closing its connection. Silence proves none of these, so an engine is left for its silence only when the generation
+ * can go on at another one; otherwise the generation stays until the engine is shown to have lost it, or its deadline passes.
  *
  * @module
  */
 import {type EngineReport} from '../balancing/mod.ts';
 
+/** Outcome of a load query: a report, no response over an established connection, or no connection. */
+export type EngineQuery = {kind: 'report'; report: EngineReport} | {kind: 'unresponsive'} | {kind: 'unreachable'};
+
+/** What the load queries since the last sign of life showed of an engine. */
+export type EngineCondition = 'alive' | Exclude<EngineQuery['kind'], 'report'>;
+
 /** Observed state of a silent generation. */
 export type SilentGeneration = {
 	/** Whether this attempt has received an event. */
 	started: boolean;
 	/** Time since the response last made progress by its head or an event, in milliseconds. */
 	silentMilliseconds: number;
+	/** Time since the response last made progress or the engine reported work on the generation, in milliseconds. */
+	idleMilliseconds: number;
 	/** Time since the engine was last known to be alive, in milliseconds. */
 	sinceAliveMilliseconds: number;
+	condition: EngineCondition;
+	/** Time since the first of the consecutive queries without a report, in milliseconds; 0 if the latest was answered. */
+	unansweredMilliseconds: number;
 	/** Maximum acceptable pause between two events, in milliseconds. */
 	eventPauseMilliseconds: number;
 	/** Target time to the first event, in milliseconds. */
@@ -24,8 +36,8 @@
 	hasCopy: boolean;
 };
 
-/** What to do about a silent engine: keep waiting, query its load, or abandon it. */
-export type SilenceAction = 'wait' | 'query' | 'abandon';
+/** What to do about a silent engine: keep waiting, query its load, or leave it if the generation can go on elsewhere. */
+export type SilenceAction = 'wait' | 'query' | 'leave';
 
 /** Silence in the middle of a response after which the engine is queried, in milliseconds. */
 const queryAfterMilliseconds = 250;
@@ -33,6 +45,9 @@
 /** Silence before the first event after which the engine is queried, in milliseconds. */
 const queryBeforeFirstEventMilliseconds = 600;
 
+/** The same as a share of the target time, for routes with a short one. */
+const queryBeforeFirstEventShare = 0.5;
+
 /** Stall timeout of a started generation with a copy elsewhere, as a multiple of the maximum event pause. */
 const stallTimeoutPausesWithCopy = 3;
 
@@ -42,47 +57,48 @@
 /** Stall timeout before the first event, as a multiple of the target time: the engine may process other prompts first. */
 const firstEventTargetMultiple = 1.6;
 
+/** Time without a response after which an engine that accepts connections is left, in milliseconds; a sound one may be suspended for a second or more, and callers wait two seconds at least. */
+const maximumSuspensionMilliseconds = 1600;
+
+/** Whether an engine is left for its silence, by its condition. */
+const leaveRules: Record<EngineCondition, (generation: SilentGeneration) => boolean> = {
+	alive: ({started, idleMilliseconds, targetMilliseconds, eventPauseMilliseconds, hasCopy}) => idleMilliseconds >= (started
+		? eventPauseMilliseconds * (hasCopy ? stallTimeoutPausesWithCopy : stallTimeoutPausesWithoutCopy)
+		: targetMilliseconds * firstEventTargetMultiple),
+	unresponsive: ({unansweredMilliseconds, eventPauseMilliseconds}) => unansweredMilliseconds >= Math.max(maximumSuspensionMilliseconds, eventPauseMilliseconds),
+	// With a copy, the generation can resume within the pause that callers accept; without one, the prompt must be processed again anyway.
+	unreachable: ({silentMilliseconds, eventPauseMilliseconds, hasCopy}) => hasCopy || silentMilliseconds >= eventPauseMilliseconds,
+};
+
 /**
- * Decides what to do about a silent engine that is not presumed dead.
+ * Decides what to do about a silent engine.
  *
  * @param generation Observed state of the generation.
  */
 export function decideSilenceAction(generation: SilentGeneration): SilenceAction {
-	const {started, silentMilliseconds, sinceAliveMilliseconds, eventPauseMilliseconds, targetMilliseconds, hasCopy} = generation;
-	const stallTimeoutMilliseconds = started ? eventPauseMilliseconds * (hasCopy ? stallTimeoutPausesWithCopy : stallTimeoutPausesWithoutCopy) : targetMilliseconds * firstEventTargetMultiple;
-	if (silentMilliseconds >= stallTimeoutMilliseconds) {
-		return 'abandon';
+	const {started, condition, sinceAliveMilliseconds, targetMilliseconds} = generation;
+	if (leaveRules[condition](generation)) {
+		return 'leave';
 	}
 
-	const queryAfter = started ? queryAfterMilliseconds : queryBeforeFirstEventMilliseconds;
+	const queryAfter = started ? queryAfterMilliseconds : Math.min(queryBeforeFirstEventMilliseconds, targetMilliseconds * queryBeforeFirstEventShare);
 	return sinceAliveMilliseconds >= queryAfter ? 'query' : 'wait';
 }
 
-/** Observed state of an engine that does not respond to load queries. */
-export type UnansweredQueries = {
-	/** Number of consecutive queries without a response. */
-	unanswered: number;
-	/** Time since its response last made progress, in milliseconds. */
-	silentMilliseconds: number;
-	/** Maximum acceptable pause between two events, in milliseconds. */
-	eventPauseMilliseconds: number;
-	/** Whether another engine holds a copy of the generation's KV cache, so that resuming there costs little. */
-	hasCopy: boolean;
-};
-
-/** Number of consecutive unanswered queries after which an engine may be presumed dead. */
+/** Number of consecutive unanswered queries after which an engine no longer counts as alive. */
 const minimumUnansweredQueries = 2;
 
 /**
- * Returns whether an engine that does not respond to queries is presumed dead.
- *
- * With a copy, the engine is abandoned early enough to resume within the pause that callers accept. Without one, the prompt must be
- * processed again, which takes longer than that pause, so an engine that may only be slow to report gets the whole pause.
+ * Returns the condition of an engine.
  *
- * @param queries Observed state of the engine.
+ * @param unanswered Outcomes of the consecutive queries without a report, the latest last.
  */
-export function isPresumedDead({unanswered, silentMilliseconds, eventPauseMilliseconds, hasCopy}: UnansweredQueries): boolean {
-	return unanswered >= minimumUnansweredQueries && (hasCopy || silentMilliseconds >= eventPauseMilliseconds);
+export function conditionOf(unanswered: ReadonlyArray<Exclude<EngineCondition, 'alive'>>): EngineCondition {
+	if (unanswered.length < minimumUnansweredQueries) {
+		return 'alive';
+	}
+
+	return unanswered.slice(-minimumUnansweredQueries).every(kind => kind === 'unreachable') ? 'unreachable' : 'unresponsive';
 }
 
 /**
@@ -107,6 +123,24 @@
 	return waiting === 0 && runs.length === running && !runs.some(run => run.attempt === attemptId);
 }
 
+/**
+ * Returns whether a report shows that an engine works on a started attempt: it has generated more than the report before showed, or it
+ * reads the prompt again after a preemption.
+ *
+ * @param report The engine's report.
+ * @param previous The report before, if there is one.
+ * @param attemptId Id of the attempt.
+ */
+export function showsWork(report: EngineReport, previous: EngineReport | undefined, attemptId: string): boolean {
+	const run = report.runs.find(({attempt}) => attempt === attemptId);
+	if (!run) {
+		return report.waiting === 0 && report.running > report.runs.length;
+	}
+
+	const before = previous?.runs.find(({attempt}) => attempt === attemptId);
+	return before !== undefined && (run.events > before.events || run.tokens > before.tokens);
+}
+
 /** Number of reported but unreceived events from which on the connection counts as stalled rather than slow. */
 const missedEventsThreshold = 12;
 
--- a/source/platform/engine-report.ts
+++ b/source/platform/engine-report.ts
@@ -9,7 +9,7 @@
 } from 'neverthrow';
 import * as z from 'zod';
 import {type EngineReport} from '../balancing/mod.ts';
-import {httpCall, parseJson} from './http-call.ts';
+import {httpCall, parseJson, type HttpFailure} from './http-call.ts';
 import {announcesLeaving, decodeLimit} from './request-headers.ts';
 
 const runSchema = z.tuple([z.string(), z.number(), z.number(), z.number()]);
@@ -32,6 +32,9 @@
 /** Largest report that is accepted, in bytes; holds one entry for each of several thousand runs. */
 const maximumReportBytes = 262_144;
 
+/** Reason why an engine gave no report. */
+export type EngineQueryFailure = Pick<HttpFailure, 'connected' | 'message'>;
+
 /** Options of {@linkcode queryEngineReport}. */
 export type QueryEngineReportOptions = {
 	agent: Agent;
@@ -47,17 +50,17 @@
  * @param options Address of the engine and deadline.
  * @returns The report, or the reason for the failure.
  */
-export async function queryEngineReport({agent, address, timeoutMilliseconds}: QueryEngineReportOptions): Promise<Result<EngineReport, string>> {
+export async function queryEngineReport({agent, address, timeoutMilliseconds}: QueryEngineReportOptions): Promise<Result<EngineReport, EngineQueryFailure>> {
 	const response = await httpCall({
 		agent, address, path: '/api/report', timeoutMilliseconds, maximumBytes: maximumReportBytes,
 	});
 	if (response.isErr()) {
-		return err(response.error.message);
+		return err(response.error);
 	}
 
 	const parsed = reportSchema.safeParse(parseJson(response.value.body));
 	if (response.value.status !== 200 || !parsed.success) {
-		return err(`invalid report (status ${response.value.status})`);
+		return err({connected: true, message: `invalid report (status ${response.value.status})`});
 	}
 
 	const {waiting, running, kvUsed, kvTotal, held, next, born, state, runs} = parsed.data;
--- a/source/platform/http-call.ts
+++ b/source/platform/http-call.ts
@@ -14,8 +14,14 @@
 /** Response to a call. */
 export type HttpResponse = {status: number; headers: IncomingHttpHeaders; body: Uint8Array};
 
-/** Reason why a call got no response; `sent` is true if the server may have acted on it. */
-export type HttpFailure = {sent: boolean; message: string};
+/** Reason why a call got no response. */
+export type HttpFailure = {
+	/** Whether the server may have acted on the call. */
+	sent: boolean;
+	/** Whether a connection was established. */
+	connected: boolean;
+	message: string;
+};
 
 /** Options of {@linkcode httpCall}. */
 export type HttpCallOptions = {
@@ -51,9 +57,16 @@
 	const body = json === undefined ? undefined : Buffer.from(JSON.stringify(json));
 	const headers = body ? {'content-type': 'application/json', 'content-length': String(body.length)} : {};
 	return new Promise(resolve => {
+		let connected = false;
 		const request = sendRequest({
 			agent, hostname, port, method, path, headers, signal,
 		});
+		request.on('socket', socket => {
+			connected = !socket.connecting;
+			socket.once('connect', () => {
+				connected = true;
+			});
+		});
 		const timeout = startIoTimeout(timeoutMilliseconds, () => {
 			request.destroy(new Error(`no response within ${timeoutMilliseconds} ms`));
 		});
@@ -63,7 +76,7 @@
 		};
 
 		request.on('error', error => {
-			settle(err({sent: !isConnectError(error), message: error.message}));
+			settle(err({sent: !isConnectError(error), connected, message: error.message}));
 		});
 		request.on('response', response => {
 			const chunks: Uint8Array[] = [];
@@ -79,10 +92,10 @@
 			response.on('end', () => {
 				settle(response.complete
 					? ok({status: response.statusCode ?? 0, headers: response.headers, body: Buffer.concat(chunks)})
-					: err({sent: true, message: 'the response is incomplete'}));
+					: err({sent: true, connected, message: 'the response is incomplete'}));
 			});
 			response.on('error', error => {
-				settle(err({sent: true, message: error.message}));
+				settle(err({sent: true, connected, message: error.message}));
 			});
 		});
 		request.end(body);
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -16,6 +16,7 @@
 import {workerEntry} from './worker-entry.ts';
 import {sendReport} from './worker-report.ts';
 import {isStall, sendStalled} from './stalled-answer.ts';
+import {Suspension} from './suspension.ts';
 import {
 	withDefaults, type WorkerArrival, type WorkerFault, type WorkerLie, type WorkerRun, type WorkerStandInOptions,
 } from './worker-options.ts';
@@ -41,6 +42,8 @@
 	limit: string | undefined;
 	/** What its reports say falsely. */
 	falseReport: 'idle' | 'leaving' | undefined;
+	/** While it is suspended, its connections stay open and are accepted, but nothing is read, generated or answered, reports included. */
+	readonly suspension = new Suspension();
 	/** Whether its reports never end. */
 	reportsEndlessly = false;
 	/** Whether it has dropped each connection that was used before without a word, so that what comes on it is reset. */
@@ -100,6 +103,7 @@
 		}
 
 		this.#usedConnections.add(request.socket);
+		await this.suspension.ended();
 		if (this.saysLeaving) {
 			response.setHeader('server-leaving', '1');
 		}
@@ -150,7 +154,7 @@
 		response.on('close', () => {
 			this.#running.delete(attempt);
 			if (this.lie !== 'ignores-close' && this.lie !== 'breaks-and-works-on') {
-				run.endedAt ??= performance.now();
+				run.endedAt ??= Math.max(performance.now(), this.suspension.until);
 			}
 		});
 		if (this.lie === 'runs-refused') {
@@ -160,6 +164,7 @@
 
 		if (request.headers['x-azuretack-token-counts'] !== undefined) {
 			await delay(this.#time(this.options.promptMilliseconds));
+			await this.suspension.ended();
 		}
 
 		if (response.destroyed) {
@@ -224,6 +229,7 @@
 
 	async #call(run: WorkerRun, response: ServerResponse, {headers, fault}: {headers: Record<string, string>; fault: Exclude<WorkerFault, EndlessPart>}): Promise<void> {
 		await delay(this.#time(this.options.callMilliseconds));
+		await this.suspension.ended();
 		const body = this.lie === 'other-body' ? run.answer.slice(1) : run.answer;
 		answerCall(fault, response, {headers, body});
 	}
@@ -250,6 +256,7 @@
 		let isMute = false;
 		for (let event = first; event <= this.options.eventsOf(run); event += 1) {
 			await delay(this.#time(this.options.eventMilliseconds));
+			await this.suspension.ended();
 			if (response.destroyed) {
 				return;
 			}
