End a stream that broke off when the next engine answers with any other status

Cause: the attempt returned `finished` without writing anything, as such a status is passed on only where the caller's response has not started.

Why it works: once a stream has begun, such a status is a failure like a 500: the stream goes on elsewhere or is closed at once. A response that its forwarder leaves open is closed and logged as an error where requests end.

--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -31,7 +31,7 @@
 		| {kind: 'caller-disconnected'}
 	/** The engine did not run the generation; `unreachable` if no connection could be established. */
 		| {kind: 'not-run'; status: number; unreachable: boolean; retryAfterMilliseconds: number | undefined; message: string}
-	/** The engine responded with a server error instead of events. */
+	/** The engine responded with a server error instead of events, or with any other status but 200 to a stream that had begun. */
 		| {kind: 'failed'; status: number; rawHeaders: readonly string[]; body: Uint8Array}
 	/** The engine was abandoned, or its response broke off. */
 		| {kind: 'lost'; unreachable: boolean; message: string};
@@ -191,6 +191,7 @@
 		}
 	}
 
+	/** Passes a client error on if the caller has received nothing yet; in a stream that has begun, it is a failure like any other. */
 	async #handleFailure(endpointResponse: EndpointResponse): Promise<GenerationEnd> {
 		const chunks: Uint8Array[] = [];
 		let bytes = 0;
@@ -201,16 +202,15 @@
 		}
 
 		const body = Buffer.concat(chunks);
-		if (endpointResponse.status < 500) {
-			if (!this.#options.exchange.response.headersSent) {
-				sendCompleteResponse(this.#options.exchange.response, endpointResponse.status, endpointResponse.rawHeaders, body);
-			}
-
-			return {kind: 'finished', status: endpointResponse.status};
+		const {status, rawHeaders} = endpointResponse;
+		const {response} = this.#options.exchange;
+		if (status < 500 && !response.headersSent) {
+			sendCompleteResponse(response, status, rawHeaders, body);
+			return {kind: 'finished', status};
 		}
 
 		return {
-			kind: 'failed', status: endpointResponse.status, rawHeaders: endpointResponse.rawHeaders, body,
+			kind: 'failed', status, rawHeaders, body,
 		};
 	}
 
--- a/source/gateway/broken-streams.test.ts
+++ b/source/gateway/broken-streams.test.ts
@@ -63,3 +63,38 @@
 		});
 	}
 }
+
+/** Time within which a caller's connection must be closed once its stream can't go on, in milliseconds. */
+const closeMilliseconds = 1500;
+
+// A stream that had begun was neither ended nor closed when the next engine answered with a status from 201 to 499.
+for (const status of ['201 Created', '204 No Content', '302 Found', '400 Bad Request', '404 Not Found', '499 Odd']) {
+	for (const engines of [2, 3]) {
+		test(`a stream that broke off ${engines === 2 ? 'is closed at once' : 'goes on at a third engine'} when the next one answers ${status}`, async () => {
+			let asked = 0;
+			const answers: Array<(attempt: string) => string> = [
+				attempt => `${rawHead(attempt)}${streamHead}Transfer-Encoding: chunked\r\n\r\n${streamOf(2).length.toString(16)}\r\n${streamOf(2)}\r\n`,
+				attempt => `${rawHead(attempt, status)}Connection: close\r\n${status.startsWith('204') ? '' : 'Content-Length: 4\r\n'}\r\n${status.startsWith('204') ? '' : 'gone'}`,
+				attempt => `${rawHead(attempt)}${streamHead}\r\n${streamOf(4).slice(streamOf(2).length)}`,
+			];
+			await using fleet = await GatewayFleet.create();
+			for (let number = 1; number <= engines; number += 1) {
+				await fleet.startRawWorker({
+					id: `scribe-${number}`,
+					service: 'scribe',
+					answer({attempt, socket}) {
+						socket.end(answers[asked]!(attempt));
+						asked += 1;
+					},
+				});
+			}
+
+			const gateway = await fleet.startGateway('gateway-1');
+			const {status: answered, body, whole} = await fleet.draft(gateway, {signal: AbortSignal.timeout(closeMilliseconds)});
+			assert.equal(answered, 200);
+			assert.deepEqual(eventsOf(body), expectedEvents(engines === 2 ? 2 : 4));
+			assert.equal(whole, engines === 3);
+			assert.equal(asked, engines);
+		});
+	}
+}
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -65,6 +65,7 @@
 		finishTracking();
 	}
 
+	closeUnended(response, requestName, parts);
 	const milliseconds = parts.clock() - arrivedAt;
 	const {outcome, status, endpoints, generation, service = 'none', route} = result;
 	parts.metrics.requests.inc({service, outcome});
@@ -85,6 +86,14 @@
 	});
 }
 
+/** Closes the connection of a caller whose response was neither ended nor closed by whoever forwarded the request. */
+function closeUnended(response: ServerResponse, requestName: string, {logger}: GatewayParts): void {
+	if (!response.writableEnded && !response.destroyed) {
+		logger.error('response left open', {request: requestName});
+		response.destroy();
+	}
+}
+
 type RequestContext = Pick<Exchange, 'terms' | 'requestName' | 'arrivedAt'>;
 
 async function admitAndForward(request: IncomingMessage, response: ServerResponse, context: RequestContext, parts: GatewayParts): Promise<ExchangeOutcome & {service?: string; route?: string}> {
