Keep the leaving of each incarnation of an endpoint

Cause: announcements were kept by id, and one replaced another in whatever order they came; that of an earlier incarnation is passed on for 30 s.

Evidence: one gateway logged "endpoint says that it leaves" several times for one incarnation, which it does only for new announcements. Two new tests in beliefs.test.ts failed before (counterexample: starts 1 and 3 announced at one gateway, no exchange at all) and pass.

Why it works: announcements are kept by id and start time, so merging them gives the same in any order. Excluded incarnations had the same fault.

--- a/source/balancing/endpoint-backoff.ts
+++ b/source/balancing/endpoint-backoff.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import {type EndpointIncarnation} from '../beliefs/mod.ts';
+import {incarnationKey, type EndpointIncarnation} from '../beliefs/mod.ts';
 
 /**
  * Tracks until when no requests are sent to each endpoint. A backoff ends when the endpoint restarts, since it applies to one incarnation.
@@ -59,7 +59,3 @@
 		return end;
 	}
 }
-
-function incarnationKey({id, startedAt}: EndpointIncarnation): string {
-	return `${id}/${startedAt}`;
-}
--- a/source/beliefs/beliefs.test.ts
+++ b/source/beliefs/beliefs.test.ts
@@ -226,6 +226,43 @@
 	assert.equal(list.stateOf({id: 'unknown', startedAt: 1}), 'removed');
 });
 
+// A gateway forgot that an endpoint is leaving when another one told it of the leaving of the endpoint's earlier incarnation.
+test('gateways that exchange announcements in any order know of the leaving of each incarnation of an endpoint', () => {
+	const starts = [1, 2, 3];
+	const exchange = fc.record({from: fc.nat(2), to: fc.nat(2)});
+	const announcement = fc.record({gateway: fc.nat(2), startedAt: fc.constantFrom(...starts)});
+	fc.assert(fc.property(fc.array(announcement, {maxLength: 6}), fc.array(exchange, {maxLength: 8}), (announcements, exchanges) => {
+		const lists = [new EndpointList(), new EndpointList(), new EndpointList()];
+		const known = lists.map(() => new Set<number>());
+		for (const {gateway, startedAt} of announcements) {
+			lists[gateway]!.markLeaving({id: 'one', startedAt}, 100);
+			known[gateway]!.add(startedAt);
+		}
+
+		for (const {from, to} of exchanges) {
+			lists[to]!.mergeLeaving(lists[from]!.leavingIncarnations(200), 200);
+			known[to] = new Set([...known[to]!, ...known[from]!]);
+		}
+
+		for (const [index, list] of lists.entries()) {
+			for (const startedAt of starts) {
+				list.apply([{id: 'one', entry: endpoint('one', {startedAt}), revision: startedAt}], 300);
+				assert.equal(list.endpointsOf('desk', 300).length === 0, known[index]!.has(startedAt), `gateway ${index}, start ${startedAt}`);
+			}
+		}
+	}));
+});
+
+test('an incarnation stays excluded when another one of the same endpoint is excluded', () => {
+	const list = new EndpointList();
+	list.excludeIncarnation('a', 1);
+	list.excludeIncarnation('a', 2);
+	for (const startedAt of [1, 2]) {
+		list.apply([{id: 'a', entry: endpoint('a', {startedAt}), revision: startedAt}], 0);
+		assert.deepEqual(idsOf(list), []);
+	}
+});
+
 test('an entry that was removed before the store came back from an older copy stays removed until it is written again', () => {
 	const list = new EndpointList();
 	const entry = endpoint('desk-1');
--- a/source/beliefs/endpoint-entry.ts
+++ b/source/beliefs/endpoint-entry.ts
@@ -45,6 +45,11 @@
 /** One incarnation of an endpoint. */
 export type EndpointIncarnation = z.output<typeof endpointIncarnationSchema>;
 
+/** Returns a text that differs for each incarnation of each endpoint, as a key of maps and sets. */
+export function incarnationKey({id, startedAt}: EndpointIncarnation): string {
+	return `${id}/${startedAt}`;
+}
+
 /** An incarnation that has announced that it is leaving, and the time since then, as gateways send it to each other. */
 export const leavingIncarnationSchema = endpointIncarnationSchema.extend({ageMilliseconds: z.number()});
 
--- a/source/beliefs/endpoint-list.ts
+++ b/source/beliefs/endpoint-list.ts
@@ -38,8 +38,8 @@
  */
 export class EndpointList {
 	readonly #known = new Map<string, KnownEndpoint>();
-	/** Start time of the incarnation that is not to be used again, by id of the endpoint. */
-	readonly #excludedIncarnations = new Map<string, number>();
+	/** Start times of the incarnations that are not to be used again, by id of the endpoint. */
+	readonly #excludedIncarnations = new Map<string, Set<number>>();
 	readonly #leaving = new LeavingAnnouncements({maximumSize: retainedRemovals});
 	/** Available endpoints by service; undefined until it is built again after a change. */
 	#byService: Map<string, EndpointEntry[]> | undefined;
@@ -133,7 +133,8 @@
 
 	/** Excludes an incarnation: the process at its address rejected a request as meant for another endpoint, or reported another start time. */
 	excludeIncarnation(id: string, startedAt: number): void {
-		this.#excludedIncarnations.set(id, startedAt);
+		const excluded = this.#excludedIncarnations.get(id) ?? new Set();
+		this.#excludedIncarnations.set(id, excluded.add(startedAt));
 		this.#byService = undefined;
 	}
 
@@ -254,7 +255,7 @@
 	#groupByService(): Map<string, EndpointEntry[]> {
 		const groups = new Map<string, EndpointEntry[]>();
 		for (const {entry} of this.#known.values()) {
-			if (!entry || entry.leaving || this.#leaving.has(entry) || this.#excludedIncarnations.get(entry.id) === entry.startedAt) {
+			if (!entry || entry.leaving || this.#leaving.has(entry) || this.#excludedIncarnations.get(entry.id)?.has(entry.startedAt)) {
 				continue;
 			}
 
@@ -280,10 +281,15 @@
 
 	#pruneRemovals(): void {
 		const removed = [...this.#known].filter(([, {entry}]) => !entry);
-		for (const [id] of removed.slice(0, Math.max(0, removed.length - retainedRemovals))) {
+		const forgotten = new Set(removed.slice(0, Math.max(0, removed.length - retainedRemovals)).map(([id]) => id));
+		if (forgotten.size === 0) {
+			return;
+		}
+
+		this.#leaving.delete(forgotten);
+		for (const id of forgotten) {
 			this.#known.delete(id);
 			this.#excludedIncarnations.delete(id);
-			this.#leaving.delete(id);
 		}
 	}
 }
--- a/source/beliefs/leaving-announcements.ts
+++ b/source/beliefs/leaving-announcements.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type EndpointIncarnation, type LeavingIncarnation} from './endpoint-entry.ts';
+import {incarnationKey, type EndpointIncarnation, type LeavingIncarnation} from './endpoint-entry.ts';
 
 /** Options of {@linkcode LeavingAnnouncements}. */
 export type LeavingAnnouncementsOptions = {
@@ -15,7 +15,7 @@
 const announcementMilliseconds = 30_000;
 
 /**
- * Holds the last announcement of each endpoint.
+ * Holds the announcements of each incarnation: gateways pass those of an earlier one on for some time, also when the next one leaves.
  *
  * @example
  * ```ts
@@ -25,16 +25,16 @@
  */
 export class LeavingAnnouncements {
 	readonly #maximumSize: number;
-	/** Start time of the incarnation and steady time of its announcement, in milliseconds, by id of the endpoint. */
-	readonly #announced = new Map<string, {startedAt: number; reportedAt: number}>();
+	/** Announcements by incarnation, the oldest first, with their steady time in milliseconds. */
+	readonly #announced = new Map<string, EndpointIncarnation & {reportedAt: number}>();
 
 	constructor({maximumSize}: LeavingAnnouncementsOptions) {
 		this.#maximumSize = maximumSize;
 	}
 
 	/** Whether an incarnation announced that it is leaving. */
-	has({id, startedAt}: EndpointIncarnation): boolean {
-		return this.#announced.get(id)?.startedAt === startedAt;
+	has(incarnation: EndpointIncarnation): boolean {
+		return this.#announced.has(incarnationKey(incarnation));
 	}
 
 	/**
@@ -45,12 +45,12 @@
 	 * @returns Whether it was new.
 	 */
 	add({id, startedAt}: EndpointIncarnation, reportedAt: number): boolean {
-		if (this.has({id, startedAt})) {
+		const key = incarnationKey({id, startedAt});
+		if (this.#announced.has(key)) {
 			return false;
 		}
 
-		this.#announced.delete(id);
-		this.#announced.set(id, {startedAt, reportedAt});
+		this.#announced.set(key, {id, startedAt, reportedAt});
 		if (this.#announced.size > this.#maximumSize) {
 			this.#announced.delete(this.#announced.keys().next().value!);
 		}
@@ -58,15 +58,19 @@
 		return true;
 	}
 
-	/** Forgets the announcement of an endpoint. */
-	delete(id: string): void {
-		this.#announced.delete(id);
+	/** Forgets the announcements of endpoints. */
+	delete(ids: ReadonlySet<string>): void {
+		for (const [key, {id}] of this.#announced) {
+			if (ids.has(id)) {
+				this.#announced.delete(key);
+			}
+		}
 	}
 
 	/** Returns the announcements that are recent enough to be passed on. */
 	recent(now: number): LeavingIncarnation[] {
-		return [...this.#announced]
-			.filter(([, {reportedAt}]) => now - reportedAt < announcementMilliseconds)
-			.map(([id, {startedAt, reportedAt}]) => ({id, startedAt, ageMilliseconds: Math.round(now - reportedAt)}));
+		return [...this.#announced.values()]
+			.filter(({reportedAt}) => now - reportedAt < announcementMilliseconds)
+			.map(({id, startedAt, reportedAt}) => ({id, startedAt, ageMilliseconds: Math.round(now - reportedAt)}));
 	}
 }
