Check no engine after its monitor has stopped

A query that was answered after the end of an attempt could have acquired another engine for it. Seen on reading, no test: the monitor has no caller that waits for it.

--- a/source/forwarding/engine-monitor.ts
+++ b/source/forwarding/engine-monitor.ts
@@ -100,6 +100,7 @@
 	/** Stops monitoring. */
 	stop(): void {
 		clearInterval(this.#timer);
+		this.#timer = undefined;
 	}
 
 	/**
@@ -118,6 +119,10 @@
 	}
 
 	#check(): void {
+		if (this.#timer === undefined) {
+			return;
+		}
+
 		const {deadline, eventPauseMilliseconds, targetMilliseconds, hasCopy, clock} = this.#options;
 		const now = clock();
 		if (now >= deadline) {
