Answer each request that is passed on in a planned stop, and pass none on that comes late

What callers would see, as other operators report: requests that came late in a planned stop were passed on, and cut without an answer when the process exited, among them requests that may not be repeated.

Cause: requests were accepted for 0.3 of the time for the stop, however long that is; a request was judged by the arrival of its head, not of its body; and nothing answered the requests in progress at the exit.

Why it works: three seconds at most, asked again once the body is there, and a 502 ("it may have run") to each request without an answer before the exit.

--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -33,6 +33,9 @@
 /** Interval between checks for the initial state, in milliseconds. */
 const initialStatePollMilliseconds = 10;
 
+/** Time for which the last responses are sent before the process exits, in milliseconds. */
+const lastResponsesMilliseconds = 50;
+
 /** Interval between checks for a complete shutdown, in milliseconds. */
 const shutdownPollMilliseconds = 50;
 
@@ -148,5 +151,10 @@
 		await pause(shutdownPollMilliseconds);
 	}
 
+	if (shutdown.inProgress > 0) {
+		shutdown.endRequests();
+		await pause(lastResponsesMilliseconds);
+	}
+
 	logger.info('gateway stopped', {inProgress: shutdown.inProgress});
 }
--- a/source/gateway/graceful-shutdown.test.ts
+++ b/source/gateway/graceful-shutdown.test.ts
@@ -11,9 +11,25 @@
 	assert.equal(shutdown.acceptsRequests(3500), false);
 });
 
+test('new requests are accepted for three seconds of a long shutdown at most', () => {
+	const shutdown = new GracefulShutdown({timeoutMilliseconds: 60_000});
+	shutdown.start(0);
+	assert.equal(shutdown.acceptsRequests(2999), true);
+	assert.equal(shutdown.acceptsRequests(3000), false);
+});
+
+test('requests in progress at the exit are ended, others are not', () => {
+	const shutdown = new GracefulShutdown({timeoutMilliseconds: 8000});
+	const ended: string[] = [];
+	shutdown.trackRequest(0, () => ended.push('done'))();
+	shutdown.trackRequest(0, () => ended.push('open'));
+	shutdown.endRequests();
+	assert.deepEqual(ended, ['open']);
+});
+
 test('the process may exit once it is idle or the shutdown timeout has nearly passed', () => {
 	const shutdown = new GracefulShutdown({timeoutMilliseconds: 8000});
-	const ended = shutdown.trackRequest(900);
+	const ended = shutdown.trackRequest(900, () => undefined);
 	assert.equal(shutdown.canExit(950), false);
 	shutdown.start(1000);
 	assert.equal(shutdown.canExit(3000), false);
--- a/source/gateway/graceful-shutdown.ts
+++ b/source/gateway/graceful-shutdown.ts
@@ -13,6 +13,9 @@
 /** Fraction of the shutdown timeout during which new requests are accepted, since callers may not know of the shutdown yet. */
 const acceptingShare = 0.3;
 
+/** Time from the stop signal during which new requests are accepted at most, in milliseconds: longer ones may take until the exit, and callers have learned of the stop by then. */
+const maximumAcceptingMilliseconds = 3000;
+
 /** Fraction of the shutdown timeout after which the process exits even with requests in progress. */
 const exitShare = 0.96;
 
@@ -31,7 +34,8 @@
 export class GracefulShutdown {
 	readonly #timeoutMilliseconds: number;
 	#startedAt: number | undefined;
-	#inProgress = 0;
+	/** Ends each request in progress with a response of its own if it can't be completed. */
+	readonly #inProgress = new Set<() => void>();
 	#lastRequestAt = Number.NEGATIVE_INFINITY;
 
 	constructor({timeoutMilliseconds}: GracefulShutdownOptions) {
@@ -45,7 +49,7 @@
 
 	/** Number of requests in progress. */
 	get inProgress(): number {
-		return this.#inProgress;
+		return this.#inProgress.size;
 	}
 
 	/** Starts the shutdown; later calls have no effect. */
@@ -53,20 +57,35 @@
 		this.#startedAt ??= now;
 	}
 
-	/** Counts a request as in progress; returns a function that marks it as ended and may be called more than once. */
-	trackRequest(now: number): () => void {
+	/**
+	 * Counts a request as in progress.
+	 *
+	 * @param now Monotonic time, in milliseconds.
+	 * @param onExit Called if the process exits before the request has ended.
+	 * @returns Marks the request as ended; may be called more than once.
+	 */
+	trackRequest(now: number, onExit: () => void): () => void {
+		const endAtExit = () => {
+			onExit();
+		};
+
 		this.#lastRequestAt = now;
-		this.#inProgress += 1;
-		let ended = false;
+		this.#inProgress.add(endAtExit);
 		return () => {
-			this.#inProgress -= ended ? 0 : 1;
-			ended = true;
+			this.#inProgress.delete(endAtExit);
 		};
 	}
 
+	/** Ends the requests that are still in progress when the process exits. */
+	endRequests(): void {
+		for (const endAtExit of this.#inProgress) {
+			endAtExit();
+		}
+	}
+
 	/** Whether new requests are still accepted. */
 	acceptsRequests(now: number): boolean {
-		return this.#startedAt === undefined || now - this.#startedAt < this.#timeoutMilliseconds * acceptingShare;
+		return this.#startedAt === undefined || now - this.#startedAt < Math.min(this.#timeoutMilliseconds * acceptingShare, maximumAcceptingMilliseconds);
 	}
 
 	/** Whether the process may exit: it has been idle for long enough, or the timeout has nearly passed. */
@@ -75,7 +94,7 @@
 			return false;
 		}
 
-		const isIdle = this.#inProgress === 0 && now - Math.max(this.#lastRequestAt, this.#startedAt) >= idleMilliseconds;
+		const isIdle = this.#inProgress.size === 0 && now - Math.max(this.#lastRequestAt, this.#startedAt) >= idleMilliseconds;
 		return isIdle || now - this.#startedAt >= this.#timeoutMilliseconds * exitShare;
 	}
 }
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -24,9 +24,17 @@
 	generation: forwardGeneration,
 };
 
+/** Response to a request that is in progress when the gateway exits. */
+const stoppedUnanswered: ErrorResponse = {status: 502, code: 'stopped', message: 'This gateway stopped before the request was answered; it may have run.'};
+
 /** Retry delay for requests that another gateway can probably serve, in milliseconds. */
 const retryElsewhereMilliseconds = 100;
 
+/** Response to a request that arrives late in a graceful shutdown. */
+const stopping: ErrorResponse = {
+	status: 503, code: 'stopping', message: 'This gateway is stopping.', retryAfterMilliseconds: retryElsewhereMilliseconds,
+};
+
 const refusals: Record<Exclude<AdmissionDecision['kind'], 'allowed'>, ErrorResponse> = {
 	'no-configuration': {
 		status: 503, code: 'no_configuration', message: 'This gateway has no configuration yet.', retryAfterMilliseconds: retryElsewhereMilliseconds,
@@ -47,7 +55,9 @@
  */
 export async function serveRequest(request: IncomingMessage, response: ServerResponse, parts: GatewayParts): Promise<void> {
 	const arrivedAt = parts.clock();
-	const finishTracking = parts.shutdown.trackRequest(arrivedAt);
+	const finishTracking = parts.shutdown.trackRequest(arrivedAt, () => {
+		sendErrorResponse(response, stoppedUnanswered);
+	});
 	const terms = decodeRequestHeaders(request.headers);
 	const requestName = terms.attempt ?? 'unnamed';
 	if (parts.shutdown.hasStarted) {
@@ -97,11 +107,9 @@
 type RequestContext = Pick<Exchange, 'terms' | 'requestName' | 'arrivedAt'>;
 
 async function admitAndForward(request: IncomingMessage, response: ServerResponse, context: RequestContext, parts: GatewayParts): Promise<ExchangeOutcome & {service?: string; route?: string}> {
-	const {configuration, shutdown, settings, trustedKeyMilliseconds, random, readClock} = parts;
+	const {configuration, shutdown, settings, trustedKeyMilliseconds, random, clock, readClock} = parts;
 	if (!shutdown.acceptsRequests(context.arrivedAt)) {
-		return refuse(response, {
-			status: 503, code: 'stopping', message: 'This gateway is stopping.', retryAfterMilliseconds: retryElsewhereMilliseconds,
-		});
+		return refuse(response, stopping);
 	}
 
 	const snapshot = configuration.snapshot(readClock());
@@ -130,6 +138,10 @@
 		return refuse(response, {status: 413, code: 'body_too_large', message: 'The body is larger than the configuration allows.'});
 	}
 
+	if (!shutdown.acceptsRequests(clock())) {
+		return refuse(response, stopping);
+	}
+
 	parts.retryBudgetOf(service.name).countRequest();
 	const identity = new RequestIdentity({
 		host: request.headers.host ?? '',
--- a/source/testing/gateway-fleet.ts
+++ b/source/testing/gateway-fleet.ts
@@ -32,7 +32,7 @@
 export type ConfigurationChanges = {version?: number; keys?: string[]; routes?: Array<Record<string, unknown>>};
 
 /** A request of a caller. */
-export type CallerRequest = Omit<SendCallOptions, 'agent'> & {key?: string; attempt?: string; deadlineMilliseconds?: number};
+export type CallerRequest = SendCallOptions & {key?: string; attempt?: string; deadlineMilliseconds?: number};
 
 /** Options of {@linkcode rawRequest}. */
 export type RawRequestOptions = {
