Take a stream that ends with its connection before its first event as broken off

What callers saw: a 200 without an event that looked complete, when an engine closed right after a head with neither a length nor chunks.

Cause: the end of the connection ends such an answer, whatever came before.

Why it works: a generation has an event, so one without any has broken off.

--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -218,10 +218,12 @@
 	async #forward(endpointResponse: EndpointResponse): Promise<GenerationEnd> {
 		const {response} = this.#options.exchange;
 		const splitter = new EventSplitter();
+		let messagesReceived = 0;
 		for await (const chunk of endpointResponse.body()) {
 			const events = splitter.push(chunk);
 			this.#resizeBuffer(splitter.incompleteBytes.length);
 			const messages = events.filter(({isMessage}) => isMessage).length;
+			messagesReceived += messages;
 			if (messages > 0) {
 				this.#monitor.recordProgress(messages);
 			}
@@ -237,6 +239,10 @@
 			}
 		}
 
+		if (messagesReceived === 0 && !endpointResponse.isFramed) {
+			throw new IncompleteResponseError('the connection ended before the first event');
+		}
+
 		if (splitter.incompleteBytes.length > 0) {
 			throw new IncompleteResponseError('the response ended within an event');
 		}
--- a/source/forwarding/send-request.ts
+++ b/source/forwarding/send-request.ts
@@ -33,6 +33,8 @@
 	status: number;
 	rawHeaders: readonly string[];
 	terms: ResponseTerms;
+	/** Whether the body has a length or chunks, so that its end is known; otherwise it ends with its connection. */
+	isFramed: boolean;
 	/** Reads the body; throws an {@linkcode IncompleteResponseError} if it breaks off. */
 	body(): AsyncGenerator<Uint8Array, void>;
 	/** Closes the connection. */
@@ -113,13 +115,15 @@
 				return;
 			}
 
+			const isFramed = response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined;
 			resolve({
 				kind: 'response',
 				response: {
 					status: response.statusCode ?? 0,
 					rawHeaders: response.rawHeaders,
 					terms,
-					body: () => readBody(response, () => failure),
+					isFramed,
+					body: () => readBody(response, isFramed, () => failure),
 					cancel() {
 						request.destroy();
 					},
@@ -150,8 +154,7 @@
  *
  * @throws {IncompleteResponseError} If the body is incomplete.
  */
-async function * readBody(response: IncomingMessage, getFailure: () => Error | undefined): AsyncGenerator<Uint8Array, void> {
-	const isFramed = response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined;
+async function * readBody(response: IncomingMessage, isFramed: boolean, getFailure: () => Error | undefined): AsyncGenerator<Uint8Array, void> {
 	try {
 		for await (const chunk of response as AsyncIterable<Uint8Array>) {
 			yield chunk;
--- a/source/gateway/graceful-shutdown.test.ts
+++ b/source/gateway/graceful-shutdown.test.ts
@@ -21,8 +21,11 @@
 test('requests in progress at the exit are ended, others are not', () => {
 	const shutdown = new GracefulShutdown({timeoutMilliseconds: 8000});
 	const ended: string[] = [];
-	shutdown.trackRequest(0, () => ended.push('done'))();
-	shutdown.trackRequest(0, () => ended.push('open'));
+	const track = (name: string) => shutdown.trackRequest(0, () => {
+		ended.push(name);
+	});
+	track('done')();
+	track('open');
 	shutdown.endRequests();
 	assert.deepEqual(ended, ['open']);
 });
