Suspend sound workers in the soak, and check that nothing is broken off for it

The soak knew paused gateways only. Workers are suspended for 1.0 or 1.5 s now, alone or all at once, and go on with all that they hold; that excuses nothing.

Found on the way: before the first event, a suspension counted towards the target after which a live engine is left. Time without a report no longer does.

--- a/source/forwarding/engine-monitor.ts
+++ b/source/forwarding/engine-monitor.ts
@@ -77,6 +77,8 @@
 	#unansweredQueries: Array<Exclude<EngineCondition, 'alive'>> = [];
 	/** Time of the first of these queries. */
 	#unansweredSince = 0;
+	/** Time since the last progress for which the engine gave no report and then did again, in milliseconds: it was suspended, and can't have worked. */
+	#suspendedMilliseconds = 0;
 	#nextQueryAt = Number.NEGATIVE_INFINITY;
 	#nextAlternativeAt = Number.NEGATIVE_INFINITY;
 	#isLeaving = false;
@@ -115,6 +117,7 @@
 		this.#lastAliveAt = this.#progressAt;
 		this.#receivedEvents += events;
 		this.#unansweredQueries = [];
+		this.#suspendedMilliseconds = 0;
 		this.#reportsWithoutAttempt = 0;
 	}
 
@@ -135,7 +138,7 @@
 		const action = decideSilenceAction({
 			started: this.#receivedEvents > 0,
 			silentMilliseconds,
-			idleMilliseconds: now - Math.max(this.#progressAt, this.#workedAt),
+			idleMilliseconds: now - Math.max(this.#progressAt + this.#suspendedMilliseconds, this.#workedAt),
 			sinceAliveMilliseconds: now - this.#lastAliveAt,
 			condition,
 			unansweredMilliseconds: this.#unansweredQueries.length > 0 ? now - this.#unansweredSince : 0,
@@ -177,6 +180,7 @@
 
 	#handleReport(report: EngineReport): void {
 		const {startedAt, attemptId, clock} = this.#options;
+		this.#suspendedMilliseconds += this.#unansweredQueries.length > 0 ? clock() - this.#unansweredSince : 0;
 		this.#unansweredQueries = [];
 		this.#lastAliveAt = clock();
 		if (this.#receivedEvents > 0 && showsWork(report, this.#lastReport, attemptId)) {
--- a/source/testing/soak/checks/mod.ts
+++ b/source/testing/soak/checks/mod.ts
@@ -15,6 +15,7 @@
 import {retryBudget} from './retries.ts';
 import {backedOffWorkers, wordOfLeaving} from './endpoint-signals.ts';
 import {keptLimits} from './limits.ts';
+import {suspendedWorkers} from './suspensions.ts';
 
 export type {Check, Violation} from './check.ts';
 
@@ -31,6 +32,7 @@
 	leftCallers,
 	leavingWorkers,
 	stalledGenerations,
+	suspendedWorkers,
 	wordOfLeaving,
 	backedOffWorkers,
 	keptLimits,
--- a/source/testing/soak/checks/test-mutations.ts
+++ b/source/testing/soak/checks/test-mutations.ts
@@ -58,6 +58,13 @@
 			worker.fault = 'stall-comment';
 		}
 	},
+	suspendedWorkers({history, slots}) {
+		// Workers that are noted as suspended, and sound, break answers off.
+		for (const {id, worker} of slots) {
+			history.suspensions.push({worker: id, from: performance.now(), until: performance.now() + showsMilliseconds});
+			worker.fault = 'break';
+		}
+	},
 	async wordOfLeaving({slots}) {
 		// The same worker is registered again as a new life, so that gateways use it on.
 		const [{worker}] = slots.filter(({name}) => name === 'desk-1') as [WorkerSlot];
--- a/source/testing/soak/fault-kinds.ts
+++ b/source/testing/soak/fault-kinds.ts
@@ -34,6 +34,9 @@
 /** Time-of-day jumps, in milliseconds. */
 const clockJumps = ['-3600000', '-2000', '2000', '3600000'];
 
+/** Times for which a sound worker is suspended, in milliseconds. */
+const suspensions = ['1000', '1500'];
+
 function linkKind(link: 'callersLink' | 'storeLink' | 'peersLink'): FaultKind {
 	return {
 		variants: linkModes,
@@ -179,6 +182,27 @@
 			};
 		},
 	},
+	'worker suspended': {
+		variants: suspensions,
+		on: 'worker',
+		disturbs: false,
+		start(slot, variant) {
+			slot.suspend(Number(variant));
+			return undefined;
+		},
+	},
+	'workers suspended together': {
+		variants: suspensions,
+		on: 'all',
+		disturbs: false,
+		start(_nothing, variant, {slots}) {
+			for (const slot of slots) {
+				slot.suspend(Number(variant));
+			}
+
+			return undefined;
+		},
+	},
 	'worker reports falsely': {
 		variants: ['idle', 'leaving'],
 		on: 'worker',
--- a/source/testing/soak/history.ts
+++ b/source/testing/soak/history.ts
@@ -76,6 +76,9 @@
 	until: number | undefined;
 };
 
+/** A sound worker that is suspended for a while and then goes on with all that it holds; that is no disturbance. */
+export type SeenSuspension = {worker: string; from: number; until: number};
+
 /** The end of a worker's process under a request that ends it. */
 export type SeenEnding = {attempt: string; at: number};
 
@@ -98,6 +101,7 @@
 	configurations: SeenConfiguration[];
 	leavings: SeenLeaving[];
 	limits: SeenLimit[];
+	suspensions: SeenSuspension[];
 	/** Ends of workers under requests that end them. */
 	endings: SeenEnding[];
 	disturbances: Disturbance[];
@@ -119,7 +123,7 @@
  */
 export function createHistory(retryBounds: RetryBounds): History {
 	return {
-		retryBounds, requests: [], arrivals: [], runs: [], configurations: [], leavings: [], limits: [], endings: [], disturbances: [], stops: [], ends: [], memory: [], slots: new Map(), settledAt: undefined, isLastWatch: true,
+		retryBounds, requests: [], arrivals: [], runs: [], configurations: [], leavings: [], limits: [], suspensions: [], endings: [], disturbances: [], stops: [], ends: [], memory: [], slots: new Map(), settledAt: undefined, isLastWatch: true,
 	};
 }
 
--- a/source/testing/soak/worker-slots.ts
+++ b/source/testing/soak/worker-slots.ts
@@ -23,6 +23,9 @@
 /** Time from the end of a worker to the start of the next at its place, in milliseconds. */
 const restartMilliseconds = 1000;
 
+/** Time from the end of a suspension to the next one at least, in milliseconds: a worker that is silent again and again is not sound. */
+const betweenSuspensionsMilliseconds = 3000;
+
 /** Options of {@linkcode WorkerSlot}. */
 export type WorkerSlotOptions = {
 	name: string;
@@ -152,6 +155,18 @@
 		});
 	}
 
+	/** Suspends the present worker for a while, unless it was suspended shortly before. */
+	suspend(milliseconds: number): void {
+		const from = performance.now();
+		const {suspension} = this.worker;
+		if (from < suspension.until + betweenSuspensionsMilliseconds) {
+			return;
+		}
+
+		suspension.start(milliseconds);
+		this.#options.history.suspensions.push({worker: this.id, from, until: suspension.until});
+	}
+
 	/** The present worker names a limit in its answers from now on, or none. */
 	nameLimit(limit: number | undefined): void {
 		this.worker.limit = limit?.toString();
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -104,6 +104,10 @@
 
 		this.#usedConnections.add(request.socket);
 		await this.suspension.ended();
+		if (request.destroyed) {
+			return;
+		}
+
 		if (this.saysLeaving) {
 			response.setHeader('server-leaving', '1');
 		}
