Answer a request with 502 when its handling fails by a fault of the gateway

Cause: the response was destroyed where its handling threw.

Evidence: serve-request.test.ts, status 0 before and 502 now. 502 says that the request may have run.

--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -24,6 +24,9 @@
 	generation: forwardGeneration,
 };
 
+/** Response to a request that failed by a fault of the gateway. */
+const internalError: ErrorResponse = {status: 502, code: 'internal_error', message: 'This gateway has a fault; the request may have run.'};
+
 /** Response to a request that is in progress when the gateway exits. */
 const stoppedUnanswered: ErrorResponse = {status: 502, code: 'stopped', message: 'This gateway stopped before the request was answered; it may have run.'};
 
@@ -69,7 +72,7 @@
 		result = await admitAndForward(request, response, {terms, requestName, arrivedAt}, parts);
 	} catch (error) {
 		parts.logger.error('request failed', {request: requestName, error: error instanceof Error ? error.stack : String(error)});
-		response.destroy();
+		sendErrorResponse(response, internalError);
 		result = {outcome: 'internal_error', status: 0, endpoints: []};
 	} finally {
 		finishTracking();
