Move the order of revisions from the adapter to beliefs

beliefs called the adapter's eraOf, and the adapter imports types of beliefs. What a revision is and how two compare is no matter of the wire; only the header that names the era is, which stays in the adapter.

--- a/source/beliefs/beliefs.test.ts
+++ b/source/beliefs/beliefs.test.ts
@@ -2,10 +2,10 @@
 import {test} from 'node:test';
 import fc from 'fast-check';
 import {err, ok, type Result} from 'neverthrow';
-import {revisionOf, type StoreFailure, type StoredRows} from '../platform/mod.ts';
+import {type StoreFailure, type StoredRows} from '../platform/mod.ts';
 import {createLogger} from '../telemetry/logger.ts';
 import {
-	ConfigurationCache, EndpointList, PollRenewal, RowCache, StoreClock, ageOf, divideUpdateTime, followTable, type EndpointEntry,
+	ConfigurationCache, EndpointList, PollRenewal, RowCache, StoreClock, ageOf, divideUpdateTime, followTable, revisionOf, type EndpointEntry,
 } from './mod.ts';
 
 const at = (steady: number, wall = steady) => ({steady, wall});
--- a/source/beliefs/endpoint-list.ts
+++ b/source/beliefs/endpoint-list.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {isDeepStrictEqual} from 'node:util';
-import {eraOf} from '../platform/store-revision.ts';
+import {eraOf} from './store-revision.ts';
 import {ageOf, type ClockReading} from './clock.ts';
 import {
 	type EndpointChange, type EndpointEntry, type EndpointIncarnation, type IncarnationState, type LeavingIncarnation,
--- a/source/beliefs/mod.ts
+++ b/source/beliefs/mod.ts
@@ -14,3 +14,4 @@
 export * from './row-cache.ts';
 export * from './store-clock.ts';
 export * from './store-era-record.ts';
+export * from './store-revision.ts';
--- a/source/beliefs/row-cache.ts
+++ b/source/beliefs/row-cache.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {eraOf} from '../platform/store-revision.ts';
+import {eraOf} from './store-revision.ts';
 
 /** A change of a row: its new content, or its removal when `content` is absent. */
 export type RowChange<Content> = {key: string; content?: Content; revision: number};
--- a/source/beliefs/store-era-record.ts
+++ b/source/beliefs/store-era-record.ts
@@ -8,10 +8,11 @@
 } from 'neverthrow';
 import * as z from 'zod';
 import {
-	eraOf, type StoreClient, type StoredRow, type StoredRows,
+	type StoreClient, type StoredRow, type StoredRows,
 } from '../platform/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {decodeRow} from './decode-row.ts';
+import {eraOf} from './store-revision.ts';
 
 /** Options of {@linkcode StoreEraRecord}. */
 export type StoreEraRecordOptions = {
--- a/source/platform/store-revision.ts
+++ b/source/beliefs/store-revision.ts
@@ -6,14 +6,9 @@
  *
  * @module
  */
-import {type IncomingHttpHeaders} from 'node:http';
-
 /** Number of versions in one era; eras and versions fit into the safe integers. */
 const versionsPerEra = 1e12;
 
-/** Largest accepted era. */
-const maximumEra = 9000;
-
 /** Returns the revision of a version in an era. */
 export function revisionOf(era: number, version: number): number {
 	return (era * versionsPerEra) + version;
@@ -28,9 +23,3 @@
 export function versionOf(revision: number): number {
 	return revision % versionsPerEra;
 }
-
-/** Decodes the era that a response of the store names; 0 if it names none. */
-export function decodeEra(headers: IncomingHttpHeaders): number {
-	const era = Number(headers['store-era']);
-	return Number.isInteger(era) && era >= 0 && era <= maximumEra ? era : 0;
-}
--- a/source/gateway/shared-state.ts
+++ b/source/gateway/shared-state.ts
@@ -3,11 +3,12 @@
  *
  * @module
  */
-import {type ClockReading} from '../beliefs/mod.ts';
+import {
+	eraOf, revisionOf, versionOf, type ClockReading,
+} from '../beliefs/mod.ts';
 import {
 	packConfiguration, unpackConfiguration, type StoreUpdate, type SharedState,
 } from '../fleet/mod.ts';
-import {eraOf, revisionOf, versionOf} from '../platform/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 import {applyConfiguration} from './apply-configuration.ts';
 
--- a/source/limits/limit-lease-table.test.ts
+++ b/source/limits/limit-lease-table.test.ts
@@ -3,9 +3,11 @@
 import {test} from 'node:test';
 import fc from 'fast-check';
 import {err, ok} from 'neverthrow';
-import {StoreEraRecord, type ClockReading} from '../beliefs/mod.ts';
 import {
-	eraOf, revisionOf, StoreEra, versionOf, type RowWrite, type StoredRow, type Transaction,
+	eraOf, revisionOf, versionOf, StoreEraRecord, type ClockReading,
+} from '../beliefs/mod.ts';
+import {
+	StoreEra, type RowWrite, type StoredRow, type Transaction,
 } from '../platform/mod.ts';
 import {findLimitExcess} from '../testing/limit-excess.ts';
 import {
--- a/source/limits/limit-lease-table.ts
+++ b/source/limits/limit-lease-table.ts
@@ -7,10 +7,10 @@
 	err, ok, type Result,
 } from 'neverthrow';
 import {
-	decodeRow, hasComeBack, type ClockReading, type EndpointIncarnation, type StoreEraRecord,
+	eraOf, decodeRow, hasComeBack, type ClockReading, type EndpointIncarnation, type StoreEraRecord,
 } from '../beliefs/mod.ts';
 import {
-	eraOf, type RowLocation, type StoreClient, type StoredRow, type StoredRows,
+	type RowLocation, type StoreClient, type StoredRow, type StoredRows,
 } from '../platform/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {
--- a/source/platform/mod.ts
+++ b/source/platform/mod.ts
@@ -11,4 +11,3 @@
 export * from './request-headers.ts';
 export * from './store-client.ts';
 export * from './store-era.ts';
-export * from './store-revision.ts';
--- a/source/platform/store-client.ts
+++ b/source/platform/store-client.ts
@@ -9,13 +9,11 @@
 	err, ok, type Result,
 } from 'neverthrow';
 import * as z from 'zod';
+import {eraOf, revisionOf, versionOf} from '../beliefs/store-revision.ts';
 import {
 	httpCall, parseJson, type HttpResponse, type HttpCallOptions,
 } from './http-call.ts';
-import {StoreEra} from './store-era.ts';
-import {
-	decodeEra, eraOf, revisionOf, versionOf,
-} from './store-revision.ts';
+import {decodeEra, StoreEra} from './store-era.ts';
 
 /** A row, or a tombstone of a removed row. */
 export type StoredRow = {
--- a/source/platform/store-era.ts
+++ b/source/platform/store-era.ts
@@ -3,6 +3,16 @@
  *
  * @module
  */
+import {type IncomingHttpHeaders} from 'node:http';
+
+/** Largest accepted era; eras and versions together fit into the safe integers. */
+const maximumEra = 9000;
+
+/** Decodes the era that a response of the store names; 0 if it names none. */
+export function decodeEra(headers: IncomingHttpHeaders): number {
+	const era = Number(headers['store-era']);
+	return Number.isInteger(era) && era >= 0 && era <= maximumEra ? era : 0;
+}
 
 /**
  * Tracks the era of the store, which rises each time the store comes back from an older copy.
