--- a/source/beliefs/store-revision.ts
+++ b/source/beliefs/store-revision.ts
@@ -6,6 +6,7 @@
  *
  * @module
  */
+
 /** Number of versions in one era; eras and versions fit into the safe integers. */
 const versionsPerEra = 1e12;
 
