--- a/source/platform/http-call.test.ts
+++ b/source/platform/http-call.test.ts
@@ -6,7 +6,8 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {httpCall} from './http-call.ts';
 
-async function call(context: TestContext, serve: (response: ServerResponse) => Promise<void>) {
+/** Starts a server and returns a function that calls it over kept connections, and what these are. */
+async function startServer(context: TestContext, serve: (response: ServerResponse) => Promise<void>) {
 	const server = createServer((_request, response) => {
 		void serve(response);
 	}).listen(0, '127.0.0.1');
@@ -19,9 +20,17 @@
 		await once(server, 'close');
 	});
 	const {port} = server.address() as AddressInfo;
-	return httpCall({
-		agent, address: `127.0.0.1:${port}`, path: '/', timeoutMilliseconds: 200,
-	});
+	return {
+		agent,
+		makeCall: async () => httpCall({
+			agent, address: `127.0.0.1:${port}`, path: '/', timeoutMilliseconds: 200,
+		}),
+	};
+}
+
+async function call(context: TestContext, serve: (response: ServerResponse) => Promise<void>) {
+	const {makeCall} = await startServer(context, serve);
+	return makeCall();
 }
 
 /** Keeps the event loop from running anything else for a time. */
@@ -76,3 +85,21 @@
 	});
 	assert.equal(response.isErr(), true);
 });
+
+test('a kept connection gathers no listeners over many calls', async context => {
+	const {agent, makeCall} = await startServer(context, async response => {
+		response.end('whole');
+	});
+	const listenersAfter = async (calls: number) => {
+		for (let made = 0; made < calls; made += 1) {
+			const response = await makeCall();
+			assert.ok(response.isOk());
+			await delay(5);
+		}
+
+		const [socket] = Object.values(agent.freeSockets).flat();
+		return socket!.eventNames().reduce((sum, name) => sum + socket!.listenerCount(name), 0);
+	};
+
+	assert.equal(await listenersAfter(1), await listenersAfter(20));
+});
--- a/source/platform/http-call.ts
+++ b/source/platform/http-call.ts
@@ -62,7 +62,11 @@
 			agent, hostname, port, method, path, headers, signal,
 		});
 		request.on('socket', socket => {
-			connected = !socket.connecting;
+			if (!socket.connecting) {
+				connected = true;
+				return;
+			}
+
 			socket.once('connect', () => {
 				connected = true;
 			});
