--- a/source/forwarding/engine-monitor.ts
+++ b/source/forwarding/engine-monitor.ts
@@ -204,7 +204,7 @@
 		}
 	}
 
-	/** Abandons an engine that may still run the generation, if another engine can be acquired and the response makes no progress until then. */
+	/** Abandons an engine that may still run the generation, if another engine can be acquired and this one shows no life until then. */
 	async #leave(condition: EngineCondition, message: string): Promise<void> {
 		const {acquireAlternative, clock} = this.#options;
 		if (this.#isLeaving || clock() < this.#nextAlternativeAt) {
@@ -216,7 +216,8 @@
 		const isAcquired = await acquireAlternative(condition);
 		this.#isLeaving = false;
 		this.#nextAlternativeAt = clock() + alternativeIntervalMilliseconds;
-		if (isAcquired && this.#progressAt === progressAt) {
+		const hasComeBack = condition !== 'alive' && conditionOf(this.#unansweredQueries) === 'alive';
+		if (isAcquired && this.#progressAt === progressAt && !hasComeBack) {
 			this.#abandon(condition !== 'alive', message);
 		}
 	}
