End a worker stand-in once under two requests at once

Cause: gateway/crashing-prompt-parts.test.js did not end within 240 s once at load 21 to 31, with all its tests passed. A worker stand-in whose process ends under a request looked for the end of its other requests by their responses, which are destroyed some time after their sockets. Where two timers fired together, as beside load, it ended twice: two workers of one name came back, the second one took the place of the first one, and nobody ended the first one, whose server kept the test's process alive. Shown: a fleet with a worker that two such requests reach, and a blocked event loop: 2 ends and a TCPServerWrap left, the process ran until it was ended after 15 s; now 1 end, and it ends by itself. Ruled out: the gateways, which are other processes and had ended. Before and after: the new test counted 2 ends, and 1 now.

--- a/source/testing/stand-ins/worker-stand-in.test.ts
+++ b/source/testing/stand-ins/worker-stand-in.test.ts
@@ -1,7 +1,19 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {sendCall} from '../call.ts';
 import {GatewayFleet} from '../gateway-fleet.ts';
 
+/** Time that a worker takes to read a prompt, in milliseconds. */
+const promptMilliseconds = 100;
+
+/** Keeps the event loop from handling anything for a while. */
+function blockEventLoop(milliseconds: number): void {
+	const until = performance.now() + milliseconds;
+	while (performance.now() < until) {
+		// Nothing else runs meanwhile.
+	}
+}
+
 test('a worker asks to back off where it refuses for want of room, and not where it was asked under another name', async () => {
 	await using fleet = await GatewayFleet.create();
 	const worker = await fleet.startWorker({id: 'desk-1', service: 'desk'});
@@ -13,3 +25,20 @@
 		assert.equal(worker.arrivals.at(-1)!.backoffUntil === undefined, retryAfter === null);
 	}
 });
+
+test('a worker whose process ends under two requests at once ends once', async () => {
+	await using fleet = await GatewayFleet.create();
+	let ends = 0;
+	const worker = await fleet.startWorker({
+		id: 'scribe-1', service: 'scribe', promptMilliseconds, endsUnder: () => true, onEnd() {
+			ends += 1;
+		},
+	});
+	const headers = {'x-azuretack-target-instance': 'scribe-1', 'x-azuretack-token-counts': '800,40'};
+	const calls = [1, 2].map(async number => sendCall(worker.options.listen, {path: `/drafts/${number}`, headers: {...headers, 'x-azuretack-attempt-id': `attempt-${number}`}}));
+	await fleet.until(() => worker.arrivals.length === 2, 'both requests arrived');
+	blockEventLoop(2 * promptMilliseconds);
+	const answers = await Promise.all(calls);
+	assert.deepEqual(answers.map(({status}) => status), [0, 0]);
+	assert.equal(ends, 1);
+});
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -172,7 +172,8 @@
 			await this.suspension.ended();
 		}
 
-		if (response.destroyed) {
+		// The socket is destroyed at once where the process ended meanwhile; its response is some time later.
+		if (request.socket.destroyed) {
 			return;
 		}
 
