--- a/source/forwarding/engine-monitor.ts
+++ b/source/forwarding/engine-monitor.ts
@@ -5,7 +5,7 @@
  */
 import {type EngineReport} from '../balancing/mod.ts';
 import {
-	conditionOf, decideSilenceAction, lacksAttempt, showsRestart, showsWork, hasUndeliveredEvents, type EngineCondition, type EngineQuery,
+	conditionOf, decideSilenceAction, lacksAttempt, showsRestart, showsWork, hasUndeliveredEvents, minimumUnansweredQueries, type EngineCondition, type EngineQuery,
 } from './silence-decision.ts';
 
 /** Why an engine was abandoned. */
@@ -41,9 +41,6 @@
 /** Interval between two checks of an engine, in milliseconds. */
 const checkIntervalMilliseconds = 50;
 
-/** Number of outcomes of unanswered queries that are kept. */
-const rememberedQueries = 2;
-
 /** Minimum interval between two queries of an engine whose condition is known, in milliseconds. */
 const queryIntervalMilliseconds = 250;
 
@@ -171,7 +168,7 @@
 			this.#unansweredSince = queriedAt;
 		}
 
-		this.#unansweredQueries = [...this.#unansweredQueries, query.kind].slice(-rememberedQueries);
+		this.#unansweredQueries = [...this.#unansweredQueries, query.kind].slice(-minimumUnansweredQueries);
 		if (conditionOf(this.#unansweredQueries) !== 'alive') {
 			this.#nextQueryAt = nextQueryAt;
 			this.#check();
--- a/source/forwarding/silence-decision.ts
+++ b/source/forwarding/silence-decision.ts
@@ -86,7 +86,7 @@
 }
 
 /** Number of consecutive unanswered queries after which an engine no longer counts as alive. */
-const minimumUnansweredQueries = 2;
+export const minimumUnansweredQueries = 2;
 
 /**
  * Returns the condition of an engine.
