Count callers that gave up after their deadline as not answered in time

Cause: the check answersInTime of the soak left out all callers that had left, also those that had waited for two seconds beyond their deadline. A request that is never answered counted for 1.5 s only, while those of other gateways counted for good, so a gateway that never answers was found in a few seconds after the start or not at all. The new test expects 50 late answers and saw 0 before. The check is stricter than it was.

--- a/source/testing/soak/checks/answers.ts
+++ b/source/testing/soak/checks/answers.ts
@@ -64,16 +64,21 @@
 /** Requests without an answer from which their share counts. */
 const lateSample = 8;
 
-/** Each request gets its final answer by its deadline. */
+/** Each request gets its final answer by its deadline, unless its caller left before that. */
 export const answersInTime: Check = (history, now) => {
-	const due = history.requests.filter(request => request.leftAt === undefined && request.sentAt + request.deadlineMilliseconds + lateMilliseconds < now
+	const due = history.requests.filter(request => dueAt(request) < Math.min(now, request.leftAt ?? now)
 		&& isInTouch(history, request.gateway, request.sentAt, request.sentAt + request.deadlineMilliseconds));
-	const late = due.filter(({answer, sentAt, deadlineMilliseconds}) => !answer || answer.at > sentAt + deadlineMilliseconds + lateMilliseconds);
+	const late = due.filter(request => !request.answer || request.answer.at > dueAt(request));
 	return late.length >= lateSample && late.length > due.length / 4
 		? late.map(({attempt}) => ({attempt, message: 'no final answer by its deadline'}))
 		: [];
 };
 
+/** Steady time by which the final answer to a request must have come, in milliseconds. */
+function dueAt({sentAt, deadlineMilliseconds}: SeenRequest): number {
+	return sentAt + deadlineMilliseconds + lateMilliseconds;
+}
+
 /** A planned stop cuts no request that a worker is running. */
 export const plannedStops: Check = (history, now) => requestsWithRuns(history).flatMap(({request, runs}): Violation[] => {
 	const {answer, gateway, sentAt, deadlineMilliseconds} = request;
--- a/source/testing/soak/checks/checks.test.ts
+++ b/source/testing/soak/checks/checks.test.ts
@@ -42,3 +42,22 @@
 	assert.deepEqual(checks.retryBudget(historyOfRetries(allowed), 10_000), []);
 	assert.equal(checks.retryBudget(historyOfRetries(allowed + 1), 10_000).length, 1);
 });
+
+test('callers that give up once their deadline has passed do not hide a gateway that never answers', () => {
+	const history = createHistory(retryBounds.usual);
+	for (let number = 0; number < 100; number += 1) {
+		const sentAt = 5000 + (number * 100);
+		const isAnswered = number % 2 === 0;
+		history.requests.push({
+			attempt: `attempt-${number}`, kind: 'idempotent', gateway: isAnswered ? 'gateway-1' : 'gateway-2', workspace: 'workspace-1', key: 'key', method: 'GET', target: '/', body: '', lastEvent: 0, sentAt, deadlineMilliseconds: 2500,
+			answer: isAnswered
+				? {
+					at: sentAt + 10, status: 200, stamp: undefined, saysLeaving: false, namesLimit: false, attempt: undefined, body: '', whole: true,
+				}
+				: undefined,
+			leftAt: isAnswered ? undefined : sentAt + 4500,
+		});
+	}
+
+	assert.equal(checks.answersInTime(history, 60_000).length, 50);
+});
