Stop gateways with generations under way in the mutation of plannedStops

Cause: the mutation killed both gateways once, 5 s after the start. Only requests that were sent in the last second of these count, as the check excuses what began near a disturbance, so a slow start left none to be cut. That is the KNOWN-RED entry "the check plannedStops fires when its promise is broken". Change: the mutation waits until engines work on three generations of callers that are still there, and kills then. The check is unchanged.

--- a/source/testing/soak/checks/test-mutations.ts
+++ b/source/testing/soak/checks/test-mutations.ts
@@ -8,6 +8,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {type WorkerLie} from '../../stand-ins/worker-options.ts';
 import {Callers, playEndingRequest} from '../callers.ts';
+import {type History} from '../history.ts';
 import {Random} from '../random.ts';
 import {prefixes} from '../requests.ts';
 import {SoakWorld} from '../world.ts';
@@ -102,7 +103,9 @@
 	async plannedStops(world) {
 		const {gateways, history} = world;
 		await delay(contactPlus);
+		const soundFrom = performance.now();
 		for (const gateway of gateways) {
+			await untilGenerating(history, gateway.name, soundFrom);
 			world.disturb('gateway stopped', gateway.name);
 			history.stops.push({gateway: gateway.name, at: history.disturbances.at(-1)!.from});
 			await gateway.kill();
@@ -134,6 +137,20 @@
 /** Time after which rules with a time hold, and generations are under way, in milliseconds. */
 const contactPlus = 5000;
 
+/** Generations that must be under way at a gateway that is stopped, as a caller may leave in the same moment. */
+const cutGenerations = 3;
+
+/** Waits until engines work on some generations that callers wait for and that a gateway got after the given time. */
+async function untilGenerating({requests, runs}: History, gateway: string, from: number): Promise<void> {
+	const isRunning = (attempt: string) => runs.some(run => run.attempt === attempt && run.endedAt === undefined);
+	const generations = () => requests.filter(request => request.gateway === gateway && request.kind === 'generation' && request.sentAt > from
+		&& request.answer === undefined && request.leftAt === undefined && isRunning(request.attempt));
+	const until = performance.now() + (showsMilliseconds / 2);
+	while (generations().length < cutGenerations && performance.now() < until) {
+		await delay(50);
+	}
+}
+
 /** Which of several test files, each a process of its own, tests a share of the checks. */
 export type TestShare = {part: number; parts: number};
 
