Let a seed that starts ask the other seeds for their state

Cause: a gateway that is a seed queried no one after its start and took the store's row for the newest. Why this works: other seeds that ran before know the newest version, and the highest version known stays in force. A seed asks each once, so seeds that start together do not wait.

--- a/source/fleet/query-seeds.ts
+++ b/source/fleet/query-seeds.ts
@@ -32,57 +32,102 @@
 /** Timeout of a request, in milliseconds. */
 const requestTimeoutMilliseconds = 300;
 
-/** Pause between two rounds of requests while no seed responds, in milliseconds. */
-const silentRetryMilliseconds = 100;
+/** What came of a query: no response, a response without state, or state that was applied. */
+type SeedOutcome = 'silent' | 'responded' | 'learnt';
 
-/** Pause before a seed without state is queried again, in milliseconds; hundreds of gateways may be waiting for three seeds. */
-const respondedRetryMilliseconds = 400;
+/** Pause before the next query after one without state, in milliseconds; hundreds of gateways may be waiting for three seeds. */
+const retryMilliseconds: Record<Exclude<SeedOutcome, 'learnt'>, number> = {silent: 100, responded: 400};
 
 /**
- * Queries seeds for their state, so that many gateways that start at once do not each call the store.
+ * Queries seeds for their state, so that many gateways that start at once do not each call the store, and so that a gateway that starts while
+ * the store is back from an older copy knows what the others know.
+ *
+ * A gateway that is itself a seed queries each of the others once: the seeds of a fleet that starts have no state, and must not wait for
+ * each other.
  *
  * @param options Seeds, member table and shared state.
  * @param signal Aborts the task.
- * @returns Whether an update was applied; false for a gateway that is itself a seed, which queries no one.
+ * @returns Whether an update was applied.
  */
-export async function querySeeds({seeds, members, sharedState, logger, readClock, random, onUpdate}: QuerySeedsOptions, signal: AbortSignal): Promise<boolean> {
-	if (seeds.includes(members.self.peers)) {
-		return false;
+export async function querySeeds(options: QuerySeedsOptions, signal: AbortSignal): Promise<boolean> {
+	const {members, logger} = options;
+	const seeds = options.seeds.filter(seed => seed !== members.self.peers);
+	const isSeed = seeds.length < options.seeds.length;
+	const client = new ExchangeClient();
+	const learnt = await (isSeed ? queryOnce : queryUntilLearnt)({...options, seeds}, client, signal);
+	client.close();
+	logger.info('seeds asked', {seeds: seeds.length, learnt});
+	return learnt;
+}
+
+type Query = (options: QuerySeedsOptions, client: ExchangeClient, signal: AbortSignal) => Promise<boolean>;
+
+/** Queries one seed after the other until one sends its state. */
+const queryOnce: Query = async (options, client) => {
+	for (const seed of inRandomOrder(options)) {
+		if (await querySeed(options, client, seed) === 'learnt') {
+			return true;
+		}
 	}
 
-	const client = new ExchangeClient();
+	return false;
+};
+
+/** Queries seeds repeatedly until one sends its state or the timeout passes. */
+const queryUntilLearnt: Query = async (options, client, signal) => {
+	const {seeds, readClock} = options;
 	const startedAt = readClock().steady;
 	let deadline = startedAt + silentTimeoutMilliseconds;
-	// Each gateway starts with a random seed, so that a simultaneous start does not overload the first one.
-	const firstIndex = Math.floor(random() * seeds.length);
-	const order = [...seeds.slice(firstIndex), ...seeds.slice(0, firstIndex)];
-	let learnt = false;
-	while (!learnt && seeds.length > 0 && !signal.aborted && readClock().steady < deadline) {
-		let responded = false;
-		for (const seed of order) {
-			const requestedAt = readClock();
-			const response = await client.exchange(seed, {members: [members.self], known: sharedState.knownRevisions()}, requestTimeoutMilliseconds);
-			if (response.isErr()) {
-				continue;
-			}
-
-			responded = true;
+	const order = inRandomOrder(options);
+	while (seeds.length > 0 && !signal.aborted && readClock().steady < deadline) {
+		const outcome = await queryFirst(options, client, order);
+		if (outcome === 'learnt') {
+			return true;
+		}
+
+		if (outcome === 'responded') {
 			deadline = startedAt + respondedTimeoutMilliseconds;
-			members.merge(response.value.members, readClock().steady);
-			const {news} = response.value;
-			if (news?.configuration && news.configurationAgeMilliseconds !== undefined && news.endpointAgeMilliseconds !== undefined) {
-				sharedState.apply(news, requestedAt);
-				onUpdate();
-				learnt = true;
-			}
-
-			break;
 		}
 
-		await pause(learnt ? 0 : (responded ? respondedRetryMilliseconds : silentRetryMilliseconds), signal);
+		await pause(retryMilliseconds[outcome], signal);
 	}
 
-	client.close();
-	logger.info('seeds asked', {seeds: seeds.length, learnt});
-	return learnt;
+	return false;
+};
+
+/** Each gateway starts with a random seed, so that a simultaneous start does not overload the first one. */
+function inRandomOrder({seeds, random}: QuerySeedsOptions): string[] {
+	const firstIndex = Math.floor(random() * seeds.length);
+	return [...seeds.slice(firstIndex), ...seeds.slice(0, firstIndex)];
+}
+
+/** Queries the first seed that responds. */
+async function queryFirst(options: QuerySeedsOptions, client: ExchangeClient, order: readonly string[]): Promise<SeedOutcome> {
+	for (const seed of order) {
+		const outcome = await querySeed(options, client, seed);
+		if (outcome !== 'silent') {
+			return outcome;
+		}
+	}
+
+	return 'silent';
+}
+
+/** Queries a seed, and applies its state if it has one. */
+async function querySeed({members, sharedState, readClock, onUpdate}: QuerySeedsOptions, client: ExchangeClient, seed: string): Promise<SeedOutcome> {
+	const requestedAt = readClock();
+	const response = await client.exchange(seed, {members: [members.self], known: sharedState.knownRevisions()}, requestTimeoutMilliseconds);
+	if (response.isErr()) {
+		return 'silent';
+	}
+
+	members.merge(response.value.members, readClock().steady);
+	const {news} = response.value;
+	if (!news?.configuration || news.configurationAgeMilliseconds === undefined || news.endpointAgeMilliseconds === undefined) {
+		return 'responded';
+	}
+
+	sharedState.apply(news, requestedAt);
+	onUpdate();
+	return 'learnt';
 }
--- a/source/gateway/restored-store.test.ts
+++ b/source/gateway/restored-store.test.ts
@@ -125,3 +125,18 @@
 		return body.split(':').length > 4;
 	}, 'gateway-1 names both gateways');
 });
+
+test('a seed that starts after the store came back with an older configuration refuses a key that was taken away', async () => {
+	await using fleet = await GatewayFleet.create();
+	fleet.seedNames.push('gateway-1', 'gateway-2');
+	await fleet.startWorker({id: 'desk-1', service: 'desk'});
+	const [restarted] = await Promise.all(['gateway-1', 'gateway-2'].map(async name => fleet.startGateway(name)));
+	const copy = fleet.store.copy();
+	fleet.configure({version: 3, keys: ['key-2']});
+	await delay(changeMilliseconds);
+	await fleet.killGateway(restarted!);
+	await restore(fleet, copy);
+	const gateway = await fleet.startGateway('gateway-1');
+	const [taken, kept] = await Promise.all([fleet.call(gateway, {path: '/status/1'}), fleet.call(gateway, {path: '/status/1', key: 'key-2'})]);
+	assert.deepEqual([taken.status, kept.status], [401, 200]);
+});
--- a/source/testing/gateway-fleet.ts
+++ b/source/testing/gateway-fleet.ts
@@ -90,6 +90,9 @@
 	readonly store: StoreStandIn;
 	readonly workers = new Map<string, WorkerStandIn>();
 	readonly gateways = new Map<string, GatewayProcess>();
+	/** Names of the gateways that are seeds of those started from then on. */
+	readonly seedNames: string[] = [];
+	readonly #peerAddresses = new Map<string, string>();
 	readonly #rawWorkers: RawWorker[] = [];
 	readonly #address: string;
 	readonly #folder: string;
@@ -126,15 +129,16 @@
 
 	/** Starts a gateway, with bounds other than the defaults where given, and waits until it takes requests. */
 	async startGateway(name: string, bounds: Partial<GatewaySettings['bounds']> = {}): Promise<GatewayProcess> {
-		const [callers, readiness, entries, peers, metrics] = [1, 2, 3, 4, 5].map(() => this.#allocate());
+		const [callers, readiness, entries, metrics] = [1, 2, 3, 4].map(() => this.#allocate());
 		const file = path.join(this.#folder, `${name}.jsonc`);
 		await writeFile(file, JSON.stringify({
 			hostName: name,
 			availabilityZone: 'zone-a',
 			region: 'home',
 			listen: {
-				callers, readiness, entries, peers, metrics,
+				callers, readiness, entries, peers: this.#peerAddressOf(name), metrics,
 			},
+			seeds: this.seedNames.map(seed => this.#peerAddressOf(seed)),
 			store: `${this.#address}:7000`,
 			bounds,
 		}));
@@ -223,6 +227,13 @@
 		await rm(this.#folder, {recursive: true});
 	}
 
+	/** Address at which other gateways reach one, also before its start and after its restart. */
+	#peerAddressOf(name: string): string {
+		const address = this.#peerAddresses.get(name) ?? this.#allocate();
+		this.#peerAddresses.set(name, address);
+		return address;
+	}
+
 	#allocate(): string {
 		this.#nextPort += 1;
 		return `${this.#address}:${this.#nextPort}`;
