--- a/source/forwarding/send-request.test.ts
+++ b/source/forwarding/send-request.test.ts
@@ -5,6 +5,7 @@
 import process from 'node:process';
 import {test, type TestContext} from 'node:test';
 import fc from 'fast-check';
+import {blockEventLoop} from '../testing/block-event-loop.ts';
 import {EndpointConnections} from './endpoint-connections.ts';
 import {IncompleteResponseError, sendRequest, type SendOutcome} from './send-request.ts';
 
@@ -172,14 +173,6 @@
 	}), {seed: 19, numRuns: 200});
 });
 
-/** Keeps the event loop busy, as a burst of requests does. */
-function blockEventLoop(milliseconds: number): void {
-	const until = performance.now() + milliseconds;
-	while (performance.now() < until) {
-		// Busy.
-	}
-}
-
 test('an endpoint that accepts the connection while the event loop is late does not count as unreachable', async context => {
 	const endpoint = await startEndpoint(context, socket => {
 		socket.end('HTTP/1.1 200 OK\r\nX-Azuretack-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n');
--- a/source/gateway/restored-store.test.ts
+++ b/source/gateway/restored-store.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
+import {disposeOnFailure} from '../testing/dispose-on-failure.ts';
 import {GatewayFleet, type GatewayProcess} from '../testing/gateway-fleet.ts';
 import {type StoreCopy} from '../testing/stand-ins/store-stand-in.ts';
 
@@ -27,10 +28,12 @@
 
 async function createFleet(): Promise<{fleet: GatewayFleet; gateways: GatewayProcess[]}> {
 	const fleet = await GatewayFleet.create();
-	await fleet.startWorker({id: 'desk-1', service: 'desk'});
-	await fleet.startWorker({id: 'desk-2', service: 'desk'});
-	const gateways = await Promise.all(['gateway-1', 'gateway-2', 'gateway-3'].map(async name => fleet.startGateway(name)));
-	return {fleet, gateways};
+	return disposeOnFailure(fleet, async () => {
+		await fleet.startWorker({id: 'desk-1', service: 'desk'});
+		await fleet.startWorker({id: 'desk-2', service: 'desk'});
+		const gateways = await Promise.all(['gateway-1', 'gateway-2', 'gateway-3'].map(async name => fleet.startGateway(name)));
+		return {fleet, gateways};
+	});
 }
 
 /** Number of requests, of some through each gateway, that reach a worker. */
--- a/source/platform/http-call.test.ts
+++ b/source/platform/http-call.test.ts
@@ -4,6 +4,7 @@
 import {type AddressInfo} from 'node:net';
 import {test, type TestContext} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
+import {blockEventLoop} from '../testing/block-event-loop.ts';
 import {httpCall} from './http-call.ts';
 
 /** Starts a server and returns a function that calls it over kept connections, and what these are. */
@@ -33,14 +34,6 @@
 	return makeCall();
 }
 
-/** Keeps the event loop from running anything else for a time. */
-function blockEventLoop(milliseconds: number): void {
-	const until = performance.now() + milliseconds;
-	while (performance.now() < until) {
-		// Busy.
-	}
-}
-
 test('a response that keeps arriving may take longer than the timeout', async context => {
 	const response = await call(context, async serverResponse => {
 		for (let part = 0; part < 8; part += 1) {
--- a/source/supervision/io-timeout.test.ts
+++ b/source/supervision/io-timeout.test.ts
@@ -3,6 +3,7 @@
 import {connect, createServer, type AddressInfo} from 'node:net';
 import {test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
+import {blockEventLoop} from '../testing/block-event-loop.ts';
 import {startIoTimeout} from './io-timeout.ts';
 
 test('a timeout passes once when nothing arrives, and not after it was cleared', async () => {
@@ -52,11 +53,7 @@
 		timeout.clear();
 	});
 	await delay(1);
-	const until = performance.now() + 200;
-	while (performance.now() < until) {
-		// Busy.
-	}
-
+	blockEventLoop(200);
 	await closed;
 	assert.equal(hasPassed, false);
 });
--- a/source/testing/ending-fleet.ts
+++ b/source/testing/ending-fleet.ts
@@ -6,6 +6,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
 import {type CallerAnswer} from './call.ts';
+import {disposeOnFailure} from './dispose-on-failure.ts';
 import {GatewayFleet, type CallerRequest, type GatewayProcess} from './gateway-fleet.ts';
 import {findLateSends} from './late-sends.ts';
 import {type WorkerArrival, type WorkerRun, type WorkerStandInOptions} from './stand-ins/worker-options.ts';
@@ -47,14 +48,11 @@
 export class EndingFleet implements AsyncDisposable {
 	static async create(options: EndingFleetOptions): Promise<EndingFleet> {
 		const ending = new EndingFleet(await GatewayFleet.create(), options);
-		try {
-			await ending.#startAll();
-		} catch (error) {
-			await ending[Symbol.asyncDispose]();
-			throw error;
-		}
-
-		return ending;
+		return disposeOnFailure(ending, async () => {
+			await Promise.all(Array.from({length: options.workers}, async (_unused, index) => ending.#startWorker(index + 1, 1)));
+			await Promise.all(Array.from({length: options.gateways}, async (_unused, index) => ending.startGateway(`gateway-${index + 1}`)));
+			return ending;
+		});
 	}
 
 	readonly fleet: GatewayFleet;
@@ -123,16 +121,6 @@
 		await this.fleet[Symbol.asyncDispose]();
 	}
 
-	async #startAll(): Promise<void> {
-		const {workers, gateways} = this.#options;
-		await Promise.all(Array.from({length: workers}, async (_unused, index) => this.#startWorker(index + 1, 1)));
-		const started = await Promise.allSettled(Array.from({length: gateways}, async (_unused, index) => this.startGateway(`gateway-${index + 1}`)));
-		const failed = started.find(result => result.status === 'rejected');
-		if (failed) {
-			throw failed.reason as Error;
-		}
-	}
-
 	async #startWorker(place: number, life: number): Promise<void> {
 		const {service, worker: changes} = this.#options;
 		const id = `${service}-${place}.${life}`;
--- a/source/testing/stand-ins/worker-stand-in.test.ts
+++ b/source/testing/stand-ins/worker-stand-in.test.ts
@@ -1,19 +1,12 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {blockEventLoop} from '../block-event-loop.ts';
 import {sendCall} from '../call.ts';
 import {GatewayFleet} from '../gateway-fleet.ts';
 
 /** Time that a worker takes to read a prompt, in milliseconds. */
 const promptMilliseconds = 100;
 
-/** Keeps the event loop from handling anything for a while. */
-function blockEventLoop(milliseconds: number): void {
-	const until = performance.now() + milliseconds;
-	while (performance.now() < until) {
-		// Nothing else runs meanwhile.
-	}
-}
-
 test('a worker asks to back off where it refuses for want of room, and not where it was asked under another name', async () => {
 	await using fleet = await GatewayFleet.create();
 	const worker = await fleet.startWorker({id: 'desk-1', service: 'desk'});
