Let a stream that was refused wait until the retry budget allows a further retry

Cause: the first wait forgot who had refused the stream, so the second refusal by the budget ended it. Waiting for the budget and beginning a new round are two steps now; pauses double from 250 ms to 1 s, since each further attempt takes a retry that another caller may need.

--- a/source/forwarding/engine-rounds.ts
+++ b/source/forwarding/engine-rounds.ts
@@ -7,8 +7,11 @@
 import {type Exchange} from './exchange.ts';
 import {type ForwardingDependencies} from './forwarding-dependencies.ts';
 
-/** Pause between two rounds, and between two attempts of a later round, in milliseconds; engines that were full are avoided for less. */
-const retryIntervalMilliseconds = 250;
+/** First pause of a stream that waits, in milliseconds; engines that were full are avoided for less. Each further pause is twice as long. */
+const firstPauseMilliseconds = 250;
+
+/** Longest pause, in milliseconds. */
+const maximumPauseMilliseconds = 1000;
 
 /** Options of {@linkcode EngineRounds}. */
 export type EngineRoundsOptions = {
@@ -36,7 +39,8 @@
 	readonly #options: EngineRoundsOptions;
 	/** Ids of engines that refused the generation, or were left for their silence, and may be asked again. */
 	readonly #refusedBy = new Set<string>();
-	#rounds = 0;
+	#nextPauseMilliseconds = firstPauseMilliseconds;
+	#hasWaited = false;
 
 	constructor(options: EngineRoundsOptions) {
 		this.#options = options;
@@ -49,9 +53,23 @@
 
 	/** Waits between two attempts of a later round, so that a stream that waits does not use up the retry budget. */
 	async pace(): Promise<void> {
-		if (this.#rounds > 0) {
-			await pause(retryIntervalMilliseconds, this.#options.exchange.callerDisconnected);
+		if (this.#hasWaited) {
+			await this.#pause();
+		}
+	}
+
+	/**
+	 * Waits until the retry budget is asked again.
+	 *
+	 * @returns Whether it is asked again; false under the same conditions as for {@linkcode next}.
+	 */
+	async waitForBudget(): Promise<boolean> {
+		if (!this.#mayWait) {
+			return false;
 		}
+
+		await this.#pause();
+		return true;
 	}
 
 	/**
@@ -60,22 +78,31 @@
 	 * @returns Whether engines are asked again; false if the response has not begun, or if waiting is of no use since no engine refused it.
 	 */
 	async next(): Promise<boolean> {
-		const {exchange: {requestName, response, callerDisconnected}, dependencies: {logger}, tried} = this.#options;
-		if (!response.headersSent || this.#refusedBy.size === 0 || callerDisconnected.aborted) {
+		if (!await this.waitForBudget()) {
 			return false;
 		}
 
-		if (this.#rounds === 0) {
-			logger.info('stream waits for an engine', {request: requestName, refusedBy: [...this.#refusedBy]});
-		}
-
-		this.#rounds += 1;
-		await pause(retryIntervalMilliseconds, callerDisconnected);
 		for (const id of this.#refusedBy) {
-			tried.delete(id);
+			this.#options.tried.delete(id);
 		}
 
 		this.#refusedBy.clear();
 		return true;
 	}
+
+	async #pause(): Promise<void> {
+		const {exchange: {requestName, callerDisconnected}, dependencies: {logger}} = this.#options;
+		if (!this.#hasWaited) {
+			this.#hasWaited = true;
+			logger.info('stream waits for an engine', {request: requestName, refusedBy: [...this.#refusedBy]});
+		}
+
+		await pause(this.#nextPauseMilliseconds, callerDisconnected);
+		this.#nextPauseMilliseconds = Math.min(this.#nextPauseMilliseconds * 2, maximumPauseMilliseconds);
+	}
+
+	get #mayWait(): boolean {
+		const {response, callerDisconnected} = this.#options.exchange;
+		return response.headersSent && this.#refusedBy.size > 0 && !callerDisconnected.aborted;
+	}
 }
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -222,7 +222,7 @@
 				return true;
 			}
 
-			if (!await this.#rounds.next()) {
+			if (!await this.#rounds.waitForBudget()) {
 				return false;
 			}
 		}
