Send no waiting stream on after its deadline, or for a caller that has left

What callers saw: nothing; engines were handed requests up to 0.25 s after the deadline of a stream that waits for an engine, with a millisecond as their time, and worked on them until the next check of the deadline. A retry could be taken from the budget for a caller that had left during the pause.

Cause: decides whether a stream may be repeated before the pause between two rounds, not after it.

Why this works: the pause ends at the deadline at the latest, and the deadline and the caller are looked at again after each pause and before a request is sent on.

--- a/source/forwarding/engine-rounds.ts
+++ b/source/forwarding/engine-rounds.ts
@@ -13,7 +13,7 @@
 /** Options of {@linkcode EngineRounds}. */
 export type EngineRoundsOptions = {
 	exchange: Exchange;
-	dependencies: Pick<ForwardingDependencies, 'logger'>;
+	dependencies: Pick<ForwardingDependencies, 'logger' | 'clock'>;
 	/** Ids of engines that must not be used again; engines are removed from it when a round begins. */
 	tried: Set<string>;
 };
@@ -57,10 +57,11 @@
 	/**
 	 * Waits until the next round begins.
 	 *
-	 * @returns Whether engines are asked again; false if the response has not begun, or if waiting is of no use since no engine refused it.
+	 * @returns Whether engines are asked again; false if the response has not begun, if waiting is of no use since no engine refused it, or if
+	 * the deadline has passed or the caller has left meanwhile.
 	 */
 	async next(): Promise<boolean> {
-		const {exchange: {requestName, response, callerDisconnected}, dependencies: {logger}, tried} = this.#options;
+		const {exchange: {requestName, response, deadline, callerDisconnected}, dependencies: {logger, clock}, tried} = this.#options;
 		if (!response.headersSent || this.#refusedBy.size === 0 || callerDisconnected.aborted) {
 			return false;
 		}
@@ -70,12 +71,12 @@
 		}
 
 		this.#rounds += 1;
-		await pause(retryIntervalMilliseconds, callerDisconnected);
+		await pause(Math.min(retryIntervalMilliseconds, Math.max(0, deadline - clock())), callerDisconnected);
 		for (const id of this.#refusedBy) {
 			tried.delete(id);
 		}
 
 		this.#refusedBy.clear();
-		return true;
+		return clock() < deadline && !callerDisconnected.aborted;
 	}
 }
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -82,7 +82,7 @@
 				return this.#outcome('caller_left', 0);
 			}
 
-			if (!target) {
+			if (!target || (this.#attempted.length > 0 && this.#dependencies.clock() >= this.#exchange.deadline)) {
 				if (this.#mayRepeat('not-run') && await this.#rounds.next()) {
 					continue;
 				}
@@ -217,7 +217,7 @@
 
 	/** Whether the generation is sent to another engine after an attempt; a stream that has begun waits until the retry budget allows it. */
 	async #mayRetry(end: AttemptEnd): Promise<boolean> {
-		while (this.#mayRepeat(end)) {
+		while (!this.#exchange.callerDisconnected.aborted && this.#mayRepeat(end)) {
 			if (this.#targets.hasAlternative || await acquireRetry(this.#exchange, end, this.#dependencies)) {
 				return true;
 			}
