Let a stream that has begun wait for more than one round, and for engines that are not asked

What callers saw: a stream whose engine had crashed was closed 250 ms after the others had refused it, if they asked to back off or the retry budget refused it once more, and at once if they had asked others to back off before, although they took requests again a second later.

Cause: forgot at the start of a round who had refused, and a round in which no engine is asked (all back off or lack permits, or the budget refuses) adds nobody: the second one of these ended the stream. Engines that were not asked at all counted as lost.

Why this works: a stream waits as long as an engine of its service has not lost it: one that refused it, also in an earlier round, or one that is listed and was not tried. Each attempt still takes a retry from the budget, and the number of runs and the deadline bound it as before.

--- a/source/forwarding/engine-rounds.ts
+++ b/source/forwarding/engine-rounds.ts
@@ -13,7 +13,7 @@
 /** Options of {@linkcode EngineRounds}. */
 export type EngineRoundsOptions = {
 	exchange: Exchange;
-	dependencies: Pick<ForwardingDependencies, 'logger' | 'clock'>;
+	dependencies: Pick<ForwardingDependencies, 'endpoints' | 'logger' | 'clock'>;
 	/** Ids of engines that must not be used again; engines are removed from it when a round begins. */
 	tried: Set<string>;
 };
@@ -26,7 +26,7 @@
  *
  * @example
  * ```ts
- * rounds.recordRefusal(endpoint.id);
+ * rounds.recordEnd(endpoint.id, 'again');
  * if (await rounds.next()) {
  * 	// Choose an engine again.
  * }
@@ -42,9 +42,18 @@
 		this.#options = options;
 	}
 
-	/** Records that an engine has refused the generation, or was left for its silence, so that only the next round may use it again. */
-	recordRefusal(id: string): void {
-		this.#refusedBy.add(id);
+	/**
+	 * Records the end of an attempt.
+	 *
+	 * @param id Id of the engine.
+	 * @param use `again` if the engine refused the generation, or was left for its silence, so that the next round may use it again.
+	 */
+	recordEnd(id: string, use: 'again' | 'never'): void {
+		if (use === 'again') {
+			this.#refusedBy.add(id);
+		} else {
+			this.#refusedBy.delete(id);
+		}
 	}
 
 	/** Waits between two attempts of a later round, so that a stream that waits does not use up the retry budget. */
@@ -57,12 +66,12 @@
 	/**
 	 * Waits until the next round begins.
 	 *
-	 * @returns Whether engines are asked again; false if the response has not begun, if waiting is of no use since no engine refused it, or if
-	 * the deadline has passed or the caller has left meanwhile.
+	 * @returns Whether engines are asked again; false if the response has not begun, if waiting is of no use since all engines have lost it,
+	 * or if the deadline has passed or the caller has left meanwhile.
 	 */
 	async next(): Promise<boolean> {
 		const {exchange: {requestName, response, deadline, callerDisconnected}, dependencies: {logger, clock}, tried} = this.#options;
-		if (!response.headersSent || this.#refusedBy.size === 0 || callerDisconnected.aborted) {
+		if (!response.headersSent || callerDisconnected.aborted || !this.#mayFindEngine()) {
 			return false;
 		}
 
@@ -76,7 +85,12 @@
 			tried.delete(id);
 		}
 
-		this.#refusedBy.clear();
 		return clock() < deadline && !callerDisconnected.aborted;
 	}
+
+	/** Whether an engine may take the generation later: one that refused it, or one that asks to back off or lacks permits now. */
+	#mayFindEngine(): boolean {
+		const {exchange: {service}, dependencies: {endpoints, clock}, tried} = this.#options;
+		return this.#refusedBy.size > 0 || endpoints.endpointsOf(service.name, clock()).some(({id}) => !tried.has(id));
+	}
 }
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -175,10 +175,7 @@
 			this.#runs -= 1;
 		}
 
-		if (end.kind === 'not-run' || (end.kind === 'lost' && end.isSilent)) {
-			this.#rounds.recordRefusal(endpoint.id);
-		}
-
+		this.#rounds.recordEnd(endpoint.id, end.kind === 'not-run' || (end.kind === 'lost' && end.isSilent) ? 'again' : 'never');
 		if (end.kind === 'not-run' && end.status === 421) {
 			endpoints.excludeIncarnation(endpoint.id, endpoint.startedAt);
 		} else if (end.kind === 'failed') {
--- a/source/gateway/waiting-streams.test.ts
+++ b/source/gateway/waiting-streams.test.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
-import {GatewayFleet, type GatewayProcess} from '../testing/gateway-fleet.ts';
+import {
+	eventsOf, expectedEvents, GatewayFleet, type GatewayProcess,
+} from '../testing/gateway-fleet.ts';
 import {type CallerAnswer} from '../testing/call.ts';
 import {type WorkerStandIn} from '../testing/stand-ins/worker-stand-in.ts';
 
@@ -32,6 +34,60 @@
 	};
 }
 
+function assertWhole({body, whole}: CallerAnswer): void {
+	assert.deepEqual(eventsOf(body), expectedEvents(events));
+	assert.ok(whole);
+}
+
+// A stream waited for one round only: an engine that asks to back off is not asked again in the next one, and it was closed then.
+test('a stream whose engine crashes goes on at an engine that asks to back off for a second', async () => {
+	await using fleet = await GatewayFleet.create();
+	const {running, others, answering: [answering]} = await startStreams(fleet, [9000]);
+	for (const engine of others) {
+		engine.backoffSeconds = 1;
+	}
+
+	running.crash();
+	await delay(1000);
+	for (const engine of others) {
+		engine.backoffSeconds = undefined;
+	}
+
+	assertWhole(await answering!);
+});
+
+// A stream was closed at once since engines that ask to back off were not asked, so that none refused it.
+test('a stream whose engine crashes goes on at an engine that asked others to back off for a second before', async () => {
+	await using fleet = await GatewayFleet.create();
+	const {gateway, running, others, answering: [answering]} = await startStreams(fleet, [9000]);
+	for (const engine of others) {
+		engine.backoffSeconds = 1;
+	}
+
+	const leaving = new AbortController();
+	const refused = fleet.draft(gateway, {body: 'others', signal: leaving.signal, headers: {'x-azuretack-prompt-prefix': 'c3:200,d4:7800'}});
+	await fleet.until(() => others.every(({arrivals}) => arrivals.length > 0), 'all others have refused a request');
+	leaving.abort();
+	await refused;
+	for (const engine of others) {
+		engine.backoffSeconds = undefined;
+	}
+
+	running.crash();
+	assertWhole(await answering!);
+});
+
+// A stream that engines had refused was closed as soon as the retry budget refused it twice in a row.
+test('a stream whose engine crashes goes on once the retry budget allows it, a second later', async () => {
+	await using fleet = await GatewayFleet.create();
+	const {gateway, running, others, answering: [answering]} = await startStreams(fleet, [9000], {retryRatio: 1, retrySlack: 0, retryWindowSeconds: 10});
+	running.crash();
+	await delay(1000);
+	await Promise.all(Array.from({length: 10}, async () => fleet.draft(gateway)));
+	assert.ok(others.some(({runs}) => runs.length > 0));
+	assertWhole(await answering!);
+});
+
 // A request was sent on after its deadline, since only the pause between two rounds had passed when an engine was chosen.
 test('no request reaches an engine after the deadline of a stream that waits', async () => {
 	await using fleet = await GatewayFleet.create();
