Query engines that report that they are leaving once for each placement

What callers saw: a generation for which only engines were left that report that they are draining (before the store lists it, and without the header that says so) was refused at its deadline, and not at once. A gateway queried these engines without a pause meanwhile, also for each stream whose engine was silent.

Cause: EngineSelector.rank ranked again as long as a usable engine was left, and an engine that answered its query and reports that it is draining stays usable. The search for another engine for a silent stream did not end before its deadline, so that the stream was not left for a third engine either (by reading).

Why this works: an engine that was queried in a placement is not queried again in it, so that each round has fewer engines than the one before. If none qualifies, the request goes to one that did not respond, as before, and never to one that reports that it is draining.

--- a/source/forwarding/engine-selector.ts
+++ b/source/forwarding/engine-selector.ts
@@ -54,9 +54,14 @@
 		return !tried.has(endpoint.id) && !health.shouldAvoid(endpoint.id, now) && !backoff.isBackedOff(endpoint, now) && limiter.usable([endpoint], importance, now).length > 0 && endpoints.stateOf(endpoint) === 'listed';
 	}
 
-	/** Queries candidate engines for their load and returns them by increasing pending work. */
-	async rank(): Promise<QueriedEngine[]> {
-		const {exchange, dependencies, tried, tokens} = this.#options;
+	/**
+	 * Queries candidate engines for their load and returns them by increasing pending work.
+	 *
+	 * @param before Engines that were queried already and did not qualify; they are not queried again.
+	 */
+	async rank(before: readonly QueriedEngine[] = []): Promise<QueriedEngine[]> {
+		const {exchange, dependencies, tokens} = this.#options;
+		const tried = new Set([...this.#options.tried, ...before.map(({endpoint}) => endpoint.id)]);
 		const {endpoints, health, loads, clock} = dependencies;
 		const candidates = engineCandidates({
 			endpoints: usableEndpoints(this.#requestClass, dependencies),
@@ -79,7 +84,7 @@
 		const ranked = rankEngines({queried, loads, tokens});
 		return ranked.length > 0 || candidates.length === 0 || exchange.callerDisconnected.aborted || clock() >= exchange.deadline
 			? ranked
-			: this.#rankRemaining(candidates);
+			: this.#rankRemaining([...before, ...queried]);
 	}
 
 	/** Queries one engine for its load. */
@@ -109,9 +114,10 @@
 		return {service, importance};
 	}
 
-	/** Queries the remaining usable engines after no queried one qualified; if there are none, returns the candidates without reports. */
-	async #rankRemaining(candidates: readonly EndpointEntry[]): Promise<QueriedEngine[]> {
-		const others = usableEndpoints(this.#requestClass, this.#options.dependencies).some(endpoint => this.isUsable(endpoint));
-		return others ? this.rank() : candidates.map(endpoint => ({endpoint, report: undefined}));
+	/** Queries the remaining usable engines after no queried one qualified; if there are none, returns those that did not respond. */
+	async #rankRemaining(queried: readonly QueriedEngine[]): Promise<QueriedEngine[]> {
+		const ids = new Set(queried.map(({endpoint}) => endpoint.id));
+		const others = usableEndpoints(this.#requestClass, this.#options.dependencies).some(endpoint => !ids.has(endpoint.id) && this.isUsable(endpoint));
+		return others ? this.rank(queried) : queried.filter(({report}) => report === undefined);
 	}
 }
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -52,6 +52,8 @@
 	readonly runs: WorkerRun[];
 	/** Requests that reached it. */
 	readonly arrivals: WorkerArrival[];
+	/** Number of queries for its report. */
+	reports = 0;
 	/** Prompts that it read from their start. */
 	promptsRead = 0;
 	/** Runs that went on from a copy. */
@@ -118,6 +120,7 @@
 		}
 
 		if (request.url === '/api/report') {
+			this.reports += 1;
 			await delay(this.options.reportMilliseconds);
 			this.#report(response);
 			return;
