Send no generation to an engine for a caller that left before the attempt began

What callers saw: nothing; an engine was sent the request of a caller that had left while its request was admitted again (which waits for another one's trial of a part of its prompt), and worked on it until its response began or the deadline passed.

Cause: an attempt listens for the caller's leaving, and a signal that has aborted already does not fire again.

Evidence: generation-attempt.test.ts, 1 request at the engine before, none now.

Why this works: the attempt is aborted at once if the caller has left, and an aborted request is not sent.

--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -104,6 +104,10 @@
 		};
 
 		callerDisconnected.addEventListener('abort', abort);
+		if (callerDisconnected.aborted) {
+			abort();
+		}
+
 		this.#monitor.start();
 		try {
 			return await this.#run();
