--- a/source/forwarding/generation-attempt.test.ts
+++ b/source/forwarding/generation-attempt.test.ts
@@ -30,7 +30,6 @@
 		acquireAlternative: async () => false,
 		clock: () => performance.now(),
 	};
-	// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- The rest is not looked at.
 	return options as GenerationAttemptOptions;
 }
 
--- a/source/gateway/waiting-streams.test.ts
+++ b/source/gateway/waiting-streams.test.ts
@@ -105,3 +105,23 @@
 	assert.ok(lateness.length > deadlines.length);
 	assert.deepEqual(lateness.filter(milliseconds => milliseconds > arrivalMilliseconds), []);
 });
+
+// An engine that worked was left before its first event, and the request failed as soon as the other engines had refused it.
+test('a generation is answered whose engine reads its prompt for longer than usual while the other engines refuse it', async () => {
+	await using fleet = await GatewayFleet.create();
+	const options = {
+		service: 'scribe', events, eventMilliseconds: 50, promptMilliseconds: 2500,
+	};
+	await fleet.startWorker({id: 'scribe-1', ...options});
+	const gateway = await fleet.startGateway('gateway-1');
+	const answering = fleet.draft(gateway, {deadlineMilliseconds: 9000});
+	await delay(300);
+	for (const id of ['scribe-2', 'scribe-3']) {
+		const engine = await fleet.startWorker({id, ...options});
+		engine.fault = 'full';
+	}
+
+	const answer = await answering;
+	assert.equal(answer.status, 200);
+	assertWhole(answer);
+});
