--- a/source/forwarding/engine-rounds.ts
+++ b/source/forwarding/engine-rounds.ts
@@ -16,7 +16,7 @@
 /** Options of {@linkcode EngineRounds}. */
 export type EngineRoundsOptions = {
 	exchange: Exchange;
-	dependencies: Pick<ForwardingDependencies, 'logger'>;
+	dependencies: Pick<ForwardingDependencies, 'endpoints' | 'logger' | 'clock'>;
 	/** Ids of engines that must not be used again; engines are removed from it when a round begins. */
 	tried: Set<string>;
 };
@@ -29,7 +29,7 @@
  *
  * @example
  * ```ts
- * rounds.recordRefusal(endpoint.id);
+ * rounds.recordEnd(endpoint.id, 'again');
  * if (await rounds.next()) {
  * 	// Choose an engine again.
  * }
@@ -46,9 +46,18 @@
 		this.#options = options;
 	}
 
-	/** Records that an engine has refused the generation, or was left for its silence, so that only the next round may use it again. */
-	recordRefusal(id: string): void {
-		this.#refusedBy.add(id);
+	/**
+	 * Records the end of an attempt.
+	 *
+	 * @param id Id of the engine.
+	 * @param use `again` if the engine refused the generation, or was left for its silence, so that the next round may use it again.
+	 */
+	recordEnd(id: string, use: 'again' | 'never'): void {
+		if (use === 'again') {
+			this.#refusedBy.add(id);
+		} else {
+			this.#refusedBy.delete(id);
+		}
 	}
 
 	/** Waits between two attempts of a later round, so that a stream that waits does not use up the retry budget. */
@@ -59,50 +68,39 @@
 	}
 
 	/**
-	 * Waits until the retry budget is asked again.
+	 * Waits until the next round begins, or until the retry budget is asked again.
 	 *
-	 * @returns Whether it is asked again; false under the same conditions as for {@linkcode next}.
+	 * @returns Whether engines are asked again; false if the response has not begun, if waiting is of no use since all engines have lost it,
+	 * or if the deadline has passed or the caller has left meanwhile.
 	 */
-	async waitForBudget(): Promise<boolean> {
-		if (!this.#mayWait) {
+	async next(): Promise<boolean> {
+		const {exchange: {requestName, response, deadline, callerDisconnected}, dependencies: {logger, clock}, tried} = this.#options;
+		if (!response.headersSent || callerDisconnected.aborted || !this.#mayFindEngine()) {
 			return false;
 		}
 
-		await this.#pause();
-		return true;
-	}
-
-	/**
-	 * Waits until the next round begins.
-	 *
-	 * @returns Whether engines are asked again; false if the response has not begun, or if waiting is of no use since no engine refused it.
-	 */
-	async next(): Promise<boolean> {
-		if (!await this.waitForBudget()) {
-			return false;
+		if (!this.#hasWaited) {
+			this.#hasWaited = true;
+			logger.info('stream waits for an engine', {request: requestName, refusedBy: [...this.#refusedBy]});
 		}
 
+		await this.#pause();
 		for (const id of this.#refusedBy) {
-			this.#options.tried.delete(id);
+			tried.delete(id);
 		}
 
-		this.#refusedBy.clear();
-		return true;
+		return clock() < deadline && !callerDisconnected.aborted;
 	}
 
 	async #pause(): Promise<void> {
-		const {exchange: {requestName, callerDisconnected}, dependencies: {logger}} = this.#options;
-		if (!this.#hasWaited) {
-			this.#hasWaited = true;
-			logger.info('stream waits for an engine', {request: requestName, refusedBy: [...this.#refusedBy]});
-		}
-
-		await pause(this.#nextPauseMilliseconds, callerDisconnected);
+		const {exchange: {deadline, callerDisconnected}, dependencies: {clock}} = this.#options;
+		await pause(Math.min(this.#nextPauseMilliseconds, Math.max(0, deadline - clock())), callerDisconnected);
 		this.#nextPauseMilliseconds = Math.min(this.#nextPauseMilliseconds * 2, maximumPauseMilliseconds);
 	}
 
-	get #mayWait(): boolean {
-		const {response, callerDisconnected} = this.#options.exchange;
-		return response.headersSent && this.#refusedBy.size > 0 && !callerDisconnected.aborted;
+	/** Whether an engine may take the generation later: one that refused it, or one that asks to back off or lacks permits now. */
+	#mayFindEngine(): boolean {
+		const {exchange: {service}, dependencies: {endpoints, clock}, tried} = this.#options;
+		return this.#refusedBy.size > 0 || endpoints.endpointsOf(service.name, clock()).some(({id}) => !tried.has(id));
 	}
 }
