Send the whole list to a gateway that has fewer entries than the one it follows

What callers saw: nothing so far; an endpoint that is there gets no requests from some gateways until its entry changes.

Cause: gateways send each other the entries whose content changed. One that polled the store before an entry was removed and after it was written again with the same content saw no change, so a gateway that saw the removal and follows that one never got the entry.

Fix: an update names the number of entries (`endpointCount`, optional; earlier builds send none and ignore it). A gateway that applied an update of its own revision and has fewer entries sends its next request without a revision of the endpoints, which any build answers with the whole list. What is older than what the receiver knows is ignored as before, so a removal that is newer stays. Entries that are about to be used again or removed are not compared.

Not covered: a gateway that has one entry too few and one too many (the numbers are equal).

--- a/source/beliefs/endpoint-list.ts
+++ b/source/beliefs/endpoint-list.ts
@@ -4,12 +4,13 @@
  * @module
  */
 import {isDeepStrictEqual} from 'node:util';
-import {eraOf} from './store-revision.ts';
 import {ageOf, type ClockReading} from './clock.ts';
 import {
 	type EndpointChange, type EndpointEntry, type EndpointIncarnation, type IncarnationState, type LeavingIncarnation,
 } from './endpoint-entry.ts';
-import {changeOf, postpone, type KnownEndpoint} from './known-endpoint.ts';
+import {
+	changeOf, postpone, wasRemovedBeforeCopy, type KnownEndpoint,
+} from './known-endpoint.ts';
 import {LeavingAnnouncements} from './leaving-announcements.ts';
 
 /** Options of {@linkcode EndpointList}. */
@@ -45,6 +46,8 @@
 	#byService: Map<string, EndpointEntry[]> | undefined;
 	/** Time after which an entry from an older copy of the store is gone unless its endpoint is alive, in milliseconds. */
 	readonly #copyExpiryMilliseconds: number;
+	/** Number of endpoints that have an entry; undefined until it is counted again after a change. */
+	#size: number | undefined;
 	#hasUpcoming = false;
 	#outageEndedAt = Number.NEGATIVE_INFINITY;
 	#revision = 0;
@@ -56,7 +59,14 @@
 
 	/** Number of endpoints that have an entry. */
 	get size(): number {
-		return [...this.#known.values()].filter(({entry}) => entry).length;
+		this.#size ??= [...this.#known.values()].filter(({entry}) => entry).length;
+		return this.#size;
+	}
+
+	/** Returns the number of endpoints that have an entry, or undefined while an entry or a removal is to take effect later. */
+	settledSize(now: number): number | undefined {
+		this.#applyUpcoming(now);
+		return this.#hasUpcoming ? undefined : this.size;
 	}
 
 	/** Revision up to which all changes have been received. */
@@ -121,7 +131,7 @@
 	replace(changes: readonly EndpointChange[], revision: number, now: number): void {
 		const listed = new Set(changes.map(({id}) => id));
 		const removed = [...this.#known.keys()].filter(id => !listed.has(id)).map(id => ({id, entry: undefined, revision}));
-		const current = changes.map(change => this.#wasRemovedBeforeCopy(change) ? postpone(change, this.#copyExpiryMilliseconds) : change);
+		const current = changes.map(change => wasRemovedBeforeCopy(this.#known.get(change.id), change) ? postpone(change, this.#copyExpiryMilliseconds) : change);
 		this.apply([...current, ...removed], now);
 		this.#markChanged(changes);
 	}
@@ -173,10 +183,7 @@
 	 * @param now Steady time, in milliseconds.
 	 */
 	endpointsOf(service: string, now: number): readonly EndpointEntry[] {
-		if (this.#hasUpcoming) {
-			this.#applyUpcoming(now);
-		}
-
+		this.#applyUpcoming(now);
 		this.#byService ??= this.#groupByService();
 		return this.#byService.get(service) ?? [];
 	}
@@ -223,6 +230,7 @@
 		});
 		this.#hasUpcoming ||= upcoming !== undefined;
 		this.#byService = undefined;
+		this.#size = undefined;
 	}
 
 	/** Marks entries of a list as changed: what happened to them before it was read is not known, and other gateways may have seen it. */
@@ -236,8 +244,9 @@
 	}
 
 	#applyUpcoming(now: number): void {
+		const candidates = this.#hasUpcoming ? this.#known.values() : [];
 		this.#hasUpcoming = false;
-		for (const known of this.#known.values()) {
+		for (const known of candidates) {
 			if (!known.upcoming) {
 				continue;
 			}
@@ -248,6 +257,7 @@
 				known.entry = known.upcoming.entry;
 				known.upcoming = undefined;
 				this.#byService = undefined;
+				this.#size = undefined;
 			}
 		}
 	}
@@ -273,12 +283,6 @@
 		return !entry && !upcoming && isListed && now - this.#outageEndedAt < reregistrationMilliseconds;
 	}
 
-	/** Whether an entry was removed in an earlier era of the store than that of its row. */
-	#wasRemovedBeforeCopy({id, revision}: EndpointChange): boolean {
-		const known = this.#known.get(id);
-		return known !== undefined && known.entry === undefined && eraOf(known.revision) < eraOf(revision);
-	}
-
 	#pruneRemovals(): void {
 		const removed = [...this.#known].filter(([, {entry}]) => !entry);
 		const forgotten = new Set(removed.slice(0, Math.max(0, removed.length - retainedRemovals)).map(([id]) => id));
--- a/source/beliefs/known-endpoint.ts
+++ b/source/beliefs/known-endpoint.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {type EndpointChange, type EndpointEntry} from './endpoint-entry.ts';
+import {eraOf} from './store-revision.ts';
 
 /** What a gateway knows of one endpoint. */
 export type KnownEndpoint = {
@@ -45,3 +46,8 @@
 export function postpone({id, entry, revision}: EndpointChange, milliseconds: number): EndpointChange {
 	return {id, upcoming: entry && {entry, inMilliseconds: milliseconds}, revision};
 }
+
+/** Returns whether an endpoint's entry was removed in an earlier era of the store than that of a row. */
+export function wasRemovedBeforeCopy(known: KnownEndpoint | undefined, {revision}: EndpointChange): boolean {
+	return known !== undefined && known.entry === undefined && eraOf(known.revision) < eraOf(revision);
+}
--- a/source/beliefs/mod.ts
+++ b/source/beliefs/mod.ts
@@ -10,6 +10,7 @@
 export * from './endpoint-entry.ts';
 export * from './endpoint-list.ts';
 export * from './follow-table.ts';
+export * from './missing-entries.ts';
 export * from './update-times.ts';
 export * from './row-cache.ts';
 export * from './store-clock.ts';
--- a/source/fleet/exchange-protocol.ts
+++ b/source/fleet/exchange-protocol.ts
@@ -47,6 +47,8 @@
 	/** Changes of the endpoints since the known revision. */
 	endpoints: z.array(endpointChangeSchema),
 	endpointRevision: z.number(),
+	/** Number of endpoints that have an entry; absent while entries are about to change, and from a gateway of an earlier build. */
+	endpointCount: z.number().optional(),
 	/** Time since the endpoints were last confirmed to be complete, in milliseconds; absent if they never were. */
 	endpointAgeMilliseconds: z.number().optional(),
 	/** Changes of the suspected requests since the known revision. */
--- a/source/fleet/follow-source.ts
+++ b/source/fleet/follow-source.ts
@@ -15,8 +15,8 @@
 
 /** The cached content of the store that gateways share with each other. */
 export type SharedState = {
-	/** Returns the revisions that this gateway has. */
-	knownRevisions(): KnownRevisions;
+	/** Returns the revisions to send with a request: those that this gateway has, or none for the endpoints to get the whole list. */
+	knownRevisions(now: ClockReading): KnownRevisions;
 	/** Returns the age of the least recently confirmed part, in milliseconds. */
 	age(now: ClockReading): number;
 	/** Returns the changes that a gateway with the given revisions lacks. */
@@ -68,7 +68,7 @@
 
 async function querySource({members, sharedState, readClock}: FollowSourceOptions, client: ExchangeClient, source: Member): Promise<void> {
 	const requestedAt = readClock();
-	const response = await client.exchange(source.peers, {members: [members.self], known: sharedState.knownRevisions()}, requestTimeoutMilliseconds);
+	const response = await client.exchange(source.peers, {members: [members.self], known: sharedState.knownRevisions(requestedAt)}, requestTimeoutMilliseconds);
 	if (response.isErr()) {
 		members.markUnreachable(source.name);
 	} else if (response.value.news) {
--- a/source/fleet/query-seeds.ts
+++ b/source/fleet/query-seeds.ts
@@ -116,7 +116,7 @@
 /** Queries a seed, and applies its state if it has one. */
 async function querySeed({members, sharedState, readClock, onUpdate}: QuerySeedsOptions, client: ExchangeClient, seed: string): Promise<SeedOutcome> {
 	const requestedAt = readClock();
-	const response = await client.exchange(seed, {members: [members.self], known: sharedState.knownRevisions()}, requestTimeoutMilliseconds);
+	const response = await client.exchange(seed, {members: [members.self], known: sharedState.knownRevisions(requestedAt)}, requestTimeoutMilliseconds);
 	if (response.isErr()) {
 		return 'silent';
 	}
--- a/source/gateway/shared-state.ts
+++ b/source/gateway/shared-state.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {
-	eraOf, revisionOf, versionOf, type ClockReading,
+	MissingEntries, eraOf, revisionOf, versionOf, type ClockReading,
 } from '../beliefs/mod.ts';
 import {
 	packConfiguration, unpackConfiguration, type StoreUpdate, type SharedState,
@@ -18,7 +18,8 @@
  * @param parts The gateway's components.
  */
 export function createSharedState(parts: GatewayParts): SharedState {
-	const {configuration, endpoints, suspects, limiter: {published: limits}, logger} = parts;
+	const {configuration, endpoints, suspects, limiter: {published: limits}, logger, random} = parts;
+	const missingEntries = new MissingEntries({random});
 	/** Applies a packed configuration; returns whether it could be decoded. */
 	const applyPackedConfiguration = (text: string): boolean => {
 		const unpacked = unpackConfiguration(text);
@@ -34,15 +35,16 @@
 	/** Newest era of the store from which this gateway holds rows. */
 	const currentEra = () => eraOf(Math.max(endpoints.revision, suspects.known.revision, limits.revision));
 	return {
-		knownRevisions() {
+		knownRevisions({steady}) {
 			const era = currentEra();
-			return {
+			const revisions = {
 				era,
 				configurationVersion: configuration.table?.version ?? 0,
 				endpointRevision: versionIn(era, endpoints.revision),
 				suspectRevision: versionIn(era, suspects.known.revision),
 				limitRevision: versionIn(era, limits.revision),
 			};
+			return missingEntries.shouldRequestAll(steady) ? {...revisions, era: 0, endpointRevision: 0} : revisions;
 		},
 		age: now => Math.max(configuration.snapshot(now).ageMilliseconds, endpoints.age(now)),
 		updateFor({era: knownEra, configurationVersion, endpointRevision, suspectRevision, limitRevision}, now) {
@@ -55,6 +57,7 @@
 				configurationAgeMilliseconds: finiteOrUndefined(ageMilliseconds),
 				endpoints: withVersions(endpoints.changesSince(revisionOf(knownEra, endpointRevision), now.steady)),
 				endpointRevision: versionIn(era, endpoints.revision),
+				endpointCount: endpoints.settledSize(now.steady),
 				endpointAgeMilliseconds: finiteOrUndefined(endpoints.age(now)),
 				suspects: withVersions(suspects.known.changesSince(revisionOf(knownEra, suspectRevision))),
 				suspectRevision: versionIn(era, suspects.known.revision),
@@ -80,8 +83,14 @@
 			limits.apply(withRevisions(update.limits));
 			limits.confirm(revisionOf(era, update.limitRevision));
 			endpoints.apply(withRevisions(update.endpoints), requestedAt.steady);
-			if (update.endpointAgeMilliseconds !== undefined) {
-				endpoints.confirm(revisionOf(era, update.endpointRevision), subtractMilliseconds(requestedAt, update.endpointAgeMilliseconds));
+			if (update.endpointAgeMilliseconds === undefined) {
+				return;
+			}
+
+			const revision = revisionOf(era, update.endpointRevision);
+			endpoints.confirm(revision, subtractMilliseconds(requestedAt, update.endpointAgeMilliseconds));
+			if (endpoints.revision === revision) {
+				missingEntries.compare({own: endpoints.settledSize(requestedAt.steady), source: update.endpointCount}, requestedAt.steady);
 			}
 		},
 	};
