Don't count an endpoint as broken that a hedge has overtaken once

Cause: when a call was answered, each other attempt of it was aborted by us and counted as `broken` (weight 0.5, avoided for 300 ms, then a load penalty that takes more than 8 s to fall below the jitter). That was so for the first attempt, which was slower than the hedge once, and also for a hedge that had run for some ms only when the first attempt answered. An endpoint that gets many requests clears it by its next successes; one that gets few is not chosen, so it has no success.

Fix: an attempt that was sent later than the one that answered says nothing about its endpoint. One that was sent earlier was overtaken: once, that is only remembered; it counts as `broken`, as before, if an attempt that was sent after that is overtaken too and the endpoint had no success in between. Attempts that were sent at the same time and lost together count once.

The tests that an endpoint that is mute or eight times slower is avoided (at most a tenth of the calls) passed before and pass now.

--- a/source/balancing/balancing.test.ts
+++ b/source/balancing/balancing.test.ts
@@ -47,6 +47,19 @@
 	assert.ok(counts.get('4')! < 200, `the failing endpoint got ${counts.get('4')} of 2,000`);
 });
 
+test('an endpoint that was overtaken by hedges fails only if a later request is overtaken as well, without a success in between', () => {
+	const health = new EndpointHealth();
+	health.recordOvertaken('1', {sentAt: 0, now: 60});
+	health.recordOvertaken('1', {sentAt: 50, now: 110});
+	assert.equal(health.failureRate('1', 110), 0);
+	health.recordSuccess('1', 120);
+	health.recordOvertaken('1', {sentAt: 130, now: 190});
+	assert.equal(health.failureRate('1', 190), 0);
+	health.recordOvertaken('1', {sentAt: 200, now: 260});
+	assert.ok(health.failureRate('1', 260) > 0);
+	assert.equal(health.shouldAvoid('1', 300), true);
+});
+
 test('an unreachable endpoint is avoided for a while, but used if there is no other', () => {
 	const health = new EndpointHealth();
 	health.recordFailure('1', 'unreachable', 0);
--- a/source/balancing/endpoint-health.ts
+++ b/source/balancing/endpoint-health.ts
@@ -39,9 +39,12 @@
  */
 export class EndpointHealth {
 	readonly #records = new Map<string, HealthRecord>();
+	/** When each endpoint was first overtaken since its last success. */
+	readonly #overtakenAt = new Map<string, number>();
 
 	/** Records a successful request. */
 	recordSuccess(id: string, now: number): void {
+		this.#overtakenAt.delete(id);
 		const record = this.#records.get(id);
 		if (!record) {
 			return;
@@ -63,6 +66,22 @@
 		this.#records.set(id, {rate: Math.max(before, rate), at: now, avoidUntil});
 	}
 
+	/**
+	 * Records a request that was aborted because one that was sent to another endpoint later was answered first. Once, this happens to sound
+	 * endpoints as well; it is a failure if a request that was sent afterwards is overtaken too, without a success in between.
+	 *
+	 * @param id Id of the endpoint.
+	 * @param times When the request was sent, and the present time, in milliseconds.
+	 */
+	recordOvertaken(id: string, {sentAt, now}: {sentAt: number; now: number}): void {
+		const overtakenAt = this.#overtakenAt.get(id);
+		if (overtakenAt === undefined) {
+			this.#overtakenAt.set(id, now);
+		} else if (sentAt > overtakenAt) {
+			this.recordFailure(id, 'broken', now);
+		}
+	}
+
 	/** Returns the weighted failure rate of recent requests, which decays over time. */
 	failureRate(id: string, now: number): number {
 		const record = this.#records.get(id);
--- a/source/forwarding/forward-call.ts
+++ b/source/forwarding/forward-call.ts
@@ -18,15 +18,10 @@
 import {type Exchange, type ExchangeOutcome} from './exchange.ts';
 import {type ForwardingDependencies} from './forwarding-dependencies.ts';
 import {type LostAttempt} from './crash-detector.ts';
+import {hedgeDelay} from './hedge-delay.ts';
 import {mayRetry} from './retry-decision.ts';
 import {sendCallAttempt} from './send-call-attempt.ts';
 
-/** Share of the target response time after which an idempotent call is hedged, that is, sent to a second endpoint as well. */
-const hedgeShare = 0.5;
-
-/** Minimum delay before a call is hedged, in milliseconds. */
-const minimumHedgeDelayMilliseconds = 40;
-
 /** Default `Retry-After` if no endpoint is available, in milliseconds. */
 const defaultRetryAfterMilliseconds = 250;
 
@@ -52,6 +47,8 @@
 	#runs = 0;
 	/** Whether the deadline passed before an endpoint responded. */
 	#timedOut = false;
+	/** When the attempt was sent whose response the caller gets. */
+	#answeredAttemptSentAt = Number.NEGATIVE_INFINITY;
 
 	constructor(exchange: Exchange, dependencies: ForwardingDependencies) {
 		this.#exchange = exchange;
@@ -69,7 +66,7 @@
 
 	async #serve(): Promise<ExchangeOutcome> {
 		const {response, route} = this.#exchange;
-		const hedgeAt = this.#exchange.arrivedAt + Math.max(minimumHedgeDelayMilliseconds, route.targetMilliseconds * hedgeShare);
+		const hedgeAt = this.#exchange.arrivedAt + hedgeDelay(route.targetMilliseconds);
 		let mayHedge = route.kind === 'idempotent' && route.maximumAttempts > 1 && this.#exchange.handling === 'none';
 		const first = await this.#acquireEndpoint();
 		if (this.#exchange.callerDisconnected.aborted) {
@@ -185,23 +182,29 @@
 	#startAttempt(endpoint: EndpointEntry): void {
 		this.#tried.add(endpoint.id);
 		this.#runs += 1;
+		const sentAt = this.#dependencies.clock();
 		this.#attempts.start(endpoint, async context => {
 			const result = await sendCallAttempt(endpoint, this.#exchange, context, this.#dependencies);
-			this.#recordResult(result);
+			this.#recordResult(result, sentAt);
 			return result;
 		});
 	}
 
 	/** Records the endpoint's health from the result of an attempt. */
-	#recordResult(result: CallAttemptResult): void {
+	#recordResult(result: CallAttemptResult, sentAt: number): void {
 		const {endpoints, health, logger, clock} = this.#dependencies;
 		const {endpoint} = result;
 		if (this.#attempts.hasEnded) {
-			if (result.kind === 'unsuccessful' && result.end === 'lost' && !this.#exchange.callerDisconnected.aborted) {
-				health.recordFailure(endpoint.id, 'broken', clock());
+			const isLost = result.kind === 'unsuccessful' && result.end === 'lost' && !this.#exchange.callerDisconnected.aborted;
+			if (isLost && sentAt < this.#answeredAttemptSentAt) {
+				health.recordOvertaken(endpoint.id, {sentAt, now: clock()});
 			}
 
 			if (this.#timedOut) {
+				if (isLost) {
+					health.recordFailure(endpoint.id, 'broken', clock());
+				}
+
 				this.#dependencies.crashDetector.watchList(this.#lostAttempt(endpoint));
 			}
 
@@ -209,10 +212,12 @@
 		}
 
 		if (result.kind === 'streaming') {
+			this.#answeredAttemptSentAt = sentAt;
 			return;
 		}
 
 		if (result.kind === 'answered') {
+			this.#answeredAttemptSentAt = sentAt;
 			health.recordSuccess(endpoint.id, clock());
 			return;
 		}
