Bound the interim responses of an attempt

Cause, by reading and now by a test: nothing bounded the interim responses of an attempt before its deadline, and each costs the gateway an event.

Fix: after 100 interim responses (`maximumInterimResponses`) the connection is closed and the attempt is lost, as for any other answer that breaks the protocol; the request is retried only where that is allowed for a lost attempt.

Evidence: the first new test in send-request.test.ts failed before (no outcome within 5 s) and passes now; the second one, 60 interim responses before each of three answers, passes before and after. endless-bytes.test.ts 18 of 18, forwarding, balancing, foreign-answers, broken-answers, lost-hedges and shared-state tests 74 of 74 (load 12 to 16).

--- a/source/forwarding/send-request.test.ts
+++ b/source/forwarding/send-request.test.ts
@@ -108,6 +108,35 @@
 	assert.equal(outcome.kind, 'lost');
 });
 
+const interimResponse = 'HTTP/1.1 102 Processing\r\n\r\n';
+
+test('an attempt whose endpoint sends interim responses without an end is lost, and its connection is closed', {timeout: 5000}, async context => {
+	const closed = new AbortController();
+	const endpoint = await startEndpoint(context, socket => {
+		const timer = setInterval(() => {
+			socket.write(interimResponse.repeat(10));
+		}, 2);
+		socket.once('close', () => {
+			clearInterval(timer);
+			closed.abort();
+		});
+	});
+	const outcome = await send(endpoint);
+	assert.equal(outcome.kind, 'lost');
+	if (!closed.signal.aborted) {
+		await once(closed.signal, 'abort');
+	}
+});
+
+test('a response after some interim responses is received, also when its connection had as many before', async context => {
+	const endpoint = await startEndpoint(context, socket => {
+		socket.write(`${interimResponse.repeat(60)}HTTP/1.1 200 OK\r\nX-Azuretack-Attempt-Id: a\r\nContent-Length: 2\r\n\r\nhi`);
+	});
+	for (let request = 0; request < 3; request += 1) {
+		assert.equal(await readAll(await send(endpoint)), 'hi');
+	}
+});
+
 test('bytes after a complete response are not taken for the response to a later request', async context => {
 	let requests = 0;
 	const endpoint = await startEndpoint(context, (socket, request) => {
--- a/source/forwarding/send-request.ts
+++ b/source/forwarding/send-request.ts
@@ -56,6 +56,13 @@
 	override name = 'ConnectTimeoutError';
 }
 
+class TooManyInterimResponsesError extends Error {
+	override name = 'TooManyInterimResponsesError';
+}
+
+/** Number of interim (1xx) responses that an endpoint may send before its response; each costs an event, and a sound endpoint sends a few. */
+const maximumInterimResponses = 100;
+
 const methodsWithBody = new Set(['POST', 'PUT', 'PATCH']);
 
 /**
@@ -103,6 +110,13 @@
 				timeout.clear();
 			});
 		});
+		let interimResponses = 0;
+		request.on('information', () => {
+			interimResponses += 1;
+			if (interimResponses === maximumInterimResponses + 1) {
+				request.destroy(new TooManyInterimResponsesError(`more than ${maximumInterimResponses} interim responses`));
+			}
+		});
 		request.on('error', error => {
 			failure ??= error;
 			resolve({kind: connected && !isConnectError(error) ? 'lost' : 'not-sent', message: error.message});
