Count a request as in progress until its response is delivered

What callers saw: of 60 answers of 200 KB that were asked for on one connection, a caller that read slowly got 20 whole ones; the connection closed without the others although the stop had 11 of its 12 seconds left.

Cause: a stop looked at responses that had been written, not at those that had been handed to the operating system. The process left as idle 0.8 s after the signal; and closing the server destroys each connection whose present response has been written, with what waits behind it.

Evidence: slow-readers.test.ts: 20 of 60 answers on the code before (gateway stopped 0.81 s after the signal, 0 in progress), 60 of 60 with the change; still 20 of 60 with the count alone and the server closed as before. One streamed answer of 16 MB was whole on the code before as well, as its handler waits for the caller.

Why it works: a request is in progress until its response is delivered or its connection has closed, also where it waits behind others on its connection, and the server is closed once no written response is left undelivered, or at the end of the stop.

--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -143,9 +143,9 @@
 	logger.info('gateway stops', {inProgress: shutdown.inProgress});
 	void limiter.stop();
 	while (!shutdown.canExit(clock())) {
-		if (!shutdown.acceptsRequests(clock()) && callerServer.listening) {
+		// Closing the server destroys connections whose response has been written, delivered or not.
+		if (!shutdown.acceptsRequests(clock()) && callerServer.listening && shutdown.undelivered === 0) {
 			callerServer.close();
-			callerServer.closeIdleConnections();
 		}
 
 		await pause(shutdownPollMilliseconds);
--- a/source/gateway/graceful-shutdown.ts
+++ b/source/gateway/graceful-shutdown.ts
@@ -10,6 +10,13 @@
 	timeoutMilliseconds: number;
 };
 
+/** A request in progress. */
+type TrackedRequest = {
+	/** Ends it with a response of its own if it can't be completed. */
+	onExit: () => void;
+	isWritten: () => boolean;
+};
+
 /** Fraction of the shutdown timeout during which new requests are accepted, since callers may not know of the shutdown yet. */
 const acceptingShare = 0.3;
 
@@ -34,8 +41,8 @@
 export class GracefulShutdown {
 	readonly #timeoutMilliseconds: number;
 	#startedAt: number | undefined;
-	/** Ends each request in progress with a response of its own if it can't be completed. */
-	readonly #inProgress = new Set<() => void>();
+	/** Requests whose response has not been delivered. */
+	readonly #inProgress = new Set<TrackedRequest>();
 	#lastRequestAt = Number.NEGATIVE_INFINITY;
 
 	constructor({timeoutMilliseconds}: GracefulShutdownOptions) {
@@ -52,6 +59,11 @@
 		return this.#inProgress.size;
 	}
 
+	/** Number of requests in progress whose response has been written, but not delivered. */
+	get undelivered(): number {
+		return [...this.#inProgress].filter(({isWritten}) => isWritten()).length;
+	}
+
 	/** Starts the shutdown; later calls have no effect. */
 	start(now: number): void {
 		this.#startedAt ??= now;
@@ -62,24 +74,22 @@
 	 *
 	 * @param now Monotonic time, in milliseconds.
 	 * @param onExit Called if the process exits before the request has ended.
-	 * @returns Marks the request as ended; may be called more than once.
+	 * @param isWritten Whether its whole response has been written, delivered or not. Default never.
+	 * @returns Marks the request as ended, its response being delivered; may be called more than once.
 	 */
-	trackRequest(now: number, onExit: () => void): () => void {
-		const endAtExit = () => {
-			onExit();
-		};
-
+	trackRequest(now: number, onExit: () => void, isWritten: () => boolean = () => false): () => void {
+		const request = {onExit, isWritten};
 		this.#lastRequestAt = now;
-		this.#inProgress.add(endAtExit);
+		this.#inProgress.add(request);
 		return () => {
-			this.#inProgress.delete(endAtExit);
+			this.#inProgress.delete(request);
 		};
 	}
 
 	/** Ends the requests that are still in progress when the process exits. */
 	endRequests(): void {
-		for (const endAtExit of this.#inProgress) {
-			endAtExit();
+		for (const {onExit} of this.#inProgress) {
+			onExit();
 		}
 	}
 
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -13,6 +13,7 @@
 	admitRequest, selectService, type AdmissionDecision, type RequestKind, type Route,
 } from '../routing/mod.ts';
 import {callerDisconnectSignal} from '../supervision/caller-signal.ts';
+import {responseDelivery} from '../supervision/response-delivery.ts';
 import {RequestIdentity, type SuspectedRequests} from '../suspects/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 
@@ -60,7 +61,8 @@
 	const arrivedAt = parts.clock();
 	const finishTracking = parts.shutdown.trackRequest(arrivedAt, () => {
 		sendErrorResponse(response, stoppedUnanswered);
-	});
+	}, () => response.writableEnded);
+	const delivery = responseDelivery(request, response);
 	const terms = decodeRequestHeaders(request.headers);
 	const requestName = terms.attempt ?? 'unnamed';
 	if (parts.shutdown.hasStarted) {
@@ -75,7 +77,7 @@
 		sendErrorResponse(response, internalError);
 		result = {outcome: 'internal_error', status: 0, endpoints: []};
 	} finally {
-		finishTracking();
+		void delivery.then(finishTracking);
 	}
 
 	closeUnended(response, requestName, parts);
