--- a/source/gateway/slow-readers.test.ts
+++ b/source/gateway/slow-readers.test.ts
@@ -30,6 +30,7 @@
 	'16 MB': {answerBytes: 16_000_000, count: 1},
 };
 
+// A gateway that stopped counted answers as done that were written and not delivered, and closed their connections.
 for (const [size, {answerBytes, count}] of Object.entries(answersBySize)) {
 	test(`${count} answers of ${size} arrive whole although their caller pauses during a planned stop`, async () => {
 		const {fleet, gateway} = await startFleet(answerBytes);
@@ -46,7 +47,6 @@
 		await delay(pauseMilliseconds);
 		caller.resume();
 		const answers = await caller.answers(count, 3000);
-		console.log(answers.length, answers.map(a => a.status).join(), gateway.log.join('').split('\n').filter(l => /request ended|stop/v.test(l)).map(l => l.slice(0, 260)).slice(-4).join('\n'));
 		assert.equal(answers.length, count);
 		assert.ok(answers.every(({status, body}) => status === 200 && body.length === answerBytes));
 		await exited;
