Answer a request at its deadline, whatever it waits for

Callers saw: a request that waited for a retry's permit, an endpoint's permit, a check for a crash or its admission got no answer before that wait ended, also past its deadline; an answer that was ready meanwhile (of the first attempt or of a hedge) was not delivered; a generation whose caller had left during its second admission was still sent to an engine.

Cause: the call forwarder, the generation forwarder and serveRequest awaited these one after the other. While one was awaited, neither a finished attempt nor the deadline nor the caller's leaving was looked at.

Fix: the call forwarder has one loop that waits for whatever comes first: a finished attempt, a prepared one, the time of the hedge, the deadline, or that the caller leaves. An attempt is prepared beside it, one at a time, and not started once the deadline has passed. Generations and admissions wait within their deadline (settleInTime). A request that was not sent is refused with 503, one that may have run gets 502 or 504. A trial that is granted too late, or whose caller has left before it ran, is reverted.

Ruled out: the retry of an at-most-once call still follows only an attempt that surely was not run, and nothing else is in progress then.

--- a/source/forwarding/admit-again.ts
+++ b/source/forwarding/admit-again.ts
@@ -3,26 +3,38 @@
  *
  * @module
  */
-import {type SuspectedRequests} from '../suspects/mod.ts';
+import {
+	err, ok, type Result,
+} from 'neverthrow';
+import {type WaitEnd} from '../supervision/settle-in-time.ts';
+import {admitInTime} from './admit-in-time.ts';
 import {handlingOf, type Exchange} from './exchange.ts';
+import {type ForwardingDependencies} from './forwarding-dependencies.ts';
+
+/** Why a request is not admitted again: it is refused for a time, or was not admitted in time. */
+export type NotAdmitted = {kind: 'refused'; retryAfterMilliseconds: number} | {kind: WaitEnd};
 
 /**
  * Admits a request again if it is refused by now: it may have waited, or its own endpoint may have crashed.
  *
  * @param exchange The request; its handling is updated.
- * @param suspects Requests and prompt parts that crash endpoints.
- * @returns The refusal; `undefined` if the request may be sent.
+ * @param dependencies Requests and prompt parts that crash endpoints, and the clock.
+ * @returns Why the request may not be sent, if it may not.
  */
-export async function admitAgain(exchange: Exchange, suspects: Pick<SuspectedRequests, 'admit' | 'isRefused'>): Promise<{retryAfterMilliseconds: number} | undefined> {
-	if (exchange.handling === 'trial' || !suspects.isRefused(exchange.identity)) {
-		return undefined;
+export async function admitAgain(exchange: Exchange, dependencies: Pick<ForwardingDependencies, 'suspects' | 'clock'>): Promise<Result<void, NotAdmitted>> {
+	if (exchange.handling === 'trial' || !dependencies.suspects.isRefused(exchange.identity)) {
+		return ok();
+	}
+
+	const admitted = await admitInTime(exchange, dependencies);
+	if (admitted.isErr()) {
+		return err({kind: admitted.error});
 	}
 
-	const admission = await suspects.admit(exchange.identity);
-	if (admission.kind === 'refused') {
-		return admission;
+	if (admitted.value.kind === 'refused') {
+		return err(admitted.value);
 	}
 
-	exchange.handling = handlingOf(admission);
-	return undefined;
+	exchange.handling = handlingOf(admitted.value);
+	return ok();
 }
--- a/source/forwarding/call-attempts.ts
+++ b/source/forwarding/call-attempts.ts
@@ -5,6 +5,7 @@
  */
 import {type ServerResponse} from 'node:http';
 import {type EndpointEntry} from '../beliefs/mod.ts';
+import {settleInTime} from '../supervision/settle-in-time.ts';
 import {type CallAttemptResult} from './call-attempt-result.ts';
 import {type ResponseBuffer, type ResponseBuffers} from './response-buffers.ts';
 
@@ -65,26 +66,21 @@
 		this.#pending.set(endpoint.id, run({signal: controller.signal, buffer}));
 	}
 
-	/** Waits for the next attempt result; returns `undefined` if the given time passes or the caller disconnects first. */
-	async next(until: number): Promise<CallAttemptResult | undefined> {
-		const {callerDisconnected, clock} = this.#options;
-		if (callerDisconnected.aborted) {
+	/**
+	 * Waits for the next attempt result.
+	 *
+	 * @param until Monotonic time until which to wait, in milliseconds.
+	 * @param preparation Ends the wait as well: the next attempt is prepared. Default none.
+	 * @returns The result; `undefined` if the preparation or the given time ends, or the caller disconnects, first.
+	 */
+	async next(until: number, preparation?: Promise<undefined>): Promise<CallAttemptResult | undefined> {
+		const {callerDisconnected: signal, clock} = this.#options;
+		if (signal.aborted) {
 			return undefined;
 		}
 
-		let timer: NodeJS.Timeout | undefined;
-		let onInterrupt: (() => void) | undefined;
-		const interrupted = new Promise<undefined>(resolve => {
-			onInterrupt = () => {
-				resolve(undefined);
-			};
-
-			timer = setTimeout(onInterrupt, Math.max(0, until - clock()));
-			callerDisconnected.addEventListener('abort', onInterrupt);
-		});
-		const result = await Promise.race([...this.#pending.values(), interrupted]);
-		clearTimeout(timer);
-		callerDisconnected.removeEventListener('abort', onInterrupt!);
+		const settled = await settleInTime(Promise.race([...this.#pending.values(), ...(preparation ? [preparation] : [])]), {until, signal, clock});
+		const result = settled.unwrapOr(undefined);
 		if (result) {
 			this.#pending.delete(result.endpoint.id);
 		}
--- a/source/forwarding/forward-call.ts
+++ b/source/forwarding/forward-call.ts
@@ -5,16 +5,14 @@
  */
 import {chooseEndpoint} from '../balancing/mod.ts';
 import {type EndpointEntry} from '../beliefs/mod.ts';
-import {
-	streamResponse, sendErrorResponse, sendCompleteResponse, type ErrorResponse,
-} from './caller-response.ts';
-import {
-	computeRetryAfter, isRejectedByLimit, usableEndpoints, type RequestClass,
-} from './endpoint-signals.ts';
 import {acquireEndpoint} from './acquire-endpoint.ts';
 import {acquireRetry} from './acquire-retry.ts';
+import {AttemptPreparation} from './attempt-preparation.ts';
 import {type CallAttemptResult} from './call-attempt-result.ts';
 import {CallAttempts} from './call-attempts.ts';
+import {CallEnding, type UnsuccessfulResult} from './call-ending.ts';
+import {streamResponse, sendCompleteResponse} from './caller-response.ts';
+import {usableEndpoints, type RequestClass} from './endpoint-signals.ts';
 import {type Exchange, type ExchangeOutcome} from './exchange.ts';
 import {type ForwardingDependencies} from './forwarding-dependencies.ts';
 import {type LostAttempt} from './crash-detector.ts';
@@ -27,9 +25,6 @@
 /** Minimum delay before a call is hedged, in milliseconds. */
 const minimumHedgeDelayMilliseconds = 40;
 
-/** Default `Retry-After` if no endpoint is available, in milliseconds. */
-const defaultRetryAfterMilliseconds = 250;
-
 /**
  * Forwards a call, retrying at other endpoints if allowed, and responds to the caller.
  *
@@ -41,22 +36,38 @@
 	return new CallForwarder(exchange, dependencies).run();
 }
 
+/**
+ * Forwards one call. It waits for the first of these: a finished attempt, a prepared one, the time of the hedge, the deadline, or that the
+ * caller disconnects.
+ */
 class CallForwarder {
 	readonly #exchange: Exchange;
 	readonly #dependencies: ForwardingDependencies;
 	readonly #tried = new Set<string>();
 	readonly #attempts: CallAttempts;
+	readonly #preparation = new AttemptPreparation();
+	readonly #ending: CallEnding;
+	/** Unsuccessful attempts after which a retry has not been considered yet. */
+	readonly #failures: UnsuccessfulResult[] = [];
+	/** The last unsuccessful attempt. */
+	#lastFailure: UnsuccessfulResult | undefined;
 	/** Checks for a crash of endpoints whose response was lost, by endpoint id. */
 	readonly #crashChecks = new Map<string, Promise<void>>();
+	/** Monotonic time at which the call is hedged, in milliseconds; infinite if it is not, or was. */
+	#hedgeAt: number;
 	/** Number of attempts in progress, or that ran or may have run. */
 	#runs = 0;
 	/** Whether the deadline passed before an endpoint responded. */
 	#timedOut = false;
 
 	constructor(exchange: Exchange, dependencies: ForwardingDependencies) {
+		const {route, handling, arrivedAt, callerDisconnected} = exchange;
+		const mayHedge = route.kind === 'idempotent' && route.maximumAttempts > 1 && handling === 'none';
 		this.#exchange = exchange;
 		this.#dependencies = dependencies;
-		this.#attempts = new CallAttempts({responseBuffers: dependencies.responseBuffers, callerDisconnected: exchange.callerDisconnected, clock: dependencies.clock});
+		this.#attempts = new CallAttempts({responseBuffers: dependencies.responseBuffers, callerDisconnected, clock: dependencies.clock});
+		this.#ending = new CallEnding({exchange, dependencies, tried: this.#tried});
+		this.#hedgeAt = mayHedge ? arrivedAt + Math.max(minimumHedgeDelayMilliseconds, route.targetMilliseconds * hedgeShare) : Number.POSITIVE_INFINITY;
 	}
 
 	async run(): Promise<ExchangeOutcome> {
@@ -68,53 +79,84 @@
 	}
 
 	async #serve(): Promise<ExchangeOutcome> {
-		const {response, route} = this.#exchange;
-		const hedgeAt = this.#exchange.arrivedAt + Math.max(minimumHedgeDelayMilliseconds, route.targetMilliseconds * hedgeShare);
-		let mayHedge = route.kind === 'idempotent' && route.maximumAttempts > 1 && this.#exchange.handling === 'none';
-		const first = await this.#acquireEndpoint();
-		if (this.#exchange.callerDisconnected.aborted) {
-			return this.#outcome('caller_left', 0);
-		}
-
-		if (!first) {
-			return this.#rejectWithoutEndpoint();
-		}
-
-		this.#startAttempt(first);
+		const {response, deadline, callerDisconnected} = this.#exchange;
+		this.#preparation.start(this.#acquireEndpoint());
 		for (;;) {
-			const result = await this.#attempts.next(mayHedge ? Math.min(hedgeAt, this.#exchange.deadline) : this.#exchange.deadline);
-			if (this.#exchange.callerDisconnected.aborted) {
-				return this.#outcome('caller_left', 0);
+			const {pending} = this.#preparation;
+			const result = await this.#attempts.next(pending ? deadline : Math.min(this.#hedgeAt, deadline), pending);
+			if (callerDisconnected.aborted) {
+				return this.#ending.outcome('caller_left', 0);
 			}
 
-			if (result === undefined && mayHedge && this.#dependencies.clock() < this.#exchange.deadline) {
-				mayHedge = false;
-				if (this.#runs < route.maximumAttempts) {
-					await this.#retry('hedge');
-				}
-
-				continue;
+			if (result?.kind === 'streaming') {
+				return this.#stream(result);
 			}
 
-			if (result === undefined) {
-				this.#timedOut = true;
-				return this.#sendError({status: 504, code: 'timeout', message: 'No endpoint answered in time.'});
+			if (result?.kind === 'answered') {
+				sendCompleteResponse(response, result.response.status, result.response.rawHeaders, result.response.body);
+				return this.#ending.outcome('answered', result.response.status);
 			}
 
-			if (result.kind === 'streaming') {
-				return this.#stream(result);
+			if (result) {
+				this.#failures.push(result);
+				this.#lastFailure = result;
 			}
 
-			if (result.kind === 'answered') {
-				sendCompleteResponse(response, result.response.status, result.response.rawHeaders, result.response.body);
-				return this.#outcome('answered', result.response.status);
+			const ended = this.#hasTimeLeft ? this.#advance() : this.#timeOut();
+			if (ended) {
+				return ended;
 			}
+		}
+	}
 
-			const retried = await this.#retryAfterFailure(result);
-			if (!retried && this.#attempts.pending === 0) {
-				return this.#giveUp(result);
+	/** Starts the attempt that was prepared, and prepares the next one where it is due; returns the outcome if nothing is left to wait for. */
+	#advance(): ExchangeOutcome | undefined {
+		const prepared = this.#preparation.take();
+		if (prepared?.endpoint && this.#mayStart) {
+			this.#startAttempt(prepared.endpoint);
+		}
+
+		if (this.#preparation.pending) {
+			return undefined;
+		}
+
+		const failure = this.#failures.shift();
+		if (failure) {
+			this.#preparation.start(this.#prepareRetryAfter(failure));
+			return undefined;
+		}
+
+		if (this.#attempts.pending === 0) {
+			return this.#lastFailure ? this.#ending.giveUp(this.#lastFailure, this.#runs) : this.#ending.rejectWithoutEndpoint();
+		}
+
+		if (this.#dependencies.clock() >= this.#hedgeAt) {
+			this.#hedgeAt = Number.POSITIVE_INFINITY;
+			if (this.#runs < this.#exchange.route.maximumAttempts) {
+				this.#preparation.start(this.#prepareRetry('hedge'));
 			}
 		}
+
+		return undefined;
+	}
+
+	/** Ends a call whose deadline has passed: with what its attempts resulted in if none is in progress. */
+	#timeOut(): ExchangeOutcome {
+		if (this.#lastFailure && this.#attempts.pending === 0) {
+			return this.#ending.giveUp(this.#lastFailure, this.#runs);
+		}
+
+		this.#timedOut = true;
+		return this.#ending.timeOut(this.#runs);
+	}
+
+	get #hasTimeLeft(): boolean {
+		return this.#dependencies.clock() < this.#exchange.deadline;
+	}
+
+	/** Whether a prepared attempt may still be started: its preparation took time, in which the request may have turned out to crash endpoints. */
+	get #mayStart(): boolean {
+		return this.#tried.size === 0 || !this.#dependencies.suspects.isRefused(this.#exchange.identity);
 	}
 
 	/** Streams a response that is too large to buffer and aborts the other attempts. */
@@ -127,44 +169,38 @@
 		endLoad();
 		if (streamed.isOk()) {
 			health.recordSuccess(endpoint.id, clock());
-			return this.#outcome('answered', endpointResponse.status);
+			return this.#ending.outcome('answered', endpointResponse.status);
 		}
 
 		if (callerDisconnected.aborted) {
-			return this.#outcome('caller_left', 0);
+			return this.#ending.outcome('caller_left', 0);
 		}
 
 		health.recordFailure(endpoint.id, 'broken', clock());
 		logger.info('answer broken off', {
 			request: requestName, endpoint: endpoint.id, status: endpointResponse.status, reason: streamed.error,
 		});
-		return this.#outcome('broken_off', endpointResponse.status);
+		return this.#ending.outcome('broken_off', endpointResponse.status);
 	}
 
-	/** Starts another attempt after an unsuccessful one, if allowed. */
-	async #retryAfterFailure({end, endpoint}: CallAttemptResult & {kind: 'unsuccessful'}): Promise<boolean> {
+	/** Acquires the endpoint of a retry after an unsuccessful attempt, if allowed. */
+	async #prepareRetryAfter({end, endpoint}: UnsuccessfulResult): Promise<EndpointEntry | undefined> {
 		const {route, deadline, identity, handling} = this.#exchange;
 		await this.#crashChecks.get(endpoint.id);
 		if (handling === 'trial' || this.#dependencies.suspects.isRefused(identity)) {
-			return false;
+			return undefined;
 		}
 
 		const allowed = mayRetry({
 			kind: route.kind, resumable: false, end, runs: this.#runs, maximumRuns: route.maximumAttempts, remainingMilliseconds: deadline - this.#dependencies.clock(),
 		});
-		return allowed && this.#retry(end);
+		return allowed ? this.#prepareRetry(end) : undefined;
 	}
 
-	/** Sends the call to another endpoint, if there is one and the retry budget allows it. */
-	async #retry(reason: string): Promise<boolean> {
+	/** Acquires another endpoint, if there is one and the retry budget allows it. */
+	async #prepareRetry(reason: string): Promise<EndpointEntry | undefined> {
 		const allowed = this.#chooseEndpoint() !== undefined && await acquireRetry(this.#exchange, reason, this.#dependencies);
-		const endpoint = allowed ? await this.#acquireEndpoint() : undefined;
-		if (!endpoint || this.#exchange.callerDisconnected.aborted) {
-			return false;
-		}
-
-		this.#startAttempt(endpoint);
-		return true;
+		return allowed ? this.#acquireEndpoint() : undefined;
 	}
 
 	async #acquireEndpoint(): Promise<EndpointEntry | undefined> {
@@ -173,6 +209,10 @@
 
 	#chooseEndpoint(lacking: ReadonlySet<string> = new Set()): EndpointEntry | undefined {
 		const {loads, health, availabilityZone, clock, random} = this.#dependencies;
+		if (this.#attempts.hasEnded) {
+			return undefined;
+		}
+
 		return chooseEndpoint({
 			endpoints: usableEndpoints(this.#requestClass, this.#dependencies), tried: new Set([...this.#tried, ...lacking]), loads, health, availabilityZone, now: clock(), random,
 		});
@@ -246,50 +286,4 @@
 			identity, requestName, endpoint, events: 0,
 		};
 	}
-
-	#giveUp({end, message, response: endpointResponse, retryAfterMilliseconds}: CallAttemptResult & {kind: 'unsuccessful'}): ExchangeOutcome {
-		if (this.#exchange.callerDisconnected.aborted) {
-			return this.#outcome('caller_left', 0);
-		}
-
-		if (endpointResponse && end === 'failed') {
-			sendCompleteResponse(this.#exchange.response, endpointResponse.status, endpointResponse.rawHeaders, endpointResponse.body);
-			return this.#outcome('endpoint_failed', endpointResponse.status);
-		}
-
-		if (this.#runs === 0) {
-			return this.#sendError({
-				status: 503, code: 'not_run', message: `No endpoint took the request: ${message}`, retryAfterMilliseconds: this.#computeRetryAfter(retryAfterMilliseconds),
-			});
-		}
-
-		return this.#sendError({status: 502, code: 'answer_lost', message: `The request may have run, and its answer is lost: ${message}`});
-	}
-
-	#computeRetryAfter(requestedMilliseconds = defaultRetryAfterMilliseconds): number {
-		return computeRetryAfter(this.#requestClass, requestedMilliseconds, this.#dependencies);
-	}
-
-	#rejectWithoutEndpoint(): ExchangeOutcome {
-		const retryAfterMilliseconds = this.#computeRetryAfter();
-		if (!isRejectedByLimit(this.#requestClass, this.#dependencies)) {
-			return this.#sendError({
-				status: 503, code: 'no_endpoint', message: 'No endpoint of the service can be used now.', retryAfterMilliseconds,
-			});
-		}
-
-		this.#dependencies.countLimited(this.#exchange.service.name, 'rejected');
-		return this.#sendError({
-			status: 503, code: 'endpoints_limited', message: 'The endpoints of the service take no more requests now.', retryAfterMilliseconds,
-		});
-	}
-
-	#sendError(error: ErrorResponse): ExchangeOutcome {
-		sendErrorResponse(this.#exchange.response, error);
-		return this.#outcome(error.code, error.status);
-	}
-
-	#outcome(outcome: string, status: number): ExchangeOutcome {
-		return {outcome, status, endpoints: [...this.#tried]};
-	}
 }
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -3,28 +3,25 @@
  *
  * @module
  */
+import {ok, type Result} from 'neverthrow';
 import {type EndpointEntry} from '../beliefs/mod.ts';
-import {sendErrorResponse, sendCompleteResponse, type ErrorResponse} from './caller-response.ts';
-import {
-	computeRetryAfter, isRejectedByLimit, recordSignals, type RequestClass,
-} from './endpoint-signals.ts';
+import {settleInTime, type WaitEnd} from '../supervision/settle-in-time.ts';
 import {acquireRetry} from './acquire-retry.ts';
 import {admitAgain} from './admit-again.ts';
 import {crashCauseEventLimit} from './crash-detector.ts';
+import {recordSignals} from './endpoint-signals.ts';
 import {EngineRounds} from './engine-rounds.ts';
-import {crashesEndpoints, type Exchange, type ExchangeOutcome} from './exchange.ts';
+import {type Exchange, type ExchangeOutcome} from './exchange.ts';
 import {type ForwardingDependencies} from './forwarding-dependencies.ts';
 import {
 	runGenerationAttempt, type AttemptTarget, type GenerationEnd,
 } from './generation-attempt.ts';
-import {describeProgress, type GenerationProgress} from './generation-progress.ts';
+import {GenerationEnding, type GenerationFailure} from './generation-ending.ts';
+import {type GenerationProgress} from './generation-progress.ts';
 import {GenerationTargets} from './generation-targets.ts';
 import {mayRetry, type AttemptEnd} from './retry-decision.ts';
 import {type EngineCondition} from './silence-decision.ts';
 
-/** Default `Retry-After` if no engine is available, in milliseconds. */
-const defaultRetryAfterMilliseconds = 500;
-
 /** Output tokens assumed if the request does not state a maximum. */
 const defaultOutputTokens = 800;
 
@@ -57,6 +54,9 @@
 	#eventsBefore = 0;
 	/** Number of attempts in progress, or that ran or may have run. */
 	#runs = 0;
+	readonly #ending: GenerationEnding;
+	/** The last unsuccessful attempt, for the final answer. */
+	#failure: GenerationFailure = {message: 'no engine of the service is known'};
 	/** Whether an engine has written enough of the answer to show that the parts of the prompt are sound. */
 	#hasServedParts = false;
 
@@ -71,61 +71,62 @@
 			exchange, dependencies, tried: this.#tried, tokens: this.#tokens,
 		});
 		this.#rounds = new EngineRounds({exchange, dependencies, tried: this.#tried});
+		this.#ending = new GenerationEnding({
+			exchange, dependencies, attempted: this.#attempted, progress: this.#progress,
+		});
 	}
 
 	async run(): Promise<ExchangeOutcome> {
-		let message = 'no engine of the service is known';
-		let retryAfterMilliseconds: number | undefined;
 		for (;;) {
-			const target = await this.#targets.choose(this.#copyHolder);
-			if (this.#exchange.callerDisconnected.aborted) {
-				return this.#outcome('caller_left', 0);
+			const chosen = await this.#inTime(this.#targets.choose(this.#copyHolder));
+			if (chosen.isErr()) {
+				return this.#giveUp();
 			}
 
+			const target = chosen.value;
 			if (!target) {
-				if (this.#mayRepeat('not-run') && await this.#rounds.next()) {
+				const mayChooseAgain = this.#mayRepeat('not-run') ? await this.#inTime(this.#rounds.next()) : ok(false);
+				if (mayChooseAgain.unwrapOr(false)) {
 					continue;
 				}
 
-				return this.#giveUp(message, retryAfterMilliseconds);
+				return this.#giveUp();
 			}
 
-			const refusal = await admitAgain(this.#exchange, this.#dependencies.suspects);
-			if (refusal) {
-				return this.#giveUpRefused(refusal.retryAfterMilliseconds);
+			const admitted = await admitAgain(this.#exchange, this.#dependencies);
+			if (admitted.isErr()) {
+				return admitted.error.kind === 'refused' ? this.#ending.refuse(admitted.error.retryAfterMilliseconds, this.#runs) : this.#giveUp();
 			}
 
 			this.#eventsBefore = this.#progress.events;
 			const end = await this.#attempt(target);
 			this.#copyHolder = end.kind === 'lost' ? this.#usableCopyHolder(target) : undefined;
 			if (end.kind === 'finished') {
-				return this.#outcome('answered', end.status);
+				return this.#ending.outcome('answered', end.status);
 			}
 
 			if (end.kind === 'caller-disconnected') {
-				return this.#outcome('caller_left', 0);
-			}
-
-			message = end.kind === 'failed' ? `the engine answered ${end.status}` : end.message;
-			retryAfterMilliseconds = end.kind === 'not-run' ? end.retryAfterMilliseconds : undefined;
-			this.#recordEnd(target, end, message);
-			if (end.kind === 'not-run') {
-				await this.#rounds.pace();
-			} else if (end.kind === 'lost') {
-				await this.#checkForCrash(target.endpoint, this.#progress.events - this.#eventsBefore);
+				return this.#giveUp();
 			}
 
-			const mayRetry = await this.#mayRetry(end.kind);
-			if (this.#exchange.callerDisconnected.aborted) {
-				return this.#outcome('caller_left', 0);
-			}
-
-			if (!mayRetry) {
-				return end.kind === 'failed' && !this.#exchange.response.headersSent ? this.#forwardFailure(end) : this.#giveUp(message, retryAfterMilliseconds);
+			this.#failure = {
+				message: end.kind === 'failed' ? `the engine answered ${end.status}` : end.message,
+				retryAfterMilliseconds: end.kind === 'not-run' ? end.retryAfterMilliseconds : undefined,
+			};
+			this.#recordEnd(target, end, this.#failure.message);
+			const mayRetry = await this.#inTime(this.#prepareRetry(target.endpoint, end.kind));
+			if (!mayRetry.unwrapOr(false)) {
+				return end.kind === 'failed' ? this.#ending.forwardFailure(end, this.#failure, this.#runs) : this.#giveUp();
 			}
 		}
 	}
 
+	/** Waits until the deadline, or until the caller disconnects. */
+	async #inTime<Value>(promise: Promise<Value>): Promise<Result<Value, WaitEnd>> {
+		const {deadline: until, callerDisconnected: signal} = this.#exchange;
+		return settleInTime(promise, {until, signal, clock: this.#dependencies.clock});
+	}
+
 	async #attempt(target: AttemptTarget): Promise<GenerationEnd> {
 		this.#tried.add(target.endpoint.id);
 		this.#attempted.push(target.endpoint.id);
@@ -207,16 +208,22 @@
 		});
 	}
 
-	/** Checks whether an engine that lost the response has crashed. */
-	async #checkForCrash(endpoint: EndpointEntry, events: number): Promise<void> {
-		const {identity, requestName} = this.#exchange;
-		await this.#dependencies.crashDetector.checkForCrash({
-			identity, requestName, endpoint, events,
-		});
+	/** Prepares to send the generation to another engine after an attempt; returns whether it may be. */
+	async #prepareRetry(endpoint: EndpointEntry, end: AttemptEnd): Promise<boolean> {
+		if (end === 'not-run') {
+			await this.#rounds.pace();
+		} else if (end === 'lost') {
+			const {identity, requestName} = this.#exchange;
+			await this.#dependencies.crashDetector.checkForCrash({
+				identity, requestName, endpoint, events: this.#progress.events - this.#eventsBefore,
+			});
+		}
+
+		return this.#acquireRetry(end);
 	}
 
 	/** Whether the generation is sent to another engine after an attempt; a stream that has begun waits until the retry budget allows it. */
-	async #mayRetry(end: AttemptEnd): Promise<boolean> {
+	async #acquireRetry(end: AttemptEnd): Promise<boolean> {
 		while (this.#mayRepeat(end)) {
 			if (this.#targets.hasAlternative || await acquireRetry(this.#exchange, end, this.#dependencies)) {
 				return true;
@@ -238,59 +245,7 @@
 		});
 	}
 
-	#forwardFailure({status, rawHeaders, body}: GenerationEnd & {kind: 'failed'}): ExchangeOutcome {
-		sendCompleteResponse(this.#exchange.response, status, rawHeaders, body);
-		return this.#outcome('endpoint_failed', status);
-	}
-
-	#giveUp(message: string, requestedMilliseconds: number | undefined): ExchangeOutcome {
-		const {response, deadline} = this.#exchange;
-		if (response.headersSent) {
-			// The closed connection shows the caller that the response is incomplete.
-			response.destroy();
-			return this.#outcome('broken_off', 200);
-		}
-
-		if (this.#runs === 0) {
-			return this.#sendError({
-				status: 503,
-				...this.#describeRejection(message),
-				retryAfterMilliseconds: computeRetryAfter(this.#requestClass, requestedMilliseconds ?? defaultRetryAfterMilliseconds, this.#dependencies),
-			});
-		}
-
-		return this.#dependencies.clock() >= deadline
-			? this.#sendError({status: 504, code: 'timeout', message: 'No engine answered in time.'})
-			: this.#sendError({status: 502, code: 'answer_lost', message: `The request may have run, and its answer is lost: ${message}`});
-	}
-
-	#giveUpRefused(retryAfterMilliseconds: number): ExchangeOutcome {
-		return this.#runs === 0
-			? this.#sendError({...crashesEndpoints, retryAfterMilliseconds})
-			: this.#giveUp('requests like it crash engines', undefined);
-	}
-
-	#describeRejection(message: string): Pick<ErrorResponse, 'code' | 'message'> {
-		if (!isRejectedByLimit(this.#requestClass, this.#dependencies)) {
-			return {code: 'not_run', message: `No engine took the request: ${message}`};
-		}
-
-		this.#dependencies.countLimited(this.#exchange.service.name, 'rejected');
-		return {code: 'endpoints_limited', message: 'The engines of the service take no more requests now.'};
-	}
-
-	get #requestClass(): RequestClass {
-		return {service: this.#exchange.service.name, importance: this.#exchange.importance};
-	}
-
-	#sendError(error: ErrorResponse): ExchangeOutcome {
-		sendErrorResponse(this.#exchange.response, error);
-		return this.#outcome(error.code, error.status);
-	}
-
-	#outcome(outcome: string, status: number): ExchangeOutcome {
-		return {
-			outcome, status, endpoints: this.#attempted, generation: describeProgress(this.#progress),
-		};
+	#giveUp(): ExchangeOutcome {
+		return this.#ending.giveUp(this.#failure, this.#runs);
 	}
 }
--- a/source/forwarding/mod.ts
+++ b/source/forwarding/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from './admit-in-time.ts';
 export * from './caller-response.ts';
 export * from './endpoint-connections.ts';
 export * from './exchange.ts';
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -6,14 +6,14 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
-	crashesEndpoints, forwardCall, forwardGeneration, handlingOf, sendErrorResponse, type Exchange, type ExchangeOutcome, type ForwardingDependencies, type ErrorResponse,
+	admitInTime, crashesEndpoints, forwardCall, forwardGeneration, handlingOf, sendErrorResponse, type Exchange, type ExchangeOutcome, type ForwardingDependencies, type ErrorResponse,
 } from '../forwarding/mod.ts';
 import {decodeRequestHeaders} from '../platform/mod.ts';
 import {
 	admitRequest, selectService, type AdmissionDecision, type RequestKind, type Route,
 } from '../routing/mod.ts';
 import {callerDisconnectSignal} from '../supervision/caller-signal.ts';
-import {RequestIdentity, type SuspectedRequests} from '../suspects/mod.ts';
+import {RequestIdentity, type SuspectAdmission, type SuspectedRequests} from '../suspects/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 
 type Forwarder = (exchange: Exchange, parts: ForwardingDependencies) => Promise<ExchangeOutcome>;
@@ -107,6 +107,11 @@
 	}
 }
 
+const callerLeft: ExchangeOutcome = {outcome: 'caller_left', status: 0, endpoints: []};
+
+/** Admission of a request whose deadline has passed before it was known whether it may crash endpoints; it was not sent to any. */
+const notAdmittedInTime: SuspectAdmission = {kind: 'refused', retryAfterMilliseconds: 1000};
+
 type RequestContext = Pick<Exchange, 'terms' | 'requestName' | 'arrivedAt'>;
 
 async function admitAndForward(request: IncomingMessage, response: ServerResponse, context: RequestContext, parts: GatewayParts): Promise<ExchangeOutcome & {service?: string; route?: string}> {
@@ -134,7 +139,7 @@
 	const callerDisconnected = callerDisconnectSignal(response);
 	const body = await readBody(request, snapshot.table!.configuration.limits.bodyBytes);
 	if (callerDisconnected.aborted || body === 'broken') {
-		return {outcome: 'caller_left', status: 0, endpoints: []};
+		return callerLeft;
 	}
 
 	if (body === 'too-large') {
@@ -155,14 +160,17 @@
 		model: context.terms.model,
 		promptParts: context.terms.sharedPromptParts,
 	});
-	const suspectAdmission = await parts.suspects.admit(identity);
+	const deadline = answerDeadline(context, route);
+	const admitted = await admitInTime({identity, deadline, callerDisconnected}, parts);
+	const suspectAdmission = admitted.unwrapOr(notAdmittedInTime);
 	if (suspectAdmission.kind === 'refused') {
-		return {...refuse(response, {...crashesEndpoints, retryAfterMilliseconds: suspectAdmission.retryAfterMilliseconds}), service: service.name, route: route.name};
+		const refusal = callerDisconnected.aborted ? callerLeft : refuse(response, {...crashesEndpoints, retryAfterMilliseconds: suspectAdmission.retryAfterMilliseconds});
+		return {...refusal, service: service.name, route: route.name};
 	}
 
 	const exchange: Exchange = {
 		...context,
-		deadline: answerDeadline(context, route),
+		deadline,
 		identity,
 		handling: handlingOf(suspectAdmission),
 		request,
@@ -180,10 +188,10 @@
 }
 
 /** Clears the suspicion of a request that was answered, and releases the trial of one that did not run. */
-async function recordSuspectOutcome(suspects: SuspectedRequests, {identity, handling}: Exchange, {outcome, status}: ExchangeOutcome): Promise<void> {
+async function recordSuspectOutcome(suspects: SuspectedRequests, {identity, handling}: Exchange, {outcome, status, endpoints}: ExchangeOutcome): Promise<void> {
 	if (outcome === 'answered') {
 		await (status < 300 ? suspects.recordSuccess(identity) : suspects.clear(identity.digest));
-	} else if (handling === 'trial' && status === 503) {
+	} else if (handling === 'trial' && (status === 503 || endpoints.length === 0)) {
 		await suspects.revertTrial(identity);
 	}
 }
--- /dev/null
+++ b/source/gateway/waiting-requests.test.ts
@@ -0,0 +1,202 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {sendCall, type CallerAnswer} from '../testing/call.ts';
+import {routeHost} from '../testing/gateway-fleet.ts';
+import {InProcessGateway, routeTimeoutMilliseconds, type ReplacedParts} from '../testing/in-process-gateway.ts';
+import {rawAnswer} from '../testing/stand-ins/raw-worker.ts';
+import {type WorkerArrival, type WorkerFault} from '../testing/stand-ins/worker-options.ts';
+
+/** Time after the timeout of its route within which a request must have its final answer, in milliseconds. */
+const answerMilliseconds = 100;
+
+/** A time that no request waits for, in milliseconds. */
+const endlessMilliseconds = 3000;
+
+const decision = {
+	allowed: true, requests: 1, retries: 0, limit: 1, borrowed: 0,
+};
+
+/** A retry budget that allows some retries at once and each later one after a time. */
+function slowBudget(milliseconds: number, atOnce = 0): ReplacedParts {
+	let taken = 0;
+	return {
+		retryBudgetOf: () => ({
+			countRequest: () => undefined,
+			async take() {
+				taken += 1;
+				await delay(taken > atOnce ? milliseconds : 0, undefined, {ref: false});
+				return decision;
+			},
+		}),
+	};
+}
+
+/** A limiter that grants some permits at once and each later one after a time. */
+function slowLimiter(milliseconds: number, atOnce = 0): ReplacedParts {
+	let taken = 0;
+	return {
+		limiter: {
+			usable: <Endpoint>(endpoints: Endpoint) => endpoints,
+			refused: () => [],
+			returnDelay: () => undefined,
+			observe: () => undefined,
+			async acquire() {
+				taken += 1;
+				await delay(taken > atOnce ? milliseconds : 0, undefined, {ref: false});
+				return true;
+			},
+		},
+	};
+}
+
+function slowCrashCheck(milliseconds: number): ReplacedParts {
+	return {crashDetector: {checkForCrash: async () => delay(milliseconds, undefined, {ref: false}), watchList: () => undefined}};
+}
+
+/** Suspects that admit a request at once for some times, and then after a time; between the two it counts as refused. */
+function slowAdmission(milliseconds: number, {atOnce = 0, kind = 'free', reverted = []}: {atOnce?: number; kind?: string; reverted?: unknown[]} = {}): ReplacedParts {
+	let admitted = 0;
+	return {
+		suspects: {
+			isRefused: () => admitted === 1 && atOnce === 1,
+			async admit() {
+				admitted += 1;
+				await delay(admitted > atOnce ? milliseconds : 0, undefined, {ref: false});
+				return {kind};
+			},
+			async revertTrial(identity: unknown) {
+				reverted.push(identity);
+			},
+			recordSuccess: async () => undefined,
+			recordServedParts: async () => undefined,
+			recordCrash: async () => undefined,
+			clear: async () => undefined,
+		},
+	};
+}
+
+type Wait = {kinds: string[]; fault: WorkerFault; after: (milliseconds: number) => ReplacedParts};
+
+const allKinds = ['idempotent', 'non_idempotent', 'stream'];
+
+/** Where a request waits for a part that may be slow, and what its endpoints do so that it gets there. */
+const waits: Record<string, Wait> = {
+	'its admission': {kinds: allKinds, fault: 'none', after: milliseconds => slowAdmission(milliseconds)},
+	'its second admission': {kinds: ['stream'], fault: 'none', after: milliseconds => slowAdmission(milliseconds, {atOnce: 1})},
+	'a permit of its first endpoint': {kinds: allKinds, fault: 'none', after: milliseconds => slowLimiter(milliseconds)},
+	'a permit of another endpoint': {kinds: allKinds, fault: 'full', after: milliseconds => ({...slowBudget(0), ...slowLimiter(milliseconds, 1)})},
+	'a retry': {kinds: allKinds, fault: 'full', after: milliseconds => slowBudget(milliseconds)},
+	'a check for a crash': {kinds: allKinds, fault: 'break', after: milliseconds => ({...slowBudget(0), ...slowCrashCheck(milliseconds)})},
+};
+
+const cases = Object.entries(waits).flatMap(([name, {kinds, ...wait}]) => kinds.map(kind => ({name, kind, ...wait})));
+
+/** Starts a gateway before three endpoints with a fault; returns what reaches them. */
+async function startWaiting({kind, fault}: {kind: string; fault: WorkerFault}, replaced: ReplacedParts): Promise<{gateway: InProcessGateway; arrivals: WorkerArrival[]}> {
+	const gateway = await InProcessGateway.start(replaced);
+	const arrivals: WorkerArrival[] = [];
+	const service = kind === 'stream' ? 'scribe' : 'desk';
+	for (const id of [1, 2, 3]) {
+		const worker = await gateway.startWorker({id: `${service}-${id}`, service, arrivals});
+		worker.fault = fault;
+	}
+
+	return {gateway, arrivals};
+}
+
+async function send(gateway: InProcessGateway, kind: string, signal = AbortSignal.timeout(endlessMilliseconds)): Promise<CallerAnswer & {milliseconds: number}> {
+	const sentAt = performance.now();
+	const tokens = kind === 'stream' ? {'x-azuretack-token-counts': '8000,120'} : undefined;
+	const answer = await sendCall(gateway.address, {
+		path: `/${kind}/1`, method: 'POST', body: 'notes', headers: {host: routeHost, 'x-azuretack-attempt-id': 'attempt-1', ...tokens}, signal,
+	});
+	return {...answer, milliseconds: performance.now() - sentAt};
+}
+
+for (const {name, kind, after, ...rest} of cases) {
+	test(`a request (${kind}) that waits for ${name} has its final answer at the timeout of its route, and is not sent later`, async () => {
+		const {gateway, arrivals} = await startWaiting({kind, ...rest}, after(routeTimeoutMilliseconds + 250));
+		await using _gateway = gateway;
+		const answer = await send(gateway, kind);
+		const {length} = arrivals;
+		assert.ok(answer.milliseconds <= routeTimeoutMilliseconds + answerMilliseconds, `${answer.milliseconds} ms`);
+		const isCutStream = kind === 'stream' && answer.status === 200 && !answer.whole;
+		assert.ok(isCutStream || [502, 503, 504].includes(answer.status), `status ${answer.status}`);
+		assert.equal(answer.status === 503, rest.fault !== 'break', 'only a request that was not run is refused');
+		await delay(450);
+		assert.equal(arrivals.length, length);
+		assert.ok(kind !== 'non_idempotent' || length <= 1);
+	});
+
+	test(`a request (${kind}) whose caller leaves while it waits for ${name} is not sent to an endpoint any more`, async () => {
+		const {gateway, arrivals} = await startWaiting({kind, ...rest}, after(300));
+		await using _gateway = gateway;
+		await send(gateway, kind, AbortSignal.timeout(120));
+		const {length} = arrivals;
+		await delay(450);
+		assert.equal(arrivals.length, length);
+	});
+}
+
+test('a trial that was granted too late is reverted, as it does not run', async () => {
+	const reverted: unknown[] = [];
+	const {gateway, arrivals} = await startWaiting({kind: 'idempotent', fault: 'none'}, slowAdmission(routeTimeoutMilliseconds + 100, {kind: 'trial', reverted}));
+	await using _gateway = gateway;
+	const answer = await send(gateway, 'idempotent');
+	await delay(250);
+	assert.deepEqual([answer.status, arrivals.length, reverted.length], [503, 0, 1]);
+});
+
+test('a trial whose caller has left before it ran is reverted', async () => {
+	const reverted: unknown[] = [];
+	const {gateway, arrivals} = await startWaiting({kind: 'idempotent', fault: 'none'}, slowAdmission(200, {kind: 'trial', reverted}));
+	await using _gateway = gateway;
+	await send(gateway, 'idempotent', AbortSignal.timeout(100));
+	await delay(250);
+	assert.deepEqual([arrivals.length, reverted.length], [0, 1]);
+});
+
+/** Starts a gateway whose endpoints answer by the order of arrival, each after a time in milliseconds; a negative one means that the connection is reset. */
+async function startOrdered(times: number[], replaced: ReplacedParts): Promise<InProcessGateway> {
+	const gateway = await InProcessGateway.start(replaced);
+	const left = [...times];
+	for (const id of [1, 2, 3]) {
+		await gateway.startRawWorker({
+			id: `desk-${id}`,
+			service: 'desk',
+			answer({attempt, socket}) {
+				const time = left.shift() ?? endlessMilliseconds;
+				setTimeout(() => {
+					if (time < 0) {
+						socket.resetAndDestroy();
+					} else {
+						socket.write(rawAnswer(attempt));
+					}
+				}, Math.abs(time)).unref();
+			},
+		});
+	}
+
+	return gateway;
+}
+
+const endless = endlessMilliseconds;
+
+/** Answers that are ready while the call waits for something else: the times of its attempts, and what it waits for. */
+const readyAnswers: Record<string, {times: number[]; replaced: () => ReplacedParts}> = {
+	'the first attempt, while the permit of a hedge is waited for': {times: [150], replaced: () => slowBudget(endless)},
+	'the first attempt, while the endpoint of a hedge is waited for': {times: [150], replaced: () => ({...slowBudget(0), ...slowLimiter(endless, 1)})},
+	'a hedge, while a retry is waited for': {times: [-100, 100], replaced: () => slowBudget(endless, 1)},
+	'a hedge, while the endpoint of a retry is waited for': {times: [-100, 100], replaced: () => ({...slowBudget(0), ...slowLimiter(endless, 2)})},
+	'a hedge, while a crash of the first endpoint is checked': {times: [-100, 100], replaced: () => ({...slowBudget(0), ...slowCrashCheck(endless)})},
+};
+
+for (const [name, {times, replaced}] of Object.entries(readyAnswers)) {
+	test(`the answer of ${name}, reaches the caller at once`, async () => {
+		await using gateway = await startOrdered(times, replaced());
+		const answer = await send(gateway, 'idempotent');
+		assert.deepEqual([answer.status, answer.whole], [200, true]);
+		assert.ok(answer.milliseconds < 150 + answerMilliseconds, `${answer.milliseconds} ms`);
+	});
+}
