Request no permit of a limited endpoint for a request that is over

Callers saw: fewer requests to a limited endpoint than its limit allows, and longer waits, beside requests whose callers had left.

Cause: a gateway requests one permit at a time, so requests queue for it, and a request whose caller had left or whose deadline had passed stayed in the queue and took a permit in its turn.

Evidence: the new test of permit-queue.test.ts fails on the code before (a permit is requested for the request that is over) and passes now; found by reading, not seen in a run of a fleet.

Fix: a request states whether it still needs the permit when it is its turn.

--- a/source/forwarding/acquire-endpoint.ts
+++ b/source/forwarding/acquire-endpoint.ts
@@ -20,18 +20,19 @@
  */
 export async function acquireEndpoint(exchange: Exchange, choose: ChooseAmong, dependencies: ForwardingDependencies): Promise<EndpointEntry | undefined> {
 	const {endpoints, limiter, clock, countLimited} = dependencies;
-	const {service: {name: service}, importance, requestName} = exchange;
+	const {service: {name: service}, importance, requestName, callerDisconnected, deadline} = exchange;
+	const isNeeded = () => !callerDisconnected.aborted && clock() < deadline;
 	const now = clock();
 	const all = endpoints.endpointsOf(service, now);
 	const isLimited = limiter.usable(all, importance, now).length < all.length;
 	const lacking = new Set<string>();
 	for (;;) {
-		const endpoint = choose(lacking);
+		const endpoint = isNeeded() ? choose(lacking) : undefined;
 		if (endpoint === undefined) {
 			return undefined;
 		}
 
-		if (await limiter.acquire(endpoint, {importance, requestName})) {
+		if (await limiter.acquire(endpoint, {importance, requestName, isNeeded})) {
 			if (lacking.size > 0 || isLimited) {
 				countLimited(service, 'diverted');
 			}
--- a/source/limits/endpoint-limiter.ts
+++ b/source/limits/endpoint-limiter.ts
@@ -38,8 +38,8 @@
 	count: (outcome: PermitOutcome) => void;
 };
 
-/** A request that may need a permit: its importance, 0 is the highest, and its name in logs. */
-export type LimitedRequest = {importance: number; requestName: string};
+/** A request that may need a permit: its importance, 0 is the highest, its name in logs, and whether it still needs one after a wait. */
+export type LimitedRequest = {importance: number; requestName: string; isNeeded?: () => boolean};
 
 /** Interval of the background work, in milliseconds. */
 const maintenanceMilliseconds = 250;
@@ -142,13 +142,13 @@
 	 * @param request The request.
 	 * @returns Whether it may be sent now; always true for an endpoint without a limit.
 	 */
-	async acquire(endpoint: EndpointIncarnation, {importance, requestName}: LimitedRequest): Promise<boolean> {
+	async acquire(endpoint: EndpointIncarnation, {importance, requestName, isNeeded}: LimitedRequest): Promise<boolean> {
 		const limited = this.#limitedEndpoints.lookUp(endpoint);
 		if (!limited) {
 			return true;
 		}
 
-		const granted = !limited.isRefused(importance, this.#now().steady) && await limited.queue.take(importance);
+		const granted = !limited.isRefused(importance, this.#now().steady) && await limited.queue.take(importance, isNeeded);
 		this.#options.logger.debug(granted ? 'request has a permit' : 'request has no permit', {request: requestName, endpoint: endpoint.id});
 		return granted;
 	}
--- a/source/limits/permit-queue.test.ts
+++ b/source/limits/permit-queue.test.ts
@@ -30,3 +30,18 @@
 	assert.deepEqual(granted, [false, true, false, false]);
 	assert.deepEqual(requested, [2, 0, 1]);
 });
+
+// One permit is requested at a time, so that many requests may wait here for longer than their callers do.
+test('no permit is requested for a request whose caller has left while it waited, or whose deadline has passed', async () => {
+	const requested: number[] = [];
+	const queue = new PermitQueue(async importance => {
+		requested.push(importance);
+		await delay(20);
+		return true;
+	});
+	const needed = new Set([1, 2, 3]);
+	const taken = [1, 2, 3].map(async importance => queue.take(importance, () => needed.has(importance)));
+	needed.delete(2);
+	assert.deepEqual(await Promise.all(taken), [true, false, true]);
+	assert.deepEqual(requested, [1, 3]);
+});
--- a/source/limits/permit-queue.ts
+++ b/source/limits/permit-queue.ts
@@ -7,7 +7,7 @@
 /** Requests a permit for a request of the given importance; returns whether it was granted. */
 export type RequestPermit = (importance: number) => Promise<boolean>;
 
-type WaitingRequest = {importance: number; resolve: (granted: boolean) => void};
+type WaitingRequest = {importance: number; isNeeded: () => boolean; resolve: (granted: boolean) => void};
 
 /**
  * Requests one permit at a time, for the most important request first. After a refusal all others are refused as well, since none of them
@@ -32,12 +32,13 @@
 	 * Waits for a permit.
 	 *
 	 * @param importance Importance of the request; 0 is the highest.
+	 * @param isNeeded Returns whether the permit is still needed when it is the request's turn. Default always.
 	 * @returns Whether it was granted.
 	 */
-	async take(importance: number): Promise<boolean> {
+	async take(importance: number, isNeeded: () => boolean = () => true): Promise<boolean> {
 		return new Promise(resolve => {
 			const index = this.#waiting.findIndex(other => other.importance > importance);
-			this.#waiting.splice(index === -1 ? this.#waiting.length : index, 0, {importance, resolve});
+			this.#waiting.splice(index === -1 ? this.#waiting.length : index, 0, {importance, isNeeded, resolve});
 			void this.#requestAll();
 		});
 	}
@@ -49,6 +50,11 @@
 
 		this.#isRequesting = true;
 		for (let next = this.#waiting.shift(); next; next = this.#waiting.shift()) {
+			if (!next.isNeeded()) {
+				next.resolve(false);
+				continue;
+			}
+
 			const granted = await this.#requestPermit(next.importance);
 			next.resolve(granted);
 			if (!granted) {
