Test answers at the timeout of a route with real gateways and late bodies

A refused call whose trial is claimed from a slow store was sent to an endpoint after its deadline and answered 504; with a silent store its answer came 107 ms after the timeout of its route (907 ms for 800 ms). A call whose body was whole only after the timeout was sent and answered 504.

--- a/source/gateway/waiting-requests.test.ts
+++ b/source/gateway/waiting-requests.test.ts
@@ -1,7 +1,10 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {connect} from 'node:net';
 import {test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {sendCall, type CallerAnswer} from '../testing/call.ts';
+import {EndingFleet, endingBody} from '../testing/ending-fleet.ts';
 import {routeHost} from '../testing/gateway-fleet.ts';
 import {InProcessGateway, routeTimeoutMilliseconds, type ReplacedParts} from '../testing/in-process-gateway.ts';
 import {rawAnswer} from '../testing/stand-ins/raw-worker.ts';
@@ -200,3 +203,47 @@
 		assert.ok(answer.milliseconds < 150 + answerMilliseconds, `${answer.milliseconds} ms`);
 	});
 }
+
+/** Timeout of the route of calls in fleets, in milliseconds. */
+const fleetTimeoutMilliseconds = 800;
+
+/** Time after the last crash from which a refused call is tried again, with a margin, in milliseconds. */
+const trialMilliseconds = 2300;
+
+for (const fault of ['slow', 'silent'] as const) {
+	test(`a call whose trial is claimed from a store that is ${fault} has its answer at the timeout of its route, and is not sent later`, async () => {
+		await using crashFleet = await EndingFleet.create({service: 'desk', gateways: 1, workers: 8});
+		const {fleet, gateways: [gateway], ends} = crashFleet;
+		const call = {path: '/status/1', method: 'POST', body: endingBody};
+		await fleet.until(async () => {
+			await fleet.call(gateway!, call);
+			return ends.length >= 3;
+		}, 'the call has crashed three endpoints');
+		fleet.store.fault = fault;
+		await delay(trialMilliseconds);
+		const {length} = ends;
+		const sentAt = performance.now();
+		const answer = await fleet.call(gateway!, call);
+		const milliseconds = performance.now() - sentAt;
+		assert.equal(answer.status, 503);
+		assert.ok(milliseconds <= fleetTimeoutMilliseconds + answerMilliseconds, `${milliseconds} ms`);
+		await delay(trialMilliseconds);
+		assert.equal(ends.length, length);
+	});
+}
+
+test('a call whose body is whole only after the timeout of its route is refused at once, and not sent', async () => {
+	const {gateway, arrivals} = await startWaiting({kind: 'non_idempotent', fault: 'none'}, {});
+	await using _gateway = gateway;
+	const [host, port] = gateway.address.split(':');
+	const socket = connect({host, port: Number(port)});
+	socket.write(`POST /non_idempotent/1 HTTP/1.1\r\nHost: ${routeHost}\r\nX-Azuretack-Attempt-Id: attempt-1\r\nContent-Length: 5\r\n\r\nnote`);
+	await delay(routeTimeoutMilliseconds + 50);
+	const completedAt = performance.now();
+	socket.write('s');
+	const [head] = await once(socket, 'data', {signal: AbortSignal.timeout(endlessMilliseconds)}) as [Uint8Array];
+	assert.match(new TextDecoder().decode(head), /^HTTP\/1\.1 503 /v);
+	assert.ok(performance.now() - completedAt < answerMilliseconds);
+	assert.equal(arrivals.length, 0);
+	socket.destroy();
+});
