Record who closed a caller's connection, and why

caller_left was the outcome of every request whose connection closed before its response was complete: the gateway's own closing of a stream that can't be completed, the server's answer to bytes that are no request, its timers, the end of a planned stop, and the caller's leaving looked the same, so an operator couldn't tell whether a request without an answer was the caller's doing.

All places of a gateway that close a caller's connection now do so through CallerConnections, with a typed reason; the first reason counts. Each closing before a response is complete is one line (caller connection closed) and one count (azuretack_gateway_closed_connections_total by reason). Signals of disconnected callers carry the reason, and the outcome is caller_left only where the caller sent its end of the connection or reset it. Errors and timers of the server are handled as Node's server does; a test compares the bytes with those of a server without handlers. A stream that is in progress at the end of a planned stop is closed as stopped just before the exit, so that its lines are written; it was cut by the exit itself some 50 ms later before.

--- /dev/null
+++ b/source/forwarding/caller-connections.ts
@@ -0,0 +1,179 @@
+/**
+ * Closes callers' connections, and records who closed them and why.
+ *
+ * @module
+ */
+import {type Server, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
+import {type Logger} from '../telemetry/mod.ts';
+import {type ClosingReason} from './closing-reason.ts';
+
+/** Options of {@linkcode CallerConnections}. */
+export type CallerConnectionsOptions = {
+	logger: Logger;
+	/** Returns monotonic time, in milliseconds. */
+	clock: () => number;
+	/** Counts a connection that was closed before a response was complete, or by the gateway between two requests. */
+	count: (reason: ClosingReason) => void;
+};
+
+/** A request whose response is watched. */
+export type WatchedRequest = {
+	/** Identifier of the request in logs. */
+	requestName: string;
+	/** Monotonic time at which it arrived, in milliseconds. */
+	arrivedAt: number;
+};
+
+type Closing = {reason: ClosingReason; detail: string | undefined};
+
+type Connection = {
+	/** Why it is being closed; the first reason counts. */
+	closing: Closing | undefined;
+	/** Responses that are not closed yet, in order of their requests. */
+	readonly responses: Set<ServerResponse>;
+};
+
+/**
+ * Records why each caller's connection is closed. All places of a gateway that close one do so here.
+ *
+ * @example
+ * ```ts
+ * const callerDisconnected = connections.watch(response, {requestName, arrivedAt});
+ * connections.close(response, 'broken-off', 'read ECONNRESET');
+ * callerDisconnected.reason; // 'broken-off', once the connection has closed
+ * ```
+ */
+export class CallerConnections {
+	readonly #options: CallerConnectionsOptions;
+	readonly #connections = new WeakMap<Socket, Connection>();
+	/** Connections that are open. */
+	readonly #open = new Set<Socket>();
+
+	constructor(options: CallerConnectionsOptions) {
+		this.#options = options;
+	}
+
+	/** Follows a connection until it closes: the end that the caller sends is its own leaving. */
+	follow(socket: Socket): void {
+		if (this.#connections.has(socket)) {
+			return;
+		}
+
+		this.#connections.set(socket, {closing: undefined, responses: new Set()});
+		this.#open.add(socket);
+		socket.once('end', () => {
+			this.#recordReason(socket, 'caller');
+		});
+		socket.once('close', () => {
+			this.#open.delete(socket);
+			this.#recordReason(socket, 'unknown');
+		});
+	}
+
+	/**
+	 * Watches a response until it closes.
+	 *
+	 * @param response Response to the caller.
+	 * @param watched Its request.
+	 * @returns Signal that aborts with the reason if the connection closes before the response is complete.
+	 */
+	watch(response: ServerResponse, {requestName, arrivedAt}: WatchedRequest): AbortSignal {
+		const controller = new AbortController();
+		const {socket} = response.req;
+		this.follow(socket);
+		const connection = this.#connections.get(socket)!;
+		const bytesBefore = socket.bytesWritten;
+		connection.responses.add(response);
+		response.once('close', () => {
+			connection.responses.delete(response);
+			if (response.writableFinished) {
+				return;
+			}
+
+			const {reason, detail} = connection.closing ?? {reason: 'unknown'};
+			this.#options.count(reason);
+			this.#options.logger.info('caller connection closed', {
+				request: requestName,
+				reason,
+				detail,
+				begun: response.headersSent,
+				ended: response.writableEnded,
+				milliseconds: Math.round(this.#options.clock() - arrivedAt),
+				bytes: socket.bytesWritten - bytesBefore,
+			});
+			controller.abort(reason);
+		});
+		return controller.signal;
+	}
+
+	/**
+	 * Closes the connection of a response.
+	 *
+	 * @param response Response to the caller.
+	 * @param reason Why.
+	 * @param detail What led to it, for the log.
+	 * @returns The reason that counts: another one if the connection was being closed before.
+	 */
+	close(response: ServerResponse, reason: ClosingReason, detail?: string): ClosingReason {
+		const {socket} = response.req;
+		this.follow(socket);
+		const first = response.writableFinished ? reason : this.#recordReason(socket, reason, detail);
+		response.destroy();
+		return first;
+	}
+
+	/**
+	 * Closes a connection, whether or not a request is in progress on it.
+	 *
+	 * @param socket The caller's connection.
+	 * @param reason Why.
+	 * @param error What led to it.
+	 */
+	closeSocket(socket: Socket, reason: ClosingReason, error?: Error): void {
+		this.follow(socket);
+		this.#recordReason(socket, reason, error?.message);
+		this.#recordWithoutRequest(socket);
+		socket.destroy(error);
+	}
+
+	/** Returns why a response's connection is being closed; `unknown` if nothing has closed it yet. */
+	reasonOf(response: ServerResponse): ClosingReason {
+		return this.#connections.get(response.req.socket)?.closing?.reason ?? 'unknown';
+	}
+
+	/** Returns the response that is sent on a connection at present, if there is one. */
+	currentResponse(socket: Socket): ServerResponse | undefined {
+		const [response] = this.#connections.get(socket)?.responses ?? [];
+		return response;
+	}
+
+	/** Stops listening for new connections, and closes those without a request in progress. */
+	stopListening(server: Server): void {
+		server.close();
+		server.closeIdleConnections();
+		for (const socket of this.#open) {
+			if (socket.destroyed && !this.#connections.get(socket)!.closing) {
+				this.#recordReason(socket, 'stopped');
+				this.#recordWithoutRequest(socket);
+			}
+		}
+	}
+
+	#recordReason(socket: Socket, reason: ClosingReason, detail?: string): ClosingReason {
+		const connection = this.#connections.get(socket)!;
+		connection.closing ??= {reason, detail};
+		return connection.closing.reason;
+	}
+
+	/** Records the closing of a connection on which no response is watched; a caller's own leaving then is no event. */
+	#recordWithoutRequest(socket: Socket): void {
+		const {closing, responses} = this.#connections.get(socket)!;
+		if (!closing || responses.size > 0 || closing.reason === 'caller') {
+			return;
+		}
+
+		this.#options.count(closing.reason);
+		this.#options.logger.debug('caller connection closed without a request', {...closing, bytesRead: socket.bytesRead});
+	}
+}
--- a/source/forwarding/caller-response.ts
+++ b/source/forwarding/caller-response.ts
@@ -62,7 +62,7 @@
 /**
  * Streams an endpoint's response to the caller with backpressure.
  *
- * If the response breaks off, the caller's connection is closed, which shows that the body is incomplete.
+ * If the response breaks off, the caller's connection must be closed, which shows that the body is incomplete.
  *
  * @param response Response to the caller.
  * @param partialResponse The endpoint's response.
@@ -84,7 +84,6 @@
 			throw error;
 		}
 
-		response.destroy();
 		return err(error.message);
 	}
 
--- a/source/forwarding/exchange.ts
+++ b/source/forwarding/exchange.ts
@@ -30,7 +30,7 @@
 	arrivedAt: number;
 	/** Monotonic time by which the caller needs the final response, in milliseconds. */
 	deadline: number;
-	/** Aborts when the caller's connection closes. */
+	/** Aborts when the caller's connection closes, with the reason for it: who closed it, and why. */
 	callerDisconnected: AbortSignal;
 };
 
--- a/source/forwarding/forward-call.ts
+++ b/source/forwarding/forward-call.ts
@@ -13,6 +13,7 @@
 } from './endpoint-signals.ts';
 import {acquireEndpoint} from './acquire-endpoint.ts';
 import {acquireRetry} from './acquire-retry.ts';
+import {closingOutcomes, disconnectedOutcome} from './closing-reason.ts';
 import {type CallAttemptResult} from './call-attempt-result.ts';
 import {CallAttempts} from './call-attempts.ts';
 import {type Exchange, type ExchangeOutcome} from './exchange.ts';
@@ -73,7 +74,7 @@
 		let mayHedge = route.kind === 'idempotent' && route.maximumAttempts > 1 && this.#exchange.handling === 'none';
 		const first = await this.#acquireEndpoint();
 		if (this.#exchange.callerDisconnected.aborted) {
-			return this.#outcome('caller_left', 0);
+			return this.#disconnected();
 		}
 
 		if (!first) {
@@ -84,7 +85,7 @@
 		for (;;) {
 			const result = await this.#attempts.next(mayHedge ? Math.min(hedgeAt, this.#exchange.deadline) : this.#exchange.deadline);
 			if (this.#exchange.callerDisconnected.aborted) {
-				return this.#outcome('caller_left', 0);
+				return this.#disconnected();
 			}
 
 			if (result === undefined && mayHedge && this.#dependencies.clock() < this.#exchange.deadline) {
@@ -119,8 +120,8 @@
 
 	/** Streams a response that is too large to buffer and aborts the other attempts. */
 	async #stream({endpoint, response: endpointResponse}: CallAttemptResult & {kind: 'streaming'}): Promise<ExchangeOutcome> {
-		const {response, deadline, callerDisconnected, requestName} = this.#exchange;
-		const {loads, health, logger, clock} = this.#dependencies;
+		const {response, deadline, requestName} = this.#exchange;
+		const {loads, health, logger, clock, callerConnections} = this.#dependencies;
 		const signal = this.#attempts.abortOthers(endpoint, deadline);
 		const endLoad = loads.trackRequest(endpoint.id, 0);
 		const streamed = await streamResponse(response, endpointResponse, signal);
@@ -130,8 +131,9 @@
 			return this.#outcome('answered', endpointResponse.status);
 		}
 
-		if (callerDisconnected.aborted) {
-			return this.#outcome('caller_left', 0);
+		const reason = callerConnections.close(response, 'broken-off', streamed.error);
+		if (reason !== 'broken-off') {
+			return this.#outcome(closingOutcomes[reason], 0);
 		}
 
 		health.recordFailure(endpoint.id, 'broken', clock());
@@ -249,7 +251,7 @@
 
 	#giveUp({end, message, response: endpointResponse, retryAfterMilliseconds}: CallAttemptResult & {kind: 'unsuccessful'}): ExchangeOutcome {
 		if (this.#exchange.callerDisconnected.aborted) {
-			return this.#outcome('caller_left', 0);
+			return this.#disconnected();
 		}
 
 		if (endpointResponse && end === 'failed') {
@@ -289,6 +291,11 @@
 		return this.#outcome(error.code, error.status);
 	}
 
+	/** Outcome of a call whose caller's connection has closed. */
+	#disconnected(): ExchangeOutcome {
+		return this.#outcome(disconnectedOutcome(this.#exchange.callerDisconnected), 0);
+	}
+
 	#outcome(outcome: string, status: number): ExchangeOutcome {
 		return {outcome, status, endpoints: [...this.#tried]};
 	}
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -8,6 +8,7 @@
 import {
 	computeRetryAfter, isRejectedByLimit, recordSignals, type RequestClass,
 } from './endpoint-signals.ts';
+import {closingOutcomes, disconnectedOutcome} from './closing-reason.ts';
 import {acquireRetry} from './acquire-retry.ts';
 import {admitAgain} from './admit-again.ts';
 import {crashCauseEventLimit} from './crash-detector.ts';
@@ -79,7 +80,7 @@
 		for (;;) {
 			const target = await this.#targets.choose(this.#copyHolder);
 			if (this.#exchange.callerDisconnected.aborted) {
-				return this.#outcome('caller_left', 0);
+				return this.#disconnected();
 			}
 
 			if (!target) {
@@ -103,7 +104,7 @@
 			}
 
 			if (end.kind === 'caller-disconnected') {
-				return this.#outcome('caller_left', 0);
+				return this.#disconnected();
 			}
 
 			message = end.kind === 'failed' ? `the engine answered ${end.status}` : end.message;
@@ -117,7 +118,7 @@
 
 			const mayRetry = await this.#mayRetry(end.kind);
 			if (this.#exchange.callerDisconnected.aborted) {
-				return this.#outcome('caller_left', 0);
+				return this.#disconnected();
 			}
 
 			if (!mayRetry) {
@@ -247,8 +248,8 @@
 		const {response, deadline} = this.#exchange;
 		if (response.headersSent) {
 			// The closed connection shows the caller that the response is incomplete.
-			response.destroy();
-			return this.#outcome('broken_off', 200);
+			const reason = this.#dependencies.callerConnections.close(response, 'broken-off', message);
+			return this.#outcome(closingOutcomes[reason], reason === 'broken-off' ? 200 : 0);
 		}
 
 		if (this.#runs === 0) {
@@ -288,6 +289,11 @@
 		return this.#outcome(error.code, error.status);
 	}
 
+	/** Outcome of a generation whose caller's connection has closed. */
+	#disconnected(): ExchangeOutcome {
+		return this.#outcome(disconnectedOutcome(this.#exchange.callerDisconnected), 0);
+	}
+
 	#outcome(outcome: string, status: number): ExchangeOutcome {
 		return {
 			outcome, status, endpoints: this.#attempted, generation: describeProgress(this.#progress),
--- a/source/forwarding/forwarding-dependencies.ts
+++ b/source/forwarding/forwarding-dependencies.ts
@@ -9,6 +9,7 @@
 import {type SharedRetryBudget} from '../retries/mod.ts';
 import {type SuspectedRequests} from '../suspects/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
+import {type CallerConnections} from './caller-connections.ts';
 import {type EndpointConnections} from './endpoint-connections.ts';
 import {type ResponseBuffers} from './response-buffers.ts';
 import {type CrashDetector} from './crash-detector.ts';
@@ -21,6 +22,7 @@
 	backoff: EndpointBackoff;
 	limiter: EndpointLimiter;
 	connections: EndpointConnections;
+	callerConnections: CallerConnections;
 	responseBuffers: ResponseBuffers;
 	crashDetector: CrashDetector;
 	suspects: SuspectedRequests;
--- a/source/forwarding/mod.ts
+++ b/source/forwarding/mod.ts
@@ -4,7 +4,9 @@
  * @module
  */
 
+export * from './caller-connections.ts';
 export * from './caller-response.ts';
+export * from './closing-reason.ts';
 export * from './endpoint-connections.ts';
 export * from './exchange.ts';
 export * from './forward-call.ts';
--- a/source/gateway/caller-server.ts
+++ b/source/gateway/caller-server.ts
@@ -8,6 +8,7 @@
 } from 'node:http';
 import {listGateways} from '../fleet/mod.ts';
 import {decodeManagementCall, encodeEntries, type ManagementCall} from '../platform/mod.ts';
+import {followCallers} from './follow-callers.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 import {isReady} from './readiness.ts';
 import {serveRequest} from './serve-request.ts';
@@ -51,6 +52,7 @@
 	const server = createServer({maxHeaderSize: maximumHeaderBytes, keepAliveTimeout: defaultIdleMilliseconds, requestTimeout: 0}, (request, response) => {
 		void serveRequest(request, response, parts);
 	});
+	followCallers(server, parts.callerConnections);
 	parts.configuration.onChange(({configuration: {limits}}) => {
 		server.keepAliveTimeout = limits.idleMilliseconds;
 	});
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -11,7 +11,7 @@
 	ExchangeClient, MemberTable, createPermitPort, exchangePeriod,
 } from '../fleet/mod.ts';
 import {
-	EndpointConnections, ResponseBuffers, CrashDetector, type ForwardingDependencies,
+	CallerConnections, EndpointConnections, ResponseBuffers, CrashDetector, type ForwardingDependencies,
 } from '../forwarding/mod.ts';
 import {EndpointLimiter, LimitLeaseTable} from '../limits/mod.ts';
 import {StoreClient} from '../platform/mod.ts';
@@ -94,6 +94,13 @@
 			store, eraRecord, logger, endpoints, members, metrics, clock,
 		}),
 		connections: new EndpointConnections(),
+		callerConnections: new CallerConnections({
+			logger,
+			clock,
+			count(reason) {
+				metrics.closedConnections.inc({reason});
+			},
+		}),
 		responseBuffers: new ResponseBuffers({maximumResponseBytes: settings.answers.heldBytes, maximumTotalBytes: settings.answers.allHeldBytes, maximumStreams: settings.answers.passedOnAtOnce}),
 		crashDetector: new CrashDetector({
 			endpoints,
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -137,15 +137,16 @@
 }
 
 async function stopGateway(parts: GatewayParts, callerServer: Server): Promise<void> {
-	const {shutdown, limiter, logger, clock, members} = parts;
+	const {
+		shutdown, limiter, logger, clock, members, callerConnections,
+	} = parts;
 	shutdown.start(clock());
 	members.raiseHeartbeat(false);
 	logger.info('gateway stops', {inProgress: shutdown.inProgress});
 	void limiter.stop();
 	while (!shutdown.canExit(clock())) {
 		if (!shutdown.acceptsRequests(clock()) && callerServer.listening) {
-			callerServer.close();
-			callerServer.closeIdleConnections();
+			callerConnections.stopListening(callerServer);
 		}
 
 		await pause(shutdownPollMilliseconds);
--- a/source/gateway/serve-request.test.ts
+++ b/source/gateway/serve-request.test.ts
@@ -3,6 +3,7 @@
 import {createServer} from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {test} from 'node:test';
+import {CallerConnections} from '../forwarding/mod.ts';
 import {RouteTable} from '../routing/mod.ts';
 import {sendCall} from '../testing/call.ts';
 import {GracefulShutdown} from './graceful-shutdown.ts';
@@ -51,6 +52,7 @@
 				errors.push(message);
 			},
 		},
+		callerConnections: new CallerConnections({logger: {...console, info: ignore}, clock: () => performance.now(), count: ignore}),
 		retryBudgetOf() {
 			throw new Error('a fault');
 		},
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -6,13 +6,12 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
-	crashesEndpoints, forwardCall, forwardGeneration, handlingOf, sendErrorResponse, type Exchange, type ExchangeOutcome, type ForwardingDependencies, type ErrorResponse,
+	closingOutcomes, crashesEndpoints, forwardCall, forwardGeneration, handlingOf, sendErrorResponse, type Exchange, type ExchangeOutcome, type ForwardingDependencies, type ErrorResponse,
 } from '../forwarding/mod.ts';
 import {decodeRequestHeaders} from '../platform/mod.ts';
 import {
 	admitRequest, selectService, type AdmissionDecision, type RequestKind, type Route,
 } from '../routing/mod.ts';
-import {callerDisconnectSignal} from '../supervision/caller-signal.ts';
 import {RequestIdentity, type SuspectedRequests} from '../suspects/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 
@@ -59,17 +58,20 @@
 export async function serveRequest(request: IncomingMessage, response: ServerResponse, parts: GatewayParts): Promise<void> {
 	const arrivedAt = parts.clock();
 	const finishTracking = parts.shutdown.trackRequest(arrivedAt, () => {
-		sendErrorResponse(response, stoppedUnanswered);
+		endAtStop(response, parts);
 	});
 	const terms = decodeRequestHeaders(request.headers);
 	const requestName = terms.attempt ?? 'unnamed';
+	const callerDisconnected = parts.callerConnections.watch(response, {requestName, arrivedAt});
 	if (parts.shutdown.hasStarted) {
 		response.setHeader('Connection', 'close');
 	}
 
 	let result: ExchangeOutcome & {service?: string; route?: string};
 	try {
-		result = await admitAndForward(request, response, {terms, requestName, arrivedAt}, parts);
+		result = await admitAndForward(request, response, {
+			terms, requestName, arrivedAt, callerDisconnected,
+		}, parts);
 	} catch (error) {
 		parts.logger.error('request failed', {request: requestName, error: error instanceof Error ? error.stack : String(error)});
 		sendErrorResponse(response, internalError);
@@ -99,15 +101,24 @@
 	});
 }
 
+/** Ends a request that is in progress when the gateway exits: by an error response, or by closing the connection if a response has begun. */
+function endAtStop(response: ServerResponse, {callerConnections}: GatewayParts): void {
+	if (response.headersSent && !response.writableEnded) {
+		callerConnections.close(response, 'stopped');
+	} else {
+		sendErrorResponse(response, stoppedUnanswered);
+	}
+}
+
 /** Closes the connection of a caller whose response was neither ended nor closed by whoever forwarded the request. */
-function closeUnended(response: ServerResponse, requestName: string, {logger}: GatewayParts): void {
+function closeUnended(response: ServerResponse, requestName: string, {logger, callerConnections}: GatewayParts): void {
 	if (!response.writableEnded && !response.destroyed) {
 		logger.error('response left open', {request: requestName});
-		response.destroy();
+		callerConnections.close(response, 'left-open');
 	}
 }
 
-type RequestContext = Pick<Exchange, 'terms' | 'requestName' | 'arrivedAt'>;
+type RequestContext = Pick<Exchange, 'terms' | 'requestName' | 'arrivedAt' | 'callerDisconnected'>;
 
 async function admitAndForward(request: IncomingMessage, response: ServerResponse, context: RequestContext, parts: GatewayParts): Promise<ExchangeOutcome & {service?: string; route?: string}> {
 	const {configuration, shutdown, settings, trustedKeyMilliseconds, random, clock, readClock} = parts;
@@ -131,10 +142,10 @@
 		});
 	}
 
-	const callerDisconnected = callerDisconnectSignal(response);
+	const {callerDisconnected} = context;
 	const body = await readBody(request, snapshot.table!.configuration.limits.bodyBytes);
 	if (callerDisconnected.aborted || body === 'broken') {
-		return {outcome: 'caller_left', status: 0, endpoints: []};
+		return {outcome: closingOutcomes[parts.callerConnections.reasonOf(response)], status: 0, endpoints: []};
 	}
 
 	if (body === 'too-large') {
@@ -172,7 +183,6 @@
 		service,
 		workspace,
 		importance: workspace?.priority ?? route.priority,
-		callerDisconnected,
 	};
 	const outcome = await forwarders[route.kind](exchange, parts);
 	void recordSuspectOutcome(parts.suspects, exchange, outcome);
