Soak: check that each request has an end

answersInTime covers lateness only from eight requests and a quarter of all on, and plannedStops only requests that run at a gateway that stops, so that a single request without an answer beside a change of the configuration or of the settings broke no check. endOfEachRequest looks at each request: one that a worker ran, or that was sent to a gateway that has answered since it was last harmed, must not end with a closed connection, a cut answer or nothing.

--- a/source/testing/call.ts
+++ b/source/testing/call.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {type Agent, request as startRequest} from 'node:http';
+import {type Socket} from 'node:net';
 
 /** Answer that a caller got; status 0 where the connection ended without one. `whole` tells whether it ended as the protocol says. */
 export type CallerAnswer = {status: number; headers: Record<string, string | string[] | undefined>; body: string; whole: boolean};
@@ -21,6 +22,8 @@
 	dropsBody?: boolean;
 	/** Keeps connections. Default: a connection of its own. */
 	agent?: Agent;
+	/** Called with the connection that it is sent on. Default does nothing. */
+	onConnection?: (socket: Socket) => void;
 };
 
 /**
@@ -30,7 +33,7 @@
  * @param options The request.
  */
 export async function sendCall(address: string, {
-	path, method = 'GET', body, headers, signal, dropsBody = false, agent,
+	path, method = 'GET', body, headers, signal, dropsBody = false, agent, onConnection,
 }: SendCallOptions): Promise<CallerAnswer> {
 	const [hostname, port] = address.split(':');
 	return new Promise(resolve => {
@@ -60,6 +63,9 @@
 				status: 0, headers: {}, body: '', whole: false,
 			});
 		});
+		request.on('socket', socket => {
+			onConnection?.(socket);
+		});
 		request.end(body);
 	});
 }
--- a/source/testing/soak/callers.ts
+++ b/source/testing/soak/callers.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {Agent} from 'node:http';
-import {connect} from 'node:net';
+import {connect, type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {sendCall} from '../call.ts';
 import {type CallKind, type SeenAnswer, type SeenRequest} from './history.ts';
@@ -218,6 +218,9 @@
 	return !isRefused && !isDone && (status !== 200 || !whole);
 }
 
+/** When each connection of callers was opened. */
+const connectionTimes = new WeakMap<Socket, number>();
+
 type SendOptions = {address: string; agent: Agent; leaves: number | undefined};
 
 /** Sends a request and records how it ended. */
@@ -230,6 +233,10 @@
 	const {method, target, body} = request;
 	const answer = await sendCall(address, {
 		path: target, method, body, headers: headersOf(request), signal: leaving.signal, agent,
+		onConnection(socket) {
+			request.connectedAt = connectionTimes.get(socket) ?? performance.now();
+			connectionTimes.set(socket, request.connectedAt);
+		},
 	});
 	clearTimeout(impatience);
 	if (request.leftAt === undefined) {
--- a/source/testing/soak/checks/mod.ts
+++ b/source/testing/soak/checks/mod.ts
@@ -13,6 +13,7 @@
 	boundedAttempts, endingParts, endingRequests, leavingWorkers, leftCallers, notRunIsTrue, oneEngineAtATime, runsOnce, stalledGenerations, unchangedRequests,
 } from './runs.ts';
 import {retryBudget} from './retries.ts';
+import {endOfEachRequest} from './ends.ts';
 import {backedOffWorkers, wordOfLeaving} from './endpoint-signals.ts';
 import {keptLimits} from './limits.ts';
 import {suspendedWorkers} from './suspensions.ts';
@@ -39,6 +40,7 @@
 	wholeAnswers,
 	wholeStreams,
 	answersInTime,
+	endOfEachRequest,
 	plannedStops,
 	withdrawnKeys,
 	configurationInTime,
--- a/source/testing/soak/checks/test-mutations.ts
+++ b/source/testing/soak/checks/test-mutations.ts
@@ -100,6 +100,11 @@
 	answersInTime({gateways}) {
 		gateways[0]!.callersLink.apply({mode: 'drop_answers'});
 	},
+	async endOfEachRequest({gateways}) {
+		// Connections are reset under requests, and nothing is noted as harmed.
+		await delay(contactPlus);
+		gateways[0]!.callersLink.apply({mode: 'reset_existing'});
+	},
 	async plannedStops(world) {
 		const {gateways, history} = world;
 		await delay(contactPlus);
--- a/source/testing/soak/history.ts
+++ b/source/testing/soak/history.ts
@@ -44,6 +44,8 @@
 	/** Last event that the caller has, where it goes on with a generation; else 0. */
 	lastEvent: number;
 	sentAt: number;
+	/** When the connection was opened that it was sent on; absent where there was none. */
+	connectedAt?: number;
 	deadlineMilliseconds: number;
 	answer?: SeenAnswer;
 	/** When the caller left without an answer. */
