--- a/source/forwarding/call-ending.ts
+++ b/source/forwarding/call-ending.ts
@@ -5,6 +5,7 @@
  */
 import {sendCompleteResponse, sendErrorResponse, type ErrorResponse} from './caller-response.ts';
 import {type CallAttemptResult} from './call-attempt-result.ts';
+import {disconnectedOutcome} from './closing-reason.ts';
 import {computeRetryAfter, isRejectedByLimit, type RequestClass} from './endpoint-signals.ts';
 import {type Exchange, type ExchangeOutcome} from './exchange.ts';
 import {type ForwardingDependencies} from './forwarding-dependencies.ts';
@@ -86,6 +87,11 @@
 			: this.#sendError({status: 504, code: 'timeout', message: 'No endpoint answered in time.'});
 	}
 
+	/** Returns the outcome of a call whose caller's connection has closed. */
+	disconnected(): ExchangeOutcome {
+		return this.outcome(disconnectedOutcome(this.#options.exchange.callerDisconnected), 0);
+	}
+
 	/** Returns the outcome of the call for logs and metrics. */
 	outcome(outcome: string, status: number): ExchangeOutcome {
 		return {outcome, status, endpoints: [...this.#options.tried]};
--- a/source/forwarding/forward-call.ts
+++ b/source/forwarding/forward-call.ts
@@ -10,6 +10,7 @@
 import {AttemptPreparation} from './attempt-preparation.ts';
 import {type CallAttemptResult} from './call-attempt-result.ts';
 import {CallAttempts} from './call-attempts.ts';
+import {closingOutcomes} from './closing-reason.ts';
 import {CallEnding, type UnsuccessfulResult} from './call-ending.ts';
 import {streamResponse, sendCompleteResponse} from './caller-response.ts';
 import {usableEndpoints, type RequestClass} from './endpoint-signals.ts';
@@ -82,7 +83,7 @@
 			const {pending} = this.#preparation;
 			const result = await this.#attempts.next(pending ? deadline : Math.min(this.#hedgeAt, deadline), pending);
 			if (callerDisconnected.aborted) {
-				return this.#ending.outcome('caller_left', 0);
+				return this.#ending.disconnected();
 			}
 
 			if (result?.kind === 'streaming') {
@@ -158,8 +159,8 @@
 
 	/** Streams a response that is too large to buffer and aborts the other attempts. */
 	async #stream({endpoint, response: endpointResponse}: CallAttemptResult & {kind: 'streaming'}): Promise<ExchangeOutcome> {
-		const {response, deadline, callerDisconnected, requestName} = this.#exchange;
-		const {loads, health, logger, clock} = this.#dependencies;
+		const {response, deadline, requestName} = this.#exchange;
+		const {loads, health, logger, clock, callerConnections} = this.#dependencies;
 		const signal = this.#attempts.abortOthers(endpoint, deadline);
 		const endLoad = loads.trackRequest(endpoint.id, 0);
 		const streamed = await streamResponse(response, endpointResponse, signal);
@@ -169,8 +170,9 @@
 			return this.#ending.outcome('answered', endpointResponse.status);
 		}
 
-		if (callerDisconnected.aborted) {
-			return this.#ending.outcome('caller_left', 0);
+		const reason = callerConnections.close(response, 'broken-off', streamed.error);
+		if (reason !== 'broken-off') {
+			return this.#ending.outcome(closingOutcomes[reason], 0);
 		}
 
 		health.recordFailure(endpoint.id, 'broken', clock());
--- a/source/forwarding/generation-ending.ts
+++ b/source/forwarding/generation-ending.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {sendCompleteResponse, sendErrorResponse, type ErrorResponse} from './caller-response.ts';
+import {closingOutcomes, disconnectedOutcome} from './closing-reason.ts';
 import {computeRetryAfter, isRejectedByLimit, type RequestClass} from './endpoint-signals.ts';
 import {crashesEndpoints, type Exchange, type ExchangeOutcome} from './exchange.ts';
 import {type ForwardingDependencies} from './forwarding-dependencies.ts';
@@ -49,13 +50,13 @@
 	giveUp({message, retryAfterMilliseconds = defaultRetryAfterMilliseconds}: GenerationFailure, runs: number): ExchangeOutcome {
 		const {exchange: {response, deadline, callerDisconnected}, dependencies} = this.#options;
 		if (callerDisconnected.aborted) {
-			return this.outcome('caller_left', 0);
+			return this.outcome(disconnectedOutcome(callerDisconnected), 0);
 		}
 
 		if (response.headersSent) {
 			// The closed connection shows the caller that the response is incomplete.
-			response.destroy();
-			return this.outcome('broken_off', 200);
+			const reason = dependencies.callerConnections.close(response, 'broken-off', message);
+			return this.outcome(closingOutcomes[reason], reason === 'broken-off' ? 200 : 0);
 		}
 
 		if (runs === 0) {
--- a/source/forwarding/mod.ts
+++ b/source/forwarding/mod.ts
@@ -5,7 +5,9 @@
  */
 
 export * from './admit-in-time.ts';
+export * from './caller-connections.ts';
 export * from './caller-response.ts';
+export * from './closing-reason.ts';
 export * from './endpoint-connections.ts';
 export * from './exchange.ts';
 export * from './forward-call.ts';
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -137,7 +137,9 @@
 }
 
 async function stopGateway(parts: GatewayParts, callerServer: Server): Promise<void> {
-	const {shutdown, limiter, logger, clock, members} = parts;
+	const {
+		shutdown, limiter, logger, clock, members, callerConnections,
+	} = parts;
 	shutdown.start(clock());
 	members.raiseHeartbeat(false);
 	logger.info('gateway stops', {inProgress: shutdown.inProgress});
@@ -145,7 +147,7 @@
 	while (!shutdown.canExit(clock())) {
 		// Closing the server destroys connections whose response has been written, delivered or not.
 		if (!shutdown.acceptsRequests(clock()) && callerServer.listening && shutdown.undelivered === 0) {
-			callerServer.close();
+			callerConnections.stopListening(callerServer);
 		}
 
 		await pause(shutdownPollMilliseconds);
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -6,13 +6,12 @@
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
-	admitInTime, crashesEndpoints, forwardCall, forwardGeneration, handlingOf, sendErrorResponse, type Exchange, type ExchangeOutcome, type ForwardingDependencies, type ErrorResponse,
+	admitInTime, closingOutcomes, crashesEndpoints, forwardCall, forwardGeneration, handlingOf, sendErrorResponse, type Exchange, type ExchangeOutcome, type ForwardingDependencies, type ErrorResponse,
 } from '../forwarding/mod.ts';
 import {decodeRequestHeaders} from '../platform/mod.ts';
 import {
 	admitRequest, selectService, type AdmissionDecision, type RequestKind, type Route,
 } from '../routing/mod.ts';
-import {callerDisconnectSignal} from '../supervision/caller-signal.ts';
 import {responseDelivery} from '../supervision/response-delivery.ts';
 import {RequestIdentity, type SuspectAdmission, type SuspectedRequests} from '../suspects/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
@@ -60,18 +59,21 @@
 export async function serveRequest(request: IncomingMessage, response: ServerResponse, parts: GatewayParts): Promise<void> {
 	const arrivedAt = parts.clock();
 	const finishTracking = parts.shutdown.trackRequest(arrivedAt, () => {
-		sendErrorResponse(response, stoppedUnanswered);
+		endAtStop(response, parts);
 	}, () => response.writableEnded);
 	const delivery = responseDelivery(request, response);
 	const terms = decodeRequestHeaders(request.headers);
 	const requestName = terms.attempt ?? 'unnamed';
+	const callerDisconnected = parts.callerConnections.watch(response, {requestName, arrivedAt});
 	if (parts.shutdown.hasStarted) {
 		response.setHeader('Connection', 'close');
 	}
 
 	let result: ExchangeOutcome & {service?: string; route?: string};
 	try {
-		result = await admitAndForward(request, response, {terms, requestName, arrivedAt}, parts);
+		result = await admitAndForward(request, response, {
+			terms, requestName, arrivedAt, callerDisconnected,
+		}, parts);
 	} catch (error) {
 		parts.logger.error('request failed', {request: requestName, error: error instanceof Error ? error.stack : String(error)});
 		sendErrorResponse(response, internalError);
@@ -101,20 +103,27 @@
 	});
 }
 
-/** Closes the connection of a caller whose response was neither ended nor closed by whoever forwarded the request. */
-function closeUnended(response: ServerResponse, requestName: string, {logger}: GatewayParts): void {
-	if (!response.writableEnded && !response.destroyed) {
-		logger.error('response left open', {request: requestName});
-		response.destroy();
+/** Ends a request that is in progress when the gateway exits: by an error response, or by closing the connection if a response has begun. */
+function endAtStop(response: ServerResponse, {callerConnections}: GatewayParts): void {
+	if (response.headersSent && !response.writableEnded) {
+		callerConnections.close(response, 'stopped');
+	} else {
+		sendErrorResponse(response, stoppedUnanswered);
 	}
 }
 
-const callerLeft: ExchangeOutcome = {outcome: 'caller_left', status: 0, endpoints: []};
-
 /** Admission of a request whose deadline has passed before it was known whether it may crash endpoints; it was not sent to any. */
 const notAdmittedInTime: SuspectAdmission = {kind: 'refused', retryAfterMilliseconds: 1000};
 
-type RequestContext = Pick<Exchange, 'terms' | 'requestName' | 'arrivedAt'>;
+/** Closes the connection of a caller whose response was neither ended nor closed by whoever forwarded the request. */
+function closeUnended(response: ServerResponse, requestName: string, {logger, callerConnections}: GatewayParts): void {
+	if (!response.writableEnded && !response.destroyed) {
+		logger.error('response left open', {request: requestName});
+		callerConnections.close(response, 'left-open');
+	}
+}
+
+type RequestContext = Pick<Exchange, 'terms' | 'requestName' | 'arrivedAt' | 'callerDisconnected'>;
 
 async function admitAndForward(request: IncomingMessage, response: ServerResponse, context: RequestContext, parts: GatewayParts): Promise<ExchangeOutcome & {service?: string; route?: string}> {
 	const {configuration, shutdown, settings, trustedKeyMilliseconds, random, clock, readClock} = parts;
@@ -138,10 +147,10 @@
 		});
 	}
 
-	const callerDisconnected = callerDisconnectSignal(response);
+	const {callerDisconnected} = context;
 	const body = await readBody(request, snapshot.table!.configuration.limits.bodyBytes);
 	if (callerDisconnected.aborted || body === 'broken') {
-		return callerLeft;
+		return disconnected(response, parts);
 	}
 
 	if (body === 'too-large') {
@@ -167,7 +176,7 @@
 	const admitted = await admitInTime({identity, deadline, callerDisconnected}, parts);
 	const suspectAdmission = admitted.unwrapOr(notAdmittedInTime);
 	if (suspectAdmission.kind === 'refused') {
-		const refusal = callerDisconnected.aborted ? callerLeft : refuse(response, {...crashesEndpoints, retryAfterMilliseconds: suspectAdmission.retryAfterMilliseconds});
+		const refusal = callerDisconnected.aborted ? disconnected(response, parts) : refuse(response, {...crashesEndpoints, retryAfterMilliseconds: suspectAdmission.retryAfterMilliseconds});
 		return {...refusal, service: service.name, route: route.name};
 	}
 
@@ -183,7 +192,6 @@
 		service,
 		workspace,
 		importance: workspace?.priority ?? route.priority,
-		callerDisconnected,
 	};
 	const outcome = await forwarders[route.kind](exchange, parts);
 	void recordSuspectOutcome(parts.suspects, exchange, outcome);
@@ -199,6 +207,11 @@
 	}
 }
 
+/** Returns the outcome of a request whose caller's connection closed before it was sent to an endpoint. */
+function disconnected(response: ServerResponse, {callerConnections}: GatewayParts): ExchangeOutcome {
+	return {outcome: closingOutcomes[callerConnections.reasonOf(response)], status: 0, endpoints: []};
+}
+
 function answerDeadline({terms, arrivedAt}: RequestContext, {timeoutMilliseconds}: Route): number {
 	return arrivedAt + Math.min(terms.deadlineMilliseconds ?? timeoutMilliseconds, timeoutMilliseconds);
 }
