Soak: a connection that was opened soon after harm excuses a request only while it was open in that harm

The mutation of endOfEachRequest didn't fire: the check excused each request on a connection that was opened within 4 s of the start, for as long as the connection lived. Excused are now requests within 4 s of harm, and those whose connection was open during harm. The mutation resets connections again and again, a second apart, so that some of them were opened after the start.

--- a/source/testing/soak/checks/ends.ts
+++ b/source/testing/soak/checks/ends.ts
@@ -49,7 +49,7 @@
 
 function isExcused(history: History, {request, runs}: RequestWithRuns, {hasBegun}: BadEnd, end: number): boolean {
 	const {gateway, sentAt, connectedAt = sentAt} = request;
-	const from = connectedAt - contactMilliseconds;
+	const from = Math.min(connectedAt, sentAt - contactMilliseconds);
 	return isDisturbed(withoutStops(history, gateway), [gateway], from, end)
 		|| (runs.length === 0 && !hasAnswered(history, request, end))
 		|| isExcusedByStop(history, {request, runs}, end)
--- a/source/testing/soak/checks/test-mutations.ts
+++ b/source/testing/soak/checks/test-mutations.ts
@@ -101,9 +101,11 @@
 		gateways[0]!.callersLink.apply({mode: 'drop_answers'});
 	},
 	async endOfEachRequest({gateways}) {
-		// Connections are reset under requests, and nothing is noted as harmed.
-		await delay(contactPlus);
-		gateways[0]!.callersLink.apply({mode: 'reset_existing'});
+		// Connections are reset under requests again and again, and nothing is noted as harmed: those that were opened at the start are excused.
+		for (let reset = 0; reset < resets; reset += 1) {
+			await delay(contactPlus / 5);
+			gateways[0]!.callersLink.apply({mode: 'reset_existing'});
+		}
 	},
 	async plannedStops(world) {
 		const {gateways, history} = world;
@@ -142,6 +144,9 @@
 /** Time after which rules with a time hold, and generations are under way, in milliseconds. */
 const contactPlus = 5000;
 
+/** Times that connections are reset, a second apart. */
+const resets = 15;
+
 /** Generations that must be under way at a gateway that is stopped, as a caller may leave in the same moment. */
 const cutGenerations = 3;
 
