Refuse requests in a planned stop early enough that none sent later than 3 s after the signal is passed on

Cause: a gateway counts the 3 s from the moment at which it notices the signal, a caller from the signal itself. A request that is sent at 3.002 s and arrives while the gateway is still within its own 3 s is accepted, though callers are excused from a cut only up to 3 s. Fix: 200 ms of the 3 s are kept for the signal's delay. Where a stop takes 8 s nothing changes (0.3 of it are 2.4 s).

--- a/source/gateway/graceful-shutdown.test.ts
+++ b/source/gateway/graceful-shutdown.test.ts
@@ -11,11 +11,11 @@
 	assert.equal(shutdown.acceptsRequests(3500), false);
 });
 
-test('new requests are accepted for three seconds of a long shutdown at most', () => {
+test('new requests are refused in a long shutdown before three seconds have passed since the signal, which may be noticed late', () => {
 	const shutdown = new GracefulShutdown({timeoutMilliseconds: 60_000});
 	shutdown.start(0);
-	assert.equal(shutdown.acceptsRequests(2999), true);
-	assert.equal(shutdown.acceptsRequests(3000), false);
+	assert.equal(shutdown.acceptsRequests(2799), true);
+	assert.equal(shutdown.acceptsRequests(2800), false);
 });
 
 test('requests in progress at the exit are ended, others are not', () => {
--- a/source/gateway/graceful-shutdown.ts
+++ b/source/gateway/graceful-shutdown.ts
@@ -20,8 +20,11 @@
 /** Fraction of the shutdown timeout during which new requests are accepted, since callers may not know of the shutdown yet. */
 const acceptingShare = 0.3;
 
-/** Time from the stop signal during which new requests are accepted at most, in milliseconds: longer ones may take until the exit, and callers have learned of the stop by then. */
-const maximumAcceptingMilliseconds = 3000;
+/** Time from the stop signal after which no new request may be passed on, in milliseconds: longer ones may take until the exit, and callers have learned of the stop by then. */
+const lastAcceptedMilliseconds = 3000;
+
+/** Time that the signal may take to be noticed, by which requests are refused earlier, in milliseconds. */
+const signalDelayMilliseconds = 200;
 
 /** Fraction of the shutdown timeout after which the process exits even with requests in progress. */
 const exitShare = 0.96;
@@ -95,7 +98,7 @@
 
 	/** Whether new requests are still accepted. */
 	acceptsRequests(now: number): boolean {
-		return this.#startedAt === undefined || now - this.#startedAt < Math.min(this.#timeoutMilliseconds * acceptingShare, maximumAcceptingMilliseconds);
+		return this.#startedAt === undefined || now - this.#startedAt < Math.min(this.#timeoutMilliseconds * acceptingShare, lastAcceptedMilliseconds - signalDelayMilliseconds);
 	}
 
 	/** Whether the process may exit: it has been idle for long enough, or the timeout has nearly passed. */
