Let the first poll after a failure or an interruption confirm the rows at once

Now a poll after a gap asks the store not to wait. Unit test: waits 1000, 1000, 0, 1000, 0, 1000 where the code before sent 1000 always.

--- a/source/beliefs/beliefs.test.ts
+++ b/source/beliefs/beliefs.test.ts
@@ -203,6 +203,42 @@
 	assert.deepEqual(polls.filter(table => table === 'waiting').length, 2);
 });
 
+test('the first poll after a failure or an interruption does not wait for a change, so that an age is known at once', async () => {
+	const ending = new AbortController();
+	const waits: number[] = [];
+	const response = ok<StoredRows, StoreFailure>({rows: [], revision: 1, storeMilliseconds: undefined});
+	const responses = [response, err<StoredRows, StoreFailure>({kind: 'refused', message: 'no answer'}), response, response, response, response];
+	let asked = 0;
+	await followTable({
+		store: {
+			readTable: async () => response,
+			async changes(_table, _revision, waitMilliseconds) {
+				waits.push(waitMilliseconds);
+				if (waits.length === responses.length) {
+					ending.abort();
+				}
+
+				return responses[waits.length - 1]!;
+			},
+		},
+		table: 'servers',
+		listener: {replace: () => undefined, apply: () => undefined, confirm: () => undefined},
+		logger: createLogger('test', {level: 'silent'}),
+		pollMilliseconds: 1000,
+		batchMilliseconds: 0,
+		shouldFollow() {
+			asked += 1;
+			// Another gateway is followed for a moment before the fifth poll of changes.
+			return asked !== 6;
+		},
+		readClock: () => at(performance.now()),
+		storeClock: new StoreClock(),
+		renewal: new PollRenewal(),
+		random: () => 0,
+	}, ending.signal);
+	assert.deepEqual(waits, [1000, 1000, 0, 1000, 0, 1000]);
+});
+
 test('an endpoint that announced that it is leaving is not used again in that incarnation, also by gateways that receive the announcement', () => {
 	const [list, other] = [new EndpointList(), new EndpointList()];
 	for (const each of [list, other]) {
--- a/source/beliefs/follow-table.ts
+++ b/source/beliefs/follow-table.ts
@@ -111,15 +111,18 @@
 	/** Era of the last rows received. */
 	let era: number | undefined;
 	let failures = 0;
-	let batchPauseMilliseconds = 0;
+	/** Time for which the store may hold the next response. It is 0 after a failure or an interruption, so that the rows are confirmed at once. */
+	let nextWaitMilliseconds = 0;
 	while (!signal.aborted) {
 		if (!shouldFollow()) {
+			nextWaitMilliseconds = 0;
 			await pause(recheckMilliseconds, signal);
 			continue;
 		}
 
 		const position = {revision, era};
-		const waitMilliseconds = pollMilliseconds - batchPauseMilliseconds;
+		const waitMilliseconds = nextWaitMilliseconds;
+		nextWaitMilliseconds = 0;
 		const polled = await renewal.run(async abortSignal => pollOnce(options, position, waitMilliseconds, abortSignal), signal);
 		if (polled === 'renewed') {
 			continue;
@@ -134,7 +137,8 @@
 			failures = 0;
 			revision = polled.value.revision;
 			era = eraOf(revision);
-			batchPauseMilliseconds = polled.value.changes > 0 ? batchMilliseconds : 0;
+			const batchPauseMilliseconds = polled.value.changes > 0 ? batchMilliseconds : 0;
+			nextWaitMilliseconds = pollMilliseconds - batchPauseMilliseconds;
 			await pause(batchPauseMilliseconds, signal);
 			continue;
 		}
