Let the worker stand-in report a generation while it reads its prompt

A run that reads its prompt is a run. The stand-in listed it from its first event on, so a gateway took it for one that the engine has lost after two reports ("the engine no longer runs the generation", 0.96 s after it was sent).

--- a/source/testing/stand-ins/worker-stand-in.test.ts
+++ b/source/testing/stand-ins/worker-stand-in.test.ts
@@ -35,3 +35,18 @@
 	assert.deepEqual(answers.map(({status}) => status), [0, 0]);
 	assert.equal(ends, 1);
 });
+
+test('a worker reports a generation while it reads its prompt', async () => {
+	await using fleet = await GatewayFleet.create();
+	const worker = await fleet.startWorker({
+		id: 'scribe-1', service: 'scribe', promptMilliseconds, events: 1, eventMilliseconds: 1,
+	});
+	const headers = {'x-azuretack-target-instance': 'scribe-1', 'x-azuretack-token-counts': '800,40', 'x-azuretack-attempt-id': 'attempt-1'};
+	const answering = sendCall(worker.options.listen, {path: '/drafts/1', headers});
+	await fleet.until(() => worker.runs.length === 1, 'the generation runs');
+	const {body} = await sendCall(worker.options.listen, {path: '/api/report'});
+	const {running, runs} = JSON.parse(body) as {running: number; runs: Array<[string, number, number, number]>};
+	assert.equal(running, 1);
+	assert.deepEqual(runs.map(([attempt, , events]) => [attempt, events]), [['attempt-1', 0]]);
+	await answering;
+});
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -171,6 +171,7 @@
 		}
 
 		if (request.headers['x-azuretack-token-counts'] !== undefined) {
+			this.#running.set(attempt, 0);
 			await delay(this.#time(this.options.promptMilliseconds));
 			await this.suspension.ended();
 		}
