Let a generation that may have run wait for an engine, and give engines more time after one was left before its first event

Cause: an engine that reports is left before its first event after 1.6 times the target; the others refuse; as no response had begun, the generation ended with 502 answer_lost, although it could still be answered: it can't be refused any more, as it may have run. And the engine that is asked again reads the prompt from its start, so it would be left again after the same time. Now a generation that may have run waits for an engine as a stream that has begun does, and the target doubles with each engine that was left before its first event. Test: 502 after 1.6 s -> 200, whole, with a stand-in that reports while it reads (with the stand-in of before, another cause hid this one). Ruled out: barring engines that have refused this request as alternatives: one that never answers would be kept until the deadline.

--- a/source/forwarding/engine-rounds.ts
+++ b/source/forwarding/engine-rounds.ts
@@ -1,5 +1,5 @@
 /**
- * Rounds of asking engines to go on with a stream that has begun.
+ * Rounds of asking engines to go on with a generation that cannot be refused any more.
  *
  * @module
  */
@@ -24,13 +24,13 @@
 /**
  * Decides whether a generation that no engine takes now is offered to them again.
  *
- * A caller that has received events cannot be refused any more: if its stream is given up, what it has received is lost. So a stream that
- * has begun waits for an engine, whereas a request without a response is refused at once and may return.
+ * A caller that has received events cannot be refused any more: if its stream is given up, what it has received is lost. Nor can a request
+ * that may have run, as a refusal says that it has not. So these wait for an engine, whereas any other request is refused at once and may return.
  *
  * @example
  * ```ts
  * rounds.recordEnd(endpoint.id, 'again');
- * if (await rounds.next()) {
+ * if (await rounds.next({mayHaveRun: true})) {
  * 	// Choose an engine again.
  * }
  * ```
@@ -70,18 +70,20 @@
 	/**
 	 * Waits until the next round begins, or until the retry budget is asked again.
 	 *
-	 * @returns Whether engines are asked again; false if the response has not begun, if waiting is of no use since all engines have lost it,
+	 * @param state Whether the generation may have run at an engine.
+	 * @returns Whether engines are asked again; false if the generation can still be refused, if waiting is of no use since all engines have lost it,
 	 * or if the deadline has passed or the caller has left meanwhile.
 	 */
-	async next(): Promise<boolean> {
+	async next({mayHaveRun}: {mayHaveRun: boolean}): Promise<boolean> {
 		const {exchange: {requestName, response, deadline, callerDisconnected}, dependencies: {logger, clock}, tried} = this.#options;
-		if (!response.headersSent || callerDisconnected.aborted || !this.#mayFindEngine()) {
+		const canBeRefused = !response.headersSent && !mayHaveRun;
+		if (canBeRefused || callerDisconnected.aborted || !this.#mayFindEngine()) {
 			return false;
 		}
 
 		if (!this.#hasWaited) {
 			this.#hasWaited = true;
-			logger.info('stream waits for an engine', {request: requestName, refusedBy: [...this.#refusedBy]});
+			logger.info('generation waits for an engine', {request: requestName, refusedBy: [...this.#refusedBy]});
 		}
 
 		await this.#pause();
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -54,6 +54,8 @@
 	#eventsBefore = 0;
 	/** Number of attempts in progress, or that ran or may have run. */
 	#runs = 0;
+	/** Number of engines that were left for their silence before an event of the attempt arrived. */
+	#leftBeforeFirstEvent = 0;
 	readonly #ending: GenerationEnding;
 	/** The last unsuccessful attempt, for the final answer. */
 	#failure: GenerationFailure = {message: 'no engine of the service is known'};
@@ -85,7 +87,7 @@
 
 			const target = chosen.value;
 			if (!target) {
-				const mayChooseAgain = this.#mayRepeat('not-run') ? await this.#inTime(this.#rounds.next()) : ok(false);
+				const mayChooseAgain = this.#mayRepeat('not-run') ? await this.#inTime(this.#nextRound()) : ok(false);
 				if (mayChooseAgain.unwrapOr(false)) {
 					continue;
 				}
@@ -138,6 +140,7 @@
 				exchange: this.#exchange,
 				target,
 				progress: this.#progress,
+				targetMilliseconds: this.#exchange.route.targetMilliseconds * (2 ** this.#leftBeforeFirstEvent),
 				// An idle pooled connection may be dead, and a copy can be resumed from only once.
 				agent: this.#dependencies.connections.agent('fresh'),
 				responseBuffers: this.#dependencies.responseBuffers,
@@ -176,6 +179,10 @@
 			this.#runs -= 1;
 		}
 
+		if (end.kind === 'lost' && end.isSilent && this.#progress.events === this.#eventsBefore) {
+			this.#leftBeforeFirstEvent += 1;
+		}
+
 		this.#rounds.recordEnd(endpoint.id, end.kind === 'not-run' || (end.kind === 'lost' && end.isSilent) ? 'again' : 'never');
 		if (end.kind === 'not-run' && end.status === 421) {
 			endpoints.excludeIncarnation(endpoint.id, endpoint.startedAt);
@@ -226,7 +233,7 @@
 				return true;
 			}
 
-			if (!await this.#rounds.next()) {
+			if (!await this.#nextRound()) {
 				return false;
 			}
 		}
@@ -234,6 +241,10 @@
 		return false;
 	}
 
+	async #nextRound(): Promise<boolean> {
+		return this.#rounds.next({mayHaveRun: this.#runs > 0});
+	}
+
 	/** Whether the generation may be sent to another engine after an attempt, the retry budget aside. */
 	#mayRepeat(end: AttemptEnd): boolean {
 		const {route, deadline, handling} = this.#exchange;
--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -42,6 +42,11 @@
 	exchange: Exchange;
 	target: AttemptTarget;
 	progress: GenerationProgress;
+	/**
+	 * Target time to the first event, in milliseconds. It grows with each engine that was left before its first event: each further one reads
+	 * the prompt from its start, and may need as long as the one before would have.
+	 */
+	targetMilliseconds: number;
 	agent: Parameters<typeof sendRequest>[0]['agent'];
 	/** Limits how much of the responses is buffered. */
 	responseBuffers: ResponseBuffers;
@@ -79,13 +84,13 @@
 	constructor(options: GenerationAttemptOptions) {
 		this.#options = options;
 		this.#buffer = options.responseBuffers.allocate();
-		const {exchange: {route, terms, deadline}, target: {endpoint, copyHolder}, queryLoad, acquireAlternative, clock} = options;
+		const {exchange: {route, terms, deadline}, target: {endpoint, copyHolder}, targetMilliseconds, queryLoad, acquireAlternative, clock} = options;
 		this.#monitor = new EngineMonitor({
 			startedAt: endpoint.startedAt,
 			attemptId: terms.attempt ?? '',
 			deadline,
 			eventPauseMilliseconds: route.eventPauseMilliseconds,
-			targetMilliseconds: route.targetMilliseconds,
+			targetMilliseconds,
 			hasCopy: copyHolder !== undefined,
 			queryLoad,
 			acquireAlternative,
--- a/source/gateway/waiting-streams.test.ts
+++ b/source/gateway/waiting-streams.test.ts
@@ -106,7 +106,8 @@
 	assert.deepEqual(lateness.filter(milliseconds => milliseconds > arrivalMilliseconds), []);
 });
 
-// An engine that worked was left before its first event, and the request failed as soon as the other engines had refused it.
+// An engine that worked was left before its first event, and the request failed as soon as the other engines had refused it. Asked again, the
+// engine was left once more after the same time.
 test('a generation is answered whose engine reads its prompt for longer than usual while the other engines refuse it', async () => {
 	await using fleet = await GatewayFleet.create();
 	const options = {
