Let requests whose response waits behind another one learn that their caller has left

By reading, then shown by a test that failed: of two requests sent one behind the other on a connection, only the one whose response is sent learned of the close; the other one's engine went on until its end ("not within 10 s: second has ended"). CallerConnections now follows the close of the connection for each watched response, and also tells when a response is delivered, so that response-delivery.ts, which kept the same list, is gone. A closed connection is counted once, however many responses it had.

--- a/source/forwarding/caller-connections.ts
+++ b/source/forwarding/caller-connections.ts
@@ -30,8 +30,18 @@
 type Connection = {
 	/** Why it is being closed; the first reason counts. */
 	closing: Closing | undefined;
-	/** Responses that are not closed yet, in order of their requests. */
-	readonly responses: Set<ServerResponse>;
+	/** Whether its closing was counted. */
+	isCounted: boolean;
+	/** Responses that are not closed yet, in order of their requests, with what is called once they are or their connection is. */
+	readonly responses: Map<ServerResponse, () => void>;
+};
+
+/** What becomes of a response. */
+export type WatchedResponse = {
+	/** Aborts with the reason if the connection closes before the response is complete. */
+	callerDisconnected: AbortSignal;
+	/** Resolves once all bytes of the response have been handed to the operating system, or its connection has closed. */
+	delivered: Promise<void>;
 };
 
 /**
@@ -39,7 +49,7 @@
  *
  * @example
  * ```ts
- * const callerDisconnected = connections.watch(response, {requestName, arrivedAt});
+ * const {callerDisconnected, delivered} = connections.watch(response, {requestName, arrivedAt});
  * connections.close(response, 'broken-off', 'read ECONNRESET');
  * callerDisconnected.reason; // 'broken-off', once the connection has closed
  * ```
@@ -60,7 +70,7 @@
 			return;
 		}
 
-		this.#connections.set(socket, {closing: undefined, responses: new Set()});
+		this.#connections.set(socket, {closing: undefined, isCounted: false, responses: new Map()});
 		this.#open.add(socket);
 		socket.once('end', () => {
 			this.#recordReason(socket, 'caller');
@@ -68,43 +78,50 @@
 		socket.once('close', () => {
 			this.#open.delete(socket);
 			this.#recordReason(socket, 'unknown');
+			for (const end of this.#connections.get(socket)!.responses.values()) {
+				end();
+			}
 		});
 	}
 
 	/**
-	 * Watches a response until it closes.
+	 * Watches a response until it or its connection closes: one that waits behind others on its connection does not itself learn of the close.
 	 *
 	 * @param response Response to the caller.
 	 * @param watched Its request.
-	 * @returns Signal that aborts with the reason if the connection closes before the response is complete.
 	 */
-	watch(response: ServerResponse, {requestName, arrivedAt}: WatchedRequest): AbortSignal {
+	watch(response: ServerResponse, {requestName, arrivedAt}: WatchedRequest): WatchedResponse {
 		const controller = new AbortController();
 		const {socket} = response.req;
 		this.follow(socket);
 		const connection = this.#connections.get(socket)!;
 		const bytesBefore = socket.bytesWritten;
-		connection.responses.add(response);
-		response.once('close', () => {
-			connection.responses.delete(response);
-			if (response.writableFinished) {
-				return;
-			}
-
-			const {reason, detail} = connection.closing ?? {reason: 'unknown'};
-			this.#options.count(reason);
-			this.#options.logger.info('caller connection closed', {
-				request: requestName,
-				reason,
-				detail,
-				begun: response.headersSent,
-				ended: response.writableEnded,
-				milliseconds: Math.round(this.#options.clock() - arrivedAt),
-				bytes: socket.bytesWritten - bytesBefore,
-			});
-			controller.abort(reason);
+		const delivered = new Promise<void>(resolve => {
+			const end = () => {
+				connection.responses.delete(response);
+				resolve();
+				if (controller.signal.aborted || response.writableFinished) {
+					return;
+				}
+
+				const {reason, detail} = connection.closing ?? {reason: 'unknown'};
+				this.#countOnce(connection, reason);
+				this.#options.logger.info('caller connection closed', {
+					request: requestName,
+					reason,
+					detail,
+					begun: response.headersSent,
+					ended: response.writableEnded,
+					milliseconds: Math.round(this.#options.clock() - arrivedAt),
+					bytes: socket.bytesWritten - bytesBefore,
+				});
+				controller.abort(reason);
+			};
+
+			connection.responses.set(response, end);
+			response.once('close', end);
 		});
-		return controller.signal;
+		return {callerDisconnected: controller.signal, delivered};
 	}
 
 	/**
@@ -144,7 +161,7 @@
 
 	/** Returns the response that is sent on a connection at present, if there is one. */
 	currentResponse(socket: Socket): ServerResponse | undefined {
-		const [response] = this.#connections.get(socket)?.responses ?? [];
+		const [response] = this.#connections.get(socket)?.responses.keys() ?? [];
 		return response;
 	}
 
@@ -166,14 +183,22 @@
 		return connection.closing.reason;
 	}
 
+	#countOnce(connection: Connection, reason: ClosingReason): void {
+		if (!connection.isCounted) {
+			connection.isCounted = true;
+			this.#options.count(reason);
+		}
+	}
+
 	/** Records the closing of a connection on which no response is watched; a caller's own leaving then is no event. */
 	#recordWithoutRequest(socket: Socket): void {
-		const {closing, responses} = this.#connections.get(socket)!;
+		const connection = this.#connections.get(socket)!;
+		const {closing, responses} = connection;
 		if (!closing || responses.size > 0 || closing.reason === 'caller') {
 			return;
 		}
 
-		this.#options.count(closing.reason);
+		this.#countOnce(connection, closing.reason);
 		this.#options.logger.debug('caller connection closed without a request', {...closing, bytesRead: socket.bytesRead});
 	}
 }
--- a/source/gateway/closed-connections.test.ts
+++ b/source/gateway/closed-connections.test.ts
@@ -95,6 +95,22 @@
 	});
 }
 
+// A request whose response waited behind another one went on until its end, as only the response that is sent learned of the close.
+test('requests that were sent one behind the other all end as left by their caller', async () => {
+	const {fleet, desk, scribe, gateway} = await startSlowFleet();
+	await using _fleet = fleet;
+	const {socket} = openCaller(gateway);
+	socket.write(longRequest('/deposits/1', 'first'));
+	socket.write(longRequest('/drafts/1', 'second'));
+	await fleet.until(() => desk.runs.length + scribe.runs.length === 2, 'both requests run');
+	socket.destroy();
+	assert.deepEqual(await endOf(fleet, gateway, 'first'), {outcome: 'caller_left', closed: [{reason: 'caller', begun: false}]});
+	const second = await endOf(fleet, gateway, 'second');
+	assert.deepEqual([second.outcome, second.closed.map(({reason}) => reason)], ['caller_left', ['caller']]);
+	await fleet.until(() => scribe.runs[0]!.endedAt !== undefined, 'the engine is left');
+	assert.equal(await countOf(fleet, gateway, 'caller'), 1);
+});
+
 // A connection that the gateway closed for a caller's stray byte was recorded as left by the caller.
 test('a request followed by a byte that is no request ends as closed for it, with 400', async () => {
 	const {fleet, desk, gateway} = await startSlowFleet();
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -12,7 +12,6 @@
 import {
 	admitRequest, selectService, type AdmissionDecision, type RequestKind, type Route,
 } from '../routing/mod.ts';
-import {responseDelivery} from '../supervision/response-delivery.ts';
 import {RequestIdentity, type SuspectAdmission, type SuspectedRequests} from '../suspects/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 
@@ -61,10 +60,9 @@
 	const finishTracking = parts.shutdown.trackRequest(arrivedAt, () => {
 		endAtStop(response, parts);
 	}, () => response.writableEnded);
-	const delivery = responseDelivery(request, response);
 	const terms = decodeRequestHeaders(request.headers);
 	const requestName = terms.attempt ?? 'unnamed';
-	const callerDisconnected = parts.callerConnections.watch(response, {requestName, arrivedAt});
+	const {callerDisconnected, delivered} = parts.callerConnections.watch(response, {requestName, arrivedAt});
 	if (parts.shutdown.hasStarted) {
 		response.setHeader('Connection', 'close');
 	}
@@ -79,7 +77,7 @@
 		sendErrorResponse(response, internalError);
 		result = {outcome: 'internal_error', status: 0, endpoints: []};
 	} finally {
-		void delivery.then(finishTracking);
+		void delivered.then(finishTracking);
 	}
 
 	closeUnended(response, requestName, parts);
