Let only a generation whose engine was lost wait for another one, and keep the backoff of the store where long polls fail

Tables on whose age nothing depends are polled as before. Also from the review: the target doubles only for engines that responded, in a row; tests with more margin; comments.

--- a/source/beliefs/beliefs.test.ts
+++ b/source/beliefs/beliefs.test.ts
@@ -239,6 +239,39 @@
 	assert.deepEqual(waits, [1000, 1000, 0, 1000, 0, 1000]);
 });
 
+test('the backoff grows where the store answers polls without a wait only', async () => {
+	const ending = new AbortController();
+	const response = ok<StoredRows, StoreFailure>({rows: [], revision: 1, storeMilliseconds: undefined});
+	const failedAt: number[] = [];
+	await followTable({
+		store: {
+			readTable: async () => response,
+			async changes(_table, _revision, waitMilliseconds) {
+				if (waitMilliseconds === 0) {
+					return response;
+				}
+
+				failedAt.push(performance.now());
+				if (failedAt.length === 4) {
+					ending.abort();
+				}
+
+				return err({kind: 'refused', message: 'no long polls'});
+			},
+		},
+		table: 'servers',
+		listener: {replace: () => undefined, apply: () => undefined, confirm: () => undefined},
+		logger: createLogger('test', {level: 'silent'}),
+		pollMilliseconds: 1000,
+		batchMilliseconds: 0,
+		readClock: () => at(performance.now()),
+		storeClock: new StoreClock(),
+		renewal: new PollRenewal(),
+		random: () => 0,
+	}, ending.signal);
+	assert.ok(failedAt[3]! - failedAt[2]! >= 390, failedAt.join(' '));
+});
+
 test('an endpoint that announced that it is leaving is not used again in that incarnation, also by gateways that receive the announcement', () => {
 	const [list, other] = [new EndpointList(), new EndpointList()];
 	for (const each of [list, other]) {
--- a/source/beliefs/follow-table.ts
+++ b/source/beliefs/follow-table.ts
@@ -78,6 +78,8 @@
 	pollMilliseconds: number;
 	/** Part of that interval to pause after a response with changes, so that the next response carries several of them, in milliseconds. */
 	batchMilliseconds: number;
+	/** Time for which the store may wait for a change after a failure or an interruption, in milliseconds. Default 0, so that the rows are confirmed at once. */
+	waitAfterGapMilliseconds?: number;
 	/** Longest backoff after a failed call, in milliseconds. Default 800. */
 	longestRetryMilliseconds?: number;
 	/** Shared by all followers of one store. */
@@ -106,23 +108,25 @@
  * ```
  */
 export async function followTable(options: FollowTableOptions, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
-	const {table, logger, listener, pollMilliseconds, batchMilliseconds, random, renewal, shouldFollow = () => true, longestRetryMilliseconds = 800} = options;
+	const {table, logger, listener, pollMilliseconds, batchMilliseconds, random, renewal} = options;
+	const {shouldFollow = () => true, waitAfterGapMilliseconds = 0, longestRetryMilliseconds = 800} = options;
 	let revision: number | undefined;
 	/** Era of the last rows received. */
 	let era: number | undefined;
 	let failures = 0;
-	/** Time for which the store may hold the next response. It is 0 after a failure or an interruption, so that the rows are confirmed at once. */
-	let nextWaitMilliseconds = 0;
+	let nextWaitMilliseconds = waitAfterGapMilliseconds;
+	/** Failures since the last response that the store was allowed to hold: the backoff also grows where only polls without a wait succeed. */
+	let backoffSteps = 0;
 	while (!signal.aborted) {
 		if (!shouldFollow()) {
-			nextWaitMilliseconds = 0;
+			nextWaitMilliseconds = waitAfterGapMilliseconds;
 			await pause(recheckMilliseconds, signal);
 			continue;
 		}
 
 		const position = {revision, era};
 		const waitMilliseconds = nextWaitMilliseconds;
-		nextWaitMilliseconds = 0;
+		nextWaitMilliseconds = waitAfterGapMilliseconds;
 		const polled = await renewal.run(async abortSignal => pollOnce(options, position, waitMilliseconds, abortSignal), signal);
 		if (polled === 'renewed') {
 			continue;
@@ -135,6 +139,7 @@
 			}
 
 			failures = 0;
+			backoffSteps = waitMilliseconds > 0 ? 0 : backoffSteps;
 			revision = polled.value.revision;
 			era = eraOf(revision);
 			const batchPauseMilliseconds = polled.value.changes > 0 ? batchMilliseconds : 0;
@@ -151,12 +156,13 @@
 		}
 
 		failures += 1;
+		backoffSteps += 1;
 		if (polled.error.kind === 'history-lost') {
 			revision = undefined;
 			continue;
 		}
 
-		const backoffMilliseconds = Math.min(longestRetryMilliseconds, firstRetryMilliseconds * (2 ** Math.min(failures, 6)));
+		const backoffMilliseconds = Math.min(longestRetryMilliseconds, firstRetryMilliseconds * (2 ** Math.min(backoffSteps, 6)));
 		await pause(backoffMilliseconds * (0.5 + (random() / 2)), signal);
 	}
 
--- a/source/forwarding/engine-rounds.ts
+++ b/source/forwarding/engine-rounds.ts
@@ -7,7 +7,7 @@
 import {type Exchange} from './exchange.ts';
 import {type ForwardingDependencies} from './forwarding-dependencies.ts';
 
-/** First pause of a stream that waits, in milliseconds; engines that were full are avoided for less. Each further pause is twice as long. */
+/** First pause of a generation that waits, in milliseconds; engines that were full are avoided for less. Each further pause is twice as long. */
 const firstPauseMilliseconds = 250;
 
 /** Longest pause, in milliseconds. */
@@ -25,12 +25,13 @@
  * Decides whether a generation that no engine takes now is offered to them again.
  *
  * A caller that has received events cannot be refused any more: if its stream is given up, what it has received is lost. Nor can a request
- * that may have run, as a refusal says that it has not. So these wait for an engine, whereas any other request is refused at once and may return.
+ * whose engine was lost be, as a refusal says that it has not run. So these wait for an engine, whereas any other request is refused at once and
+ * may return, or gets the error that its engine answered.
  *
  * @example
  * ```ts
  * rounds.recordEnd(endpoint.id, 'again');
- * if (await rounds.next({mayHaveRun: true})) {
+ * if (await rounds.next({isLost: true})) {
  * 	// Choose an engine again.
  * }
  * ```
@@ -60,7 +61,7 @@
 		}
 	}
 
-	/** Waits between two attempts of a later round, so that a stream that waits does not use up the retry budget. */
+	/** Waits between two attempts of a later round, so that a generation that waits does not use up the retry budget. */
 	async pace(): Promise<void> {
 		if (this.#hasWaited) {
 			await this.#pause();
@@ -70,14 +71,14 @@
 	/**
 	 * Waits until the next round begins, or until the retry budget is asked again.
 	 *
-	 * @param state Whether the generation may have run at an engine.
-	 * @returns Whether engines are asked again; false if the generation can still be refused, if waiting is of no use since all engines have lost it,
+	 * @param state Whether the engine that ran the generation last was lost, so that neither its answer nor a refusal can be sent.
+	 * @returns Whether engines are asked again; false if the caller can still get an answer, if waiting is of no use since all engines have lost it,
 	 * or if the deadline has passed or the caller has left meanwhile.
 	 */
-	async next({mayHaveRun}: {mayHaveRun: boolean}): Promise<boolean> {
+	async next({isLost}: {isLost: boolean}): Promise<boolean> {
 		const {exchange: {requestName, response, deadline, callerDisconnected}, dependencies: {logger, clock}, tried} = this.#options;
-		const canBeRefused = !response.headersSent && !mayHaveRun;
-		if (canBeRefused || callerDisconnected.aborted || !this.#mayFindEngine()) {
+		const canBeAnswered = !response.headersSent && !isLost;
+		if (canBeAnswered || callerDisconnected.aborted || !this.#mayFindEngine()) {
 			return false;
 		}
 
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -54,7 +54,9 @@
 	#eventsBefore = 0;
 	/** Number of attempts in progress, or that ran or may have run. */
 	#runs = 0;
-	/** Number of engines that were left for their silence before an event of the attempt arrived. */
+	/** Whether the engine that ran the generation last was lost, or left. */
+	#isLost = false;
+	/** Number of engines in a row that responded and were left before an event of the attempt arrived. */
 	#leftBeforeFirstEvent = 0;
 	readonly #ending: GenerationEnding;
 	/** The last unsuccessful attempt, for the final answer. */
@@ -179,10 +181,8 @@
 			this.#runs -= 1;
 		}
 
-		if (end.kind === 'lost' && end.isSilent && this.#progress.events === this.#eventsBefore) {
-			this.#leftBeforeFirstEvent += 1;
-		}
-
+		this.#isLost = end.kind === 'lost' || (end.kind === 'not-run' && this.#isLost);
+		this.#countSlowEngine(end);
 		this.#rounds.recordEnd(endpoint.id, end.kind === 'not-run' || (end.kind === 'lost' && end.isSilent) ? 'again' : 'never');
 		if (end.kind === 'not-run' && end.status === 421) {
 			endpoints.excludeIncarnation(endpoint.id, endpoint.startedAt);
@@ -212,6 +212,14 @@
 		});
 	}
 
+	#countSlowEngine(end: GenerationEnd & {kind: 'not-run' | 'lost' | 'failed'}): void {
+		if (this.#progress.events > this.#eventsBefore) {
+			this.#leftBeforeFirstEvent = 0;
+		} else if (end.kind === 'lost' && end.isSilent && !end.unreachable) {
+			this.#leftBeforeFirstEvent += 1;
+		}
+	}
+
 	/** Prepares to send the generation to another engine after an attempt; returns whether it may be. */
 	async #prepareRetry(endpoint: EndpointEntry, end: AttemptEnd): Promise<boolean> {
 		if (end === 'not-run') {
@@ -226,7 +234,7 @@
 		return this.#acquireRetry(end);
 	}
 
-	/** Whether the generation is sent to another engine after an attempt; a stream that has begun waits until the retry budget allows it. */
+	/** Whether the generation is sent to another engine after an attempt; one that can't be answered otherwise waits until the retry budget allows it. */
 	async #acquireRetry(end: AttemptEnd): Promise<boolean> {
 		while (!this.#exchange.callerDisconnected.aborted && this.#mayRepeat(end)) {
 			if (this.#targets.hasAlternative || await acquireRetry(this.#exchange, end, this.#dependencies)) {
@@ -242,7 +250,7 @@
 	}
 
 	async #nextRound(): Promise<boolean> {
-		return this.#rounds.next({mayHaveRun: this.#runs > 0});
+		return this.#rounds.next({isLost: this.#isLost});
 	}
 
 	/** Whether the generation may be sent to another engine after an attempt, the retry budget aside. */
--- a/source/gateway/waiting-streams.test.ts
+++ b/source/gateway/waiting-streams.test.ts
@@ -110,8 +110,9 @@
 // engine was left once more after the same time.
 test('a generation is answered whose engine reads its prompt for longer than usual while the other engines refuse it', async () => {
 	await using fleet = await GatewayFleet.create();
+	const fewEvents = 5;
 	const options = {
-		service: 'scribe', events, eventMilliseconds: 50, promptMilliseconds: 2500,
+		service: 'scribe', events: fewEvents, eventMilliseconds: 50, promptMilliseconds: 2500,
 	};
 	await fleet.startWorker({id: 'scribe-1', ...options});
 	const gateway = await fleet.startGateway('gateway-1');
@@ -124,5 +125,38 @@
 
 	const answer = await answering;
 	assert.equal(answer.status, 200);
-	assertWhole(answer);
+	assert.deepEqual(eventsOf(answer.body), expectedEvents(fewEvents));
+	assert.ok(answer.whole);
+});
+
+const deadlineMilliseconds = 9000;
+
+/** Returns the status of a generation, and whether its caller got it long before the deadline. */
+async function draftWithDeadline(fleet: GatewayFleet, gateway: GatewayProcess) {
+	const sentAt = performance.now();
+	const {status} = await fleet.draft(gateway, {deadlineMilliseconds});
+	return {status, isEarly: performance.now() - sentAt < deadlineMilliseconds / 2};
+}
+
+// The review of a change saw these wait until their deadline.
+test('a generation whose engines answer errors gets one at once where the retry budget refuses more', async () => {
+	await using fleet = await GatewayFleet.create();
+	for (const id of ['scribe-1', 'scribe-2', 'scribe-3']) {
+		const engine = await fleet.startWorker({id, service: 'scribe'});
+		engine.fault = 'error';
+	}
+
+	const gateway = await fleet.startGateway('gateway-1', {retryRatio: 0.1, retrySlack: 0, retryWindowSeconds: 10});
+	assert.deepEqual(await draftWithDeadline(fleet, gateway), {status: 500, isEarly: true});
+});
+
+test('a generation whose engine answers an error ends at once where the other engine asks to back off', async () => {
+	await using fleet = await GatewayFleet.create();
+	const [failing, other] = await Promise.all(['scribe-1', 'scribe-2'].map(async id => fleet.startWorker({id, service: 'scribe'})));
+	failing!.fault = 'error';
+	other!.backoffSeconds = 5;
+	const gateway = await fleet.startGateway('gateway-1');
+	const {status, isEarly} = await draftWithDeadline(fleet, gateway);
+	assert.ok(status >= 500);
+	assert.ok(isEarly);
 });
--- a/source/testing/stand-ins/worker-stand-in.test.ts
+++ b/source/testing/stand-ins/worker-stand-in.test.ts
@@ -7,6 +7,9 @@
 /** Time that a worker takes to read a prompt, in milliseconds. */
 const promptMilliseconds = 100;
 
+/** The same, for a report meanwhile. */
+const longPromptMilliseconds = 3000;
+
 test('a worker asks to back off where it refuses for want of room, and not where it was asked under another name', async () => {
 	await using fleet = await GatewayFleet.create();
 	const worker = await fleet.startWorker({id: 'desk-1', service: 'desk'});
@@ -39,7 +42,7 @@
 test('a worker reports a generation while it reads its prompt', async () => {
 	await using fleet = await GatewayFleet.create();
 	const worker = await fleet.startWorker({
-		id: 'scribe-1', service: 'scribe', promptMilliseconds, events: 1, eventMilliseconds: 1,
+		id: 'scribe-1', service: 'scribe', promptMilliseconds: longPromptMilliseconds, events: 1, eventMilliseconds: 1,
 	});
 	const headers = {'x-azuretack-target-instance': 'scribe-1', 'x-azuretack-token-counts': '800,40', 'x-azuretack-attempt-id': 'attempt-1'};
 	const answering = sendCall(worker.options.listen, {path: '/drafts/1', headers});
