--- a/source/testing/gateway-fleet.ts
+++ b/source/testing/gateway-fleet.ts
@@ -52,6 +52,9 @@
 /** One gateway process. */
 export type GatewayProcess = {name: string; callers: string; entries: string; readiness: string; metrics: string; child: ChildProcess; log: string[]};
 
+/** Number of characters of a gateway's log that describe why it does not start. */
+const describedLogLength = 3000;
+
 let attemptsMade = 0;
 
 const routes = {
@@ -154,7 +157,7 @@
 		await this.until(async () => {
 			const answer = await this.get(gateway.readiness, '/api/ready');
 			return answer.status === 200;
-		}, `${name} takes requests`);
+		}, () => `${name} takes requests; its log ends: ${log.join('').slice(-describedLogLength)}`);
 		return gateway;
 	}
 
@@ -199,7 +202,7 @@
 	}
 
 	/** Waits until something holds, for ten seconds at most. */
-	async until(holds: () => Promise<boolean> | boolean, what: string): Promise<void> {
+	async until(holds: () => Promise<boolean> | boolean, what: string | (() => string)): Promise<void> {
 		const end = performance.now() + 10_000;
 		while (performance.now() < end) {
 			if (await holds()) {
@@ -209,7 +212,7 @@
 			await delay(20);
 		}
 
-		throw new Error(`not within 10 s: ${what}`);
+		throw new Error(`not within 10 s: ${typeof what === 'string' ? what : what()}`);
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
