--- a/source/beliefs/beliefs.test.ts
+++ b/source/beliefs/beliefs.test.ts
@@ -168,12 +168,17 @@
 	const renewal = new PollRenewal();
 	const ending = new AbortController();
 	const polls: string[] = [];
+	const waits: number[] = [];
 	const read = async () => ok<StoredRows, StoreFailure>({rows: [], revision: 1, storeMilliseconds: undefined});
 	const follow = async (table: string, changes: (signal: AbortSignal) => Promise<Result<StoredRows, StoreFailure>>) => followTable({
 		store: {
 			readTable: read,
-			async changes(_table, _revision, _wait, signal) {
+			async changes(_table, _revision, waitMilliseconds, signal) {
 				polls.push(table);
+				if (table === 'waiting') {
+					waits.push(waitMilliseconds);
+				}
+
 				return changes(signal!);
 			},
 		},
@@ -200,7 +205,7 @@
 		return err({kind: 'unknown', message: 'no answer'});
 	});
 	await Promise.all([waiting, silent]);
-	assert.deepEqual(polls.filter(table => table === 'waiting').length, 2);
+	assert.deepEqual(waits, [10_000, 0]);
 });
 
 test('the first poll after a failure or an interruption does not wait for a change, so that an age is known at once', async () => {
--- a/source/gateway/graceful-shutdown.test.ts
+++ b/source/gateway/graceful-shutdown.test.ts
@@ -43,3 +43,15 @@
 	assert.equal(shutdown.canExit(1500), false);
 	assert.equal(shutdown.canExit(2000), true);
 });
+
+test('a response counts as undelivered from its end until its request has ended', () => {
+	const shutdown = new GracefulShutdown({timeoutMilliseconds: 8000});
+	let isWritten = false;
+	const ended = shutdown.trackRequest(0, () => undefined, () => isWritten);
+	shutdown.trackRequest(0, () => undefined);
+	assert.deepEqual([shutdown.inProgress, shutdown.undelivered], [2, 0]);
+	isWritten = true;
+	assert.deepEqual([shutdown.inProgress, shutdown.undelivered], [2, 1]);
+	ended();
+	assert.deepEqual([shutdown.inProgress, shutdown.undelivered], [1, 0]);
+});
