--- a/source/gateway/follow-store.ts
+++ b/source/gateway/follow-store.ts
@@ -45,7 +45,9 @@
 		renewal: new PollRenewal(),
 		shouldFollow: followsStore,
 	};
-	const rareChanges = {pollMilliseconds: rareChangesPollMilliseconds, waitAfterGapMilliseconds: rareChangesPollMilliseconds, longestRetryMilliseconds: rareChangesMaximumRetryMilliseconds, batchMilliseconds: 0};
+	const rareChanges = {
+		pollMilliseconds: rareChangesPollMilliseconds, waitAfterGapMilliseconds: rareChangesPollMilliseconds, longestRetryMilliseconds: rareChangesMaximumRetryMilliseconds, batchMilliseconds: 0,
+	};
 	supervisor.start('configuration', async signal => followTable({
 		...shared, table: operatorTable, listener: configurationListener(parts), batchMilliseconds: 0,
 	}, signal));
