--- a/source/beliefs/beliefs.test.ts
+++ b/source/beliefs/beliefs.test.ts
@@ -117,6 +117,21 @@
 	assert.ok(sourceBehindMilliseconds + (1.1 * sourcePollMilliseconds) < storeFallbackMilliseconds);
 });
 
+/** Options of a follower of a table that ignores what it receives. */
+function followerOptions() {
+	return {
+		table: 'servers',
+		listener: {replace: () => undefined, apply: () => undefined, confirm: () => undefined},
+		logger: createLogger('test', {level: 'silent'}),
+		pollMilliseconds: 1000,
+		batchMilliseconds: 0,
+		readClock: () => at(performance.now()),
+		storeClock: new StoreClock(),
+		renewal: new PollRenewal(),
+		random: () => 0,
+	};
+}
+
 test('a follower reads the whole table again when the store has dropped its history, and reports when the store responds again', async () => {
 	const received: string[] = [];
 	const rowsAt = (revision: number): Result<StoredRows, StoreFailure> => ok({rows: [{key: `row-${revision}`, content: undefined, revision}], revision, storeMilliseconds: undefined});
@@ -140,7 +155,7 @@
 	};
 	await followTable({
 		store,
-		table: 'servers',
+		...followerOptions(),
 		listener: {
 			replace(rows) {
 				received.push(`all ${rows[0]!.key}`);
@@ -153,13 +168,7 @@
 				received.push('recovered');
 			},
 		},
-		logger: createLogger('test', {level: 'silent'}),
 		pollMilliseconds: 1,
-		batchMilliseconds: 0,
-		readClock: () => at(performance.now()),
-		storeClock: new StoreClock(),
-		renewal: new PollRenewal(),
-		random: () => 0,
 	}, ending.signal);
 	assert.deepEqual(received, ['all row-3', 'some row-4', 'all row-5', 'recovered']);
 });
@@ -171,6 +180,7 @@
 	const waits: number[] = [];
 	const read = async () => ok<StoredRows, StoreFailure>({rows: [], revision: 1, storeMilliseconds: undefined});
 	const follow = async (table: string, changes: (signal: AbortSignal) => Promise<Result<StoredRows, StoreFailure>>) => followTable({
+		...followerOptions(),
 		store: {
 			readTable: read,
 			async changes(_table, _revision, waitMilliseconds, signal) {
@@ -183,14 +193,8 @@
 			},
 		},
 		table,
-		listener: {replace: () => undefined, apply: () => undefined, confirm: () => undefined},
-		logger: createLogger('test', {level: 'silent'}),
 		pollMilliseconds: 10_000,
-		batchMilliseconds: 0,
-		readClock: () => at(performance.now()),
-		storeClock: new StoreClock(),
 		renewal,
-		random: () => 0,
 	}, ending.signal);
 	const waiting = follow('waiting', async signal => new Promise(resolve => {
 		signal.addEventListener('abort', () => {
@@ -215,6 +219,7 @@
 	const responses = [response, err<StoredRows, StoreFailure>({kind: 'refused', message: 'no answer'}), response, response, response, response];
 	let asked = 0;
 	await followTable({
+		...followerOptions(),
 		store: {
 			readTable: async () => response,
 			async changes(_table, _revision, waitMilliseconds) {
@@ -226,20 +231,11 @@
 				return responses[waits.length - 1]!;
 			},
 		},
-		table: 'servers',
-		listener: {replace: () => undefined, apply: () => undefined, confirm: () => undefined},
-		logger: createLogger('test', {level: 'silent'}),
-		pollMilliseconds: 1000,
-		batchMilliseconds: 0,
 		shouldFollow() {
 			asked += 1;
 			// Another gateway is followed for a moment before the fifth poll of changes.
 			return asked !== 6;
 		},
-		readClock: () => at(performance.now()),
-		storeClock: new StoreClock(),
-		renewal: new PollRenewal(),
-		random: () => 0,
 	}, ending.signal);
 	assert.deepEqual(waits, [1000, 1000, 0, 1000, 0, 1000]);
 });
@@ -249,6 +245,7 @@
 	const response = ok<StoredRows, StoreFailure>({rows: [], revision: 1, storeMilliseconds: undefined});
 	const failedAt: number[] = [];
 	await followTable({
+		...followerOptions(),
 		store: {
 			readTable: async () => response,
 			async changes(_table, _revision, waitMilliseconds) {
@@ -264,15 +261,6 @@
 				return err({kind: 'refused', message: 'no long polls'});
 			},
 		},
-		table: 'servers',
-		listener: {replace: () => undefined, apply: () => undefined, confirm: () => undefined},
-		logger: createLogger('test', {level: 'silent'}),
-		pollMilliseconds: 1000,
-		batchMilliseconds: 0,
-		readClock: () => at(performance.now()),
-		storeClock: new StoreClock(),
-		renewal: new PollRenewal(),
-		random: () => 0,
 	}, ending.signal);
 	assert.ok(failedAt[3]! - failedAt[2]! >= 390, failedAt.join(' '));
 });
