--- a/source/forwarding/engine-rounds.ts
+++ b/source/forwarding/engine-rounds.ts
@@ -25,7 +25,7 @@
  * Decides whether a generation that no engine takes now is offered to them again.
  *
  * A caller that has received events cannot be refused any more: if its stream is given up, what it has received is lost. Nor can a request
- * whose engine was lost be, as a refusal says that it has not run. So these wait for an engine, whereas any other request is refused at once and
+ * whose engine was lost be, as a refusal states that it has not run. So these wait for an engine, whereas any other request is refused at once and
  * may return, or gets the error that its engine answered.
  *
  * @example
