--- a/source/forwarding/caller-connections.ts
+++ b/source/forwarding/caller-connections.ts
@@ -32,8 +32,8 @@
 	closing: Closing | undefined;
 	/** Whether its closing was counted. */
 	isCounted: boolean;
-	/** Responses that are not closed yet, in order of their requests. */
-	readonly responses: Set<ServerResponse>;
+	/** Responses that are not closed yet, in order of their requests, with what is called once they are or their connection is. */
+	readonly responses: Map<ServerResponse, () => void>;
 };
 
 /** What becomes of a response. */
@@ -70,7 +70,7 @@
 			return;
 		}
 
-		this.#connections.set(socket, {closing: undefined, isCounted: false, responses: new Set()});
+		this.#connections.set(socket, {closing: undefined, isCounted: false, responses: new Map()});
 		this.#open.add(socket);
 		socket.once('end', () => {
 			this.#recordReason(socket, 'caller');
@@ -78,12 +78,14 @@
 		socket.once('close', () => {
 			this.#open.delete(socket);
 			this.#recordReason(socket, 'unknown');
-			closeWaiting(this.#connections.get(socket)!.responses);
+			for (const end of this.#connections.get(socket)!.responses.values()) {
+				end();
+			}
 		});
 	}
 
 	/**
-	 * Watches a response until it closes.
+	 * Watches a response until it or its connection closes: one that waits behind others on its connection does not itself learn of the close.
 	 *
 	 * @param response Response to the caller.
 	 * @param watched Its request.
@@ -94,28 +96,30 @@
 		this.follow(socket);
 		const connection = this.#connections.get(socket)!;
 		const bytesBefore = socket.bytesWritten;
-		connection.responses.add(response);
 		const delivered = new Promise<void>(resolve => {
-			response.once('close', resolve);
-		});
-		response.once('close', () => {
-			connection.responses.delete(response);
-			if (response.writableFinished) {
-				return;
-			}
-
-			const {reason, detail} = connection.closing ?? {reason: 'unknown'};
-			this.#countOnce(connection, reason);
-			this.#options.logger.info('caller connection closed', {
-				request: requestName,
-				reason,
-				detail,
-				begun: response.headersSent,
-				ended: response.writableEnded,
-				milliseconds: Math.round(this.#options.clock() - arrivedAt),
-				bytes: socket.bytesWritten - bytesBefore,
-			});
-			controller.abort(reason);
+			const end = () => {
+				connection.responses.delete(response);
+				resolve();
+				if (controller.signal.aborted || response.writableFinished) {
+					return;
+				}
+
+				const {reason, detail} = connection.closing ?? {reason: 'unknown'};
+				this.#countOnce(connection, reason);
+				this.#options.logger.info('caller connection closed', {
+					request: requestName,
+					reason,
+					detail,
+					begun: response.headersSent,
+					ended: response.writableEnded,
+					milliseconds: Math.round(this.#options.clock() - arrivedAt),
+					bytes: socket.bytesWritten - bytesBefore,
+				});
+				controller.abort(reason);
+			};
+
+			connection.responses.set(response, end);
+			response.once('close', end);
 		});
 		return {callerDisconnected: controller.signal, delivered};
 	}
@@ -157,7 +161,7 @@
 
 	/** Returns the response that is sent on a connection at present, if there is one. */
 	currentResponse(socket: Socket): ServerResponse | undefined {
-		const [response] = this.#connections.get(socket)?.responses ?? [];
+		const [response] = this.#connections.get(socket)?.responses.keys() ?? [];
 		return response;
 	}
 
@@ -198,13 +202,3 @@
 		this.#options.logger.debug('caller connection closed without a request', {...closing, bytesRead: socket.bytesRead});
 	}
 }
-
-/** Closes the responses that wait behind others on a connection that has closed: Node's server closes just the one that is sent. */
-function closeWaiting(responses: ReadonlySet<ServerResponse>): void {
-	for (const response of responses) {
-		if (response.socket === null) {
-			response.destroy();
-			response.emit('close');
-		}
-	}
-}
