Put entries of endpoints, clocks and the port to the store below the decisions

Cause: balancing imported beliefs, and retries and limits imported beliefs and the adapter, so that 57 files stood in a circle and each new part would have joined it. EndpointEntry and incarnationKey stand in registry/, clock readings in clocks/, rows, revisions and the port to the store (RowStore, which StoreClient implements) in stored-rows/. No code but imports and the narrowed types of ports changed. Result: balancing, retries, limits, placement, admission and suspects import neither beliefs nor platform (grep finds none outside a test). 185 tests of retries, limits, beliefs, balancing, fleet, platform and suspects pass; types and linter pass.

--- a/source/balancing/balancing.test.ts
+++ b/source/balancing/balancing.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {xoroshiro128plus, type RandomGenerator} from 'pure-rand';
-import {type EndpointEntry} from '../beliefs/mod.ts';
+import {type EndpointEntry} from '../registry/mod.ts';
 import {
 	EndpointHealth, EndpointLoads, EndpointBackoff, chooseCopyHolder, chooseEndpoint, engineCandidates, rankEngines, type QueriedEngine, type EngineReport,
 } from './mod.ts';
--- a/source/balancing/choose-endpoint.ts
+++ b/source/balancing/choose-endpoint.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import {type EndpointEntry} from '../beliefs/mod.ts';
+import {type EndpointEntry} from '../registry/mod.ts';
 import {type EndpointHealth} from './endpoint-health.ts';
 import {type EndpointLoads} from './endpoint-loads.ts';
 
--- a/source/balancing/choose-engine.ts
+++ b/source/balancing/choose-engine.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import {type EndpointEntry} from '../beliefs/mod.ts';
+import {type EndpointEntry} from '../registry/mod.ts';
 import {type NamedLimit} from '../limits/endpoint-limit.ts';
 import {hashKey, rendezvousWeight} from '../placement/rendezvous.ts';
 import {type EndpointHealth} from './endpoint-health.ts';
--- a/source/balancing/endpoint-backoff.ts
+++ b/source/balancing/endpoint-backoff.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import {incarnationKey, type EndpointIncarnation} from '../beliefs/mod.ts';
+import {incarnationKey, type EndpointIncarnation} from '../registry/mod.ts';
 
 /**
  * Tracks until when no requests are sent to each endpoint. A backoff ends when the endpoint restarts, since it applies to one incarnation.
--- a/source/beliefs/beliefs.test.ts
+++ b/source/beliefs/beliefs.test.ts
@@ -2,10 +2,14 @@
 import {test} from 'node:test';
 import fc from 'fast-check';
 import {err, ok, type Result} from 'neverthrow';
-import {type StoreFailure, type StoredRows} from '../platform/mod.ts';
+import {type EndpointEntry} from '../registry/mod.ts';
+import {ageOf} from '../clocks/mod.ts';
+import {
+	type StoreFailure, type StoredRows, RowCache, revisionOf,
+} from '../stored-rows/mod.ts';
 import {createLogger} from '../telemetry/logger.ts';
 import {
-	ConfigurationCache, EndpointList, PollRenewal, RowCache, StoreClock, ageOf, divideUpdateTime, followTable, revisionOf, type EndpointEntry,
+	ConfigurationCache, EndpointList, PollRenewal, StoreClock, divideUpdateTime, followTable,
 } from './mod.ts';
 
 const at = (steady: number, wall = steady) => ({steady, wall});
--- a/source/beliefs/configuration-cache.ts
+++ b/source/beliefs/configuration-cache.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
+import {ageOf, type ClockReading} from '../clocks/mod.ts';
 import {RouteTable, type ConfigurationSnapshot, type RoutingConfiguration} from '../routing/mod.ts';
-import {ageOf, type ClockReading} from './clock.ts';
 
 /** Called with the route table of each new version. */
 export type ConfigurationListener = (table: RouteTable) => void;
--- a/source/beliefs/endpoint-list.ts
+++ b/source/beliefs/endpoint-list.ts
@@ -4,10 +4,10 @@
  * @module
  */
 import {isDeepStrictEqual} from 'node:util';
-import {ageOf, type ClockReading} from './clock.ts';
+import {ageOf, type ClockReading} from '../clocks/mod.ts';
 import {
 	type EndpointChange, type EndpointEntry, type EndpointIncarnation, type IncarnationState, type LeavingIncarnation,
-} from './endpoint-entry.ts';
+} from '../registry/mod.ts';
 import {
 	changeOf, postpone, wasRemovedBeforeCopy, type KnownEndpoint,
 } from './known-endpoint.ts';
--- a/source/beliefs/follow-table.ts
+++ b/source/beliefs/follow-table.ts
@@ -5,14 +5,13 @@
  */
 import {ok, type Result} from 'neverthrow';
 import {
-	type StoreFailure, type StoredRow, type StoredRows,
-} from '../platform/mod.ts';
+	type StoreFailure, type StoredRow, type StoredRows, eraOf,
+} from '../stored-rows/mod.ts';
+import {type ClockReading} from '../clocks/mod.ts';
 import {pause} from '../supervision/pause.ts';
 import {type TaskFailure} from '../supervision/supervisor.ts';
 import {type Logger} from '../telemetry/mod.ts';
-import {type ClockReading} from './clock.ts';
 import {type StoreClock} from './store-clock.ts';
-import {eraOf} from './store-revision.ts';
 
 /** The store calls that a follower makes. */
 export type TableReader = {
--- a/source/beliefs/known-endpoint.ts
+++ b/source/beliefs/known-endpoint.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import {type EndpointChange, type EndpointEntry} from './endpoint-entry.ts';
-import {eraOf} from './store-revision.ts';
+import {type EndpointChange, type EndpointEntry} from '../registry/mod.ts';
+import {eraOf} from '../stored-rows/mod.ts';
 
 /** What a gateway knows of one endpoint. */
 export type KnownEndpoint = {
--- a/source/beliefs/leaving-announcements.ts
+++ b/source/beliefs/leaving-announcements.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {incarnationKey, type EndpointIncarnation, type LeavingIncarnation} from './endpoint-entry.ts';
+import {incarnationKey, type EndpointIncarnation, type LeavingIncarnation} from '../registry/mod.ts';
 
 /** Options of {@linkcode LeavingAnnouncements}. */
 export type LeavingAnnouncementsOptions = {
--- a/source/beliefs/store-clock.ts
+++ b/source/beliefs/store-clock.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type ClockReading} from './clock.ts';
+import {type ClockReading} from '../clocks/mod.ts';
 
 /** Time by which a mapped store time may exceed the arrival of its response, in milliseconds; a larger excess indicates a suspension. */
 const toleranceMilliseconds = 5;
--- /dev/null
+++ b/source/clocks/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Clock readings and their age.
+ *
+ * @module
+ */
+
+export * from './clock.ts';
--- a/source/fleet/exchange-protocol.ts
+++ b/source/fleet/exchange-protocol.ts
@@ -5,7 +5,7 @@
  */
 import {type MethodDefinition} from '@grpc/grpc-js';
 import * as z from 'zod';
-import {endpointChangeSchema, endpointIncarnationSchema, leavingIncarnationSchema} from '../beliefs/endpoint-entry.ts';
+import {endpointChangeSchema, endpointIncarnationSchema, leavingIncarnationSchema} from '../registry/mod.ts';
 import {limitChangeSchema} from '../limits/endpoint-limit.ts';
 import {subjectKindSchema, suspicionSchema} from '../suspects/mod.ts';
 import {jsonCodec} from './json-codec.ts';
--- a/source/fleet/follow-source.ts
+++ b/source/fleet/follow-source.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import {ok, type Result} from 'neverthrow';
-import {type ClockReading, type UpdateTimes} from '../beliefs/mod.ts';
+import {type ClockReading} from '../clocks/mod.ts';
+import {type UpdateTimes} from '../beliefs/mod.ts';
 import {pause} from '../supervision/pause.ts';
 import {type TaskFailure} from '../supervision/supervisor.ts';
 import {chooseSources} from './choose-reader.ts';
--- a/source/fleet/query-seeds.test.ts
+++ b/source/fleet/query-seeds.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {type ClockReading} from '../beliefs/mod.ts';
+import {type ClockReading} from '../clocks/mod.ts';
 import {createLogger} from '../telemetry/logger.ts';
 import {takeLoopbackAddress} from '../testing/loopback-address.ts';
 import {
--- a/source/fleet/query-seeds.ts
+++ b/source/fleet/query-seeds.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type ClockReading} from '../beliefs/mod.ts';
+import {type ClockReading} from '../clocks/mod.ts';
 import {pause} from '../supervision/pause.ts';
 import {type Logger} from '../telemetry/logger.ts';
 import {ExchangeClient} from './exchange-client.ts';
--- a/source/fleet/register-member.ts
+++ b/source/fleet/register-member.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type StoreClient, type StoredRow} from '../platform/mod.ts';
+import {type RowStore, type StoredRow} from '../stored-rows/mod.ts';
 import {pause} from '../supervision/pause.ts';
 import {type Logger} from '../telemetry/logger.ts';
 import {registeredMemberSchema, type RegisteredMember} from './member.ts';
@@ -15,7 +15,7 @@
 /** Options of {@linkcode registerMember}. */
 export type RegisterMemberOptions = {
 	members: MemberTable;
-	store: Pick<StoreClient, 'era' | 'readTable' | 'writeRow'>;
+	store: Pick<RowStore, 'era' | 'readTable' | 'writeRow'>;
 	logger: Logger;
 	/** Returns whether this gateway should be registered now. */
 	shouldRegister: () => boolean;
--- a/source/forwarding/acquire-endpoint.ts
+++ b/source/forwarding/acquire-endpoint.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type EndpointEntry} from '../beliefs/mod.ts';
+import {type EndpointEntry} from '../registry/mod.ts';
 import {type Exchange} from './exchange.ts';
 import {type ForwardingDependencies} from './forwarding-dependencies.ts';
 
--- a/source/forwarding/attempt-preparation.ts
+++ b/source/forwarding/attempt-preparation.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type EndpointEntry} from '../beliefs/mod.ts';
+import {type EndpointEntry} from '../registry/mod.ts';
 
 /** Outcome of a preparation: the endpoint to send the call to; undefined if it is not sent. */
 export type PreparedAttempt = {endpoint: EndpointEntry | undefined};
--- a/source/forwarding/call-attempt-result.ts
+++ b/source/forwarding/call-attempt-result.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
+import {type EndpointEntry} from '../registry/mod.ts';
 import {type EndpointFailure} from '../balancing/mod.ts';
-import {type EndpointEntry} from '../beliefs/mod.ts';
 import {type RequestKind} from '../routing/mod.ts';
 import {type ResponseBuffer} from './response-buffers.ts';
 import {type AttemptEnd} from './retry-decision.ts';
--- a/source/forwarding/call-attempts.ts
+++ b/source/forwarding/call-attempts.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {type ServerResponse} from 'node:http';
-import {type EndpointEntry} from '../beliefs/mod.ts';
+import {type EndpointEntry} from '../registry/mod.ts';
 import {settleInTime} from '../supervision/settle-in-time.ts';
 import {type CallAttemptResult} from './call-attempt-result.ts';
 import {type ResponseBuffer, type ResponseBuffers} from './response-buffers.ts';
--- a/source/forwarding/crash-detector.ts
+++ b/source/forwarding/crash-detector.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import {type EndpointEntry, type EndpointList, type IncarnationState} from '../beliefs/mod.ts';
+import {type EndpointEntry, type IncarnationState} from '../registry/mod.ts';
+import {type EndpointList} from '../beliefs/mod.ts';
 import {pause} from '../supervision/pause.ts';
 import {probeEndpoint, type ProbeOutcome} from '../supervision/probe-endpoint.ts';
 import {type RequestIdentity, type SuspectedRequests} from '../suspects/mod.ts';
--- a/source/forwarding/endpoint-signals.ts
+++ b/source/forwarding/endpoint-signals.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
+import {type EndpointEntry} from '../registry/mod.ts';
 import {type EngineReport} from '../balancing/mod.ts';
-import {type EndpointEntry} from '../beliefs/mod.ts';
 import {type ResponseTerms} from '../platform/mod.ts';
 import {type ForwardingDependencies} from './forwarding-dependencies.ts';
 
--- a/source/forwarding/engine-selector.ts
+++ b/source/forwarding/engine-selector.ts
@@ -3,10 +3,10 @@
  *
  * @module
  */
+import {type EndpointEntry} from '../registry/mod.ts';
 import {
 	engineCandidates, rankEngines, type QueriedEngine,
 } from '../balancing/mod.ts';
-import {type EndpointEntry} from '../beliefs/mod.ts';
 import {queryEngineReport} from '../platform/mod.ts';
 import {recordReport, usableEndpoints, type RequestClass} from './endpoint-signals.ts';
 import {type Exchange} from './exchange.ts';
--- a/source/forwarding/forward-call.ts
+++ b/source/forwarding/forward-call.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
+import {type EndpointEntry} from '../registry/mod.ts';
 import {chooseEndpoint} from '../balancing/mod.ts';
-import {type EndpointEntry} from '../beliefs/mod.ts';
 import {acquireEndpoint} from './acquire-endpoint.ts';
 import {acquireRetry} from './acquire-retry.ts';
 import {AttemptPreparation} from './attempt-preparation.ts';
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {ok, type Result} from 'neverthrow';
-import {type EndpointEntry} from '../beliefs/mod.ts';
+import {type EndpointEntry} from '../registry/mod.ts';
 import {settleInTime, type WaitEnd} from '../supervision/settle-in-time.ts';
 import {acquireRetry} from './acquire-retry.ts';
 import {admitAgain} from './admit-again.ts';
--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
-import {type EndpointEntry} from '../beliefs/mod.ts';
+import {type EndpointEntry} from '../registry/mod.ts';
 import {encodeRequestHeaders} from '../platform/mod.ts';
 import {startResponse, sendCompleteResponse, writeToCaller} from './caller-response.ts';
 import {EngineMonitor, type AbandonReason} from './engine-monitor.ts';
--- a/source/forwarding/generation-targets.ts
+++ b/source/forwarding/generation-targets.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
+import {type EndpointEntry} from '../registry/mod.ts';
 import {chooseCopyHolder, type QueriedEngine} from '../balancing/mod.ts';
-import {type EndpointEntry} from '../beliefs/mod.ts';
 import {acquireEndpoint, type ChooseAmong} from './acquire-endpoint.ts';
 import {acquireRetry} from './acquire-retry.ts';
 import {EngineSelector, type EngineSelectorOptions} from './engine-selector.ts';
--- a/source/forwarding/send-call-attempt.ts
+++ b/source/forwarding/send-call-attempt.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type EndpointEntry} from '../beliefs/mod.ts';
+import {type EndpointEntry} from '../registry/mod.ts';
 import {encodeRequestHeaders} from '../platform/mod.ts';
 import {recordSignals} from './endpoint-signals.ts';
 import {readResponse, type CallAttemptResult} from './call-attempt-result.ts';
--- a/source/gateway/follow-store.ts
+++ b/source/gateway/follow-store.ts
@@ -3,14 +3,16 @@
  *
  * @module
  */
+import {decodeRow, type RowChange, type StoredRow} from '../stored-rows/mod.ts';
+import {type EndpointChange} from '../registry/mod.ts';
 import {
-	PollRenewal, StoreClock, decodeRow, followTable, type EndpointChange, type RowChange, type TableListener,
+	PollRenewal, StoreClock, followTable, type TableListener,
 } from '../beliefs/mod.ts';
 import {
 	limitTable, publishedLimitSchema, type PublishedLimit,
 } from '../limits/mod.ts';
 import {
-	configurationKey, decodeConfiguration, decodeEndpoint, endpointTable, operatorTable, type StoredRow,
+	configurationKey, decodeConfiguration, decodeEndpoint, endpointTable, operatorTable,
 } from '../platform/mod.ts';
 import {type Supervisor} from '../supervision/supervisor.ts';
 import {decodeSuspicion, suspectTable, type SuspectChange} from '../suspects/mod.ts';
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -3,9 +3,11 @@
  *
  * @module
  */
+import {StoreEraRecord} from '../stored-rows/mod.ts';
+import {readClock, type ClockReading} from '../clocks/mod.ts';
 import {EndpointHealth, EndpointLoads, EndpointBackoff} from '../balancing/mod.ts';
 import {
-	ConfigurationCache, EndpointList, StoreEraRecord, divideUpdateTime, readClock, type ClockReading, type UpdateTimes,
+	ConfigurationCache, EndpointList, divideUpdateTime, type UpdateTimes,
 } from '../beliefs/mod.ts';
 import {
 	ExchangeClient, MemberTable, createPermitPort, exchangePeriod,
--- a/source/gateway/shared-state.test.ts
+++ b/source/gateway/shared-state.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {type z} from 'zod';
-import {
-	ConfigurationCache, EndpointList, RowCache, revisionOf, type EndpointChange,
-} from '../beliefs/mod.ts';
+import {type EndpointChange} from '../registry/mod.ts';
+import {RowCache, revisionOf} from '../stored-rows/mod.ts';
+import {ConfigurationCache, EndpointList} from '../beliefs/mod.ts';
 import {type StoreUpdate} from '../fleet/mod.ts';
 import {knownRevisionsSchema, storeUpdateSchema} from '../fleet/exchange-protocol.ts';
 import {jsonCodec} from '../fleet/json-codec.ts';
--- a/source/gateway/shared-state.ts
+++ b/source/gateway/shared-state.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
-import {
-	MissingEntries, eraOf, revisionOf, versionOf, type ClockReading,
-} from '../beliefs/mod.ts';
+import {eraOf, revisionOf, versionOf} from '../stored-rows/mod.ts';
+import {type ClockReading} from '../clocks/mod.ts';
+import {MissingEntries} from '../beliefs/mod.ts';
 import {
 	packConfiguration, unpackConfiguration, type StoreUpdate, type SharedState,
 } from '../fleet/mod.ts';
--- a/source/limits/endpoint-limiter.test.ts
+++ b/source/limits/endpoint-limiter.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import {test, type TestContext} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
-import {readClock, type EndpointEntry, type IncarnationState} from '../beliefs/mod.ts';
+import {type EndpointEntry, type IncarnationState} from '../registry/mod.ts';
+import {readClock} from '../clocks/mod.ts';
 import {
 	EndpointLimiter, type LeaseOutcome, type NamedLimit, type PermitHolder, type PermitReply, type PermitRequest,
 } from './mod.ts';
--- a/source/limits/endpoint-limiter.ts
+++ b/source/limits/endpoint-limiter.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import {ok, type Result} from 'neverthrow';
-import {
-	type ClockReading, type EndpointIncarnation, type EndpointList, type RowCache,
-} from '../beliefs/mod.ts';
+import {type ClockReading} from '../clocks/mod.ts';
+import {type EndpointIncarnation, type IncarnationState} from '../registry/mod.ts';
+import {type RowCache} from '../stored-rows/mod.ts';
 import {pause} from '../supervision/pause.ts';
 import {type TaskFailure} from '../supervision/supervisor.ts';
 import {type Logger} from '../telemetry/mod.ts';
@@ -22,7 +22,7 @@
 /** Options of {@linkcode EndpointLimiter}. */
 export type EndpointLimiterOptions = {
 	leases: Pick<LimitLeaseTable, 'acquire' | 'remove' | 'release'>;
-	endpoints: Pick<EndpointList, 'stateOf'>;
+	endpoints: {stateOf(incarnation: EndpointIncarnation): IncarnationState};
 	/** This gateway. */
 	self: PermitHolder;
 	/** Sends a request to the gateway at an address; returns undefined if it does not answer in time. */
--- a/source/limits/held-limit.ts
+++ b/source/limits/held-limit.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {ageOf, type ClockReading} from '../beliefs/mod.ts';
+import {ageOf, type ClockReading} from '../clocks/mod.ts';
 import {leaseMilliseconds} from './limit-lease-table.ts';
 import {PermitBucket, type PermitDecision} from './permit-bucket.ts';
 import {type LimitObservation} from './permit-message.ts';
--- a/source/limits/limit-lease-keeper.ts
+++ b/source/limits/limit-lease-keeper.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import {type ClockReading, type EndpointIncarnation} from '../beliefs/mod.ts';
+import {type ClockReading} from '../clocks/mod.ts';
+import {type EndpointIncarnation} from '../registry/mod.ts';
 import {handleKind} from '../supervision/handle-kind.ts';
 import {pause} from '../supervision/pause.ts';
 import {type Logger} from '../telemetry/mod.ts';
--- a/source/limits/limit-lease-table.test.ts
+++ b/source/limits/limit-lease-table.test.ts
@@ -3,12 +3,11 @@
 import {test} from 'node:test';
 import fc from 'fast-check';
 import {err, ok} from 'neverthrow';
+import {type ClockReading} from '../clocks/mod.ts';
 import {
-	eraOf, revisionOf, versionOf, StoreEraRecord, type ClockReading,
-} from '../beliefs/mod.ts';
-import {
-	StoreEra, type RowWrite, type StoredRow, type Transaction,
-} from '../platform/mod.ts';
+	eraOf, revisionOf, versionOf, StoreEraRecord, type RowWrite, type StoredRow, type Transaction,
+} from '../stored-rows/mod.ts';
+import {StoreEra} from '../platform/mod.ts';
 import {findLimitExcess} from '../testing/limit-excess.ts';
 import {
 	HeldLimit, LimitLeaseTable, leaseMilliseconds, permitLifetimeMilliseconds, type LimitLeaseTableOptions, type PermitHolder,
--- a/source/limits/limit-lease-table.ts
+++ b/source/limits/limit-lease-table.ts
@@ -7,11 +7,10 @@
 	err, ok, type Result,
 } from 'neverthrow';
 import {
-	eraOf, decodeRow, hasComeBack, type ClockReading, type EndpointIncarnation, type StoreEraRecord,
-} from '../beliefs/mod.ts';
-import {
-	type RowLocation, type StoreClient, type StoredRow, type StoredRows,
-} from '../platform/mod.ts';
+	eraOf, decodeRow, hasComeBack, type StoreEraRecord, type RowLocation, type RowStore, type StoredRow, type StoredRows,
+} from '../stored-rows/mod.ts';
+import {type ClockReading} from '../clocks/mod.ts';
+import {type EndpointIncarnation} from '../registry/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {
 	isSameHolder, limitLeaseSchema, type LimitLease, type PermitHolder, type PublishedLimit,
@@ -20,7 +19,7 @@
 
 /** Options of {@linkcode LimitLeaseTable}. */
 export type LimitLeaseTableOptions = {
-	store: Pick<StoreClient, 'readRow' | 'transact'>;
+	store: Pick<RowStore, 'readRow' | 'transact'>;
 	eraRecord: Pick<StoreEraRecord, 'presentSince'>;
 	/** This gateway. */
 	self: PermitHolder;
--- a/source/limits/limit-observer.ts
+++ b/source/limits/limit-observer.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type EndpointIncarnation} from '../beliefs/mod.ts';
+import {type EndpointIncarnation} from '../registry/mod.ts';
 import {handleKind} from '../supervision/handle-kind.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {type NamedLimit} from './endpoint-limit.ts';
--- a/source/limits/limited-endpoint.ts
+++ b/source/limits/limited-endpoint.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import {ageOf, type ClockReading, type EndpointIncarnation} from '../beliefs/mod.ts';
+import {ageOf, type ClockReading} from '../clocks/mod.ts';
+import {type EndpointIncarnation} from '../registry/mod.ts';
 import {isSameHolder, type PermitHolder} from './endpoint-limit.ts';
 import {type HeldLimit} from './held-limit.ts';
 import {permitLifetimeMilliseconds} from './permit-message.ts';
--- a/source/limits/limited-endpoints.ts
+++ b/source/limits/limited-endpoints.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import {RowCache, type EndpointIncarnation} from '../beliefs/mod.ts';
+import {RowCache} from '../stored-rows/mod.ts';
+import {type EndpointIncarnation} from '../registry/mod.ts';
 import {type PermitHolder, type PublishedLimit} from './endpoint-limit.ts';
 import {leaseMilliseconds} from './limit-lease-table.ts';
 import {LimitedEndpoint} from './limited-endpoint.ts';
--- a/source/limits/permit-client.ts
+++ b/source/limits/permit-client.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {ageOf, type ClockReading} from '../beliefs/mod.ts';
+import {ageOf, type ClockReading} from '../clocks/mod.ts';
 import {startIoTimeout} from '../supervision/io-timeout.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {type PermitHolder} from './endpoint-limit.ts';
--- a/source/limits/permit-message.ts
+++ b/source/limits/permit-message.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import * as z from 'zod';
-import {endpointIncarnationSchema} from '../beliefs/endpoint-entry.ts';
+import {endpointIncarnationSchema} from '../registry/mod.ts';
 
 /** Time after its request within which a permit may be used, in milliseconds; an unused one expires. */
 export const permitLifetimeMilliseconds = 500;
--- a/source/placement/permitted-placement.ts
+++ b/source/placement/permitted-placement.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type EndpointIncarnation} from '../beliefs/mod.ts';
+import {type EndpointIncarnation} from '../registry/mod.ts';
 import {type EndpointLimiter, type LimitedRequest} from '../limits/mod.ts';
 import {type Placement} from './placement.ts';
 
--- a/source/platform/endpoint-row.ts
+++ b/source/platform/endpoint-row.ts
@@ -7,7 +7,7 @@
 	err, ok, type Result,
 } from 'neverthrow';
 import * as z from 'zod';
-import {type EndpointEntry} from '../beliefs/mod.ts';
+import {type EndpointEntry} from '../registry/mod.ts';
 import {parseJson} from './http-call.ts';
 
 /** Table in which endpoints register themselves. */
--- a/source/platform/store-client.ts
+++ b/source/platform/store-client.ts
@@ -9,54 +9,14 @@
 	err, ok, type Result,
 } from 'neverthrow';
 import * as z from 'zod';
-import {eraOf, revisionOf, versionOf} from '../beliefs/store-revision.ts';
+import {
+	eraOf, revisionOf, versionOf, type RowStore, type RowWrite, type StoredRow, type StoredRows, type StoreFailure, type Transaction, type WriteOutcome,
+} from '../stored-rows/mod.ts';
 import {
 	httpCall, parseJson, type HttpResponse, type HttpCallOptions,
 } from './http-call.ts';
 import {decodeEra, StoreEra} from './store-era.ts';
 
-/** A row, or a tombstone of a removed row. */
-export type StoredRow = {
-	key: string;
-	/** Content; `undefined` if the row was removed. */
-	content: Uint8Array | undefined;
-	/** Revision of the row's last write; increases with each write to the store, also across its return from an older copy. */
-	revision: number;
-};
-
-/** Rows of a table at one point in time. */
-export type StoredRows = {
-	rows: StoredRow[];
-	/** Newest revision of the whole store at that time. */
-	revision: number;
-	/** The store's monotonic time then, in milliseconds; `undefined` if it does not report it. */
-	storeMilliseconds: number | undefined;
-	/** Time since this client first saw the present era, in milliseconds: the store has not come back from an older copy since. Absent if that is not known. */
-	eraMilliseconds?: number;
-};
-
-/**
- * Reason why the store gave no usable response: `history-lost` requires reading the whole table again; `refused` means that nothing took effect;
- * `unknown` means that a write may have taken effect or may still do so.
- */
-export type StoreFailure = {kind: 'history-lost' | 'refused' | 'unknown'; message: string};
-
-/** Outcome of a conditional write. */
-export type WriteOutcome = {kind: 'committed'} | {kind: 'conflict'};
-
-/** A row to write, and the revision that it must have: 0 if it must not exist, absent if any revision is accepted. */
-export type RowWrite = {table: string; key: string; content: string; expectedRevision?: number};
-
-/** Table and key of a row. */
-export type RowLocation = {table: string; key: string};
-
-/** Rows to write and to remove atomically, on condition that the rows in `expected` have the given revisions; 0 means that a row must not exist. */
-export type Transaction = {
-	expected: ReadonlyArray<RowLocation & {revision: number}>;
-	puts: ReadonlyArray<RowLocation & {content: string}>;
-	removes: readonly RowLocation[];
-};
-
 /** Options of {@linkcode StoreClient}. */
 export type StoreClientOptions = {
 	/** IP address and port. */
@@ -101,7 +61,7 @@
  * const rows = await store.readTable('servers');
  * ```
  */
-export class StoreClient {
+export class StoreClient implements RowStore {
 	readonly #address: string;
 	readonly #timeoutMilliseconds: number;
 	readonly #observe: NonNullable<StoreClientOptions['observe']>;
--- /dev/null
+++ b/source/registry/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Registered endpoints and their incarnations.
+ *
+ * @module
+ */
+
+export * from './endpoint-entry.ts';
--- a/source/retries/retries.test.ts
+++ b/source/retries/retries.test.ts
@@ -3,10 +3,10 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import fc from 'fast-check';
 import {err, ok} from 'neverthrow';
+import {readClock, type ClockReading} from '../clocks/mod.ts';
 import {
-	eraOf, revisionOf, StoreEraRecord, readClock, type ClockReading,
-} from '../beliefs/mod.ts';
-import {type RowWrite, type StoredRow} from '../platform/mod.ts';
+	eraOf, revisionOf, StoreEraRecord, type RowWrite, type StoredRow,
+} from '../stored-rows/mod.ts';
 import {Random} from '../testing/soak/random.ts';
 import {createLogger} from '../telemetry/mod.ts';
 import {SharedRetryBudget} from './shared-retry-budget.ts';
--- a/source/retries/shared-retry-budget.ts
+++ b/source/retries/shared-retry-budget.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {ageOf, type ClockReading} from '../beliefs/mod.ts';
+import {ageOf, type ClockReading} from '../clocks/mod.ts';
 import {pause} from '../supervision/pause.ts';
 import {type SlackBorrower} from './slack-borrower.ts';
 import {SlidingWindowCounter} from './sliding-window-counter.ts';
--- a/source/retries/slack-borrower.ts
+++ b/source/retries/slack-borrower.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import {ageOf, type ClockReading, type StoreEraRecord} from '../beliefs/mod.ts';
-import {type StoreClient, type StoredRow} from '../platform/mod.ts';
+import {ageOf, type ClockReading} from '../clocks/mod.ts';
+import {type StoreEraRecord, type RowStore, type StoredRow} from '../stored-rows/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {
 	decodeLedger, divideSlack, encodeLedger, fullyLentLedger, lend, loanMilliseconds, loanRetention, type LendResult, type Loan, type SlackLimits,
@@ -16,7 +16,7 @@
 	/** Unique name of this process, never reused by another one. */
 	holder: string;
 	limits: SlackLimits;
-	store: Pick<StoreClient, 'readPrefix' | 'writeRow'>;
+	store: Pick<RowStore, 'readPrefix' | 'writeRow'>;
 	eraRecord: Pick<StoreEraRecord, 'presentSince'>;
 	logger: Logger;
 	readClock: () => ClockReading;
--- a/source/router/create-limiter.ts
+++ b/source/router/create-limiter.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import {Metadata} from '@grpc/grpc-js';
-import {decodeRow, readClock} from '../beliefs/mod.ts';
+import {decodeRow} from '../stored-rows/mod.ts';
+import {readClock} from '../clocks/mod.ts';
 import {ExchangeClient, createPermitPort} from '../fleet/mod.ts';
 import {
 	EndpointLimiter, publishedLimitSchema, type PermitHolder,
--- a/source/router/limit-leases.ts
+++ b/source/router/limit-leases.ts
@@ -6,7 +6,8 @@
  *
  * @module
  */
-import {type ClockReading, type EndpointIncarnation} from '../beliefs/mod.ts';
+import {type ClockReading} from '../clocks/mod.ts';
+import {type EndpointIncarnation} from '../registry/mod.ts';
 import {
 	isSameHolder, leaseMilliseconds, permitHolderSchema, permitLifetimeMilliseconds, type AcquireLeaseOptions, type LeaseOutcome, type PermitHolder, type PublishedLimit,
 } from '../limits/mod.ts';
--- a/source/beliefs/store-era-record.ts
+++ b/source/stored-rows/store-era-record.ts
@@ -7,16 +7,14 @@
 	err, ok, type Result,
 } from 'neverthrow';
 import * as z from 'zod';
-import {
-	type StoreClient, type StoredRow, type StoredRows,
-} from '../platform/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
+import {type RowStore, type StoredRow, type StoredRows} from './row-store.ts';
 import {decodeRow} from './decode-row.ts';
 import {eraOf} from './store-revision.ts';
 
 /** Options of {@linkcode StoreEraRecord}. */
 export type StoreEraRecordOptions = {
-	store: Pick<StoreClient, 'readRow' | 'writeRow'>;
+	store: Pick<RowStore, 'readRow' | 'writeRow'>;
 	logger: Logger;
 };
 
--- a/source/suspects/known-suspicions.ts
+++ b/source/suspects/known-suspicions.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {isDeepStrictEqual} from 'node:util';
-import {eraOf} from '../beliefs/mod.ts';
+import {eraOf} from '../stored-rows/mod.ts';
 import {
 	addCrash, hasMoreEvidence, isPublished, suspicionTimeToLiveMilliseconds, type Suspicion,
 } from './suspicion.ts';
--- a/source/suspects/suspected-requests.ts
+++ b/source/suspects/suspected-requests.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {type Result} from 'neverthrow';
-import {type EndpointEntry} from '../beliefs/mod.ts';
+import {type EndpointEntry} from '../registry/mod.ts';
 import {pause} from '../supervision/pause.ts';
 import {type TaskFailure} from '../supervision/supervisor.ts';
 import {type Logger} from '../telemetry/logger.ts';
--- a/source/suspects/suspicion-table.ts
+++ b/source/suspects/suspicion-table.ts
@@ -6,7 +6,7 @@
 import {
 	err, ok, type Result,
 } from 'neverthrow';
-import {type RowLocation, type StoreClient, type StoredRow} from '../platform/mod.ts';
+import {type RowLocation, type RowStore, type StoredRow} from '../stored-rows/mod.ts';
 import {type Logger} from '../telemetry/logger.ts';
 import {
 	decodeSuspicion, encodeSuspicion, isExpired, isPublished, type Suspicion,
@@ -32,7 +32,7 @@
 
 /** Options of {@linkcode SuspicionTable}. */
 export type SuspicionTableOptions = {
-	store: Pick<StoreClient, 'readRow' | 'readSome' | 'transact'>;
+	store: Pick<RowStore, 'readRow' | 'readSome' | 'transact'>;
 	logger: Logger;
 	random: () => number;
 };
--- a/source/suspects/suspicion.ts
+++ b/source/suspects/suspicion.ts
@@ -9,8 +9,8 @@
  */
 import {type Result} from 'neverthrow';
 import * as z from 'zod';
-import {decodeRow} from '../beliefs/decode-row.ts';
-import {endpointIncarnationSchema, type EndpointIncarnation} from '../beliefs/endpoint-entry.ts';
+import {decodeRow} from '../stored-rows/mod.ts';
+import {endpointIncarnationSchema, type EndpointIncarnation} from '../registry/mod.ts';
 
 /** Schema of what a suspicion is about: one request, or a part of prompts that requests share. */
 export const subjectKindSchema = z.enum(['request', 'part']);
--- a/source/suspects/unsaved-crashes.ts
+++ b/source/suspects/unsaved-crashes.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type EndpointIncarnation} from '../beliefs/mod.ts';
+import {type EndpointIncarnation} from '../registry/mod.ts';
 import {type SubjectKind} from './suspicion.ts';
 
 /** Crash of an endpoint while it ran a request, as evidence against one subject. */
--- a/source/testing/in-process-gateway.ts
+++ b/source/testing/in-process-gateway.ts
@@ -5,7 +5,7 @@
  */
 import {once} from 'node:events';
 import {createServer, type Server} from 'node:http';
-import {readClock} from '../beliefs/mod.ts';
+import {readClock} from '../clocks/mod.ts';
 import {createGatewayParts, type GatewayParts} from '../gateway/gateway-parts.ts';
 import {serveRequest} from '../gateway/serve-request.ts';
 import {decodeConfiguration, decodeEndpoint} from '../platform/mod.ts';
--- a/source/testing/simulated-suspects.ts
+++ b/source/testing/simulated-suspects.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import {err, ok} from 'neverthrow';
-import {eraOf, revisionOf, type EndpointEntry} from '../beliefs/mod.ts';
-import {type Transaction} from '../platform/mod.ts';
+import {eraOf, revisionOf, type Transaction} from '../stored-rows/mod.ts';
+import {type EndpointEntry} from '../registry/mod.ts';
 import {type SuspectChange} from '../suspects/known-suspicions.ts';
 import {
 	decodeSuspicion, SuspectedRequests, SuspicionTable, suspectTable, type RequestIdentity, type SuspectDecision,
