Let the contracts of a deployment switch parts of the gateway on

Cause: new parts must take effect only where a deployment asks for them, and the gateway's settings could not say so. The settings name the contracts in force; the adapter decodes them into features, all of which are off without them. No part uses one yet.

--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -16,8 +16,9 @@
 	CallerConnections, EndpointConnections, ResponseBuffers, CrashDetector, type ForwardingDependencies,
 } from '../forwarding/mod.ts';
 import {EndpointLimiter, LimitLeaseTable} from '../limits/mod.ts';
-import {StoreClient} from '../platform/mod.ts';
+import {StoreClient, decodeFeatures} from '../platform/mod.ts';
 import {SharedRetryBudget, SlackBorrower} from '../retries/mod.ts';
+import {type Features} from '../settings/features.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
 import {SuspectedRequests, SuspicionTable} from '../suspects/mod.ts';
 import {createGatewayMetrics, type GatewayMetrics} from '../telemetry/gateway-metrics.ts';
@@ -27,6 +28,8 @@
 /** The components that the servers and background tasks of a gateway share. */
 export type GatewayParts = ForwardingDependencies & {
 	settings: GatewaySettings;
+	/** Parts that the deployment asks for. */
+	features: Features;
 	metrics: GatewayMetrics;
 	store: StoreClient;
 	configuration: ConfigurationCache;
@@ -81,6 +84,7 @@
 	});
 	return {
 		settings,
+		features: decodeFeatures(settings.contracts),
 		logger,
 		metrics,
 		availabilityZone,
--- a/source/platform/platform.test.ts
+++ b/source/platform/platform.test.ts
@@ -4,8 +4,9 @@
 import path from 'node:path';
 import {test} from 'node:test';
 import fc from 'fast-check';
+import {noFeatures} from '../settings/features.ts';
 import {
-	decodeResponseHeaders, decodeConfiguration, decodeEndpoint, decodeManagementCall, decodeRequestHeaders, encodeResponseHeaders, encodeRequestHeaders,
+	decodeFeatures, decodeResponseHeaders, decodeConfiguration, decodeEndpoint, decodeManagementCall, decodeRequestHeaders, encodeResponseHeaders, encodeRequestHeaders,
 } from './mod.ts';
 
 const row = (content: unknown) => Buffer.from(JSON.stringify(content));
@@ -155,3 +156,8 @@
 		assert.ok(decode(address).isErr(), address);
 	}
 });
+
+test('contracts switch on the parts of the gateway that they name, and unknown ones are ignored', () => {
+	assert.deepEqual(decodeFeatures(['base', 'pool', 'rollout', 'of-another-build']), {engineSubsets: true, memoryBounds: false, rollouts: true});
+	assert.deepEqual(decodeFeatures([]), noFeatures);
+});
--- /dev/null
+++ b/source/settings/features.ts
@@ -0,0 +1,18 @@
+/**
+ * Parts of the gateway that only some deployments ask for.
+ *
+ * @module
+ */
+
+/** Parts that a deployment's settings switch on; each is off unless its settings ask for it. */
+export type Features = {
+	/** Gateways use a stable subset of each service's engines, and reuse their connections. */
+	engineSubsets: boolean;
+	/** The bytes that a gateway holds for callers and endpoints are bounded, for each endpoint too. */
+	memoryBounds: boolean;
+	/** Gateways move a service's traffic to a new version when the operator orders it. */
+	rollouts: boolean;
+};
+
+/** All parts switched off. */
+export const noFeatures: Features = {engineSubsets: false, memoryBounds: false, rollouts: false};
--- a/source/settings/gateway-settings.ts
+++ b/source/settings/gateway-settings.ts
@@ -55,6 +55,8 @@
 		/** Maximum number of larger responses streamed at the same time; further ones are abandoned. */
 		passedOnAtOnce: z.number().int().positive().default(96),
 	}).prefault({}),
+	/** Names of the contracts in force at the deployment; they switch parts of the gateway on. */
+	contracts: z.array(z.string()).default([]),
 	log: z.object({
 		level: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info'),
 	}).prefault({}),
