Count an answer whose status no response may have as a broken answer of its endpoint

Cause: a status from 000 to 099 reached writeHead, which throws; the caller was told of a fault of the gateway, the line 'request failed' named the gateway, and the endpoint counted as sound. A status from 600 on was passed on to callers of calls as an answer. sendRequest takes such an answer as lost now, like other bytes that are no answer, so that it is retried, told, logged and counted as one.

--- a/source/forwarding/send-request.ts
+++ b/source/forwarding/send-request.ts
@@ -63,6 +63,9 @@
 /** Number of interim (1xx) responses that an endpoint may send before its response; each costs an event, and a sound endpoint sends a few. */
 const maximumInterimResponses = 100;
 
+/** Lowest and highest status that a response may have; interim responses have lower ones. */
+const validStatuses = {lowest: 200, highest: 599};
+
 const methodsWithBody = new Set(['POST', 'PUT', 'PATCH']);
 
 /**
@@ -122,7 +125,14 @@
 			resolve({kind: connected && !isConnectError(error) ? 'lost' : 'not-sent', message: error.message});
 		});
 		request.on('response', response => {
-			const terms = decodeResponseHeaders(response.statusCode ?? 0, response.headers);
+			const status = response.statusCode ?? 0;
+			if (status < validStatuses.lowest || status > validStatuses.highest) {
+				request.destroy();
+				resolve({kind: 'lost', message: `the response has the invalid status ${status}`});
+				return;
+			}
+
+			const terms = decodeResponseHeaders(status, response.headers);
 			if (attemptId !== undefined && !belongsToAttempt(attemptId, terms.attempt, request.reusedSocket)) {
 				request.destroy();
 				resolve({kind: 'lost', message: terms.attempt === undefined ? 'the response does not state to which request it belongs' : 'the response belongs to another request'});
@@ -133,7 +143,7 @@
 			resolve({
 				kind: 'response',
 				response: {
-					status: response.statusCode ?? 0,
+					status,
 					rawHeaders: response.rawHeaders,
 					terms,
 					isFramed,
