Hold no more for callers than the host has memory and descriptors for

What operators saw: callers that nobody controls ended a process, which ran out of memory. Cause: each body was read as it came, without an account of all of them; heads, connections and bodies had no limit in time or number beyond those of one request. Change: source/intake/ accounts for all bodies (small ones apart from larger ones, which take their room before they are read), reads a body into one buffer, bounds heads, empty lines, idle connections, the rest of refused bodies, connections and requests on one connection. What is refused has not run (503, 408, 413). Resources of the host come with the settings. Test files that measure a process run alone, last. Ruled out: that the largest body gives way for all sizes; what is read and thrown away is memory until the next collection (188 to 228 MB).

--- a/source/forwarding/closing-reason.ts
+++ b/source/forwarding/closing-reason.ts
@@ -13,11 +13,14 @@
  * - `invalid-request`: this gateway, since the caller sent bytes that are no HTTP request.
  * - `timeout`: this gateway, since the head of a request did not arrive in time, or a timer ended while a request was in progress.
  * - `idle`: this gateway, since no request had come for the idle timeout.
+ * - `no-room`: this gateway, since another caller needed the connection more.
+ * - `too-large`: this gateway, since the caller did not stop sending a head, or a body that was refused.
+ * - `too-many-requests`: this gateway, since the caller sent more requests than allowed without waiting for responses.
  * - `stopped`: this gateway, since it stopped.
  * - `connection-error`: an error of the network other than a reset by the caller.
  * - `unknown`: not known; a fault of the gateway.
  */
-export type ClosingReason = 'caller' | 'broken-off' | 'left-open' | 'invalid-request' | 'timeout' | 'idle' | 'stopped' | 'connection-error' | 'unknown';
+export type ClosingReason = 'caller' | 'broken-off' | 'left-open' | 'invalid-request' | 'timeout' | 'idle' | 'no-room' | 'too-large' | 'too-many-requests' | 'stopped' | 'connection-error' | 'unknown';
 
 /** Outcome of a request whose connection was closed before its response was complete. */
 export const closingOutcomes: Record<ClosingReason, string> = {
@@ -27,6 +30,9 @@
 	'invalid-request': 'invalid_request',
 	timeout: 'connection_timeout',
 	idle: 'connection_idle',
+	'no-room': 'no_room',
+	'too-large': 'too_large',
+	'too-many-requests': 'too_many_requests',
 	stopped: 'stopped',
 	'connection-error': 'connection_failed',
 	unknown: 'connection_closed',
--- a/source/gateway/caller-server.ts
+++ b/source/gateway/caller-server.ts
@@ -9,6 +9,7 @@
 import {listGateways} from '../fleet/mod.ts';
 import {decodeManagementCall, encodeEntries, type ManagementCall} from '../platform/mod.ts';
 import {followCallers} from './follow-callers.ts';
+import {guardConnections} from './guard-connections.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 import {isReady} from './readiness.ts';
 import {serveRequest} from './serve-request.ts';
@@ -53,8 +54,11 @@
 		void serveRequest(request, response, parts);
 	});
 	followCallers(server, parts.callerConnections);
+	guardConnections(server, parts);
 	parts.configuration.onChange(({configuration: {limits}}) => {
 		server.keepAliveTimeout = limits.idleMilliseconds;
+		// Applies to connections that are opened from now on.
+		Object.assign(server, {maxHeaderSize: limits.headerBytes});
 	});
 	return server;
 }
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import {type Socket} from 'node:net';
 import {StoreEraRecord} from '../stored-rows/mod.ts';
 import {readClock, type ClockReading} from '../clocks/mod.ts';
 import {EndpointHealth, EndpointLoads, EndpointBackoff} from '../balancing/mod.ts';
@@ -15,6 +16,7 @@
 import {
 	CallerConnections, EndpointConnections, ResponseBuffers, CrashDetector, type ForwardingDependencies,
 } from '../forwarding/mod.ts';
+import {BodyAccount, ConnectionGuard, intakeLimits} from '../intake/mod.ts';
 import {EndpointLimiter, LimitLeaseTable} from '../limits/mod.ts';
 import {StoreClient, decodeFeatures} from '../platform/mod.ts';
 import {SharedRetryBudget, SlackBorrower} from '../retries/mod.ts';
@@ -37,6 +39,9 @@
 	shutdown: GracefulShutdown;
 	/** Whether the gateway accepts connections from callers. */
 	callers: {open: boolean};
+	/** What callers' bodies take, and their connections. */
+	bodies: BodyAccount;
+	connectionGuard: ConnectionGuard<Socket>;
 	readClock: () => ClockReading;
 	updateTimes: UpdateTimes;
 	/** Maximum age of the configuration at which its keys are still accepted, in milliseconds. */
@@ -74,6 +79,7 @@
 	const eraRecord = new StoreEraRecord({store, logger});
 	const endpoints = new EndpointList({heartbeatMilliseconds: bounds.endpointHeartbeatMilliseconds});
 	const clock = () => performance.now();
+	const intake = intakeLimits(settings.resources);
 	const suspects = new SuspectedRequests({
 		table: new SuspicionTable({store, logger, random: Math.random}),
 		logger,
@@ -117,6 +123,8 @@
 			},
 		}),
 		callers: {open: false},
+		bodies: new BodyAccount(intake),
+		connectionGuard: new ConnectionGuard(intake),
 		shutdown: new GracefulShutdown({timeoutMilliseconds: bounds.stopSeconds * 1000}),
 		retryBudgetOf: createRetryBudgets({
 			settings, store, eraRecord, logger, holder: `${hostName}/${members.self.incarnation}`,
--- /dev/null
+++ b/source/gateway/request-intake.ts
@@ -0,0 +1,80 @@
+/**
+ * Takes in one request of a caller: its place on its connection, and its body.
+ *
+ * @module
+ */
+import {type IncomingMessage} from 'node:http';
+import {type Result} from 'neverthrow';
+import {
+	readRequestBody, type BodyFailure, type ReadRequestBodyOptions, type RequestBody,
+} from '../intake/mod.ts';
+import {type GatewayParts} from './gateway-parts.ts';
+
+/** Components that an intake uses. */
+export type IntakeParts = Pick<GatewayParts, 'bodies' | 'connectionGuard' | 'clock'>;
+
+/**
+ * Accounts for one request from its head until its response is delivered and its body has arrived or is dropped.
+ *
+ * @example
+ * ```ts
+ * const intake = new RequestIntake(request, parts);
+ * const body = await intake.readBody({maximumBytes, pauseMilliseconds, until});
+ * intake.end(delivered);
+ * ```
+ */
+export class RequestIntake {
+	/** Whether its connection may have one more request in progress. */
+	readonly isAllowed: boolean;
+	readonly #request: IncomingMessage;
+	readonly #parts: IntakeParts;
+	#body: RequestBody | undefined;
+
+	constructor(request: IncomingMessage, parts: IntakeParts) {
+		this.#request = request;
+		this.#parts = parts;
+		this.isAllowed = parts.connectionGuard.startRequest(request.socket, parts.clock());
+	}
+
+	/** Reads the body; it is held until the request ends. */
+	async readBody(options: Omit<ReadRequestBodyOptions, 'account' | 'clock'>): Promise<Result<Uint8Array, BodyFailure>> {
+		const {bodies: account, clock, connectionGuard} = this.#parts;
+		const read = await readRequestBody(this.#request, {...options, account, clock});
+		return read.map(body => {
+			this.#body = body;
+			connectionGuard.serveRequest(this.#request.socket);
+			return body.bytes;
+		});
+	}
+
+	/**
+	 * Ends the request. What was not read of its body is dropped; its connection counts as in use until that has arrived.
+	 *
+	 * @param delivered Resolves once the response is delivered or the connection has closed.
+	 */
+	end(delivered: Promise<void>): void {
+		const {connectionGuard, clock} = this.#parts;
+		const wasServed = this.#body !== undefined;
+		this.#body?.held.release();
+		if (!this.#request.complete) {
+			connectionGuard.startDropping(this.#request.socket, clock());
+			this.#request.resume();
+		}
+
+		void Promise.all([delivered, this.#hasArrived()]).then(() => {
+			connectionGuard.endRequest(this.#request.socket, wasServed, clock());
+		});
+	}
+
+	/** Resolves once the body has arrived, or will not any more. */
+	async #hasArrived(): Promise<void> {
+		const request = this.#request;
+		if (request.complete || request.destroyed) {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			request.once('end', resolve).once('close', resolve);
+		});
+	}
+}
--- a/source/gateway/serve-request.test.ts
+++ b/source/gateway/serve-request.test.ts
@@ -4,6 +4,7 @@
 import {type AddressInfo} from 'node:net';
 import {test} from 'node:test';
 import {CallerConnections} from '../forwarding/mod.ts';
+import {BodyAccount, ConnectionGuard, intakeLimits} from '../intake/mod.ts';
 import {RouteTable} from '../routing/mod.ts';
 import {sendCall} from '../testing/call.ts';
 import {GracefulShutdown} from './graceful-shutdown.ts';
@@ -12,6 +13,8 @@
 
 const host = 'desk.example';
 
+const resources = {memoryMegabytes: 186, descriptors: 2048};
+
 /** Parts of a gateway with one route, whose retry budget throws. */
 function partsWithFault(errors: string[]): GatewayParts {
 	const table = new RouteTable({
@@ -53,6 +56,8 @@
 			},
 		},
 		callerConnections: new CallerConnections({logger: {...console, info: ignore}, clock: () => performance.now(), count: ignore}),
+		bodies: new BodyAccount(intakeLimits(resources)),
+		connectionGuard: new ConnectionGuard(intakeLimits(resources)),
 		retryBudgetOf() {
 			throw new Error('a fault');
 		},
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {
 	admitInTime, closingOutcomes, crashesEndpoints, forwardCall, forwardGeneration, handlingOf, sendErrorResponse, type Exchange, type ExchangeOutcome, type ForwardingDependencies, type ErrorResponse,
@@ -13,7 +12,9 @@
 	admitRequest, selectService, type AdmissionDecision, type RequestKind, type Route,
 } from '../routing/mod.ts';
 import {RequestIdentity, type SuspectAdmission, type SuspectedRequests} from '../suspects/mod.ts';
+import {type BodyFailure} from '../intake/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
+import {RequestIntake} from './request-intake.ts';
 
 type Forwarder = (exchange: Exchange, parts: ForwardingDependencies) => Promise<ExchangeOutcome>;
 
@@ -48,6 +49,20 @@
 	'unknown-key': {status: 401, code: 'unknown_key', message: 'The key is unknown.'},
 };
 
+/** Delay after which a request may return for whose body there was no room, in milliseconds. */
+const retryWithoutRoomMilliseconds = 1000;
+
+const bodyRefusals: Record<Exclude<BodyFailure, 'broken'>, ErrorResponse> = {
+	'too-large': {status: 413, code: 'body_too_large', message: 'The body is larger than the configuration allows.'},
+	'no-room': {
+		status: 503, code: 'no_room', message: 'This gateway has no room for the body; the request has not run.', retryAfterMilliseconds: retryWithoutRoomMilliseconds,
+	},
+	'too-slow': {status: 408, code: 'body_timeout', message: 'The body did not arrive in time; the request has not run.'},
+	late: {
+		status: 503, code: 'body_late', message: 'The body was not whole when the answer was due; the request has not run.', retryAfterMilliseconds: retryElsewhereMilliseconds,
+	},
+};
+
 /**
  * Serves one request: admits it, reads its body, forwards it, and records its outcome in the log and the metrics.
  *
@@ -57,6 +72,12 @@
  */
 export async function serveRequest(request: IncomingMessage, response: ServerResponse, parts: GatewayParts): Promise<void> {
 	const arrivedAt = parts.clock();
+	const intake = new RequestIntake(request, parts);
+	if (!intake.isAllowed) {
+		parts.callerConnections.closeSocket(request.socket, 'too-many-requests');
+		return;
+	}
+
 	const finishTracking = parts.shutdown.trackRequest(arrivedAt, () => {
 		endAtStop(response, parts);
 	}, () => response.writableEnded);
@@ -70,7 +91,7 @@
 	let result: ExchangeOutcome & {service?: string; route?: string};
 	try {
 		result = await admitAndForward(request, response, {
-			terms, requestName, arrivedAt, callerDisconnected,
+			terms, requestName, arrivedAt, callerDisconnected, intake,
 		}, parts);
 	} catch (error) {
 		parts.logger.error('request failed', {request: requestName, error: error instanceof Error ? error.stack : String(error)});
@@ -78,6 +99,7 @@
 		result = {outcome: 'internal_error', status: 0, endpoints: []};
 	} finally {
 		void delivered.then(finishTracking);
+		intake.end(delivered);
 	}
 
 	closeUnended(response, requestName, parts);
@@ -121,7 +143,7 @@
 	}
 }
 
-type RequestContext = Pick<Exchange, 'terms' | 'requestName' | 'arrivedAt' | 'callerDisconnected'>;
+type RequestContext = Pick<Exchange, 'terms' | 'requestName' | 'arrivedAt' | 'callerDisconnected'> & {intake: RequestIntake};
 
 async function admitAndForward(request: IncomingMessage, response: ServerResponse, context: RequestContext, parts: GatewayParts): Promise<ExchangeOutcome & {service?: string; route?: string}> {
 	const {configuration, shutdown, settings, trustedKeyMilliseconds, random, clock, readClock} = parts;
@@ -146,16 +168,18 @@
 	}
 
 	const {callerDisconnected} = context;
-	const body = await readBody(request, snapshot.table!.configuration.limits.bodyBytes);
-	if (callerDisconnected.aborted || body === 'broken') {
+	const {limits} = snapshot.table!.configuration;
+	const deadline = answerDeadline(context, route);
+	const read = await context.intake.readBody({maximumBytes: limits.bodyBytes, pauseMilliseconds: limits.idleMilliseconds, until: deadline});
+	if (callerDisconnected.aborted) {
 		return disconnected(response, parts);
 	}
 
-	if (body === 'too-large') {
-		request.resume();
-		return refuse(response, {status: 413, code: 'body_too_large', message: 'The body is larger than the configuration allows.'});
+	if (read.isErr()) {
+		return read.error === 'broken' ? disconnected(response, parts) : refuse(response, bodyRefusals[read.error]);
 	}
 
+	const body = read.value;
 	if (!shutdown.acceptsRequests(clock())) {
 		return refuse(response, stopping);
 	}
@@ -170,7 +194,6 @@
 		model: context.terms.model,
 		promptParts: context.terms.sharedPromptParts,
 	});
-	const deadline = answerDeadline(context, route);
 	const admitted = await admitInTime({identity, deadline, callerDisconnected}, parts);
 	const suspectAdmission = admitted.unwrapOr(notAdmittedInTime);
 	if (suspectAdmission.kind === 'refused') {
@@ -178,8 +201,9 @@
 		return {...refusal, service: service.name, route: route.name};
 	}
 
+	const {intake: _intake, ...common} = context;
 	const exchange: Exchange = {
-		...context,
+		...common,
 		deadline,
 		identity,
 		handling: handlingOf(suspectAdmission),
@@ -218,23 +242,3 @@
 	sendErrorResponse(response, refusal);
 	return {outcome: refusal.code, status: refusal.status, endpoints: []};
 }
-
-/** Reads the body of a request. The rest of one that is too large is dropped as it arrives, so that the connection stays usable. */
-async function readBody(request: IncomingMessage, maximumBytes: number): Promise<Uint8Array | 'too-large' | 'broken'> {
-	const chunks: Uint8Array[] = [];
-	let length = 0;
-	try {
-		for await (const chunk of request.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
-			length += chunk.length;
-			if (length > maximumBytes) {
-				return 'too-large';
-			}
-
-			chunks.push(chunk);
-		}
-	} catch {
-		return 'broken';
-	}
-
-	return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-}
--- a/source/settings/gateway-settings.ts
+++ b/source/settings/gateway-settings.ts
@@ -47,6 +47,13 @@
 		/** Time for which callers cache the list of entries, in seconds. */
 		entriesSeconds: z.number().positive().default(5),
 	}).prefault({}),
+	/** Resources of the host that the process may use. */
+	resources: z.object({
+		/** Memory, in megabytes. */
+		memoryMegabytes: z.number().positive().default(186),
+		/** Descriptors of files and connections. */
+		descriptors: z.number().int().positive().default(2048),
+	}).prefault({}),
 	answers: z.object({
 		/** Largest response of an endpoint that is buffered, in bytes; a larger one is streamed. */
 		heldBytes: z.number().int().positive().default(262_144),
--- a/source/telemetry/gateway-metrics.ts
+++ b/source/telemetry/gateway-metrics.ts
@@ -34,7 +34,7 @@
 			name: 'azuretack_gateway_retries_total', help: 'Decisions of the retry budget by service, reason of the retry and decision.', labelNames: ['service', 'reason', 'decision'], registers,
 		}),
 		closedConnections: new Counter({
-			name: 'azuretack_gateway_closed_connections_total', help: 'Connections of callers that were closed before a response was complete, or by the gateway between two requests, by reason: caller, broken-off, left-open, invalid-request, timeout, idle, stopped, connection-error or unknown.', labelNames: ['reason'], registers,
+			name: 'azuretack_gateway_closed_connections_total', help: 'Connections of callers that were closed before a response was complete, or by the gateway between two requests, by reason: caller, broken-off, left-open, invalid-request, timeout, idle, no-room, too-large, too-many-requests, stopped, connection-error or unknown.', labelNames: ['reason'], registers,
 		}),
 		lostAttempts: new Counter({
 			name: 'azuretack_gateway_lost_attempts_total', help: 'Lost attempts by service and state of the endpoint: ended, lives or unknown.', labelNames: ['service', 'fate'], registers,
--- a/source/testing/gateway-fleet.ts
+++ b/source/testing/gateway-fleet.ts
@@ -29,7 +29,15 @@
 export const workspaceKey = 'key-1';
 
 /** Changes to the configuration of tests. */
-export type ConfigurationChanges = {version?: number; keys?: string[]; routes?: Array<Record<string, unknown>>};
+export type ConfigurationChanges = {version?: number; keys?: string[]; routes?: Array<Record<string, unknown>>; bodyBytes?: number};
+
+/** How a gateway is started. */
+export type StartGatewayOptions = {
+	/** Settings other than those of the fleet. Default none. */
+	settings?: Record<string, unknown>;
+	/** Descriptors that the process may have. Default those of the test. */
+	descriptors?: number;
+};
 
 /** A request of a caller. */
 export type CallerRequest = SendCallOptions & {key?: string; attempt?: string; deadlineMilliseconds?: number};
@@ -108,9 +116,11 @@
 	}
 
 	/** Publishes a configuration. */
-	configure({version = 1, keys = [workspaceKey], routes: changed}: ConfigurationChanges = {}): void {
+	configure({
+		version = 1, keys = [workspaceKey], routes: changed, bodyBytes,
+	}: ConfigurationChanges = {}): void {
 		this.store.put('op', 'config', configurationRow({
-			version, routes: changed ?? Object.values(routes), keys: {'workspace-1': keys}, plainServices: ['desk'], connections: 100,
+			version, routes: changed ?? Object.values(routes), keys: {'workspace-1': keys}, plainServices: ['desk'], connections: 100, bodyBytes,
 		}));
 	}
 
@@ -131,7 +141,7 @@
 	}
 
 	/** Starts a gateway, with bounds other than the defaults where given, and waits until it takes requests. */
-	async startGateway(name: string, bounds: Partial<GatewaySettings['bounds']> = {}): Promise<GatewayProcess> {
+	async startGateway(name: string, bounds: Partial<GatewaySettings['bounds']> = {}, {settings = {}, descriptors}: StartGatewayOptions = {}): Promise<GatewayProcess> {
 		const [callers, readiness, entries, metrics] = [1, 2, 3, 4].map(() => this.#allocate());
 		const file = path.join(this.#folder, `${name}.jsonc`);
 		await writeFile(file, JSON.stringify({
@@ -144,8 +154,12 @@
 			seeds: this.seedNames.map(seed => this.#peerAddressOf(seed)),
 			store: `${this.#address}:7000`,
 			bounds,
+			...settings,
 		}));
-		const child = spawn(process.execPath, [...memoryFlags, program, '--settings', file], {stdio: ['ignore', 'pipe', 'inherit']});
+		const command = [process.execPath, ...memoryFlags, program, '--settings', file];
+		// A shell lowers the limit of its own process and becomes the gateway, which keeps its id.
+		const [executable, ...words] = descriptors === undefined ? command : ['/bin/sh', '-c', `ulimit -n ${descriptors} && exec "$@"`, 'sh', ...command];
+		const child = spawn(executable!, words, {stdio: ['ignore', 'pipe', 'inherit']});
 		const log: string[] = [];
 		child.stdout.on('data', (data: Uint8Array) => {
 			log.push(new TextDecoder().decode(data));
--- a/source/testing/process-memory.ts
+++ b/source/testing/process-memory.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {readFile} from 'node:fs/promises';
+import {readdir, readFile} from 'node:fs/promises';
 
 /** Memory of the smallest host, in megabytes. */
 export const smallestHostMegabytes = 186;
@@ -27,3 +27,14 @@
 		return undefined;
 	}
 }
+
+/** Returns the number of descriptors that a process has open; `undefined` where it has ended. */
+export async function openDescriptors(pid: number): Promise<number | undefined> {
+	try {
+		const descriptors = await readdir(`/proc/${pid}/fd`);
+		return descriptors.length;
+	} catch {
+		// The process has ended.
+		return undefined;
+	}
+}
--- a/source/testing/run-tests.ts
+++ b/source/testing/run-tests.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import {once} from 'node:events';
 import {readFile, readdir} from 'node:fs/promises';
 import {availableParallelism} from 'node:os';
 import path from 'node:path';
@@ -19,6 +20,9 @@
 /** Time limit of a test file, in milliseconds. */
 const fileTimeoutMilliseconds = 240_000;
 
+/** Test files that run one after the other, after all others: they measure what a process uses under a crowd of callers. */
+const aloneFiles = ['hostile-callers.test.js'];
+
 /** Reads the names of tests that are known to fail: the lines `test: NAME`. */
 async function readKnownRed(): Promise<Set<string>> {
 	try {
@@ -33,17 +37,29 @@
 const pattern = process.argv[2] ?? '';
 const files = names.filter(name => name.endsWith('.test.js') && name.includes(pattern)).map(name => path.join(root, name));
 const counter = new ResultCounter({files, knownRed: await readKnownRed()});
-const stream = run({files: files.toSorted(), concurrency, timeout: fileTimeoutMilliseconds});
-stream.on('test:pass', result => {
-	counter.countPass(result);
-});
-stream.on('test:fail', result => {
-	if (counter.countFailure(result) === 'known-red') {
-		console.log(`known red: ${result.name}`);
+
+/** Runs test files, so many at once, and counts their results. */
+async function runFiles(chosen: readonly string[], atOnce: number): Promise<void> {
+	if (chosen.length === 0) {
+		return;
 	}
-});
-stream.on('end', () => {
-	console.log(`${counter.passed} passed, ${counter.failed} failed`);
-	process.exitCode = counter.isGreen ? 0 : 1;
-});
-stream.pipe(new SpecReporter()).pipe(process.stdout);
+
+	const stream = run({files: chosen.toSorted(), concurrency: atOnce, timeout: fileTimeoutMilliseconds});
+	stream.on('test:pass', result => {
+		counter.countPass(result);
+	});
+	stream.on('test:fail', result => {
+		if (counter.countFailure(result) === 'known-red') {
+			console.log(`known red: ${result.name}`);
+		}
+	});
+	const ended = once(stream, 'end');
+	stream.pipe(new SpecReporter()).pipe(process.stdout);
+	await ended;
+}
+
+const isAlone = (file: string) => aloneFiles.some(name => file.endsWith(name));
+await runFiles(files.filter(file => !isAlone(file)), concurrency);
+await runFiles(files.filter(file => isAlone(file)), 1);
+console.log(`${counter.passed} passed, ${counter.failed} failed`);
+process.exitCode = counter.isGreen ? 0 : 1;
--- a/source/testing/stand-ins/configuration-row.ts
+++ b/source/testing/stand-ins/configuration-row.ts
@@ -15,6 +15,8 @@
 	plainServices: string[];
 	/** Connections that one endpoint takes. */
 	connections: number;
+	/** Largest body of a request, in bytes. Default 100,000. */
+	bodyBytes?: number;
 };
 
 /**
@@ -22,7 +24,9 @@
  *
  * @param options Its parts.
  */
-export function configurationRow({version, routes, keys, plainServices, connections}: ConfigurationRowOptions): Record<string, unknown> {
+export function configurationRow({
+	version, routes, keys, plainServices, connections, bodyBytes = 100_000,
+}: ConfigurationRowOptions): Record<string, unknown> {
 	const service = {healthPath: '/health', maxConnections: connections};
 	return {
 		version,
@@ -38,7 +42,7 @@
 			...plainServices.map(name => ({name, ...service})),
 		],
 		limits: {
-			maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+			maxHeaderBytes: 16_384, maxBodyBytes: bodyBytes, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 		},
 		tenants: Object.entries(keys).map(([name, apiKeys]) => ({name, apiKeys})),
 	};
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -126,7 +126,11 @@
 			return;
 		}
 
-		const body = await text(request);
+		const body = await readText(request);
+		if (body === undefined) {
+			return;
+		}
+
 		const attempt = String(request.headers['x-azuretack-attempt-id']);
 		const refusal = this.#refusal(request);
 		const arrival = {
@@ -304,3 +308,12 @@
 		}
 	}
 }
+
+/** Reads the text of a body; `undefined` if its sender broke it off. */
+async function readText(request: IncomingMessage): Promise<string | undefined> {
+	try {
+		return await text(request);
+	} catch {
+		return undefined;
+	}
+}
