Let gateways lend each other the retries that their requests allow

Cause: without the store a gateway had only its share of its own few requests, 0.4 retries for one request, and a stream whose engine crashed was refused each second, while the shares of all others were unused.

Change: each request adds credits once; a credit is used once, within a window, by its gateway or by the one it was lent to. A retry that neither the own credits nor the slack allow is borrowed from four live gateways at a time, in parts where needed. Waiting retries are served in an order: begun responses, importance, deadline. A call is refused as soon as nothing can be borrowed; a generation that can get no other answer waits in that order until its deadline.

--- a/source/fleet/exchange-client.ts
+++ b/source/fleet/exchange-client.ts
@@ -10,8 +10,10 @@
 	err, ok, type Result,
 } from 'neverthrow';
 import {type PermitReply, type PermitRequest} from '../limits/permit-message.ts';
+import {type RetryLoanReply, type RetryLoanRequest} from '../retries/retry-loan-message.ts';
 import {exchangeMethod, largestMessageBytes, type ExchangeMessage} from './exchange-protocol.ts';
 import {permitMethod} from './permit-protocol.ts';
+import {retryLoanMethod} from './retry-loan-protocol.ts';
 
 type Call<Request> = {address: string; message: Request; timeoutMilliseconds: number};
 
@@ -63,6 +65,18 @@
 		return this.#call(permitMethod, {address, message: request, timeoutMilliseconds});
 	}
 
+	/**
+	 * Requests a loan of retries from another gateway.
+	 *
+	 * @param address IP address and port.
+	 * @param request The request.
+	 * @param timeoutMilliseconds Timeout of the call, in milliseconds.
+	 * @returns The reply, or the reason why there is none.
+	 */
+	async requestRetryLoan(address: string, request: RetryLoanRequest, timeoutMilliseconds: number): Promise<Result<RetryLoanReply, string>> {
+		return this.#call(retryLoanMethod, {address, message: request, timeoutMilliseconds});
+	}
+
 	/** Closes all connections. */
 	close(): void {
 		for (const address of this.#clients.keys()) {
--- a/source/fleet/exchange-server.ts
+++ b/source/fleet/exchange-server.ts
@@ -7,8 +7,10 @@
 	Server, ServerCredentials, type ServerUnaryCall, type ServiceDefinition, type sendUnaryData,
 } from '@grpc/grpc-js';
 import {type PermitReply, type PermitRequest} from '../limits/permit-message.ts';
+import {type RetryLoanReply, type RetryLoanRequest} from '../retries/retry-loan-message.ts';
 import {exchangeMethod, largestMessageBytes, type ExchangeMessage} from './exchange-protocol.ts';
 import {permitMethod} from './permit-protocol.ts';
+import {retryLoanMethod} from './retry-loan-protocol.ts';
 
 /** Options of {@linkcode startExchangeServer}. */
 export type ExchangeServerOptions = {
@@ -18,6 +20,8 @@
 	handle: (message: ExchangeMessage) => ExchangeMessage;
 	/** Answers a request for a permit. */
 	answerPermit: (request: PermitRequest) => PermitReply;
+	/** Answers a request for a loan of retries. Default: lends none. */
+	lendRetries?: (request: RetryLoanRequest) => RetryLoanReply;
 };
 
 /**
@@ -27,9 +31,11 @@
  * @returns A function that stops the server.
  * @throws {Error} If the server cannot listen on the address.
  */
-export async function startExchangeServer({listen, handle, answerPermit}: ExchangeServerOptions): Promise<() => void> {
+export async function startExchangeServer({
+	listen, handle, answerPermit, lendRetries = () => ({lent: 0}),
+}: ExchangeServerOptions): Promise<() => void> {
 	const server = new Server({'grpc.max_concurrent_streams': 256, 'grpc.max_receive_message_length': largestMessageBytes});
-	const service: ServiceDefinition = {exchange: exchangeMethod, permit: permitMethod};
+	const service: ServiceDefinition = {exchange: exchangeMethod, permit: permitMethod, retryLoan: retryLoanMethod};
 	server.addService(service, {
 		exchange(call: ServerUnaryCall<ExchangeMessage, ExchangeMessage>, callback: sendUnaryData<ExchangeMessage>) {
 			callback(null, handle(call.request));
@@ -37,6 +43,9 @@
 		permit(call: ServerUnaryCall<PermitRequest, PermitReply>, callback: sendUnaryData<PermitReply>) {
 			callback(null, answerPermit(call.request));
 		},
+		retryLoan(call: ServerUnaryCall<RetryLoanRequest, RetryLoanReply>, callback: sendUnaryData<RetryLoanReply>) {
+			callback(null, lendRetries(call.request));
+		},
 	});
 	await new Promise<void>((resolve, reject) => {
 		server.bindAsync(listen, ServerCredentials.createInsecure(), error => {
--- a/source/fleet/mod.ts
+++ b/source/fleet/mod.ts
@@ -12,6 +12,7 @@
 export * from './exchange-server.ts';
 export * from './follow-members.ts';
 export * from './follow-source.ts';
+export * from './lender-port.ts';
 export type * from './member.ts';
 export * from './pack-configuration.ts';
 export * from './permit-port.ts';
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -237,7 +237,7 @@
 	/** Whether the generation is sent to another engine after an attempt; one that can't be answered otherwise waits until the retry budget allows it. */
 	async #acquireRetry(end: AttemptEnd): Promise<boolean> {
 		while (!this.#exchange.callerDisconnected.aborted && this.#mayRepeat(end)) {
-			if (this.#targets.hasAlternative || await acquireRetry(this.#exchange, end, this.#dependencies)) {
+			if (this.#targets.hasAlternative || await acquireRetry(this.#exchange, end, this.#dependencies, {waits: this.#isLost || this.#exchange.response.headersSent})) {
 				return true;
 			}
 
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -17,16 +17,16 @@
 } from '../forwarding/mod.ts';
 import {EndpointLimiter, LimitLeaseTable} from '../limits/mod.ts';
 import {StoreClient, decodeFeatures} from '../platform/mod.ts';
-import {SharedRetryBudget, SlackBorrower} from '../retries/mod.ts';
 import {type Features} from '../settings/features.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
 import {SuspectedRequests, SuspicionTable} from '../suspects/mod.ts';
 import {createGatewayMetrics, type GatewayMetrics} from '../telemetry/gateway-metrics.ts';
 import {type Logger} from '../telemetry/logger.ts';
 import {GracefulShutdown} from './graceful-shutdown.ts';
+import {createRetryBudgets, type RetryBudgets} from './retry-budgets.ts';
 
 /** The components that the servers and background tasks of a gateway share. */
-export type GatewayParts = ForwardingDependencies & {
+export type GatewayParts = ForwardingDependencies & Pick<RetryBudgets, 'lendRetries'> & {
 	settings: GatewaySettings;
 	/** Parts that the deployment asks for. */
 	features: Features;
@@ -118,8 +118,8 @@
 		}),
 		callers: {open: false},
 		shutdown: new GracefulShutdown({timeoutMilliseconds: bounds.stopSeconds * 1000}),
-		retryBudgetOf: createRetryBudgets({
-			settings, store, eraRecord, logger, holder: `${hostName}/${members.self.incarnation}`,
+		...createRetryBudgets({
+			settings, store, eraRecord, members, metrics, logger,
 		}),
 		countSignal(service, signal) {
 			metrics.endpointSignals.inc({service, signal});
@@ -161,28 +161,3 @@
 		},
 	});
 }
-
-type RetryBudgetParts = {settings: GatewaySettings; store: StoreClient; eraRecord: StoreEraRecord; logger: Logger; holder: string};
-
-/** Returns a function that looks up the retry budget of a service and creates it on first use. */
-function createRetryBudgets({
-	settings: {bounds}, store, eraRecord, logger, holder,
-}: RetryBudgetParts): (service: string) => SharedRetryBudget {
-	const windowMilliseconds = bounds.retryWindowSeconds * 1000;
-	const terms = {slack: bounds.retrySlack, windowMilliseconds};
-	const budgets = new Map<string, SharedRetryBudget>();
-	return service => {
-		let budget = budgets.get(service);
-		if (!budget) {
-			const borrower = new SlackBorrower({
-				service, holder, limits: terms, store, eraRecord, logger, readClock, random: Math.random,
-			});
-			budget = new SharedRetryBudget({
-				ratio: bounds.retryRatio, windowMilliseconds, borrower, readClock,
-			});
-			budgets.set(service, budget);
-		}
-
-		return budget;
-	};
-}
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -61,6 +61,7 @@
 		listen: settings.listen.peers,
 		handle: message => answerExchange(message, parts, {sharedState, hints}),
 		answerPermit: request => parts.limiter.answer(request),
+		lendRetries: parts.lendRetries,
 	});
 	const role = new StoreRole(parts, sharedState);
 	startUpdates({
--- a/source/telemetry/gateway-metrics.ts
+++ b/source/telemetry/gateway-metrics.ts
@@ -33,6 +33,9 @@
 		retries: new Counter({
 			name: 'azuretack_gateway_retries_total', help: 'Decisions of the retry budget by service, reason of the retry and decision.', labelNames: ['service', 'reason', 'decision'], registers,
 		}),
+		lentRetries: new Counter({
+			name: 'azuretack_gateway_lent_retries_total', help: 'Retries lent to and borrowed from other gateways by service and direction: lent or borrowed. A part of a retry counts as such.', labelNames: ['service', 'direction'], registers,
+		}),
 		closedConnections: new Counter({
 			name: 'azuretack_gateway_closed_connections_total', help: 'Connections of callers that were closed before a response was complete, or by the gateway between two requests, by reason: caller, broken-off, left-open, invalid-request, timeout, idle, stopped, connection-error or unknown.', labelNames: ['reason'], registers,
 		}),
