--- a/source/clocks/clock.ts
+++ b/source/clocks/clock.ts
@@ -41,3 +41,14 @@
 	const wallAge = now.wall - since.wall;
 	return wallAge - steadyAge > suspensionThresholdMilliseconds ? Number.POSITIVE_INFINITY : steadyAge;
 }
+
+/**
+ * Returns whether both clocks have advanced alike since a reading, so that the steady one shows the time that has passed. A step of the wall
+ * clock in either direction cannot be told from a suspension, or hides one.
+ *
+ * @param since Earlier reading.
+ * @param now Current reading.
+ */
+export function isContinuous(since: ClockReading, now: ClockReading): boolean {
+	return Math.abs((now.wall - since.wall) - (now.steady - since.steady)) <= suspensionThresholdMilliseconds;
+}
--- a/source/retries/peer-loans.ts
+++ b/source/retries/peer-loans.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {ageOf, type ClockReading} from '../clocks/mod.ts';
+import {isContinuous, type ClockReading} from '../clocks/mod.ts';
 import {peerLoanMilliseconds} from './retry-loan-message.ts';
 
 type PeerLoan = {
@@ -13,7 +13,7 @@
 };
 
 /**
- * Holds loans until they are used or expire. A suspension of the host ends all loans from before it.
+ * Holds loans until they are used or expire. A suspension of the host or a step of its wall clock ends all loans from before it.
  *
  * @example
  * ```ts
@@ -31,7 +31,7 @@
 
 	/** Returns the number of credits that may be used now. */
 	available(now: ClockReading): number {
-		this.#loans = this.#loans.filter(({credits, requestedAt}) => credits > 0 && ageOf(requestedAt, now) < peerLoanMilliseconds);
+		this.#loans = this.#loans.filter(({credits, requestedAt}) => credits > 0 && isContinuous(requestedAt, now) && now.steady - requestedAt.steady < peerLoanMilliseconds);
 		return this.#loans.reduce((sum, {credits}) => sum + credits, 0);
 	}
 
--- a/source/retries/shared-retry-budget.ts
+++ b/source/retries/shared-retry-budget.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {ageOf, type ClockReading} from '../clocks/mod.ts';
+import {isContinuous, type ClockReading} from '../clocks/mod.ts';
 import {pause} from '../supervision/pause.ts';
 import {type PeerBorrower} from './peer-borrower.ts';
 import {creditsPerRetry, RetryCredits} from './retry-credits.ts';
@@ -19,7 +19,7 @@
 	/** Length of the window, in milliseconds. */
 	windowMilliseconds: number;
 	/** Source of retries beyond the ratio. */
-	borrower: SlackBorrower;
+	borrower: Pick<SlackBorrower, 'remaining' | 'take' | 'mayBorrow' | 'borrow'>;
 	/** Source of retries that other gateways do not use; absent if there are none. */
 	peers?: PeerBorrower;
 	readClock: () => ClockReading;
@@ -182,10 +182,10 @@
 		}
 	}
 
-	/** Reads the clock. Resets the requests after a suspension, since it is unknown which of them are still in the window. */
+	/** Reads the clock. Resets the requests after a suspension or a step of the wall clock, since it is unknown which of them are still in the window. */
 	#now(): ClockReading {
 		const now = this.#options.readClock();
-		if (this.#countedAt && !Number.isFinite(ageOf(this.#countedAt, now))) {
+		if (this.#countedAt && !isContinuous(this.#countedAt, now)) {
 			this.#requests = new SlidingWindowCounter(this.#options.windowMilliseconds);
 			this.#credits.clear();
 		}
