--- a/source/retries/lending.test.ts
+++ b/source/retries/lending.test.ts
@@ -46,7 +46,7 @@
 			self: this.name,
 			service: 'scribe',
 			gateways: () => this.#fleet.gateways.filter(({name}) => name !== this.name).map(({name}) => ({name, peers: name, ready: true})),
-			requestLoan: async (lender, request) => this.#fleet.call(this, lender.name, request),
+			requestLoan: async (lender, request) => this.#fleet.requestLoan(this, lender.name, request),
 			logger: silent,
 			readClock,
 			random: () => 0,
@@ -103,7 +103,7 @@
 		return retries;
 	}
 
-	async call(borrower: Gateway, lender: string, {wanted}: RetryLoanRequest): Promise<{lent: number} | undefined> {
+	async requestLoan(borrower: Gateway, lender: string, {wanted}: RetryLoanRequest): Promise<{lent: number} | undefined> {
 		const gateway = this.gateways.find(({name}) => name === lender)!;
 		const lent = this.fate === 'request-lost' ? 0 : gateway.budget.lend(wanted);
 		if (this.fate === 'borrower-suspended') {
