--- a/source/retries/lending.test.ts
+++ b/source/retries/lending.test.ts
@@ -74,11 +74,11 @@
 
 	constructor(gateways: number) {
 		for (let index = 0; index < gateways; index += 1) {
-			this.join(',');
+			this.addGateway();
 		}
 	}
 
-	join(): void {
+	addGateway(): void {
 		this.gateways.push(new Gateway(`gateway-${this.gateways.length + 1}`, this));
 	}
 
@@ -157,7 +157,7 @@
 		gateway.restart();
 	},
 	join(fleet) {
-		fleet.join(',');
+		fleet.addGateway();
 	},
 	async herd(fleet, _gateway, {count, transitMilliseconds}) {
 		for (const gateway of fleet.gateways) {
