Send the rank of a request to its engine

Engines admit what waits for them by priority, but both senders passed none, so that all requests of a service with callers of different rank waited in order of arrival. The gateway now derives the priority from the configuration: the number of smaller ranks that the service's routes and workspaces have, 9 at most. Requests to a service whose requests all rank the same, and to plain endpoints, carry none, as before.

--- a/source/forwarding/exchange.ts
+++ b/source/forwarding/exchange.ts
@@ -20,6 +20,8 @@
 	workspace: Workspace | undefined;
 	/** Priority of the workspace, or of the route if the workspace has none; 0 is the highest. */
 	importance: number;
+	/** Priority at an engine, from 0, the highest, to 9; `undefined` if all requests to the service rank the same. */
+	enginePriority: number | undefined;
 	/** Identity of the request's content; it is the same when the caller sends the request again. */
 	identity: RequestIdentity;
 	/** Restrictions on a request during which endpoints have crashed: `suspected` is sent to one endpoint at a time, `trial` to one endpoint only. */
--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -135,7 +135,7 @@
 				endpointId: target.endpoint.id,
 				workspace: exchange.workspace?.name,
 				deadlineMilliseconds: exchange.deadline - clock(),
-				priority: undefined,
+				priority: exchange.enginePriority,
 				lastEvent: progress.lastEventId,
 				copyTo: target.copyHolder?.address,
 				resumeFrom: target.resumeFrom && {address: target.resumeFrom.address, attempt: exchange.terms.attempt ?? ''},
--- a/source/forwarding/send-call-attempt.ts
+++ b/source/forwarding/send-call-attempt.ts
@@ -38,7 +38,7 @@
 				endpointId: endpoint.id,
 				workspace: workspace?.name,
 				deadlineMilliseconds: deadline - dependencies.clock(),
-				priority: undefined,
+				priority: exchange.enginePriority,
 				lastEvent: terms.lastEvent,
 				copyTo: undefined,
 				resumeFrom: undefined,
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -5,6 +5,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {enginePriority} from '../engine-admission/mod.ts';
 import {
 	admitInTime, closingOutcomes, crashesEndpoints, forwardCall, forwardGeneration, handlingOf, sendErrorResponse, type Exchange, type ExchangeOutcome, type ForwardingDependencies, type ErrorResponse,
 } from '../forwarding/mod.ts';
@@ -178,6 +179,7 @@
 		return {...refusal, service: service.name, route: route.name};
 	}
 
+	const importance = workspace?.priority ?? route.priority;
 	const exchange: Exchange = {
 		...context,
 		deadline,
@@ -189,7 +191,8 @@
 		route,
 		service,
 		workspace,
-		importance: workspace?.priority ?? route.priority,
+		importance,
+		enginePriority: enginePriority(snapshot.table!.configuration, {service: service.name, importance}),
 	};
 	const outcome = await forwarders[route.kind](exchange, parts);
 	void recordSuspectOutcome(parts.suspects, exchange, outcome);
