Count what a resumed stream began with before its engine is left

Cause: an engine's report counts the events of a run from its beginning, also those that another engine generated; the monitor compared that with the events of its own attempt only. So a stream that had resumed after more than twelve events was left at its first pause of 250 ms ("the engine has generated events that do not arrive"), used up a retry, and often had its prompt read again.

The monitor takes the count of the first report that shows the attempt as the base for a resumed attempt.

--- a/source/forwarding/engine-monitor.ts
+++ b/source/forwarding/engine-monitor.ts
@@ -5,7 +5,7 @@
  */
 import {type EngineReport} from '../balancing/mod.ts';
 import {
-	conditionOf, decideSilenceAction, lacksAttempt, showsRestart, showsWork, hasUndeliveredEvents, minimumUnansweredQueries, type EngineCondition, type EngineQuery,
+	conditionOf, countEventsBefore, decideSilenceAction, lacksAttempt, showsRestart, showsWork, hasUndeliveredEvents, minimumUnansweredQueries, type EngineCondition, type EngineQuery,
 } from './silence-decision.ts';
 
 /** Why an engine was abandoned. */
@@ -31,6 +31,8 @@
 	targetMilliseconds: number;
 	/** Whether another engine holds a copy of the generation's KV cache. */
 	hasCopy: boolean;
+	/** Whether the attempt resumes a stream; the engine may then count the events that others generated before. */
+	isResumed: boolean;
 	/** Queries the engine for its load over a new connection. */
 	queryLoad: () => Promise<EngineQuery>;
 	/** Acquires another engine for the generation; returns false if it must stay, as there is none or it may not be sent again. */
@@ -72,6 +74,8 @@
 	/** Time at which the engine last reported work on the generation. */
 	#workedAt = Number.NEGATIVE_INFINITY;
 	#receivedEvents = 0;
+	/** Number of events in the engine's reports that the attempt began with; `undefined` until a report shows the attempt. */
+	#eventsBefore: number | undefined;
 	/** Outcomes of the consecutive queries without a report. */
 	#unansweredQueries: Array<Exclude<EngineCondition, 'alive'>> = [];
 	/** Time of the first of these queries. */
@@ -87,6 +91,7 @@
 
 	constructor(options: EngineMonitorOptions) {
 		this.#options = options;
+		this.#eventsBefore = options.isResumed ? undefined : 0;
 		this.#progressAt = options.clock();
 		this.#lastAliveAt = this.#progressAt;
 	}
@@ -192,7 +197,8 @@
 			return;
 		}
 
-		if (hasUndeliveredEvents(report, attemptId, this.#receivedEvents)) {
+		this.#eventsBefore ??= countEventsBefore(report, attemptId, this.#receivedEvents);
+		if (hasUndeliveredEvents(report, attemptId, this.#receivedEvents + (this.#eventsBefore ?? 0))) {
 			void this.#leave('alive', 'the engine has generated events that do not arrive');
 			return;
 		}
--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -92,6 +92,7 @@
 			eventPauseMilliseconds: route.eventPauseMilliseconds,
 			targetMilliseconds,
 			hasCopy: copyHolder !== undefined,
+			isResumed: options.progress.lastEventId !== undefined,
 			queryLoad,
 			acquireAlternative,
 			onAbandon: reason => {
--- a/source/forwarding/silence-decision.ts
+++ b/source/forwarding/silence-decision.ts
@@ -141,6 +141,20 @@
 	return before !== undefined && (run.events > before.events || run.tokens > before.tokens);
 }
 
+/**
+ * Returns the number of events that an engine counts for a resumed attempt beyond those that have arrived from it: those that other engines
+ * generated before.
+ *
+ * @param report The first report that shows the attempt.
+ * @param attemptId Id of the attempt.
+ * @param received Number of events of this attempt that have arrived.
+ * @returns `undefined` if the report does not show the attempt.
+ */
+export function countEventsBefore({runs}: EngineReport, attemptId: string, received: number): number | undefined {
+	const run = runs.find(({attempt}) => attempt === attemptId);
+	return run && Math.max(0, run.events - received);
+}
+
 /** Number of reported but unreceived events from which on the connection counts as stalled rather than slow. */
 const missedEventsThreshold = 12;
 
@@ -149,7 +163,7 @@
  *
  * @param report The engine's report.
  * @param attemptId Id of the attempt.
- * @param received Number of events of this attempt that have arrived.
+ * @param received Number of events that have arrived, with those that the attempt began with.
  */
 export function hasUndeliveredEvents({runs}: EngineReport, attemptId: string, received: number): boolean {
 	const run = runs.find(candidate => candidate.attempt === attemptId);
