Keep a generation at an engine that works through its queue

An engine that reports and reads other prompts first was left after 1.6 target times, and the prompt was read anew elsewhere. Where the deployment asks for it (contract `pool`), reports now tell such an engine from one that hangs: since the report before, it has begun to answer a request, has admitted one, or has read on in a prompt. Then it is left after three target times, as callers wait for four and another engine needs one. Requests that leave its queue, and running ones that go on, show nothing, so an engine that hangs is left when it was before.

--- a/source/forwarding/engine-monitor.test.ts
+++ b/source/forwarding/engine-monitor.test.ts
@@ -22,6 +22,7 @@
 		targetMilliseconds: 4500,
 		hasCopy: false,
 		isResumed: false,
+		watchesQueue: false,
 		clock: () => performance.now(),
 		...options,
 	};
--- a/source/forwarding/engine-monitor.ts
+++ b/source/forwarding/engine-monitor.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {type EngineReport} from '../balancing/mod.ts';
+import {showsQueueProgress} from './queue-progress.ts';
 import {
 	conditionOf, countEventsBefore, decideSilenceAction, lacksAttempt, showsRestart, showsWork, hasUndeliveredEvents, minimumUnansweredQueries, type EngineCondition, type EngineQuery,
 } from './silence-decision.ts';
@@ -33,6 +34,8 @@
 	hasCopy: boolean;
 	/** Whether the attempt resumes a stream; the engine may then count the events that others generated before. */
 	isResumed: boolean;
+	/** Whether the generation stays while the engine works through the requests before it. */
+	watchesQueue: boolean;
 	/** Queries the engine for its load over a new connection. */
 	queryLoad: () => Promise<EngineQuery>;
 	/** Acquires another engine for the generation; returns false if it must stay, as there is none or it may not be sent again. */
@@ -82,6 +85,8 @@
 	#unansweredSince = 0;
 	/** Time since the last progress for which the engine gave no report and then did again, in milliseconds: it was suspended, and can't have worked. */
 	#suspendedMilliseconds = 0;
+	/** Time at which reports last showed that the engine's queue moves. */
+	#queueMovedAt = Number.NEGATIVE_INFINITY;
 	#nextQueryAt = Number.NEGATIVE_INFINITY;
 	#nextAlternativeAt = Number.NEGATIVE_INFINITY;
 	#isLeaving = false;
@@ -143,6 +148,7 @@
 			started: this.#receivedEvents > 0,
 			silentMilliseconds,
 			idleMilliseconds: now - Math.max(this.#progressAt + this.#suspendedMilliseconds, this.#workedAt),
+			sinceQueueMovedMilliseconds: now - this.#queueMovedAt,
 			sinceAliveMilliseconds: now - this.#lastAliveAt,
 			condition,
 			unansweredMilliseconds: this.#unansweredQueries.length > 0 ? now - this.#unansweredSince : 0,
@@ -191,6 +197,10 @@
 			this.#workedAt = this.#lastAliveAt;
 		}
 
+		if (this.#options.watchesQueue && this.#lastReport && showsQueueProgress(report, this.#lastReport)) {
+			this.#queueMovedAt = this.#lastAliveAt;
+		}
+
 		this.#lastReport = report;
 		if (showsRestart(report, startedAt)) {
 			this.#abandon({unreachable: true, isSilent: false, message: 'the engine has restarted'});
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -146,6 +146,7 @@
 				// An idle pooled connection may be dead, and a copy can be resumed from only once.
 				agent: this.#dependencies.connections.agent('fresh'),
 				responseBuffers: this.#dependencies.responseBuffers,
+				watchesQueue: this.#dependencies.features.engineQueues,
 				queryLoad: async () => this.#targets.queryLoad(target.endpoint),
 				acquireAlternative: async condition => this.#acquireAlternative(target, condition),
 				onEvents: events => {
--- a/source/forwarding/forwarding-dependencies.ts
+++ b/source/forwarding/forwarding-dependencies.ts
@@ -8,6 +8,7 @@
 import {type EndpointLimiter} from '../limits/mod.ts';
 import {type SharedRetryBudget} from '../retries/mod.ts';
 import {type SuspectedRequests} from '../suspects/mod.ts';
+import {type Features} from '../settings/features.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {type CallerConnections} from './caller-connections.ts';
 import {type EndpointConnections} from './endpoint-connections.ts';
@@ -26,6 +27,8 @@
 	responseBuffers: ResponseBuffers;
 	crashDetector: CrashDetector;
 	suspects: SuspectedRequests;
+	/** Parts that the deployment asks for. */
+	features: Features;
 	logger: Logger;
 	/** Availability zone of this gateway. */
 	availabilityZone: string;
--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -50,6 +50,8 @@
 	agent: Parameters<typeof sendRequest>[0]['agent'];
 	/** Limits how much of the responses is buffered. */
 	responseBuffers: ResponseBuffers;
+	/** Whether the generation stays while the engine works through the requests before it. */
+	watchesQueue: boolean;
 	/** Called with the number of events that the caller has received of all attempts, when it grows. */
 	onEvents: (events: number) => void;
 	/** Called with the engine's response once its head has arrived. */
@@ -93,6 +95,7 @@
 			targetMilliseconds,
 			hasCopy: copyHolder !== undefined,
 			isResumed: options.progress.lastEventId !== undefined,
+			watchesQueue: options.watchesQueue,
 			queryLoad,
 			acquireAlternative,
 			onAbandon: reason => {
--- a/source/forwarding/silence-decision.ts
+++ b/source/forwarding/silence-decision.ts
@@ -23,6 +23,8 @@
 	silentMilliseconds: number;
 	/** Time since the response last made progress or the engine reported work on the generation, in milliseconds. */
 	idleMilliseconds: number;
+	/** Time since reports last showed that the engine's queue moves, in milliseconds; absent if none did. */
+	sinceQueueMovedMilliseconds?: number;
 	/** Time since the engine was last known to be alive, in milliseconds. */
 	sinceAliveMilliseconds: number;
 	condition: EngineCondition;
@@ -57,19 +59,33 @@
 /** Stall timeout before the first event, as a multiple of the target time: the engine may process other prompts first. */
 const firstEventTargetMultiple = 1.6;
 
+/** Time for which an engine counts as working through its queue after reports have shown so, as a share of the target time. */
+const queueMovedShare = 0.5;
+
+/** Time before the first event after which an engine is left though its queue moves, as a multiple of the target time: callers wait for four times the target time, and another engine needs one. */
+const movingQueueTargetMultiple = 3;
+
 /** Time without a response after which an engine that accepts connections is left, in milliseconds; a sound one may be suspended for a second or more, and callers wait two seconds at least. */
 const maximumSuspensionMilliseconds = 1600;
 
 /** Whether an engine is left for its silence, by its condition. */
 const leaveRules: Record<EngineCondition, (generation: SilentGeneration) => boolean> = {
-	alive: ({started, idleMilliseconds, targetMilliseconds, eventPauseMilliseconds, hasCopy}) => idleMilliseconds >= (started
-		? eventPauseMilliseconds * (hasCopy ? stallTimeoutPausesWithCopy : stallTimeoutPausesWithoutCopy)
-		: targetMilliseconds * firstEventTargetMultiple),
+	alive: generation => generation.idleMilliseconds >= stallTimeout(generation),
 	unresponsive: ({unansweredMilliseconds, eventPauseMilliseconds}) => unansweredMilliseconds >= Math.max(maximumSuspensionMilliseconds, eventPauseMilliseconds),
 	// With a copy, the generation can resume within the pause that callers accept; without one, the prompt must be processed again anyway.
 	unreachable: ({silentMilliseconds, eventPauseMilliseconds, hasCopy}) => hasCopy || silentMilliseconds >= eventPauseMilliseconds,
 };
 
+/** Returns the time without progress after which an engine that reports is left, in milliseconds. */
+function stallTimeout({started, sinceQueueMovedMilliseconds = Number.POSITIVE_INFINITY, targetMilliseconds, eventPauseMilliseconds, hasCopy}: SilentGeneration): number {
+	if (started) {
+		return eventPauseMilliseconds * (hasCopy ? stallTimeoutPausesWithCopy : stallTimeoutPausesWithoutCopy);
+	}
+
+	const queueMoves = sinceQueueMovedMilliseconds < targetMilliseconds * queueMovedShare;
+	return targetMilliseconds * (queueMoves ? movingQueueTargetMultiple : firstEventTargetMultiple);
+}
+
 /**
  * Decides what to do about a silent engine.
  *
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -18,7 +18,6 @@
 import {EndpointLimiter, LimitLeaseTable} from '../limits/mod.ts';
 import {StoreClient, decodeFeatures} from '../platform/mod.ts';
 import {SharedRetryBudget, SlackBorrower} from '../retries/mod.ts';
-import {type Features} from '../settings/features.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
 import {SuspectedRequests, SuspicionTable} from '../suspects/mod.ts';
 import {createGatewayMetrics, type GatewayMetrics} from '../telemetry/gateway-metrics.ts';
@@ -28,8 +27,6 @@
 /** The components that the servers and background tasks of a gateway share. */
 export type GatewayParts = ForwardingDependencies & {
 	settings: GatewaySettings;
-	/** Parts that the deployment asks for. */
-	features: Features;
 	metrics: GatewayMetrics;
 	store: StoreClient;
 	configuration: ConfigurationCache;
--- a/source/settings/features.ts
+++ b/source/settings/features.ts
@@ -8,6 +8,8 @@
 export type Features = {
 	/** Gateways use a stable subset of each service's engines, and reuse their connections. */
 	engineSubsets: boolean;
+	/** A generation stays at an engine that works through the requests before it. */
+	engineQueues: boolean;
 	/** The bytes that a gateway holds for callers and endpoints are bounded, for each endpoint too. */
 	memoryBounds: boolean;
 	/** Gateways move a service's traffic to a new version when the operator orders it. */
@@ -15,4 +17,6 @@
 };
 
 /** All parts switched off. */
-export const noFeatures: Features = {engineSubsets: false, memoryBounds: false, rollouts: false};
+export const noFeatures: Features = {
+	engineSubsets: false, engineQueues: false, memoryBounds: false, rollouts: false,
+};
