Log a generation's rank and whether its engine's queue moved

An operator could not see from a lost attempt which rank the generation had at its engine, nor whether the engine worked when it was left.

--- a/source/forwarding/engine-monitor.ts
+++ b/source/forwarding/engine-monitor.ts
@@ -157,7 +157,7 @@
 			hasCopy,
 		});
 		if (action === 'leave') {
-			void this.#leave(condition, `no event was received for ${Math.round(silentMilliseconds)} ms; ${describeEngine(condition, this.#lastReport)}`);
+			void this.#leave(condition, `no event was received for ${Math.round(silentMilliseconds)} ms; ${describeEngine(condition, this.#lastReport)}${describeQueue(now - this.#queueMovedAt)}`);
 		}
 
 		if (action !== 'wait' && !this.#isQuerying && now >= this.#nextQueryAt) {
@@ -257,3 +257,7 @@
 		? `the engine reports ${report.running} running, ${report.waiting} waiting, ${report.usedTokens} of ${report.memoryTokens} tokens in use`
 		: 'the engine was not queried';
 }
+
+function describeQueue(sinceMovedMilliseconds: number): string {
+	return Number.isFinite(sinceMovedMilliseconds) ? `, its queue moved ${Math.round(sinceMovedMilliseconds)} ms ago` : '';
+}
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -210,6 +210,7 @@
 			lastEvent: this.#progress.lastEventId,
 			copyHolder: this.#copyHolder?.id,
 			goOnFrom: resumeFrom?.id,
+			priority: this.#exchange.enginePriority,
 		});
 	}
 
