--- a/source/forwarding/engine-monitor.ts
+++ b/source/forwarding/engine-monitor.ts
@@ -157,7 +157,7 @@
 			hasCopy,
 		});
 		if (action === 'leave') {
-			void this.#leave(condition, `no event was received for ${Math.round(silentMilliseconds)} ms; ${describeEngine(condition, this.#lastReport)}${describeQueue(now - this.#queueMovedAt)}`);
+			void this.#leave(condition, `no event was received for ${Math.round(silentMilliseconds)} ms; ${describeEngine(condition, this.#lastReport, now - this.#queueMovedAt)}`);
 		}
 
 		if (action !== 'wait' && !this.#isQuerying && now >= this.#nextQueryAt) {
@@ -248,13 +248,13 @@
 	unreachable: 'the engine accepts no connection',
 };
 
-function describeEngine(condition: EngineCondition, report: EngineReport | undefined): string {
+function describeEngine(condition: EngineCondition, report: EngineReport | undefined, sinceQueueMovedMilliseconds: number): string {
 	if (condition !== 'alive') {
 		return conditionDescriptions[condition];
 	}
 
 	return report
-		? `the engine reports ${report.running} running, ${report.waiting} waiting, ${report.usedTokens} of ${report.memoryTokens} tokens in use`
+		? `the engine reports ${report.running} running, ${report.waiting} waiting, ${report.usedTokens} of ${report.memoryTokens} tokens in use${describeQueue(sinceQueueMovedMilliseconds)}`
 		: 'the engine was not queried';
 }
 
