--- a/source/forwarding/engine-monitor.ts
+++ b/source/forwarding/engine-monitor.ts
@@ -4,8 +4,9 @@
  * @module
  */
 import {type EngineReport} from '../balancing/mod.ts';
+import {showsQueueProgress} from './queue-progress.ts';
 import {
-	conditionOf, decideSilenceAction, lacksAttempt, showsRestart, showsWork, hasUndeliveredEvents, minimumUnansweredQueries, type EngineCondition, type EngineQuery,
+	conditionOf, countEventsBefore, decideSilenceAction, lacksAttempt, showsRestart, showsWork, hasUndeliveredEvents, minimumUnansweredQueries, type EngineCondition, type EngineQuery,
 } from './silence-decision.ts';
 
 /** Why an engine was abandoned. */
@@ -31,6 +32,10 @@
 	targetMilliseconds: number;
 	/** Whether another engine holds a copy of the generation's KV cache. */
 	hasCopy: boolean;
+	/** Whether the attempt resumes a stream; the engine may then count the events that others generated before. */
+	isResumed: boolean;
+	/** Whether the generation stays while the engine works through the requests before it. */
+	watchesQueue: boolean;
 	/** Queries the engine for its load over a new connection. */
 	queryLoad: () => Promise<EngineQuery>;
 	/** Acquires another engine for the generation; returns false if it must stay, as there is none or it may not be sent again. */
@@ -72,12 +77,16 @@
 	/** Time at which the engine last reported work on the generation. */
 	#workedAt = Number.NEGATIVE_INFINITY;
 	#receivedEvents = 0;
+	/** Number of events in the engine's reports that the attempt began with; `undefined` until a report shows the attempt. */
+	#eventsBefore: number | undefined;
 	/** Outcomes of the consecutive queries without a report. */
 	#unansweredQueries: Array<Exclude<EngineCondition, 'alive'>> = [];
 	/** Time of the first of these queries. */
 	#unansweredSince = 0;
 	/** Time since the last progress for which the engine gave no report and then did again, in milliseconds: it was suspended, and can't have worked. */
 	#suspendedMilliseconds = 0;
+	/** Time at which reports last showed that the engine's queue moves. */
+	#queueMovedAt = Number.NEGATIVE_INFINITY;
 	#nextQueryAt = Number.NEGATIVE_INFINITY;
 	#nextAlternativeAt = Number.NEGATIVE_INFINITY;
 	#isLeaving = false;
@@ -87,6 +96,7 @@
 
 	constructor(options: EngineMonitorOptions) {
 		this.#options = options;
+		this.#eventsBefore = options.isResumed ? undefined : 0;
 		this.#progressAt = options.clock();
 		this.#lastAliveAt = this.#progressAt;
 	}
@@ -138,6 +148,7 @@
 			started: this.#receivedEvents > 0,
 			silentMilliseconds,
 			idleMilliseconds: now - Math.max(this.#progressAt + this.#suspendedMilliseconds, this.#workedAt),
+			sinceQueueMovedMilliseconds: now - this.#queueMovedAt,
 			sinceAliveMilliseconds: now - this.#lastAliveAt,
 			condition,
 			unansweredMilliseconds: this.#unansweredQueries.length > 0 ? now - this.#unansweredSince : 0,
@@ -146,7 +157,7 @@
 			hasCopy,
 		});
 		if (action === 'leave') {
-			void this.#leave(condition, `no event was received for ${Math.round(silentMilliseconds)} ms; ${describeEngine(condition, this.#lastReport)}`);
+			void this.#leave(condition, `no event was received for ${Math.round(silentMilliseconds)} ms; ${describeEngine(condition, this.#lastReport, now - this.#queueMovedAt)}`);
 		}
 
 		if (action !== 'wait' && !this.#isQuerying && now >= this.#nextQueryAt) {
@@ -186,13 +197,18 @@
 			this.#workedAt = this.#lastAliveAt;
 		}
 
+		if (this.#options.watchesQueue && this.#lastReport && showsQueueProgress(report, this.#lastReport)) {
+			this.#queueMovedAt = this.#lastAliveAt;
+		}
+
 		this.#lastReport = report;
 		if (showsRestart(report, startedAt)) {
 			this.#abandon({unreachable: true, isSilent: false, message: 'the engine has restarted'});
 			return;
 		}
 
-		if (hasUndeliveredEvents(report, attemptId, this.#receivedEvents)) {
+		this.#eventsBefore ??= countEventsBefore(report, attemptId, this.#receivedEvents);
+		if (hasUndeliveredEvents(report, attemptId, this.#receivedEvents + (this.#eventsBefore ?? 0))) {
 			void this.#leave('alive', 'the engine has generated events that do not arrive');
 			return;
 		}
@@ -232,12 +248,16 @@
 	unreachable: 'the engine accepts no connection',
 };
 
-function describeEngine(condition: EngineCondition, report: EngineReport | undefined): string {
+function describeEngine(condition: EngineCondition, report: EngineReport | undefined, sinceQueueMovedMilliseconds: number): string {
 	if (condition !== 'alive') {
 		return conditionDescriptions[condition];
 	}
 
 	return report
-		? `the engine reports ${report.running} running, ${report.waiting} waiting, ${report.usedTokens} of ${report.memoryTokens} tokens in use`
+		? `the engine reports ${report.running} running, ${report.waiting} waiting, ${report.usedTokens} of ${report.memoryTokens} tokens in use${describeQueue(sinceQueueMovedMilliseconds)}`
 		: 'the engine was not queried';
 }
+
+function describeQueue(sinceMovedMilliseconds: number): string {
+	return Number.isFinite(sinceMovedMilliseconds) ? `, its queue moved ${Math.round(sinceMovedMilliseconds)} ms ago` : '';
+}
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -146,6 +146,7 @@
 				// An idle pooled connection may be dead, and a copy can be resumed from only once.
 				agent: this.#dependencies.connections.agent('fresh'),
 				responseBuffers: this.#dependencies.responseBuffers,
+				watchesQueue: this.#dependencies.features.engineQueues,
 				queryLoad: async () => this.#targets.queryLoad(target.endpoint),
 				acquireAlternative: async condition => this.#acquireAlternative(target, condition),
 				onEvents: events => {
@@ -209,6 +210,7 @@
 			lastEvent: this.#progress.lastEventId,
 			copyHolder: this.#copyHolder?.id,
 			goOnFrom: resumeFrom?.id,
+			priority: this.#exchange.enginePriority,
 		});
 	}
 
--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -50,6 +50,8 @@
 	agent: Parameters<typeof sendRequest>[0]['agent'];
 	/** Limits how much of the responses is buffered. */
 	responseBuffers: ResponseBuffers;
+	/** Whether the generation stays while the engine works through the requests before it. */
+	watchesQueue: boolean;
 	/** Called with the number of events that the caller has received of all attempts, when it grows. */
 	onEvents: (events: number) => void;
 	/** Called with the engine's response once its head has arrived. */
@@ -92,6 +94,8 @@
 			eventPauseMilliseconds: route.eventPauseMilliseconds,
 			targetMilliseconds,
 			hasCopy: copyHolder !== undefined,
+			isResumed: options.progress.lastEventId !== undefined,
+			watchesQueue: options.watchesQueue,
 			queryLoad,
 			acquireAlternative,
 			onAbandon: reason => {
@@ -135,7 +139,7 @@
 				endpointId: target.endpoint.id,
 				workspace: exchange.workspace?.name,
 				deadlineMilliseconds: exchange.deadline - clock(),
-				priority: undefined,
+				priority: exchange.enginePriority,
 				lastEvent: progress.lastEventId,
 				copyTo: target.copyHolder?.address,
 				resumeFrom: target.resumeFrom && {address: target.resumeFrom.address, attempt: exchange.terms.attempt ?? ''},
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -19,7 +19,6 @@
 import {BodyAccount, ConnectionGuard, intakeLimits} from '../intake/mod.ts';
 import {EndpointLimiter, LimitLeaseTable} from '../limits/mod.ts';
 import {StoreClient, decodeFeatures} from '../platform/mod.ts';
-import {type Features} from '../settings/features.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
 import {SuspectedRequests, SuspicionTable} from '../suspects/mod.ts';
 import {createGatewayMetrics, type GatewayMetrics} from '../telemetry/gateway-metrics.ts';
@@ -30,8 +29,6 @@
 /** The components that the servers and background tasks of a gateway share. */
 export type GatewayParts = ForwardingDependencies & Pick<RetryBudgets, 'lendRetries'> & {
 	settings: GatewaySettings;
-	/** Parts that the deployment asks for. */
-	features: Features;
 	metrics: GatewayMetrics;
 	store: StoreClient;
 	configuration: ConfigurationCache;
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {enginePriority} from '../engine-admission/mod.ts';
 import {
 	admitInTime, closingOutcomes, crashesEndpoints, forwardCall, forwardGeneration, handlingOf, sendErrorResponse, type Exchange, type ExchangeOutcome, type ForwardingDependencies, type ErrorResponse,
 } from '../forwarding/mod.ts';
@@ -202,6 +203,7 @@
 	}
 
 	const {intake: _intake, ...common} = context;
+	const importance = workspace?.priority ?? route.priority;
 	const exchange: Exchange = {
 		...common,
 		deadline,
@@ -213,7 +215,8 @@
 		route,
 		service,
 		workspace,
-		importance: workspace?.priority ?? route.priority,
+		importance,
+		enginePriority: enginePriority(snapshot.table!.configuration, {service: service.name, importance}),
 	};
 	const outcome = await forwarders[route.kind](exchange, parts);
 	void recordSuspectOutcome(parts.suspects, exchange, outcome);
