Keep connections to endpoints for as long as the endpoints state, where subsets are asked for

Cause: a generation, a call that may not be repeated and a load query of a silent engine each opened a connection and closed it, and idle ones were closed after 4 s, though endpoints state 9 s. Change: with features.engineSubsets one agent keeps all connections for the stated time less a fifth (0.5 s at least), two an endpoint and 512 in all at the most. What may not be repeated uses one whose last response is at most 1 s old, a silent engine is queried over a new one. Nothing changes without the feature.

--- a/source/forwarding/endpoint-connections.ts
+++ b/source/forwarding/endpoint-connections.ts
@@ -5,13 +5,29 @@
  */
 import {Agent, type ClientRequest} from 'node:http';
 import {type Socket} from 'node:net';
+import {reusableIdleTime} from './idle-time.ts';
 
-/** Idle timeout of a pooled connection, in milliseconds; shorter than that of the endpoints, so that they do not close a connection first. */
+/** Idle timeout of a connection whose endpoint states none, in milliseconds; shorter than that of the endpoints, so that they do not close a connection first. */
 const idleTimeoutMilliseconds = 4000;
 
+/** Longest time for which a connection is kept idle, in milliseconds, however long its endpoint would keep it. */
+const longestIdleMilliseconds = 60_000;
+
 /** Maximum number of idle connections per endpoint. */
 const maximumIdleConnections = 4;
 
+/** Maximum number of idle connections per endpoint where connections are kept as long as the endpoints state. */
+const maximumKeptConnections = 2;
+
+/** Maximum number of idle connections to all endpoints, so that their descriptors stay a small part of a host's. */
+const maximumIdleConnectionsInAll = 512;
+
+/**
+ * Longest time since the last response on a connection for which it counts as proven to be alive, in milliseconds. A host that lost power
+ * closes none of its connections, so a request that must not be repeated is lost on an older one; on a new one, it would not be sent.
+ */
+const provenMilliseconds = 1000;
+
 /** Methods of Node's `Agent` that its types do not declare completely. */
 // eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Both methods are documented.
 const agentMethods = Agent.prototype as unknown as {keepSocketAlive(socket: Socket): boolean; reuseSocket(socket: Socket, request: ClientRequest): void};
@@ -38,13 +54,100 @@
 	this.destroy();
 }
 
+/** Options of {@linkcode LongLivedAgent}. */
+type LongLivedAgentOptions = {clock: () => number; count: (origin: ConnectionOrigin) => void};
+
+/** Keep-alive agent that keeps an idle connection for as long as its endpoint states, and knows since when each one is idle. */
+class LongLivedAgent extends StrictKeepAliveAgent {
+	readonly #own: LongLivedAgentOptions;
+	/** Monotonic time since which each connection is idle, in milliseconds. */
+	readonly #idleSince = new Map<Socket, number>();
+
+	constructor(options: LongLivedAgentOptions) {
+		super({
+			keepAlive: true, timeout: longestIdleMilliseconds, maxFreeSockets: maximumKeptConnections, scheduling: 'lifo',
+		});
+		this.#own = options;
+	}
+
+	override keepSocketAlive(socket: Socket): boolean {
+		if (this.#idleSince.size >= maximumIdleConnectionsInAll || !super.keepSocketAlive(socket)) {
+			return false;
+		}
+
+		// Node has set the timeout to what the endpoint's response states, if that is less than the agent's.
+		const stated = socket.timeout === longestIdleMilliseconds ? undefined : socket.timeout;
+		const idleMilliseconds = reusableIdleTime(stated, idleTimeoutMilliseconds);
+		if (idleMilliseconds <= 0) {
+			return false;
+		}
+
+		socket.setTimeout(idleMilliseconds);
+		this.#idleSince.set(socket, this.#own.clock());
+		return true;
+	}
+
+	override reuseSocket(socket: Socket, request: ClientRequest): void {
+		this.#idleSince.delete(socket);
+		this.#own.count('reused');
+		super.reuseSocket(socket, request);
+	}
+
+	/** Number of idle connections. */
+	get idle(): number {
+		return this.#idleSince.size;
+	}
+
+	override createConnection(...parameters: Parameters<Agent['createConnection']>): ReturnType<Agent['createConnection']> {
+		this.#own.count('new');
+		const connection = super.createConnection(...parameters);
+		connection?.once('close', () => {
+			// eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Without TLS, the connection is a socket.
+			this.#idleSince.delete(connection as Socket);
+		});
+		return connection;
+	}
+
+	/** Closes the connections to an endpoint that have been idle for longer than a limit, in milliseconds. */
+	closeIdle(address: string, limit: number): void {
+		const [host, port] = address.split(':');
+		const now = this.#own.clock();
+		for (const socket of this.freeSockets[this.getName({host, port: Number(port)})] ?? []) {
+			if (now - (this.#idleSince.get(socket) ?? Number.NEGATIVE_INFINITY) >= limit) {
+				socket.destroy();
+			}
+		}
+	}
+}
+
+/**
+ * Which connection a request may use: any that is idle, one on which a response was received a moment ago, or none but a new one.
+ */
+export type ConnectionUse = 'pooled' | 'proven' | 'fresh';
+
+/** Whether a request was sent over a new connection or one that was used before. */
+export type ConnectionOrigin = 'new' | 'reused';
+
+/** Idle time from which on a connection is not used again, by the use of the next one, in milliseconds. */
+const idleLimits: Record<ConnectionUse, number> = {pooled: Number.POSITIVE_INFINITY, proven: provenMilliseconds, fresh: 0};
+
+/** Options of {@linkcode EndpointConnections}. */
+export type EndpointConnectionsOptions = {
+	/** Whether all connections are kept for later requests, for as long as their endpoints state. Default false. */
+	keepsConnections?: boolean;
+	/** Returns monotonic time, in milliseconds. */
+	clock?: () => number;
+	/** Counts requests by the connection that they use, where connections are kept. */
+	count?: (origin: ConnectionOrigin) => void;
+};
+
 /**
  * Connections of one gateway to all endpoints.
  *
  * @example
  * ```ts
  * const connections = new EndpointConnections();
- * const agent = connections.agent('pooled');
+ * const agent = connections.agent('pooled', '10.0.0.1:9000');
  * ```
  */
 export class EndpointConnections {
@@ -53,19 +156,37 @@
 	});
 
 	readonly #fresh = new Agent({keepAlive: false});
+	readonly #longLived: LongLivedAgent | undefined;
+
+	constructor({keepsConnections = false, clock = () => performance.now(), count = () => undefined}: EndpointConnectionsOptions = {}) {
+		this.#longLived = keepsConnections ? new LongLivedAgent({clock, count}) : undefined;
+	}
 
 	/**
-	 * Returns the HTTP agent for a request.
+	 * Returns the HTTP agent for a request that is sent at once.
 	 *
-	 * @param use `pooled` for requests that may be sent again, since an idle connection may turn out to be dead; `fresh` otherwise.
+	 * @param use `pooled` for requests that may be sent again, since an idle connection may turn out to be dead; `proven` for those that may
+	 * not, or at a cost; `fresh` where only a new connection shows whether the endpoint lives.
+	 * @param address IP address and port of the endpoint.
 	 */
-	agent(use: 'pooled' | 'fresh'): Agent {
+	agent(use: ConnectionUse, address: string): Agent {
+		if (this.#longLived) {
+			this.#longLived.closeIdle(address, idleLimits[use]);
+			return this.#longLived;
+		}
+
 		return use === 'pooled' ? this.#pooled : this.#fresh;
 	}
 
+	/** Number of idle connections that are kept for as long as their endpoints state. */
+	get idle(): number {
+		return this.#longLived?.idle ?? 0;
+	}
+
 	/** Closes all connections. */
 	close(): void {
 		this.#pooled.destroy();
 		this.#fresh.destroy();
+		this.#longLived?.destroy();
 	}
 }
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -144,7 +144,7 @@
 				progress: this.#progress,
 				targetMilliseconds: this.#exchange.route.targetMilliseconds * (2 ** this.#leftBeforeFirstEvent),
 				// An idle pooled connection may be dead, and a copy can be resumed from only once.
-				agent: this.#dependencies.connections.agent('fresh'),
+				agent: this.#dependencies.connections.agent('proven', target.endpoint.address),
 				responseBuffers: this.#dependencies.responseBuffers,
 				queryLoad: async () => this.#targets.queryLoad(target.endpoint),
 				acquireAlternative: async condition => this.#acquireAlternative(target, condition),
--- a/source/forwarding/send-call-attempt.ts
+++ b/source/forwarding/send-call-attempt.ts
@@ -30,7 +30,7 @@
 	const sentAt = dependencies.clock();
 	try {
 		const sent = await sendRequest({
-			agent: dependencies.connections.agent(route.kind === 'idempotent' ? 'pooled' : 'fresh'),
+			agent: dependencies.connections.agent(route.kind === 'idempotent' ? 'pooled' : 'proven', endpoint.address),
 			address: endpoint.address,
 			method: request.method!,
 			target: request.url!,
--- a/source/forwarding/send-request.test.ts
+++ b/source/forwarding/send-request.test.ts
@@ -37,7 +37,7 @@
 
 async function send({address, connections}: Endpoint, use: 'pooled' | 'fresh' = 'pooled', attemptId = 'a'): Promise<SendOutcome> {
 	return sendRequest({
-		agent: connections.agent(use),
+		agent: connections.agent(use, address),
 		address,
 		method: 'GET',
 		target: '/',
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -74,6 +74,7 @@
 	const eraRecord = new StoreEraRecord({store, logger});
 	const endpoints = new EndpointList({heartbeatMilliseconds: bounds.endpointHeartbeatMilliseconds});
 	const clock = () => performance.now();
+	const features = decodeFeatures(settings.contracts);
 	const suspects = new SuspectedRequests({
 		table: new SuspicionTable({store, logger, random: Math.random}),
 		logger,
@@ -84,7 +85,7 @@
 	});
 	return {
 		settings,
-		features: decodeFeatures(settings.contracts),
+		features,
 		logger,
 		metrics,
 		availabilityZone,
@@ -99,7 +100,13 @@
 		limiter: createLimiter({
 			store, eraRecord, logger, endpoints, members, metrics, clock,
 		}),
-		connections: new EndpointConnections(),
+		connections: new EndpointConnections({
+			keepsConnections: features.engineSubsets,
+			clock,
+			count(origin) {
+				metrics.endpointRequests.inc({connection: origin});
+			},
+		}),
 		callerConnections: new CallerConnections({
 			logger,
 			clock,
--- a/source/telemetry/gateway-metrics.ts
+++ b/source/telemetry/gateway-metrics.ts
@@ -36,6 +36,9 @@
 		closedConnections: new Counter({
 			name: 'azuretack_gateway_closed_connections_total', help: 'Connections of callers that were closed before a response was complete, or by the gateway between two requests, by reason: caller, broken-off, left-open, invalid-request, timeout, idle, stopped, connection-error or unknown.', labelNames: ['reason'], registers,
 		}),
+		endpointRequests: new Counter({
+			name: 'azuretack_gateway_endpoint_requests_total', help: 'Requests and load queries sent to endpoints over connections that are kept, by connection: new or reused.', labelNames: ['connection'], registers,
+		}),
 		lostAttempts: new Counter({
 			name: 'azuretack_gateway_lost_attempts_total', help: 'Lost attempts by service and state of the endpoint: ended, lives or unknown.', labelNames: ['service', 'fate'], registers,
 		}),
