Ask three engines first, and further ones only while none can start a generation at once

Cause: six engines were asked for each generation, whatever the first ones said. Change: with features.engineSubsets the first three of the prompt's order are asked; the others where none of them is free. The order by prompt stays the same at every gateway, so that a return finds the engine that holds the prompt.

--- a/source/forwarding/engine-selector.ts
+++ b/source/forwarding/engine-selector.ts
@@ -5,9 +5,10 @@
  */
 import {type EndpointEntry} from '../registry/mod.ts';
 import {
-	engineCandidates, rankEngines, type QueriedEngine,
+	engineCandidates, rankEngines, startsAtOnce, type QueriedEngine,
 } from '../balancing/mod.ts';
 import {queryEngineReport} from '../platform/mod.ts';
+import {querySteps} from '../subsets/mod.ts';
 import {recordReport, usableEndpoints, type RequestClass} from './endpoint-signals.ts';
 import {type Exchange} from './exchange.ts';
 import {type ForwardingDependencies} from './forwarding-dependencies.ts';
@@ -71,16 +72,7 @@
 			count: maximumQueriedEngines,
 			now: clock(),
 		});
-		const queried: QueriedEngine[] = await Promise.all(candidates.map(async endpoint => this.#queryCandidate(endpoint)));
-		for (const engine of queried) {
-			if (!engine.report) {
-				health.recordFailure(engine.endpoint.id, 'unreachable', clock());
-			} else if (showsRestart(engine.report, engine.endpoint.startedAt)) {
-				endpoints.excludeIncarnation(engine.endpoint.id, engine.endpoint.startedAt);
-				engine.report = undefined;
-			}
-		}
-
+		const queried = await this.#queryCandidates(candidates);
 		const ranked = rankEngines({queried, loads, tokens});
 		return ranked.length > 0 || candidates.length === 0 || exchange.callerDisconnected.aborted || clock() >= exchange.deadline
 			? ranked
@@ -91,7 +83,7 @@
 	async queryLoad(endpoint: EndpointEntry, purpose: keyof typeof loadQueries): Promise<EngineQuery> {
 		const {dependencies} = this.#options;
 		const {timeoutMilliseconds, use} = loadQueries[purpose];
-		const result = await queryEngineReport({agent: dependencies.connections.agent(use), address: endpoint.address, timeoutMilliseconds});
+		const result = await queryEngineReport({agent: dependencies.connections.agent(use, endpoint.address), address: endpoint.address, timeoutMilliseconds});
 		if (result.isErr()) {
 			return {kind: result.error.connected ? 'unresponsive' : 'unreachable'};
 		}
@@ -104,6 +96,35 @@
 		return {kind: 'report', report};
 	}
 
+	/** Queries candidates: all of them, or, where engines are used in subsets, no more once one can start at once. */
+	async #queryCandidates(candidates: readonly EndpointEntry[]): Promise<QueriedEngine[]> {
+		const {tokens, dependencies: {features, loads, logger}, exchange: {requestName}} = this.#options;
+		const queried: QueriedEngine[] = [];
+		for (const engines of features.engineSubsets ? querySteps(candidates) : [candidates]) {
+			queried.push(...await Promise.all(engines.map(async endpoint => this.#queryCandidate(endpoint))));
+			this.#recordUnusable(queried.slice(-engines.length));
+			if (queried.some(engine => startsAtOnce(engine, {loads, tokens}))) {
+				break;
+			}
+		}
+
+		logger.debug('engines queried', {request: requestName, queried: queried.length, responded: queried.filter(({report}) => report !== undefined).length});
+		return queried;
+	}
+
+	/** Records engines that gave no report, and drops reports of other incarnations. */
+	#recordUnusable(queried: readonly QueriedEngine[]): void {
+		const {endpoints, health, clock} = this.#options.dependencies;
+		for (const engine of queried) {
+			if (!engine.report) {
+				health.recordFailure(engine.endpoint.id, 'unreachable', clock());
+			} else if (showsRestart(engine.report, engine.endpoint.startedAt)) {
+				endpoints.excludeIncarnation(engine.endpoint.id, engine.endpoint.startedAt);
+				engine.report = undefined;
+			}
+		}
+	}
+
 	async #queryCandidate(endpoint: EndpointEntry): Promise<QueriedEngine> {
 		const query = await this.queryLoad(endpoint, 'placement');
 		return {endpoint, report: query.kind === 'report' ? query.report : undefined};
--- a/source/forwarding/forwarding-dependencies.ts
+++ b/source/forwarding/forwarding-dependencies.ts
@@ -7,6 +7,7 @@
 import {type EndpointList} from '../beliefs/mod.ts';
 import {type EndpointLimiter} from '../limits/mod.ts';
 import {type SharedRetryBudget} from '../retries/mod.ts';
+import {type Features} from '../settings/features.ts';
 import {type SuspectedRequests} from '../suspects/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {type CallerConnections} from './caller-connections.ts';
@@ -16,6 +17,8 @@
 
 /** Components shared by all requests. */
 export type ForwardingDependencies = {
+	/** Parts that the deployment asks for. */
+	features: Pick<Features, 'engineSubsets'>;
 	endpoints: EndpointList;
 	loads: EndpointLoads;
 	health: EndpointHealth;
--- /dev/null
+++ b/source/gateway/engine-subsets.test.ts
@@ -0,0 +1,81 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {noFeatures} from '../settings/features.ts';
+import {sendCall} from '../testing/call.ts';
+import {routeHost} from '../testing/gateway-fleet.ts';
+import {InProcessGateway} from '../testing/in-process-gateway.ts';
+import {type WorkerStandIn} from '../testing/stand-ins/worker-stand-in.ts';
+
+const parts = {features: {...noFeatures, engineSubsets: true}};
+let attempts = 0;
+
+/** Sends a generation whose last prompt part is always the same, so that it prefers the same engines. */
+async function generate(gateway: InProcessGateway): Promise<number> {
+	attempts += 1;
+	const {status} = await sendCall(gateway.address, {
+		path: '/stream/1',
+		method: 'POST',
+		body: 'text',
+		headers: {
+			host: routeHost, 'x-azuretack-attempt-id': `attempt-${attempts}`, 'x-azuretack-deadline-ms': '3000', 'x-azuretack-token-counts': '8000,60', 'x-azuretack-prompt-prefix': 'aa:200,bb:7800',
+		},
+	});
+	return status;
+}
+
+async function startEngines(gateway: InProcessGateway): Promise<WorkerStandIn[]> {
+	const engines: WorkerStandIn[] = [];
+	for (let number = 1; number <= 8; number += 1) {
+		engines.push(await gateway.startWorker({id: `scribe-${number}`, service: 'scribe', events: 3}));
+	}
+
+	return engines;
+}
+
+function askedAmong(engines: readonly WorkerStandIn[]): WorkerStandIn[] {
+	return engines.filter(({reports}) => reports > 0);
+}
+
+test('a generation asks three engines while one of them can start it at once, always the same for its prompt', async () => {
+	await using gateway = await InProcessGateway.start(parts);
+	const engines = await startEngines(gateway);
+	assert.equal(await generate(gateway), 200);
+	const asked = askedAmong(engines);
+	assert.equal(asked.length, 3);
+	assert.equal(await generate(gateway), 200);
+	assert.deepEqual(askedAmong(engines), asked);
+});
+
+test('a generation asks further engines where those that it prefers are busy', async () => {
+	await using gateway = await InProcessGateway.start(parts);
+	const engines = await startEngines(gateway);
+	for (const {options: {id}} of engines) {
+		for (let count = 0; count < 4; count += 1) {
+			gateway.parts.loads.trackRequest(id, 9000);
+		}
+	}
+
+	assert.equal(await generate(gateway), 200);
+	assert.equal(askedAmong(engines).length, 6);
+});
+
+test('a generation is served by another engine when all that it prefers have crashed', async () => {
+	await using gateway = await InProcessGateway.start(parts);
+	const engines = await startEngines(gateway);
+	assert.equal(await generate(gateway), 200);
+	const preferred = askedAmong(engines);
+	for (const engine of preferred) {
+		engine.crash();
+	}
+
+	assert.equal(await generate(gateway), 200);
+	const others = engines.filter(engine => !preferred.includes(engine));
+	assert.ok(others.some(({runs}) => runs.length > 0));
+});
+
+test('a generation asks six engines where the deployment does not ask for subsets', async () => {
+	await using gateway = await InProcessGateway.start();
+	const engines = await startEngines(gateway);
+	assert.equal(await generate(gateway), 200);
+	assert.equal(askedAmong(engines).length, 6);
+});
--- /dev/null
+++ b/source/subsets/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Subsets: which few of a service's endpoints a gateway considers, so that it keeps few connections and asks few engines.
+ *
+ * @module
+ */
+
+export * from './query-steps.ts';
