Use two endpoints of a plain service at each gateway, and more while these are unsound

Cause: a gateway spread its few calls over all endpoints, so that a connection was idle too long to be used again. Change: with features.engineSubsets each gateway uses the endpoints that follow its place on a ring, two at least and each endpoint by two gateways at least; unsound ones are passed over.

--- a/source/balancing/endpoint-health.ts
+++ b/source/balancing/endpoint-health.ts
@@ -20,6 +20,9 @@
 	unreachable: 1000, broken: 300, failed: 0, full: 200,
 };
 
+/** Failure rate up to which an endpoint is sound: applications fail now and then by themselves. */
+const soundFailureRate = 0.15;
+
 /** Half-life of the failure rate, in milliseconds. */
 const halfLifeMilliseconds = 4000;
 
@@ -88,6 +91,11 @@
 		return record ? record.rate * (0.5 ** ((now - record.at) / halfLifeMilliseconds)) : 0;
 	}
 
+	/** Whether an endpoint is neither avoided nor fails often. */
+	isSound(id: string, now: number): boolean {
+		return !this.shouldAvoid(id, now) && this.failureRate(id, now) <= soundFailureRate;
+	}
+
 	/** Whether an endpoint should be avoided if there are others. */
 	shouldAvoid(id: string, now: number): boolean {
 		return (this.#records.get(id)?.avoidUntil ?? 0) > now;
--- a/source/forwarding/forward-call.ts
+++ b/source/forwarding/forward-call.ts
@@ -207,13 +207,17 @@
 	}
 
 	#chooseEndpoint(lacking: ReadonlySet<string> = new Set()): EndpointEntry | undefined {
-		const {loads, health, availabilityZone, clock, random} = this.#dependencies;
+		const {loads, health, availabilityZone, clock, random, subsets} = this.#dependencies;
 		if (this.#attempts.hasEnded) {
 			return undefined;
 		}
 
+		const now = clock();
+		const tried = new Set([...this.#tried, ...lacking]);
+		const usable = usableEndpoints(this.#requestClass, this.#dependencies);
+		const endpoints = subsets.select({endpoints: usable, isSound: ({id}) => !tried.has(id) && health.isSound(id, now), now});
 		return chooseEndpoint({
-			endpoints: usableEndpoints(this.#requestClass, this.#dependencies), tried: new Set([...this.#tried, ...lacking]), loads, health, availabilityZone, now: clock(), random,
+			endpoints, tried, loads, health, availabilityZone, now, random,
 		});
 	}
 
--- a/source/forwarding/forwarding-dependencies.ts
+++ b/source/forwarding/forwarding-dependencies.ts
@@ -8,6 +8,7 @@
 import {type EndpointLimiter} from '../limits/mod.ts';
 import {type SharedRetryBudget} from '../retries/mod.ts';
 import {type Features} from '../settings/features.ts';
+import {type GatewaySubsets} from '../subsets/mod.ts';
 import {type SuspectedRequests} from '../suspects/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {type CallerConnections} from './caller-connections.ts';
@@ -20,6 +21,8 @@
 	/** Parts that the deployment asks for. */
 	features: Pick<Features, 'engineSubsets'>;
 	endpoints: EndpointList;
+	/** Which endpoints of plain services this gateway uses. */
+	subsets: GatewaySubsets;
 	loads: EndpointLoads;
 	health: EndpointHealth;
 	backoff: EndpointBackoff;
--- a/source/gateway/engine-subsets.test.ts
+++ b/source/gateway/engine-subsets.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {noFeatures} from '../settings/features.ts';
+import {GatewaySubsets} from '../subsets/mod.ts';
 import {sendCall} from '../testing/call.ts';
 import {routeHost} from '../testing/gateway-fleet.ts';
 import {InProcessGateway} from '../testing/in-process-gateway.ts';
@@ -23,6 +24,21 @@
 	return status;
 }
 
+/** Sends calls of a kind, one after the other; returns their statuses. */
+async function sendCalls(gateway: InProcessGateway, kind: 'idempotent' | 'non_idempotent', count: number): Promise<number[]> {
+	const statuses: number[] = [];
+	for (let sent = 0; sent < count; sent += 1) {
+		attempts += 1;
+		const headers = {host: routeHost, 'x-azuretack-attempt-id': `attempt-${attempts}`, 'x-azuretack-deadline-ms': '3000'};
+		const {status} = await sendCall(gateway.address, {
+			path: `/${kind}/1`, method: 'POST', body: 'text', headers,
+		});
+		statuses.push(status);
+	}
+
+	return statuses;
+}
+
 async function startEngines(gateway: InProcessGateway): Promise<WorkerStandIn[]> {
 	const engines: WorkerStandIn[] = [];
 	for (let number = 1; number <= 8; number += 1) {
@@ -79,3 +95,26 @@
 	assert.equal(await generate(gateway), 200);
 	assert.equal(askedAmong(engines).length, 6);
 });
+
+for (const kind of ['idempotent', 'non_idempotent'] as const) {
+	test(`calls (${kind}) go to two of six endpoints, and to others when both have crashed`, async () => {
+		const liveGateways = () => Array.from({length: 30}, (_unused, index) => `gateway-${index}`);
+		await using gateway = await InProcessGateway.start({subsets: new GatewaySubsets({enabled: true, self: 'gateway-1', liveGateways})});
+		const endpoints: WorkerStandIn[] = [];
+		for (let number = 1; number <= 6; number += 1) {
+			endpoints.push(await gateway.startWorker({id: `desk-${number}`, service: 'desk'}));
+		}
+
+		const statuses = await sendCalls(gateway, kind, 20);
+		assert.ok(statuses.every(status => status === 200));
+		const used = endpoints.filter(({runs}) => runs.length > 0);
+		assert.equal(used.length, 2);
+		for (const endpoint of used) {
+			endpoint.crash();
+		}
+
+		const laterStatuses = await sendCalls(gateway, kind, 20);
+		assert.ok(laterStatuses.every(status => status === 200));
+		assert.equal(endpoints.filter(({runs}) => runs.length > 0).length, 4);
+	});
+}
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -20,6 +20,7 @@
 import {SharedRetryBudget, SlackBorrower} from '../retries/mod.ts';
 import {type Features} from '../settings/features.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
+import {GatewaySubsets} from '../subsets/mod.ts';
 import {SuspectedRequests, SuspicionTable} from '../suspects/mod.ts';
 import {createGatewayMetrics, type GatewayMetrics} from '../telemetry/gateway-metrics.ts';
 import {type Logger} from '../telemetry/logger.ts';
@@ -94,6 +95,11 @@
 		configuration: new ConfigurationCache(),
 		endpoints,
 		suspects,
+		subsets: new GatewaySubsets({
+			enabled: features.engineSubsets,
+			self: hostName,
+			liveGateways: now => members.live(now).map(({name}) => name),
+		}),
 		loads: new EndpointLoads(),
 		health: new EndpointHealth(),
 		backoff: new EndpointBackoff(),
--- a/source/subsets/mod.ts
+++ b/source/subsets/mod.ts
@@ -4,4 +4,6 @@
  * @module
  */
 
+export * from './endpoint-ring.ts';
+export * from './gateway-subsets.ts';
 export * from './query-steps.ts';
