Ask further engines unless one of the first three is idle

Cause: an engine with up to three requests was taken without asking further ones. Change: no further engine is asked only where one of the first is idle, so that the choice is that of six.

--- a/source/balancing/balancing.test.ts
+++ b/source/balancing/balancing.test.ts
@@ -3,7 +3,7 @@
 import {xoroshiro128plus, type RandomGenerator} from 'pure-rand';
 import {type EndpointEntry} from '../registry/mod.ts';
 import {
-	EndpointHealth, EndpointLoads, EndpointBackoff, chooseCopyHolder, chooseEndpoint, engineCandidates, rankEngines, type QueriedEngine, type EngineReport,
+	EndpointHealth, EndpointLoads, EndpointBackoff, chooseCopyHolder, chooseEndpoint, engineCandidates, isIdle, rankEngines, type QueriedEngine, type EngineReport,
 } from './mod.ts';
 
 const endpoint = (id: string, availabilityZone = 'zone-a'): EndpointEntry => ({
@@ -110,6 +110,19 @@
 	assert.deepEqual(ranked.map(engine => engine.endpoint.id), ['decoding', 'prefilling']);
 });
 
+// Load: a fleet in which some engines are idle, some decode and some read prompts.
+test('an idle engine ranks first whatever further engines are asked, and none is idle that runs, reads or lacks memory', () => {
+	const busy = [queried('decoding', {running: 1, usedTokens: 8500, runs: decodingRuns(1)}), queried('prefilling', {running: 1, usedTokens: 8200}), queried('full', {usedTokens: 87_000, heldTokens: 87_000})];
+	const options = {loads: new EndpointLoads(), tokens: 9000};
+	assert.deepEqual(busy.map(engine => isIdle(engine, options)), [false, false, false]);
+	assert.equal(isIdle(queried('leaving', {saysLeaving: true}), options), false);
+	const first = [busy[0]!, queried('idle'), busy[1]!];
+	assert.equal(isIdle(first[1]!, options), true);
+	const further = [queried('idle too'), busy[2]!];
+	assert.equal(rankEngines({queried: first, ...options})[0]!.endpoint.id, 'idle');
+	assert.equal(rankEngines({queried: [...first, ...further], ...options})[0]!.endpoint.id, 'idle');
+});
+
 test('copies do not count as prefill, and engines without enough memory rank last', () => {
 	const copies = queried('copies', {
 		running: 1, usedTokens: 26_500, heldTokens: 18_000, runs: decodingRuns(1),
--- a/source/balancing/choose-engine.ts
+++ b/source/balancing/choose-engine.ts
@@ -121,19 +121,15 @@
 		.map(({engine}) => engine);
 }
 
-/** Decoding requests beside which a further prompt is read about as fast as alone, and slows none of them noticeably. */
-const fewRequests = 3;
-
 /**
- * Whether an engine would start a request at once, so that asking others gains little: no prompt is read or waits there, few requests run, and
- * there is memory for one more.
+ * Whether an engine has nothing to do and memory for a request, so that no other could be ranked before it.
  *
  * @param engine The engine and its report.
  * @param options Load of the engines, and size of the request.
  */
-export function startsAtOnce(engine: QueriedEngine, {loads, tokens}: Omit<RankEnginesOptions, 'queried'>): boolean {
+export function isIdle(engine: QueriedEngine, {loads, tokens}: Omit<RankEnginesOptions, 'queried'>): boolean {
 	const {report} = engine;
-	return report !== undefined && !report.reportsLeaving && !report.saysLeaving && pendingWork(engine, loads, tokens) <= fewRequests * batchPenaltyTokens;
+	return report !== undefined && !report.reportsLeaving && !report.saysLeaving && pendingWork(engine, loads, tokens) === 0;
 }
 
 /** Estimates the work that delays a new request on an engine, in tokens of prefill. */
--- a/source/forwarding/engine-selector.ts
+++ b/source/forwarding/engine-selector.ts
@@ -5,7 +5,7 @@
  */
 import {type EndpointEntry} from '../registry/mod.ts';
 import {
-	engineCandidates, rankEngines, startsAtOnce, type QueriedEngine,
+	engineCandidates, isIdle, rankEngines, type QueriedEngine,
 } from '../balancing/mod.ts';
 import {queryEngineReport} from '../platform/mod.ts';
 import {querySteps} from '../subsets/mod.ts';
@@ -96,14 +96,14 @@
 		return {kind: 'report', report};
 	}
 
-	/** Queries candidates: all of them, or, where engines are used in subsets, no more once one can start at once. */
+	/** Queries candidates: all of them, or, where engines are used in subsets, no more once one is idle. */
 	async #queryCandidates(candidates: readonly EndpointEntry[]): Promise<QueriedEngine[]> {
 		const {tokens, dependencies: {features, loads, logger}, exchange: {requestName}} = this.#options;
 		const queried: QueriedEngine[] = [];
 		for (const engines of features.engineSubsets ? querySteps(candidates) : [candidates]) {
 			queried.push(...await Promise.all(engines.map(async endpoint => this.#queryCandidate(endpoint))));
 			this.#recordUnusable(queried.slice(-engines.length));
-			if (queried.some(engine => startsAtOnce(engine, {loads, tokens}))) {
+			if (queried.some(engine => isIdle(engine, {loads, tokens}))) {
 				break;
 			}
 		}
--- a/source/gateway/engine-subsets.test.ts
+++ b/source/gateway/engine-subsets.test.ts
@@ -57,7 +57,7 @@
 	return engines.filter(({reports}) => reports > 0);
 }
 
-test('a generation asks three engines while one of them can start it at once, always the same for its prompt', async () => {
+test('a generation asks three engines while one of them is idle, always the same for its prompt', async () => {
 	await using gateway = await InProcessGateway.start(parts);
 	const engines = await startEngines(gateway);
 	assert.equal(await generate(gateway), 200);
--- a/source/subsets/query-steps.ts
+++ b/source/subsets/query-steps.ts
@@ -7,20 +7,17 @@
  * @module
  */
 
-/**
- * Engines that are asked first. With three, all have a prompt to read in one of 40 choices while each is busy with one for 0.3 of its time
- * (0.3 ** 3), and one remains to hold a copy when another fails.
- */
+/** Engines that are asked first; one remains to hold a copy when another fails. */
 const firstEngines = 3;
 
 /**
- * Divides candidates into the groups that are asked one after the other, until one has an engine that can start at once.
+ * Divides candidates into the groups that are asked one after the other, until one has an idle engine.
  *
  * @param candidates Engines, most preferred first.
  * @example
  * ```ts
  * for (const engines of querySteps(candidates)) {
- * 	// Ask these; stop if one can start at once.
+ * 	// Ask these; stop if one is idle.
  * }
  * ```
  */
