--- a/source/balancing/balancing.test.ts
+++ b/source/balancing/balancing.test.ts
@@ -112,7 +112,11 @@
 
 // Load: a fleet in which some engines are idle, some decode and some read prompts.
 test('an idle engine ranks first whatever further engines are asked, and none is idle that runs, reads or lacks memory', () => {
-	const busy = [queried('decoding', {running: 1, usedTokens: 8500, runs: decodingRuns(1)}), queried('prefilling', {running: 1, usedTokens: 8200}), queried('full', {usedTokens: 87_000, heldTokens: 87_000})];
+	const busy = [
+		queried('decoding', {running: 1, usedTokens: 8500, runs: decodingRuns(1)}),
+		queried('prefilling', {running: 1, usedTokens: 8200}),
+		queried('full', {usedTokens: 87_000, heldTokens: 87_000}),
+	];
 	const options = {loads: new EndpointLoads(), tokens: 9000};
 	assert.deepEqual(busy.map(engine => isIdle(engine, options)), [false, false, false]);
 	assert.equal(isIdle(queried('leaving', {saysLeaving: true}), options), false);
