--- a/source/balancing/choose-engine.ts
+++ b/source/balancing/choose-engine.ts
@@ -121,6 +121,17 @@
 		.map(({engine}) => engine);
 }
 
+/**
+ * Whether an engine has nothing to do and memory for a request, so that no other could be ranked before it.
+ *
+ * @param engine The engine and its report.
+ * @param options Load of the engines, and size of the request.
+ */
+export function isIdle(engine: QueriedEngine, {loads, tokens}: Omit<RankEnginesOptions, 'queried'>): boolean {
+	const {report} = engine;
+	return report !== undefined && !report.reportsLeaving && !report.saysLeaving && pendingWork(engine, loads, tokens) === 0;
+}
+
 /** Estimates the work that delays a new request on an engine, in tokens of prefill. */
 function pendingWork({endpoint, report}: QueriedEngine, loads: EndpointLoads, tokens: number): number {
 	const {waiting, running, runs, usedTokens, memoryTokens, heldTokens, nextTokens} = report!;
--- a/source/forwarding/forwarding-dependencies.ts
+++ b/source/forwarding/forwarding-dependencies.ts
@@ -7,6 +7,7 @@
 import {type EndpointList} from '../beliefs/mod.ts';
 import {type EndpointLimiter} from '../limits/mod.ts';
 import {type SharedRetryBudget} from '../retries/mod.ts';
+import {type GatewaySubsets} from '../subsets/mod.ts';
 import {type SuspectedRequests} from '../suspects/mod.ts';
 import {type Features} from '../settings/features.ts';
 import {type Logger} from '../telemetry/mod.ts';
@@ -18,6 +19,8 @@
 /** Components shared by all requests. */
 export type ForwardingDependencies = {
 	endpoints: EndpointList;
+	/** Which endpoints of plain services this gateway uses. */
+	subsets: GatewaySubsets;
 	loads: EndpointLoads;
 	health: EndpointHealth;
 	backoff: EndpointBackoff;
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -20,6 +20,7 @@
 import {EndpointLimiter, LimitLeaseTable} from '../limits/mod.ts';
 import {StoreClient, decodeFeatures} from '../platform/mod.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
+import {GatewaySubsets} from '../subsets/mod.ts';
 import {SuspectedRequests, SuspicionTable} from '../suspects/mod.ts';
 import {createGatewayMetrics, type GatewayMetrics} from '../telemetry/gateway-metrics.ts';
 import {type Logger} from '../telemetry/logger.ts';
@@ -77,6 +78,7 @@
 	const endpoints = new EndpointList({heartbeatMilliseconds: bounds.endpointHeartbeatMilliseconds});
 	const clock = () => performance.now();
 	const intake = intakeLimits(settings.resources);
+	const features = decodeFeatures(settings.contracts);
 	const suspects = new SuspectedRequests({
 		table: new SuspicionTable({store, logger, random: Math.random}),
 		logger,
@@ -87,7 +89,7 @@
 	});
 	return {
 		settings,
-		features: decodeFeatures(settings.contracts),
+		features,
 		logger,
 		metrics,
 		availabilityZone,
@@ -96,13 +98,25 @@
 		configuration: new ConfigurationCache(),
 		endpoints,
 		suspects,
+		subsets: new GatewaySubsets({
+			enabled: features.engineSubsets,
+			self: hostName,
+			liveGateways: now => members.live(now).map(({name}) => name),
+			logger,
+		}),
 		loads: new EndpointLoads(),
 		health: new EndpointHealth(),
 		backoff: new EndpointBackoff(),
 		limiter: createLimiter({
 			store, eraRecord, logger, endpoints, members, metrics, clock,
 		}),
-		connections: new EndpointConnections(),
+		connections: new EndpointConnections({
+			keepsConnections: features.engineSubsets,
+			clock,
+			count(origin) {
+				metrics.endpointRequests.inc({connection: origin});
+			},
+		}),
 		callerConnections: new CallerConnections({
 			logger,
 			clock,
