Listen for callers before the program is evaluated, and hold their requests until the initial state is known

Cause: after a loss of power of all hosts gateways listen for callers 2.2 to 2.7 s after they are back on the small twin with processor time (0.24 cores and more): evaluating the program and getting the first state come first, and until then connections are refused. A caller retries once and meets no listener.

Change: where the contracts ask for it (pool), the daemon listens for callers before its other modules are evaluated, and hands the listener over to the HTTP server; requests are held until the first configuration and suspicions are known, bounded in number, bytes and time, then served, or refused as not run with a time to come back. Seeds are asked at the same time by other seeds, and answer a gateway without state once they have it, 200 ms at most.

--- a/source/binaries/azuretack-gateway.ts
+++ b/source/binaries/azuretack-gateway.ts
@@ -1,59 +1,18 @@
 #!/usr/bin/env node
 /**
- * The gateway daemon: reads its settings and runs the gateway until it receives a stop signal.
+ * The gateway daemon: listens for callers where its settings ask for that, then evaluates and runs the gateway.
+ *
+ * The order of the imports matters: evaluating the second one takes most of the processor time of a start.
  *
  * @module
  */
 import process from 'node:process';
-import {isDeepStrictEqual} from 'node:util';
-import {startGateway} from '../gateway/mod.ts';
-import {gatewaySettingsSchema} from '../settings/gateway-settings.ts';
-import {loadSettings} from '../settings/load-settings.ts';
-import {formatFault, readDocument} from '../settings/read-document.ts';
-import {LineWriter} from '../telemetry/line-writer.ts';
-import {createLogger} from '../telemetry/logger.ts';
-import {onSettingsSignal} from './_settings-signal.ts';
-import {readGatewayArguments} from './_gateway-arguments.ts';
-
-const flags = await readGatewayArguments();
-const loaded = await loadSettings(flags, gatewaySettingsSchema);
-if (loaded.isErr()) {
-	process.exit(loaded.error);
-}
+import {earlyCallers} from './_early-callers.ts';
+import {runGateway} from './_run-gateway.ts';
 
-const settings = loaded.value;
-
-const writer = new LineWriter();
-const logger = createLogger('gateway', {
-	level: settings.log.level,
-	fields: {host: settings.hostName},
-	write(line) {
-		writer.write(line);
+await runGateway({
+	earlyCallers,
+	exit(code) {
+		process.exit(code);
 	},
 });
-const gateway = await startGateway(settings, logger);
-const onSignal = async () => {
-	await gateway.stop();
-	writer.end();
-	process.exit(0);
-};
-
-const onSettingsChanged = async () => {
-	const changed = await readDocument(flags.settings, gatewaySettingsSchema);
-	if (changed.isErr()) {
-		logger.error('settings have faults and stay as they are', {faults: changed.error.map(fault => formatFault(fault))});
-		return;
-	}
-
-	// The file contains only addresses and bounds, which are applied at the next start; a reload only checks them.
-	logger.info('settings read again', {changed: !isDeepStrictEqual(changed.value, settings)});
-};
-
-onSettingsSignal(() => {
-	void onSettingsChanged();
-});
-for (const signal of ['SIGTERM', 'SIGINT']) {
-	process.on(signal, () => {
-		void onSignal();
-	});
-}
--- a/source/fleet/exchange-server.ts
+++ b/source/fleet/exchange-server.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {
-	Server, ServerCredentials, type ServerUnaryCall, type ServiceDefinition, type sendUnaryData,
+	Server, ServerCredentials, status, type ServerUnaryCall, type ServiceDefinition, type sendUnaryData,
 } from '@grpc/grpc-js';
 import {type PermitReply, type PermitRequest} from '../limits/permit-message.ts';
 import {exchangeMethod, largestMessageBytes, type ExchangeMessage} from './exchange-protocol.ts';
@@ -15,7 +15,7 @@
 	/** IP address and port to listen on. */
 	listen: string;
 	/** Handles a message and returns the response. */
-	handle: (message: ExchangeMessage) => ExchangeMessage;
+	handle: (message: ExchangeMessage) => ExchangeMessage | Promise<ExchangeMessage>;
 	/** Answers a request for a permit. */
 	answerPermit: (request: PermitRequest) => PermitReply;
 };
@@ -32,7 +32,7 @@
 	const service: ServiceDefinition = {exchange: exchangeMethod, permit: permitMethod};
 	server.addService(service, {
 		exchange(call: ServerUnaryCall<ExchangeMessage, ExchangeMessage>, callback: sendUnaryData<ExchangeMessage>) {
-			callback(null, handle(call.request));
+			void respond(handle(call.request), callback);
 		},
 		permit(call: ServerUnaryCall<PermitRequest, PermitReply>, callback: sendUnaryData<PermitReply>) {
 			callback(null, answerPermit(call.request));
@@ -51,3 +51,12 @@
 		server.forceShutdown();
 	};
 }
+
+/** Sends a response once it is known. */
+async function respond(response: ExchangeMessage | Promise<ExchangeMessage>, callback: sendUnaryData<ExchangeMessage>): Promise<void> {
+	try {
+		callback(null, await response);
+	} catch (error) {
+		callback({code: status.INTERNAL, details: error instanceof Error ? error.message : String(error)});
+	}
+}
--- a/source/fleet/query-seeds.ts
+++ b/source/fleet/query-seeds.ts
@@ -42,7 +42,7 @@
  * Queries seeds for their state, so that many gateways that start at once do not each call the store, and so that a gateway that starts while
  * the store is back from an older copy knows what the others know.
  *
- * A gateway that is itself a seed queries each of the others once: the seeds of a fleet that starts have no state, and must not wait for
+ * A gateway that is itself a seed queries the others once, all at the same time: the seeds of a fleet that starts have no state, and must not wait for
  * each other.
  *
  * @param options Seeds, member table and shared state.
@@ -62,15 +62,21 @@
 
 type Query = (options: QuerySeedsOptions, client: ExchangeClient, signal: AbortSignal) => Promise<boolean>;
 
-/** Queries one seed after the other until one sends its state. */
+/** Queries all seeds at once; ends with the first state that arrives. */
 const queryOnce: Query = async (options, client) => {
-	for (const seed of inRandomOrder(options)) {
-		if (await querySeed(options, client, seed) === 'learnt') {
-			return true;
+	const outcomes = options.seeds.map(async seed => querySeed(options, client, seed));
+	const learnt = outcomes.map(async outcome => {
+		if (await outcome !== 'learnt') {
+			throw new Error('no state');
 		}
+	});
+	try {
+		await Promise.any(learnt);
+		return true;
+	} catch {
+		// None of them has sent its state.
+		return false;
 	}
-
-	return false;
 };
 
 /** Queries seeds repeatedly until one sends its state or the timeout passes. */
@@ -80,6 +86,7 @@
 	let deadline = startedAt + silentTimeoutMilliseconds;
 	const order = inRandomOrder(options);
 	while (seeds.length > 0 && !signal.aborted && readClock().steady < deadline) {
+		const askedAt = readClock().steady;
 		const outcome = await queryFirst(options, client, order);
 		if (outcome === 'learnt') {
 			return true;
@@ -89,7 +96,9 @@
 			deadline = startedAt + respondedTimeoutMilliseconds;
 		}
 
-		await pause(retryMilliseconds[outcome], signal);
+		// A seed without state may have waited for it before it responded.
+		const waited = outcome === 'responded' ? readClock().steady - askedAt : 0;
+		await pause(Math.max(0, retryMilliseconds[outcome] - waited), signal);
 	}
 
 	return false;
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -20,6 +20,7 @@
 import {SharedRetryBudget, SlackBorrower} from '../retries/mod.ts';
 import {type Features} from '../settings/features.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
+import {StartHold} from '../starting/mod.ts';
 import {SuspectedRequests, SuspicionTable} from '../suspects/mod.ts';
 import {createGatewayMetrics, type GatewayMetrics} from '../telemetry/gateway-metrics.ts';
 import {type Logger} from '../telemetry/logger.ts';
@@ -35,6 +36,8 @@
 	configuration: ConfigurationCache;
 	members: MemberTable;
 	shutdown: GracefulShutdown;
+	/** Holds requests that arrive before the initial state is known; absent where callers are refused until then. */
+	startHold: StartHold | undefined;
 	/** Whether the gateway accepts connections from callers. */
 	callers: {open: boolean};
 	readClock: () => ClockReading;
@@ -82,9 +85,11 @@
 			metrics.suspects.inc({decision});
 		},
 	});
+	const features = decodeFeatures(settings.contracts);
 	return {
 		settings,
-		features: decodeFeatures(settings.contracts),
+		features,
+		startHold: features.earlyCallers ? new StartHold({clock}) : undefined,
 		logger,
 		metrics,
 		availabilityZone,
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -8,6 +8,7 @@
 import {
 	querySeeds, followMembers, followSource, registerMember, startExchangeServer, type ExchangeMessage, type HintExchange, type SharedState,
 } from '../fleet/mod.ts';
+import {type EarlyListener} from '../supervision/early-listener.ts';
 import {listen} from '../supervision/listen.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
 import {pause} from '../supervision/pause.ts';
@@ -33,6 +34,9 @@
 /** Interval between checks for the initial state, in milliseconds. */
 const initialStatePollMilliseconds = 10;
 
+/** Maximum wait for the own state before a gateway that has none is answered, in milliseconds; less than the timeout of its question. */
+const stateForAskerMilliseconds = 200;
+
 /** Time for which the last responses are sent before the process exits, in milliseconds. */
 const lastResponsesMilliseconds = 50;
 
@@ -44,22 +48,30 @@
  *
  * @param settings Validated settings.
  * @param logger Receives log lines.
+ * @param earlyListener Accepts connections from callers already. Default none.
  * @returns The gateway, once it accepts connections from callers.
  * @throws {Error} When it cannot listen on an address.
  */
-export async function startGateway(settings: GatewaySettings, logger: Logger): Promise<Gateway> {
+export async function startGateway(settings: GatewaySettings, logger: Logger, earlyListener?: EarlyListener): Promise<Gateway> {
 	const parts = createGatewayParts(settings, logger);
 	const supervisor = new Supervisor({logger});
 	const sharedState = createSharedState(parts);
 	const hints = createHintExchange(parts);
 	const callerServer = createCallerServer(parts);
 	const entryServer = createEntryServer(parts);
+	if (parts.startHold) {
+		await listenForCallers(callerServer, settings.listen.callers, earlyListener);
+	}
+
 	await listen(entryServer, settings.listen.entries);
 	await listenUnlessSame(createEntryServer(parts), settings.listen.readiness, settings.listen.entries);
 	await listen(createMetricsServer(parts), settings.listen.metrics);
 	await startExchangeServer({
 		listen: settings.listen.peers,
-		handle: message => answerExchange(message, parts, {sharedState, hints}),
+		async handle(message) {
+			await waitForAsker(message, parts);
+			return answerExchange(message, parts, {sharedState, hints});
+		},
 		answerPermit: request => parts.limiter.answer(request),
 	});
 	const role = new StoreRole(parts, sharedState);
@@ -70,16 +82,51 @@
 	supervisor.start('unsaved crashes', async signal => parts.suspects.saveUnsaved(signal));
 	supervisor.start('leases of limited endpoints', async signal => parts.limiter.maintain(signal));
 	supervisor.start('source', async signal => followSource({...parts, sharedState, followsStore: () => role.followsStore()}, signal));
-	await waitForInitialState(parts);
-	await listen(callerServer, settings.listen.callers);
-	parts.callers.open = true;
-	parts.members.raiseHeartbeat(isReady(parts));
-	logger.info('gateway listening', {callers: settings.listen.callers, incarnation: parts.members.self.incarnation});
+	if (parts.startHold) {
+		void openCallers(parts);
+	} else {
+		await waitForInitialState(parts);
+		await listen(callerServer, settings.listen.callers);
+		await openCallers(parts);
+	}
+
 	return {
 		stop: async () => stopGateway(parts, callerServer),
 	};
 }
 
+/** Listens for callers, on the listener that accepts their connections already if there is one. */
+async function listenForCallers(server: Server, address: string, earlyListener: EarlyListener | undefined): Promise<void> {
+	if (earlyListener?.address !== address || !await earlyListener.handOver(server)) {
+		await listen(server, address);
+	}
+}
+
+/** Serves callers once the initial state is known, up to a timeout. */
+async function openCallers(parts: GatewayParts): Promise<void> {
+	const {
+		logger, settings, members, callers, startHold, configuration, suspects, clock,
+	} = parts;
+	await waitForInitialState(parts);
+	callers.open = true;
+	members.raiseHeartbeat(isReady(parts));
+	logger.info('gateway listening', {
+		callers: settings.listen.callers, incarnation: members.self.incarnation, configuration: configuration.table?.version, suspectsKnown: suspects.known.isLoaded, held: startHold?.held, mostHeld: startHold?.mostHeld, sinceProcessStart: Math.round(clock()),
+	});
+	startHold?.release();
+}
+
+/**
+ * Waits a short time for this gateway's own state before a gateway that has none is answered, so that a fleet that starts together does not
+ * lose the time between its questions. Seeds are answered at once: they must not wait for each other.
+ */
+async function waitForAsker({members: [asker], known}: ExchangeMessage, {startHold, configuration, settings, clock}: GatewayParts): Promise<void> {
+	const isLacking = known?.configurationVersion === 0 && startHold && !configuration.table;
+	if (isLacking && asker && !settings.seeds.includes(asker.peers)) {
+		await startHold.settle(clock() + stateForAskerMilliseconds);
+	}
+}
+
 /** Applies a message of another gateway, and replies with the members, hints and updates that it lacks. */
 function answerExchange(
 	{members: receivedMembers, heartbeats, hints: receivedHints, known}: ExchangeMessage,
@@ -102,8 +149,8 @@
 }
 
 /**
- * Waits for the first configuration and the first list of suspected requests, up to a timeout. Caller connections are refused until
- * then, so that callers turn to another gateway immediately.
+ * Waits for the first configuration and the first list of suspected requests, up to a timeout. Until then, requests are held; where they
+ * are not, caller connections are refused, so that callers turn to another gateway immediately.
  */
 async function waitForInitialState({configuration, suspects, clock}: GatewayParts): Promise<void> {
 	const until = clock() + initialStateTimeoutMilliseconds;
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -14,6 +14,7 @@
 } from '../routing/mod.ts';
 import {RequestIdentity, type SuspectAdmission, type SuspectedRequests} from '../suspects/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
+import {holdUntilStarted} from './hold-until-started.ts';
 
 type Forwarder = (exchange: Exchange, parts: ForwardingDependencies) => Promise<ExchangeOutcome>;
 
@@ -69,9 +70,12 @@
 
 	let result: ExchangeOutcome & {service?: string; route?: string};
 	try {
-		result = await admitAndForward(request, response, {
-			terms, requestName, arrivedAt, callerDisconnected,
-		}, parts);
+		const refusal = parts.startHold && await holdUntilStarted(request, {terms, arrivedAt, callerDisconnected}, {...parts, startHold: parts.startHold});
+		result = refusal
+			? refuse(response, refusal)
+			: await admitAndForward(request, response, {
+				terms, requestName, arrivedAt, callerDisconnected,
+			}, parts);
 	} catch (error) {
 		parts.logger.error('request failed', {request: requestName, error: error instanceof Error ? error.stack : String(error)});
 		sendErrorResponse(response, internalError);
--- a/source/platform/decode-features.ts
+++ b/source/platform/decode-features.ts
@@ -5,7 +5,9 @@
  */
 import {type Features} from '../settings/features.ts';
 
-const contractOf: Record<keyof Features, string> = {engineSubsets: 'pool', memoryBounds: 'pressure', rollouts: 'rollout'};
+const contractOf: Record<keyof Features, string> = {
+	earlyCallers: 'pool', engineSubsets: 'pool', memoryBounds: 'pressure', rollouts: 'rollout',
+};
 
 /**
  * Returns the parts that the contracts of a deployment ask for; contracts that name no such part are ignored.
@@ -14,5 +16,7 @@
  */
 export function decodeFeatures(contracts: readonly string[]): Features {
 	const isInForce = (feature: keyof Features): boolean => contracts.includes(contractOf[feature]);
-	return {engineSubsets: isInForce('engineSubsets'), memoryBounds: isInForce('memoryBounds'), rollouts: isInForce('rollouts')};
+	return {
+		earlyCallers: isInForce('earlyCallers'), engineSubsets: isInForce('engineSubsets'), memoryBounds: isInForce('memoryBounds'), rollouts: isInForce('rollouts'),
+	};
 }
--- a/source/settings/features.ts
+++ b/source/settings/features.ts
@@ -6,6 +6,8 @@
 
 /** Parts that a deployment's settings switch on; each is off unless its settings ask for it. */
 export type Features = {
+	/** A gateway listens for callers from the start of its process, and holds requests until it has its initial state. */
+	earlyCallers: boolean;
 	/** Gateways use a stable subset of each service's engines, and reuse their connections. */
 	engineSubsets: boolean;
 	/** The bytes that a gateway holds for callers and endpoints are bounded, for each endpoint too. */
@@ -15,4 +17,6 @@
 };
 
 /** All parts switched off. */
-export const noFeatures: Features = {engineSubsets: false, memoryBounds: false, rollouts: false};
+export const noFeatures: Features = {
+	earlyCallers: false, engineSubsets: false, memoryBounds: false, rollouts: false,
+};
--- a/source/supervision/listen.ts
+++ b/source/supervision/listen.ts
@@ -18,11 +18,21 @@
  * ```
  */
 export async function listen(server: Server, address: string): Promise<void> {
-	const {hostname, port} = new URL(`http://${address}`);
-	server.listen(Number(port === '' ? '80' : port), hostname.replaceAll(/[\[\]]/gv, ''));
+	const {host, port} = splitAddress(address);
+	server.listen(port, host);
 	await once(server, 'listening');
 }
 
+/**
+ * Splits an `address:port`.
+ *
+ * @param address IP address and port.
+ */
+export function splitAddress(address: string): {host: string; port: number} {
+	const {hostname, port} = new URL(`http://${address}`);
+	return {host: hostname.replaceAll(/[\[\]]/gv, ''), port: Number(port === '' ? '80' : port)};
+}
+
 /**
  * Stops a server and closes all of its connections.
  *
--- a/source/supervision/mod.ts
+++ b/source/supervision/mod.ts
@@ -6,6 +6,7 @@
 
 export * from './caller-signal.ts';
 export * from './connect-errors.ts';
+export * from './early-listener.ts';
 export * from './handle-kind.ts';
 export * from './invariant.ts';
 export * from './listen.ts';
--- a/source/telemetry/gateway-metrics.ts
+++ b/source/telemetry/gateway-metrics.ts
@@ -51,6 +51,9 @@
 		permits: new Counter({
 			name: 'azuretack_gateway_permits_total', help: 'Permits for limited endpoints that this gateway requested, by outcome: granted, late if granted after the request had gone elsewhere, refused, or unknown if no gateway that grants them answered.', labelNames: ['outcome'], registers,
 		}),
+		earlyRequests: new Counter({
+			name: 'azuretack_gateway_early_requests_total', help: 'Requests that arrived before the initial state was known, by outcome: released once it was, timeout if it came too late for them, full or over if they could not be held, disconnected.', labelNames: ['outcome'], registers,
+		}),
 		answerSeconds: new Histogram({
 			name: 'azuretack_gateway_answer_seconds', help: 'Time from a request to the end of its answer.', labelNames: ['service'], buckets: secondsBuckets, registers,
 		}),
