--- a/source/binaries/_early-callers.ts
+++ b/source/binaries/_early-callers.ts
@@ -18,13 +18,13 @@
 
 function listenEarly(): EarlyListener | undefined {
 	const flags = process.argv.slice(2);
-	if (flags.length > 0) {
-		// Programs that are started by hand, or only check their settings, have flags.
+	if (flags.includes('--check')) {
 		return undefined;
 	}
 
+	const file = flags[flags.indexOf('--settings') + 1];
 	try {
-		const settings = parseTree(readFileSync(process.env.AZURETACK_SETTINGS ?? '', 'utf8'));
+		const settings = parseTree(readFileSync(flags.includes('--settings') && file !== undefined ? file : process.env.AZURETACK_SETTINGS ?? '', 'utf8'));
 		const address = settings && valueAt(settings, ['listen', 'callers']);
 		const contracts = settings && valueAt(settings, ['contracts']);
 		const asksForIt = Array.isArray(contracts) && decodeFeatures(contracts.map(String)).earlyCallers;
--- a/source/fleet/query-seeds.ts
+++ b/source/fleet/query-seeds.ts
@@ -32,12 +32,21 @@
 /** Timeout of a request, in milliseconds. */
 const requestTimeoutMilliseconds = 300;
 
+/** Timeout of a request after a seed without state has responded, in milliseconds: seeds that start are slow, and hold such a request for a time. */
+const startingTimeoutMilliseconds = 600;
+
+/** Time after which a response shows that the seed held the request until it has state, in milliseconds. */
+const heldMilliseconds = 100;
+
 /** What came of a query: no response, a response without state, or state that was applied. */
 type SeedOutcome = 'silent' | 'responded' | 'learnt';
 
 /** Pause before the next query after one without state, in milliseconds; hundreds of gateways may be waiting for three seeds. */
 const retryMilliseconds: Record<Exclude<SeedOutcome, 'learnt'>, number> = {silent: 100, responded: 400};
 
+/** The same, after a query that the seed held. */
+const heldRetryMilliseconds = 50;
+
 /**
  * Queries seeds for their state, so that many gateways that start at once do not each call the store, and so that a gateway that starts while
  * the store is back from an older copy knows what the others know.
@@ -64,7 +73,7 @@
 
 /** Queries all seeds at once; ends with the first state that arrives. */
 const queryOnce: Query = async (options, client) => {
-	const outcomes = options.seeds.map(async seed => querySeed(options, client, seed));
+	const outcomes = options.seeds.map(async seed => querySeed(options, client, {seed, timeoutMilliseconds: requestTimeoutMilliseconds}));
 	const learnt = outcomes.map(async outcome => {
 		if (await outcome !== 'learnt') {
 			throw new Error('no state');
@@ -84,21 +93,22 @@
 	const {seeds, readClock} = options;
 	const startedAt = readClock().steady;
 	let deadline = startedAt + silentTimeoutMilliseconds;
+	let timeoutMilliseconds = requestTimeoutMilliseconds;
 	const order = inRandomOrder(options);
 	while (seeds.length > 0 && !signal.aborted && readClock().steady < deadline) {
 		const askedAt = readClock().steady;
-		const outcome = await queryFirst(options, client, order);
+		const outcome = await queryFirst(options, client, {order, timeoutMilliseconds});
 		if (outcome === 'learnt') {
 			return true;
 		}
 
 		if (outcome === 'responded') {
 			deadline = startedAt + respondedTimeoutMilliseconds;
+			timeoutMilliseconds = startingTimeoutMilliseconds;
 		}
 
-		// A seed without state may have waited for it before it responded.
-		const waited = outcome === 'responded' ? readClock().steady - askedAt : 0;
-		await pause(Math.max(0, retryMilliseconds[outcome] - waited), signal);
+		const wasHeld = outcome === 'responded' && readClock().steady - askedAt >= heldMilliseconds;
+		await pause(wasHeld ? heldRetryMilliseconds : retryMilliseconds[outcome], signal);
 	}
 
 	return false;
@@ -111,9 +121,9 @@
 }
 
 /** Queries the first seed that responds. */
-async function queryFirst(options: QuerySeedsOptions, client: ExchangeClient, order: readonly string[]): Promise<SeedOutcome> {
+async function queryFirst(options: QuerySeedsOptions, client: ExchangeClient, {order, timeoutMilliseconds}: {order: readonly string[]; timeoutMilliseconds: number}): Promise<SeedOutcome> {
 	for (const seed of order) {
-		const outcome = await querySeed(options, client, seed);
+		const outcome = await querySeed(options, client, {seed, timeoutMilliseconds});
 		if (outcome !== 'silent') {
 			return outcome;
 		}
@@ -123,9 +133,13 @@
 }
 
 /** Queries a seed, and applies its state if it has one. */
-async function querySeed({members, sharedState, readClock, onUpdate}: QuerySeedsOptions, client: ExchangeClient, seed: string): Promise<SeedOutcome> {
+async function querySeed(
+	{members, sharedState, readClock, onUpdate}: QuerySeedsOptions,
+	client: ExchangeClient,
+	{seed, timeoutMilliseconds}: {seed: string; timeoutMilliseconds: number},
+): Promise<SeedOutcome> {
 	const requestedAt = readClock();
-	const response = await client.exchange(seed, {members: [members.self], known: sharedState.knownRevisions(requestedAt)}, requestTimeoutMilliseconds);
+	const response = await client.exchange(seed, {members: [members.self], known: sharedState.knownRevisions(requestedAt)}, timeoutMilliseconds);
 	if (response.isErr()) {
 		return 'silent';
 	}
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -89,7 +89,7 @@
 	return {
 		settings,
 		features,
-		startHold: features.earlyCallers ? new StartHold({clock}) : undefined,
+		startHold: features.earlyCallers ? createStartHold(settings, clock) : undefined,
 		logger,
 		metrics,
 		availabilityZone,
@@ -143,6 +143,10 @@
 	};
 }
 
+function createStartHold({start: {heldRequests: requests, heldBytes: bytes, heldMilliseconds: milliseconds}}: GatewaySettings, clock: () => number): StartHold {
+	return new StartHold({limits: {requests, bytes, milliseconds}, clock});
+}
+
 type LimiterParts = Pick<GatewayParts, 'store' | 'logger' | 'endpoints' | 'members' | 'metrics' | 'clock'> & {eraRecord: StoreEraRecord};
 
 function createLimiter({
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -28,9 +28,6 @@
 	stop(): Promise<void>;
 };
 
-/** Maximum wait for the initial state before caller connections are accepted without it, in milliseconds. */
-const initialStateTimeoutMilliseconds = 3000;
-
 /** Interval between checks for the initial state, in milliseconds. */
 const initialStatePollMilliseconds = 10;
 
@@ -152,8 +149,8 @@
  * Waits for the first configuration and the first list of suspected requests, up to a timeout. Until then, requests are held; where they
  * are not, caller connections are refused, so that callers turn to another gateway immediately.
  */
-async function waitForInitialState({configuration, suspects, clock}: GatewayParts): Promise<void> {
-	const until = clock() + initialStateTimeoutMilliseconds;
+async function waitForInitialState({configuration, suspects, clock, settings}: GatewayParts): Promise<void> {
+	const until = clock() + settings.start.heldMilliseconds;
 	while (!(configuration.table && suspects.known.isLoaded) && clock() < until) {
 		await pause(initialStatePollMilliseconds);
 	}
--- a/source/settings/gateway-settings.ts
+++ b/source/settings/gateway-settings.ts
@@ -55,6 +55,15 @@
 		/** Maximum number of larger responses streamed at the same time; further ones are abandoned. */
 		passedOnAtOnce: z.number().int().positive().default(96),
 	}).prefault({}),
+	/** Requests that arrive before the gateway has its initial state, where they are held. */
+	start: z.object({
+		/** Largest number of requests that are held. */
+		heldRequests: z.number().int().nonnegative().default(256),
+		/** Largest size of the requests that are held, in bytes. */
+		heldBytes: z.number().int().nonnegative().default(4_194_304),
+		/** Time for which requests are held at most, and for which a gateway waits for its initial state, in milliseconds. */
+		heldMilliseconds: z.number().positive().default(3000),
+	}).prefault({}),
 	/** Names of the contracts in force at the deployment; they switch parts of the gateway on. */
 	contracts: z.array(z.string()).default([]),
 	log: z.object({
--- a/source/starting/start-hold.ts
+++ b/source/starting/start-hold.ts
@@ -16,9 +16,6 @@
 	milliseconds: number;
 };
 
-/** Default bounds. */
-const defaultLimits: StartHoldLimits = {requests: 256, bytes: 4_194_304, milliseconds: 3000};
-
 /** Largest share of its time that a request is held; the rest is left for its endpoint, or for the caller's retry. */
 const heldShare = 0.5;
 
@@ -27,7 +24,7 @@
 
 /** Options of {@linkcode StartHold}. */
 export type StartHoldOptions = {
-	limits?: Partial<StartHoldLimits>;
+	limits: StartHoldLimits;
 	/** Returns monotonic time, in milliseconds; 0 is the start of the process. */
 	clock: () => number;
 };
@@ -107,7 +104,7 @@
 	#mostHeld = 0;
 
 	constructor({limits, clock}: StartHoldOptions) {
-		this.#limits = {...defaultLimits, ...limits};
+		this.#limits = limits;
 		this.#clock = clock;
 		this.#since = clock();
 		this.#started = new Promise(resolve => {
--- a/source/starting/starting.test.ts
+++ b/source/starting/starting.test.ts
@@ -27,7 +27,7 @@
 });
 
 test('held requests are released together, a caller that leaves makes room, and later requests do not wait', async () => {
-	const hold = new StartHold({limits: {requests: 2}, clock: () => 0});
+	const hold = new StartHold({limits: {...limits, requests: 2}, clock: () => 0});
 	const request = {arrivedAt: 0, deadlineMilliseconds: 60_000, bytes: 1};
 	const leaving = new AbortController();
 	const left = hold.wait(request, leaving.signal);
@@ -45,6 +45,6 @@
 });
 
 test('a request whose time is over while the gateway still starts is not held any longer', async () => {
-	const hold = new StartHold({clock: () => 0});
+	const hold = new StartHold({limits, clock: () => 0});
 	assert.equal(await hold.wait({arrivedAt: 0, deadlineMilliseconds: 2, bytes: 1}, new AbortController().signal), 'timeout');
 });
