Send generations that their callers resume to an engine that keeps their prompts

Reading a prompt again takes a second, and the ranking knew no cache.

Change: where the contracts ask for it (pool), the engines that a resumed generation asks for their load are asked for the parts that they keep as well, and a cached token counts as one that need not be read.

Existing tests: the decoded features of platform.test.ts have the new part.

--- a/source/balancing/balancing.test.ts
+++ b/source/balancing/balancing.test.ts
@@ -3,7 +3,7 @@
 import {xoroshiro128plus, type RandomGenerator} from 'pure-rand';
 import {type EndpointEntry} from '../registry/mod.ts';
 import {
-	EndpointHealth, EndpointLoads, EndpointBackoff, chooseCopyHolder, chooseEndpoint, engineCandidates, rankEngines, type QueriedEngine, type EngineReport,
+	EndpointHealth, EndpointLoads, EndpointBackoff, cachedPromptTokens, chooseCopyHolder, chooseEndpoint, engineCandidates, rankEngines, type QueriedEngine, type EngineReport,
 } from './mod.ts';
 
 const endpoint = (id: string, availabilityZone = 'zone-a'): EndpointEntry => ({
@@ -130,6 +130,24 @@
 	assert.deepEqual(ranked(), ['1', '2']);
 });
 
+test('a generation that its caller resumes goes to the engine that keeps its prompt, unless that one has more work than the prompt takes', () => {
+	const cachedTokens = new Map([['keeps', 8200]]);
+	const rank = (keeping: Partial<EngineReport>) => rankEngines({
+		queried: [queried('idle'), queried('keeps', keeping)], loads: new EndpointLoads(), tokens: 9000, cachedTokens,
+	}).map(engine => engine.endpoint.id);
+	assert.deepEqual(rank({running: 2, usedTokens: 17_000, runs: decodingRuns(2)}), ['keeps', 'idle']);
+	assert.deepEqual(rank({running: 3, usedTokens: 25_500, runs: decodingRuns(3)}), ['idle', 'keeps']);
+});
+
+test('a part of a prompt is worth something in a cache only with all parts before it, and for the same model', () => {
+	const part = (id: string, tokens: number, model = 'model-1') => ({id, tokens, model});
+	const tokens = (...cached: Array<ReturnType<typeof part>>) => cachedPromptTokens({promptParts: ['shared', 'own'], model: 'model-1', cached});
+	assert.equal(tokens(part('own', 8000), part('shared', 200), part('other', 5)), 8200);
+	assert.equal(tokens(part('shared', 200)), 200);
+	assert.equal(tokens(part('own', 8000)), 0);
+	assert.equal(tokens(part('shared', 200), part('own', 8000, 'model-2')), 200);
+});
+
 test('engines that did not respond or are leaving are not ranked', () => {
 	const silent: QueriedEngine = {endpoint: endpoint('silent'), report: undefined};
 	assert.deepEqual(rankEngines({queried: [silent, queried('leaving', {reportsLeaving: true}), queried('gone', {saysLeaving: true})], loads: new EndpointLoads(), tokens: 9000}), []);
--- a/source/balancing/choose-engine.ts
+++ b/source/balancing/choose-engine.ts
@@ -94,6 +94,8 @@
 	loads: EndpointLoads;
 	/** Tokens that the request will take: its prompt and its output. */
 	tokens: number;
+	/** Tokens of the request's prompt that engines need not read again, by id. Default none. */
+	cachedTokens?: ReadonlyMap<string, number>;
 };
 
 /** Assumed tokens of a request if the report does not show them. */
@@ -113,10 +115,10 @@
  *
  * @param options Engines with their reports, most preferred first.
  */
-export function rankEngines({queried, loads, tokens}: RankEnginesOptions): QueriedEngine[] {
+export function rankEngines({queried, loads, tokens, cachedTokens}: RankEnginesOptions): QueriedEngine[] {
 	return queried
 		.filter(({report}) => report && !report.reportsLeaving && !report.saysLeaving)
-		.map(engine => ({engine, work: pendingWork(engine, loads, tokens)}))
+		.map(engine => ({engine, work: pendingWork(engine, loads, tokens) - (cachedTokens?.get(engine.endpoint.id) ?? 0)}))
 		.toSorted((left, right) => left.work - right.work)
 		.map(({engine}) => engine);
 }
--- a/source/balancing/mod.ts
+++ b/source/balancing/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from './cached-prompt.ts';
 export * from './choose-endpoint.ts';
 export * from './choose-engine.ts';
 export * from './endpoint-health.ts';
--- a/source/forwarding/engine-selector.ts
+++ b/source/forwarding/engine-selector.ts
@@ -5,9 +5,9 @@
  */
 import {type EndpointEntry} from '../registry/mod.ts';
 import {
-	engineCandidates, rankEngines, type QueriedEngine,
+	cachedPromptTokens, engineCandidates, rankEngines, type QueriedEngine,
 } from '../balancing/mod.ts';
-import {queryEngineReport} from '../platform/mod.ts';
+import {queryCachedParts, queryEngineReport} from '../platform/mod.ts';
 import {recordReport, usableEndpoints, type RequestClass} from './endpoint-signals.ts';
 import {type Exchange} from './exchange.ts';
 import {type ForwardingDependencies} from './forwarding-dependencies.ts';
@@ -71,7 +71,10 @@
 			count: maximumQueriedEngines,
 			now: clock(),
 		});
-		const queried: QueriedEngine[] = await Promise.all(candidates.map(async endpoint => this.#queryCandidate(endpoint)));
+		const [queried, cachedTokens] = await Promise.all([
+			Promise.all(candidates.map(async endpoint => this.#queryCandidate(endpoint))),
+			this.#findPrompt(candidates),
+		]);
 		for (const engine of queried) {
 			if (!engine.report) {
 				health.recordFailure(engine.endpoint.id, 'unreachable', clock());
@@ -81,7 +84,9 @@
 			}
 		}
 
-		const ranked = rankEngines({queried, loads, tokens});
+		const ranked = rankEngines({
+			queried, loads, tokens, cachedTokens,
+		});
 		return ranked.length > 0 || candidates.length === 0 || exchange.callerDisconnected.aborted || clock() >= exchange.deadline
 			? ranked
 			: this.#rankRemaining([...before, ...queried]);
@@ -109,6 +114,33 @@
 		return {endpoint, report: query.kind === 'report' ? query.report : undefined};
 	}
 
+	/**
+	 * Asks candidates whether they keep the prompt of a generation that its caller resumes: the engine that ran it is among those that any
+	 * gateway prefers for its last part.
+	 *
+	 * @returns Tokens of the prompt that the candidates keep, by id; undefined for other generations.
+	 */
+	async #findPrompt(candidates: readonly EndpointEntry[]): Promise<ReadonlyMap<string, number> | undefined> {
+		const {exchange: {terms, requestName, service}, dependencies: {findsCachedPrompts, connections, logger, countReturn}} = this.#options;
+		if (!findsCachedPrompts || terms.lastEvent === undefined || terms.promptPart === undefined || this.#options.tried.size > 0) {
+			return undefined;
+		}
+
+		const agent = connections.agent(loadQueries.placement.use);
+		const {timeoutMilliseconds} = loadQueries.placement;
+		const promptParts = [...terms.sharedPromptParts, terms.promptPart];
+		const found = await Promise.all(candidates.map(async ({id, address}) => {
+			const list = await queryCachedParts({agent, address, timeoutMilliseconds});
+			return [id, list.map(cached => cachedPromptTokens({promptParts, model: terms.model, cached})).unwrapOr(0)] as const;
+		}));
+		const most = Math.max(0, ...found.map(([, tokens]) => tokens));
+		countReturn(service.name, most * 2 >= terms.promptTokens && most > 0 ? 'found' : 'missing');
+		logger.info('resumed generation looks for its prompt', {
+			request: requestName, lastEvent: terms.lastEvent, promptTokens: terms.promptTokens, cachedTokens: Object.fromEntries(found),
+		});
+		return new Map(found);
+	}
+
 	get #requestClass(): RequestClass {
 		const {exchange: {service: {name: service}, importance}} = this.#options;
 		return {service, importance};
--- a/source/forwarding/forwarding-dependencies.ts
+++ b/source/forwarding/forwarding-dependencies.ts
@@ -27,6 +27,8 @@
 	crashDetector: CrashDetector;
 	suspects: SuspectedRequests;
 	logger: Logger;
+	/** Whether a generation that its caller resumes goes to an engine that keeps its prompt. */
+	findsCachedPrompts: boolean;
 	/** Availability zone of this gateway. */
 	availabilityZone: string;
 	/** Returns monotonic time, in milliseconds. */
@@ -38,6 +40,8 @@
 	countSignal(service: string, signal: 'leaving' | 'backoff'): void;
 	/** Counts a request that was sent elsewhere or rejected since endpoints lack permits. */
 	countLimited(service: string, decision: 'diverted' | 'rejected'): void;
+	/** Counts a generation that its caller resumes, by whether an engine that keeps its prompt was found. */
+	countReturn(service: string, prompt: 'found' | 'missing'): void;
 	/** Counts a decision of the retry budget. */
 	countRetry(service: string, reason: string, allowed: boolean): void;
 };
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -129,6 +129,10 @@
 		countSignal(service, signal) {
 			metrics.endpointSignals.inc({service, signal});
 		},
+		findsCachedPrompts: features.cachedReturns,
+		countReturn(service, prompt) {
+			metrics.returns.inc({service, prompt});
+		},
 		countLimited(service, decision) {
 			metrics.limitedRequests.inc({service, decision});
 		},
--- a/source/platform/decode-features.ts
+++ b/source/platform/decode-features.ts
@@ -6,7 +6,7 @@
 import {type Features} from '../settings/features.ts';
 
 const contractOf: Record<keyof Features, string> = {
-	earlyCallers: 'pool', engineSubsets: 'pool', memoryBounds: 'pressure', rollouts: 'rollout',
+	earlyCallers: 'pool', cachedReturns: 'pool', engineSubsets: 'pool', memoryBounds: 'pressure', rollouts: 'rollout',
 };
 
 /**
@@ -17,6 +17,6 @@
 export function decodeFeatures(contracts: readonly string[]): Features {
 	const isInForce = (feature: keyof Features): boolean => contracts.includes(contractOf[feature]);
 	return {
-		earlyCallers: isInForce('earlyCallers'), engineSubsets: isInForce('engineSubsets'), memoryBounds: isInForce('memoryBounds'), rollouts: isInForce('rollouts'),
+		earlyCallers: isInForce('earlyCallers'), cachedReturns: isInForce('cachedReturns'), engineSubsets: isInForce('engineSubsets'), memoryBounds: isInForce('memoryBounds'), rollouts: isInForce('rollouts'),
 	};
 }
--- a/source/platform/mod.ts
+++ b/source/platform/mod.ts
@@ -7,6 +7,7 @@
 export * from './configuration-row.ts';
 export * from './decode-features.ts';
 export * from './endpoint-row.ts';
+export * from './engine-cache.ts';
 export * from './engine-report.ts';
 export * from './management-calls.ts';
 export * from './request-headers.ts';
--- a/source/platform/platform.test.ts
+++ b/source/platform/platform.test.ts
@@ -159,7 +159,7 @@
 
 test('contracts switch on the parts of the gateway that they name, and unknown ones are ignored', () => {
 	assert.deepEqual(decodeFeatures(['base', 'pool', 'rollout', 'of-another-build']), {
-		earlyCallers: true, engineSubsets: true, memoryBounds: false, rollouts: true,
+		earlyCallers: true, cachedReturns: true, engineSubsets: true, memoryBounds: false, rollouts: true,
 	});
 	assert.deepEqual(decodeFeatures([]), noFeatures);
 });
--- a/source/settings/features.ts
+++ b/source/settings/features.ts
@@ -8,6 +8,8 @@
 export type Features = {
 	/** A gateway listens for callers from the start of its process, and holds requests until it has its initial state. */
 	earlyCallers: boolean;
+	/** A generation that its caller resumes goes to an engine that keeps its prompt, if the engine's load allows. */
+	cachedReturns: boolean;
 	/** Gateways use a stable subset of each service's engines, and reuse their connections. */
 	engineSubsets: boolean;
 	/** The bytes that a gateway holds for callers and endpoints are bounded, for each endpoint too. */
@@ -18,5 +20,5 @@
 
 /** All parts switched off. */
 export const noFeatures: Features = {
-	earlyCallers: false, engineSubsets: false, memoryBounds: false, rollouts: false,
+	earlyCallers: false, cachedReturns: false, engineSubsets: false, memoryBounds: false, rollouts: false,
 };
--- a/source/telemetry/gateway-metrics.ts
+++ b/source/telemetry/gateway-metrics.ts
@@ -54,6 +54,9 @@
 		earlyRequests: new Counter({
 			name: 'azuretack_gateway_early_requests_total', help: 'Requests that arrived before the initial state was known, by outcome: released once it was, timeout if it came too late for them, full or over if they could not be held, disconnected.', labelNames: ['outcome'], registers,
 		}),
+		returns: new Counter({
+			name: 'azuretack_gateway_resumed_generations_total', help: 'Generations that their callers resume, by service and whether an engine keeps most of the prompt (found) or not (missing).', labelNames: ['service', 'prompt'], registers,
+		}),
 		answerSeconds: new Histogram({
 			name: 'azuretack_gateway_answer_seconds', help: 'Time from a request to the end of its answer.', labelNames: ['service'], buckets: secondsBuckets, registers,
 		}),
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -12,6 +12,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {backupCopies} from './backup-copies.ts';
 import {answerCall} from './call-answers.ts';
+import {KeptParts} from './kept-parts.ts';
 import {isEndless, sendEndless, type EndlessPart} from './endless-answer.ts';
 import {workerEntry} from './worker-entry.ts';
 import {sendReport} from './worker-report.ts';
@@ -63,6 +64,7 @@
 	#server: Server | undefined;
 	readonly #usedConnections = new WeakSet<Socket>();
 	readonly #running = new Map<string, number>();
+	readonly #kept = new KeptParts();
 
 	private constructor(options: WorkerStandInOptions) {
 		this.options = withDefaults(options);
@@ -126,6 +128,11 @@
 			return;
 		}
 
+		if (request.url === '/api/kv-list') {
+			this.#kept.list(response);
+			return;
+		}
+
 		const body = await text(request);
 		const attempt = String(request.headers['x-azuretack-attempt-id']);
 		const refusal = this.#refusal(request);
@@ -248,6 +255,7 @@
 	async #stream(run: WorkerRun, response: ServerResponse, headers: Record<string, string>): Promise<void> {
 		const {attempt} = run;
 		const holder = run.headers['x-azuretack-kv-backup'];
+		this.#kept.keep(run.headers);
 		if (run.headers['kv-from'] === undefined) {
 			this.promptsRead += 1;
 		} else {
