--- a/source/fleet/exchange-server.ts
+++ b/source/fleet/exchange-server.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {
-	Server, ServerCredentials, type ServerUnaryCall, type ServiceDefinition, type sendUnaryData,
+	Server, ServerCredentials, status, type ServerUnaryCall, type ServiceDefinition, type sendUnaryData,
 } from '@grpc/grpc-js';
 import {type PermitReply, type PermitRequest} from '../limits/permit-message.ts';
 import {type RetryLoanReply, type RetryLoanRequest} from '../retries/retry-loan-message.ts';
@@ -17,7 +17,7 @@
 	/** IP address and port to listen on. */
 	listen: string;
 	/** Handles a message and returns the response. */
-	handle: (message: ExchangeMessage) => ExchangeMessage;
+	handle: (message: ExchangeMessage) => ExchangeMessage | Promise<ExchangeMessage>;
 	/** Answers a request for a permit. */
 	answerPermit: (request: PermitRequest) => PermitReply;
 	/** Answers a request for a loan of retries. Default: lends none. */
@@ -38,7 +38,7 @@
 	const service: ServiceDefinition = {exchange: exchangeMethod, permit: permitMethod, retryLoan: retryLoanMethod};
 	server.addService(service, {
 		exchange(call: ServerUnaryCall<ExchangeMessage, ExchangeMessage>, callback: sendUnaryData<ExchangeMessage>) {
-			callback(null, handle(call.request));
+			void respond(handle(call.request), callback);
 		},
 		permit(call: ServerUnaryCall<PermitRequest, PermitReply>, callback: sendUnaryData<PermitReply>) {
 			callback(null, answerPermit(call.request));
@@ -60,3 +60,12 @@
 		server.forceShutdown();
 	};
 }
+
+/** Sends a response once it is known. */
+async function respond(response: ExchangeMessage | Promise<ExchangeMessage>, callback: sendUnaryData<ExchangeMessage>): Promise<void> {
+	try {
+		callback(null, await response);
+	} catch (error) {
+		callback({code: status.INTERNAL, details: error instanceof Error ? error.message : String(error)});
+	}
+}
--- a/source/forwarding/engine-selector.ts
+++ b/source/forwarding/engine-selector.ts
@@ -5,9 +5,9 @@
  */
 import {type EndpointEntry} from '../registry/mod.ts';
 import {
-	engineCandidates, isIdle, rankEngines, type QueriedEngine,
+	cachedPromptTokens, engineCandidates, isIdle, rankEngines, type QueriedEngine,
 } from '../balancing/mod.ts';
-import {queryEngineReport} from '../platform/mod.ts';
+import {queryCachedParts, queryEngineReport} from '../platform/mod.ts';
 import {querySteps} from '../subsets/mod.ts';
 import {recordReport, usableEndpoints, type RequestClass} from './endpoint-signals.ts';
 import {type Exchange} from './exchange.ts';
@@ -72,8 +72,10 @@
 			count: maximumQueriedEngines,
 			now: clock(),
 		});
-		const queried = await this.#queryCandidates(candidates);
-		const ranked = rankEngines({queried, loads, tokens});
+		const [queried, cachedTokens] = await Promise.all([this.#queryCandidates(candidates), this.#findPrompt(candidates)]);
+		const ranked = rankEngines({
+			queried, loads, tokens, cachedTokens,
+		});
 		return ranked.length > 0 || candidates.length === 0 || exchange.callerDisconnected.aborted || clock() >= exchange.deadline
 			? ranked
 			: this.#rankRemaining([...before, ...queried]);
@@ -96,11 +98,11 @@
 		return {kind: 'report', report};
 	}
 
-	/** Queries candidates: all of them, or, where engines are used in subsets, no more once one is idle. */
+	/** Queries candidates: all of them, or, where engines are used in subsets and none is looked for that keeps the prompt, no more once one is idle. */
 	async #queryCandidates(candidates: readonly EndpointEntry[]): Promise<QueriedEngine[]> {
 		const {tokens, dependencies: {features, loads, logger}, exchange: {requestName}} = this.#options;
 		const queried: QueriedEngine[] = [];
-		for (const engines of features.engineSubsets ? querySteps(candidates) : [candidates]) {
+		for (const engines of features.engineSubsets && !this.#looksForPrompt ? querySteps(candidates) : [candidates]) {
 			queried.push(...await Promise.all(engines.map(async endpoint => this.#queryCandidate(endpoint))));
 			this.#recordUnusable(queried.slice(-engines.length));
 			if (queried.some(engine => isIdle(engine, {loads, tokens}))) {
@@ -130,6 +132,38 @@
 		return {endpoint, report: query.kind === 'report' ? query.report : undefined};
 	}
 
+	/**
+	 * Asks candidates whether they keep the prompt of a generation that its caller resumes: the engine that ran it is among those that any
+	 * gateway prefers for its last part.
+	 *
+	 * @returns Tokens of the prompt that the candidates keep, by id; undefined for other generations.
+	 */
+	async #findPrompt(candidates: readonly EndpointEntry[]): Promise<ReadonlyMap<string, number> | undefined> {
+		const {exchange: {terms, requestName, service}, dependencies: {connections, logger, countReturn}} = this.#options;
+		if (!this.#looksForPrompt || terms.promptPart === undefined) {
+			return undefined;
+		}
+
+		const {timeoutMilliseconds, use} = loadQueries.placement;
+		const promptParts = [...terms.sharedPromptParts, terms.promptPart];
+		const found = await Promise.all(candidates.map(async ({id, address}) => {
+			const list = await queryCachedParts({agent: connections.agent(use, address), address, timeoutMilliseconds});
+			return [id, list.map(cached => cachedPromptTokens({promptParts, model: terms.model, cached})).unwrapOr(0)] as const;
+		}));
+		const most = Math.max(0, ...found.map(([, tokens]) => tokens));
+		countReturn(service.name, most * 2 >= terms.promptTokens && most > 0 ? 'found' : 'missing');
+		logger.info('resumed generation looks for its prompt', {
+			request: requestName, lastEvent: terms.lastEvent, promptTokens: terms.promptTokens, cachedTokens: Object.fromEntries(found),
+		});
+		return new Map(found);
+	}
+
+	/** Whether engines are asked for the prompt: its caller resumes the generation, and this is its first attempt here. */
+	get #looksForPrompt(): boolean {
+		const {exchange: {terms}, dependencies: {findsCachedPrompts}, tried} = this.#options;
+		return findsCachedPrompts && terms.lastEvent !== undefined && terms.promptPart !== undefined && tried.size === 0;
+	}
+
 	get #requestClass(): RequestClass {
 		const {exchange: {service: {name: service}, importance}} = this.#options;
 		return {service, importance};
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -20,6 +20,7 @@
 import {EndpointLimiter, LimitLeaseTable} from '../limits/mod.ts';
 import {StoreClient, decodeFeatures} from '../platform/mod.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
+import {StartHold} from '../starting/mod.ts';
 import {GatewaySubsets} from '../subsets/mod.ts';
 import {SuspectedRequests, SuspicionTable} from '../suspects/mod.ts';
 import {createGatewayMetrics, type GatewayMetrics} from '../telemetry/gateway-metrics.ts';
@@ -35,6 +36,8 @@
 	configuration: ConfigurationCache;
 	members: MemberTable;
 	shutdown: GracefulShutdown;
+	/** Holds requests that arrive before the initial state is known; absent where callers are refused until then. */
+	startHold: StartHold | undefined;
 	/** Whether the gateway accepts connections from callers. */
 	callers: {open: boolean};
 	/** What callers' bodies take, and their connections. */
@@ -90,6 +93,7 @@
 	return {
 		settings,
 		features,
+		startHold: features.earlyCallers ? createStartHold(settings, clock) : undefined,
 		logger,
 		metrics,
 		availabilityZone,
@@ -143,6 +147,10 @@
 		countSignal(service, signal) {
 			metrics.endpointSignals.inc({service, signal});
 		},
+		findsCachedPrompts: features.cachedReturns,
+		countReturn(service, prompt) {
+			metrics.returns.inc({service, prompt});
+		},
 		countLimited(service, decision) {
 			metrics.limitedRequests.inc({service, decision});
 		},
@@ -157,6 +165,10 @@
 	};
 }
 
+function createStartHold({start: {heldRequests: requests, heldBytes: bytes, heldMilliseconds: milliseconds}}: GatewaySettings, clock: () => number): StartHold {
+	return new StartHold({limits: {requests, bytes, milliseconds}, clock});
+}
+
 type LimiterParts = Pick<GatewayParts, 'store' | 'logger' | 'endpoints' | 'members' | 'metrics' | 'clock'> & {eraRecord: StoreEraRecord};
 
 function createLimiter({
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -16,6 +16,7 @@
 import {type BodyFailure} from '../intake/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 import {RequestIntake} from './request-intake.ts';
+import {holdUntilStarted} from './hold-until-started.ts';
 
 type Forwarder = (exchange: Exchange, parts: ForwardingDependencies) => Promise<ExchangeOutcome>;
 
@@ -91,9 +92,12 @@
 
 	let result: ExchangeOutcome & {service?: string; route?: string};
 	try {
-		result = await admitAndForward(request, response, {
-			terms, requestName, arrivedAt, callerDisconnected, intake,
-		}, parts);
+		const refusal = parts.startHold && await holdUntilStarted(request, {terms, arrivedAt, callerDisconnected}, {...parts, startHold: parts.startHold});
+		result = refusal
+			? refuse(response, refusal)
+			: await admitAndForward(request, response, {
+				terms, requestName, arrivedAt, callerDisconnected, intake,
+			}, parts);
 	} catch (error) {
 		parts.logger.error('request failed', {request: requestName, error: error instanceof Error ? error.stack : String(error)});
 		sendErrorResponse(response, internalError);
--- a/source/settings/features.ts
+++ b/source/settings/features.ts
@@ -6,6 +6,10 @@
 
 /** Parts that a deployment's settings switch on; each is off unless its settings ask for it. */
 export type Features = {
+	/** A gateway listens for callers from the start of its process, and holds requests until it has its initial state. */
+	earlyCallers: boolean;
+	/** A generation that its caller resumes goes to an engine that keeps its prompt, if the engine's load allows. */
+	cachedReturns: boolean;
 	/** Gateways use a stable subset of each service's engines, and reuse their connections. */
 	engineSubsets: boolean;
 	/** A generation stays at an engine that works through the requests before it. */
@@ -18,5 +22,5 @@
 
 /** All parts switched off. */
 export const noFeatures: Features = {
-	engineSubsets: false, engineQueues: false, memoryBounds: false, rollouts: false,
+	earlyCallers: false, cachedReturns: false, engineSubsets: false, engineQueues: false, memoryBounds: false, rollouts: false,
 };
