Move a service's traffic to a new version when the operator orders it

The operator's orders of roll-outs were not read at all. With the contract of roll-outs in force, gateways follow the orders and a table of records; one gateway at a time, by a lease in the store, decides the steps, and each write is conditional on the lease and the record that it was decided from. Each gateway sends its own share of its own requests to the new version, starting at a random point, so that no number of gateways enters the bound. A version is judged by failures and slow answers, by route, of the whole trial and of its last seconds. All requests go to the new version before the order is completed, as the old workers stop then.

--- a/source/beliefs/follow-table.ts
+++ b/source/beliefs/follow-table.ts
@@ -73,7 +73,7 @@
 	table: string;
 	listener: TableListener;
 	logger: Logger;
-	/** Interval between two polls, during which the store may wait for a change, in milliseconds. */
+	/** Interval between two polls, during which the store may wait for a change, in milliseconds; read again before each poll. */
 	pollMilliseconds: number;
 	/** Part of that interval to pause after a response with changes, so that the next response carries several of them, in milliseconds. */
 	batchMilliseconds: number;
@@ -107,7 +107,7 @@
  * ```
  */
 export async function followTable(options: FollowTableOptions, signal: AbortSignal): Promise<Result<void, TaskFailure>> {
-	const {table, logger, listener, pollMilliseconds, batchMilliseconds, random, renewal} = options;
+	const {table, logger, listener, batchMilliseconds, random, renewal} = options;
 	const {shouldFollow = () => true, waitAfterGapMilliseconds = 0, longestRetryMilliseconds = 800} = options;
 	let revision: number | undefined;
 	/** Era of the last rows received. */
@@ -142,7 +142,7 @@
 			revision = polled.value.revision;
 			era = eraOf(revision);
 			const batchPauseMilliseconds = polled.value.changes > 0 ? batchMilliseconds : 0;
-			nextWaitMilliseconds = pollMilliseconds - batchPauseMilliseconds;
+			nextWaitMilliseconds = options.pollMilliseconds - batchPauseMilliseconds;
 			await pause(batchPauseMilliseconds, signal);
 			continue;
 		}
--- a/source/fleet/exchange-protocol.ts
+++ b/source/fleet/exchange-protocol.ts
@@ -7,6 +7,7 @@
 import * as z from 'zod';
 import {endpointChangeSchema, endpointIncarnationSchema, leavingIncarnationSchema} from '../registry/mod.ts';
 import {limitChangeSchema} from '../limits/endpoint-limit.ts';
+import {orderChangeSchema, recordChangeSchema} from '../rollouts/rollout.ts';
 import {subjectKindSchema, suspicionSchema} from '../suspects/mod.ts';
 import {jsonCodec} from './json-codec.ts';
 import {heartbeatSchema, memberSchema} from './member.ts';
@@ -26,6 +27,8 @@
 	suspectRevision: z.number().default(0),
 	/** Revision up to which it has received changes of the endpoint limits. */
 	limitRevision: z.number().default(0),
+	/** Full revisions of the orders and records of roll-outs; absent from a gateway without them. */
+	rollouts: z.object({orderRevision: z.number(), recordRevision: z.number()}).optional(),
 });
 
 /** A suspected request, or its clearance when `suspicion` is absent. */
@@ -57,6 +60,15 @@
 	/** Changes of the endpoint limits since the known revision. */
 	limits: z.array(limitChangeSchema).default([]),
 	limitRevision: z.number().default(0),
+	/** Changes of the orders and records of roll-outs, with full revisions; absent from a gateway without them. */
+	rollouts: z.object({
+		orders: z.array(orderChangeSchema),
+		orderRevision: z.number(),
+		records: z.array(recordChangeSchema),
+		recordRevision: z.number(),
+		/** Time since the records were last confirmed to be the newest, in milliseconds; absent if they never were. */
+		recordAgeMilliseconds: z.number().optional(),
+	}).optional(),
 });
 
 /** Schema of observations that the store does not hold, made by the sender or received from others; losing them costs time but breaks no guarantee. */
--- a/source/forwarding/call-ending.ts
+++ b/source/forwarding/call-ending.ts
@@ -98,8 +98,8 @@
 	}
 
 	get #requestClass(): RequestClass {
-		const {service: {name: service}, importance} = this.#options.exchange;
-		return {service, importance};
+		const {service: {name: service}, importance, versions} = this.#options.exchange;
+		return {service, importance, versions};
 	}
 
 	#computeRetryAfter(requestedMilliseconds = defaultRetryAfterMilliseconds): number {
--- a/source/forwarding/endpoint-signals.ts
+++ b/source/forwarding/endpoint-signals.ts
@@ -5,6 +5,7 @@
  */
 import {type EndpointEntry} from '../registry/mod.ts';
 import {type EngineReport} from '../balancing/mod.ts';
+import {type VersionTicket} from '../rollouts/mod.ts';
 import {type ResponseTerms} from '../platform/mod.ts';
 import {type ForwardingDependencies} from './forwarding-dependencies.ts';
 
@@ -20,8 +21,8 @@
 /** Response of an endpoint, and the monotonic time at which its request was sent, in milliseconds. */
 export type SignalingResponse = {status: number; terms: ResponseTerms; sentAt: number};
 
-/** Service and importance of a request; 0 is the highest importance. */
-export type RequestClass = {service: string; importance: number};
+/** Service and importance of a request, where 0 is the highest, and the versions that it may be sent to. */
+export type RequestClass = {service: string; importance: number; versions?: VersionTicket};
 
 /**
  * Records that an endpoint is leaving, requests backoff, or names or lifts a limit.
@@ -74,9 +75,12 @@
  * @param request Service and importance of the request.
  * @param dependencies Components of the gateway that all requests share.
  */
-export function usableEndpoints({service, importance}: RequestClass, {endpoints, backoff, limiter, clock}: ForwardingDependencies): readonly EndpointEntry[] {
+export function usableEndpoints({service, importance, versions}: RequestClass, {endpoints, backoff, limiter, clock}: ForwardingDependencies): readonly EndpointEntry[] {
 	const now = clock();
-	return limiter.usable(backoff.partition(endpoints.endpointsOf(service, now), now).usable, importance, now);
+	const all = endpoints.endpointsOf(service, now);
+	const usableOf = (listed: readonly EndpointEntry[]) => limiter.usable(backoff.partition(listed, now).usable, importance, now);
+	const usable = usableOf(versions?.usable(all) ?? all);
+	return versions && usable.length === 0 ? usableOf(versions.withoutTrial(all)) : usable;
 }
 
 /**
@@ -88,7 +92,8 @@
 export function isRejectedByLimit(request: RequestClass, dependencies: ForwardingDependencies): boolean {
 	const {endpoints, backoff, clock} = dependencies;
 	const now = clock();
-	return usableEndpoints(request, dependencies).length === 0 && backoff.partition(endpoints.endpointsOf(request.service, now), now).usable.length > 0;
+	const all = endpoints.endpointsOf(request.service, now);
+	return usableEndpoints(request, dependencies).length === 0 && backoff.partition(request.versions?.withoutTrial(all) ?? all, now).usable.length > 0;
 }
 
 /**
--- a/source/forwarding/engine-selector.ts
+++ b/source/forwarding/engine-selector.ts
@@ -49,9 +49,9 @@
 
 	/** Whether an engine may still be used: not tried yet, no recent failure, still listed, not in backoff, and not known to lack permits. */
 	isUsable(endpoint: EndpointEntry): boolean {
-		const {tried, exchange: {importance}, dependencies: {endpoints, health, backoff, limiter, clock}} = this.#options;
+		const {tried, exchange: {importance, versions}, dependencies: {endpoints, health, backoff, limiter, clock}} = this.#options;
 		const now = clock();
-		return !tried.has(endpoint.id) && !health.shouldAvoid(endpoint.id, now) && !backoff.isBackedOff(endpoint, now) && limiter.usable([endpoint], importance, now).length > 0 && endpoints.stateOf(endpoint) === 'listed';
+		return !tried.has(endpoint.id) && !health.shouldAvoid(endpoint.id, now) && !backoff.isBackedOff(endpoint, now) && limiter.usable([endpoint], importance, now).length > 0 && endpoints.stateOf(endpoint) === 'listed' && versions?.mayUse(endpoint) !== false;
 	}
 
 	/**
@@ -110,8 +110,8 @@
 	}
 
 	get #requestClass(): RequestClass {
-		const {exchange: {service: {name: service}, importance}} = this.#options;
-		return {service, importance};
+		const {exchange: {service: {name: service}, importance, versions}} = this.#options;
+		return {service, importance, versions};
 	}
 
 	/** Queries the remaining usable engines after no queried one qualified; if there are none, returns those that did not respond. */
--- a/source/forwarding/exchange.ts
+++ b/source/forwarding/exchange.ts
@@ -5,6 +5,7 @@
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Route, type Service, type Workspace} from '../routing/mod.ts';
+import {type VersionTicket} from '../rollouts/mod.ts';
 import {type RequestIdentity, type SuspectAdmission} from '../suspects/mod.ts';
 import {type ErrorResponse} from './caller-response.ts';
 import {type RequestTerms} from './request-terms.ts';
@@ -20,6 +21,8 @@
 	workspace: Workspace | undefined;
 	/** Priority of the workspace, or of the route if the workspace has none; 0 is the highest. */
 	importance: number;
+	/** Versions of the service that the request may be sent to; absent where the deployment has no roll-outs. */
+	versions?: VersionTicket;
 	/** Identity of the request's content; it is the same when the caller sends the request again. */
 	identity: RequestIdentity;
 	/** Restrictions on a request during which endpoints have crashed: `suspected` is sent to one endpoint at a time, `trial` to one endpoint only. */
--- a/source/forwarding/forward-call.ts
+++ b/source/forwarding/forward-call.ts
@@ -20,6 +20,7 @@
 import {hedgeDelay} from './hedge-delay.ts';
 import {mayRetry} from './retry-decision.ts';
 import {sendCallAttempt} from './send-call-attempt.ts';
+import {recordCallVersion} from './version-outcome.ts';
 
 /**
  * Forwards a call, retrying at other endpoints if allowed, and responds to the caller.
@@ -218,11 +219,12 @@
 	}
 
 	get #requestClass(): RequestClass {
-		return {service: this.#exchange.service.name, importance: this.#exchange.importance};
+		return {service: this.#exchange.service.name, importance: this.#exchange.importance, versions: this.#exchange.versions};
 	}
 
 	#startAttempt(endpoint: EndpointEntry): void {
 		this.#tried.add(endpoint.id);
+		this.#exchange.versions?.recordSent(endpoint);
 		this.#runs += 1;
 		const sentAt = this.#dependencies.clock();
 		this.#attempts.start(endpoint, async context => {
@@ -236,6 +238,7 @@
 	#recordResult(result: CallAttemptResult, sentAt: number): void {
 		const {endpoints, health, logger, clock} = this.#dependencies;
 		const {endpoint} = result;
+		recordCallVersion(this.#exchange, result, {milliseconds: clock() - sentAt, isOvertaken: this.#attempts.hasEnded && !this.#timedOut});
 		if (this.#attempts.hasEnded) {
 			const isLost = result.kind === 'unsuccessful' && result.end === 'lost' && !this.#exchange.callerDisconnected.aborted;
 			if (isLost && sentAt < this.#answeredAttemptSentAt) {
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -21,6 +21,7 @@
 import {GenerationTargets} from './generation-targets.ts';
 import {mayRetry, type AttemptEnd} from './retry-decision.ts';
 import {type EngineCondition} from './silence-decision.ts';
+import {recordGenerationVersion} from './version-outcome.ts';
 
 /** Output tokens assumed if the request does not state a maximum. */
 const defaultOutputTokens = 800;
@@ -137,8 +138,9 @@
 		this.#runs += 1;
 		const endLoad = this.#dependencies.loads.trackRequest(target.endpoint.id, this.#tokens);
 		const sentAt = this.#dependencies.clock();
+		this.#exchange.versions?.recordSent(target.endpoint);
 		try {
-			return await runGenerationAttempt({
+			const end = await runGenerationAttempt({
 				exchange: this.#exchange,
 				target,
 				progress: this.#progress,
@@ -159,6 +161,8 @@
 				},
 				clock: this.#dependencies.clock,
 			});
+			recordGenerationVersion(this.#exchange, target.endpoint, {end, milliseconds: this.#dependencies.clock() - sentAt, hasBegun: this.#progress.events > this.#eventsBefore});
+			return end;
 		} finally {
 			endLoad();
 		}
--- a/source/forwarding/generation-ending.ts
+++ b/source/forwarding/generation-ending.ts
@@ -112,8 +112,8 @@
 	}
 
 	get #requestClass(): RequestClass {
-		const {service: {name: service}, importance} = this.#options.exchange;
-		return {service, importance};
+		const {service: {name: service}, importance, versions} = this.#options.exchange;
+		return {service, importance, versions};
 	}
 
 	#sendError(error: ErrorResponse): ExchangeOutcome {
--- a/source/gateway/follow-store.ts
+++ b/source/gateway/follow-store.ts
@@ -14,10 +14,12 @@
 import {
 	configurationKey, decodeConfiguration, decodeEndpoint, endpointTable, operatorTable,
 } from '../platform/mod.ts';
+import {rolloutTable} from '../rollouts/mod.ts';
 import {type Supervisor} from '../supervision/supervisor.ts';
 import {decodeSuspicion, suspectTable, type SuspectChange} from '../suspects/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
 import {applyConfiguration} from './apply-configuration.ts';
+import {orderListener, recordListener} from './rollout-state.ts';
 
 /**
  * Duration of a long poll for suspected requests and endpoint limits, in milliseconds. The store answers as soon as there is one; usually
@@ -59,12 +61,30 @@
 	supervisor.start('suspects', async signal => followTable({
 		...shared, ...rareChanges, table: suspectTable, listener: suspectListener(parts),
 	}, signal));
+	const {rollouts} = parts;
+	if (rollouts) {
+		supervisor.start('roll-outs', async signal => followTable({
+			...shared,
+			...rareChanges,
+			// Requests go to a version under trial only while its record is known to be the newest.
+			get pollMilliseconds() {
+				return rollouts.isActive ? updateTimes.storePollMilliseconds : rareChangesPollMilliseconds;
+			},
+			get waitAfterGapMilliseconds() {
+				return rollouts.isActive ? 0 : rareChangesPollMilliseconds;
+			},
+			table: rolloutTable,
+			listener: recordListener(rollouts, logger),
+		}, signal));
+	}
+
 	supervisor.start('limits', async signal => followTable({
 		...shared, ...rareChanges, table: limitTable, listener: limitListener(parts),
 	}, signal));
 }
 
 function configurationListener(parts: GatewayParts): TableListener {
+	const orders = parts.rollouts && orderListener(parts.rollouts, parts.logger);
 	const applyRows = (rows: readonly StoredRow[]) => {
 		const row = rows.findLast(({key}) => key === configurationKey);
 		if (!row?.content) {
@@ -81,10 +101,17 @@
 	};
 
 	return {
-		replace: applyRows,
-		apply: applyRows,
-		confirm(_revision, at) {
+		replace(rows, revision) {
+			applyRows(rows);
+			orders?.replace(rows, revision);
+		},
+		apply(rows, revision) {
+			applyRows(rows);
+			orders?.apply(rows, revision);
+		},
+		confirm(revision, at) {
 			parts.configuration.confirm(at);
+			orders?.confirm(revision, at);
 		},
 	};
 }
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -18,18 +18,22 @@
 import {EndpointLimiter, LimitLeaseTable} from '../limits/mod.ts';
 import {StoreClient, decodeFeatures} from '../platform/mod.ts';
 import {SharedRetryBudget, SlackBorrower} from '../retries/mod.ts';
+import {type Rollouts} from '../rollouts/mod.ts';
 import {type Features} from '../settings/features.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
 import {SuspectedRequests, SuspicionTable} from '../suspects/mod.ts';
 import {createGatewayMetrics, type GatewayMetrics} from '../telemetry/gateway-metrics.ts';
 import {type Logger} from '../telemetry/logger.ts';
 import {GracefulShutdown} from './graceful-shutdown.ts';
+import {createRollouts} from './rollout-state.ts';
 
 /** The components that the servers and background tasks of a gateway share. */
 export type GatewayParts = ForwardingDependencies & {
 	settings: GatewaySettings;
 	/** Parts that the deployment asks for. */
 	features: Features;
+	/** Roll-outs, if the deployment asks for them. */
+	rollouts: Rollouts | undefined;
 	metrics: GatewayMetrics;
 	store: StoreClient;
 	configuration: ConfigurationCache;
@@ -82,9 +86,15 @@
 			metrics.suspects.inc({decision});
 		},
 	});
+	const features = decodeFeatures(settings.contracts);
 	return {
 		settings,
-		features: decodeFeatures(settings.contracts),
+		features,
+		rollouts: features.rollouts
+			? createRollouts({
+				settings, members, endpoints, metrics, logger, clock,
+			})
+			: undefined,
 		logger,
 		metrics,
 		availabilityZone,
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -19,6 +19,7 @@
 import {isReady} from './readiness.ts';
 import {createHintExchange} from './hints.ts';
 import {createSharedState} from './shared-state.ts';
+import {startRollouts} from './rollout-tasks.ts';
 import {StoreRole} from './store-role.ts';
 
 /** A running gateway. */
@@ -70,6 +71,7 @@
 	supervisor.start('unsaved crashes', async signal => parts.suspects.saveUnsaved(signal));
 	supervisor.start('leases of limited endpoints', async signal => parts.limiter.maintain(signal));
 	supervisor.start('source', async signal => followSource({...parts, sharedState, followsStore: () => role.followsStore()}, signal));
+	startRollouts(supervisor, parts, () => role.followsStore());
 	await waitForInitialState(parts);
 	await listen(callerServer, settings.listen.callers);
 	parts.callers.open = true;
@@ -102,12 +104,12 @@
 }
 
 /**
- * Waits for the first configuration and the first list of suspected requests, up to a timeout. Caller connections are refused until
+ * Waits for the first configuration and the first lists of suspected requests and roll-outs, up to a timeout. Caller connections are refused until
  * then, so that callers turn to another gateway immediately.
  */
-async function waitForInitialState({configuration, suspects, clock}: GatewayParts): Promise<void> {
+async function waitForInitialState({configuration, suspects, rollouts, clock}: GatewayParts): Promise<void> {
 	const until = clock() + initialStateTimeoutMilliseconds;
-	while (!(configuration.table && suspects.known.isLoaded) && clock() < until) {
+	while (!(configuration.table && suspects.known.isLoaded && (rollouts?.isLoaded ?? true)) && clock() < until) {
 		await pause(initialStatePollMilliseconds);
 	}
 }
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -190,6 +190,7 @@
 		service,
 		workspace,
 		importance: workspace?.priority ?? route.priority,
+		versions: parts.rollouts?.openTicket(service.name, route.name),
 	};
 	const outcome = await forwarders[route.kind](exchange, parts);
 	void recordSuspectOutcome(parts.suspects, exchange, outcome);
--- a/source/gateway/shared-state.ts
+++ b/source/gateway/shared-state.ts
@@ -10,6 +10,7 @@
 	packConfiguration, unpackConfiguration, type StoreUpdate, type SharedState,
 } from '../fleet/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
+import {applyRolloutUpdate, knownRollouts, rolloutUpdate} from './rollout-state.ts';
 import {applyConfiguration} from './apply-configuration.ts';
 
 /**
@@ -43,11 +44,12 @@
 				endpointRevision: versionIn(era, endpoints.revision),
 				suspectRevision: versionIn(era, suspects.known.revision),
 				limitRevision: versionIn(era, limits.revision),
+				...knownRollouts(parts),
 			};
 			return missingEntries.shouldRequestAll(steady) ? {...revisions, era: 0, endpointRevision: 0} : revisions;
 		},
 		age: now => Math.max(configuration.snapshot(now).ageMilliseconds, endpoints.age(now)),
-		updateFor({era: knownEra, configurationVersion, endpointRevision, suspectRevision, limitRevision}, now) {
+		updateFor({era: knownEra, configurationVersion, endpointRevision, suspectRevision, limitRevision, rollouts}, now) {
 			const {table, ageMilliseconds} = configuration.snapshot(now);
 			const era = currentEra();
 			const withVersions = <Change extends {revision: number}>(changes: readonly Change[]): Change[] => changes.map(change => ({...change, revision: versionIn(era, change.revision)}));
@@ -63,6 +65,7 @@
 				suspectRevision: versionIn(era, suspects.known.revision),
 				limits: withVersions(limits.changesSince(revisionOf(knownEra, limitRevision))),
 				limitRevision: versionIn(era, limits.revision),
+				...rolloutUpdate(parts, rollouts, now),
 			};
 		},
 		apply(update: StoreUpdate, requestedAt: ClockReading) {
@@ -77,6 +80,7 @@
 			}
 
 			const {era} = update;
+			applyRolloutUpdate(parts, update.rollouts, requestedAt);
 			const withRevisions = <Change extends {revision: number}>(changes: readonly Change[]): Change[] => changes.map(change => ({...change, revision: revisionOf(era, change.revision)}));
 			suspects.known.apply(withRevisions(update.suspects));
 			suspects.known.confirm(revisionOf(era, update.suspectRevision));
--- a/source/platform/endpoint-row.ts
+++ b/source/platform/endpoint-row.ts
@@ -31,6 +31,8 @@
 	state: z.enum(['ready', 'draining']),
 	/** Start of the process, in Unix milliseconds; distinguishes incarnations with the same id. */
 	born: z.number().nullish(),
+	/** Version of its software. */
+	version: z.string().nullish(),
 });
 
 /**
@@ -46,8 +48,8 @@
 		return err(parsed.error.issues.map(({path, message}) => `${path.join('.')}: ${message}`).join('; '));
 	}
 
-	const {service, address, zone, slots, state, born} = parsed.data;
+	const {service, address, zone, slots, state, born, version} = parsed.data;
 	return ok({
-		id, service, address, availabilityZone: zone, slots, leaving: state === 'draining', startedAt: born ?? 0,
+		id, service, address, availabilityZone: zone, slots, leaving: state === 'draining', startedAt: born ?? 0, ...(version ? {version} : {}),
 	});
 }
--- a/source/platform/mod.ts
+++ b/source/platform/mod.ts
@@ -10,5 +10,6 @@
 export * from './engine-report.ts';
 export * from './management-calls.ts';
 export * from './request-headers.ts';
+export * from './rollout-row.ts';
 export * from './store-client.ts';
 export * from './store-era.ts';
--- a/source/registry/endpoint-entry.ts
+++ b/source/registry/endpoint-entry.ts
@@ -19,6 +19,8 @@
 	leaving: z.boolean(),
 	/** Start time of its process, in Unix milliseconds; 0 if the endpoint does not report it. */
 	startedAt: z.number(),
+	/** Version of its software; absent if the endpoint does not report it. */
+	version: z.string().optional(),
 });
 
 /** A change of the list: a new or updated entry, or a removal when `entry` is absent. */
--- a/source/settings/gateway-settings.ts
+++ b/source/settings/gateway-settings.ts
@@ -44,6 +44,11 @@
 		/** Additional retries allowed in a window, over all gateways together. */
 		retrySlack: z.number().nonnegative().default(300),
 		retryWindowSeconds: z.number().positive().default(10),
+		/** Share of a service's requests that a new version may get before it is accepted, and requests beyond it, over all gateways together. */
+		exposeShare: z.number().min(0).max(1).default(0.1),
+		exposeSlack: z.number().nonnegative().default(0),
+		/** Time after many bad answers of a new version within which no gateway sends requests to it, in milliseconds. */
+		rollbackMilliseconds: z.number().positive().default(5000),
 		/** Time for which callers cache the list of entries, in seconds. */
 		entriesSeconds: z.number().positive().default(5),
 	}).prefault({}),
--- a/source/telemetry/gateway-metrics.ts
+++ b/source/telemetry/gateway-metrics.ts
@@ -51,6 +51,9 @@
 		permits: new Counter({
 			name: 'azuretack_gateway_permits_total', help: 'Permits for limited endpoints that this gateway requested, by outcome: granted, late if granted after the request had gone elsewhere, refused, or unknown if no gateway that grants them answered.', labelNames: ['outcome'], registers,
 		}),
+		rolloutAnswers: new Counter({
+			name: 'azuretack_gateway_rollout_answers_total', help: 'Answers during roll-outs by service, version (serving or trial) and outcome (good or failed).', labelNames: ['service', 'version', 'outcome'], registers,
+		}),
 		answerSeconds: new Histogram({
 			name: 'azuretack_gateway_answer_seconds', help: 'Time from a request to the end of its answer.', labelNames: ['service'], buckets: secondsBuckets, registers,
 		}),
--- a/source/testing/gateway-fleet.ts
+++ b/source/testing/gateway-fleet.ts
@@ -95,6 +95,8 @@
 	readonly gateways = new Map<string, GatewayProcess>();
 	/** Names of the gateways that are seeds of those started from then on. */
 	readonly seedNames: string[] = [];
+	/** Contracts of the gateways that are started from then on. */
+	readonly contracts: string[] = [];
 	readonly #peerAddresses = new Map<string, string>();
 	readonly #rawWorkers: RawWorker[] = [];
 	readonly #address: string;
@@ -144,6 +146,7 @@
 			seeds: this.seedNames.map(seed => this.#peerAddressOf(seed)),
 			store: `${this.#address}:7000`,
 			bounds,
+			contracts: this.contracts,
 		}));
 		const child = spawn(process.execPath, [...memoryFlags, program, '--settings', file], {stdio: ['ignore', 'pipe', 'inherit']});
 		const log: string[] = [];
--- a/source/testing/stand-ins/store-stand-in.ts
+++ b/source/testing/stand-ins/store-stand-in.ts
@@ -80,6 +80,12 @@
 		});
 	}
 
+	/** Reads a row as the operator does; undefined if there is none. */
+	get(table: string, key: string): unknown {
+		const row = this.#rows.get(nameOf({table, part: '', key}));
+		return row && !row.deleted ? JSON.parse(Buffer.from(row.value, 'base64').toString()) : undefined;
+	}
+
 	/** Removes a row. */
 	remove(table: string, key: string): void {
 		this.#revision += 1;
--- a/source/testing/stand-ins/worker-entry.ts
+++ b/source/testing/stand-ins/worker-entry.ts
@@ -15,11 +15,15 @@
 	state?: 'ready' | 'draining';
 	/** Start of its process, in Unix milliseconds. */
 	startedAt: number;
+	/** Version of its software. Default `v1`. */
+	version?: string;
 };
 
 /** Returns the content of a worker's row. */
-export function workerEntry({service, address, zone = 'zone-a', state = 'ready', startedAt}: WorkerEntryOptions): Record<string, unknown> {
+export function workerEntry({
+	service, address, zone = 'zone-a', state = 'ready', startedAt, version = 'v1',
+}: WorkerEntryOptions): Record<string, unknown> {
 	return {
-		service, address, zone, version: 'v1', slots: 8, state, sequence: 1, coldRemainingMs: 0, born: startedAt,
+		service, address, zone, version, slots: 8, state, sequence: 1, coldRemainingMs: 0, born: startedAt,
 	};
 }
--- a/source/testing/stand-ins/worker-options.ts
+++ b/source/testing/stand-ins/worker-options.ts
@@ -63,6 +63,8 @@
 	advertised?: string;
 	/** Availability zone. Default `zone-a`. */
 	availabilityZone?: string;
+	/** Version of its software. Default `v1`. */
+	version?: string;
 	/** Body of the answer to a plain call. Default: names the worker. */
 	answerOf?: (run: WorkerRun) => string;
 	/** Receives what it runs. Default: a list of its own. */
@@ -99,6 +101,7 @@
 		reportMilliseconds: 0,
 		advertised: options.listen,
 		availabilityZone: 'zone-a',
+		version: 'v1',
 		answerOf: ({worker}) => `answer of ${worker}`,
 		eventOf: (_run, event) => `token ${event}`,
 		eventsOf: () => options.events ?? 20,
--- a/source/testing/stand-ins/worker-stand-in.ts
+++ b/source/testing/stand-ins/worker-stand-in.ts
@@ -72,9 +72,9 @@
 
 	/** What it writes to the store about itself. */
 	entry(state: 'ready' | 'draining' = 'ready'): Record<string, unknown> {
-		const {service, advertised: address, availabilityZone: zone} = this.options;
+		const {service, advertised: address, availabilityZone: zone, version} = this.options;
 		return workerEntry({
-			service, address, zone, state, startedAt: this.startedAt,
+			service, address, zone, state, startedAt: this.startedAt, version,
 		});
 	}
 
