--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -19,6 +19,7 @@
 import {BodyAccount, ConnectionGuard, intakeLimits} from '../intake/mod.ts';
 import {EndpointLimiter, LimitLeaseTable} from '../limits/mod.ts';
 import {StoreClient, decodeFeatures} from '../platform/mod.ts';
+import {type Rollouts} from '../rollouts/mod.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
 import {StartHold} from '../starting/mod.ts';
 import {GatewaySubsets} from '../subsets/mod.ts';
@@ -27,10 +28,13 @@
 import {type Logger} from '../telemetry/logger.ts';
 import {GracefulShutdown} from './graceful-shutdown.ts';
 import {createRetryBudgets, type RetryBudgets} from './retry-budgets.ts';
+import {createRollouts} from './rollout-state.ts';
 
 /** The components that the servers and background tasks of a gateway share. */
 export type GatewayParts = ForwardingDependencies & Pick<RetryBudgets, 'lendRetries'> & {
 	settings: GatewaySettings;
+	/** Roll-outs, if the deployment asks for them. */
+	rollouts: Rollouts | undefined;
 	metrics: GatewayMetrics;
 	store: StoreClient;
 	configuration: ConfigurationCache;
@@ -94,6 +98,11 @@
 		settings,
 		features,
 		startHold: features.earlyCallers ? createStartHold(settings, clock) : undefined,
+		rollouts: features.rollouts
+			? createRollouts({
+				settings, members, endpoints, metrics, logger, clock,
+			})
+			: undefined,
 		logger,
 		metrics,
 		availabilityZone,
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -20,6 +20,7 @@
 import {isReady} from './readiness.ts';
 import {createHintExchange} from './hints.ts';
 import {createSharedState} from './shared-state.ts';
+import {startRollouts} from './rollout-tasks.ts';
 import {StoreRole} from './store-role.ts';
 
 /** A running gateway. */
@@ -80,6 +81,7 @@
 	supervisor.start('unsaved crashes', async signal => parts.suspects.saveUnsaved(signal));
 	supervisor.start('leases of limited endpoints', async signal => parts.limiter.maintain(signal));
 	supervisor.start('source', async signal => followSource({...parts, sharedState, followsStore: () => role.followsStore()}, signal));
+	startRollouts(supervisor, parts, () => role.followsStore());
 	if (parts.startHold) {
 		void openCallers(parts);
 	} else {
@@ -147,12 +149,12 @@
 }
 
 /**
- * Waits for the first configuration and the first list of suspected requests, up to a timeout. Until then, requests are held; where they
+ * Waits for the first configuration and the first lists of suspected requests and roll-outs, up to a timeout. Until then, requests are held; where they
  * are not, caller connections are refused, so that callers turn to another gateway immediately.
  */
-async function waitForInitialState({configuration, suspects, clock, settings}: GatewayParts): Promise<void> {
+async function waitForInitialState({configuration, suspects, rollouts, clock, settings}: GatewayParts): Promise<void> {
 	const until = clock() + settings.start.heldMilliseconds;
-	while (!(configuration.table && suspects.known.isLoaded) && clock() < until) {
+	while (!(configuration.table && suspects.known.isLoaded && (rollouts?.isLoaded ?? true)) && clock() < until) {
 		await pause(initialStatePollMilliseconds);
 	}
 }
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -221,6 +221,7 @@
 		workspace,
 		importance,
 		enginePriority: enginePriority(snapshot.table!.configuration, {service: service.name, importance}),
+		versions: parts.rollouts?.openTicket(service.name, route.name),
 	};
 	const outcome = await forwarders[route.kind](exchange, parts);
 	void recordSuspectOutcome(parts.suspects, exchange, outcome);
--- a/source/platform/mod.ts
+++ b/source/platform/mod.ts
@@ -11,5 +11,6 @@
 export * from './engine-report.ts';
 export * from './management-calls.ts';
 export * from './request-headers.ts';
+export * from './rollout-row.ts';
 export * from './store-client.ts';
 export * from './store-era.ts';
--- a/source/telemetry/gateway-metrics.ts
+++ b/source/telemetry/gateway-metrics.ts
@@ -63,6 +63,9 @@
 		returns: new Counter({
 			name: 'azuretack_gateway_resumed_generations_total', help: 'Generations that their callers resume, by service and whether an engine keeps most of the prompt (found) or not (missing).', labelNames: ['service', 'prompt'], registers,
 		}),
+		rolloutAnswers: new Counter({
+			name: 'azuretack_gateway_rollout_answers_total', help: 'Answers during roll-outs by service, version (serving or trial) and outcome (good or failed).', labelNames: ['service', 'version', 'outcome'], registers,
+		}),
 		answerSeconds: new Histogram({
 			name: 'azuretack_gateway_answer_seconds', help: 'Time from a request to the end of its answer.', labelNames: ['service'], buckets: secondsBuckets, registers,
 		}),
