Use a connection again for requests that may not be repeated for a quarter of a second only

Cause: some hosts forget connections that have rested for 0.3 s, and one that lost power closes none; up to 1 s old, such a request is lost there. Ruled out: a new connection for each, which a generation would not need: its engine was asked a moment before. Result: endpoint-connections.test.ts passes.

--- a/source/forwarding/endpoint-connections.ts
+++ b/source/forwarding/endpoint-connections.ts
@@ -24,9 +24,10 @@
 
 /**
  * Longest time since the last response on a connection for which it counts as proven to be alive, in milliseconds. A host that lost power
- * closes none of its connections, so a request that must not be repeated is lost on an older one; on a new one, it would not be sent.
+ * closes none of its connections, and some hosts forget connections that rest, so a request that must not be repeated is lost on an older one;
+ * on a new one, it would not be sent.
  */
-const provenMilliseconds = 1000;
+const provenMilliseconds = 250;
 
 /** Methods of Node's `Agent` that its types do not declare completely. */
 // eslint-disable-next-line @typescript-eslint/no-unsafe-type-assertion -- Both methods are documented.
