Test that a lost state of a roll-out is written again, and that generations come whole through one

The generations' test first drew up callers before the gateways knew the engines; these were refused as not run, so it now begins once each gateway serves them.

--- a/source/gateway/rollouts.test.ts
+++ b/source/gateway/rollouts.test.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
-import {GatewayFleet, type GatewayProcess} from '../testing/gateway-fleet.ts';
+import {
+	eventsOf, expectedEvents, GatewayFleet, type GatewayProcess,
+} from '../testing/gateway-fleet.ts';
 import {type WorkerFault} from '../testing/stand-ins/worker-options.ts';
 
 const bounds = {
@@ -35,6 +37,8 @@
 	}
 
 	readonly fleet: GatewayFleet;
+	/** Service whose roll-out is watched. */
+	service = 'desk';
 	/** Outcomes of all calls. */
 	readonly statuses: number[] = [];
 	#loading: Promise<void> = Promise.resolve();
@@ -56,7 +60,7 @@
 	}
 
 	get status(): Status | undefined {
-		return this.fleet.store.get('status', 'rollout/desk') as Status | undefined;
+		return this.fleet.store.get('status', `rollout/${this.service}`) as Status | undefined;
 	}
 
 	/** Why the present state was reached. */
@@ -204,3 +208,49 @@
 	assert.ok(load.logged('order of a roll-out cannot be read').length > 0);
 	assert.ok(load.logged('roll-out of a service that the configuration lacks').length > 0);
 });
+
+test('a state that the store loses by coming back from an older copy is written again, and the version stays rolled back', async () => {
+	await using load = await RolloutFleet.create();
+	await load.startVersion('v2', 'error');
+	load.order('v2');
+	await load.untilState('running', acceptanceSeconds);
+	const copy = load.fleet.store.copy();
+	await load.untilState('rolled_back', durationS);
+	await delay(bounds.configurationMilliseconds);
+	const runs = load.runsOf('v2');
+	load.fleet.store.restore(copy);
+	assert.equal(load.status?.state, 'running');
+	await load.untilState('rolled_back', durationS);
+	assert.equal(load.runsOf('v2'), runs);
+});
+
+test('generations are moved to a good version, and each of them comes whole', async () => {
+	await using load = await RolloutFleet.create();
+	for (const [version, index] of [['v1', 1], ['v1', 2], ['v2', 3], ['v2', 4]] as const) {
+		await load.fleet.startWorker({id: `${version}-scribe-${index}`, service: 'scribe', version});
+	}
+
+	for (const gateway of load.fleet.gateways.values()) {
+		await load.fleet.until(async () => {
+			const {status} = await load.fleet.draft(gateway);
+			return status === 200;
+		}, `${gateway.name} knows the engines`);
+	}
+
+	load.service = 'scribe';
+	load.order('v2', 'scribe');
+	const bodies: string[] = [];
+	while (load.status?.state !== 'completed' && bodies.length < 2000) {
+		const gateways = [...load.fleet.gateways.values()];
+		const answers = await Promise.all(gateways.map(async gateway => load.fleet.draft(gateway)));
+		bodies.push(...answers.map(({body}) => body));
+		assert.notEqual(load.status?.state, 'rolled_back', load.logged('roll-out').join('\n'));
+	}
+
+	const notWhole = bodies.filter(body => eventsOf(body).join(',') !== expectedEvents(20).join(','));
+	assert.deepEqual(notWhole, [], `${notWhole.length} of ${bodies.length}; ${load.logged('"service":"scribe"').filter(line => line.includes('request ended') && !line.includes('"answered"')).slice(0, 5).join('\n')}`);
+	const old = load.runsOf('v1-scribe');
+	const answer = await load.fleet.draft(load.fleet.gateways.get('gateway-1')!);
+	assert.deepEqual(eventsOf(answer.body), expectedEvents(20));
+	assert.equal(load.runsOf('v1-scribe'), old);
+});
