--- a/source/binaries/_run-gateway.ts
+++ b/source/binaries/_run-gateway.ts
@@ -46,8 +46,9 @@
 			writer.write(line);
 		},
 	});
-	const gateway = await startGateway(settings, logger, earlyCallers);
+	const starting = startGateway(settings, logger, earlyCallers);
 	const onSignal = async () => {
+		const gateway = await starting;
 		await gateway.stop();
 		writer.end();
 		exit(0);
@@ -64,12 +65,19 @@
 		logger.info('settings read again', {changed: !isDeepStrictEqual(changed.value, settings)});
 	};
 
-	onSettingsSignal(() => {
-		void onSettingsChanged();
-	});
+	// Before callers are accepted, a signal ends the process at once; requests that are held must get an answer.
+	if (!earlyCallers) {
+		await starting;
+	}
+
 	for (const signal of ['SIGTERM', 'SIGINT']) {
 		process.on(signal, () => {
 			void onSignal();
 		});
 	}
+
+	await starting;
+	onSettingsSignal(() => {
+		void onSettingsChanged();
+	});
 }
--- a/source/forwarding/endpoint-connections.ts
+++ b/source/forwarding/endpoint-connections.ts
@@ -19,8 +19,8 @@
 /** Maximum number of idle connections per endpoint where connections are kept as long as the endpoints state. */
 const maximumKeptConnections = 2;
 
-/** Maximum number of idle connections to all endpoints, so that their descriptors stay a small part of a host's. */
-const maximumIdleConnectionsInAll = 512;
+/** Default maximum number of idle connections to all endpoints. */
+const defaultMaximumIdle = 512;
 
 /**
  * Longest time since the last response on a connection for which it counts as proven to be alive, in milliseconds. A host that lost power
@@ -56,7 +56,7 @@
 }
 
 /** Options of {@linkcode LongLivedAgent}. */
-type LongLivedAgentOptions = {clock: () => number; count: (origin: ConnectionOrigin) => void};
+type LongLivedAgentOptions = {clock: () => number; count: (origin: ConnectionOrigin) => void; maximumIdle: number};
 
 /** Keep-alive agent that keeps an idle connection for as long as its endpoint states, and knows since when each one is idle. */
 class LongLivedAgent extends StrictKeepAliveAgent {
@@ -72,7 +72,7 @@
 	}
 
 	override keepSocketAlive(socket: Socket): boolean {
-		if (this.#idleSince.size >= maximumIdleConnectionsInAll || !super.keepSocketAlive(socket)) {
+		if (this.#idleSince.size >= this.#own.maximumIdle || !super.keepSocketAlive(socket)) {
 			return false;
 		}
 
@@ -109,12 +109,19 @@
 		return connection;
 	}
 
-	/** Closes the connections to an endpoint that have been idle for longer than a limit, in milliseconds. */
+	/**
+	 * Closes the connections to an endpoint that have been idle for longer than a limit, in milliseconds, and forgets those that have ended:
+	 * Node's agent takes the newest one of its list without a look whether it has.
+	 */
 	closeIdle(address: string, limit: number): void {
 		const [host, port] = address.split(':');
 		const now = this.#own.clock();
-		for (const socket of this.freeSockets[this.getName({host, port: Number(port)})] ?? []) {
-			if (now - (this.#idleSince.get(socket) ?? Number.NEGATIVE_INFINITY) >= limit) {
+		const idle = this.freeSockets[this.getName({host, port: Number(port)})] ?? [];
+		for (const socket of idle) {
+			if (socket.destroyed || !socket.writable) {
+				idle.splice(idle.indexOf(socket), 1);
+				socket.destroy();
+			} else if (now - (this.#idleSince.get(socket) ?? Number.NEGATIVE_INFINITY) >= limit) {
 				socket.destroy();
 			}
 		}
@@ -138,6 +145,8 @@
 	keepsConnections?: boolean;
 	/** Returns monotonic time, in milliseconds. */
 	clock?: () => number;
+	/** Maximum number of idle connections to all endpoints, where connections are kept. Default 512. */
+	maximumIdle?: number;
 	/** Counts requests by the connection that they use, where connections are kept. */
 	count?: (origin: ConnectionOrigin) => void;
 };
@@ -159,8 +168,10 @@
 	readonly #fresh = new Agent({keepAlive: false});
 	readonly #longLived: LongLivedAgent | undefined;
 
-	constructor({keepsConnections = false, clock = () => performance.now(), count = () => undefined}: EndpointConnectionsOptions = {}) {
-		this.#longLived = keepsConnections ? new LongLivedAgent({clock, count}) : undefined;
+	constructor({
+		keepsConnections = false, clock = () => performance.now(), maximumIdle = defaultMaximumIdle, count = () => undefined,
+	}: EndpointConnectionsOptions = {}) {
+		this.#longLived = keepsConnections ? new LongLivedAgent({clock, count, maximumIdle}) : undefined;
 	}
 
 	/**
--- a/source/forwarding/engine-monitor.test.ts
+++ b/source/forwarding/engine-monitor.test.ts
@@ -22,7 +22,7 @@
 		targetMilliseconds: 4500,
 		hasCopy: false,
 		isResumed: false,
-		watchesQueue: false,
+		queueWatchedUntil: Number.NEGATIVE_INFINITY,
 		clock: () => performance.now(),
 		...options,
 	};
--- a/source/forwarding/engine-monitor.ts
+++ b/source/forwarding/engine-monitor.ts
@@ -34,8 +34,8 @@
 	hasCopy: boolean;
 	/** Whether the attempt resumes a stream; the engine may then count the events that others generated before. */
 	isResumed: boolean;
-	/** Whether the generation stays while the engine works through the requests before it. */
-	watchesQueue: boolean;
+	/** Monotonic time until which the generation stays while the engine works through the requests before it, in milliseconds. */
+	queueWatchedUntil: number;
 	/** Queries the engine for its load over a new connection. */
 	queryLoad: () => Promise<EngineQuery>;
 	/** Acquires another engine for the generation; returns false if it must stay, as there is none or it may not be sent again. */
@@ -90,6 +90,7 @@
 	#nextQueryAt = Number.NEGATIVE_INFINITY;
 	#nextAlternativeAt = Number.NEGATIVE_INFINITY;
 	#isLeaving = false;
+	#waitsForCaller = false;
 	#reportsWithoutAttempt = 0;
 	#isQuerying = false;
 	#lastReport: EngineReport | undefined;
@@ -130,6 +131,14 @@
 		this.#reportsWithoutAttempt = 0;
 	}
 
+	/** Sets whether the caller has not read what was sent to it. Meanwhile nothing is read from the engine, so that its silence says nothing. */
+	setCallerWaits(isWaiting: boolean): void {
+		this.#waitsForCaller = isWaiting;
+		if (!isWaiting) {
+			this.recordProgress(0);
+		}
+	}
+
 	#check(): void {
 		if (this.#timer === undefined) {
 			return;
@@ -142,13 +151,17 @@
 			return;
 		}
 
+		if (this.#waitsForCaller) {
+			return;
+		}
+
 		const silentMilliseconds = now - this.#progressAt;
 		const condition = conditionOf(this.#unansweredQueries);
 		const action = decideSilenceAction({
 			started: this.#receivedEvents > 0,
 			silentMilliseconds,
 			idleMilliseconds: now - Math.max(this.#progressAt + this.#suspendedMilliseconds, this.#workedAt),
-			sinceQueueMovedMilliseconds: now - this.#queueMovedAt,
+			sinceQueueMovedMilliseconds: now < this.#options.queueWatchedUntil ? now - this.#queueMovedAt : Number.POSITIVE_INFINITY,
 			sinceAliveMilliseconds: now - this.#lastAliveAt,
 			condition,
 			unansweredMilliseconds: this.#unansweredQueries.length > 0 ? now - this.#unansweredSince : 0,
@@ -197,7 +210,7 @@
 			this.#workedAt = this.#lastAliveAt;
 		}
 
-		if (this.#options.watchesQueue && this.#lastReport && showsQueueProgress(report, this.#lastReport)) {
+		if (this.#lastAliveAt < this.#options.queueWatchedUntil && this.#lastReport && showsQueueProgress(report, this.#lastReport)) {
 			this.#queueMovedAt = this.#lastAliveAt;
 		}
 
@@ -208,7 +221,7 @@
 		}
 
 		this.#eventsBefore ??= countEventsBefore(report, attemptId, this.#receivedEvents);
-		if (hasUndeliveredEvents(report, attemptId, this.#receivedEvents + (this.#eventsBefore ?? 0))) {
+		if (!this.#waitsForCaller && hasUndeliveredEvents(report, attemptId, this.#receivedEvents + (this.#eventsBefore ?? 0))) {
 			void this.#leave('alive', 'the engine has generated events that do not arrive');
 			return;
 		}
--- a/source/forwarding/engine-selector.ts
+++ b/source/forwarding/engine-selector.ts
@@ -85,7 +85,11 @@
 	async queryLoad(endpoint: EndpointEntry, purpose: keyof typeof loadQueries): Promise<EngineQuery> {
 		const {dependencies} = this.#options;
 		const {timeoutMilliseconds, use} = loadQueries[purpose];
-		const result = await queryEngineReport({agent: dependencies.connections.agent(use, endpoint.address), address: endpoint.address, timeoutMilliseconds});
+		const {address} = endpoint;
+		const query = async (connection: typeof use | 'fresh') => queryEngineReport({agent: dependencies.connections.agent(connection, address), address, timeoutMilliseconds});
+		const first = await query(use);
+		// A connection that rested may have been closed or forgotten; only a new one shows whether the engine responds.
+		const result = first.isErr() && first.error.reused ? await query('fresh') : first;
 		if (result.isErr()) {
 			return {kind: result.error.connected ? 'unresponsive' : 'unreachable'};
 		}
--- a/source/forwarding/forward-call.ts
+++ b/source/forwarding/forward-call.ts
@@ -10,9 +10,8 @@
 import {AttemptPreparation} from './attempt-preparation.ts';
 import {type CallAttemptResult} from './call-attempt-result.ts';
 import {CallAttempts} from './call-attempts.ts';
-import {closingOutcomes} from './closing-reason.ts';
 import {CallEnding, type UnsuccessfulResult} from './call-ending.ts';
-import {streamResponse, sendCompleteResponse} from './caller-response.ts';
+import {sendCompleteResponse} from './caller-response.ts';
 import {usableEndpoints, type RequestClass} from './endpoint-signals.ts';
 import {type Exchange, type ExchangeOutcome} from './exchange.ts';
 import {type ForwardingDependencies} from './forwarding-dependencies.ts';
@@ -20,6 +19,7 @@
 import {hedgeDelay} from './hedge-delay.ts';
 import {mayRetry} from './retry-decision.ts';
 import {sendCallAttempt} from './send-call-attempt.ts';
+import {streamCallResponse} from './stream-call-response.ts';
 import {recordCallVersion} from './version-outcome.ts';
 
 /**
@@ -88,7 +88,10 @@
 			}
 
 			if (result?.kind === 'streaming') {
-				return this.#stream(result);
+				const signal = this.#attempts.abortOthers(result.endpoint, deadline);
+				return streamCallResponse({
+					exchange: this.#exchange, dependencies: this.#dependencies, ending: this.#ending, signal,
+				}, result);
 			}
 
 			if (result?.kind === 'answered') {
@@ -158,31 +161,6 @@
 		return this.#tried.size === 0 || !this.#dependencies.suspects.isRefused(this.#exchange.identity);
 	}
 
-	/** Streams a response that is too large to buffer and aborts the other attempts. */
-	async #stream({endpoint, response: endpointResponse}: CallAttemptResult & {kind: 'streaming'}): Promise<ExchangeOutcome> {
-		const {response, deadline, requestName} = this.#exchange;
-		const {loads, health, logger, clock, callerConnections} = this.#dependencies;
-		const signal = this.#attempts.abortOthers(endpoint, deadline);
-		const endLoad = loads.trackRequest(endpoint.id, 0);
-		const streamed = await streamResponse(response, endpointResponse, signal);
-		endLoad();
-		if (streamed.isOk()) {
-			health.recordSuccess(endpoint.id, clock());
-			return this.#ending.outcome('answered', endpointResponse.status);
-		}
-
-		const reason = callerConnections.close(response, 'broken-off', streamed.error);
-		if (reason !== 'broken-off') {
-			return this.#ending.outcome(closingOutcomes[reason], 0);
-		}
-
-		health.recordFailure(endpoint.id, 'broken', clock());
-		logger.info('answer broken off', {
-			request: requestName, endpoint: endpoint.id, status: endpointResponse.status, reason: streamed.error,
-		});
-		return this.#ending.outcome('broken_off', endpointResponse.status);
-	}
-
 	/** Acquires the endpoint of a retry after an unsuccessful attempt, if allowed. */
 	async #prepareRetryAfter({end, endpoint}: UnsuccessfulResult): Promise<EndpointEntry | undefined> {
 		const {route, deadline, identity, handling} = this.#exchange;
--- a/source/forwarding/forward-generation.ts
+++ b/source/forwarding/forward-generation.ts
@@ -6,7 +6,6 @@
 import {ok, type Result} from 'neverthrow';
 import {type EndpointEntry} from '../registry/mod.ts';
 import {settleInTime, type WaitEnd} from '../supervision/settle-in-time.ts';
-import {acquireRetry} from './acquire-retry.ts';
 import {admitAgain} from './admit-again.ts';
 import {crashCauseEventLimit} from './crash-detector.ts';
 import {recordSignals} from './endpoint-signals.ts';
@@ -26,6 +25,9 @@
 /** Output tokens assumed if the request does not state a maximum. */
 const defaultOutputTokens = 800;
 
+/** Time from the arrival of a generation for which it stays at an engine whose queue moves, as a multiple of its target time; callers wait for four. */
+const queueWatchMultiple = 3;
+
 /**
  * Forwards a generation and responds to the caller.
  *
@@ -98,6 +100,11 @@
 				return this.#giveUp();
 			}
 
+			const mayStart = await this.#inTime(this.#mayStart());
+			if (!mayStart.unwrapOr(false)) {
+				return this.#giveUp();
+			}
+
 			const admitted = await admitAgain(this.#exchange, this.#dependencies);
 			if (admitted.isErr()) {
 				return admitted.error.kind === 'refused' ? this.#ending.refuse(admitted.error.retryAfterMilliseconds, this.#runs) : this.#giveUp();
@@ -135,6 +142,7 @@
 	async #attempt(target: AttemptTarget): Promise<GenerationEnd> {
 		this.#tried.add(target.endpoint.id);
 		this.#attempted.push(target.endpoint.id);
+		this.#targets.retry.use();
 		this.#runs += 1;
 		const endLoad = this.#dependencies.loads.trackRequest(target.endpoint.id, this.#tokens);
 		const sentAt = this.#dependencies.clock();
@@ -148,7 +156,7 @@
 				// An idle pooled connection may be dead, and a copy can be resumed from only once.
 				agent: this.#dependencies.connections.agent('proven', target.endpoint.address),
 				responseBuffers: this.#dependencies.responseBuffers,
-				watchesQueue: this.#dependencies.features.engineQueues,
+				queueWatchedUntil: this.#queueWatchedUntil,
 				queryLoad: async () => this.#targets.queryLoad(target.endpoint),
 				acquireAlternative: async condition => this.#acquireAlternative(target, condition),
 				onEvents: events => {
@@ -243,7 +251,7 @@
 	/** Whether the generation is sent to another engine after an attempt; one that can't be answered otherwise waits until the retry budget allows it. */
 	async #acquireRetry(end: AttemptEnd): Promise<boolean> {
 		while (!this.#exchange.callerDisconnected.aborted && this.#mayRepeat(end)) {
-			if (this.#targets.hasAlternative || await acquireRetry(this.#exchange, end, this.#dependencies, {waits: this.#isLost || this.#exchange.response.headersSent})) {
+			if (this.#targets.hasAlternative || await this.#takeRetry(end)) {
 				return true;
 			}
 
@@ -255,6 +263,22 @@
 		return false;
 	}
 
+	/** Time until which the generation stays at an engine whose queue moves: its caller must still have time for another one. */
+	get #queueWatchedUntil(): number {
+		const {arrivedAt, route: {targetMilliseconds}} = this.#exchange;
+		return this.#dependencies.features.engineQueues ? arrivedAt + (targetMilliseconds * queueWatchMultiple) : Number.NEGATIVE_INFINITY;
+	}
+
+	/** Takes a retry, unless one was taken a moment ago and not used; one that can't be answered otherwise waits for it. */
+	async #takeRetry(reason: string): Promise<boolean> {
+		return this.#targets.retry.take(reason, {waits: this.#isLost || this.#exchange.response.headersSent});
+	}
+
+	/** Whether an attempt may start: a further one needs a retry, which may have been held for too long while the generation waited for an engine. */
+	async #mayStart(): Promise<boolean> {
+		return this.#attempted.length === 0 || this.#takeRetry('waited');
+	}
+
 	async #nextRound(): Promise<boolean> {
 		return this.#rounds.next({isLost: this.#isLost});
 	}
--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -50,8 +50,8 @@
 	agent: Parameters<typeof sendRequest>[0]['agent'];
 	/** Limits how much of the responses is buffered. */
 	responseBuffers: ResponseBuffers;
-	/** Whether the generation stays while the engine works through the requests before it. */
-	watchesQueue: boolean;
+	/** Monotonic time until which the generation stays while the engine works through the requests before it, in milliseconds. */
+	queueWatchedUntil: number;
 	/** Called with the number of events that the caller has received of all attempts, when it grows. */
 	onEvents: (events: number) => void;
 	/** Called with the engine's response once its head has arrived. */
@@ -82,10 +82,13 @@
 	readonly #monitor: EngineMonitor;
 	readonly #buffer: ResponseBuffer;
 	#abandonReason: AbandonReason | undefined;
+	/** Ends a write that the caller does not read. */
+	readonly #writing: AbortSignal;
 
 	constructor(options: GenerationAttemptOptions) {
 		this.#options = options;
 		this.#buffer = options.responseBuffers.allocate();
+		this.#writing = AbortSignal.any([options.exchange.callerDisconnected, this.#controller.signal]);
 		const {exchange: {route, terms, deadline}, target: {endpoint, copyHolder}, targetMilliseconds, queryLoad, acquireAlternative, clock} = options;
 		this.#monitor = new EngineMonitor({
 			startedAt: endpoint.startedAt,
@@ -95,7 +98,7 @@
 			targetMilliseconds,
 			hasCopy: copyHolder !== undefined,
 			isResumed: options.progress.lastEventId !== undefined,
-			watchesQueue: options.watchesQueue,
+			queueWatchedUntil: options.queueWatchedUntil,
 			queryLoad,
 			acquireAlternative,
 			onAbandon: reason => {
@@ -263,7 +266,7 @@
 	}
 
 	async #deliver(events: readonly StreamEvent[]): Promise<void> {
-		const {exchange: {response, callerDisconnected}, progress, clock} = this.#options;
+		const {exchange: {response}, progress, clock} = this.#options;
 		if (events.length === 0) {
 			return;
 		}
@@ -277,7 +280,9 @@
 		}
 
 		const bytes = events.length === 1 ? events[0]!.bytes : Buffer.concat(events.map(event => event.bytes));
-		await writeToCaller(response, bytes, callerDisconnected);
+		this.#monitor.setCallerWaits(true);
+		await writeToCaller(response, bytes, this.#writing);
+		this.#monitor.setCallerWaits(false);
 	}
 }
 
--- a/source/forwarding/generation-targets.ts
+++ b/source/forwarding/generation-targets.ts
@@ -9,6 +9,7 @@
 import {acquireRetry} from './acquire-retry.ts';
 import {EngineSelector, type EngineSelectorOptions} from './engine-selector.ts';
 import {type AttemptTarget} from './generation-attempt.ts';
+import {HeldRetry} from './held-retry.ts';
 import {type EngineCondition, type EngineQuery} from './silence-decision.ts';
 
 /** Maximum number of times that engines are ranked before one is sent the request, since those ranked before lack permits. */
@@ -23,6 +24,8 @@
  * ```
  */
 export class GenerationTargets {
+	/** Retry for the next attempt. */
+	readonly retry: HeldRetry;
 	readonly #options: EngineSelectorOptions;
 	readonly #selector: EngineSelector;
 	/** Engines of the last load query, ordered by load. */
@@ -31,13 +34,15 @@
 	#alternative: AttemptTarget | undefined;
 
 	constructor(options: EngineSelectorOptions) {
+		const {exchange, dependencies} = options;
 		this.#options = options;
+		this.retry = new HeldRetry({acquire: async (reason, waits) => acquireRetry(exchange, reason, dependencies, {waits}), clock: dependencies.clock});
 		this.#selector = new EngineSelector(options);
 	}
 
 	/** Whether a target and a retry have been acquired for the next attempt. */
 	get hasAlternative(): boolean {
-		return this.#alternative !== undefined;
+		return this.#alternative !== undefined && this.retry.isHeld;
 	}
 
 	/** Queries a silent engine for its load. */
@@ -53,7 +58,7 @@
 	async choose(copyHolder: EndpointEntry | undefined): Promise<AttemptTarget | undefined> {
 		const alternative = this.#alternative;
 		this.#alternative = undefined;
-		if (alternative && this.#selector.isUsable(alternative.endpoint)) {
+		if (alternative && this.retry.isHeld && this.#selector.isUsable(alternative.endpoint)) {
 			return alternative;
 		}
 
@@ -68,18 +73,19 @@
 	 * @returns Whether the next attempt has a target; otherwise the generation stays where it is.
 	 */
 	async acquireAlternative(copyHolder: EndpointEntry | undefined, condition: EngineCondition): Promise<boolean> {
-		const {exchange, dependencies} = this.#options;
-		if (this.#alternative && this.#selector.isUsable(this.#alternative.endpoint)) {
+		if (this.#alternative && this.retry.isHeld && this.#selector.isUsable(this.#alternative.endpoint)) {
 			return true;
 		}
 
+		this.#alternative = undefined;
+
 		// Without a connection to the engine, there is no time to query the holder as well: the generation is to resume within the accepted pause.
 		const responsiveHolder = copyHolder && await (condition === 'unreachable' ? this.#selector.isUsable(copyHolder) : this.#responds(copyHolder)) ? copyHolder : undefined;
 		if (!responsiveHolder && !await this.#rankResponsiveEngines()) {
 			return false;
 		}
 
-		if (!await acquireRetry(exchange, 'silent', dependencies)) {
+		if (!await this.retry.take('silent')) {
 			return false;
 		}
 
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -125,6 +125,7 @@
 		}),
 		connections: new EndpointConnections({
 			keepsConnections: features.engineSubsets,
+			maximumIdle: intake.idleEndpointConnections,
 			clock,
 			count(origin) {
 				metrics.endpointRequests.inc({connection: origin});
--- a/source/gateway/hostile-callers.test.ts
+++ b/source/gateway/hostile-callers.test.ts
@@ -162,7 +162,7 @@
 	return {fleet, gateway};
 }
 
-// In a trial, such callers ended a process: it ran out of memory.
+// Such callers made the process run out of memory, or took all its descriptors.
 for (const [name, {callers, send}] of Object.entries(hostilities)) {
 	test(`${name}: the process lives within its memory and descriptors, and an ordinary request is answered`, async () => {
 		const {fleet, gateway} = await startFleet();
@@ -176,8 +176,8 @@
 		}, 'an ordinary request is answered');
 		const peak = await peakMegabytes(gateway.child.pid!);
 		assert.ok(peak !== undefined && peak < smallestHostMegabytes, `${peak} MB`);
-		const open_ = await openDescriptors(gateway.child.pid!);
-		assert.ok(open_ !== undefined && open_ <= descriptors, `${open_} descriptors`);
+		const opened = await openDescriptors(gateway.child.pid!);
+		assert.ok(opened !== undefined && opened <= descriptors, `${opened} descriptors`);
 		assert.equal(gateway.child.exitCode, null);
 		for (const socket of sockets) {
 			socket.destroy();
--- a/source/gateway/request-intake.ts
+++ b/source/gateway/request-intake.ts
@@ -26,6 +26,8 @@
 export class RequestIntake {
 	/** Whether its connection may have one more request in progress. */
 	readonly isAllowed: boolean;
+	/** Whether too many requests are in progress on all connections for this one to be served. */
+	readonly isOverLimit: boolean;
 	readonly #request: IncomingMessage;
 	readonly #parts: IntakeParts;
 	#body: RequestBody | undefined;
@@ -34,15 +36,18 @@
 		this.#request = request;
 		this.#parts = parts;
 		this.isAllowed = parts.connectionGuard.startRequest(request.socket, parts.clock());
+		this.isOverLimit = parts.connectionGuard.hasTooManyRequests;
 	}
 
 	/** Reads the body; it is held until the request ends. */
 	async readBody(options: Omit<ReadRequestBodyOptions, 'account' | 'clock'>): Promise<Result<Uint8Array, BodyFailure>> {
 		const {bodies: account, clock, connectionGuard} = this.#parts;
+		const {socket} = this.#request;
+		connectionGuard.startReading(socket, clock());
 		const read = await readRequestBody(this.#request, {...options, account, clock});
+		connectionGuard.stopReading(socket);
 		return read.map(body => {
 			this.#body = body;
-			connectionGuard.serveRequest(this.#request.socket);
 			return body.bytes;
 		});
 	}
@@ -54,27 +59,33 @@
 	 */
 	end(delivered: Promise<void>): void {
 		const {connectionGuard, clock} = this.#parts;
+		const {socket} = this.#request;
 		const wasServed = this.#body !== undefined;
 		this.#body?.held.release();
-		if (!this.#request.complete) {
-			connectionGuard.startDropping(this.#request.socket, clock());
-			this.#request.resume();
-		}
-
-		void Promise.all([delivered, this.#hasArrived()]).then(() => {
-			connectionGuard.endRequest(this.#request.socket, wasServed, clock());
+		void Promise.all([delivered, this.#dropRest()]).then(() => {
+			connectionGuard.endRequest(socket, wasServed, clock());
 		});
 	}
 
-	/** Resolves once the body has arrived, or will not any more. */
-	async #hasArrived(): Promise<void> {
+	/** Drops what was not read of the body; resolves once it has arrived, or will not any more. */
+	async #dropRest(): Promise<void> {
+		const {connectionGuard, clock} = this.#parts;
 		const request = this.#request;
+		const {socket} = request;
+		if (request.complete) {
+			request.resume();
+		}
+
 		if (request.complete || request.destroyed) {
 			return;
 		}
 
+		connectionGuard.startReading(socket, clock());
+		connectionGuard.startDropping(socket, clock());
+		request.resume();
 		await new Promise<void>(resolve => {
 			request.once('end', resolve).once('close', resolve);
 		});
+		connectionGuard.stopReading(socket);
 	}
 }
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -57,7 +57,7 @@
 const bodyRefusals: Record<Exclude<BodyFailure, 'broken'>, ErrorResponse> = {
 	'too-large': {status: 413, code: 'body_too_large', message: 'The body is larger than the configuration allows.'},
 	'no-room': {
-		status: 503, code: 'no_room', message: 'This gateway has no room for the body; the request has not run.', retryAfterMilliseconds: retryWithoutRoomMilliseconds,
+		status: 503, code: 'no_room', message: 'This gateway has no room for the request; it has not run.', retryAfterMilliseconds: retryWithoutRoomMilliseconds,
 	},
 	'too-slow': {status: 408, code: 'body_timeout', message: 'The body did not arrive in time; the request has not run.'},
 	late: {
@@ -77,6 +77,7 @@
 	const intake = new RequestIntake(request, parts);
 	if (!intake.isAllowed) {
 		parts.callerConnections.closeSocket(request.socket, 'too-many-requests');
+		intake.end(Promise.resolve());
 		return;
 	}
 
@@ -156,6 +157,10 @@
 		return refuse(response, stopping);
 	}
 
+	if (context.intake.isOverLimit) {
+		return refuse(response, bodyRefusals['no-room']);
+	}
+
 	const snapshot = configuration.snapshot(readClock());
 	const admission = admitRequest({
 		...snapshot, host: request.headers.host ?? '', path: request.url ?? '', key: context.terms.key, trustedKeyMilliseconds, maximumDenialAgeMilliseconds: settings.bounds.configurationMilliseconds,
--- a/source/intake/connection-guard.ts
+++ b/source/intake/connection-guard.ts
@@ -9,10 +9,12 @@
 type GuardedConnection = {
 	/** Returns the bytes received on it so far. */
 	readonly receivedBytes: () => number;
-	/** Requests in progress whose body has arrived. */
+	/** Requests in progress whose body is not read now: it has arrived, or they wait to be admitted. */
 	served: number;
-	/** Requests in progress whose body has not arrived. */
+	/** Requests whose body is read, or dropped after a refusal. */
 	reading: number;
+	/** Bytes received when last looked at, and the monotonic time of the look at which there were more than before, in milliseconds. */
+	progress: {bytes: number; at: number};
 	/** Whether a request on it has been completed. */
 	hasCompleted: boolean;
 	/** Monotonic time since which it is in its state, in milliseconds. */
@@ -26,7 +28,7 @@
 };
 
 /** Options of {@linkcode ConnectionGuard}. */
-export type ConnectionGuardOptions = Pick<IntakeLimits, 'connections' | 'requestsPerConnection'>;
+export type ConnectionGuardOptions = Pick<IntakeLimits, 'connections' | 'requestsPerConnection' | 'requests'>;
 
 /** Limits on what callers send, from the configuration. */
 export type SweepLimits = {
@@ -52,12 +54,15 @@
 /** Bytes of a refused body that are dropped, at least, and as a multiple of the largest body; a caller that sends more does not stop. */
 const dropped = {bytes: 16_777_216, bodies: 4};
 
+/** Time without a byte after which a body counts as not arriving, in milliseconds. */
+const stallMilliseconds = 1000;
+
 /** Order in which connections are closed when there are too many: the first kind that there is. */
-const closingOrder: ReadonlyArray<(connection: GuardedConnection) => boolean> = [
+const closingOrder: ReadonlyArray<(connection: GuardedConnection, now: number) => boolean> = [
 	// Nothing has come of it yet.
 	({reading, served, hasCompleted}) => reading + served === 0 && !hasCompleted,
 	// A body that does not arrive.
-	({reading, served}) => reading > 0 && served === 0,
+	({reading, served, progress}, now) => reading > 0 && served === 0 && now - progress.at >= stallMilliseconds,
 	// A caller between two requests, which may open a connection again.
 	({reading, served}) => reading + served === 0,
 ];
@@ -74,11 +79,18 @@
 export class ConnectionGuard<Key> {
 	readonly #options: ConnectionGuardOptions;
 	readonly #connections = new Map<Key, GuardedConnection>();
+	/** Requests in progress on all connections. */
+	#requests = 0;
 
 	constructor(options: ConnectionGuardOptions) {
 		this.#options = options;
 	}
 
+	/** Whether no further request may be in progress. */
+	get hasTooManyRequests(): boolean {
+		return this.#requests > this.#options.requests;
+	}
+
 	/** Number of connections. */
 	get size(): number {
 		return this.#connections.size;
@@ -94,9 +106,13 @@
 	 */
 	open(key: Key, receivedBytes: () => number, now: number): Key | undefined {
 		const isFull = this.#connections.size >= this.#options.connections;
-		const victim = isFull ? this.#chooseVictim() ?? key : undefined;
+		const victim = isFull ? this.#chooseVictim(now) ?? key : undefined;
+		if (victim !== undefined) {
+			this.#connections.delete(victim);
+		}
+
 		this.#connections.set(key, {
-			receivedBytes, served: 0, reading: 0, hasCompleted: false, since: now, bytesAtRest: 0, headSince: undefined, dropping: undefined,
+			receivedBytes, served: 0, reading: 0, progress: {bytes: 0, at: now}, hasCompleted: false, since: now, bytesAtRest: 0, headSince: undefined, dropping: undefined,
 		});
 		return victim;
 	}
@@ -108,19 +124,30 @@
 
 	/** Records that the head of a request has arrived; returns whether the connection may have one more in progress. */
 	startRequest(key: Key, now: number): boolean {
+		this.#requests += 1;
 		const connection = this.#connections.get(key);
 		if (!connection) {
 			return true;
 		}
 
-		connection.reading += 1;
+		connection.served += 1;
 		connection.since = now;
 		connection.headSince = undefined;
 		return connection.reading + connection.served <= this.#options.requestsPerConnection;
 	}
 
+	/** Records that the body of a request is read, or dropped, from now on. */
+	startReading(key: Key, now: number): void {
+		const connection = this.#connections.get(key);
+		if (connection) {
+			connection.served -= 1;
+			connection.reading += 1;
+			connection.progress = {bytes: connection.receivedBytes(), at: now};
+		}
+	}
+
 	/** Records that the body of a request has arrived. */
-	serveRequest(key: Key): void {
+	stopReading(key: Key): void {
 		const connection = this.#connections.get(key);
 		if (connection) {
 			connection.reading -= 1;
@@ -128,19 +155,22 @@
 		}
 	}
 
-	/** Records that a request has ended. */
+	/** Records that a request has ended whose body is not read any more; `wasServed` if it was not refused before its body had arrived. */
 	endRequest(key: Key, wasServed: boolean, now: number): void {
+		this.#requests -= 1;
 		const connection = this.#connections.get(key);
 		if (!connection) {
 			return;
 		}
 
-		connection[wasServed ? 'served' : 'reading'] -= 1;
+		connection.served -= 1;
 		connection.hasCompleted ||= wasServed;
 		connection.since = now;
 		connection.bytesAtRest = connection.receivedBytes();
 		connection.headSince = undefined;
-		connection.dropping = undefined;
+		if (connection.reading === 0) {
+			connection.dropping = undefined;
+		}
 	}
 
 	/** Records that the rest of a body is read and dropped, as the request was refused. */
@@ -159,17 +189,19 @@
 	 */
 	sweep(limits: SweepLimits, now: number): Array<LateConnection<Key>> {
 		return [...this.#connections].flatMap(([key, connection]) => {
+			const bytes = connection.receivedBytes();
+			connection.progress = bytes > connection.progress.bytes ? {bytes, at: now} : connection.progress;
 			const reason = connection.reading + connection.served > 0 ? checkDropping(connection, limits, now) : checkHead(connection, limits, now);
 			return reason ? [{key, reason}] : [];
 		});
 	}
 
 	/** Returns the connection that has been longest in the first state of the closing order that any of them is in. */
-	#chooseVictim(): Key | undefined {
+	#chooseVictim(now: number): Key | undefined {
 		for (const isOfKind of closingOrder) {
 			let oldest: {key: Key; since: number} | undefined;
 			for (const [key, connection] of this.#connections) {
-				if (isOfKind(connection) && connection.since < (oldest?.since ?? Number.POSITIVE_INFINITY)) {
+				if (isOfKind(connection, now) && connection.since < (oldest?.since ?? Number.POSITIVE_INFINITY)) {
 					oldest = {key, since: connection.since};
 				}
 			}
--- a/source/intake/intake-limits.ts
+++ b/source/intake/intake-limits.ts
@@ -16,6 +16,10 @@
 	connections: number;
 	/** Requests in progress on one connection; further ones are sent by a caller that does not wait for responses. */
 	requestsPerConnection: number;
+	/** Requests in progress on all connections; each may need a connection to an endpoint. */
+	requests: number;
+	/** Idle connections to endpoints that are kept. */
+	idleEndpointConnections: number;
 };
 
 /** Resources of a host. */
@@ -37,8 +41,8 @@
 /** Descriptors that are kept for files and for listening. */
 const reservedDescriptors = 200;
 
-/** Share of the other descriptors that callers' connections may take; the rest is for endpoints, the store and other gateways. */
-const callerDescriptorShare = 0.5;
+/** Shares of the other descriptors: callers' connections, connections to endpoints in use, and idle ones; the rest is for the store and other gateways. */
+const descriptorShares = {callers: 0.42, requests: 0.36, idle: 0.14};
 
 /** Requests in progress on one connection. */
 const requestsPerConnection = 64;
@@ -49,16 +53,19 @@
  * @param resources Resources of the host.
  * @example
  * ```ts
- * intakeLimits({memoryMegabytes: 186, descriptors: 2048}).connections; // 924
+ * intakeLimits({memoryMegabytes: 186, descriptors: 2048}).connections; // 776
  * ```
  */
 export function intakeLimits({memoryMegabytes, descriptors}: HostResources): IntakeLimits {
 	const memoryBytes = memoryMegabytes * bytesPerMegabyte;
+	const shareOf = (share: number) => Math.max(1, Math.floor((descriptors - reservedDescriptors) * share));
 	return {
 		smallBodyBytes,
 		allSmallBytes: Math.floor(memoryBytes * memoryShares.small),
 		allLargeBytes: Math.floor(memoryBytes * memoryShares.large),
-		connections: Math.max(1, Math.floor((descriptors - reservedDescriptors) * callerDescriptorShare)),
+		connections: shareOf(descriptorShares.callers),
 		requestsPerConnection,
+		requests: shareOf(descriptorShares.requests),
+		idleEndpointConnections: shareOf(descriptorShares.idle),
 	};
 }
--- a/source/intake/intake.test.ts
+++ b/source/intake/intake.test.ts
@@ -76,13 +76,13 @@
 };
 
 test('with more silent connections than allowed, those of callers that are served or have been served stay open', () => {
-	const guard = new ConnectionGuard<string>({connections: 10, requestsPerConnection: 2});
+	const guard = new ConnectionGuard<string>({connections: 10, requestsPerConnection: 2, requests: 100});
 	guard.open('served', () => 0, 0);
 	guard.startRequest('served', 0);
-	guard.serveRequest('served');
+	guard.startReading('served', 0);
+	guard.stopReading('served');
 	guard.open('between requests', () => 0, 0);
 	guard.startRequest('between requests', 0);
-	guard.serveRequest('between requests');
 	guard.endRequest('between requests', true, 1);
 	const closed: string[] = [];
 	for (let silent = 0; silent < 100; silent += 1) {
@@ -98,7 +98,7 @@
 });
 
 test('a connection is closed for bytes without a request, a late head, no request at all, or a refused body without an end, and not before', () => {
-	const guard = new ConnectionGuard<string>({connections: 10, requestsPerConnection: 2});
+	const guard = new ConnectionGuard<string>({connections: 10, requestsPerConnection: 2, requests: 100});
 	const received: Record<string, number> = {
 		'empty lines': 100_000, 'half a head': 100, silent: 0, dropping: 0, sound: 0,
 	};
@@ -110,6 +110,7 @@
 		guard.startRequest(key, 0);
 	}
 
+	guard.startReading('dropping', 0);
 	guard.startDropping('dropping', 0);
 	assert.deepEqual(guard.sweep(sweepLimits, 100), [{key: 'empty lines', reason: 'too-large'}]);
 	received.dropping = 20_000_000;
@@ -117,12 +118,54 @@
 	assert.deepEqual(guard.sweep(sweepLimits, 16_100).map(({key}) => key), ['empty lines', 'half a head', 'silent', 'dropping']);
 });
 
+test('when there are too many connections, a request that waits to be admitted and a body that arrives stay, and an idle one or a stalled body goes', () => {
+	const guard = new ConnectionGuard<string>({connections: 3, requestsPerConnection: 2, requests: 100});
+	const received: Record<string, number> = {waiting: 100, arriving: 100, stalled: 100};
+	for (const key of Object.keys(received)) {
+		guard.open(key, () => received[key]!, 0);
+		guard.startRequest(key, 0);
+	}
+
+	guard.startReading('arriving', 0);
+	guard.startReading('stalled', 0);
+	received.arriving = 5000;
+	guard.sweep(sweepLimits, 1500);
+	assert.equal(guard.open('new', () => 0, 1600), 'stalled');
+	assert.equal(guard.open('newer', () => 0, 1601), 'new');
+});
+
+test('the rest of a refused body stays bounded when another request of its connection ends', () => {
+	const guard = new ConnectionGuard<string>({connections: 3, requestsPerConnection: 2, requests: 100});
+	let received = 0;
+	guard.open('caller', () => received, 0);
+	guard.startRequest('caller', 0);
+	guard.startRequest('caller', 0);
+	guard.startReading('caller', 0);
+	guard.startDropping('caller', 0);
+	guard.endRequest('caller', true, 1);
+	received = 20_000_000;
+	assert.deepEqual(guard.sweep(sweepLimits, 500), [{key: 'caller', reason: 'too-large'}]);
+});
+
 test('a caller that does not wait for responses may have so many requests in progress on a connection', () => {
-	const guard = new ConnectionGuard<string>({connections: 10, requestsPerConnection: 2});
+	const guard = new ConnectionGuard<string>({connections: 10, requestsPerConnection: 2, requests: 100});
 	guard.open('caller', () => 0, 0);
 	assert.deepEqual([1, 2, 3].map(() => guard.startRequest('caller', 0)), [true, true, false]);
 });
 
+test('no more requests may be in progress on all connections than the limit, also on many connections', () => {
+	const guard = new ConnectionGuard<number>({connections: 100, requestsPerConnection: 10, requests: 20});
+	for (let caller = 0; caller < 21; caller += 1) {
+		guard.open(caller, () => 0, 0);
+		assert.ok(!guard.hasTooManyRequests);
+		guard.startRequest(caller, 0);
+	}
+
+	assert.ok(guard.hasTooManyRequests);
+	guard.endRequest(0, true, 1);
+	assert.ok(!guard.hasTooManyRequests);
+});
+
 test('the smallest host has room for a body of the largest size and for several hundred callers', () => {
 	const {allLargeBytes, connections} = intakeLimits({memoryMegabytes: 186, descriptors: 2048});
 	assert.ok(allLargeBytes > 2 * 4_194_304);
--- a/source/intake/read-request-body.ts
+++ b/source/intake/read-request-body.ts
@@ -48,6 +48,10 @@
  * @returns The body, which must be released once it is not used any more, or why it was not read.
  */
 export async function readRequestBody(request: IncomingMessage, options: ReadRequestBodyOptions): Promise<Result<RequestBody, BodyFailure>> {
+	if (request.destroyed) {
+		return err('broken');
+	}
+
 	const announced = Number(request.headers['content-length'] ?? 0);
 	if (announced > options.maximumBytes) {
 		return err('too-large');
--- a/source/platform/engine-cache.ts
+++ b/source/platform/engine-cache.ts
@@ -33,7 +33,7 @@
 
 	const parsed = listSchema.safeParse(parseJson(response.value.body));
 	if (response.value.status !== 200 || !parsed.success) {
-		return err({connected: true, message: `invalid list of cached parts (status ${response.value.status})`});
+		return err({connected: true, reused: false, message: `invalid list of cached parts (status ${response.value.status})`});
 	}
 
 	return ok(parsed.data.held.flatMap(entry => {
--- a/source/platform/engine-report.ts
+++ b/source/platform/engine-report.ts
@@ -33,7 +33,7 @@
 const maximumReportBytes = 262_144;
 
 /** Reason why an engine gave no report. */
-export type EngineQueryFailure = Pick<HttpFailure, 'connected' | 'message'>;
+export type EngineQueryFailure = Pick<HttpFailure, 'connected' | 'reused' | 'message'>;
 
 /** Options of {@linkcode queryEngineReport}. */
 export type QueryEngineReportOptions = {
@@ -60,7 +60,7 @@
 
 	const parsed = reportSchema.safeParse(parseJson(response.value.body));
 	if (response.value.status !== 200 || !parsed.success) {
-		return err({connected: true, message: `invalid report (status ${response.value.status})`});
+		return err({connected: true, reused: false, message: `invalid report (status ${response.value.status})`});
 	}
 
 	const {waiting, running, kvUsed, kvTotal, held, next, born, state, runs} = parsed.data;
--- a/source/platform/http-call.ts
+++ b/source/platform/http-call.ts
@@ -20,6 +20,8 @@
 	sent: boolean;
 	/** Whether a connection was established. */
 	connected: boolean;
+	/** Whether it was sent on a connection that was used before, which may have been closed or forgotten meanwhile. */
+	reused: boolean;
 	message: string;
 };
 
@@ -80,7 +82,9 @@
 		};
 
 		request.on('error', error => {
-			settle(err({sent: !isConnectError(error), connected, message: error.message}));
+			settle(err({
+				sent: !isConnectError(error), connected, reused: request.reusedSocket, message: error.message,
+			}));
 		});
 		request.on('response', response => {
 			const chunks: Uint8Array[] = [];
@@ -96,10 +100,14 @@
 			response.on('end', () => {
 				settle(response.complete
 					? ok({status: response.statusCode ?? 0, headers: response.headers, body: Buffer.concat(chunks)})
-					: err({sent: true, connected, message: 'the response is incomplete'}));
+					: err({
+						sent: true, connected, reused: request.reusedSocket, message: 'the response is incomplete',
+					}));
 			});
 			response.on('error', error => {
-				settle(err({sent: true, connected, message: error.message}));
+				settle(err({
+					sent: true, connected, reused: request.reusedSocket, message: error.message,
+				}));
 			});
 		});
 		request.end(body);
--- a/source/retries/choose-lenders.ts
+++ b/source/retries/choose-lenders.ts
@@ -34,7 +34,7 @@
 
 /**
  * Chooses gateways that take requests, since only these have unused retries. Each gateway has its own stable order of the others and chooses
- * at random among the first ones that are not avoided, so that it rarely opens connections and questions of many gateways are spread.
+ * at random among those of the first ones that are not avoided, so that it rarely opens connections and questions of many gateways are spread.
  *
  * Load: many gateways lose an endpoint at the same moment and ask for retries.
  *
@@ -46,10 +46,11 @@
 }: ChooseLendersOptions): Lender[] {
 	const key = hashKey(self);
 	const preferred = gateways
-		.filter(({name, ready}) => ready && now >= (avoidedUntil.get(name) ?? Number.NEGATIVE_INFINITY))
+		.filter(({ready}) => ready)
 		.map(lender => ({lender, weight: rendezvousWeight(key, lender.name)}))
 		.toSorted((left, right) => right.weight - left.weight)
-		.slice(0, preferredGateways);
+		.slice(0, preferredGateways)
+		.filter(({lender: {name}}) => now >= (avoidedUntil.get(name) ?? Number.NEGATIVE_INFINITY));
 	const chosen: Lender[] = [];
 	while (preferred.length > 0 && chosen.length < count) {
 		chosen.push(...preferred.splice(Math.floor(random() * preferred.length), 1).map(({lender}) => lender));
--- a/source/retries/retry-queue.ts
+++ b/source/retries/retry-queue.ts
@@ -24,11 +24,19 @@
 	readClock: () => ClockReading;
 };
 
-type WaitingRetry = {request: RetryRequest; resolve: (allowed: boolean) => void};
+type WaitingRetry = {
+	request: RetryRequest;
+	resolve: (allowed: boolean) => void;
+	/** Rounds of borrowing that began after it was asked for. */
+	rounds: number;
+};
 
 /** Time until those that wait are offered again what the gateway holds and can borrow, in milliseconds. */
 const retryMilliseconds = 100;
 
+/** Rounds of borrowing after which a retry is refused that does not wait, though others were served: its caller can get another answer now. */
+const maximumRounds = 3;
+
 /**
  * Serves waiting retries in the order of {@linkcode compareClaims} and borrows for all of them together.
  *
@@ -54,7 +62,7 @@
 	/** Waits for a retry; returns whether it is allowed. */
 	async wait(request: RetryRequest): Promise<boolean> {
 		return new Promise(resolve => {
-			this.#waiting.push({request, resolve});
+			this.#waiting.push({request, resolve, rounds: 0});
 			this.#waiting.sort((left, right) => compareClaims(left.request, right.request));
 			this.#serveHeld();
 			void this.#serve();
@@ -67,30 +75,42 @@
 		}
 
 		this.#isServing = true;
-		while (this.#waiting.length > 0) {
-			const hasBorrowed = await this.#options.borrow(this.#waiting.length);
-			this.#serveHeld();
-			if (!hasBorrowed) {
-				this.#refuse(({waits}) => !waits);
-				await this.#pause();
+		try {
+			while (this.#waiting.length > 0) {
+				await this.#runRound();
 			}
+		} finally {
+			this.#isServing = false;
 		}
+	}
 
-		this.#isServing = false;
+	/** Borrows once for all that wait. */
+	async #runRound(): Promise<void> {
+		for (const waiting of this.#waiting) {
+			waiting.rounds += 1;
+		}
+
+		const before = this.#waiting.length;
+		const hasBorrowed = await this.#options.borrow(before);
+		this.#serveHeld();
+		this.#refuse(({request: {waits}, rounds}) => !waits && rounds >= (hasBorrowed ? maximumRounds : 1));
+		if (!hasBorrowed || this.#waiting.length >= before) {
+			await this.#pause();
+		}
 	}
 
 	/** Serves those that wait from what the gateway holds, the first one first. */
 	#serveHeld(): void {
 		const now = this.#options.readClock();
-		this.#refuse(({signal, deadline}) => signal?.aborted === true || now.steady >= deadline);
+		this.#refuse(({request: {signal, deadline}}) => signal?.aborted === true || now.steady >= deadline);
 		while (this.#waiting.length > 0 && this.#options.takeHeld(now)) {
 			this.#waiting.shift()!.resolve(true);
 		}
 	}
 
-	#refuse(isRefused: (request: RetryRequest) => boolean): void {
-		const refused = this.#waiting.filter(({request}) => isRefused(request));
-		this.#waiting = this.#waiting.filter(({request}) => !isRefused(request));
+	#refuse(isRefused: (waiting: WaitingRetry) => boolean): void {
+		const refused = this.#waiting.filter(waiting => isRefused(waiting));
+		this.#waiting = this.#waiting.filter(waiting => !isRefused(waiting));
 		for (const {resolve} of refused) {
 			resolve(false);
 		}
--- a/source/rollouts/advance-rollout.ts
+++ b/source/rollouts/advance-rollout.ts
@@ -94,7 +94,7 @@
 	}
 
 	if (now >= completionTime(record) - promotionLead(record, bounds)) {
-		const final = judgeVersion(total, certainty.final);
+		const final = judgeVersion(total, certainty.final, trialEndpoints);
 		const isAccepted = !final.isBad && answers >= minimumAnswers;
 		return isAccepted ? next('promoted', reason) : next('rolled-back', final.isBad ? final.reason : `too little is known: ${reason}`);
 	}
--- a/source/rollouts/choose-versions.ts
+++ b/source/rollouts/choose-versions.ts
@@ -29,7 +29,9 @@
 export function chooseVersions(endpoints: readonly EndpointEntry[], {record, order, initial}: VersionState): VersionChoice {
 	const ofVersion = (version: string) => endpoints.filter(endpoint => versionName(endpoint) === version);
 	if (record?.phase === 'running') {
-		return {serving: ofVersion(record.established), trial: trialEndpoints(ofVersion(record.to), record.share)};
+		// Endpoints of the established version may have been replaced without an order, or listed by a gateway that does not know versions.
+		const others = endpoints.filter(endpoint => versionName(endpoint) !== record.to);
+		return {serving: firstNonEmpty([ofVersion(record.established), others, endpoints]), trial: trialEndpoints(ofVersion(record.to), record.share)};
 	}
 
 	if (record) {
@@ -41,6 +43,12 @@
 	return {serving: firstNonEmpty([initial === undefined || initial === order?.to ? [] : ofVersion(initial), withoutOrdered, endpoints]), trial: []};
 }
 
+/** Returns how many endpoints the requests to a record's new version are spread over. */
+export function countNewEndpoints(endpoints: readonly EndpointEntry[], {phase, to, share}: RolloutRecord): number {
+	const ofVersion = endpoints.filter(endpoint => versionName(endpoint) === to);
+	return phase === 'running' ? trialEndpoints(ofVersion, share).length : ofVersion.length;
+}
+
 /** Returns the version of most endpoints, other than one that an order names; undefined if there is none. */
 export function mostFrequentVersion(endpoints: readonly EndpointEntry[], except?: string): string | undefined {
 	const counts = new Map<string, number>();
--- a/source/rollouts/rollout-conductor.ts
+++ b/source/rollouts/rollout-conductor.ts
@@ -8,6 +8,7 @@
 import {type TaskFailure} from '../supervision/supervisor.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {advanceRollout, startRollout} from './advance-rollout.ts';
+import {countNewEndpoints} from './choose-versions.ts';
 import {
 	allRoutes, evidenceSince, sumEvidence, type Evidence,
 } from './evidence.ts';
@@ -78,12 +79,15 @@
 	/** Writes this gateway's evidence until the signal aborts: at once when the new version has failed, else every two seconds. */
 	async writeEvidence(signal: AbortSignal): Promise<Result<void, TaskFailure>> {
 		const {rollouts, table, logger, clock} = this.#options;
-		const written = new Map<string, {at: number; answers: number; failures: number}>();
+		const written = new Map<string, {order: string; at: number; answers: number; failures: number}>();
 		while (await pause(evidenceCheckMilliseconds, signal)) {
 			for (const [service, evidence] of rollouts.ownEvidence) {
 				const {failures, answers} = allRoutes(evidence, 'trial');
-				const count = {at: clock(), failures, answers: answers + allRoutes(evidence, 'serving').answers};
-				const last = written.get(service);
+				const count = {
+					order: evidence.order, at: clock(), failures, answers: answers + allRoutes(evidence, 'serving').answers,
+				};
+				const previous = written.get(service);
+				const last = previous?.order === evidence.order ? previous : undefined;
 				const isUrgent = failures > (last?.failures ?? 0);
 				if (!isUrgent && (count.answers === (last?.answers ?? 0) || count.at < (last?.at ?? Number.NEGATIVE_INFINITY) + evidenceWriteMilliseconds)) {
 					continue;
@@ -182,7 +186,7 @@
 			record,
 			total,
 			recent: this.#recent(order.service, total),
-			trialEndpoints: rollouts.choose(order.service, rollouts.endpointsOf(order.service)).trial.length,
+			trialEndpoints: countNewEndpoints(rollouts.endpointsOf(order.service), record),
 			bounds: rollouts.bounds,
 			now: read.now,
 		});
--- a/source/rollouts/version-ticket.ts
+++ b/source/rollouts/version-ticket.ts
@@ -74,9 +74,11 @@
 	recordSent(endpoint: EndpointEntry): void {
 		const {rollouts, service} = this.#options;
 		const isFirst = this.#sent === 0;
-		const isAtTrial = rollouts.choose(service, rollouts.endpointsOf(service)).trial.some(({id}) => id === endpoint.id);
+		const {trial} = rollouts.choose(service, rollouts.endpointsOf(service));
+		const isAtTrial = trial.some(({id}) => id === endpoint.id);
 		const exposure = rollouts.exposureOf(service);
-		if (isFirst) {
+		// What is earned while the trial is paused would be sent at once when it goes on.
+		if (isFirst && trial.length > 0) {
 			exposure?.earn(rollouts.shareOfTrial(service));
 		}
 
--- a/source/supervision/early-listener.ts
+++ b/source/supervision/early-listener.ts
@@ -38,7 +38,7 @@
 	constructor(address: string) {
 		this.address = address;
 		const {host, port} = splitAddress(address);
-		this.#listener = createServer({pauseOnConnect: true}, socket => {
+		this.#listener = createServer({pauseOnConnect: true, noDelay: true, allowHalfOpen: true}, socket => {
 			this.#accepted.push(socket);
 		});
 		this.#listener.on('error', () => {
