--- a/source/forwarding/caller-response.ts
+++ b/source/forwarding/caller-response.ts
@@ -97,17 +97,21 @@
  * @param response Response to the caller.
  * @param bytes Data to write.
  * @param signal Ends the wait.
+ * @param onWait Called with true when the wait begins, and with false when it ends; not called without a wait. Default does nothing.
  */
-export async function writeToCaller(response: ServerResponse, bytes: Uint8Array, signal: AbortSignal): Promise<void> {
+export async function writeToCaller(response: ServerResponse, bytes: Uint8Array, signal: AbortSignal, onWait: (isWaiting: boolean) => void = () => undefined): Promise<void> {
 	if (response.write(bytes) || signal.aborted) {
 		return;
 	}
 
+	onWait(true);
 	try {
 		await once(response, 'drain', {signal});
 	} catch {
 		// Aborted: the next read of the endpoint's response fails and ends the stream.
 	}
+
+	onWait(false);
 }
 
 /**
--- a/source/forwarding/generation-attempt.ts
+++ b/source/forwarding/generation-attempt.ts
@@ -280,9 +280,9 @@
 		}
 
 		const bytes = events.length === 1 ? events[0]!.bytes : Buffer.concat(events.map(event => event.bytes));
-		this.#monitor.setCallerWaits(true);
-		await writeToCaller(response, bytes, this.#writing);
-		this.#monitor.setCallerWaits(false);
+		await writeToCaller(response, bytes, this.#writing, isWaiting => {
+			this.#monitor.setCallerWaits(isWaiting);
+		});
 	}
 }
 
