Count a refused request as in progress no longer than until its refusal

Cause: since requests in progress are limited, one whose body never came counted until its connection was closed, so that such callers kept ordinary ones out.

--- a/source/gateway/request-intake.ts
+++ b/source/gateway/request-intake.ts
@@ -62,6 +62,7 @@
 		const {socket} = this.#request;
 		const wasServed = this.#body !== undefined;
 		this.#body?.held.release();
+		connectionGuard.releaseRequest();
 		void Promise.all([delivered, this.#dropRest()]).then(() => {
 			connectionGuard.endRequest(socket, wasServed, clock());
 		});
--- a/source/intake/connection-guard.ts
+++ b/source/intake/connection-guard.ts
@@ -155,9 +155,13 @@
 		}
 	}
 
+	/** Records that a request was answered or refused, so that another one may be in progress; the rest of its body may still arrive. */
+	releaseRequest(): void {
+		this.#requests -= 1;
+	}
+
 	/** Records that a request has ended whose body is not read any more; `wasServed` if it was not refused before its body had arrived. */
 	endRequest(key: Key, wasServed: boolean, now: number): void {
-		this.#requests -= 1;
 		const connection = this.#connections.get(key);
 		if (!connection) {
 			return;
--- a/source/intake/intake.test.ts
+++ b/source/intake/intake.test.ts
@@ -162,7 +162,7 @@
 	}
 
 	assert.ok(guard.hasTooManyRequests);
-	guard.endRequest(0, true, 1);
+	guard.releaseRequest();
 	assert.ok(!guard.hasTooManyRequests);
 });
 
