Look at each idle connection before one is used again

Cause: the list of idle connections was changed while it was walked through, so that the one after a connection that had ended was passed over and could be taken. What has ended and what has been idle for too long are forgotten and closed in one way now.

--- a/source/forwarding/endpoint-connections.ts
+++ b/source/forwarding/endpoint-connections.ts
@@ -110,20 +110,17 @@
 	}
 
 	/**
-	 * Closes the connections to an endpoint that have been idle for longer than a limit, in milliseconds, and forgets those that have ended:
-	 * Node's agent takes the newest one of its list without a look whether it has.
+	 * Closes the connections to an endpoint that have ended, or have been idle for longer than a limit, in milliseconds, and forgets them: Node's
+	 * agent takes the newest one of its list without a look whether it has ended.
 	 */
 	closeIdle(address: string, limit: number): void {
 		const [host, port] = address.split(':');
 		const now = this.#own.clock();
 		const idle = this.freeSockets[this.getName({host, port: Number(port)})] ?? [];
-		for (const socket of idle) {
-			if (socket.destroyed || !socket.writable) {
-				idle.splice(idle.indexOf(socket), 1);
-				socket.destroy();
-			} else if (now - (this.#idleSince.get(socket) ?? Number.NEGATIVE_INFINITY) >= limit) {
-				socket.destroy();
-			}
+		const isUnusable = (socket: Socket) => socket.destroyed || !socket.writable || now - (this.#idleSince.get(socket) ?? Number.NEGATIVE_INFINITY) >= limit;
+		for (const socket of idle.filter(each => isUnusable(each))) {
+			idle.splice(idle.indexOf(socket), 1);
+			socket.destroy();
 		}
 	}
 }
