Wait once for the initial state, and derive what the features say already

Cause: a gateway that does not hold callers waited for its initial state before it listened and once more before it served, six seconds in place of three without a store; whether cached prompts are looked for stood beside the feature that says so; a request's context was copied without need.

--- a/source/forwarding/engine-selector.ts
+++ b/source/forwarding/engine-selector.ts
@@ -164,8 +164,8 @@
 
 	/** Whether engines are asked for the prompt: its caller resumes the generation, and this is its first attempt here. */
 	get #looksForPrompt(): boolean {
-		const {exchange: {terms}, dependencies: {findsCachedPrompts}, tried} = this.#options;
-		return findsCachedPrompts && terms.lastEvent !== undefined && terms.promptPart !== undefined && tried.size === 0;
+		const {exchange: {terms}, dependencies: {features}, tried} = this.#options;
+		return features.cachedReturns && terms.lastEvent !== undefined && terms.promptPart !== undefined && tried.size === 0;
 	}
 
 	get #requestClass(): RequestClass {
--- a/source/forwarding/forwarding-dependencies.ts
+++ b/source/forwarding/forwarding-dependencies.ts
@@ -33,8 +33,6 @@
 	/** Parts that the deployment asks for. */
 	features: Features;
 	logger: Logger;
-	/** Whether a generation that its caller resumes goes to an engine that keeps its prompt. */
-	findsCachedPrompts: boolean;
 	/** Availability zone of this gateway. */
 	availabilityZone: string;
 	/** Returns monotonic time, in milliseconds. */
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -157,7 +157,6 @@
 		countSignal(service, signal) {
 			metrics.endpointSignals.inc({service, signal});
 		},
-		findsCachedPrompts: features.cachedReturns,
 		countReturn(service, prompt) {
 			metrics.returns.inc({service, prompt});
 		},
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -83,11 +83,13 @@
 	supervisor.start('source', async signal => followSource({...parts, sharedState, followsStore: () => role.followsStore()}, signal));
 	startRollouts(supervisor, parts, () => role.followsStore());
 	if (parts.startHold) {
-		void openCallers(parts);
+		void waitForInitialState(parts).then(() => {
+			openCallers(parts);
+		});
 	} else {
 		await waitForInitialState(parts);
 		await listen(callerServer, settings.listen.callers);
-		await openCallers(parts);
+		openCallers(parts);
 	}
 
 	return {
@@ -102,12 +104,11 @@
 	}
 }
 
-/** Serves callers once the initial state is known, up to a timeout. */
-async function openCallers(parts: GatewayParts): Promise<void> {
+/** Serves callers from now on, those first whose requests are held. */
+function openCallers(parts: GatewayParts): void {
 	const {
 		logger, settings, members, callers, startHold, configuration, suspects, clock,
 	} = parts;
-	await waitForInitialState(parts);
 	callers.open = true;
 	members.raiseHeartbeat(isReady(parts));
 	logger.info('gateway listening', {
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -211,10 +211,9 @@
 		return {...refusal, service: service.name, route: route.name};
 	}
 
-	const {intake: _intake, ...common} = context;
 	const importance = workspace?.priority ?? route.priority;
 	const exchange: Exchange = {
-		...common,
+		...context,
 		deadline,
 		identity,
 		handling: handlingOf(suspectAdmission),
