--- a/review/8/case.js
+++ b/review/8/case.js
@@ -1,99 +1,62 @@
 /**
- * One gateway is cut off from the others, with resets, while one of the others grants the permits of a worker that has named a limit.
+ * Two of four engines answer every 50th of their generations with bytes that are no answer: a switch to a protocol that nobody asked for.
  */
 import {setTimeout as delay} from 'node:timers/promises';
 import {WorkerStandIn} from '../../dist/testing/stand-ins/worker-stand-in.js';
-import {call, newAttempt} from '../stand-ins-2/caller.js';
-import {runCase} from '../stand-ins-2/deployment.js';
-import {PeerLink, portsOf} from '../stand-ins-2/peer-link.js';
+import {call, generationHeaders} from '../stand-ins-2/caller.js';
+import {routes, runCase} from '../stand-ins-2/deployment.js';
+import {startSpoilingProxy} from '../stand-ins-2/spoiling-proxy.js';
 
-const names = ['front-dublin-a-1', 'front-dublin-a-2', 'front-dublin-b-1', 'front-dublin-b-2'];
-/** Requests a second that the worker takes from all gateways together. */
-const limit = 10;
-/** Requests a second that callers send to each gateway. */
-const sentEach = 20;
-/** The rule: in 4 s, one and a half times what the limit allows, and 5 requests. */
-const windowMilliseconds = 4000;
-const allowedInWindow = (1.5 * limit * windowMilliseconds / 1000) + 5;
-const [contactMilliseconds, beforeMilliseconds, cutMilliseconds, afterMilliseconds] = [3000, 12_000, 8000, 6000];
+const timeoutMs = 10_000;
+const requests = 800;
+const intervalMilliseconds = 30;
+const spoiledOfEach = 50;
+const noAnswer = 'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n';
 
 await runCase(import.meta.dirname, async ({record, deployment, hasTrouble}) => {
-	const arrivals = [];
-	const listen = deployment.allocate();
-	const worker = await WorkerStandIn.start({
-		id: 'desk-1', service: 'desk', listen, callMilliseconds: 15, arrivals,
-	});
-	worker.limit = String(limit);
-	deployment.register('desk-1', {service: 'desk', address: listen, startedAt: worker.startedAt});
-	const links = new Map();
-	const seeds = [];
-	for (const name of names) {
-		const target = deployment.allocate();
-		const link = new PeerLink({listen: deployment.allocate(), target});
-		await link.start();
-		links.set(name, {link, target});
-		seeds.push(link.address);
+	deployment.configure({version: 2, routes: [{...routes.draft, timeoutMs}, routes.deposit, routes.status]});
+	const spoiled = new Set();
+	const runs = [];
+	for (const number of [1, 2, 3, 4]) {
+		const [listen, advertised] = [deployment.allocate(), deployment.allocate()];
+		const worker = await WorkerStandIn.start({
+			id: `scribe-${number}`, service: 'scribe', listen, advertised, events: 25, eventMilliseconds: 20, promptMilliseconds: 100, runs,
+		});
+		let generations = 0;
+		await startSpoilingProxy({
+			listen: advertised,
+			target: listen,
+			spoil(head) {
+				const attempt = /^x-azuretack-attempt-id: *(?<attempt>\S+)/miv.exec(head)?.groups.attempt;
+				generations += attempt === undefined ? 0 : 1;
+				if (!hasTrouble || number > 2 || attempt === undefined || generations % spoiledOfEach !== 0) {
+					return undefined;
+				}
+
+				spoiled.add(attempt);
+				record.write(`scribe-${number}: the answer to ${attempt} is spoiled`);
+				return noAnswer;
+			},
+		});
+		deployment.register(`scribe-${number}`, {service: 'scribe', address: advertised, startedAt: worker.startedAt});
 	}
 
-	const gateways = await Promise.all(names.map(async name => deployment.startGateway(name, {
-		zone: name.slice(6, 14), peers: links.get(name).target, advertisedPeers: links.get(name).link.address, seeds: seeds.slice(0, 3),
-	})));
-	const startedAt = performance.now();
-	const end = startedAt + beforeMilliseconds + cutMilliseconds + afterMilliseconds;
+	const gateway = await deployment.startGateway('front-dublin-a-1');
 	const answers = [];
-	const sent = [];
-	const send = async (address, attempt) => {
-		answers.push(await call(address, {
-			path: '/deposits/1', method: 'POST', body: 'once', attempt,
+	for (let index = 0; index < requests; index += 1) {
+		answers.push(call(gateway.callers, {
+			path: `/drafts/${index}`, method: 'POST', body: 'notes', deadlineMilliseconds: 25_001, headers: generationHeaders([`a${index}:200`, `b${index}:8000`]), waitMilliseconds: timeoutMs + 2000,
 		}));
-	};
-
-	const senders = gateways.map(async gateway => {
-		while (performance.now() < end) {
-			sent.push(send(gateway.callers, newAttempt(gateway.name)));
-			await delay(1000 / sentEach);
-		}
-	});
-	await delay(beforeMilliseconds);
-	const holder = deployment.store.get('endpoint-limits', 'desk-1')?.holder.name;
-	const cutOff = gateways.findLast(({name}) => name !== holder);
-	record.write(`${holder} grants the permits; ${cutOff.name} is the one that is cut off`);
-	const cutAt = performance.now();
-	if (hasTrouble) {
-		const ports = portsOf(cutOff.child.pid);
-		for (const [name, {link}] of links) {
-			link.cut(port => name === cutOff.name || ports.has(port));
-		}
-
-		record.write(`${cutOff.name} is cut off from the other gateways, with resets; the store and all callers and workers reach it`);
-	}
-
-	await delay(cutMilliseconds);
-	for (const {link} of links.values()) {
-		if (hasTrouble) {
-			await link.start();
-		}
-	}
-
-	record.write('the cut ends');
-	await Promise.all(senders);
-	await Promise.all(sent);
-	for (const {attempt, at} of arrivals) {
-		record.write(`${((at - startedAt) / 1000).toFixed(3)} s: ${attempt} arrives at desk-1`);
+		await delay(intervalMilliseconds);
 	}
 
-	for (const {name, log} of gateways) {
-		for (const line of log.join('').split('\n').filter(text => /granted here|no longer granted|does not answer/v.test(text))) {
-			const {time, message, reason, peer} = JSON.parse(line);
-			record.write(`${name} at ${time}: ${message} ${peer ?? ''} ${reason ?? ''}`);
-		}
+	const all = await Promise.all(answers);
+	const unanswered = all.filter(({milliseconds}) => milliseconds >= timeoutMs);
+	const never = unanswered.filter(({milliseconds}) => milliseconds >= timeoutMs + 500);
+	for (const {attempt, status, milliseconds, isWhole} of all) {
+		record.write(`${attempt}: answered ${status ?? 'never'}, ${isWhole ? 'whole' : 'not whole'}, after ${Math.round(milliseconds)} ms${spoiled.has(attempt) ? ', one of its answers was spoiled' : ''}; ran ${runs.filter(run => run.attempt === attempt).length} times`);
 	}
 
-	// The gateway that was cut off is excused; all others were in touch throughout.
-	const counted = arrivals.filter(({attempt, at}) => !attempt.startsWith(cutOff.name) && at >= startedAt + contactMilliseconds + 1000);
-	const most = Math.max(0, ...counted.map(({at}) => counted.filter(other => other.at >= at && other.at < at + windowMilliseconds).length));
-	const mostBefore = Math.max(0, ...counted.filter(({at}) => at < cutAt - windowMilliseconds).map(({at}) => counted.filter(other => other.at >= at && other.at < at + windowMilliseconds).length));
-	record.write(`answers ${answers.length}, of them served ${answers.filter(({status}) => status === 200).length}`);
-	record.write(`most arrivals in 4 s from gateways that were not cut off: ${most} (before the cut ${mostBefore}); allowed ${allowedInWindow}`);
-	return most > allowedInWindow ? `${most} requests in 4 s from gateways in touch; ${allowedInWindow} are allowed` : undefined;
+	record.write(`requests ${all.length}, spoiled ${spoiled.size}, without an answer at their route's timeoutMs ${unanswered.length}, of these without one half a second later ${never.length}`);
+	return never.length * 2 > unanswered.length ? `${never.length} of ${unanswered.length} requests that were unanswered at timeoutMs had no answer half a second later` : undefined;
 });
