--- a/review/stand-ins-2/deployment.js
+++ b/review/stand-ins-2/deployment.js
@@ -58,6 +58,8 @@
 	slots: 64, kvCapacity: 88_000, kvTokenBytes: 163_840, linkMbps: 260_000, moves: true, backups: true, stride: 6, most: 12, pinMs: 4000, holdMs: 2000, handleS: 4, models: [{name: 'm'}],
 };
 
+const plainService = {healthPath: '/health', maxConnections: 200};
+
 /** A configuration as the operator writes it. */
 function configurationRow({version = 1, keys = [apiKey], routes: listed = Object.values(routes)}) {
 	return {
@@ -67,7 +69,7 @@
 			{
 				name: 'scribe', healthPath: '/health', maxConnections: 720, engine,
 			},
-			{name: 'desk', healthPath: '/health', maxConnections: 200},
+			...[...new Set(['desk', ...listed.map(({service}) => service)])].filter(name => name !== 'scribe').map(name => ({name, ...plainService})),
 		],
 		limits: {
 			maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
