Name the record in each script of the review, and clean up when a script is ended early

Change: each script passes the path of its record.txt; the time limit and signals end the gateways and remove the folder.

--- a/review/8/case.js
+++ b/review/8/case.js
@@ -1,6 +1,7 @@
 /**
  * Two of four engines answer every 50th of their generations with bytes that are no answer: a switch to a protocol that nobody asked for.
  */
+import path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
 import {WorkerStandIn} from '../../dist/testing/stand-ins/worker-stand-in.js';
 import {call, generationHeaders} from '../stand-ins-2/caller.js';
@@ -13,7 +14,7 @@
 const spoiledOfEach = 50;
 const noAnswer = 'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n';
 
-await runCase(import.meta.dirname, async ({record, deployment, hasTrouble}) => {
+await runCase(path.join(import.meta.dirname, 'record.txt'), async ({record, deployment, hasTrouble}) => {
 	deployment.configure({version: 2, routes: [{...routes.draft, timeoutMs}, routes.deposit, routes.status]});
 	const spoiled = new Set();
 	const runs = [];
@@ -54,7 +55,9 @@
 	const unanswered = all.filter(({milliseconds}) => milliseconds >= timeoutMs);
 	const never = unanswered.filter(({milliseconds}) => milliseconds >= timeoutMs + 500);
 	for (const {attempt, status, milliseconds, isWhole} of all) {
-		record.write(`${attempt}: answered ${status ?? 'never'}, ${isWhole ? 'whole' : 'not whole'}, after ${Math.round(milliseconds)} ms${spoiled.has(attempt) ? ', one of its answers was spoiled' : ''}; ran ${runs.filter(run => run.attempt === attempt).length} times`);
+		const times = runs.filter(run => run.attempt === attempt).length;
+		const note = spoiled.has(attempt) ? ', one of its answers was spoiled' : '';
+		record.write(`${attempt}: answered ${status ?? 'never'}, ${isWhole ? 'whole' : 'not whole'}, after ${Math.round(milliseconds)} ms${note}; ran ${times} times`);
 	}
 
 	record.write(`requests ${all.length}, spoiled ${spoiled.size}, without an answer at their route's timeoutMs ${unanswered.length}, of these without one half a second later ${never.length}`);
--- a/review/stand-ins-2/deployment.js
+++ b/review/stand-ins-2/deployment.js
@@ -3,6 +3,7 @@
  */
 import {spawn} from 'node:child_process';
 import {once} from 'node:events';
+import {rmSync} from 'node:fs';
 import {
 	mkdtemp, readFile, rm, writeFile,
 } from 'node:fs/promises';
@@ -44,7 +45,18 @@
 /** The routes of a small deployment, with its times. */
 export const routes = {
 	draft: {
-		...shared, name: 'draft', prefix: '/drafts/', kind: 'stream', timeoutMs: 25_000, targetLatencyMs: 4500, priority: 1, service: 'scribe', maxAttempts: 5, resumable: true, gapAimMs: 700, stickySessions: true,
+		...shared,
+		name: 'draft',
+		prefix: '/drafts/',
+		kind: 'stream',
+		timeoutMs: 25_000,
+		targetLatencyMs: 4500,
+		priority: 1,
+		service: 'scribe',
+		maxAttempts: 5,
+		resumable: true,
+		gapAimMs: 700,
+		stickySessions: true,
 	},
 	deposit: {
 		...shared, name: 'deposit', prefix: '/deposits/', kind: 'non_idempotent', timeoutMs: 800, targetLatencyMs: 100, priority: 2, service: 'desk', maxAttempts: 1,
@@ -208,6 +220,15 @@
 		await rm(this.#folder, {recursive: true, force: true});
 	}
 
+	/** Ends all processes and removes the temporary folder at once, when the script itself has to end. */
+	abandon() {
+		for (const {child} of this.gateways.values()) {
+			child.kill('SIGKILL');
+		}
+
+		rmSync(this.#folder, {recursive: true, force: true});
+	}
+
 	#write(id, entry) {
 		this.#entries.set(id, entry);
 		this.store.put('servers', id, entry);
@@ -266,24 +287,27 @@
 /**
  * Runs a case: exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
  *
- * @param {string} folder Folder of the case.
+ * @param {string} recordFile Path of the case's `record.txt`.
  * @param {(context: {record: Recorder, deployment: Deployment, hasTrouble: boolean}) => Promise<string | undefined>} play Returns how the rule was broken, if it was.
  */
-export async function runCase(folder, play) {
-	const record = new Recorder(folder);
+export async function runCase(recordFile, play) {
+	const record = new Recorder(recordFile);
 	const hasTrouble = process.env.TROUBLE !== '0';
 	record.write(hasTrouble ? 'with the disruption' : 'without the disruption');
 	let deployment;
 	let code = 2;
-	const watchdog = setTimeout(() => {
-		for (const {child} of deployment?.gateways.values() ?? []) {
-			child.kill('SIGKILL');
-		}
-
-		record.write('the case took too long');
+	const giveUp = reason => {
+		deployment?.abandon();
+		record.write(`the case could not run: ${reason}`);
 		// eslint-disable-next-line unicorn/no-process-exit -- The exit code of a case is its verdict.
 		process.exit(2);
-	}, longestMilliseconds);
+	};
+
+	const watchdog = setTimeout(giveUp, longestMilliseconds, 'it took too long');
+	for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+		process.on(signal, giveUp);
+	}
+
 	try {
 		deployment = await Deployment.create({record});
 		const broken = await play({record, deployment, hasTrouble});
--- a/review/stand-ins-2/recorder.js
+++ b/review/stand-ins-2/recorder.js
@@ -1,15 +1,14 @@
 /**
- * Writes what was sent, answered and run to `record.txt` in the folder of a case.
+ * Writes what was sent, answered and run to the `record.txt` of a case.
  */
 import {appendFileSync, writeFileSync} from 'node:fs';
-import path from 'node:path';
 
 export class Recorder {
 	#file;
 	#startedAt = performance.now();
 
-	constructor(folder) {
-		this.#file = path.join(folder, 'record.txt');
+	constructor(file) {
+		this.#file = file;
 		writeFileSync(this.#file, '');
 	}
 
