Hold the room of a body that was read until its request ends

Cause: a request closes right after its end, before the promise that waits for the body goes on. The listener for a broken body took that close for a failure and released the room of the body, which was whole and about to be forwarded. So bodies in progress were not accounted for at all once they were read, and the next ones were let in. Beside it, the listener for late errors kept the reader, its buffer and the result alive as long as the caller's connection stayed open: one body for each idle connection.

Evidence: the new test of the reader fails before (0 bytes are held, 4000 are expected).

Why it works: the reader settles once, and takes its listeners away in the event that ends the body, so that a later close changes nothing; it keeps neither buffer nor result afterwards.

--- a/source/intake/intake.test.ts
+++ b/source/intake/intake.test.ts
@@ -1,7 +1,17 @@
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {
+	createServer, request as startRequest, type IncomingMessage, type ServerResponse,
+} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {text} from 'node:stream/consumers';
 import {test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
 import fc from 'fast-check';
-import {BodyAccount, ConnectionGuard, intakeLimits} from './mod.ts';
+import {
+	BodyAccount, ConnectionGuard, intakeLimits, readRequestBody,
+} from './mod.ts';
 
 const limits = {smallBodyBytes: 100, allSmallBytes: 1000, allLargeBytes: 10_000};
 
@@ -71,6 +81,33 @@
 	}));
 });
 
+// The room of a body was given to others as soon as its request had closed, which it does once it is read.
+test('a body that was read is held until it is released', async () => {
+	const account = new BodyAccount(limits);
+	const serve = async (request: IncomingMessage, response: ServerResponse) => {
+		const read = await readRequestBody(request, {
+			account, maximumBytes: 5000, pauseMilliseconds: 1000, until: performance.now() + 5000, clock: () => performance.now(),
+		});
+		const body = read._unsafeUnwrap();
+		await delay(20);
+		response.end(`${account.totalBytes} of ${body.bytes.length}`);
+		body.held.release();
+	};
+
+	const server = createServer((request, response) => {
+		void serve(request, response);
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const request = startRequest({port: (server.address() as AddressInfo).port, method: 'POST'});
+	request.end(Buffer.alloc(4000));
+	const [response] = await once(request, 'response') as [IncomingMessage];
+	assert.equal(await text(response), '4000 of 4000');
+	assert.equal(account.totalBytes, 0);
+	server.close();
+	server.closeAllConnections();
+});
+
 const sweepLimits = {
 	headMilliseconds: 3000, headBytes: 16_384, idleMilliseconds: 15_000, bodyBytes: 100_000,
 };
--- a/source/intake/read-request-body.ts
+++ b/source/intake/read-request-body.ts
@@ -60,11 +60,18 @@
 	return new BodyReader(request, options).read();
 }
 
+const noBytes = Buffer.alloc(0);
+
+/** Listens for errors of a request whose body is not read any more; those of its connection are reported elsewhere. */
+function ignore(): void {
+	// Nothing depends on it.
+}
+
 class BodyReader {
 	readonly #request: IncomingMessage;
 	readonly #options: ReadRequestBodyOptions;
 	readonly #held: HeldBody;
-	#buffer = Buffer.alloc(0);
+	#buffer = noBytes;
 	#length = 0;
 	/** Length that the request announces; absent if its body comes in chunks. */
 	readonly #announcedBytes: number | undefined;
@@ -85,35 +92,40 @@
 	}
 
 	async read(): Promise<Result<RequestBody, BodyFailure>> {
-		const request = this.#request;
 		if (!this.#reserve()) {
 			return err('no-room');
 		}
 
-		const onData = (chunk: Uint8Array) => {
-			this.#add(chunk);
-		};
-
-		const onEnd = () => {
-			this.#held.complete();
-			this.#settle?.(ok({bytes: this.#buffer.subarray(0, this.#length), held: this.#held}));
-		};
-
-		const onClose = () => {
-			this.#fail('broken');
-		};
+		return new Promise(resolve => {
+			this.#settle = resolve;
+			this.#request.on('data', this.#onData).on('end', this.#onEnd).on('close', this.#onClose).on('error', this.#onClose);
+			this.#startTimer();
+		});
+	}
 
-		try {
-			return await new Promise(resolve => {
-				this.#settle = resolve;
-				request.on('data', onData).on('end', onEnd).on('close', onClose).on('error', onClose);
-				this.#startTimer();
-			});
-		} finally {
-			clearTimeout(this.#timer);
-			request.off('data', onData).off('end', onEnd).off('close', onClose);
-			request.off('error', onClose).on('error', () => undefined);
-		}
+	readonly #onData = (chunk: Uint8Array) => {
+		this.#add(chunk);
+	};
+
+	readonly #onEnd = () => {
+		this.#held.complete();
+		this.#finish(ok({bytes: this.#buffer.subarray(0, this.#length), held: this.#held}));
+	};
+
+	readonly #onClose = () => {
+		this.#fail('broken');
+	};
+
+	/** Settles; what happens to the request later, such as its close after its end, does not change the result. */
+	#finish(result: Result<RequestBody, BodyFailure>): void {
+		const settle = this.#settle;
+		clearTimeout(this.#timer);
+		this.#request.off('data', this.#onData).off('end', this.#onEnd).off('close', this.#onClose);
+		this.#request.off('error', this.#onClose).on('error', ignore);
+		// The connection keeps its last request, which must not keep the body.
+		this.#buffer = noBytes;
+		this.#settle = undefined;
+		settle?.(result);
 	}
 
 	#add(chunk: Uint8Array): void {
@@ -164,8 +176,7 @@
 	#fail(failure: BodyFailure): void {
 		this.#request.pause();
 		this.#held.release();
-		this.#buffer = Buffer.alloc(0);
-		this.#settle?.(err(failure));
+		this.#finish(err(failure));
 	}
 
 	/** Looks again when the body could have become too slow. */
