Settle a request whose endpoint switches to another protocol

Cause: without a listener for a switch of protocols, Node closes the connection and reports neither a response nor an error, only the close of the request. sendRequest and httpCall waited for one of the other two; the latter also never answers a question for an engine's load.

Why it works: the close of a request that has no response settles it: as lost, since the endpoint may have run it.

--- a/source/forwarding/send-request.test.ts
+++ b/source/forwarding/send-request.test.ts
@@ -182,6 +182,14 @@
 	fc.integer({min: 1, max: 40_000}).map(length => `X-Long: ${'x'.repeat(length)}`),
 );
 
+test('an attempt whose endpoint switches to another protocol is lost', {timeout: 5000}, async context => {
+	const endpoint = await startEndpoint(context, socket => {
+		socket.write('HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n');
+	});
+	const outcome = await send(endpoint);
+	assert.deepEqual(outcome, {kind: 'lost', message: 'the connection was closed without a response'});
+});
+
 test('for any bytes in place of a response head, the outcome is a response with a valid status or a lost response', async context => {
 	let bytes = '';
 	const endpoint = await startEndpoint(context, socket => {
--- a/source/forwarding/send-request.ts
+++ b/source/forwarding/send-request.ts
@@ -124,6 +124,10 @@
 			failure ??= error;
 			resolve({kind: connected && !isConnectError(error) ? 'lost' : 'not-sent', message: error.message});
 		});
+		// A switch to another protocol ends the connection without an error or a response.
+		request.on('close', () => {
+			resolve({kind: connected ? 'lost' : 'not-sent', message: 'the connection was closed without a response'});
+		});
 		request.on('response', response => {
 			const status = response.statusCode ?? 0;
 			if (status < validStatuses.lowest || status > validStatuses.highest) {
--- a/source/platform/http-call.test.ts
+++ b/source/platform/http-call.test.ts
@@ -96,3 +96,11 @@
 
 	assert.equal(await listenersAfter(1), await listenersAfter(20));
 });
+
+test('a server that switches to another protocol gives no response', {timeout: 5000}, async context => {
+	const response = await call(context, async serverResponse => {
+		serverResponse.socket!.write('HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n');
+	});
+	const {sent, message} = response._unsafeUnwrapErr();
+	assert.deepEqual([sent, message], [true, 'the connection was closed without a response']);
+});
--- a/source/platform/http-call.ts
+++ b/source/platform/http-call.ts
@@ -60,6 +60,7 @@
 	const headers = body ? {'content-type': 'application/json', 'content-length': String(body.length)} : {};
 	return new Promise(resolve => {
 		let connected = false;
+		let hasResponse = false;
 		const request = sendRequest({
 			agent, hostname, port, method, path, headers, signal,
 		});
@@ -86,7 +87,16 @@
 				sent: !isConnectError(error), connected, reused: request.reusedSocket, message: error.message,
 			}));
 		});
+		// A switch to another protocol ends the connection without an error or a response.
+		request.on('close', () => {
+			if (!hasResponse) {
+				settle(err({
+					sent: true, connected, reused: request.reusedSocket, message: 'the connection was closed without a response',
+				}));
+			}
+		});
 		request.on('response', response => {
+			hasResponse = true;
 			const chunks: Uint8Array[] = [];
 			let bytes = 0;
 			response.on('data', (chunk: Uint8Array) => {
