Take a refused connection for the end of a lease's holder only where others are reached

Cause: a refused connection counted as proof that the process of a lease's holder had ended. A gateway that is cut off is refused by all others; it took the lease from a holder that lives, and another one took it from it in the same way, while the first went on granting permits.

Why it works: the same probe of up to three other live gateways tells a network that is broken from a process that has ended. Where most of them do not answer, or none is known any more, the lease is waited for until it expires, as for a silent holder.

--- a/source/fleet/permit-port.test.ts
+++ b/source/fleet/permit-port.test.ts
@@ -52,3 +52,32 @@
 	await client.requestPermit(link.address, permitRequest, 1000);
 	assert.equal(link.accepted, 2);
 });
+
+/** The outcomes of probes, by address. */
+type Outcomes = Record<string, 'ended' | 'lives' | 'unknown'>;
+
+const hostsOfSite = ['10.0.0.1:1', '10.0.0.2:1', '10.0.0.3:1', '10.0.0.4:1'];
+const [holder] = hostsOfSite;
+
+/** What a gateway finds out when the holder of a lease refuses connections, the live gateways that it knows, and whether the holder has ended. */
+const findings: Record<string, {outcomes: Outcomes; live: readonly string[]; hasEnded: boolean}> = {
+	'others are reached': {outcomes: {[holder!]: 'ended'}, live: hostsOfSite, hasEnded: true},
+	'one other has ended as well': {outcomes: {[holder!]: 'ended', '10.0.0.2:1': 'ended'}, live: hostsOfSite, hasEnded: true},
+	'all others refuse too, as the gateway is cut off from them': {outcomes: Object.fromEntries(hostsOfSite.map(host => [host, 'ended'])), live: hostsOfSite, hasEnded: false},
+	'all others are silent': {
+		outcomes: {
+			'10.0.0.2:1': 'unknown', '10.0.0.3:1': 'unknown', '10.0.0.4:1': 'unknown', [holder!]: 'ended',
+		}, live: hostsOfSite, hasEnded: false,
+	},
+	'no other one is known any more': {outcomes: {[holder!]: 'ended'}, live: [holder!], hasEnded: false},
+	'the holder is reached': {outcomes: {}, live: hostsOfSite, hasEnded: false},
+};
+
+for (const [name, {outcomes, live, hasEnded}] of Object.entries(findings)) {
+	test(`the holder of a lease counts as ${hasEnded ? 'ended' : 'alive'} where ${name}`, async () => {
+		const port = createPermitPort({
+			client: new ExchangeClient(), logger: silentLogger, peerAddresses: () => live, random: () => 0.5, probe: async address => outcomes[address] ?? 'lives',
+		});
+		assert.equal(await port.hasEnded(holder!), hasEnded);
+	});
+}
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -186,7 +186,9 @@
 	const {name, incarnation, peers} = members.self;
 	const self = {name, incarnation, peers};
 	return new EndpointLimiter({
-		...createPermitPort({client: new ExchangeClient(), logger}),
+		...createPermitPort({
+			client: new ExchangeClient(), logger, peerAddresses: () => members.live(clock()).filter(member => member.name !== name).map(member => member.peers),
+		}),
 		leases: new LimitLeaseTable({
 			store, eraRecord, self, logger, readClock,
 		}),
--- a/source/router/create-limiter.ts
+++ b/source/router/create-limiter.ts
@@ -34,7 +34,12 @@
 	const metadata = new Metadata();
 	metadata.set(peerKeyField, settings.peers.key);
 	const limiter = new EndpointLimiter({
-		...createPermitPort({client: new ExchangeClient(metadata), logger}),
+		...createPermitPort({
+			client: new ExchangeClient(metadata),
+			logger,
+			random,
+			peerAddresses: () => directory.entryHosts(wallClock()).filter(({name}) => name !== settings.hostName).map(({entry}) => entry!.peers),
+		}),
 		leases: new RouterLimitLeases({
 			platform,
 			self,
