Release the buffers of a call whose response waited when its caller left

Cause: the buffers of a call were released on the close of its response. A response that waits behind another one does not close when its connection does, so that these buffers counted for ever; once all room was taken, each answer was thrown away. Such a response was also logged as left open, a fault that it is not.

Why it works: the record of callers' connections already tells when a response is delivered or its connection has closed, for waiting ones too; the release waits for that.

--- a/source/forwarding/call-attempts.ts
+++ b/source/forwarding/call-attempts.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import {type ServerResponse} from 'node:http';
 import {type EndpointEntry} from '../registry/mod.ts';
 import {settleInTime} from '../supervision/settle-in-time.ts';
 import {type CallAttemptResult} from './call-attempt-result.ts';
@@ -123,23 +122,21 @@
 		return remaining.controller.signal;
 	}
 
-	/** Aborts all attempts; their buffers are released once the caller's response has closed. */
-	abortAll(response: ServerResponse): void {
+	/**
+	 * Aborts all attempts.
+	 *
+	 * @param delivered Resolves once the caller's response is delivered or its connection has closed; the buffers are released then.
+	 */
+	abortAll(delivered: Promise<void>): void {
 		this.#hasEnded = true;
 		for (const {controller} of this.#running.values()) {
 			controller.abort();
 		}
 
-		const release = () => {
+		void delivered.then(() => {
 			for (const {buffer} of this.#running.values()) {
 				buffer.release();
 			}
-		};
-
-		if (response.closed || response.destroyed) {
-			release();
-		} else {
-			response.once('close', release);
-		}
+		});
 	}
 }
--- a/source/forwarding/exchange.ts
+++ b/source/forwarding/exchange.ts
@@ -37,6 +37,8 @@
 	deadline: number;
 	/** Aborts when the caller's connection closes, with the reason for it: who closed it, and why. */
 	callerDisconnected: AbortSignal;
+	/** Resolves once the response is delivered or the connection has closed; a response that waits behind another one does not itself learn of the latter. */
+	delivered: Promise<void>;
 };
 
 /** Restrictions on a request that may crash endpoints. */
--- a/source/forwarding/forward-call.ts
+++ b/source/forwarding/forward-call.ts
@@ -73,7 +73,7 @@
 		try {
 			return await this.#serve();
 		} finally {
-			this.#attempts.abortAll(this.#exchange.response);
+			this.#attempts.abortAll(this.#exchange.delivered);
 		}
 	}
 
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -97,7 +97,7 @@
 		result = refusal
 			? refuse(response, refusal)
 			: await admitAndForward(request, response, {
-				terms, requestName, arrivedAt, callerDisconnected, intake,
+				terms, requestName, arrivedAt, callerDisconnected, delivered, intake,
 			}, parts);
 	} catch (error) {
 		parts.logger.error('request failed', {request: requestName, error: error instanceof Error ? error.stack : String(error)});
@@ -108,7 +108,10 @@
 		intake.end(delivered);
 	}
 
-	closeUnended(response, requestName, parts);
+	if (!callerDisconnected.aborted) {
+		closeUnended(response, requestName, parts);
+	}
+
 	const milliseconds = parts.clock() - arrivedAt;
 	const {outcome, status, endpoints, generation, service = 'none', route} = result;
 	parts.metrics.requests.inc({service, outcome});
@@ -149,7 +152,7 @@
 	}
 }
 
-type RequestContext = Pick<Exchange, 'terms' | 'requestName' | 'arrivedAt' | 'callerDisconnected'> & {intake: RequestIntake};
+type RequestContext = Pick<Exchange, 'terms' | 'requestName' | 'arrivedAt' | 'callerDisconnected' | 'delivered'> & {intake: RequestIntake};
 
 async function admitAndForward(request: IncomingMessage, response: ServerResponse, context: RequestContext, parts: GatewayParts): Promise<ExchangeOutcome & {service?: string; route?: string}> {
 	const {configuration, shutdown, settings, trustedKeyMilliseconds, random, clock, readClock} = parts;
