Account for all bytes that callers make a process hold, and read them in turns

A router had no limits at all: 80 bodies of the largest size, whole, in pieces, chunked or stopping short, took it to 415 to 507 MB, and bodies in tiny chunks, which it kept singly, ended it.

Cause: bodies were accounted for in the gateway only, heads by their number, what is read and dropped or held for requests that are over not at all: the runtime collects buffers outside of its heap only once 32 MB of young ones or 64 MB in all have come together. And nothing bounded time: one read of 64 KB holds 11,000 chunks of one byte, of 2 to 4 µs each, and a crowd costs its number times that in each turn of the event loop, whether its bodies are read or dropped.

Change: source/intake/ accounts at one place (CallerMemory) for bodies, heads, bytes that wait to be handled and bytes that were given up. A CallerConnection stands between each socket and the HTTP server and hands on slices: as far as ReadingTurns has time in this turn of the event loop, those first that have used least lately; further requests behind an unanswered one only while their heads are within limits. What was given up is collected before it takes much. A connection that is closed after its last response drops what still arrives for up to 2 s, so that the response isn't lost by a reset. All ports of gateways and routers take in what is sent so; those for other processes of the system close the connection that is silent for longest. The intake of a request moves from the gateway to source/intake/, and the router uses it.

Why it works: what bounds memory counts what is really held, whichever way it came; what bounds work measures the time that each slice took, so that it needs no notion of a bad body, and a single caller with tiny chunks is read in each turn and served.

--- a/source/fleet/exchange-server.ts
+++ b/source/fleet/exchange-server.ts
@@ -4,10 +4,11 @@
  * @module
  */
 import {
-	Server, ServerCredentials, status, type ServerUnaryCall, type ServiceDefinition, type sendUnaryData,
+	Server, status, type ServerUnaryCall, type ServiceDefinition, type sendUnaryData,
 } from '@grpc/grpc-js';
 import {type PermitReply, type PermitRequest} from '../limits/permit-message.ts';
 import {type RetryLoanReply, type RetryLoanRequest} from '../retries/retry-loan-message.ts';
+import {listenForGrpc} from '../supervision/grpc-listener.ts';
 import {exchangeMethod, largestMessageBytes, type ExchangeMessage} from './exchange-protocol.ts';
 import {permitMethod} from './permit-protocol.ts';
 import {retryLoanMethod} from './retry-loan-protocol.ts';
@@ -16,6 +17,8 @@
 export type ExchangeServerOptions = {
 	/** IP address and port to listen on. */
 	listen: string;
+	/** Connections at a time. Default 462. */
+	connections?: number;
 	/** Handles a message and returns the response. */
 	handle: (message: ExchangeMessage) => ExchangeMessage | Promise<ExchangeMessage>;
 	/** Answers a request for a permit. */
@@ -24,6 +27,9 @@
 	lendRetries?: (request: RetryLoanRequest) => RetryLoanReply;
 };
 
+/** Connections at a time where the host's resources are not known: one of each gateway of a large fleet. */
+const defaultConnections = 462;
+
 /**
  * Starts a server that responds to other gateways.
  *
@@ -32,7 +38,7 @@
  * @throws {Error} If the server cannot listen on the address.
  */
 export async function startExchangeServer({
-	listen, handle, answerPermit, lendRetries = () => ({lent: 0}),
+	listen, connections = defaultConnections, handle, answerPermit, lendRetries = () => ({lent: 0}),
 }: ExchangeServerOptions): Promise<() => void> {
 	const server = new Server({'grpc.max_concurrent_streams': 256, 'grpc.max_receive_message_length': largestMessageBytes});
 	const service: ServiceDefinition = {exchange: exchangeMethod, permit: permitMethod, retryLoan: retryLoanMethod};
@@ -47,18 +53,7 @@
 			callback(null, lendRetries(call.request));
 		},
 	});
-	await new Promise<void>((resolve, reject) => {
-		server.bindAsync(listen, ServerCredentials.createInsecure(), error => {
-			if (error) {
-				reject(error);
-			} else {
-				resolve();
-			}
-		});
-	});
-	return () => {
-		server.forceShutdown();
-	};
+	return listenForGrpc(server, {address: listen, connections});
 }
 
 /** Sends a response once it is known. */
--- a/source/forwarding/caller-connections.ts
+++ b/source/forwarding/caller-connections.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {type Server, type ServerResponse} from 'node:http';
-import {type Socket} from 'node:net';
+import {type CallerSocket} from '../intake/mod.ts';
 import {type Logger} from '../telemetry/mod.ts';
 import {type ClosingReason} from './closing-reason.ts';
 
@@ -56,16 +56,16 @@
  */
 export class CallerConnections {
 	readonly #options: CallerConnectionsOptions;
-	readonly #connections = new WeakMap<Socket, Connection>();
+	readonly #connections = new WeakMap<CallerSocket, Connection>();
 	/** Connections that are open. */
-	readonly #open = new Set<Socket>();
+	readonly #open = new Set<CallerSocket>();
 
 	constructor(options: CallerConnectionsOptions) {
 		this.#options = options;
 	}
 
 	/** Follows a connection until it closes: the end that the caller sends is its own leaving. */
-	follow(socket: Socket): void {
+	follow(socket: CallerSocket): void {
 		if (this.#connections.has(socket)) {
 			return;
 		}
@@ -147,7 +147,7 @@
 	 * @param reason Why.
 	 * @param error What led to it.
 	 */
-	closeSocket(socket: Socket, reason: ClosingReason, error?: Error): void {
+	closeSocket(socket: CallerSocket, reason: ClosingReason, error?: Error): void {
 		this.follow(socket);
 		this.#recordReason(socket, reason, error?.message);
 		this.#recordWithoutRequest(socket);
@@ -160,7 +160,7 @@
 	}
 
 	/** Returns the response that is sent on a connection at present, if there is one. */
-	currentResponse(socket: Socket): ServerResponse | undefined {
+	currentResponse(socket: CallerSocket): ServerResponse | undefined {
 		const [response] = this.#connections.get(socket)?.responses.keys() ?? [];
 		return response;
 	}
@@ -177,7 +177,7 @@
 		}
 	}
 
-	#recordReason(socket: Socket, reason: ClosingReason, detail?: string): ClosingReason {
+	#recordReason(socket: CallerSocket, reason: ClosingReason, detail?: string): ClosingReason {
 		const connection = this.#connections.get(socket)!;
 		connection.closing ??= {reason, detail};
 		return connection.closing.reason;
@@ -191,7 +191,7 @@
 	}
 
 	/** Records the closing of a connection on which no response is watched; a caller's own leaving then is no event. */
-	#recordWithoutRequest(socket: Socket): void {
+	#recordWithoutRequest(socket: CallerSocket): void {
 		const connection = this.#connections.get(socket)!;
 		const {closing, responses} = connection;
 		if (!closing || responses.size > 0 || closing.reason === 'caller') {
--- a/source/gateway/caller-server.ts
+++ b/source/gateway/caller-server.ts
@@ -7,6 +7,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {listGateways} from '../fleet/mod.ts';
+import {serveQuestions} from '../intake/mod.ts';
 import {decodeManagementCall, encodeEntries, type ManagementCall} from '../platform/mod.ts';
 import {followCallers} from './follow-callers.ts';
 import {guardConnections} from './guard-connections.ts';
@@ -26,6 +27,9 @@
 /** Maximum number of entries in the list. */
 const maximumEntries = 64;
 
+/** Connections that the servers other than that for callers may have at a time. */
+const questionConnections = {entries: 96, metrics: 16};
+
 /** Handles one kind of call for entries or readiness. */
 type EntryHandler<Kind extends ManagementCall['kind']> = (call: Extract<ManagementCall, {kind: Kind}>, response: ServerResponse, parts: GatewayParts) => void;
 
@@ -69,7 +73,7 @@
  * @param parts The gateway's components.
  */
 export function createEntryServer(parts: GatewayParts): Server {
-	return createServer((request, response) => {
+	const server = createServer((request, response) => {
 		const call = decodeManagementCall(request.method, request.url ?? '');
 		if (call?.kind === 'entries') {
 			entryHandlers.entries(call, response, parts);
@@ -79,6 +83,8 @@
 			notFound(request, response);
 		}
 	});
+	serveQuestions(server, {...parts, connections: questionConnections.entries});
+	return server;
 }
 
 /**
@@ -86,19 +92,31 @@
  *
  * @param parts The gateway's components.
  */
-export function createMetricsServer({metrics, members, clock}: GatewayParts): Server {
-	return createServer((request, response) => {
+export function createMetricsServer(parts: GatewayParts): Server {
+	const {metrics, members, clock} = parts;
+	const server = createServer((request, response) => {
 		if (request.url !== '/metrics') {
 			notFound(request, response);
 			return;
 		}
 
 		metrics.liveGateways.set(members.live(clock()).length);
+		setIntakeMetrics(parts);
 		void metrics.registry.metrics().then(text => {
 			response.writeHead(200, {'content-type': metrics.registry.contentType});
 			response.end(text);
 		});
 	});
+	serveQuestions(server, {...parts, connections: questionConnections.metrics});
+	return server;
+}
+
+function setIntakeMetrics({metrics, intake}: GatewayParts): void {
+	for (const [kind, bytes] of Object.entries(intake.memory.heldBytes)) {
+		metrics.callerBytes.set({kind}, bytes);
+	}
+
+	metrics.waitingReads.set(intake.waiting);
 }
 
 function notFound(request: IncomingMessage, response: ServerResponse): void {
--- a/source/gateway/early-refusals.test.ts
+++ b/source/gateway/early-refusals.test.ts
@@ -1,5 +1,8 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {connect} from 'node:net';
 import {test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
 import {GatewayFleet, rawRequest, workspaceKey} from '../testing/gateway-fleet.ts';
 import {RawCaller} from '../testing/raw-caller.ts';
 
@@ -88,3 +91,30 @@
 		assert.deepEqual(answers.map(answer => answer.status), [expected], request);
 	}
 });
+
+// The connection was reset by the unread rest of the body, and the refusal was lost.
+test('a refusal of a body that still arrives reaches a caller that wants its connection closed and reads only after it has sent', async () => {
+	await using fleet = await startFleet();
+	const [hostname, port] = fleet.gateways.get('gateway-1')!.callers.split(':');
+	for (let round = 0; round < 5; round += 1) {
+		const socket = connect(Number(port), hostname);
+		let received = '';
+		socket.on('error', () => undefined).pause();
+		const head = rawRequest({
+			method: 'POST', path: '/nowhere', attempt: 'closing', bodyLength: 3_000_000,
+		});
+		const closed = once(socket, 'close');
+		socket.write(head.replace('\r\n\r\n', '\r\nConnection: close\r\n\r\n'));
+		for (let piece = 0; piece < 30; piece += 1) {
+			socket.write('x'.repeat(100_000));
+			await delay(5);
+		}
+
+		socket.on('data', (data: Uint8Array) => {
+			received += new TextDecoder().decode(data);
+		});
+		socket.resume();
+		await closed;
+		assert.match(received, /^HTTP\/1\.1 404 /v, `round ${round}`);
+	}
+});
--- a/source/gateway/follow-callers.ts
+++ b/source/gateway/follow-callers.ts
@@ -7,6 +7,7 @@
 import {Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
 import {closingReasonOfError, type CallerConnections} from '../forwarding/mod.ts';
+import {CallerConnection, type CallerSocket} from '../intake/mod.ts';
 
 /** Statuses of the responses to errors on a connection; those of Node's HTTP server. */
 const statuses: Record<string, number> = {
@@ -29,7 +30,7 @@
 		connections.follow(socket);
 	});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: Duplex) => {
-		if (!(socket instanceof Socket)) {
+		if (!(socket instanceof Socket || socket instanceof CallerConnection)) {
 			socket.destroy(error);
 			return;
 		}
@@ -41,7 +42,7 @@
 
 		connections.closeSocket(socket, closingReasonOfError(error.code), error);
 	});
-	server.on('timeout', (socket: Socket) => {
+	server.on('timeout', (socket: CallerSocket) => {
 		connections.closeSocket(socket, connections.currentResponse(socket) ? 'timeout' : 'idle');
 	});
 }
--- a/source/gateway/gateway-parts.ts
+++ b/source/gateway/gateway-parts.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import {type Socket} from 'node:net';
 import {StoreEraRecord} from '../stored-rows/mod.ts';
 import {readClock, type ClockReading} from '../clocks/mod.ts';
 import {EndpointHealth, EndpointLoads, EndpointBackoff} from '../balancing/mod.ts';
@@ -16,7 +15,9 @@
 import {
 	CallerConnections, EndpointConnections, ResponseBuffers, CrashDetector, type ForwardingDependencies,
 } from '../forwarding/mod.ts';
-import {BodyAccount, ConnectionGuard, intakeLimits} from '../intake/mod.ts';
+import {
+	ConnectionGuard, Intake, intakeLimits, type CallerSocket,
+} from '../intake/mod.ts';
 import {EndpointLimiter, LimitLeaseTable} from '../limits/mod.ts';
 import {StoreClient, decodeFeatures} from '../platform/mod.ts';
 import {type Rollouts} from '../rollouts/mod.ts';
@@ -44,9 +45,10 @@
 	startHold: StartHold | undefined;
 	/** Whether the gateway accepts connections from callers. */
 	callers: {open: boolean};
-	/** What callers' bodies take, and their connections. */
-	bodies: BodyAccount;
-	connectionGuard: ConnectionGuard<Socket>;
+	/** What callers send, on all ports. */
+	intake: Intake;
+	/** Connections of callers that send requests. */
+	connectionGuard: ConnectionGuard<CallerSocket>;
 	readClock: () => ClockReading;
 	updateTimes: UpdateTimes;
 	/** Maximum age of the configuration at which its keys are still accepted, in milliseconds. */
@@ -84,7 +86,7 @@
 	const eraRecord = new StoreEraRecord({store, logger});
 	const endpoints = new EndpointList({heartbeatMilliseconds: bounds.endpointHeartbeatMilliseconds});
 	const clock = () => performance.now();
-	const intake = intakeLimits(settings.resources);
+	const limits = intakeLimits(settings.resources);
 	const features = decodeFeatures(settings.contracts);
 	const suspects = new SuspectedRequests({
 		table: new SuspicionTable({store, logger, random: Math.random}),
@@ -125,7 +127,7 @@
 		}),
 		connections: new EndpointConnections({
 			keepsConnections: features.engineSubsets,
-			maximumIdle: intake.idleEndpointConnections,
+			maximumIdle: limits.idleEndpointConnections,
 			clock,
 			count(origin) {
 				metrics.endpointRequests.inc({connection: origin});
@@ -148,8 +150,14 @@
 			},
 		}),
 		callers: {open: false},
-		bodies: new BodyAccount(intake),
-		connectionGuard: new ConnectionGuard(intake),
+		intake: new Intake({
+			limits,
+			clock,
+			onCollected(kind) {
+				metrics.collections.inc({kind});
+			},
+		}),
+		connectionGuard: new ConnectionGuard(limits),
 		shutdown: new GracefulShutdown({timeoutMilliseconds: bounds.stopSeconds * 1000}),
 		...createRetryBudgets({
 			settings, store, eraRecord, members, metrics, logger,
--- a/source/gateway/gateway.ts
+++ b/source/gateway/gateway.ts
@@ -8,6 +8,7 @@
 import {
 	querySeeds, followMembers, followSource, registerMember, startExchangeServer, type ExchangeMessage, type HintExchange, type SharedState,
 } from '../fleet/mod.ts';
+import {intakeLimits} from '../intake/mod.ts';
 import {type EarlyListener} from '../supervision/early-listener.ts';
 import {listen} from '../supervision/listen.ts';
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
@@ -66,6 +67,7 @@
 	await listen(createMetricsServer(parts), settings.listen.metrics);
 	await startExchangeServer({
 		listen: settings.listen.peers,
+		connections: intakeLimits(settings.resources).peerConnections,
 		async handle(message) {
 			await waitForAsker(message, parts);
 			return answerExchange(message, parts, {sharedState, hints});
--- a/source/gateway/serve-request.ts
+++ b/source/gateway/serve-request.ts
@@ -13,9 +13,8 @@
 	admitRequest, selectService, type AdmissionDecision, type RequestKind, type Route,
 } from '../routing/mod.ts';
 import {RequestIdentity, type SuspectAdmission, type SuspectedRequests} from '../suspects/mod.ts';
-import {type BodyFailure} from '../intake/mod.ts';
+import {RequestIntake, type BodyFailure} from '../intake/mod.ts';
 import {type GatewayParts} from './gateway-parts.ts';
-import {RequestIntake} from './request-intake.ts';
 import {holdUntilStarted} from './hold-until-started.ts';
 
 type Forwarder = (exchange: Exchange, parts: ForwardingDependencies) => Promise<ExchangeOutcome>;
@@ -74,7 +73,7 @@
  */
 export async function serveRequest(request: IncomingMessage, response: ServerResponse, parts: GatewayParts): Promise<void> {
 	const arrivedAt = parts.clock();
-	const intake = new RequestIntake(request, parts);
+	const intake = new RequestIntake(request, {...parts, memory: parts.intake.memory});
 	if (!intake.isAllowed) {
 		parts.callerConnections.closeSocket(request.socket, 'too-many-requests');
 		intake.end(Promise.resolve());
--- a/source/intake/body-account.ts
+++ b/source/intake/body-account.ts
@@ -28,7 +28,10 @@
 };
 
 /** Options of {@linkcode BodyAccount}. */
-export type BodyAccountOptions = Pick<IntakeLimits, 'smallBodyBytes' | 'allSmallBytes' | 'allLargeBytes'>;
+export type BodyAccountOptions = Pick<IntakeLimits, 'smallBodyBytes' | 'allSmallBytes' | 'allLargeBytes'> & {
+	/** Called with the bytes of each body that is not held any more. Default does nothing. */
+	onGiveUp?: (bytes: number) => void;
+};
 
 type Entry = {
 	bytes: number;
@@ -145,6 +148,7 @@
 
 	#remove(entry: Entry): void {
 		this.#entries.delete(entry);
+		this.#options.onGiveUp?.(entry.bytes);
 		this.#setBytes(entry, 0);
 	}
 }
--- a/source/gateway/request-intake.ts
+++ b/source/intake/request-intake.ts
@@ -1,17 +1,24 @@
 /**
- * Takes in one request of a caller: its place on its connection, and its body.
+ * Takes in one request of a caller: its place on its connection, its head and its body.
  *
  * @module
  */
 import {type IncomingMessage} from 'node:http';
 import {type Result} from 'neverthrow';
+import {type CallerSocket} from './caller-connection.ts';
+import {type CallerMemory} from './caller-memory.ts';
+import {type ConnectionGuard} from './connection-guard.ts';
 import {
 	readRequestBody, type BodyFailure, type ReadRequestBodyOptions, type RequestBody,
-} from '../intake/mod.ts';
-import {type GatewayParts} from './gateway-parts.ts';
+} from './read-request-body.ts';
 
-/** Components that an intake uses. */
-export type IntakeParts = Pick<GatewayParts, 'bodies' | 'connectionGuard' | 'clock'>;
+/** Components that the intake of a request uses. */
+export type RequestIntakeParts = {
+	memory: CallerMemory<CallerSocket>;
+	connectionGuard: ConnectionGuard<CallerSocket>;
+	/** Returns monotonic time, in milliseconds. */
+	clock: () => number;
+};
 
 /**
  * Accounts for one request from its head until its response is delivered and its body has arrived or is dropped.
@@ -29,23 +36,25 @@
 	/** Whether too many requests are in progress on all connections for this one to be served. */
 	readonly isOverLimit: boolean;
 	readonly #request: IncomingMessage;
-	readonly #parts: IntakeParts;
+	readonly #parts: RequestIntakeParts;
+	readonly #headBytes: number;
 	#body: RequestBody | undefined;
 
-	constructor(request: IncomingMessage, parts: IntakeParts) {
+	constructor(request: IncomingMessage, parts: RequestIntakeParts) {
 		this.#request = request;
 		this.#parts = parts;
+		this.#headBytes = headBytes(request);
+		parts.memory.heads.startRequest(request.socket, this.#headBytes);
 		this.isAllowed = parts.connectionGuard.startRequest(request.socket, parts.clock());
 		this.isOverLimit = parts.connectionGuard.hasTooManyRequests;
 	}
 
 	/** Reads the body; it is held until the request ends. */
 	async readBody(options: Omit<ReadRequestBodyOptions, 'account' | 'clock'>): Promise<Result<Uint8Array, BodyFailure>> {
-		const {bodies: account, clock, connectionGuard} = this.#parts;
-		const {socket} = this.#request;
-		connectionGuard.startReading(socket, clock());
-		const read = await readRequestBody(this.#request, {...options, account, clock});
-		connectionGuard.stopReading(socket);
+		const {memory, clock} = this.#parts;
+		this.#startReading();
+		const read = await readRequestBody(this.#request, {...options, account: memory.bodies, clock});
+		this.#stopReading();
 		return read.map(body => {
 			this.#body = body;
 			return body.bytes;
@@ -58,12 +67,13 @@
 	 * @param delivered Resolves once the response is delivered or the connection has closed.
 	 */
 	end(delivered: Promise<void>): void {
-		const {connectionGuard, clock} = this.#parts;
+		const {connectionGuard, memory, clock} = this.#parts;
 		const {socket} = this.#request;
 		const wasServed = this.#body !== undefined;
 		this.#body?.held.release();
 		connectionGuard.releaseRequest();
 		void Promise.all([delivered, this.#dropRest()]).then(() => {
+			memory.heads.endRequest(socket, this.#headBytes);
 			connectionGuard.endRequest(socket, wasServed, clock());
 		});
 	}
@@ -81,12 +91,34 @@
 			return;
 		}
 
-		connectionGuard.startReading(socket, clock());
+		this.#startReading();
 		connectionGuard.startDropping(socket, clock());
 		request.resume();
 		await new Promise<void>(resolve => {
 			request.once('end', resolve).once('close', resolve);
 		});
-		connectionGuard.stopReading(socket);
+		this.#stopReading();
+	}
+
+	#startReading(): void {
+		const {connectionGuard, memory, clock} = this.#parts;
+		connectionGuard.startReading(this.#request.socket, clock());
+		memory.heads.startBody(this.#request.socket);
+	}
+
+	#stopReading(): void {
+		const {connectionGuard, memory} = this.#parts;
+		connectionGuard.stopReading(this.#request.socket);
+		memory.heads.endBody(this.#request.socket);
 	}
 }
+
+/** Bytes of the head of a request, without separators. */
+function headBytes({rawHeaders, method = '', url = ''}: IncomingMessage): number {
+	let bytes = method.length + url.length;
+	for (const text of rawHeaders) {
+		bytes += text.length;
+	}
+
+	return bytes;
+}
--- a/source/membership/peer-context.ts
+++ b/source/membership/peer-context.ts
@@ -35,6 +35,8 @@
 	identity: RouterIdentity;
 	availabilityZone: string;
 	settings: PeerSettings;
+	/** Connections of other routers at a time. */
+	peerConnections: number;
 	directory: HostDirectory;
 	configuration: ActiveConfiguration;
 	exchange: ConfigurationExchange;
--- a/source/membership/peer-server.ts
+++ b/source/membership/peer-server.ts
@@ -7,8 +7,9 @@
  */
 import {createHash, timingSafeEqual} from 'node:crypto';
 import {
-	Client, Metadata, Server, ServerCredentials, credentials, status, type MethodDefinition, type ServerDuplexStream, type ServerUnaryCall, type ServiceDefinition, type sendUnaryData,
+	Client, Metadata, Server, credentials, status, type MethodDefinition, type ServerDuplexStream, type ServerUnaryCall, type ServiceDefinition, type sendUnaryData,
 } from '@grpc/grpc-js';
+import {listenForGrpc} from '../supervision/grpc-listener.ts';
 import {permitMethod} from '../fleet/mod.ts';
 import {type PermitReply, type PermitRequest} from '../limits/mod.ts';
 import {type PeerContext} from './peer-context.ts';
@@ -75,20 +76,7 @@
 			callback(unauthenticated);
 		},
 	});
-	await new Promise<void>((resolve, reject) => {
-		server.bindAsync(context.settings.listen, ServerCredentials.createInsecure(), error => {
-			if (error) {
-				reject(error);
-			} else {
-				resolve();
-			}
-		});
-	});
-	return {
-		close() {
-			server.forceShutdown();
-		},
-	};
+	return {close: await listenForGrpc(server, {address: context.settings.listen, connections: context.peerConnections})};
 }
 
 /**
--- a/source/router/caller-context.ts
+++ b/source/router/caller-context.ts
@@ -12,6 +12,9 @@
 import {
 	type HintCache, type HostDirectory, type HostHints, type LoadTracker, type PeerRegistry, type RouterIdentity,
 } from '../membership/mod.ts';
+import {
+	type CallerSocket, type ConnectionGuard, type Intake, type RequestIntake,
+} from '../intake/mod.ts';
 import {type PlatformClient} from '../table-service/mod.ts';
 import {type RouterSettings} from '../settings/mod.ts';
 import {type GracefulShutdown} from './graceful-shutdown.ts';
@@ -31,6 +34,10 @@
 	/** Requests that every router refuses because they crash endpoints. */
 	blockedRequests: BlockedRequests;
 	shutdown: GracefulShutdown;
+	/** What callers send, on all ports. */
+	intake: Intake;
+	/** Connections of callers that send requests. */
+	connectionGuard: ConnectionGuard<CallerSocket>;
 	calls: CallParts;
 };
 
@@ -38,6 +45,8 @@
 export type CallerExchange = {
 	request: IncomingMessage;
 	response: ServerResponse;
+	/** Takes in the request. */
+	intake: RequestIntake;
 	/** Path and query of the request. */
 	url: URL;
 	/** Workspace that the caller's key belongs to. */
--- a/source/router/caller-server.ts
+++ b/source/router/caller-server.ts
@@ -13,7 +13,8 @@
 import {chooseEntries} from '../membership/mod.ts';
 import {type Host} from '../table-service/mod.ts';
 import {callerDisconnectSignal} from '../supervision/mod.ts';
-import {badRequest} from './bodies.ts';
+import {RequestIntake} from '../intake/mod.ts';
+import {badRequest, tooManyRequests} from './bodies.ts';
 import {type CallerExchange, type CallerParts} from './caller-context.ts';
 import {requestUrl} from './request-url.ts';
 import {sendJson, sendRefusal} from './respond.ts';
@@ -37,6 +38,16 @@
 /** Delay after which a caller may retry at a router that is not ready, in seconds. */
 const notReadyRetryAfterSeconds = 2;
 
+/** Maximum size of the head of a request, in bytes. */
+const maximumHeaderBytes = 16_384;
+
+/** Time within which the head of a request must arrive, in milliseconds. */
+const headMilliseconds = 10_000;
+
+/** Time after which a connection between two requests is closed, and one on which none has come, in milliseconds. */
+const idleMilliseconds = 5000;
+const unusedMilliseconds = 15_000;
+
 /**
  * Creates the HTTP server for callers, which is not listening yet.
  *
@@ -47,15 +58,44 @@
  * ```
  */
 export function createCallerServer(parts: CallerParts): Server {
-	const server = createServer((request, response) => {
-		void serve(request, response, parts);
+	const server = createServer({maxHeaderSize: maximumHeaderBytes}, (request, response) => {
+		void takeIn(request, response, parts);
 	});
 	server.requestTimeout = 0;
-	server.keepAliveTimeout = 5000;
+	server.keepAliveTimeout = idleMilliseconds;
+	const limits = {
+		headBytes: maximumHeaderBytes, headMilliseconds, idleMilliseconds: unusedMilliseconds, bodyBytes: parts.settings.callers.largestBodyBytes,
+	};
+	parts.intake.serve(server, {
+		guard: parts.connectionGuard,
+		limits: () => limits,
+		onClosed(closed) {
+			parts.logger.info('connections of callers closed', {late: closed.length, open: parts.connectionGuard.size, reason: closed[0]!.reason});
+		},
+	});
 	return server;
 }
 
-async function serve(request: IncomingMessage, response: ServerResponse, parts: CallerParts): Promise<void> {
+/** Takes in a request, serves it, and accounts for it until its response is closed. */
+async function takeIn(request: IncomingMessage, response: ServerResponse, parts: CallerParts): Promise<void> {
+	const intake = new RequestIntake(request, {...parts, memory: parts.intake.memory});
+	const delivered = new Promise<void>(resolve => {
+		response.once('close', resolve);
+	});
+	if (!intake.isAllowed) {
+		request.socket.destroy();
+		intake.end(Promise.resolve());
+		return;
+	}
+
+	try {
+		await serve({request, response, intake}, parts);
+	} finally {
+		intake.end(delivered);
+	}
+}
+
+async function serve({request, response, intake}: Pick<CallerExchange, 'request' | 'response' | 'intake'>, parts: CallerParts): Promise<void> {
 	const url = requestUrl(request);
 	if (!url) {
 		sendRefusal(response, badRequest('the path is malformed'));
@@ -76,7 +116,7 @@
 	let outcome = 'failed';
 	try {
 		outcome = await route({
-			request, response, url, requestName, span, signal: callerDisconnectSignal(response),
+			request, response, intake, url, requestName, span, signal: callerDisconnectSignal(response),
 		}, parts);
 	} catch (error) {
 		parts.logger.error('request failed', {request: requestName, error: String(error)});
@@ -90,10 +130,10 @@
 }
 
 async function route(exchange: Omit<CallerExchange, 'workspace'>, parts: CallerParts): Promise<string> {
-	const {request, response, url} = exchange;
+	const {request, response, url, intake} = exchange;
 	const matchedRoute = routes.find(candidate => candidate.path.test(url.pathname) && (candidate.method ?? request.method) === request.method);
 	const workspace = workspaceOf(request, parts);
-	const refusal = checkRequest(parts, matchedRoute, workspace);
+	const refusal = intake.isOverLimit ? tooManyRequests : checkRequest(parts, matchedRoute, workspace);
 	if (refusal) {
 		sendRefusal(response, matchedRoute?.handler === serveCall ? refusalOfAttempt(refusal, request.headers) : refusal);
 		return refusal.code;
--- a/source/router/operator-server.ts
+++ b/source/router/operator-server.ts
@@ -6,6 +6,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import {serveQuestions} from '../intake/mod.ts';
 import {badRequest} from './bodies.ts';
 import {type CallerParts} from './caller-context.ts';
 import {requestUrl} from './request-url.ts';
@@ -13,6 +14,9 @@
 
 type Handler = (url: URL, response: ServerResponse, parts: CallerParts) => Promise<void> | void;
 
+/** Connections of operators at a time. */
+const operatorConnections = 32;
+
 const handlers: Record<string, Handler> = {
 	'GET /health'(_url, response, parts) {
 		sendJson(response, parts.configuration.ready ? 200 : 503, {ready: parts.configuration.ready});
@@ -57,9 +61,11 @@
  * ```
  */
 export function createOperatorServer(parts: CallerParts): Server {
-	return createServer((request, response) => {
+	const server = createServer((request, response) => {
 		void serve(request, response, parts);
 	});
+	serveQuestions(server, {...parts, connections: operatorConnections});
+	return server;
 }
 
 async function serve(request: IncomingMessage, response: ServerResponse, parts: CallerParts): Promise<void> {
--- a/source/router/router.ts
+++ b/source/router/router.ts
@@ -6,6 +6,9 @@
 import {ActiveConfiguration} from '../configuration/mod.ts';
 import {EngineClient} from '../endpoints/mod.ts';
 import {PlatformClient} from '../table-service/mod.ts';
+import {
+	ConnectionGuard, Intake, intakeLimits, type CallerSocket,
+} from '../intake/mod.ts';
 import {type RouterSettings} from '../settings/mod.ts';
 import {Supervisor} from '../supervision/mod.ts';
 import {createLogger, createMetrics, createTracing} from '../telemetry/mod.ts';
@@ -70,6 +73,8 @@
 
 function createParts(settings: RouterSettings): CallerParts {
 	const metrics = createMetrics();
+	const clock = () => performance.now();
+	const limits = intakeLimits(settings.resources);
 	const logger = createLogger('router', {level: settings.log.level, fields: {host: settings.hostName}});
 	const parts = {
 		...createControlParts({settings, logger, wallClock: () => Date.now()}),
@@ -95,7 +100,9 @@
 				logger.error('host on the host list cannot be decoded and is skipped', {reason});
 			},
 		}),
-		clock: () => performance.now(),
+		clock,
+		intake: new Intake({limits, clock}),
+		connectionGuard: new ConnectionGuard<CallerSocket>(limits),
 		wallClock: () => Date.now(),
 		random: () => Math.random(),
 	};
--- a/source/router/serve-call.ts
+++ b/source/router/serve-call.ts
@@ -45,7 +45,7 @@
  * ```
  */
 export async function serveCall(exchange: CallerExchange, parts: CallerParts): Promise<string> {
-	const {request, response, url} = exchange;
+	const {request, response, url, intake} = exchange;
 	const refuse = (refusal: Refusal) => {
 		sendRefusal(response, refusalOfAttempt(refusal, request.headers));
 		return refusal.code;
@@ -58,7 +58,7 @@
 		});
 	}
 
-	const body = await readBytes(request, parts.settings.callers.largestBodyBytes);
+	const body = await readBytes(intake, parts.settings.callers.largestBodyBytes, parts.clock());
 	if (body.isErr()) {
 		return refuse(body.error);
 	}
--- a/source/router/serve-completion.ts
+++ b/source/router/serve-completion.ts
@@ -134,7 +134,7 @@
 type PreparedGeneration = {progress: Progress; body: CompletionBody; scope: CursorScope};
 
 async function prepareGeneration(exchange: CallerExchange, parts: CallerParts): Promise<Result<PreparedGeneration, Refusal>> {
-	const content = await readBody(exchange.request, parts.settings.callers.largestBodyBytes);
+	const content = await readBody(exchange.intake, parts.settings.callers.largestBodyBytes, parts.clock());
 	const parsedBody = content.andThen(text => parseCompletionBody(text));
 	if (parsedBody.isErr()) {
 		return err(parsedBody.error);
--- a/source/router/start-control.ts
+++ b/source/router/start-control.ts
@@ -11,6 +11,7 @@
 import {
 	ConfigurationExchange, HintCache, HostDirectory, HostHints, LoadTracker, PeerRegistry, followHosts, followPeers, type PeerContext, type RouterIdentity,
 } from '../membership/mod.ts';
+import {intakeLimits} from '../intake/mod.ts';
 import {pollEndpoints, modelServices} from '../placement/mod.ts';
 import {type RouterSettings} from '../settings/mod.ts';
 import {type Supervisor} from '../supervision/mod.ts';
@@ -111,6 +112,7 @@
 		configuration,
 		usage,
 		settings: settings.peers,
+		peerConnections: intakeLimits(settings.resources).peerConnections,
 		availabilityZone: settings.availabilityZone,
 		exchange: new ConfigurationExchange(configuration),
 		registry: parts.peers,
--- a/source/settings/gateway-settings.ts
+++ b/source/settings/gateway-settings.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as z from 'zod';
+import {hostResourcesSchema} from './host-resources.ts';
 import {addressSchema} from './router-settings.ts';
 
 /** Schema of the gateway's settings file; `deploy/gateway.template.jsonc` shows each field. */
@@ -53,12 +54,7 @@
 		entriesSeconds: z.number().positive().default(5),
 	}).prefault({}),
 	/** Resources of the host that the process may use. */
-	resources: z.object({
-		/** Memory, in megabytes. */
-		memoryMegabytes: z.number().positive().default(186),
-		/** Descriptors of files and connections. */
-		descriptors: z.number().int().positive().default(2048),
-	}).prefault({}),
+	resources: hostResourcesSchema,
 	answers: z.object({
 		/** Largest response of an endpoint that is buffered, in bytes; a larger one is streamed. */
 		heldBytes: z.number().int().positive().default(262_144),
--- a/source/settings/router-settings.ts
+++ b/source/settings/router-settings.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as z from 'zod';
+import {hostResourcesSchema} from './host-resources.ts';
 
 /** An IP address and port, `address:port`. */
 export const addressSchema = z.string().regex(/^(?:\d{1,3}(?:\.\d{1,3}){3}|\[[\da-f:]+\]):\d{1,5}$/v, 'expected an IP number and a port, such as "10.0.0.1:8080"');
@@ -64,6 +65,8 @@
 		engineReadsPerSecond: z.number().positive().default(5),
 		ordersAtOnce: z.number().int().positive().default(4),
 	}).prefault({}),
+	/** Resources of the host that the process may use. */
+	resources: hostResourcesSchema,
 	log: z.strictObject({
 		level: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info'),
 	}).prefault({}),
--- a/source/telemetry/gateway-metrics.ts
+++ b/source/telemetry/gateway-metrics.ts
@@ -36,6 +36,15 @@
 		lentRetries: new Counter({
 			name: 'azuretack_gateway_lent_retries_total', help: 'Retries lent to and borrowed from other gateways by service and direction: lent or borrowed. A part of a retry counts as such.', labelNames: ['service', 'direction'], registers,
 		}),
+		callerBytes: new Gauge({
+			name: 'azuretack_gateway_caller_bytes', help: 'Bytes that callers make the process hold, by kind: bodies, heads, unread or uncollected.', labelNames: ['kind'], registers,
+		}),
+		waitingReads: new Gauge({
+			name: 'azuretack_gateway_waiting_reads', help: 'Connections of callers that wait for a turn to be read.', registers,
+		}),
+		collections: new Counter({
+			name: 'azuretack_gateway_collections_total', help: 'Garbage collections since callers had made the process give up much memory, by kind: minor or full.', labelNames: ['kind'], registers,
+		}),
 		closedConnections: new Counter({
 			name: 'azuretack_gateway_closed_connections_total', help: 'Connections of callers that were closed before a response was complete, or by the gateway between two requests, by reason: caller, broken-off, left-open, invalid-request, timeout, idle, no-room, too-large, too-many-requests, stopped, connection-error or unknown.', labelNames: ['reason'], registers,
 		}),
--- a/source/testing/fleet.ts
+++ b/source/testing/fleet.ts
@@ -19,6 +19,7 @@
 import {type Host} from '../table-service/mod.ts';
 import {type RouterSettings} from '../settings/mod.ts';
 import {takeLoopbackAddress} from './loopback-address.ts';
+import {limitDescriptors} from './process-memory.ts';
 import {PinnedEntry} from './_pinned-entry.ts';
 
 const binaries = path.join(import.meta.dirname, '..', 'binaries');
@@ -40,6 +41,14 @@
 /** A process of the fleet. */
 export type FleetProcess = {name: string; address: string; child: ChildProcess; log: string[]};
 
+/** How a process is limited. */
+export type ProcessLimits = {
+	/** Further flags of the runtime. Default none. */
+	flags?: readonly string[];
+	/** Descriptors that the process may have. Default those of the test. */
+	descriptors?: number;
+};
+
 /** Changes to a router's settings, one object a section. */
 export type RouterChanges = {[Section in keyof RouterSettings]?: Partial<RouterSettings[Section]>};
 
@@ -119,7 +128,7 @@
 	}
 
 	/** Starts a router and puts it on the host list; the list must be published by {@linkcode Fleet.publishHosts}. */
-	async startRouter(name: string, changes: RouterChanges = {}, availabilityZone = 'zone-a'): Promise<FleetProcess> {
+	async startRouter(name: string, changes: RouterChanges = {}, availabilityZone = 'zone-a', limits: ProcessLimits = {}): Promise<FleetProcess> {
 		const addresses = {callers: this.allocate(), peers: this.allocate(), operators: this.allocate()};
 		const settings = {
 			hostName: name,
@@ -140,18 +149,18 @@
 		this.addHost({
 			name, availabilityZone, region: 'home', state: 'live', entry: addresses, endpoints: [],
 		});
-		return this.restartRouter(name, settings);
+		return this.restartRouter(name, settings, limits);
 	}
 
 	/** Starts a router with given settings, for example again after its death. */
-	async restartRouter(name: string, settings?: unknown): Promise<FleetProcess> {
+	async restartRouter(name: string, settings?: unknown, {flags = [], descriptors}: ProcessLimits = {}): Promise<FleetProcess> {
 		const file = path.join(this.folder, `${name}.jsonc`);
 		if (settings !== undefined) {
 			await writeFile(file, JSON.stringify(settings, undefined, '\t'));
 		}
 
 		const address = this.processes.get(name)?.address ?? this.hosts.get(name)!.entry!.callers;
-		return this.#spawn(name, address, [...routerFlags, path.join(binaries, 'azuretack-router.js'), '--settings', file]);
+		return this.#spawn(name, address, [...routerFlags, ...flags, path.join(binaries, 'azuretack-router.js'), '--settings', file], descriptors);
 	}
 
 	/** Adds a host to the list or replaces it. */
@@ -263,8 +272,9 @@
 		await rm(this.folder, {recursive: true, force: true});
 	}
 
-	#spawn(name: string, address: string, parameters: string[]): FleetProcess {
-		const child = spawn(process.execPath, parameters, {stdio: ['ignore', 'pipe', 'pipe']});
+	#spawn(name: string, address: string, parameters: string[], descriptors?: number): FleetProcess {
+		const [executable, ...words] = limitDescriptors([process.execPath, ...parameters], descriptors);
+		const child = spawn(executable!, words, {stdio: ['ignore', 'pipe', 'pipe']});
 		const log: string[] = [];
 		child.stderr.setEncoding('utf8').on('data', (lines: string) => {
 			log.push(lines);
--- a/source/testing/gateway-fleet.ts
+++ b/source/testing/gateway-fleet.ts
@@ -13,7 +13,7 @@
 import {type GatewaySettings} from '../settings/gateway-settings.ts';
 import {sendCall, type CallerAnswer, type SendCallOptions} from './call.ts';
 import {takeLoopbackAddress} from './loopback-address.ts';
-import {memoryFlags} from './process-memory.ts';
+import {limitDescriptors, memoryFlags} from './process-memory.ts';
 import {configurationRow} from './stand-ins/configuration-row.ts';
 import {RawWorker, type RawWorkerOptions} from './stand-ins/raw-worker.ts';
 import {StoreStandIn} from './stand-ins/store-stand-in.ts';
@@ -58,7 +58,7 @@
 }
 
 /** One gateway process. */
-export type GatewayProcess = {name: string; callers: string; entries: string; readiness: string; metrics: string; child: ChildProcess; log: string[]};
+export type GatewayProcess = {name: string; callers: string; entries: string; readiness: string; metrics: string; peers: string; child: ChildProcess; log: string[]};
 
 /** Number of characters of a gateway's log that describe why it does not start. */
 const describedLogLength = 3000;
@@ -160,15 +160,14 @@
 			...settings,
 		}));
 		const command = [process.execPath, ...memoryFlags, program, '--settings', file];
-		// A shell lowers the limit of its own process and becomes the gateway, which keeps its id.
-		const [executable, ...words] = descriptors === undefined ? command : ['/bin/sh', '-c', `ulimit -n ${descriptors} && exec "$@"`, 'sh', ...command];
+		const [executable, ...words] = limitDescriptors(command, descriptors);
 		const child = spawn(executable!, words, {stdio: ['ignore', 'pipe', 'inherit']});
 		const log: string[] = [];
 		child.stdout.on('data', (data: Uint8Array) => {
 			log.push(new TextDecoder().decode(data));
 		});
 		const gateway = {
-			name, callers: callers!, entries: entries!, readiness: readiness!, metrics: metrics!, child, log,
+			name, callers: callers!, entries: entries!, readiness: readiness!, metrics: metrics!, peers: this.#peerAddressOf(name), child, log,
 		};
 		this.gateways.set(name, gateway);
 		await this.until(async () => {
--- a/source/testing/process-memory.ts
+++ b/source/testing/process-memory.ts
@@ -38,3 +38,14 @@
 		return undefined;
 	}
 }
+
+/**
+ * Returns a command that runs another one with a limit on its descriptors: a shell lowers the limit of its own process and becomes that command,
+ * which keeps its id.
+ *
+ * @param command The command.
+ * @param descriptors Descriptors that it may have; `undefined` for those of this process.
+ */
+export function limitDescriptors(command: readonly string[], descriptors: number | undefined): readonly string[] {
+	return descriptors === undefined ? command : ['/bin/sh', '-c', `ulimit -n ${descriptors} && exec "$@"`, 'sh', ...command];
+}
