Answer a request before what follows it is refused

Cause: the refusal of what could not be parsed was written at once, where the answer of the request before it was due, as long as that had not begun.

Change: what follows is not read any more, requests that have arrived whole get their own answers, then the refusal is sent and the connection closed. A request whose own body can't be parsed is refused at once, as before.

Why it works: responses go out in the order of their requests, also the one to bytes that are no request.

--- a/source/forwarding/caller-connections.ts
+++ b/source/forwarding/caller-connections.ts
@@ -34,6 +34,8 @@
 	isCounted: boolean;
 	/** Responses that are not closed yet, in order of their requests, with what is called once they are or their connection is. */
 	readonly responses: Map<ServerResponse, () => void>;
+	/** Called each time a response has been closed. */
+	onResponseClosed?: () => void;
 };
 
 /** What becomes of a response. */
@@ -100,6 +102,7 @@
 			const end = () => {
 				connection.responses.delete(response);
 				resolve();
+				connection.onResponseClosed?.();
 				if (controller.signal.aborted || response.writableFinished) {
 					return;
 				}
@@ -154,6 +157,32 @@
 		socket.destroy(error);
 	}
 
+	/**
+	 * Sends a last response and closes a connection because of what its caller has sent. If no request is in progress on it, the caller may still
+	 * read the response.
+	 *
+	 * @param socket The caller's connection.
+	 * @param response Bytes of the response.
+	 * @param reason Why.
+	 * @param error What led to it.
+	 */
+	refuseSocket(socket: CallerSocket, response: string, reason: ClosingReason, error: Error): void {
+		const isWritable = socket.writable;
+		// A response that has begun must not be followed by another one.
+		if (isWritable && !this.currentResponse(socket)?.headersSent) {
+			socket.write(response);
+		}
+
+		if (isWritable && !this.currentResponse(socket)) {
+			this.follow(socket);
+			this.#recordReason(socket, reason, error.message);
+			this.#recordWithoutRequest(socket);
+			socket.destroySoon();
+		} else {
+			this.closeSocket(socket, reason, error);
+		}
+	}
+
 	/** Returns why a response's connection is being closed; `unknown` if nothing has closed it yet. */
 	reasonOf(response: ServerResponse): ClosingReason {
 		return this.#connections.get(response.req.socket)?.closing?.reason ?? 'unknown';
@@ -165,6 +194,28 @@
 		return response;
 	}
 
+	/**
+	 * Calls back once all requests that have arrived whole on a connection are answered: at once, if there are none.
+	 *
+	 * @param socket The caller's connection.
+	 * @param callback Called once.
+	 */
+	afterWholeRequests(socket: CallerSocket, callback: () => void): void {
+		this.follow(socket);
+		const connection = this.#connections.get(socket)!;
+		const callOnceAnswered = () => {
+			if ([...connection.responses.keys()].some(({req}) => req.complete)) {
+				return;
+			}
+
+			connection.onResponseClosed = undefined;
+			callback();
+		};
+
+		connection.onResponseClosed = callOnceAnswered;
+		callOnceAnswered();
+	}
+
 	/** Stops listening for new connections, and closes those without a request in progress. */
 	stopListening(server: Server): void {
 		server.close();
--- a/source/gateway/follow-callers.ts
+++ b/source/gateway/follow-callers.ts
@@ -6,7 +6,7 @@
 import {STATUS_CODES, type Server} from 'node:http';
 import {Socket} from 'node:net';
 import {type Duplex} from 'node:stream';
-import {closingReasonOfError, type CallerConnections} from '../forwarding/mod.ts';
+import {closingReasonOfError, type CallerConnections, type ClosingReason} from '../forwarding/mod.ts';
 import {CallerConnection, type CallerSocket} from '../intake/mod.ts';
 
 /** Statuses of the responses to errors on a connection; those of Node's HTTP server. */
@@ -16,6 +16,9 @@
 	ERR_HTTP_REQUEST_TIMEOUT: 408,
 };
 
+/** Reasons for closing a connection that lie in what the caller sent; it still carries responses. */
+const reasonsOfInput: ReadonlySet<ClosingReason> = new Set(['invalid-request', 'timeout']);
+
 /** Status of the response to any other error. */
 const badRequestStatus = 400;
 
@@ -35,12 +38,17 @@
 			return;
 		}
 
-		// A response that has begun must not be followed by another one.
-		if (socket.writable && !connections.currentResponse(socket)?.headersSent) {
-			socket.write(errorResponse(statuses[error.code ?? ''] ?? badRequestStatus));
-		}
+		const close = () => {
+			connections.refuseSocket(socket, errorResponse(statuses[error.code ?? ''] ?? badRequestStatus), closingReasonOfError(error.code), error);
+		};
 
-		connections.closeSocket(socket, closingReasonOfError(error.code), error);
+		if (reasonsOfInput.has(closingReasonOfError(error.code))) {
+			// Requests before it get their own responses.
+			socket.pause();
+			connections.afterWholeRequests(socket, close);
+		} else {
+			close();
+		}
 	});
 	server.on('timeout', (socket: CallerSocket) => {
 		connections.closeSocket(socket, connections.currentResponse(socket) ? 'timeout' : 'idle');
