--- a/source/router/caller-server.ts
+++ b/source/router/caller-server.ts
@@ -69,6 +69,10 @@
 	parts.intake.serve(server, {
 		guard: parts.connectionGuard,
 		limits: () => limits,
+		close(connection, reason) {
+			parts.logger.debug('connection of a caller closed', {reason, bytesRead: connection.bytesRead});
+			connection.destroy();
+		},
 		onClosed(closed) {
 			parts.logger.info('connections of callers closed', {late: closed.length, open: parts.connectionGuard.size, reason: closed[0]!.reason});
 		},
