--- a/source/gateway/serve-request.test.ts
+++ b/source/gateway/serve-request.test.ts
@@ -4,7 +4,7 @@
 import {type AddressInfo} from 'node:net';
 import {test} from 'node:test';
 import {CallerConnections} from '../forwarding/mod.ts';
-import {BodyAccount, ConnectionGuard, intakeLimits} from '../intake/mod.ts';
+import {CallerMemory, ConnectionGuard, intakeLimits} from '../intake/mod.ts';
 import {RouteTable} from '../routing/mod.ts';
 import {sendCall} from '../testing/call.ts';
 import {GracefulShutdown} from './graceful-shutdown.ts';
@@ -56,7 +56,7 @@
 			},
 		},
 		callerConnections: new CallerConnections({logger: {...console, info: ignore}, clock: () => performance.now(), count: ignore}),
-		bodies: new BodyAccount(intakeLimits(resources)),
+		intake: {memory: new CallerMemory(intakeLimits(resources))},
 		connectionGuard: new ConnectionGuard(intakeLimits(resources)),
 		retryBudgetOf() {
 			throw new Error('a fault');
